--- /dev/null
+++ b/clock/manual.go
@@ -0,0 +1,74 @@
+package clock
+
+import (
+	"sort"
+	"sync"
+)
+
+// Manual is a clock for tests that moves only when told to. The zero value
+// stands at instant zero.
+type Manual struct {
+	mu     sync.Mutex
+	now    Millis
+	timers []*timer
+}
+
+type timer struct {
+	at Millis
+	f  func()
+}
+
+// Now returns the instant at which the clock stands.
+func (m *Manual) Now() Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
+
+// Advance moves the clock forward by d and runs every timer that falls due,
+// earliest first, in the caller's goroutine.
+func (m *Manual) Advance(d Millis) {
+	m.mu.Lock()
+	m.now += d
+	due := m.takeDue()
+	m.mu.Unlock()
+	for _, t := range due {
+		t.f()
+	}
+}
+
+// Waiting returns the number of timers that have not fallen due. Tests wait
+// on it to learn that the code under test has begun to sleep.
+func (m *Manual) Waiting() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.timers)
+}
+
+func (m *Manual) takeDue() []*timer {
+	sort.SliceStable(m.timers, func(i, j int) bool { return m.timers[i].at < m.timers[j].at })
+	n := sort.Search(len(m.timers), func(i int) bool { return m.timers[i].at > m.now })
+	due := append([]*timer(nil), m.timers[:n]...)
+	m.timers = append([]*timer(nil), m.timers[n:]...)
+	return due
+}
+
+func (m *Manual) afterFunc(d Millis, f func()) (stop func() bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := &timer{at: m.now + d, f: f}
+	m.timers = append(m.timers, t)
+	return func() bool { return m.remove(t) }
+}
+
+func (m *Manual) remove(t *timer) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, other := range m.timers {
+		if other == t {
+			m.timers = append(m.timers[:i], m.timers[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/shard/map_test.go
@@ -0,0 +1,40 @@
+package shard_test
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/shard"
+)
+
+func TestUpdateCountsEveryWriter(t *testing.T) {
+	is := is.New(t)
+	const writers, rounds, keys = 8, 1000, 50
+	var m shard.Map[int, int]
+	var wg sync.WaitGroup
+	for range writers {
+		wg.Go(func() {
+			for i := range rounds {
+				m.Update(i%keys, func(n int, _ bool) (int, bool) { return n + 1, true })
+			}
+		})
+	}
+	wg.Wait()
+	total := 0
+	m.Each(func(_, n int) bool { total += n; return n%2 == 1 })
+	is.Equal(total, writers*rounds)
+	is.Equal(m.Len(), 0) // every count is even and was removed
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	var m shard.Map[int, int]
+	b.RunParallel(func(pb *testing.PB) {
+		i := 0
+		for pb.Next() {
+			i++
+			m.Update(i%4096, func(n int, _ bool) (int, bool) { return n + 1, true })
+		}
+	})
+}
