--- /dev/null
+++ b/cmd/lacefake/ask.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/trial"
+)
+
+// askTimeout bounds one call, with the wait for an entry that still starts.
+const askTimeout = 15 * clock.Second
+
+// ask makes one call of an entry and checks its answer.
+func ask(ctx context.Context, args []string) int {
+	fs := flag.NewFlagSet("lacefake ask", flag.ContinueOnError)
+	c := &trial.Client{}
+	fs.StringVar(&c.Addr, "entry", "", "address of an entry")
+	fs.StringVar(&c.Key, "key", trial.Key, "workspace key")
+	kind := fs.String("kind", "verse", "addresses, verse, stream, lookup or order")
+	key := fs.String("idempotency-key", "ask-1", "key of an order")
+	if status, ok := parse(fs, args); !ok {
+		return status
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Std())
+	defer cancel()
+	seen, err := askKind(ctx, c, *kind, *key)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "lacefake ask: %s: %v\n", *kind, err)
+		return exitFail
+	}
+	fmt.Printf("%s: %s\n", *kind, seen)
+	return exitOK
+}
+
+func askKind(ctx context.Context, c *trial.Client, kind, key string) (string, error) {
+	if err := c.Ready(ctx); err != nil {
+		return "", err
+	}
+	switch kind {
+	case "addresses":
+		addrs, err := c.Addresses(ctx)
+		return strings.Join(addrs, " "), err
+	case "verse", "stream":
+		return tryVerse(ctx, c, kind == "stream")
+	case "lookup":
+		return askService(ctx, c, http.MethodGet, "/stock/burr", "")
+	case "order":
+		return askService(ctx, c, http.MethodPost, "/orders", key)
+	}
+	return "", errors.Errorf("flag -kind: unknown value %q", kind)
+}
+
+// askService makes a call of the plain service and returns its answer.
+func askService(ctx context.Context, c *trial.Client, method, path, key string) (string, error) {
+	a, err := c.Service(ctx, method, path, key, []byte(`{"card":"harvest","count":1}`))
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("run %d of %s", a.Run, a.Path), nil
+}
--- /dev/null
+++ b/cmd/lacefake/engine.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/fake"
+)
+
+func engine(ctx context.Context, args []string) int {
+	fs := flag.NewFlagSet("lacefake engine", flag.ContinueOnError)
+	e := &fake.Engine{}
+	addr := fs.String("listen", "", "IP address and port")
+	role := fs.String("role", string(core.Decode), "prefill or decode")
+	step := fs.Int64("step", 0, "time of one decode step in ms")
+	lag := fs.Int64("lag", 0, "age of the reported load in ms")
+	fs.StringVar(&e.Name, "name", "engine", "name of the engine")
+	fs.IntVar(&e.Pieces, "pieces", 0, "memory in pieces")
+	fs.IntVar(&e.Speed.Prefill, "prefill", 0, "prompt tokens computed in a ms")
+	fs.Int64Var(&e.Speed.Rate, "rate", 0, "rate of the link in bytes a ms, 0 for no limit")
+	fs.BoolVar(&e.Fences, "fences", false, "refuse orders with an old fencing number")
+	if status, ok := parse(fs, args); !ok {
+		return status
+	}
+	e.Role = core.Role(*role)
+	e.Speed.Step = clock.Millis(*step)
+	e.ReportLag = clock.Millis(*lag)
+	go e.Run(ctx)
+	return listen(ctx, *addr, e.Handler())
+}
--- /dev/null
+++ b/cmd/lacefake/main.go
@@ -0,0 +1,112 @@
+// Lacefake runs small stand-ins of the platform and of the upstreams, for
+// tests and trial runs.
+//
+// # Usage
+//
+//	lacefake try                     run everything in one process, once
+//	lacefake platform -config F      the platform's table, objects and list
+//	lacefake engine -listen A ...    a model engine
+//	lacefake service -listen A ...   a plain service
+//	lacefake files -dir D            settings for a trial run of processes
+//	lacefake ask -entry A -kind K    make one call and check its answer
+//
+// Exit codes: 0 for success, 1 for a failure, 2 for a wrong command line.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// The exit codes.
+const (
+	exitOK    = 0
+	exitFail  = 1
+	exitUsage = 2
+)
+
+// command is a subcommand. Its run gets a context that ends with the first
+// stop signal.
+type command struct {
+	name string
+	help string
+	run  func(ctx context.Context, args []string) int
+}
+
+var commands = []command{
+	{"try", "run everything in one process, once", try},
+	{"platform", "run a stand-in platform", platform},
+	{"engine", "run a stand-in model engine", engine},
+	{"service", "run a stand-in plain service", service},
+	{"files", "write the settings of a trial run of processes", files},
+	{"ask", "make one call of an entry and check its answer", ask},
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	status := dispatch(ctx, os.Args[1:])
+	stop()
+	os.Exit(status)
+}
+
+func dispatch(ctx context.Context, args []string) int {
+	if len(args) == 0 {
+		usage(os.Stderr)
+		return exitUsage
+	}
+	for _, c := range commands {
+		if c.name == args[0] {
+			return c.run(ctx, args[1:])
+		}
+	}
+	if args[0] == "-h" || args[0] == "-help" || args[0] == "--help" || args[0] == "help" {
+		usage(os.Stdout)
+		return exitOK
+	}
+	fmt.Fprintf(os.Stderr, "lacefake: unknown command %q\n", args[0])
+	return exitUsage
+}
+
+func usage(w *os.File) {
+	fmt.Fprintln(w, "usage: lacefake COMMAND [flags]")
+	for _, c := range commands {
+		fmt.Fprintf(w, "  %-9s %s\n", c.name, c.help)
+	}
+}
+
+// parse parses a subcommand's flags; ok is false if it must end with status.
+func parse(fs *flag.FlagSet, args []string) (status int, ok bool) {
+	switch err := fs.Parse(args); {
+	case err == flag.ErrHelp:
+		return exitOK, false
+	case err != nil:
+		return exitUsage, false
+	}
+	if fs.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "%s: unknown argument %q\n", fs.Name(), fs.Arg(0))
+		return exitUsage, false
+	}
+	return exitOK, true
+}
+
+// listen answers on addr until ctx ends.
+func listen(ctx context.Context, addr string, h http.Handler) int {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lacefake:", err)
+		return exitFail
+	}
+	srv := &http.Server{Handler: h}
+	context.AfterFunc(ctx, func() { _ = srv.Close() })
+	if err := srv.Serve(ln); err != nil && ctx.Err() == nil {
+		fmt.Fprintln(os.Stderr, "lacefake:", err)
+		return exitFail
+	}
+	return exitOK
+}
--- /dev/null
+++ b/cmd/lacefake/platform.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/plat"
+	"lacewinghook.example/lacewinghook/prof"
+)
+
+// platformConfig is the settings file of a stand-in platform.
+type platformConfig struct {
+	Listen    string          `json:"listen"`
+	Instances []core.Instance `json:"instances"`
+	// Document, if there is one, stands in the table from the start.
+	Document *core.Document `json:"document,omitempty"`
+}
+
+func platform(ctx context.Context, args []string) int {
+	fs := flag.NewFlagSet("lacefake platform", flag.ContinueOnError)
+	file := fs.String("config", "", "settings file, JSON")
+	if status, ok := parse(fs, args); !ok {
+		return status
+	}
+	cfg, err := readPlatform(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lacefake platform:", err)
+		return exitFail
+	}
+	p := &plat.Platform{Instances: cfg.Instances}
+	if err := seed(p, cfg.Document); err != nil {
+		fmt.Fprintln(os.Stderr, "lacefake platform:", err)
+		return exitFail
+	}
+	go p.Watch(ctx)
+	return listen(ctx, cfg.Listen, p.Handler())
+}
+
+func readPlatform(name string) (*platformConfig, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	cfg := &platformConfig{}
+	return cfg, json.Unmarshal(data, cfg)
+}
+
+func seed(p *plat.Platform, doc *core.Document) error {
+	if doc == nil {
+		return nil
+	}
+	data, err := json.Marshal(doc)
+	if err != nil {
+		return err
+	}
+	_, err = p.Table.Commit([]core.Write{{Key: prof.Key, Value: data}})
+	return err
+}
--- /dev/null
+++ b/cmd/lacefake/service.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/fake"
+)
+
+func service(ctx context.Context, args []string) int {
+	fs := flag.NewFlagSet("lacefake service", flag.ContinueOnError)
+	s := &fake.PlainService{}
+	addr := fs.String("listen", "", "IP address and port")
+	work := fs.Int64("work", 0, "time of one call in ms")
+	fs.StringVar(&s.Name, "name", "service", "name of the service")
+	if status, ok := parse(fs, args); !ok {
+		return status
+	}
+	s.Work = clock.Millis(*work)
+	return listen(ctx, *addr, s.Handler())
+}
--- /dev/null
+++ b/cmd/lacefake/try.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/trial"
+)
+
+// step is one line of the table that try prints.
+type step struct {
+	name string
+	run  func(ctx context.Context, s *trial.Set) (seen string, err error)
+}
+
+var steps = []step{
+	{"addresses", tryAddresses},
+	{"verse, whole", tryWhole},
+	{"verse, streamed", tryStreamed},
+	{"lookup", tryLookup},
+}
+
+// tryTimeout bounds the whole of try.
+const tryTimeout = 20 * clock.Second
+
+func try(ctx context.Context, args []string) int {
+	if status, ok := parse(flag.NewFlagSet("lacefake try", flag.ContinueOnError), args); !ok {
+		return status
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout.Std())
+	defer cancel()
+	set, err := trial.Start(trial.Plan{
+		Entries: 3, Prefills: 2, Decodes: 2, Services: 1,
+		Speed: fake.Speed{Step: 5, Prefill: 20}, Linger: 1,
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lacefake try:", err)
+		return exitFail
+	}
+	defer set.Stop()
+	return runSteps(ctx, set)
+}
+
+func runSteps(ctx context.Context, set *trial.Set) int {
+	status := exitOK
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	defer w.Flush()
+	for _, st := range steps {
+		start := time.Now()
+		seen, err := st.run(ctx, set)
+		outcome := "ok"
+		if err != nil {
+			outcome, seen, status = "FAILED", err.Error(), exitFail
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d ms\t%s\n", st.name, outcome, time.Since(start).Milliseconds(), seen)
+	}
+	return status
+}
+
+// verse is the prompt that try sends: 2,000 tokens of house style and wishes.
+var verse = strings.Repeat("A card for a harvest home, kind and plain. ", 186)
+
+const verseTokens = 40
+
+func tryAddresses(ctx context.Context, s *trial.Set) (string, error) {
+	var addrs []string
+	err := trial.Until(ctx, func() bool {
+		var err error
+		addrs, err = s.Client(0).Addresses(ctx)
+		return err == nil && len(addrs) == len(s.Entries)
+	})
+	return fmt.Sprintf("%d entries", len(addrs)), err
+}
+
+func tryWhole(ctx context.Context, s *trial.Set) (string, error) {
+	return tryVerse(ctx, s.Client(0), false)
+}
+
+func tryStreamed(ctx context.Context, s *trial.Set) (string, error) {
+	return tryVerse(ctx, s.Client(1), true)
+}
+
+func tryVerse(ctx context.Context, c *trial.Client, stream bool) (string, error) {
+	r, err := c.Complete(ctx, trial.Ask{
+		Model: trial.Model, Prompt: verse, MaxTokens: verseTokens, Stream: stream,
+	}, nil)
+	if err != nil {
+		return "", err
+	}
+	if r.Text != strings.Join(fake.Answer(verse, verseTokens), "") {
+		return "", errors.New("the answer is not the one that the engine gives")
+	}
+	return fmt.Sprintf("%d tokens, the engine's own", verseTokens), nil
+}
+
+func tryLookup(ctx context.Context, s *trial.Set) (string, error) {
+	return askService(ctx, s.Client(2), http.MethodGet, "/stock/burr", "")
+}
--- a/core/instance.go
+++ b/core/instance.go
@@ -69,3 +69,15 @@
 	Expect int64  `json:"expect"`
 	Delete bool   `json:"delete,omitempty"`
 }
+
+// Committed is the outcome of a transaction that the table answered.
+type Committed struct {
+	// Conflicts holds the rows that didn't stand as expected, as they stand.
+	// If there are any, nothing was written.
+	Conflicts []Row `json:"conflicts,omitempty"`
+	// Revisions holds the new revision of each written row, in order.
+	Revisions []int64 `json:"revisions,omitempty"`
+}
+
+// OK reports whether the transaction was carried out.
+func (c Committed) OK() bool { return len(c.Conflicts) == 0 }
--- a/core/request.go
+++ b/core/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -100,3 +101,29 @@
 	}
 	return blocks
 }
+
+// Call is a call of a plain service, read from a caller and checked.
+type Call struct {
+	ID        ID
+	Workspace string
+	Service   string
+	Method    string
+	// Path is the path below the service, with a leading slash, and Query the
+	// raw query.
+	Path  string
+	Query string
+	// Header holds the headers that go to the service.
+	Header http.Header
+	Body   []byte
+	// Key is the Idempotency-Key, empty for calls that may be repeated.
+	Key string
+	// Deadline is an instant of this process.
+	Deadline clock.Millis
+}
+
+// Answer is a plain service's whole answer.
+type Answer struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"body,omitempty"`
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,152 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+)
+
+// Client speaks to upstreams over HTTP. The zero value works and is safe for
+// many threads.
+type Client struct {
+	Clock clock.Clock
+	// HTTP is the client used; nil is [http.DefaultClient]. It must have no
+	// overall timeout, since streams are long.
+	HTTP *http.Client
+}
+
+// The headers that identify a request at an upstream.
+const (
+	headerID      = "X-Request-Id"
+	headerAttempt = "Attempt"
+)
+
+// Bounds of an upstream's answers.
+const (
+	maxAnswerBytes = 16 << 20
+	maxEventBytes  = 1 << 20
+	maxErrorBytes  = 300
+)
+
+func (c *Client) client() *http.Client {
+	if c.HTTP == nil {
+		return http.DefaultClient
+	}
+	return c.HTTP
+}
+
+// target is where one call goes and whose it is.
+type target struct {
+	up      core.Upstream
+	method  string
+	path    string
+	id      core.ID
+	attempt core.Attempt
+}
+
+// open makes a call and returns the answer with its body unread.
+func (c *Client) open(ctx context.Context, t target, body any) (*http.Response, error) {
+	var payload io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, codes.Wrap(codes.Internal, err, "%s", t.up.Name)
+		}
+		payload = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, t.method, "http://"+t.up.Addr+t.path, payload)
+	if err != nil {
+		return nil, codes.Wrap(codes.Internal, err, "%s", t.up.Name)
+	}
+	// Without GetBody the library can't send a request twice on its own.
+	req.GetBody = nil
+	if t.attempt != 0 {
+		req.Header.Set(headerID, t.id.String())
+		req.Header.Set(headerAttempt, strconv.FormatUint(uint64(t.attempt), 10))
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.client().Do(req)
+	if err != nil {
+		return nil, failed(err, t.up)
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		defer resp.Body.Close()
+		return nil, refusal(resp, t.up)
+	}
+	return resp, nil
+}
+
+// read makes a call and decodes the whole answer into out.
+func (c *Client) read(ctx context.Context, t target, body, out any) error {
+	resp, err := c.open(ctx, t, body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return codes.Wrap(codes.UpstreamLost, err, "%s", t.up.Name)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return codes.Wrap(codes.UpstreamLost, err, "%s: answer", t.up.Name)
+	}
+	return nil
+}
+
+// failed tells a connection that never stood, which is proof that nothing
+// ran, from one that broke.
+func failed(err error, up core.Upstream) error {
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return codes.Wrap(codes.UpstreamRefused, err, "%s", up.Name)
+	case errors.Is(err, context.DeadlineExceeded):
+		return codes.Wrap(codes.UpstreamTimeout, err, "%s", up.Name)
+	case errors.Is(err, context.Canceled):
+		return codes.Wrap(codes.CallerGone, err, "%s", up.Name)
+	}
+	return codes.Wrap(codes.UpstreamLost, err, "%s", up.Name)
+}
+
+// refusal turns an error answer into a code by its name.
+func refusal(resp *http.Response, up core.Upstream) error {
+	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	var body struct {
+		Error struct {
+			Name    string `json:"name"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal(data, &body)
+	cause := errors.Errorf("status %d: %s", resp.StatusCode, body.Error.Message)
+	switch body.Error.Name {
+	case "not_found":
+		return codes.Wrap(codes.NotFound, cause, "%s", up.Name)
+	case "transfer_failed":
+		return codes.Wrap(codes.TransferFailed, cause, "%s", up.Name)
+	case "export_expired":
+		return codes.Wrap(codes.ExportExpired, cause, "%s", up.Name)
+	case "superseded":
+		return codes.Wrap(codes.Superseded, cause, "%s", up.Name)
+	case "order_stale":
+		return codes.Wrap(codes.OrderStale, cause, "%s", up.Name)
+	}
+	return codes.Wrap(codes.UpstreamRefused, cause, "%s", up.Name).WithRun(codes.Unknown)
+}
+
+func checkOwner(up core.Upstream, try core.Try, id string, attempt core.Attempt) error {
+	if id == try.Request.ID.String() && attempt == try.Attempt {
+		return nil
+	}
+	return codes.New(codes.WrongAnswer, "%s: answer of %s attempt %d", up.Name, id, attempt)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,204 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"lacewinghook.example/lacewinghook/admin"
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/config"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/engine"
+	"lacewinghook.example/lacewinghook/flow"
+	"lacewinghook.example/lacewinghook/front"
+	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/pool"
+	"lacewinghook.example/lacewinghook/prof"
+	"lacewinghook.example/lacewinghook/route"
+	"lacewinghook.example/lacewinghook/store"
+	"lacewinghook.example/lacewinghook/wire"
+)
+
+// Entry is one entry instance. Settings and Log are needed.
+type Entry struct {
+	Settings *config.Settings
+	Log      *zap.Logger
+	Clock    clock.Clock
+	// Sockets are listeners that are already open; those that are nil are
+	// opened by Run.
+	Sockets Sockets
+	// Linger is how long an entry that stops goes on taking new work, since
+	// callers may still hold its address; zero is a second over the life of
+	// an answer of addresses.
+	Linger clock.Millis
+
+	owner   core.Owner
+	leaving atomic.Bool
+	flights atomic.Int64
+	book    prof.Book
+	pool    pool.Table
+	members member.Table
+	store   store.Client
+	engines engine.Client
+	peers   wire.Client
+}
+
+// Sockets are an entry's listeners.
+type Sockets struct {
+	Callers, Operators, Peers net.Listener
+}
+
+// Run serves until ctx ends, and then stops without cutting a request: it
+// says that it is leaving, goes on for the linger, and waits for all that is
+// in flight.
+func (e *Entry) Run(ctx context.Context) error {
+	if err := e.listen(); err != nil {
+		return err
+	}
+	e.prepare()
+	// work goes on while the entry stops and ends last of all.
+	work, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	g, work := errgroup.WithContext(work)
+	callers := &http.Server{Handler: e.counted(e.callers()), ReadHeaderTimeout: headerTimeout.Std(), MaxHeaderBytes: maxHeaderBytes}
+	operators := &http.Server{Handler: e.operators(), ReadHeaderTimeout: headerTimeout.Std(), MaxHeaderBytes: maxHeaderBytes}
+	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
+	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
+	g.Go(func() error { return (&wire.Server{Handler: e}).Serve(work, e.Sockets.Peers) })
+	e.background(work, g)
+	g.Go(func() error {
+		defer end()
+		select {
+		case <-ctx.Done():
+		case <-work.Done():
+		}
+		return e.stop(work, callers, operators)
+	})
+	e.Log.Info("entry: serving", zap.String("callers", e.Sockets.Callers.Addr().String()))
+	err := g.Wait()
+	e.peers.Close()
+	return err
+}
+
+// Bounds of the HTTP listeners.
+const (
+	headerTimeout  = 5 * clock.Second
+	maxHeaderBytes = 32 << 10
+)
+
+func serve(s *http.Server, ln net.Listener) error {
+	err := s.Serve(ln)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "entry: listener")
+}
+
+func (e *Entry) listen() error {
+	for _, l := range []struct {
+		socket *net.Listener
+		addr   string
+	}{
+		{&e.Sockets.Callers, e.Settings.Callers.Listen},
+		{&e.Sockets.Operators, e.Settings.Operators.Listen},
+		{&e.Sockets.Peers, e.Settings.Peers.Listen},
+	} {
+		if *l.socket != nil {
+			continue
+		}
+		ln, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			return errors.Wrap(err, "entry: listen")
+		}
+		*l.socket = ln
+	}
+	return nil
+}
+
+// prepare connects the parts.
+func (e *Entry) prepare() {
+	s := e.Settings
+	e.owner = core.Owner{Instance: s.Instance, Boot: core.NewBoot()}
+	e.store = store.Client{Base: s.Platform.Base}
+	e.engines.Clock = e.Clock
+	e.engines.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}
+	e.pool.Clock = e.Clock
+	e.members.Clock = e.Clock
+	e.members.Self = core.Instance{
+		Name: s.Instance, Centre: s.Centre, State: core.Live,
+		Addr: e.Sockets.Callers.Addr().String(), Peer: e.Sockets.Peers.Addr().String(),
+	}
+	e.book.OnChange = func(v *prof.View) { e.pool.Apply(v.Doc) }
+}
+
+// maxIdleConns bounds the kept connections to one upstream.
+const maxIdleConns = 64
+
+func (e *Entry) callers() http.Handler {
+	s := &front.Server{
+		Runner: &flow.Flow{
+			Engines: &e.engines, Upstreams: &e.pool, Chooser: e.chooser(),
+			Clock: e.Clock, Centre: e.Settings.Centre,
+		},
+		Plain:   &flow.Plain{Services: &e.engines, Replicas: &e.pool},
+		Views:   &e.book,
+		Members: &e.members,
+		IDs:     &core.Sequence{Owner: e.owner},
+		Clock:   e.Clock,
+		Log:     e.Log,
+		Life:    member.AddressLife,
+		State:   e.state,
+	}
+	return s.Handler()
+}
+
+func (e *Entry) chooser() flow.Chooser {
+	if e.Settings.Policy == "random" {
+		return route.Random{}
+	}
+	return route.Least{}
+}
+
+func (e *Entry) operators() http.Handler {
+	s := &admin.Server{Views: &e.book, Members: &e.members}
+	return s.Handler()
+}
+
+func (e *Entry) state() core.State {
+	if e.leaving.Load() {
+		return core.Leaving
+	}
+	return core.Live
+}
+
+// counted counts the requests in flight.
+func (e *Entry) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.flights.Add(1)
+		defer e.flights.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
+// stop leaves, lingers, and waits for what is in flight.
+func (e *Entry) stop(ctx context.Context, servers ...*http.Server) error {
+	e.leaving.Store(true)
+	linger := e.Linger
+	if linger == 0 {
+		linger = member.AddressLife + clock.Second
+	}
+	e.Log.Info("entry: leaving", zap.Int64("linger", int64(linger)))
+	_ = e.Clock.Sleep(ctx, linger)
+	var faults []error
+	for _, s := range servers {
+		faults = append(faults, s.Shutdown(ctx))
+	}
+	e.Log.Info("entry: stopped")
+	return errors.Join(faults...)
+}
--- /dev/null
+++ b/fake/http.go
@@ -0,0 +1,218 @@
+package fake
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/gorilla/mux"
+
+	"lacewinghook.example/lacewinghook/core"
+)
+
+// maxBodyBytes bounds the body of one call.
+const maxBodyBytes = 8 << 20
+
+// completion is the body of a completions call.
+type completion struct {
+	Model     string    `json:"model"`
+	Prompt    string    `json:"prompt"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+	Priority  int       `json:"priority"`
+	Transfer  *transfer `json:"kv_transfer_params,omitempty"`
+	// Offset is the place of the first token in the whole answer.
+	Offset int `json:"offset,omitempty"`
+
+	id      string
+	owner   string
+	attempt core.Attempt
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CachedTokens     int `json:"cached_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+type completed struct {
+	ID       string       `json:"id"`
+	Attempt  core.Attempt `json:"attempt"`
+	Usage    usage        `json:"usage"`
+	Transfer *transfer    `json:"kv_transfer_params,omitempty"`
+}
+
+type choice struct {
+	Text   string `json:"text"`
+	Finish string `json:"finish_reason,omitempty"`
+}
+
+// event is one event of a decode stream.
+type event struct {
+	ID      string       `json:"id"`
+	Attempt core.Attempt `json:"attempt"`
+	Offset  int          `json:"offset"`
+	Choices []choice     `json:"choices,omitempty"`
+	Usage   *usage       `json:"usage,omitempty"`
+	Error   string       `json:"error,omitempty"`
+}
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/completions", e.complete).Methods(http.MethodPost)
+	r.HandleFunc("/v1/requests", e.running).Methods(http.MethodGet)
+	r.HandleFunc("/v1/requests/{id}/stream", e.resume).Methods(http.MethodGet)
+	r.HandleFunc("/v1/requests/{id}/cancel", e.cancel).Methods(http.MethodPost)
+	r.HandleFunc("/v1/load", e.report).Methods(http.MethodGet)
+	r.HandleFunc("/v1/events", e.cacheEvents).Methods(http.MethodGet)
+	r.HandleFunc("/v1/orders", e.order).Methods(http.MethodPost)
+	r.HandleFunc("/v1/state", e.state).Methods(http.MethodGet)
+	r.HandleFunc("/fake/kv/{id}", e.sendKV).Methods(http.MethodGet)
+	r.HandleFunc("/fake/ills", e.setIlls).Methods(http.MethodPost)
+	r.HandleFunc("/fake/count", e.showCount).Methods(http.MethodGet)
+	return r
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var c completion
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&c); err != nil {
+		writeError(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	c.id = r.Header.Get("X-Request-Id")
+	c.attempt = attemptOf(r)
+	c.owner, _, _ = cutLast(c.id)
+	if c.id == "" || c.MaxTokens <= 0 {
+		writeError(w, http.StatusBadRequest, "bad_request", "want X-Request-Id and max_tokens")
+		return
+	}
+	if p := e.Trouble.Now().Poison; p != "" && strings.Contains(c.Prompt, p) {
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}
+	if e.Role == core.Prefill {
+		e.prefill(w, r, c)
+		return
+	}
+	e.decode(w, r, c)
+}
+
+// crash ends every sequence, as a process that dies does.
+func (e *Engine) crash() {
+	e.seqs.Each(func(_ string, s *sequence) bool {
+		// The lock of the shard is held: the sequence is stopped beside it.
+		go e.stop(s)
+		return true
+	})
+}
+
+// cutLast splits "instance.boot.seq" into the owner and the sequence.
+func cutLast(id string) (owner, seq string, ok bool) {
+	i := strings.LastIndexByte(id, '.')
+	if i < 0 {
+		return id, "", false
+	}
+	return id[:i], id[i+1:], true
+}
+
+func attemptOf(r *http.Request) core.Attempt {
+	n, _ := strconv.ParseUint(r.Header.Get("Attempt"), 10, 32)
+	return core.Attempt(n)
+}
+
+// cancel frees what the engine holds for the request, if the attempt is not
+// newer than the one named.
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	if e.Trouble.spend(func(i *Ills) *int { return &i.LoseCancels }) {
+		panic(http.ErrAbortHandler)
+	}
+	id, attempt := mux.Vars(r)["id"], attemptOf(r)
+	known := false
+	if s, ok := e.seqs.Get(id); ok && s.attempt <= attempt {
+		known = true
+		e.stop(s)
+	}
+	if x, ok := e.exports.Get(id); ok && x.attempt <= attempt && e.drop(x) {
+		known = true
+		e.Count.WastedTokens.Add(int64(x.tokens))
+	}
+	if !known {
+		writeError(w, http.StatusNotFound, "not_found", "no such request")
+		return
+	}
+	e.Count.Cancels.Add(1)
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// running lists the requests that the engine holds memory for.
+func (e *Engine) running(w http.ResponseWriter, _ *http.Request) {
+	now := e.Clock.Now()
+	list := []core.Running{}
+	e.seqs.Each(func(id string, s *sequence) bool {
+		s.mu.Lock()
+		if !s.ended {
+			list = append(list, core.Running{ID: id, Owner: s.owner, Attempt: s.attempt, Age: now - s.start})
+		}
+		s.mu.Unlock()
+		return true
+	})
+	e.exports.Each(func(id string, x *export) bool {
+		list = append(list, core.Running{ID: id, Owner: x.owner, Attempt: x.attempt, Age: now - x.start})
+		return true
+	})
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (e *Engine) setIlls(w http.ResponseWriter, r *http.Request) {
+	var ills Ills
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&ills); err != nil {
+		writeError(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	e.Trouble.Set(ills)
+}
+
+// Tally is a reading of an engine's counters.
+type Tally struct {
+	Prefills      int64 `json:"prefills"`
+	Decodes       int64 `json:"decodes"`
+	Cancels       int64 `json:"cancels"`
+	Tokens        int64 `json:"tokens"`
+	PrefillTokens int64 `json:"prefill_tokens"`
+	WastedTokens  int64 `json:"wasted_tokens"`
+	Expired       int64 `json:"expired"`
+	Held          int   `json:"held"`
+}
+
+// Tally reads the engine's counters.
+func (e *Engine) Tally() Tally {
+	return Tally{
+		Prefills:      e.Count.Prefills.Load(),
+		Decodes:       e.Count.Decodes.Load(),
+		Cancels:       e.Count.Cancels.Load(),
+		Tokens:        e.Count.Tokens.Load(),
+		PrefillTokens: e.Count.PrefillTokens.Load(),
+		WastedTokens:  e.Count.WastedTokens.Load(),
+		Expired:       e.Count.Expired.Load(),
+		Held:          e.Held(),
+	}
+}
+
+func (e *Engine) showCount(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.Tally())
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeError(w http.ResponseWriter, status int, name, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	fmt.Fprintf(w, `{"error":{"name":%q,"message":%q}}`+"\n", name, message)
+}
--- /dev/null
+++ b/fake/text.go
@@ -0,0 +1,50 @@
+package fake
+
+import "strings"
+
+// words are what the stand-in engine writes.
+var words = strings.Fields(`amber autumn barley bell birch breeze brook candle
+clover dawn dove dusk ember evening feather fern field flame frost garden
+gentle golden grain harvest heart hearth hill home hope kind lark light lily
+meadow memory mild morning night oak prairie quiet rain remember river rose
+season silver sky snow soft song spring star still summer sun thanks thistle
+tide wheat willow wind winter wish wonder yarrow year`)
+
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+// writer makes text that follows from the text before it.
+type writer struct {
+	state uint64
+}
+
+func newWriter(text string) *writer {
+	w := &writer{state: fnvOffset}
+	w.read(text)
+	return w
+}
+
+func (w *writer) read(text string) {
+	for i := range len(text) {
+		w.state = (w.state ^ uint64(text[i])) * fnvPrime
+	}
+}
+
+// next returns the next token.
+func (w *writer) next() string {
+	word := words[(w.state>>17)%uint64(len(words))] + " "
+	w.read(word)
+	return word
+}
+
+// Answer returns the n tokens that every engine answers to the prompt.
+func Answer(prompt string, n int) []string {
+	w := newWriter(prompt)
+	tokens := make([]string, n)
+	for i := range tokens {
+		tokens[i] = w.next()
+	}
+	return tokens
+}
--- /dev/null
+++ b/front/service.go
@@ -0,0 +1,113 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+)
+
+// passed are the headers of a call that go to the service.
+var passed = []string{"Accept", "Accept-Language", "Content-Type", "User-Agent"}
+
+// maxKeyBytes bounds an Idempotency-Key.
+const maxKeyBytes = 255
+
+// service hands a call to a plain service.
+func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	call, err := s.call(w, r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("Request-Id", call.ID.String())
+	a, err := s.Plain.Call(r.Context(), call)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if t := a.Header.Get("Content-Type"); t != "" {
+		w.Header().Set("Content-Type", t)
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request) (core.Call, error) {
+	c, err := s.identify(r)
+	if err != nil {
+		return core.Call{}, err
+	}
+	vars := mux.Vars(r)
+	call := core.Call{
+		Workspace: c.workspace.Name, Service: vars["service"], Method: r.Method,
+		Path: "/" + vars["path"], Query: r.URL.RawQuery, Header: make(http.Header),
+	}
+	route, ok := findRoute(c.view.Doc.Routes, call)
+	if !ok {
+		return core.Call{}, codes.New(codes.UnknownService, "%s of service %q", call.Path, call.Service)
+	}
+	if call.Key, err = key(r, route); err != nil {
+		return core.Call{}, err
+	}
+	if call.Deadline, err = s.deadline(r); err != nil {
+		return core.Call{}, err
+	}
+	if call.Deadline == 0 && route.Timeout > 0 {
+		call.Deadline = s.Clock.Now() + route.Timeout
+	}
+	for _, name := range passed {
+		if v := r.Header.Values(name); len(v) > 0 {
+			call.Header[name] = v
+		}
+	}
+	call.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return core.Call{}, codes.New(codes.TooLarge, "body: over %d bytes", maxBodyBytes)
+	}
+	if err != nil {
+		return core.Call{}, codes.Wrap(codes.BadRequest, err, "body: can't be read")
+	}
+	call.ID = s.IDs.Next()
+	return call, nil
+}
+
+// findRoute returns the published route with the longest matching prefix.
+func findRoute(routes []core.Route, call core.Call) (core.Route, bool) {
+	var best core.Route
+	found := false
+	for _, r := range routes {
+		if r.Service != call.Service || !strings.HasPrefix(call.Path, r.Prefix) {
+			continue
+		}
+		if len(r.Methods) > 0 && !slices.Contains(r.Methods, call.Method) {
+			continue
+		}
+		if !found || len(r.Prefix) > len(best.Prefix) {
+			best, found = r, true
+		}
+	}
+	return best, found
+}
+
+// key returns the Idempotency-Key of a call that may not be repeated.
+func key(r *http.Request, route core.Route) (string, error) {
+	if route.Repeatable {
+		return "", nil
+	}
+	k := r.Header.Get("Idempotency-Key")
+	if k == "" {
+		return "", codes.New(codes.KeyMissing, "header Idempotency-Key: missing")
+	}
+	if len(k) > maxKeyBytes {
+		return "", codes.New(codes.BadRequest, "header Idempotency-Key: over %d bytes", maxKeyBytes)
+	}
+	return k, nil
+}
--- /dev/null
+++ b/prof/view.go
@@ -0,0 +1,66 @@
+package prof
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"lacewinghook.example/lacewinghook/core"
+)
+
+// View is one version of the document with its indexes. It is never changed.
+type View struct {
+	Doc *core.Document
+
+	workspaces map[string]core.Workspace
+	profiles   map[string]core.Profile
+	models     map[string]bool
+}
+
+// NewView builds the indexes of doc, which must not be changed afterwards.
+func NewView(doc *core.Document) *View {
+	v := &View{
+		Doc:        doc,
+		workspaces: make(map[string]core.Workspace),
+		profiles:   make(map[string]core.Profile),
+		models:     make(map[string]bool),
+	}
+	for _, w := range doc.Workspaces {
+		for _, digest := range w.Keys {
+			v.workspaces[digest] = w
+		}
+	}
+	for _, p := range doc.Profiles {
+		v.profiles[p.Name] = p
+	}
+	for _, u := range doc.Upstreams {
+		for _, m := range u.Models {
+			v.models[m] = true
+		}
+	}
+	return v
+}
+
+// Digest returns the form in which keys and tokens are kept: the SHA-256
+// digest in hexadecimal.
+func Digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Workspace returns the workspace that the key belongs to. The key is looked
+// up by its digest, so that the time taken tells nothing about a key.
+func (v *View) Workspace(key string) (core.Workspace, bool) {
+	w, ok := v.workspaces[Digest(key)]
+	return w, ok
+}
+
+// Profile returns the profile of that name.
+func (v *View) Profile(name string) (core.Profile, bool) {
+	p, ok := v.profiles[name]
+	return p, ok
+}
+
+// HasModel reports whether any upstream serves the model.
+func (v *View) HasModel(model string) bool {
+	return v.models[model]
+}
--- /dev/null
+++ b/scripts/procs.sh
@@ -0,0 +1,68 @@
+#!/usr/bin/env bash
+# Runs the whole system as separate processes on loopback: a platform, two
+# prefill and two decode engines, a plain service and three entries. Serves a
+# verse streamed and whole, a lookup and a card order, stops all of them, and
+# checks that nothing is left running. BASE sets the first port.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+base=${BASE:-21000}
+dir=$(mktemp -d)
+pids=()
+
+cleanup() {
+  for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
+  rm -rf "$dir"
+}
+trap cleanup EXIT
+
+go build -o "$dir" ./cmd/lacewinghook ./cmd/lacefake
+fake=$dir/lacefake
+
+start() {
+  local name=$1
+  shift
+  "$@" >"$dir/$name.log" 2>&1 &
+  pids+=($!)
+}
+
+"$fake" files -dir "$dir" -base "$base"
+start platform "$fake" platform -config "$dir/platform.json"
+for i in 1 2; do
+  start "prefill-$i" "$fake" engine -name "prefill-$i" -role prefill -listen "127.0.0.1:$((base + 99 + i))"
+  start "decode-$i" "$fake" engine -name "decode-$i" -role decode -step 5 -listen "127.0.0.1:$((base + 199 + i))"
+done
+start service "$fake" service -name card-desk-1 -listen "127.0.0.1:$((base + 300))"
+entries=()
+for i in 1 2 3; do
+  start "entry-$i" "$dir/lacewinghook" serve -config "$dir/moose-jaw-$i.json"
+  entries+=("$!")
+done
+
+entry() { echo "127.0.0.1:$((base + 400 + 10 * ($1 - 1)))"; }
+
+if ! {
+  "$fake" ask -entry "$(entry 1)" -kind addresses &&
+  "$fake" ask -entry "$(entry 1)" -kind verse &&
+  "$fake" ask -entry "$(entry 2)" -kind stream &&
+  "$fake" ask -entry "$(entry 3)" -kind lookup &&
+  "$fake" ask -entry "$(entry 1)" -kind order
+}; then
+  tail -n 20 "$dir"/*.log
+  exit 1
+fi
+
+# The entries stop on SIGTERM by themselves; then the stand-ins are stopped.
+kill -TERM "${entries[@]}"
+for pid in "${entries[@]}"; do
+  wait "$pid" || { echo "an entry stopped with status $?"; exit 1; }
+done
+for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+for pid in "${pids[@]}"; do
+  if kill -0 "$pid" 2>/dev/null; then
+    echo "process $pid is still running"
+    exit 1
+  fi
+done
+echo "all processes stopped"
--- /dev/null
+++ b/store/client.go
@@ -0,0 +1,179 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+
+	"github.com/go-faster/errors"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+)
+
+// Bounds of one call.
+const (
+	defaultTimeout = 2 * clock.Second
+	maxAnswerBytes = 64 << 20
+)
+
+// Client speaks to the platform. The zero value with a Base works; it is safe
+// for many threads.
+type Client struct {
+	// Base is the platform's URL, without a trailing slash.
+	Base string
+	// HTTP is the client used; nil is [http.DefaultClient].
+	HTTP *http.Client
+	// Timeout bounds one call; zero is 2 seconds.
+	Timeout clock.Millis
+	// Token is sent as a bearer token if it is not empty.
+	Token string
+}
+
+type readCall struct {
+	Keys   []string `json:"keys,omitempty"`
+	Prefix string   `json:"prefix,omitempty"`
+	After  string   `json:"after,omitempty"`
+	Limit  int      `json:"limit,omitempty"`
+}
+
+type readAnswer struct {
+	Rows []core.Row `json:"rows"`
+}
+
+type commitCall struct {
+	Writes []core.Write `json:"writes"`
+}
+
+// Read returns the rows that stand under keys; an absent one is left out.
+func (c *Client) Read(ctx context.Context, keys ...string) ([]core.Row, error) {
+	var a readAnswer
+	err := c.json(ctx, http.MethodPost, "/v1/table/read", readCall{Keys: keys}, &a)
+	return a.Rows, err
+}
+
+// List returns up to limit rows whose keys begin with prefix and come after
+// the key after, in the order of their keys.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]core.Row, error) {
+	var a readAnswer
+	call := readCall{Prefix: prefix, After: after, Limit: limit}
+	err := c.json(ctx, http.MethodPost, "/v1/table/read", call, &a)
+	return a.Rows, err
+}
+
+// Commit carries out all writes or none.
+func (c *Client) Commit(ctx context.Context, writes ...core.Write) (core.Committed, error) {
+	var a core.Committed
+	err := c.json(ctx, http.MethodPost, "/v1/table/commit", commitCall{Writes: writes}, &a)
+	return a, err
+}
+
+// Listing returns the platform's instance list.
+func (c *Client) Listing(ctx context.Context) (core.Listing, error) {
+	var l core.Listing
+	err := c.json(ctx, http.MethodGet, "/v1/instances", nil, &l)
+	return l, err
+}
+
+// Put stores an object.
+func (c *Client) Put(ctx context.Context, key string, data []byte) error {
+	_, err := c.call(ctx, http.MethodPut, "/v1/objects/"+url.PathEscape(key), data)
+	return err
+}
+
+// Get returns an object. Its error is [codes.NotFound] if there is none.
+func (c *Client) Get(ctx context.Context, key string) ([]byte, error) {
+	return c.call(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(key), nil)
+}
+
+func (c *Client) json(ctx context.Context, method, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return codes.Wrap(codes.Internal, err, "platform %s", path)
+		}
+	}
+	data, err := c.call(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return down(err, path).WithRun(codes.Unknown)
+	}
+	return nil
+}
+
+// call makes one call and returns the whole answer.
+func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout.Std())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, codes.Wrap(codes.Internal, err, "platform %s", path)
+	}
+	if c.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	// Without GetBody the library can't send a request a second time on its
+	// own, which it otherwise does when a kept connection was closed.
+	req.GetBody = nil
+	resp, err := c.client().Do(req)
+	if err != nil {
+		return nil, c.failed(err, path)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, down(err, path).WithRun(codes.Unknown)
+	}
+	return data, statusError(resp.StatusCode, path, data)
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP == nil {
+		return http.DefaultClient
+	}
+	return c.HTTP
+}
+
+// failed tells a connection that never stood, which is proof that nothing was
+// done, from one that broke.
+func (c *Client) failed(err error, path string) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return down(err, path)
+	}
+	return down(err, path).WithRun(codes.Unknown)
+}
+
+func down(err error, path string) *codes.Error {
+	return codes.Wrap(codes.PlatformDown, err, "platform %s", path)
+}
+
+// maxErrorBytes bounds what of an error's body is kept.
+const maxErrorBytes = 200
+
+func statusError(status int, path string, body []byte) error {
+	cause := errors.Errorf("status %d: %s", status, body[:min(len(body), maxErrorBytes)])
+	switch {
+	case status < 300:
+		return nil
+	case status == http.StatusNotFound:
+		return codes.Wrap(codes.NotFound, cause, "platform %s", path)
+	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
+		return down(cause, path)
+	case status < 500:
+		return codes.Wrap(codes.Internal, cause, "platform %s", path).WithRun(codes.NotRun)
+	}
+	return down(cause, path).WithRun(codes.Unknown)
+}
--- /dev/null
+++ b/trial/client.go
@@ -0,0 +1,213 @@
+package trial
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/fake"
+)
+
+// Client is a caller of one entry.
+type Client struct {
+	Addr string
+	Key  string
+	HTTP *http.Client
+}
+
+// Client returns a caller of the i-th entry.
+func (s *Set) Client(i int) *Client {
+	return &Client{Addr: s.Entries[i].Addr, Key: Key}
+}
+
+// Ask is a completions call.
+type Ask struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream,omitempty"`
+}
+
+// Reply is what came back for an [Ask].
+type Reply struct {
+	ID     string
+	Tokens []string
+	// Text is the whole text, and Done says that the end marker came.
+	Text string
+	Done bool
+	// Resume is the token to go on with at another entry.
+	Resume string
+}
+
+// event is what the callers' interface sends, as far as a trial reads it.
+type event struct {
+	ID      string `json:"id"`
+	Resume  string `json:"resume"`
+	Choices []struct {
+		Text   string `json:"text"`
+		Finish string `json:"finish_reason"`
+	} `json:"choices"`
+	Error *struct {
+		Code    codes.Code `json:"code"`
+		Run     codes.Run  `json:"run"`
+		Message string     `json:"message"`
+	} `json:"error"`
+}
+
+func (e *event) err() error {
+	if e.Error == nil {
+		return nil
+	}
+	return &codes.Error{Code: e.Error.Code, Run: e.Error.Run, Message: e.Error.Message}
+}
+
+// maxReplyBytes bounds one reply.
+const maxReplyBytes = 64 << 20
+
+// Complete makes a completions call. If each is not nil, it is called for
+// every token of a stream.
+func (c *Client) Complete(ctx context.Context, a Ask, each func(r *Reply)) (*Reply, error) {
+	body, err := json.Marshal(a)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.Do(ctx, http.MethodPost, "/v1/completions", body, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if a.Stream && resp.StatusCode == http.StatusOK {
+		return ReadStream(resp.Body, each)
+	}
+	var e event
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&e); err != nil {
+		return nil, err
+	}
+	if e.Error != nil {
+		return nil, e.err()
+	}
+	r := &Reply{ID: e.ID}
+	r.take(&e)
+	return r, nil
+}
+
+// ReadStream reads a stream of events to its end.
+func ReadStream(body io.Reader, each func(r *Reply)) (*Reply, error) {
+	r := &Reply{}
+	sc := bufio.NewScanner(body)
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			r.Done = true
+			return r, nil
+		}
+		var e event
+		if err := json.Unmarshal([]byte(data), &e); err != nil {
+			return r, err
+		}
+		if e.Error != nil {
+			return r, e.err()
+		}
+		r.take(&e)
+		if each != nil {
+			each(r)
+		}
+	}
+	if err := sc.Err(); err != nil {
+		return r, err
+	}
+	return r, errors.New("trial: the stream ended without its end marker")
+}
+
+func (r *Reply) take(e *event) {
+	r.ID = e.ID
+	if e.Resume != "" {
+		r.Resume = e.Resume
+	}
+	for _, c := range e.Choices {
+		if c.Text != "" {
+			r.Tokens = append(r.Tokens, c.Text)
+			r.Text += c.Text
+		}
+	}
+}
+
+// Do makes any call and returns the answer with its body unread.
+func (c *Client) Do(ctx context.Context, method, path string, body []byte, header http.Header) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	return client.Do(req)
+}
+
+func get(ctx context.Context, url string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	return http.DefaultClient.Do(req)
+}
+
+// Addresses asks the entry for the addresses that callers may use.
+func (c *Client) Addresses(ctx context.Context) ([]string, error) {
+	resp, err := c.Do(ctx, http.MethodGet, "/v1/addresses", nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var a struct {
+		Addresses []string `json:"addresses"`
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&a)
+	return a.Addresses, err
+}
+
+// Service makes a call of the trial's plain service.
+func (c *Client) Service(ctx context.Context, method, path, key string, body []byte) (fake.ServiceAnswer, error) {
+	var a fake.ServiceAnswer
+	header := make(http.Header)
+	if key != "" {
+		header.Set("Idempotency-Key", key)
+	}
+	resp, err := c.Do(ctx, method, "/v1/services/"+Service+path, body, header)
+	if err != nil {
+		return a, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return a, err
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		var e event
+		if err := json.Unmarshal(data, &e); err != nil || e.Error == nil {
+			return a, errors.Errorf("status %d: %s", resp.StatusCode, data)
+		}
+		return a, e.err()
+	}
+	return a, json.Unmarshal(data, &a)
+}
+
+// Ready waits until the entry takes work.
+func (c *Client) Ready(ctx context.Context) error {
+	return Until(ctx, func() bool { return isReady(ctx, c.Addr) })
+}
--- /dev/null
+++ b/trial/set.go
@@ -0,0 +1,306 @@
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/config"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/entry"
+	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/plat"
+	"lacewinghook.example/lacewinghook/prof"
+)
+
+// Plan says what a [Set] consists of. Zero counts are none.
+type Plan struct {
+	Entries, Prefills, Decodes, Services int
+	// Speed is that of every engine, and Pieces the memory of each decode.
+	Speed  fake.Speed
+	Pieces int
+	// Policy is the entries' way of choosing upstreams.
+	Policy string
+	// Linger is that of every entry.
+	Linger clock.Millis
+	// Log is the entries' log; nil is none.
+	Log *zap.Logger
+	// Edit, if not nil, changes the document before it is published.
+	Edit func(*core.Document)
+	// Setup, if not nil, changes the settings of each entry.
+	Setup func(*config.Settings)
+}
+
+// Set is a running set of stand-ins and entries.
+type Set struct {
+	Platform *plat.Platform
+	Prefills []*fake.Engine
+	Decodes  []*fake.Engine
+	Services []*fake.PlainService
+	Entries  []*Node
+	// Base is the platform's URL.
+	Base string
+	Doc  core.Document
+
+	ctx  context.Context
+	end  context.CancelFunc
+	wait sync.WaitGroup
+}
+
+// Node is one running entry.
+type Node struct {
+	Entry *entry.Entry
+	Addr  string
+	// Admin is the address of the operators' listener.
+	Admin string
+	stop  context.CancelFunc
+	done  chan struct{}
+	err   error
+}
+
+// Names that every trial uses.
+const (
+	Model     = "verse"
+	Key       = "trial-key"
+	Workspace = "verse-writers"
+	Service   = "card-desk"
+	Centre    = "moose-jaw"
+)
+
+// readyTimeout bounds the start of a set.
+const readyTimeout = 10 * clock.Second
+
+// Start starts a set and returns once every entry takes work.
+func Start(p Plan) (*Set, error) {
+	s := &Set{Platform: &plat.Platform{Lag: 100}, Doc: Document()}
+	s.ctx, s.end = context.WithCancel(context.Background())
+	if err := s.start(p); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Set) start(p Plan) error {
+	if p.Log == nil {
+		p.Log = zap.NewNop()
+	}
+	if err := s.startUpstreams(p); err != nil {
+		return err
+	}
+	if p.Edit != nil {
+		p.Edit(&s.Doc)
+	}
+	if err := s.Publish(); err != nil {
+		return err
+	}
+	nodes, err := s.prepareEntries(p)
+	if err != nil {
+		return err
+	}
+	addr, err := s.serve(s.Platform.Handler())
+	if err != nil {
+		return err
+	}
+	s.Base = "http://" + addr
+	s.wait.Go(func() { s.Platform.Watch(s.ctx) })
+	for _, n := range nodes {
+		n.Entry.Settings.Platform.Base = s.Base
+		s.run(n)
+	}
+	return s.ready()
+}
+
+// Publish writes the set's document to the platform's table as it stands.
+func (s *Set) Publish() error {
+	data, err := json.Marshal(s.Doc)
+	if err != nil {
+		return err
+	}
+	var revision int64
+	for _, row := range s.Platform.Table.Read([]string{prof.Key}) {
+		revision = row.Revision
+	}
+	done, err := s.Platform.Table.Commit([]core.Write{{Key: prof.Key, Value: data, Expect: revision}})
+	if err == nil && !done.OK() {
+		err = errors.New("trial: the document was changed beside")
+	}
+	return err
+}
+
+// Document returns the document of a trial without its upstreams.
+func Document() core.Document {
+	return core.Document{
+		Version: 1,
+		Profiles: []core.Profile{
+			{Name: "exact", FirstToken: 10 * clock.Second, PerToken: 100, Patience: 10 * clock.Second, Timeout: clock.Minute, Retries: 3},
+			{Name: "prompt", FirstToken: clock.Second, PerToken: 50, Timeout: clock.Minute, Retries: 1},
+		},
+		Workspaces: []core.Workspace{
+			{Name: Workspace, Profile: "exact", Keys: []string{prof.Digest(Key)}},
+		},
+		Routes: []core.Route{
+			{Service: Service, Prefix: "/", Methods: []string{http.MethodGet}, Repeatable: true, Timeout: 5 * clock.Second},
+			{Service: Service, Prefix: "/orders", Methods: []string{http.MethodPost}, Timeout: 5 * clock.Second},
+		},
+	}
+}
+
+func (s *Set) startUpstreams(p Plan) error {
+	for i := range p.Prefills {
+		e := &fake.Engine{Name: fmt.Sprintf("prefill-%d", i+1), Role: core.Prefill, Speed: p.Speed}
+		s.Prefills = append(s.Prefills, e)
+		if err := s.startEngine(e); err != nil {
+			return err
+		}
+	}
+	for i := range p.Decodes {
+		e := &fake.Engine{Name: fmt.Sprintf("decode-%d", i+1), Role: core.Decode, Speed: p.Speed, Pieces: p.Pieces}
+		s.Decodes = append(s.Decodes, e)
+		if err := s.startEngine(e); err != nil {
+			return err
+		}
+	}
+	for i := range p.Services {
+		svc := &fake.PlainService{Name: fmt.Sprintf("%s-%d", Service, i+1)}
+		s.Services = append(s.Services, svc)
+		addr, err := s.serve(svc.Handler())
+		if err != nil {
+			return err
+		}
+		s.Doc.Upstreams = append(s.Doc.Upstreams, core.Upstream{
+			Name: svc.Name, Addr: addr, Centre: Centre, Role: core.Service, Service: Service,
+		})
+	}
+	return nil
+}
+
+func (s *Set) startEngine(e *fake.Engine) error {
+	addr, err := s.serve(e.Handler())
+	if err != nil {
+		return err
+	}
+	s.wait.Go(func() { e.Run(s.ctx) })
+	s.Doc.Upstreams = append(s.Doc.Upstreams, core.Upstream{
+		Name: e.Name, Addr: addr, Centre: Centre, Role: e.Role, Models: []string{Model},
+		Pieces: e.Capacity(), Rate: e.Speed.Rate, Fences: e.Fences,
+	})
+	return nil
+}
+
+// serve answers on a free port of loopback until the set stops.
+func (s *Set) serve(h http.Handler) (addr string, err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	srv := &http.Server{Handler: h}
+	s.wait.Go(func() { _ = srv.Serve(ln) })
+	context.AfterFunc(s.ctx, func() { _ = srv.Close() })
+	return ln.Addr().String(), nil
+}
+
+// prepareEntries opens the listeners of all entries, so that the platform
+// knows the addresses before the first one starts.
+func (s *Set) prepareEntries(p Plan) ([]*Node, error) {
+	var nodes []*Node
+	for i := range p.Entries {
+		n, err := prepare(fmt.Sprintf("%s-%d", Centre, i+1), p)
+		if err != nil {
+			return nil, err
+		}
+		nodes = append(nodes, n)
+		s.Platform.Instances = append(s.Platform.Instances, core.Instance{
+			Name: n.Entry.Settings.Instance, Centre: Centre, Addr: n.Addr,
+			Peer: n.Entry.Sockets.Peers.Addr().String(),
+		})
+	}
+	return nodes, nil
+}
+
+func prepare(name string, p Plan) (*Node, error) {
+	settings := &config.Settings{Instance: name, Centre: Centre, Policy: p.Policy}
+	e := &entry.Entry{Settings: settings, Log: p.Log, Linger: p.Linger}
+	for _, socket := range []*net.Listener{&e.Sockets.Callers, &e.Sockets.Operators, &e.Sockets.Peers} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		*socket = ln
+	}
+	settings.Callers.Listen = e.Sockets.Callers.Addr().String()
+	settings.Operators.Listen = e.Sockets.Operators.Addr().String()
+	settings.Peers.Listen = e.Sockets.Peers.Addr().String()
+	if p.Setup != nil {
+		p.Setup(settings)
+	}
+	return &Node{Entry: e, Addr: settings.Callers.Listen, Admin: settings.Operators.Listen}, nil
+}
+
+func (s *Set) run(n *Node) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	n.stop = cancel
+	n.done = make(chan struct{})
+	s.Entries = append(s.Entries, n)
+	s.wait.Go(func() {
+		defer close(n.done)
+		n.err = n.Entry.Run(ctx)
+	})
+}
+
+// Stop asks the entry to stop and waits until it has.
+func (n *Node) Stop() error {
+	n.stop()
+	<-n.done
+	return n.err
+}
+
+// ready waits until every entry takes work.
+func (s *Set) ready() error {
+	ctx, cancel := context.WithTimeout(s.ctx, readyTimeout.Std())
+	defer cancel()
+	for _, n := range s.Entries {
+		if err := Until(ctx, func() bool { return isReady(ctx, n.Addr) }); err != nil {
+			return errors.Wrapf(err, "trial: entry %s", n.Addr)
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, addr string) bool {
+	resp, err := get(ctx, "http://"+addr+"/v1/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// untilEvery is the time between two looks of [Until].
+const untilEvery clock.Millis = 10
+
+// Until waits until cond holds or ctx ends.
+func Until(ctx context.Context, cond func() bool) error {
+	for !cond() {
+		if err := (clock.Clock{}).Sleep(ctx, untilEvery); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stop stops everything and waits.
+func (s *Set) Stop() {
+	for _, n := range s.Entries {
+		n.stop()
+	}
+	s.end()
+	s.wait.Wait()
+}
--- /dev/null
+++ b/trial/trial_test.go
@@ -0,0 +1,34 @@
+package trial_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/trial"
+)
+
+func TestVerseComesBackWholeFromEveryEntry(t *testing.T) {
+	is := is.New(t)
+	set, err := trial.Start(trial.Plan{
+		Entries: 2, Prefills: 1, Decodes: 1, Speed: fake.Speed{Step: 1, Prefill: 100}, Linger: 1,
+	})
+	is.NoErr(err)
+	defer set.Stop()
+	const n = 20
+	prompt := strings.Repeat("Thanks for the harvest. ", 40)
+	want := strings.Join(fake.Answer(prompt, n), "")
+	for i := range set.Entries {
+		for _, stream := range []bool{false, true} {
+			r, err := set.Client(i).Complete(context.Background(), trial.Ask{
+				Model: trial.Model, Prompt: prompt, MaxTokens: n, Stream: stream,
+			}, nil)
+			is.NoErr(err)
+			is.Equal(r.Text, want)
+		}
+	}
+	is.Equal(set.Decodes[0].Held(), 0)
+}
