--- a/admin/server.go
+++ b/admin/server.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 
 	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/prof"
 )
 
@@ -21,10 +21,11 @@
 	Peers() []member.Peer
 }
 
-// Server answers operators. Both fields are needed.
+// Server answers operators. Views and Members are needed.
 type Server struct {
 	Views   Views
 	Members Members
+	Meter   *meter.Set
 }
 
 // Handler returns the operators' HTTP interface.
@@ -36,7 +37,7 @@
 }
 
 func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
-	metrics.WritePrometheus(w, true)
+	s.Meter.Write(w)
 }
 
 // Status is this entry's account of itself and of the others.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,8 @@
 	"lacewinghook.example/lacewinghook/flow"
 	"lacewinghook.example/lacewinghook/front"
 	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/place"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/route"
@@ -41,6 +43,7 @@
 	owner   core.Owner
 	leaving atomic.Bool
 	flights atomic.Int64
+	meter   meter.Set
 	book    prof.Book
 	pool    pool.Table
 	members member.Table
@@ -143,8 +146,7 @@
 func (e *Entry) callers() http.Handler {
 	s := &front.Server{
 		Runner: &flow.Flow{
-			Engines: &e.engines, Upstreams: &e.pool, Chooser: e.chooser(),
-			Clock: e.Clock, Centre: e.Settings.Centre,
+			Engines: &e.engines, Placer: e.desk(), Clock: e.Clock, Meter: &e.meter,
 		},
 		Plain:   &flow.Plain{Services: &e.engines, Replicas: &e.pool},
 		Views:   &e.book,
@@ -158,7 +160,14 @@
 	return s.Handler()
 }
 
-func (e *Entry) chooser() flow.Chooser {
+func (e *Entry) desk() *place.Desk {
+	return &place.Desk{
+		Upstreams: &e.pool, Chooser: e.chooser(), Clock: e.Clock, Meter: &e.meter,
+		Centre: e.Settings.Centre,
+	}
+}
+
+func (e *Entry) chooser() place.Chooser {
 	if e.Settings.Policy == "random" {
 		return route.Random{}
 	}
@@ -166,7 +175,7 @@
 }
 
 func (e *Entry) operators() http.Handler {
-	s := &admin.Server{Views: &e.book, Members: &e.members}
+	s := &admin.Server{Views: &e.book, Members: &e.members, Meter: &e.meter}
 	return s.Handler()
 }
 
--- a/flow/doc.go
+++ b/flow/doc.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	f := &flow.Flow{Engines: &engine.Client{}, Upstreams: table, Chooser: route.Least{}}
+//	f := &flow.Flow{Engines: &engine.Client{}, Placer: desk}
 //	err := f.Run(ctx, request, sink)
 //
 // The error of [Flow.Run] is a [codes.Error]. If it is nil, the sink has got
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
-	"lacewinghook.example/lacewinghook/pool"
-	"lacewinghook.example/lacewinghook/route"
+	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/place"
 )
 
 // Engines are the calls of model engines that a request's life needs.
@@ -19,17 +18,12 @@
 	Cancel(ctx context.Context, up core.Upstream, id core.ID, attempt core.Attempt) (known bool, err error)
 }
 
-// Upstreams is what is known of the upstreams.
-type Upstreams interface {
-	Candidates(role core.Role, model string, buf []route.Candidate) []route.Candidate
-	Get(name string) (pool.State, bool)
-	Begin(name string, w pool.Work)
-	End(name string, w pool.Work)
-}
-
-// Chooser chooses the upstreams of a request.
-type Chooser interface {
-	Choose(q route.Query, prefills, decodes []route.Candidate) (c route.Choice, ok bool)
+// Placer decides where and when an attempt runs.
+type Placer interface {
+	Place(ctx context.Context, q place.Query) (*place.Placement, error)
+	Prefilled(p *place.Placement, took clock.Millis, err error)
+	FirstToken(p *place.Placement, took clock.Millis)
+	Release(p *place.Placement, err error)
 }
 
 // Sink takes the answer to one request.
@@ -39,14 +33,12 @@
 	Token(t core.Token) error
 }
 
-// Flow runs requests. Engines, Upstreams and Chooser are needed.
+// Flow runs requests. Engines and Placer are needed.
 type Flow struct {
-	Engines   Engines
-	Upstreams Upstreams
-	Chooser   Chooser
-	Clock     clock.Clock
-	// Centre is the data centre of this entry.
-	Centre string
+	Engines Engines
+	Placer  Placer
+	Clock   clock.Clock
+	Meter   *meter.Set
 }
 
 // defaultTimeout bounds a request whose profile sets no timeout.
@@ -92,21 +84,29 @@
 		Request: l.request, Attempt: l.try.Attempt + 1,
 		Prior: string(l.prior), Sent: l.sent,
 	}
-	p, err := l.place()
+	p, err := l.flow.Placer.Place(ctx, place.Query{Try: l.try, Failed: l.failed})
 	if err != nil {
 		return err
 	}
-	defer l.flow.release(p)
-	x, err := l.flow.Engines.Prefill(ctx, p.prefill, l.try)
+	err = l.at(ctx, p)
+	l.flow.Placer.Release(p, err)
+	return err
+}
+
+// at runs the attempt where it was placed.
+func (l *life) at(ctx context.Context, p *place.Placement) error {
+	start := l.flow.Clock.Now()
+	x, err := l.flow.Engines.Prefill(ctx, p.Prefill, l.try)
+	l.flow.Placer.Prefilled(p, l.flow.Clock.Now()-start, err)
 	if err != nil {
-		l.cancel(ctx, p.prefill)
-		l.failed = append(l.failed, p.prefill.Name)
+		l.cancel(ctx, p.Prefill)
+		l.failed = append(l.failed, p.Prefill.Name)
 		return err
 	}
-	if err := l.flow.Engines.Decode(ctx, p.decode, l.try, x, l.token); err != nil {
-		l.cancel(ctx, p.prefill)
-		l.cancel(ctx, p.decode)
-		l.failed = append(l.failed, p.decode.Name)
+	if err := l.flow.Engines.Decode(ctx, p.Decode, l.try, x, l.token); err != nil {
+		l.cancel(ctx, p.Prefill)
+		l.cancel(ctx, p.Decode)
+		l.failed = append(l.failed, p.Decode.Name)
 		return err
 	}
 	return nil
@@ -146,62 +146,3 @@
 	}
 	return false
 }
-
-// placement is where one attempt runs.
-type placement struct {
-	prefill, decode         core.Upstream
-	prefillWork, decodeWork pool.Work
-}
-
-// place chooses the upstreams and counts the work there.
-func (l *life) place() (placement, error) {
-	f, r := l.flow, l.request
-	prefills := l.candidates(core.Prefill)
-	decodes := l.candidates(core.Decode)
-	tokens := core.TokenEstimate(r.Prompt) + core.TokenEstimate(l.try.Prior)
-	pieces := core.Pieces(tokens + r.MaxTokens)
-	q := route.Query{Tokens: tokens, Pieces: pieces, Centre: f.Centre, Draw: rand.Uint64()}
-	c, ok := f.Chooser.Choose(q, prefills, decodes)
-	if !ok {
-		return placement{}, codes.New(codes.NoUpstream, "model %q", r.Model)
-	}
-	var p placement
-	prefill, _ := f.Upstreams.Get(prefills[c.Prefill].Name)
-	decode, _ := f.Upstreams.Get(decodes[c.Decode].Name)
-	p.prefill, p.decode = prefill.Upstream, decode.Upstream
-	p.prefillWork = pool.Work{Requests: 1, Tokens: tokens}
-	p.decodeWork = pool.Work{Requests: 1, Pieces: pieces}
-	f.Upstreams.Begin(p.prefill.Name, p.prefillWork)
-	f.Upstreams.Begin(p.decode.Name, p.decodeWork)
-	return p, nil
-}
-
-// candidates leaves out the upstreams that failed this request, unless no
-// other is left.
-func (l *life) candidates(role core.Role) []route.Candidate {
-	all := l.flow.Upstreams.Candidates(role, l.request.Model, nil)
-	var kept []route.Candidate
-	for _, c := range all {
-		if !l.hasFailed(c.Name) {
-			kept = append(kept, c)
-		}
-	}
-	if len(kept) == 0 {
-		return all
-	}
-	return kept
-}
-
-func (l *life) hasFailed(name string) bool {
-	for _, f := range l.failed {
-		if f == name {
-			return true
-		}
-	}
-	return false
-}
-
-func (f *Flow) release(p placement) {
-	f.Upstreams.End(p.prefill.Name, p.prefillWork)
-	f.Upstreams.End(p.decode.Name, p.decodeWork)
-}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,118 @@
+package meter
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"lacewinghook.example/lacewinghook/codes"
+)
+
+// Reason says why something was tried again, discarded or dropped.
+type Reason string
+
+// The reasons.
+const (
+	Refused         Reason = "refused"
+	Lost            Reason = "lost"
+	TimedOut        Reason = "timed_out"
+	TransferStalled Reason = "transfer_stalled"
+	ExportExpired   Reason = "export_expired"
+	NoMemory        Reason = "no_memory"
+	CallerGone      Reason = "caller_gone"
+	Straggler       Reason = "straggler"
+	WrongID         Reason = "wrong_id"
+	OldAttempt      Reason = "old_attempt"
+	Failed          Reason = "failed"
+)
+
+// Set holds the counters of one entry. The zero value is ready.
+type Set struct {
+	once sync.Once
+	set  *metrics.Set
+
+	promises promises
+}
+
+// Metrics returns the underlying set, for gauges and histograms of other
+// parts; nil if s is nil.
+func (s *Set) Metrics() *metrics.Set {
+	if s == nil {
+		return nil
+	}
+	s.once.Do(func() { s.set = metrics.NewSet() })
+	return s.set
+}
+
+// Write writes all counters in the Prometheus text form.
+func (s *Set) Write(w io.Writer) {
+	if s != nil {
+		s.Metrics().WritePrometheus(w)
+	}
+}
+
+// Add adds n to the counter of that name with the labels given as pairs of
+// name and value. Names begin with lacewinghook_.
+func (s *Set) Add(name string, n int, labels ...string) {
+	if s != nil {
+		s.Metrics().GetOrCreateCounter(full(name, labels)).Add(n)
+	}
+}
+
+// Get returns the counter's reading.
+func (s *Set) Get(name string, labels ...string) uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.Metrics().GetOrCreateCounter(full(name, labels)).Get()
+}
+
+// Gauge registers a reading that is taken whenever the counters are written.
+// f must not block.
+func (s *Set) Gauge(name string, f func() float64, labels ...string) {
+	if s != nil {
+		s.Metrics().GetOrCreateGauge(full(name, labels), f)
+	}
+}
+
+func full(name string, labels []string) string {
+	if len(labels) == 0 {
+		return "lacewinghook_" + name
+	}
+	text := ""
+	for i := 0; i+1 < len(labels); i += 2 {
+		if i > 0 {
+			text += ","
+		}
+		text += fmt.Sprintf("%s=%q", labels[i], labels[i+1])
+	}
+	return "lacewinghook_" + name + "{" + text + "}"
+}
+
+// Refused counts a request that ended with the code.
+func (s *Set) Refused(c codes.Code) {
+	s.Add("refused_total", 1, "code", c.String())
+}
+
+// Retried counts a new attempt.
+func (s *Set) Retried(r Reason) {
+	s.Add("retries_total", 1, "reason", string(r))
+}
+
+// Hedged counts a second attempt that was started beside a straggler.
+func (s *Set) Hedged() {
+	s.Add("hedges_total", 1)
+}
+
+// Wasted counts prompt tokens that were computed and not used.
+func (s *Set) Wasted(r Reason, tokens int) {
+	s.Add("wasted_prefill_tokens_total", tokens, "reason", string(r))
+}
+
+// Dropped counts an answer that was not forwarded since it belongs to another
+// request or attempt.
+func (s *Set) Dropped(r Reason) {
+	s.Add("dropped_answers_total", 1, "reason", string(r))
+}
