member, prof, drain, cert: signatures and first working form

Need: publishing, drains, owners' states, freshness and the peers' protocol were a plain poll and a full mesh that doesn't scale.

- drain.Book: List, Drain, Undrain over rows and one version row that change in one transaction; News from peers.
- prof.Desk: Publish, Current, History; prof.Check returns all faults; prof.Follower reads a small stamp row and fetches the document only when it rose.
- member.Table: Owner, Live, Partners, CutOff, Admit; an older run of an instance is dead once another run surely began later.

--- a/cmd/lacefake/platform.go
+++ b/cmd/lacefake/platform.go
@@ -53,10 +53,10 @@
 	if doc == nil {
 		return nil
 	}
-	data, err := json.Marshal(doc)
+	all, err := prof.Seed(doc)
 	if err != nil {
 		return err
 	}
-	_, err = p.Table.Commit([]core.Write{{Key: prof.Key, Value: data}})
+	_, err = p.Table.Commit(all)
 	return err
 }
--- a/config/config.go
+++ b/config/config.go
@@ -20,6 +20,9 @@
 	Callers   Listener `json:"callers"`
 	Operators Listener `json:"operators"`
 	Peers     Listener `json:"peers"`
+	// Seeds are addresses of other entries' listeners for peers, used while
+	// the platform's list can't be read.
+	Seeds []string `json:"seeds,omitempty"`
 	// Platform is where the platform answers.
 	Platform Platform `json:"platform"`
 	// Policy names the way of choosing upstreams: least or random.
--- /dev/null
+++ b/drain/follow.go
@@ -0,0 +1,169 @@
+package drain
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
+)
+
+// pollEvery is the time between two reads of the rows. With [Table]'s own
+// timeout it stays below the 3 s within which a drain is in force.
+const pollEvery = 1500 * clock.Millis(1)
+
+// maxRows bounds the drains that are read at once.
+const maxRows = 1000
+
+// applier hands states on, one at a time and in order.
+type applier struct {
+	mu sync.Mutex
+}
+
+// mailbox holds the newest state that a peer was heard to have.
+type mailbox struct {
+	once sync.Once
+	ring chan struct{}
+
+	mu      sync.Mutex
+	version int64
+	peer    string
+}
+
+func (m *mailbox) bell() chan struct{} {
+	m.once.Do(func() { m.ring = make(chan struct{}, 1) })
+	return m.ring
+}
+
+func (m *mailbox) put(version int64, peer string) {
+	m.mu.Lock()
+	if version > m.version {
+		m.version, m.peer = version, peer
+	}
+	m.mu.Unlock()
+	select {
+	case m.bell() <- struct{}{}:
+	default:
+	}
+}
+
+func (m *mailbox) get() (version int64, peer string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version, m.peer
+}
+
+// Run follows the table and the news of peers until ctx ends.
+func (b *Book) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		b.once(ctx)
+		b.wait(ctx)
+	}
+}
+
+// wait ends with news, or when the next read is due.
+func (b *Book) wait(ctx context.Context) {
+	due := make(chan struct{})
+	stop := b.Clock.AfterFunc(pollEvery, func() { close(due) })
+	defer stop()
+	select {
+	case <-due:
+	case <-b.news.bell():
+	case <-ctx.Done():
+	}
+}
+
+// once reads the table, and the peer that has a newer state if the table
+// can't be read or lags.
+func (b *Book) once(ctx context.Context) {
+	if err := b.Refresh(ctx); err != nil && ctx.Err() == nil && b.Log != nil {
+		b.Log.Warn("drain: the drains can't be read", zap.Error(err))
+	}
+	version, peer := b.news.get()
+	if b.Peers == nil || version <= b.Version() {
+		return
+	}
+	s, err := b.Peers.Drains(ctx, peer)
+	if err != nil {
+		if b.Log != nil {
+			b.Log.Warn("drain: a peer's drains can't be read", zap.String("peer", peer), zap.Error(err))
+		}
+		return
+	}
+	if s.Version > b.Version() {
+		b.offer(&s)
+	}
+}
+
+// News says that the entry at the peer address has drains of that version.
+func (b *Book) News(version int64, peer string) {
+	if version > b.Version() {
+		b.news.put(version, peer)
+	}
+}
+
+// Refresh reads the drains from the table and puts them in force.
+func (b *Book) Refresh(ctx context.Context) error {
+	asked := b.Clock.Now()
+	rows, err := b.Table.List(ctx, Prefix, "", maxRows)
+	if err != nil {
+		return err
+	}
+	version, err := parseVersion(find(rows, versionKey))
+	if err != nil {
+		return err
+	}
+	s := &Set{Version: version}
+	for _, row := range rows {
+		if d, ok := parse(row); ok {
+			s.Drains = append(s.Drains, d)
+		}
+	}
+	b.offer(s)
+	if b.Freshness != nil && s.Version >= b.Version() {
+		b.Freshness.Fresh(asked)
+	}
+	return nil
+}
+
+// parse reads one drain. The key alone says what is drained; a value that
+// can't be read takes nothing from that.
+func parse(row core.Row) (Drain, bool) {
+	kind, name, ok := strings.Cut(strings.TrimPrefix(row.Key, Prefix), "/")
+	if !ok {
+		return Drain{}, false
+	}
+	var d Drain
+	_ = json.Unmarshal(row.Value, &d)
+	d.Kind, d.Name = Kind(kind), name
+	return d, d.check() == nil
+}
+
+// offer puts s in force unless it is older than the state in force.
+func (b *Book) offer(s *Set) {
+	b.apply.mu.Lock()
+	defer b.apply.mu.Unlock()
+	if old := b.state.Load(); old != nil && (old.Version > s.Version || same(old, s)) {
+		return
+	}
+	b.state.Store(s)
+	if b.OnChange != nil {
+		b.OnChange(s)
+	}
+}
+
+func same(a, b *Set) bool {
+	if a.Version != b.Version || len(a.Drains) != len(b.Drains) {
+		return false
+	}
+	for i := range a.Drains {
+		if a.Drains[i] != b.Drains[i] {
+			return false
+		}
+	}
+	return true
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
@@ -14,6 +15,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/engine"
 	"lacewinghook.example/lacewinghook/flow"
 	"lacewinghook.example/lacewinghook/front"
@@ -36,20 +38,32 @@
 	// opened by Run.
 	Sockets Sockets
 	// Linger is how long an entry that stops goes on taking new work, since
-	// callers may still hold its address; zero is a second over the life of
-	// an answer of addresses.
+	// callers may still hold its address; zero is some seconds over the life
+	// of an answer of addresses.
 	Linger clock.Millis
 
-	owner   core.Owner
-	leaving atomic.Bool
-	flights atomic.Int64
-	meter   meter.Set
-	book    prof.Book
-	pool    pool.Table
-	members member.Table
-	store   store.Client
-	engines engine.Client
-	peers   wire.Client
+	owner     core.Owner
+	began     clock.Millis
+	leaving   atomic.Bool
+	self      atomic.Pointer[standing]
+	flights   flights
+	finishers []Finisher
+	meter     meter.Set
+	book      prof.Book
+	follower  prof.Follower
+	desk      prof.Desk
+	drains    drain.Book
+	pool      pool.Table
+	members   member.Table
+	store     store.Client
+	engines   engine.Client
+	peers     wire.Client
+	// news wakes the heartbeats, listed does so with the first list, and met
+	// closes metAll once all partners were asked.
+	news   bell
+	listed sync.Once
+	met    sync.Once
+	metAll chan struct{}
 }
 
 // Sockets are an entry's listeners.
@@ -69,11 +83,14 @@
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	g, work := errgroup.WithContext(work)
-	callers := &http.Server{Handler: e.counted(e.callers()), ReadHeaderTimeout: headerTimeout.Std(), MaxHeaderBytes: maxHeaderBytes}
+	callers := &http.Server{
+		Handler: e.counted(e.callers()), ConnState: e.connState,
+		ReadHeaderTimeout: headerTimeout.Std(), MaxHeaderBytes: maxHeaderBytes,
+	}
 	operators := &http.Server{Handler: e.operators(), ReadHeaderTimeout: headerTimeout.Std(), MaxHeaderBytes: maxHeaderBytes}
 	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
 	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
-	g.Go(func() error { return (&wire.Server{Handler: e}).Serve(work, e.Sockets.Peers) })
+	g.Go(func() error { return (&wire.Server{Handler: e, Log: e.Log}).Serve(work, e.Sockets.Peers) })
 	e.background(work, g)
 	g.Go(func() error {
 		defer end()
@@ -97,7 +114,7 @@
 
 func serve(s *http.Server, ln net.Listener) error {
 	err := s.Serve(ln)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return errors.Wrap(err, "entry: listener")
@@ -128,6 +145,8 @@
 func (e *Entry) prepare() {
 	s := e.Settings
 	e.owner = core.Owner{Instance: s.Instance, Boot: core.NewBoot()}
+	e.began = e.Clock.Now()
+	e.flights.changed = make(chan struct{}, 1)
 	e.store = store.Client{Base: s.Platform.Base}
 	e.engines.Clock = e.Clock
 	e.engines.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}
@@ -137,7 +156,14 @@
 		Name: s.Instance, Centre: s.Centre, State: core.Live,
 		Addr: e.Sockets.Callers.Addr().String(), Peer: e.Sockets.Peers.Addr().String(),
 	}
-	e.book.OnChange = func(v *prof.View) { e.pool.Apply(v.Doc) }
+	e.members.Boot = e.owner.Boot
+	e.members.State = e.state
+	e.members.Load = e.flights.count
+	e.members.OnNews = e.news.ring
+	e.peers.Names = &e.members
+	e.peers.Log = e.Log
+	e.prepareNews()
+	e.announce()
 }
 
 // maxIdleConns bounds the kept connections to one upstream.
@@ -146,11 +172,12 @@
 func (e *Entry) callers() http.Handler {
 	s := &front.Server{
 		Runner: &flow.Flow{
-			Engines: &e.engines, Placer: e.desk(), Clock: e.Clock, Meter: &e.meter,
+			Engines: &e.engines, Placer: e.placer(), Clock: e.Clock, Meter: &e.meter,
 		},
 		Plain:   &flow.Plain{Services: &e.engines, Replicas: &e.pool},
 		Views:   &e.book,
 		Members: &e.members,
+		Gate:    &e.members,
 		IDs:     &core.Sequence{Owner: e.owner},
 		Clock:   e.Clock,
 		Log:     e.Log,
@@ -160,7 +187,7 @@
 	return s.Handler()
 }
 
-func (e *Entry) desk() *place.Desk {
+func (e *Entry) placer() *place.Desk {
 	return &place.Desk{
 		Upstreams: &e.pool, Chooser: e.chooser(), Clock: e.Clock, Meter: &e.meter,
 		Centre: e.Settings.Centre,
@@ -178,36 +205,3 @@
 	s := &admin.Server{Views: &e.book, Members: &e.members, Meter: &e.meter}
 	return s.Handler()
 }
-
-func (e *Entry) state() core.State {
-	if e.leaving.Load() {
-		return core.Leaving
-	}
-	return core.Live
-}
-
-// counted counts the requests in flight.
-func (e *Entry) counted(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		e.flights.Add(1)
-		defer e.flights.Add(-1)
-		h.ServeHTTP(w, r)
-	})
-}
-
-// stop leaves, lingers, and waits for what is in flight.
-func (e *Entry) stop(ctx context.Context, servers ...*http.Server) error {
-	e.leaving.Store(true)
-	linger := e.Linger
-	if linger == 0 {
-		linger = member.AddressLife + clock.Second
-	}
-	e.Log.Info("entry: leaving", zap.Int64("linger", int64(linger)))
-	_ = e.Clock.Sleep(ctx, linger)
-	var faults []error
-	for _, s := range servers {
-		faults = append(faults, s.Shutdown(ctx))
-	}
-	e.Log.Info("entry: stopped")
-	return errors.Join(faults...)
-}
--- /dev/null
+++ b/entry/member.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/drain"
+	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/shard"
+)
+
+// standing is this entry's own state with its turn.
+type standing struct {
+	State core.State
+	Turn  int64
+}
+
+// announce works out this entry's state and, if it changed, tells the others.
+func (e *Entry) announce() {
+	state := core.Live
+	drains := e.drains.State()
+	if e.leaving.Load() || drains.Has(drain.Instance, e.Settings.Instance) ||
+		drains.Has(drain.Centre, e.Settings.Centre) {
+		state = core.Leaving
+	}
+	for {
+		old := e.self.Load()
+		if old != nil && old.State == state {
+			return
+		}
+		next := &standing{State: state, Turn: time.Now().UnixMilli()}
+		if old != nil {
+			next.Turn = max(next.Turn, old.Turn+1)
+		}
+		if e.self.CompareAndSwap(old, next) {
+			e.news.ring()
+			return
+		}
+	}
+}
+
+// bell wakes a thread that waits. The zero value is ready.
+type bell struct {
+	once sync.Once
+	c    chan struct{}
+}
+
+func (b *bell) wait() <-chan struct{} {
+	b.once.Do(func() { b.c = make(chan struct{}, 1) })
+	return b.c
+}
+
+func (b *bell) ring() {
+	b.wait()
+	select {
+	case b.c <- struct{}{}:
+	default:
+	}
+}
+
+// readList reads the platform's list again and again, the less often the
+// longer it is.
+func (e *Entry) readList(ctx context.Context) {
+	for ctx.Err() == nil {
+		l, err := e.store.Listing(ctx)
+		switch {
+		case err == nil:
+			e.members.List(l)
+			e.listed.Do(e.news.ring)
+		case ctx.Err() == nil:
+			e.Log.Warn("entry: the instance list can't be read", zap.Error(err))
+		}
+		_ = e.Clock.Sleep(ctx, e.members.Pace().List)
+	}
+}
+
+// beatGap is the least time between two rounds of heartbeats.
+const beatGap = 50 * clock.Millis(1)
+
+// sendBeats beats the partners at the pace of the set, and at once when there
+// is news.
+func (e *Entry) sendBeats(ctx context.Context) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	var busy shard.Map[string, bool]
+	for ctx.Err() == nil {
+		e.round(ctx, &wait, &busy)
+		e.pause(ctx)
+	}
+}
+
+// round starts a beat to each partner that has none under way, and doesn't
+// wait: a partner that is slow must not keep the news from the others.
+func (e *Entry) round(ctx context.Context, wait *sync.WaitGroup, busy *shard.Map[string, bool]) {
+	var answers sync.WaitGroup
+	partners := e.partners()
+	for _, p := range partners {
+		if _, already := busy.Get(p.Peer); already {
+			continue
+		}
+		busy.Set(p.Peer, true)
+		answers.Add(1)
+		wait.Go(func() {
+			defer answers.Done()
+			defer busy.Delete(p.Peer)
+			_, _ = e.beatOne(ctx, p)
+		})
+	}
+	if len(partners) == 0 {
+		return
+	}
+	wait.Go(func() {
+		answers.Wait()
+		e.met.Do(func() { close(e.metAll) })
+	})
+}
+
+// partners are those of the table or, while no list could be read, the
+// addresses of the settings.
+func (e *Entry) partners() []core.Instance {
+	all := e.members.Partners()
+	if len(all) > 0 {
+		return all
+	}
+	for _, addr := range e.Settings.Seeds {
+		all = append(all, core.Instance{Peer: addr})
+	}
+	return all
+}
+
+func (e *Entry) pause(ctx context.Context) {
+	_ = e.Clock.Sleep(ctx, beatGap)
+	due := make(chan struct{})
+	stop := e.Clock.AfterFunc(e.members.Pace().Beat-beatGap, func() { close(due) })
+	defer stop()
+	select {
+	case <-due:
+	case <-e.news.wait():
+	case <-ctx.Done():
+	}
+}
+
+// beatOne beats one entry and takes its answer over.
+func (e *Entry) beatOne(ctx context.Context, p core.Instance) (member.Beat, error) {
+	asked := e.Clock.Now()
+	answer, err := e.peers.Beat(ctx, p.Peer, e.beat())
+	if err != nil {
+		if ctx.Err() == nil {
+			e.members.Failed(p.Name, asked)
+		}
+		return answer, err
+	}
+	e.members.Answered(answer, asked)
+	e.take(answer)
+	if answer.Version <= e.book.Version() {
+		e.members.Document.Fresh(asked)
+	}
+	if answer.Drains <= e.drains.Version() {
+		e.members.Drains.Fresh(asked)
+	}
+	return answer, nil
+}
+
+// take passes on what a beat says of documents and drains.
+func (e *Entry) take(b member.Beat) {
+	e.follower.News(b.Version, b.Instance.Peer)
+	e.drains.News(b.Drains, b.Instance.Peer)
+}
+
+// beat is what this entry tells of itself.
+func (e *Entry) beat() member.Beat {
+	self := e.members.Self
+	b := member.Beat{
+		Boot: e.owner.Boot, Up: e.Clock.Now() - e.began,
+		Version: e.book.Version(), Drains: e.drains.Version(),
+		Load: e.flights.count(), Rumours: e.members.Rumours(),
+	}
+	if s := e.self.Load(); s != nil {
+		self.State, b.Turn = s.State, s.Turn
+	}
+	b.Instance = self
+	return b
+}
+
+// Beat implements [wire.Handler].
+func (e *Entry) Beat(_ context.Context, b member.Beat) (member.Beat, error) {
+	e.members.Heard(b)
+	e.take(b)
+	return e.beat(), nil
+}
--- /dev/null
+++ b/entry/prof.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"context"
+	"sort"
+
+	"golang.org/x/sync/errgroup"
+
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/drain"
+	"lacewinghook.example/lacewinghook/prof"
+)
+
+// prepareNews connects the document and the drains with the table, with the
+// peers and with those that they bear upon.
+func (e *Entry) prepareNews() {
+	e.metAll = make(chan struct{})
+	e.book.Clock = e.Clock
+	e.book.OnChange = func(v *prof.View) {
+		e.pool.Apply(v.Doc)
+		e.applyDrains()
+		e.news.ring()
+	}
+	e.follower = prof.Follower{
+		Book: &e.book, Table: &e.store, Peers: &e.peers, Freshness: &e.members.Document,
+		Met: e.metAll, Clock: e.Clock, Log: e.Log, Meter: &e.meter,
+	}
+	e.drains = drain.Book{
+		Table: &e.store, Peers: &e.peers, Freshness: &e.members.Drains,
+		Clock: e.Clock, Log: e.Log,
+		OnChange: func(*drain.Set) {
+			e.applyDrains()
+			e.announce()
+			e.news.ring()
+		},
+	}
+	e.desk = prof.Desk{Table: &e.store, Clock: e.Clock, Book: &e.book}
+}
+
+// applyDrains keeps new work from every drained upstream.
+func (e *Entry) applyDrains() {
+	v := e.book.View()
+	if v == nil {
+		return
+	}
+	s := e.drains.State()
+	for _, u := range v.Doc.Upstreams {
+		e.pool.Drain(u.Name, s.Has(drain.Upstream, u.Name) || s.Has(drain.Centre, u.Centre))
+	}
+}
+
+// Document implements [wire.Handler].
+func (e *Entry) Document(context.Context) (*core.Document, error) {
+	v := e.book.View()
+	if v == nil {
+		return nil, codes.New(codes.NoDocument, "entry %s", e.Settings.Instance)
+	}
+	return v.Doc, nil
+}
+
+// Drains implements [wire.Handler].
+func (e *Entry) Drains(context.Context) (drain.Set, error) {
+	return *e.drains.State(), nil
+}
+
+// maxAsking bounds the entries that are asked at once who has confirmed.
+const maxAsking = 16
+
+// Confirmed asks every entry for the version that it has in force.
+func (e *Entry) Confirmed(ctx context.Context) []prof.Confirmation {
+	all := []prof.Confirmation{{Instance: e.Settings.Instance, Version: e.book.Version(), Reached: true}}
+	peers := e.members.Peers()
+	found := make([]prof.Confirmation, len(peers))
+	var g errgroup.Group
+	g.SetLimit(maxAsking)
+	for i, p := range peers {
+		g.Go(func() error {
+			b, err := e.beatOne(ctx, p.Instance)
+			found[i] = prof.Confirmation{Instance: p.Instance.Name, Version: b.Version, Reached: err == nil}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	all = append(all, found...)
+	sort.Slice(all, func(i, j int) bool { return all[i].Instance < all[j].Instance })
+	return all
+}
--- a/front/complete.go
+++ b/front/complete.go
@@ -104,6 +104,9 @@
 }
 
 func (s *Server) request(r *http.Request, call completionCall, chat bool) (*core.Request, error) {
+	if err := s.admit(); err != nil {
+		return nil, err
+	}
 	c, err := s.identify(r)
 	if err != nil {
 		return nil, err
--- a/front/server.go
+++ b/front/server.go
@@ -37,12 +37,19 @@
 	Addresses() []string
 }
 
-// Server answers callers. All fields but Clock are needed.
+// Gate says whether this entry takes new work.
+type Gate interface {
+	// Admit returns the error for the caller if it does not.
+	Admit() error
+}
+
+// Server answers callers. All fields but Gate and Clock are needed.
 type Server struct {
 	Runner  Runner
 	Plain   Caller
 	Views   Views
 	Members Members
+	Gate    Gate
 	IDs     *core.Sequence
 	Clock   clock.Clock
 	Log     *zap.Logger
@@ -94,6 +101,10 @@
 		writeError(w, codes.New(codes.NoDocument, "this entry"))
 		return
 	}
+	if err := s.admit(); err != nil {
+		writeError(w, err)
+		return
+	}
 	writeJSON(w, http.StatusOK, struct{}{})
 }
 
@@ -105,6 +116,13 @@
 	writeError(w, codes.New(codes.MethodDenied, "%s %s", r.Method, r.URL.Path))
 }
 
+func (s *Server) admit() error {
+	if s.Gate == nil {
+		return nil
+	}
+	return s.Gate.Admit()
+}
+
 // caller is who calls, under which version of the document.
 type caller struct {
 	view      *prof.View
--- a/front/service.go
+++ b/front/service.go
@@ -40,6 +40,9 @@
 }
 
 func (s *Server) call(w http.ResponseWriter, r *http.Request) (core.Call, error) {
+	if err := s.admit(); err != nil {
+		return core.Call{}, err
+	}
 	c, err := s.identify(r)
 	if err != nil {
 		return core.Call{}, err
--- a/member/table.go
+++ b/member/table.go
@@ -2,68 +2,214 @@
 
 import (
 	"sort"
+	"sync/atomic"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/shard"
 )
 
-// Beat is what one entry tells another of itself.
-type Beat struct {
-	Instance core.Instance `json:"instance"`
-	Boot     uint64        `json:"boot"`
-	// Version is the document's version in force there.
-	Version int64 `json:"version"`
-	// Load counts the requests in flight.
-	Load int `json:"load"`
-}
-
-// Peer is what is known of another entry.
+// Peer is what is known of another entry. All instants are of this process.
 type Peer struct {
 	Instance core.Instance
-	Beat     Beat
-	// Heard is the instant of the last beat, and Listed whether the
-	// platform's list has the instance.
-	Heard  clock.Millis
-	Listed bool
+	// Beat is the last beat heard, and Heard its instant.
+	Beat  Beat
+	Heard clock.Millis
+	// Listed is whether the platform's list has the instance, ListState its
+	// state there, and ListAt the instant of the list's data.
+	Listed    bool
+	ListState core.State
+	ListAt    clock.Millis
+	// Turn is that of the latest change of state heard, TurnAt the instant
+	// at which it was heard, and Said the run that it is of.
+	Turn   int64
+	TurnAt clock.Millis
+	Said   uint64
+	// Run is the run of the instance that answers, and Former those that it
+	// followed, the latest last.
+	Run    Run
+	Former []uint64
+	// Answered is the instant at which the last beat that was answered was
+	// sent. Failures counts the beats since then that were not, and Failing
+	// is the instant at which the first of them was sent.
+	Answered clock.Millis
+	Failures int
+	Failing  clock.Millis
+	// Wanted says that it must be learnt which run of the instance answers.
+	Wanted bool
+}
+
+// Run is one run of an instance. It began between From and To.
+type Run struct {
+	Boot     uint64
+	From, To clock.Millis
 }
 
 // Table is the state of all entries. Self must be set.
 type Table struct {
 	Clock clock.Clock
 	Self  core.Instance
+	Boot  uint64
+	// State and Load, if not nil, tell of this entry itself: what it does,
+	// and the requests it has in flight.
+	State func() core.State
+	Load  func() int
+	// OnNews, if not nil, is called when there is something to pass on.
+	OnNews func()
+
+	// Document and Drains are when those were last known to be up to date.
+	Document Mark
+	Drains   Mark
 
 	peers shard.Map[string, Peer]
+	asked shard.Map[core.Owner, clock.Millis]
+	// listAt is the instant of the last list's data, and moved says that the
+	// list has this instance's name at another address.
+	listAt atomic.Int64
+	moved  atomic.Bool
 }
 
+// forgetAfter is how long an entry that is not listed is remembered after it
+// was last heard.
+const forgetAfter = 2 * clock.Minute
+
 // List takes over the platform's list.
 func (t *Table) List(l core.Listing) {
-	listed := make(map[string]bool)
+	at := t.Clock.Now() - l.Age
+	listed := make(map[string]bool, len(l.Instances))
 	for _, in := range l.Instances {
 		if in.Name == t.Self.Name {
+			t.moved.Store(in.Peer != t.Self.Peer)
 			continue
 		}
 		listed[in.Name] = true
 		t.peers.Update(in.Name, func(p Peer, _ bool) (Peer, bool) {
-			p.Instance = in
-			p.Listed = true
+			p.list(in, at)
 			return p, true
 		})
 	}
-	t.peers.Each(func(name string, _ Peer) bool { return listed[name] })
+	t.listAt.Store(int64(at))
+	t.dropUnlisted(listed, at)
 }
 
-// Heard takes over a peer's beat.
+func (p *Peer) list(in core.Instance, at clock.Millis) {
+	state := p.Instance.State
+	p.Instance = in
+	p.Listed, p.ListState, p.ListAt = true, in.State, at
+	if p.Turn != 0 {
+		// The entry's own account is fresher than the list's.
+		p.Instance.State = state
+	}
+}
+
+func (t *Table) dropUnlisted(listed map[string]bool, at clock.Millis) {
+	now := t.Clock.Now()
+	var gone []string
+	t.peers.Each(func(name string, p Peer) bool {
+		if !listed[name] {
+			gone = append(gone, name)
+		}
+		return listed[name] || now-p.Heard < forgetAfter
+	})
+	for _, name := range gone {
+		t.peers.Update(name, func(p Peer, ok bool) (Peer, bool) {
+			p.Listed, p.ListState, p.ListAt = false, core.Dead, at
+			return p, ok
+		})
+	}
+	t.asked.Each(func(_ core.Owner, at clock.Millis) bool { return now-at < forgetAfter })
+}
+
+// Heard takes over the beat of a peer that called. The beat may have waited
+// for long while this process was frozen, so that it proves no run.
 func (t *Table) Heard(b Beat) {
-	t.peers.Update(b.Instance.Name, func(p Peer, _ bool) (Peer, bool) {
-		p.Beat = b
-		p.Heard = t.Clock.Now()
-		if p.Instance.Name == "" {
+	t.take(b, func(*Peer) {})
+}
+
+// Answered takes over a peer's answer to a beat that was sent at the instant
+// asked.
+func (t *Table) Answered(b Beat, asked clock.Millis) {
+	now := t.Clock.Now()
+	t.take(b, func(p *Peer) {
+		if !p.runs(Run{Boot: b.Boot, From: asked - b.Up, To: now - b.Up}) {
+			return
+		}
+		p.Answered = max(p.Answered, asked)
+		p.Failures, p.Failing = 0, 0
+		p.Wanted = false
+	})
+}
+
+// Failed says that a beat sent at the instant asked was not answered.
+func (t *Table) Failed(name string, asked clock.Millis) {
+	t.peers.Update(name, func(p Peer, ok bool) (Peer, bool) {
+		if p.Failures == 0 {
+			p.Failing = asked
+		}
+		p.Failures++
+		return p, ok
+	})
+}
+
+// take keeps a beat and what it says of others.
+func (t *Table) take(b Beat, and func(*Peer)) {
+	if b.Instance.Name == "" || b.Instance.Name == t.Self.Name {
+		return
+	}
+	news := false
+	t.peers.Update(b.Instance.Name, func(p Peer, ok bool) (Peer, bool) {
+		if !ok {
 			p.Instance = b.Instance
 		}
-		p.Instance.State = b.Instance.State
+		and(&p)
+		p.Beat, p.Heard = b, t.Clock.Now()
+		p.Beat.Rumours = nil
+		news = p.turn(b.rumour(), t.Clock.Now())
 		return p, true
 	})
+	for _, r := range b.Rumours {
+		t.peers.Update(r.Instance, func(p Peer, ok bool) (Peer, bool) {
+			if ok && p.turn(r, t.Clock.Now()) {
+				news = true
+			}
+			return p, ok
+		})
+	}
+	if news && t.OnNews != nil {
+		t.OnNews()
+	}
+}
+
+// turn takes over a state if its turn is later than the one known, and
+// reports whether that is news: another state, or another run.
+func (p *Peer) turn(r Rumour, now clock.Millis) bool {
+	if r.Turn <= p.Turn {
+		return false
+	}
+	news := p.Instance.State != r.State || p.Said != r.Boot
+	p.Turn, p.TurnAt, p.Said = r.Turn, now, r.Boot
+	p.Instance.State = r.State
+	return news
+}
+
+// Rumours returns the latest changes of other entries' states, to pass on.
+func (t *Table) Rumours() []Rumour {
+	now := t.Clock.Now()
+	var all []Peer
+	t.peers.Each(func(_ string, p Peer) bool {
+		if p.Turn != 0 && now-p.TurnAt < rumourLife {
+			all = append(all, p)
+		}
+		return true
+	})
+	sort.Slice(all, func(i, j int) bool { return all[i].Turn > all[j].Turn })
+	var rumours []Rumour
+	for _, p := range all[:min(len(all), maxRumours)] {
+		rumours = append(rumours, Rumour{
+			Instance: p.Instance.Name, Boot: p.Said, State: p.Instance.State, Turn: p.Turn,
+		})
+	}
+	return rumours
 }
 
 // Peers returns all other entries, by name.
@@ -77,25 +223,14 @@
 	return all
 }
 
-// AddressLife is how long callers may keep an answer of addresses.
-const AddressLife = 5 * clock.Second
-
-// Addresses returns the addresses that callers may use: those of this data
-// centre first, none that is dead or leaving.
-func (t *Table) Addresses() []string {
-	all := []core.Instance{t.Self}
-	for _, p := range t.Peers() {
-		all = append(all, p.Instance)
-	}
-	var near, far []string
-	for _, in := range all {
-		switch {
-		case in.State != core.Live && in.State != "":
-		case in.Centre == t.Self.Centre:
-			near = append(near, in.Addr)
-		default:
-			far = append(far, in.Addr)
+// NameOf returns the name of the entry that listens for peers at addr.
+func (t *Table) NameOf(addr string) (string, bool) {
+	name := ""
+	t.peers.Each(func(n string, p Peer) bool {
+		if p.Instance.Peer == addr {
+			name = n
 		}
-	}
-	return append(near, far...)
+		return true
+	})
+	return name, name != ""
 }
--- a/trial/set.go
+++ b/trial/set.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -118,17 +117,19 @@
 	return s.ready()
 }
 
-// Publish writes the set's document to the platform's table as it stands.
+// Publish writes the set's document to the platform's table as it stands, as
+// the only version there.
 func (s *Set) Publish() error {
-	data, err := json.Marshal(s.Doc)
+	all, err := prof.Seed(&s.Doc)
 	if err != nil {
 		return err
 	}
-	var revision int64
-	for _, row := range s.Platform.Table.Read([]string{prof.Key}) {
-		revision = row.Revision
+	for i := range all {
+		for _, row := range s.Platform.Table.Read([]string{all[i].Key}) {
+			all[i].Expect = row.Revision
+		}
 	}
-	done, err := s.Platform.Table.Commit([]core.Write{{Key: prof.Key, Value: data, Expect: revision}})
+	done, err := s.Platform.Table.Commit(all)
 	if err == nil && !done.OK() {
 		err = errors.New("trial: the document was changed beside")
 	}
