load: an open-loop load tool with a row for each policy

Arrivals follow from the plan and its seed alone, so that every policy meets the same ones. Rows have goodput, the bound that the engines' capacity allows, service at the crest, quantiles, waste and what was left held.

--- a/cmd/lacefake/main.go
+++ b/cmd/lacefake/main.go
@@ -7,6 +7,7 @@
 //	lacefake platform -config F      the platform's table, objects and list
 //	lacefake engine -listen A ...    a model engine
 //	lacefake service -listen A ...   a plain service
+//	lacefake load -config F          open-loop load, a row for each policy
 //	lacefake files -dir D            settings for a trial run of processes
 //	lacefake ask -entry A -kind K    make one call and check its answer
 //
@@ -44,6 +45,7 @@
 	{"platform", "run a stand-in platform", platform},
 	{"engine", "run a stand-in model engine", engine},
 	{"service", "run a stand-in plain service", service},
+	{"load", "meet a plan's load with each of its policies", runLoad},
 	{"files", "write the settings of a trial run of processes", files},
 	{"ask", "make one call of an entry and check its answer", ask},
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,6 +89,11 @@
 	return err
 }
 
+// Meter returns the entry's counters.
+func (e *Entry) Meter() *meter.Set {
+	return &e.meter
+}
+
 // Bounds of the HTTP listeners.
 const (
 	headerTimeout  = 5 * clock.Second
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,72 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/xml"
+	"io"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/load"
+)
+
+func TestEveryPlanIsValid(t *testing.T) {
+	is := is.New(t)
+	files, err := filepath.Glob("../plans/*.json")
+	is.NoErr(err)
+	is.True(len(files) > 0)
+	for _, file := range files {
+		_, err := load.Read(file)
+		is.NoErr(err)
+	}
+}
+
+func TestCheckReportsEveryFault(t *testing.T) {
+	is := is.New(t)
+	err := (&load.Plan{Mixes: []load.Mix{{Kind: "poem"}}}).Check()
+	is.True(err != nil)
+	for _, field := range []string{"seeds", "length", "rate", "policies", "stand.entries", "mixes.kind"} {
+		is.True(bytes.Contains([]byte(err.Error()), []byte(field))) // every fault is named
+	}
+}
+
+func TestSeedFixesTheArrivals(t *testing.T) {
+	is := is.New(t)
+	p, err := load.Read("../plans/verse.json")
+	is.NoErr(err)
+	a, b, other := p.Arrivals(1), p.Arrivals(1), p.Arrivals(2)
+	is.Equal(len(a), len(b))
+	for i := range a {
+		is.Equal(a[i], b[i])
+	}
+	is.True(a[0].At != other[0].At || a[0].Prompt != other[0].Prompt)
+}
+
+func TestRunReportsARowForEachPolicyAndSeed(t *testing.T) {
+	is := is.New(t)
+	p := &load.Plan{
+		Name: "tiny", Seeds: []uint64{1}, Length: 300, Rate: 30,
+		Mixes: []load.Mix{
+			{Name: "short", Kind: load.Verse, Share: 1, Prompt: load.Range{Min: 10, Max: 20}, Answer: load.Range{Min: 2, Max: 4}},
+			{Name: "lookup", Kind: load.Lookup, Share: 1},
+		},
+		Stand:    load.Stand{Entries: 1, Prefills: 1, Decodes: 1, Services: 1, Prefill: 50, Step: 2, Pieces: 60},
+		Policies: []load.Policy{{Name: "a"}, {Name: "b"}},
+	}
+	is.NoErr(p.Check())
+	r, err := load.Run(context.Background(), p, io.Discard)
+	is.NoErr(err)
+	is.Equal(len(r.Rows), 2)
+	for _, row := range r.Rows {
+		is.True(row.Offered > 0)
+		is.True(row.Good <= row.Bound) // nothing beats the bound
+		is.Equal(row.Wrong, 0)
+		is.Equal(row.Held, 0)
+	}
+	var plot bytes.Buffer
+	is.NoErr(r.SVG(&plot))
+	is.NoErr(xml.Unmarshal(plot.Bytes(), &struct{}{}))
+}
--- a/trial/client.go
+++ b/trial/client.go
@@ -33,6 +33,8 @@
 	Prompt    string `json:"prompt"`
 	MaxTokens int    `json:"max_tokens"`
 	Stream    bool   `json:"stream,omitempty"`
+	// Profile is sent as a header if it is not empty.
+	Profile string `json:"-"`
 }
 
 // Reply is what came back for an [Ask].
@@ -78,7 +80,11 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.Do(ctx, http.MethodPost, "/v1/completions", body, nil)
+	header := make(http.Header)
+	if a.Profile != "" {
+		header.Set("Profile", a.Profile)
+	}
+	resp, err := c.Do(ctx, http.MethodPost, "/v1/completions", body, header)
 	if err != nil {
 		return nil, err
 	}
--- a/trial/set.go
+++ b/trial/set.go
@@ -34,6 +34,8 @@
 	Log *zap.Logger
 	// Edit, if not nil, changes the document before it is published.
 	Edit func(*core.Document)
+	// Tune, if not nil, changes each engine before it starts.
+	Tune func(*fake.Engine)
 	// Setup, if not nil, changes the settings of each entry.
 	Setup func(*config.Settings)
 }
@@ -157,14 +159,14 @@
 	for i := range p.Prefills {
 		e := &fake.Engine{Name: fmt.Sprintf("prefill-%d", i+1), Role: core.Prefill, Speed: p.Speed}
 		s.Prefills = append(s.Prefills, e)
-		if err := s.startEngine(e); err != nil {
+		if err := s.startEngine(e, p.Tune); err != nil {
 			return err
 		}
 	}
 	for i := range p.Decodes {
 		e := &fake.Engine{Name: fmt.Sprintf("decode-%d", i+1), Role: core.Decode, Speed: p.Speed, Pieces: p.Pieces}
 		s.Decodes = append(s.Decodes, e)
-		if err := s.startEngine(e); err != nil {
+		if err := s.startEngine(e, p.Tune); err != nil {
 			return err
 		}
 	}
@@ -182,7 +184,10 @@
 	return nil
 }
 
-func (s *Set) startEngine(e *fake.Engine) error {
+func (s *Set) startEngine(e *fake.Engine, tune func(*fake.Engine)) error {
+	if tune != nil {
+		tune(e)
+	}
 	addr, err := s.serve(e.Handler())
 	if err != nil {
 		return err
