--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,6 +41,9 @@
 	// callers may still hold its address; zero is some seconds over the life
 	// of an answer of addresses.
 	Linger clock.Millis
+	// Life is how long callers may keep an answer of addresses; zero is
+	// [member.AddressLife].
+	Life clock.Millis
 
 	owner     core.Owner
 	began     clock.Millis
@@ -186,7 +189,7 @@
 		IDs:     &core.Sequence{Owner: e.owner},
 		Clock:   e.Clock,
 		Log:     e.Log,
-		Life:    member.AddressLife,
+		Life:    e.life(),
 		State:   e.state,
 	}
 	return s.Handler()
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -22,31 +22,34 @@
 	Finish(ctx context.Context) error
 }
 
-// Times of a stop.
-const (
-	// spreadTime is how long the news of a leaving entry takes to reach the
-	// others at most, as long as they can be reached.
-	spreadTime = 3 * clock.Second
-	// idleGrace is how long a kept connection must have been idle before a
-	// stop closes it. A caller that follows the addresses it was given no
-	// longer uses one by then.
-	idleGrace = member.AddressLife
-)
+// spreadTime is how long the news of a leaving entry takes to reach the others
+// at most, as long as they can be reached.
+const spreadTime = 3 * clock.Second
+
+// life is how long callers may keep an answer of addresses. It is also how
+// long a kept connection must have been idle before a stop closes it: a
+// caller that follows the addresses it was given no longer uses it by then.
+func (e *Entry) life() clock.Millis {
+	if e.Life == 0 {
+		return member.AddressLife
+	}
+	return e.Life
+}
 
 // stop leaves, lingers, and waits for what is in flight, for as long as it
 // takes.
 func (e *Entry) stop(ctx context.Context, servers ...*http.Server) error {
 	e.leaving.Store(true)
 	e.announce()
-	linger, grace := e.Linger, min(e.Linger, idleGrace)
+	linger := e.Linger
 	if linger == 0 {
-		linger, grace = member.AddressLife+spreadTime, idleGrace
+		linger = e.life() + spreadTime
 	}
 	e.Log.Info("entry: leaving", zap.Int64("linger", int64(linger)))
 	_ = e.Clock.Sleep(ctx, linger)
 	_ = e.Sockets.Callers.Close()
 	e.Log.Info("entry: takes no more connections", zap.Int("in_flight", e.flights.count()))
-	e.flights.quiet(ctx, e.Clock, grace)
+	e.flights.quiet(ctx, e.Clock, min(linger, e.life()))
 	faults := []error{e.shutdown(ctx, servers)}
 	for _, f := range e.finishers {
 		faults = append(faults, f.Finish(ctx))
@@ -127,10 +130,12 @@
 }
 
 // quiet waits until no request is in flight and every connection has been
-// idle for the grace.
+// idle for the grace, from now on. A request that still comes in on a kept
+// connection is answered, and told to close it.
 func (f *flights) quiet(ctx context.Context, c clock.Clock, grace clock.Millis) {
+	from := c.Now()
 	for ctx.Err() == nil {
-		left := f.left(c.Now(), grace)
+		left := f.left(from, c.Now(), grace)
 		if f.count() == 0 && left <= 0 {
 			return
 		}
@@ -151,10 +156,10 @@
 
 // left returns how long it takes until all idle connections have been so for
 // the grace.
-func (f *flights) left(now, grace clock.Millis) clock.Millis {
+func (f *flights) left(from, now, grace clock.Millis) clock.Millis {
 	var left clock.Millis
 	f.conns.Each(func(_ any, since clock.Millis) bool {
-		left = max(left, since+grace-now)
+		left = max(left, max(since, from)+grace-now)
 		return true
 	})
 	return left
--- a/member/address.go
+++ b/member/address.go
@@ -60,7 +60,8 @@
 
 // Addresses returns the addresses that callers may use: those of this data
 // centre first, none that is dead or leaving, and among equals the ones with
-// less load more often at the front.
+// less load more often at the front. If no other is known, it is this entry's
+// own, be it leaving: it still takes work, and no address at all is no help.
 func (t *Table) Addresses() []string {
 	var all []candidate
 	for _, p := range t.Peers() {
@@ -68,7 +69,7 @@
 			all = append(all, t.candidate(p.Instance, p.Beat.Load))
 		}
 	}
-	if self := t.self(); self.State == core.Live {
+	if self := t.self(); self.State == core.Live || len(all) == 0 {
 		all = append(all, t.candidate(self, t.load()))
 	}
 	sort.Slice(all, func(i, j int) bool {
--- a/member/partner.go
+++ b/member/partner.go
@@ -33,6 +33,9 @@
 // small one's.
 const listPausePerEntry = 100 * clock.Millis(1)
 
+// firstListPause is the pause until the list has this entry.
+const firstListPause = 200 * clock.Millis(1)
+
 // Pace returns the pace that fits the number of known entries.
 func (t *Table) Pace() Pace {
 	n := clock.Millis(t.peers.Len())
@@ -40,6 +43,9 @@
 	if n > fullMesh {
 		p.Beat = 2 * clock.Second
 	}
+	if !t.selfListed.Load() {
+		p.List = firstListPause
+	}
 	return p
 }
 
--- /dev/null
+++ b/member/promise_test.go
@@ -0,0 +1,205 @@
+package member_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/trial"
+)
+
+const (
+	tokens = 60
+	limit  = 30 * time.Second
+)
+
+// prompt takes the engine of these tests half a second.
+var prompt = strings.Repeat("Snow on the elevator road. ", 148)
+
+var ask = trial.Ask{Model: trial.Model, Prompt: prompt, MaxTokens: tokens, Stream: true}
+
+func whole(r *trial.Reply) bool {
+	return r != nil && r.Text == strings.Join(fake.Answer(prompt, tokens), "")
+}
+
+func start(t *testing.T, p trial.Plan) *trial.Set {
+	t.Helper()
+	set, err := trial.Start(p)
+	is.New(t).NoErr(err)
+	t.Cleanup(set.Stop)
+	return set
+}
+
+func TestPromise(t *testing.T) {
+	t.Run("a planned stop cuts nothing", func(t *testing.T) {
+		t.Run("in every phase", stopInEveryPhase)
+		t.Run("idle connections", stopWithIdleConnection)
+		t.Run("two together", func(t *testing.T) { stopUnderLoad(t, stopTwo) })
+		t.Run("all replaced in turn", func(t *testing.T) { stopUnderLoad(t, replaceAll) })
+	})
+}
+
+func stopInEveryPhase(t *testing.T) {
+	for name, phase := range map[string]struct {
+		ills    fake.Ills
+		blocked bool
+		reached func(*trial.Set, int64) bool
+	}{
+		"queue":    {blocked: true, reached: func(s *trial.Set, _ int64) bool { return s.Prefills[0].Held() == 2 }},
+		"prefill":  {reached: func(s *trial.Set, _ int64) bool { return s.Prefills[0].Held() == 1 }},
+		"transfer": {ills: fake.Ills{StallTransfers: 400}, reached: func(s *trial.Set, _ int64) bool { return s.Prefills[0].Count.Prefills.Load() == 1 }},
+		"decode":   {reached: func(_ *trial.Set, seen int64) bool { return seen > 0 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			set := start(t, trial.Plan{
+				Entries: 2, Prefills: 1, Decodes: 1, Life: 50, Linger: 100,
+				Speed: fake.Speed{Prefill: 2, Step: 5},
+			})
+			set.Prefills[0].Trouble.Set(phase.ills)
+			ctx, cancel := context.WithTimeout(context.Background(), limit)
+			defer cancel()
+			var wait sync.WaitGroup
+			defer wait.Wait()
+			if phase.blocked {
+				wait.Go(func() { _, _ = set.Client(1).Complete(ctx, ask, nil) })
+				is.NoErr(trial.Until(ctx, func() bool { return set.Prefills[0].Held() == 1 }))
+			}
+			var seen atomic.Int64
+			var reply *trial.Reply
+			done := make(chan error, 1)
+			go func() {
+				var err error
+				reply, err = set.Client(0).Complete(ctx, ask, func(*trial.Reply) { seen.Add(1) })
+				done <- err
+			}()
+			is.NoErr(trial.Until(ctx, func() bool { return phase.reached(set, seen.Load()) }))
+			is.NoErr(set.Entries[0].Stop())
+			is.NoErr(<-done)
+			is.True(whole(reply))
+		})
+	}
+}
+
+// stopWithIdleConnection sends a request on a kept connection when the entry
+// no longer listens.
+func stopWithIdleConnection(t *testing.T) {
+	is := is.New(t)
+	set := start(t, trial.Plan{Entries: 2, Prefills: 1, Decodes: 1, Life: 2 * clock.Second, Linger: 2 * clock.Second, Speed: fake.Speed{Prefill: 100, Step: 1}})
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	c := set.Client(0)
+	c.HTTP = &http.Client{Transport: &http.Transport{}}
+	ask := ask
+	ask.Stream = false
+	r, err := c.Complete(ctx, ask, nil)
+	is.NoErr(err)
+	is.True(whole(r))
+	stopped := make(chan error, 1)
+	go func() { stopped <- set.Entries[0].Stop() }()
+	is.NoErr(trial.Until(ctx, func() bool { return !listens(c.Addr) }))
+	reused := false
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused },
+	})
+	r, err = c.Complete(traced, ask, nil)
+	is.NoErr(err)
+	is.True(whole(r))
+	is.True(reused)
+	_, err = c.Complete(ctx, ask, nil)
+	is.True(err != nil) // The answer before asked to close the connection.
+	is.NoErr(<-stopped)
+}
+
+func listens(addr string) bool {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
+func stopTwo(t *testing.T, set *trial.Set) {
+	var wait sync.WaitGroup
+	for _, n := range set.Entries[:2] {
+		wait.Go(func() {
+			if err := n.Stop(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wait.Wait()
+}
+
+func replaceAll(t *testing.T, set *trial.Set) {
+	for i := range 3 {
+		if err := set.Replace(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// stopUnderLoad stops entries while callers that follow the addresses send
+// one request after another. None of them may fail or get less than all.
+func stopUnderLoad(t *testing.T, stop func(*testing.T, *trial.Set)) {
+	is := is.New(t)
+	set := start(t, trial.Plan{
+		Entries: 3, Prefills: 2, Decodes: 2, Life: 300, Linger: 1200,
+		Speed: fake.Speed{Prefill: 100, Step: 2},
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	for i := range set.Entries {
+		is.NoErr(trial.Until(ctx, func() bool {
+			addrs, err := set.Client(i).Addresses(ctx)
+			return err == nil && len(addrs) == len(set.Entries)
+		}))
+	}
+	const callers = 6
+	var wait sync.WaitGroup
+	var served, failed atomic.Int64
+	var over atomic.Bool
+	for i := range callers {
+		f := set.Follower(i % 3)
+		f.HTTP = &http.Client{Transport: &http.Transport{}}
+		defer f.HTTP.CloseIdleConnections()
+		wait.Go(func() {
+			for !over.Load() {
+				r, err := request(ctx, f)
+				if err != nil || !whole(r) {
+					failed.Add(1)
+					t.Log(err)
+					return
+				}
+				served.Add(1)
+			}
+		})
+	}
+	is.NoErr(trial.Until(ctx, func() bool { return served.Load() >= callers }))
+	stop(t, set)
+	before := served.Load()
+	is.NoErr(trial.Until(ctx, func() bool { return served.Load() >= before+callers || failed.Load() > 0 }))
+	over.Store(true)
+	wait.Wait()
+	t.Logf("served %d, failed %d", served.Load(), failed.Load())
+	is.Equal(failed.Load(), int64(0))
+}
+
+func request(ctx context.Context, f *trial.Follower) (*trial.Reply, error) {
+	c, err := f.Client(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return c.Complete(ctx, ask, nil)
+}
--- a/member/table.go
+++ b/member/table.go
@@ -63,10 +63,12 @@
 
 	peers shard.Map[string, Peer]
 	asked shard.Map[core.Owner, clock.Millis]
-	// listAt is the instant of the last list's data, and moved says that the
-	// list has this instance's name at another address.
-	listAt atomic.Int64
-	moved  atomic.Bool
+	// listAt is the instant of the last list's data. selfListed says that the
+	// list has had this instance, and moved that it has its name at another
+	// address.
+	listAt     atomic.Int64
+	selfListed atomic.Bool
+	moved      atomic.Bool
 }
 
 // forgetAfter is how long an entry that is not listed is remembered after it
@@ -79,6 +81,7 @@
 	listed := make(map[string]bool, len(l.Instances))
 	for _, in := range l.Instances {
 		if in.Name == t.Self.Name {
+			t.selfListed.Store(true)
 			t.moved.Store(in.Peer != t.Self.Peer)
 			continue
 		}
--- a/plat/platform.go
+++ b/plat/platform.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -20,12 +22,14 @@
 	Table  Table
 	Faults Faults
 	Clock  clock.Clock
-	// Instances are those that the platform runs. It learns their states by
-	// asking each for its readiness, so that its list lags.
+	// Instances are those that the platform runs at the start; later changes
+	// go through Join and Part. It learns their states by asking each for its
+	// readiness, so that its list lags.
 	Instances []core.Instance
 	// Lag is the time between two looks at an instance; zero is 500.
 	Lag clock.Millis
 
+	mu      sync.Mutex
 	objects shard.Map[string, []byte]
 	states  shard.Map[string, seen]
 }
@@ -124,10 +128,34 @@
 	p.do(w, List, nil, func() (any, error) { return p.Listing(), nil })
 }
 
+// Join adds an instance, or takes the place of the one of that name.
+func (p *Platform) Join(in core.Instance) {
+	p.Part(in.Name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Instances = append(slices.Clone(p.Instances), in)
+}
+
+// Part removes an instance from the list.
+func (p *Platform) Part(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Instances = slices.DeleteFunc(slices.Clone(p.Instances), func(in core.Instance) bool {
+		return in.Name == name
+	})
+	p.states.Delete(name)
+}
+
+func (p *Platform) instances() []core.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Instances
+}
+
 // Listing returns the instance list as the platform knows it.
 func (p *Platform) Listing() core.Listing {
 	var l core.Listing
-	for _, in := range p.Instances {
+	for _, in := range p.instances() {
 		s, ok := p.states.Get(in.Name)
 		if !ok {
 			continue
@@ -151,7 +179,7 @@
 }
 
 func (p *Platform) look(ctx context.Context, client *http.Client) {
-	for _, in := range p.Instances {
+	for _, in := range p.instances() {
 		state := lookAt(ctx, client, in.Addr)
 		p.states.Set(in.Name, seen{state: state, at: p.Clock.Now()})
 	}
--- a/trial/client.go
+++ b/trial/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/fake"
 )
@@ -173,17 +174,28 @@
 	return http.DefaultClient.Do(req)
 }
 
-// Addresses asks the entry for the addresses that callers may use.
-func (c *Client) Addresses(ctx context.Context) ([]string, error) {
+// AddressAnswer is an answer of addresses.
+type AddressAnswer struct {
+	Addresses []string     `json:"addresses"`
+	TTL       clock.Millis `json:"ttl"`
+}
+
+// AddressAnswer asks the entry for the addresses that callers may use, and for
+// how long.
+func (c *Client) AddressAnswer(ctx context.Context) (AddressAnswer, error) {
+	var a AddressAnswer
 	resp, err := c.Do(ctx, http.MethodGet, "/v1/addresses", nil, nil)
 	if err != nil {
-		return nil, err
+		return a, err
 	}
 	defer resp.Body.Close()
-	var a struct {
-		Addresses []string `json:"addresses"`
-	}
 	err = json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&a)
+	return a, err
+}
+
+// Addresses asks the entry for the addresses that callers may use.
+func (c *Client) Addresses(ctx context.Context) ([]string, error) {
+	a, err := c.AddressAnswer(ctx)
 	return a.Addresses, err
 }
 
--- a/trial/set.go
+++ b/trial/set.go
@@ -27,8 +27,9 @@
 	Pieces int
 	// Policy is the entries' way of choosing upstreams.
 	Policy string
-	// Linger is that of every entry.
+	// Linger is that of every entry, and Life that of the addresses it gives.
 	Linger clock.Millis
+	Life   clock.Millis
 	// Log is the entries' log; nil is none.
 	Log *zap.Logger
 	// Edit, if not nil, changes the document before it is published.
@@ -50,6 +51,7 @@
 	Base string
 	Doc  core.Document
 
+	plan Plan
 	ctx  context.Context
 	end  context.CancelFunc
 	wait sync.WaitGroup
@@ -93,6 +95,7 @@
 	if p.Log == nil {
 		p.Log = zap.NewNop()
 	}
+	s.plan = p
 	if err := s.startUpstreams(p); err != nil {
 		return err
 	}
@@ -233,7 +236,7 @@
 
 func prepare(name string, p Plan) (*Node, error) {
 	settings := &config.Settings{Instance: name, Centre: Centre, Policy: p.Policy}
-	e := &entry.Entry{Settings: settings, Log: p.Log, Linger: p.Linger}
+	e := &entry.Entry{Settings: settings, Log: p.Log, Linger: p.Linger, Life: p.Life}
 	for _, socket := range []*net.Listener{&e.Sockets.Callers, &e.Sockets.Operators, &e.Sockets.Peers} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
