entry, trial: a planned stop cuts nothing, as entries and as processes

Need: a stop must lose no request of a caller that follows the answer of addresses, nor one on a kept connection.

--- /dev/null
+++ b/cmd/lacewinghook/process_test.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/prof"
+	"lacewinghook.example/lacewinghook/store"
+	"lacewinghook.example/lacewinghook/trial"
+)
+
+const (
+	testLimit = 90 * time.Second
+	prompt    = "A verse for the funeral of a neighbour."
+	tokens    = 100
+)
+
+func startProcs(t *testing.T, ctx context.Context, n int) *trial.Procs {
+	t.Helper()
+	dir := t.TempDir()
+	if err := trial.Build(ctx, dir); err != nil {
+		t.Fatal(err)
+	}
+	p, err := trial.StartProcs(ctx, dir, n, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Stop)
+	return p
+}
+
+func TestPromise(t *testing.T) {
+	t.Run("a planned stop cuts nothing", func(t *testing.T) { t.Run("SIGTERM of a process under load", sigtermUnderLoad) })
+	t.Run("an accepted document never reverts", func(t *testing.T) { t.Run("a frozen process wakes", frozenProcessWakes) })
+}
+
+// sigtermUnderLoad stops one process while callers stream from all, and sends
+// the signal a second time while it stops.
+func sigtermUnderLoad(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	p := startProcs(t, ctx, 2)
+	is.NoErr(trial.Until(ctx, func() bool {
+		addrs, err := p.Client(1).Addresses(ctx)
+		return err == nil && len(addrs) == 2
+	}))
+	var wait sync.WaitGroup
+	var over atomic.Bool
+	var served, failed atomic.Int64
+	for i := range 4 {
+		f := p.Follower(i % 2)
+		f.HTTP = &http.Client{Transport: &http.Transport{}}
+		wait.Go(func() {
+			for !over.Load() && failed.Load() == 0 {
+				if err := stream(ctx, f); err != nil {
+					failed.Add(1)
+					t.Log(err)
+				}
+				served.Add(1)
+			}
+		})
+	}
+	is.NoErr(trial.Until(ctx, func() bool { return served.Load() > 4 }))
+	is.NoErr(p.Entries[0].Signal(syscall.SIGTERM))
+	is.NoErr(trial.Until(ctx, func() bool { return strings.Contains(p.Log(p.Entries[0].Name), "entry: leaving") }))
+	is.NoErr(p.Entries[0].Signal(syscall.SIGTERM))
+	is.NoErr(p.Entries[0].Wait(ctx))
+	over.Store(true)
+	wait.Wait()
+	t.Logf("served %d, failed %d", served.Load(), failed.Load())
+	is.Equal(failed.Load(), int64(0))
+	is.True(strings.Contains(p.Log(p.Entries[0].Name), "entry: waits for what is in flight"))
+	is.True(!strings.Contains(p.Log(p.Entries[0].Name), "requests were cut"))
+}
+
+func stream(ctx context.Context, f *trial.Follower) error {
+	c, err := f.Client(ctx)
+	if err != nil {
+		return err
+	}
+	r, err := c.Complete(ctx, trial.Ask{Model: trial.Model, Prompt: prompt, MaxTokens: tokens, Stream: true}, nil)
+	if err == nil && r.Text != strings.Join(fake.Answer(prompt, tokens), "") {
+		return errors.New("the answer is not whole")
+	}
+	return err
+}
+
+// frozenProcessWakes freezes an entry, withdraws the workspace's key, and
+// wakes the entry: it must not serve the old key.
+func frozenProcessWakes(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	p := startProcs(t, ctx, 2)
+	is.NoErr(p.Entries[0].Signal(syscall.SIGSTOP))
+	frozen := clock.Clock{}.Now()
+	desk := &prof.Desk{Table: &store.Client{Base: p.Platform()}}
+	doc, err := desk.Current(ctx)
+	is.NoErr(err)
+	doc.Workspaces = []core.Workspace{{Name: trial.Workspace, Profile: "exact", Keys: []string{prof.Digest("another key")}}}
+	_, err = desk.Publish(ctx, prof.Order{Expected: doc.Version, Doc: *doc})
+	is.NoErr(err)
+	is.NoErr(trial.Until(ctx, func() bool { return lookup(ctx, p.Client(1)) != nil }))
+	inForce := clock.Clock{}.Now() - frozen
+	is.True(inForce <= 12*clock.Second)
+	is.NoErr(trial.Until(ctx, func() bool { return clock.Clock{}.Now()-frozen > member.CutOffAfter+clock.Second }))
+	results := make(chan error, 8)
+	for range cap(results) {
+		// These wait in the frozen process's buffers.
+		go func() { results <- lookup(ctx, p.Client(0)) }()
+	}
+	is.NoErr(p.Entries[0].Signal(syscall.SIGCONT))
+	for range cap(results) {
+		is.True(<-results != nil)
+	}
+}
+
+func lookup(ctx context.Context, c *trial.Client) error {
+	_, err := c.Service(ctx, http.MethodGet, "/stock/burr", "", nil)
+	return err
+}
--- a/cmd/lacewinghook/serve.go
+++ b/cmd/lacewinghook/serve.go
@@ -1,12 +1,9 @@
 package main
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"go.uber.org/zap"
 
@@ -46,9 +43,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFail
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	e := &entry.Entry{Settings: settings, Log: log}
+	ctx, stop := untilSignal(e.Hurry)
+	defer stop()
 	if err := e.Run(ctx); err != nil {
 		log.Error("entry: failed", zap.Error(err))
 		return exitFail
--- /dev/null
+++ b/cmd/lacewinghook/signal.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// untilSignal returns a context that ends with the first stop signal. Each
+// further one calls again.
+func untilSignal(again func()) (ctx context.Context, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-signals:
+			case <-done:
+				return
+			}
+			if ctx.Err() != nil {
+				again()
+			}
+			cancel()
+		}
+	}()
+	return ctx, func() {
+		signal.Stop(signals)
+		close(done)
+		cancel()
+	}
+}
