config: every fault of the settings is reported with its path

Settings were decoded by encoding/json with DisallowUnknownFields, which stops at the first unknown field and doesn't say where it stands, and takes names in any case and fields given twice. Package strict decodes by the json tags alone and gathers every fault with its path; the checks of the values add theirs and skip fields that couldn't be decoded. No fault repeats a value, since that may be a token in the wrong field.

New checks: addresses, overlapping listeners, TLS off loopback, tokens as digests, times and sizes, names. A listener off loopback without TLS needs "insecure": true. Limits, linger and the log's level are settings now.

Ruled out: a schema library, since its faults name schema paths and not the reader's; CUE itself, since the settings are to be JSON.

Package args holds the command lines of the programs: a wrong flag gave flag's usage text of several lines before, now one line that names it and exit code 2 (testdata/usage.txtar).

FuzzDecode of strict ran 8 s (1.5 million inputs) and of config 5 s with no finding; their seeds run as plain tests.

--- a/cmd/lacefake/files.go
+++ b/cmd/lacefake/files.go
@@ -10,6 +10,7 @@
 
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/trial"
 )
 
@@ -105,6 +106,7 @@
 		Operators: config.Listener{Listen: l.addr(port + 1)},
 		Peers:     config.Listener{Listen: l.addr(port + 2)},
 		Platform:  config.Platform{Base: "http://" + l.addr(platformPort)},
+		Tokens:    []string{prof.Digest(trial.Token)},
 	}
 }
 
--- a/cmd/lacefake/main.go
+++ b/cmd/lacefake/main.go
@@ -22,13 +22,15 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"lacewinghook.example/lacewinghook/args"
 )
 
 // The exit codes.
 const (
-	exitOK    = 0
-	exitFail  = 1
-	exitUsage = 2
+	exitOK    = args.ExitOK
+	exitFail  = args.ExitFail
+	exitUsage = args.ExitUsage
 )
 
 // command is a subcommand. Its run gets a context that ends with the first
@@ -81,18 +83,10 @@
 }
 
 // parse parses a subcommand's flags; ok is false if it must end with status.
-func parse(fs *flag.FlagSet, args []string) (status int, ok bool) {
-	switch err := fs.Parse(args); {
-	case err == flag.ErrHelp:
-		return exitOK, false
-	case err != nil:
-		return exitUsage, false
-	}
-	if fs.NArg() > 0 {
-		fmt.Fprintf(os.Stderr, "%s: unknown argument %q\n", fs.Name(), fs.Arg(0))
-		return exitUsage, false
-	}
-	return exitOK, true
+func parse(fs *flag.FlagSet, argv []string) (status int, ok bool) {
+	c := &args.Call{Name: fs.Name(), Args: argv, Out: os.Stdout, Err: os.Stderr}
+	fs.Usage = nil
+	return c.Parse(fs, 0)
 }
 
 // listen answers on addr until ctx ends.
--- a/cmd/lacewinghook/check.go
+++ b/cmd/lacewinghook/check.go
@@ -1,21 +1,36 @@
 package main
 
 import (
+	"context"
 	"fmt"
-	"os"
 
+	"github.com/go-faster/errors"
+
+	"lacewinghook.example/lacewinghook/args"
 	"lacewinghook.example/lacewinghook/config"
+	"lacewinghook.example/lacewinghook/strict"
 )
 
-func check(args []string) int {
-	file, status := settingsFlag("check", args)
-	if file == "" {
+func check(_ context.Context, c *args.Call) int {
+	file, status, ok := settingsFlag(c)
+	if !ok {
 		return status
 	}
 	if _, err := config.Read(file); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFail
+		return faults(c, err)
+	}
+	fmt.Fprintln(c.Out, "settings are valid")
+	return args.ExitOK
+}
+
+// faults writes each fault of the settings on a line of its own.
+func faults(c *args.Call, err error) int {
+	var all strict.Faults
+	if !errors.As(err, &all) {
+		return c.Fail(err)
+	}
+	for _, f := range all {
+		fmt.Fprintln(c.Err, f.Error())
 	}
-	fmt.Println("settings are valid")
-	return exitOK
+	return args.ExitFail
 }
--- a/cmd/lacewinghook/main.go
+++ b/cmd/lacewinghook/main.go
@@ -10,55 +10,39 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
-)
 
-// The exit codes.
-const (
-	exitOK    = 0
-	exitFail  = 1
-	exitUsage = 2
+	"lacewinghook.example/lacewinghook/args"
 )
 
-// command is a subcommand.
-type command struct {
-	name string
-	help string
-	run  func(args []string) int
-}
-
-var commands = []command{
-	{"serve", "serve callers until SIGTERM or SIGINT", serve},
-	{"check", "check settings and print every fault", check},
-	{"version", "print the version", version},
-}
-
 func main() {
-	os.Exit(dispatch(os.Args[1:]))
+	os.Exit(run())
 }
 
-func dispatch(args []string) int {
-	if len(args) == 0 {
-		usage(os.Stderr)
-		return exitUsage
-	}
-	for _, c := range commands {
-		if c.name == args[0] {
-			return c.run(args[1:])
-		}
+func run() int {
+	p := args.Program{
+		Name:  "lacewinghook",
+		Help:  "One entry instance of the router.",
+		Notes: "Exit codes: 0 for success, 1 for a failure, 2 for a wrong command line.",
+		Commands: []args.Command{
+			{Name: "serve", Help: "serve callers until SIGTERM or SIGINT", Run: serve},
+			{Name: "check", Help: "check settings and print every fault with its field", Run: check},
+			{Name: "version", Help: "print the version", Run: version},
+		},
 	}
-	if args[0] == "-h" || args[0] == "-help" || args[0] == "--help" || args[0] == "help" {
-		usage(os.Stdout)
-		return exitOK
-	}
-	fmt.Fprintf(os.Stderr, "lacewinghook: unknown command %q\n", args[0])
-	return exitUsage
+	return p.Run(context.Background(), os.Args[1:])
 }
 
-func usage(w *os.File) {
-	fmt.Fprintln(w, "usage: lacewinghook COMMAND [flags]")
-	for _, c := range commands {
-		fmt.Fprintf(w, "  %-9s %s\n", c.name, c.help)
+// settingsFlag parses the flags of a command that takes settings.
+func settingsFlag(c *args.Call) (file string, status int, ok bool) {
+	fs := c.Flags("")
+	fs.StringVar(&file, "config", "", "settings `file`, JSON")
+	if status, ok := c.Parse(fs, 0); !ok {
+		return "", status, false
+	}
+	if file == "" {
+		return "", c.Misused("flag -config: missing"), false
 	}
+	return file, args.ExitOK, true
 }
--- a/cmd/lacewinghook/serve.go
+++ b/cmd/lacewinghook/serve.go
@@ -2,56 +2,50 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
-	"os"
 	"os/signal"
 	"syscall"
 
 	"go.uber.org/zap"
 
+	"lacewinghook.example/lacewinghook/args"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/entry"
 )
 
-// settingsFlag parses the command line of a subcommand that takes settings.
-func settingsFlag(name string, args []string) (file string, status int) {
-	fs := flag.NewFlagSet("lacewinghook "+name, flag.ContinueOnError)
-	fs.StringVar(&file, "config", "", "settings file, JSON")
-	switch err := fs.Parse(args); {
-	case err == flag.ErrHelp:
-		return "", exitOK
-	case err != nil:
-		return "", exitUsage
-	}
-	if fs.NArg() > 0 || file == "" {
-		fmt.Fprintf(os.Stderr, "lacewinghook %s: want -config F and nothing else\n", name)
-		return "", exitUsage
-	}
-	return file, exitOK
-}
-
-func serve(args []string) int {
-	file, status := settingsFlag("serve", args)
-	if file == "" {
+func serve(ctx context.Context, c *args.Call) int {
+	file, status, ok := settingsFlag(c)
+	if !ok {
 		return status
 	}
 	settings, err := config.Read(file)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFail
+		return faults(c, err)
 	}
-	log, err := zap.NewProduction()
+	log, err := logger(settings.Log)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFail
+		return c.Fail(err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	e := &entry.Entry{Settings: settings, Log: log}
 	if err := e.Run(ctx); err != nil {
 		log.Error("entry: failed", zap.Error(err))
-		return exitFail
+		return args.ExitFail
+	}
+	return args.ExitOK
+}
+
+// logger returns the log of that lowest level; empty is info.
+func logger(level string) (*zap.Logger, error) {
+	cfg := zap.NewProductionConfig()
+	// Sampling would drop lines that an operator looks for by request ID.
+	cfg.Sampling = nil
+	if level != "" {
+		parsed, err := zap.ParseAtomicLevel(level)
+		if err != nil {
+			return nil, err
+		}
+		cfg.Level = parsed
 	}
-	return exitOK
+	return cfg.Build()
 }
--- a/cmd/lacewinghook/version.go
+++ b/cmd/lacewinghook/version.go
@@ -1,15 +1,21 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"runtime/debug"
+
+	"lacewinghook.example/lacewinghook/args"
 )
 
-func version([]string) int {
+func version(_ context.Context, c *args.Call) int {
+	if status, ok := c.Parse(c.Flags(""), 0); !ok {
+		return status
+	}
 	v := "unknown"
 	if info, ok := debug.ReadBuildInfo(); ok {
 		v = info.Main.Version + " " + info.GoVersion
 	}
-	fmt.Println("lacewinghook", v)
-	return exitOK
+	fmt.Fprintln(c.Out, "lacewinghook", v)
+	return args.ExitOK
 }
--- a/config/config.go
+++ b/config/config.go
@@ -1,14 +1,12 @@
 package config
 
 import (
-	"bytes"
-	"encoding/json"
-	"net/netip"
+	"io"
 	"os"
 
-	"github.com/go-faster/errors"
-
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/strict"
 )
 
 // Settings are those of one entry.
@@ -22,62 +20,132 @@
 	Peers     Listener `json:"peers"`
 	// Platform is where the platform answers.
 	Platform Platform `json:"platform"`
-	// Policy names the way of choosing upstreams: least or random.
+	// Tokens are the SHA-256 digests of the operators' tokens, in
+	// hexadecimal. Without one no operator gets in.
+	Tokens []string `json:"tokens"`
+	// Policy names the way of choosing upstreams: least or random. Empty is
+	// least.
 	Policy string `json:"policy,omitempty"`
-	// Tokens are the SHA-256 digests of the operators' tokens.
-	Tokens []string `json:"tokens,omitempty"`
+	// Limits bound what callers send.
+	Limits Limits `json:"limits,omitzero"`
+	// Linger is how long an entry that stops goes on taking new work, since
+	// callers may still hold its address; zero is a second over the life of
+	// an answer of addresses.
+	Linger clock.Millis `json:"linger,omitempty"`
+	// Log is the lowest level that is logged: debug, info, warn or error.
+	// Empty is info.
+	Log string `json:"log,omitempty"`
 }
 
 // Listener is one address that the entry listens on.
 type Listener struct {
+	// Listen is an IP address and port.
 	Listen string `json:"listen"`
+	// Cert and Key are files of the certificate and its key, in PEM. They
+	// are read again when they change.
+	Cert string `json:"cert,omitempty"`
+	Key  string `json:"key,omitempty"`
+	// CA is the file of the authorities that the other side's certificate
+	// must come from. Peers need it; for callers and operators it is
+	// optional.
+	CA string `json:"ca,omitempty"`
+	// Insecure allows an address off loopback without TLS.
+	Insecure bool `json:"insecure,omitempty"`
 }
 
+// TLS reports whether the listener speaks TLS.
+func (l *Listener) TLS() bool { return l.Cert != "" }
+
 // Platform is where the platform answers.
 type Platform struct {
+	// Base is the platform's URL, without a trailing slash.
 	Base string `json:"base"`
+	// Token is the file of the bearer token that the platform asks for.
+	Token string `json:"token,omitempty"`
+	// Insecure allows the token to be sent without TLS off loopback.
+	Insecure bool `json:"insecure,omitempty"`
+}
+
+// Limits bound what callers send. A zero field takes its default.
+type Limits struct {
+	// Body is the greatest body of a call, in bytes; zero is 4 MiB.
+	Body int64 `json:"body,omitempty"`
+	// Header is the greatest size of all headers of a call, in bytes; zero
+	// is 32 KiB.
+	Header int `json:"header,omitempty"`
+	// Input is the time within which a call must have arrived in full; zero
+	// is 10 seconds.
+	Input clock.Millis `json:"input,omitempty"`
+	// Inputs is the number of bodies that are read at the same time; zero is
+	// 256.
+	Inputs int `json:"inputs,omitempty"`
+}
+
+// The defaults of [Limits].
+const (
+	defaultBody                = 4 << 20
+	defaultHeader              = 32 << 10
+	defaultInput  clock.Millis = 10 * clock.Second
+	defaultInputs              = 256
+)
+
+// Filled returns the limits with the defaults in place of zeros.
+func (l Limits) Filled() Limits {
+	if l.Body == 0 {
+		l.Body = defaultBody
+	}
+	if l.Header == 0 {
+		l.Header = defaultHeader
+	}
+	if l.Input == 0 {
+		l.Input = defaultInput
+	}
+	if l.Inputs == 0 {
+		l.Inputs = defaultInputs
+	}
+	return l
 }
 
 // maxBytes bounds a settings file.
 const maxBytes = 1 << 20
 
-// Read reads and checks a settings file.
+// Read reads and checks a settings file. Its error is a [codes.Error] whose
+// cause is [strict.Faults] if the file could be read.
 func Read(name string) (*Settings, error) {
-	data, err := os.ReadFile(name)
+	data, err := readFile(name)
+	if err != nil {
+		return nil, err
+	}
+	s, err := Decode(data)
+	if err != nil {
+		return nil, codes.Wrap(codes.BadRequest, err, "settings %s", name)
+	}
+	return s, nil
+}
+
+func readFile(name string) ([]byte, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, codes.Wrap(codes.BadRequest, err, "settings")
+	}
+	defer f.Close()
+	data, err := io.ReadAll(io.LimitReader(f, maxBytes+1))
 	if err != nil {
 		return nil, codes.Wrap(codes.BadRequest, err, "settings")
 	}
 	if len(data) > maxBytes {
 		return nil, codes.New(codes.TooLarge, "settings: %s is over %d bytes", name, maxBytes)
 	}
-	s := &Settings{}
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(s); err != nil {
-		return nil, codes.Wrap(codes.BadRequest, err, "settings %s", name)
-	}
-	return s, s.Check()
+	return data, nil
 }
 
-// Check returns every fault of the settings, joined.
-func (s *Settings) Check() error {
-	var faults []error
-	need := func(field, value string) {
-		if value == "" {
-			faults = append(faults, errors.Errorf("%s: missing", field))
-		}
-	}
-	need("instance", s.Instance)
-	need("centre", s.Centre)
-	need("platform.base", s.Platform.Base)
-	for _, l := range []struct{ field, addr string }{
-		{"callers.listen", s.Callers.Listen},
-		{"operators.listen", s.Operators.Listen},
-		{"peers.listen", s.Peers.Listen},
-	} {
-		if _, err := netip.ParseAddrPort(l.addr); err != nil {
-			faults = append(faults, errors.Errorf("%s: want an IP address and port", l.field))
-		}
+// Decode decodes and checks settings. Its error is [strict.Faults].
+func Decode(data []byte) (*Settings, error) {
+	s := &Settings{}
+	faults := strict.Decode(data, s)
+	faults = append(faults, s.check(faults)...)
+	if err := faults.Err(); err != nil {
+		return nil, err
 	}
-	return errors.Join(faults...)
+	return s, nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -69,8 +70,8 @@
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	g, work := errgroup.WithContext(work)
-	callers := &http.Server{Handler: e.counted(e.callers()), ReadHeaderTimeout: headerTimeout.Std(), MaxHeaderBytes: maxHeaderBytes}
-	operators := &http.Server{Handler: e.operators(), ReadHeaderTimeout: headerTimeout.Std(), MaxHeaderBytes: maxHeaderBytes}
+	callers := e.server(e.counted(e.callers()))
+	operators := e.server(e.operators())
 	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
 	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
 	g.Go(func() error { return (&wire.Server{Handler: e}).Serve(work, e.Sockets.Peers) })
@@ -91,10 +92,29 @@
 
 // Bounds of the HTTP listeners.
 const (
-	headerTimeout  = 5 * clock.Second
-	maxHeaderBytes = 32 << 10
+	headerTimeout = 5 * clock.Second
+	idleTimeout   = 2 * clock.Minute
 )
 
+func (e *Entry) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout.Std(),
+		IdleTimeout:       idleTimeout.Std(),
+		MaxHeaderBytes:    e.Settings.Limits.Filled().Header,
+		ErrorLog:          e.httpLog(),
+	}
+}
+
+// httpLog takes what net/http has to say, such as failed TLS handshakes.
+func (e *Entry) httpLog() *log.Logger {
+	l, err := zap.NewStdLogAt(e.Log.Named("http"), zap.DebugLevel)
+	if err != nil {
+		return nil
+	}
+	return l
+}
+
 func serve(s *http.Server, ln net.Listener) error {
 	err := s.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) {
@@ -199,6 +219,9 @@
 func (e *Entry) stop(ctx context.Context, servers ...*http.Server) error {
 	e.leaving.Store(true)
 	linger := e.Linger
+	if linger == 0 {
+		linger = e.Settings.Linger
+	}
 	if linger == 0 {
 		linger = member.AddressLife + clock.Second
 	}
--- a/trial/set.go
+++ b/trial/set.go
@@ -69,6 +69,7 @@
 const (
 	Model     = "verse"
 	Key       = "trial-key"
+	Token     = "trial-token"
 	Workspace = "verse-writers"
 	Service   = "card-desk"
 	Centre    = "moose-jaw"
@@ -226,7 +227,9 @@
 }
 
 func prepare(name string, p Plan) (*Node, error) {
-	settings := &config.Settings{Instance: name, Centre: Centre, Policy: p.Policy}
+	settings := &config.Settings{
+		Instance: name, Centre: Centre, Policy: p.Policy, Tokens: []string{prof.Digest(Token)},
+	}
 	e := &entry.Entry{Settings: settings, Log: p.Log, Linger: p.Linger}
 	for _, socket := range []*net.Listener{&e.Sockets.Callers, &e.Sockets.Operators, &e.Sockets.Peers} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
