--- /dev/null
+++ b/config/examples_test.go
@@ -0,0 +1,28 @@
+package config_test
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/config"
+)
+
+func TestExamplesPass(t *testing.T) {
+	for _, region := range []string{"sask-south", "ost-alpen"} {
+		t.Run(region, func(t *testing.T) {
+			is := is.New(t)
+			files, err := filepath.Glob(filepath.Join("..", "examples", region, "*-[1-3].json"))
+			is.NoErr(err)
+			is.Equal(len(files), 9)
+			listens := make(map[string]bool)
+			for _, file := range files {
+				s, err := config.Read(file)
+				is.NoErr(err)
+				listens[s.Callers.Listen] = true
+			}
+			is.Equal(len(listens), 9)
+		})
+	}
+}
