front: every input is bounded in size, time and number, and decoded strictly

Who calls is settled before the body is read, so that a caller without a key can't make the entry read 4 MiB. A body that doesn't arrive in its time ends as slow_input; before, it held its connection for ever. Bodies read at the same time are bounded. Every answer has a Request-Id, errors and unknown paths too, and each refusal is counted by its code in one place.

Sampling fields would have to reach the engines; until they do, they are refused by name and not ignored.

A path of a service that reads as another one when it is decoded once more is refused. Before: /stock/%252e%252e/orders passed the check as a lookup and reached the service as /orders.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -176,6 +176,8 @@
 		Log:     e.Log,
 		Life:    member.AddressLife,
 		State:   e.state,
+		Limits:  e.Settings.Limits,
+		Meter:   &e.meter,
 	}
 	return s.Handler()
 }
--- /dev/null
+++ b/front/caller.go
@@ -0,0 +1,58 @@
+package front
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/prof"
+)
+
+// caller is who calls, under which version of the document.
+type caller struct {
+	view      *prof.View
+	workspace core.Workspace
+	profile   core.Profile
+}
+
+// identify finds the workspace by its key, and the profile.
+func (s *Server) identify(r *http.Request) (caller, error) {
+	c := caller{view: s.Views.View()}
+	if c.view == nil {
+		return c, codes.New(codes.NoDocument, "this entry")
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return c, codes.New(codes.Unauthorized, "header Authorization: want a bearer key")
+	}
+	if c.workspace, ok = c.view.Workspace(key); !ok {
+		return c, codes.New(codes.Unauthorized, "header Authorization: unknown key")
+	}
+	name := r.Header.Get("Profile")
+	if name == "" {
+		name = c.workspace.Profile
+	}
+	if c.profile, ok = c.view.Profile(name); !ok {
+		return c, codes.New(codes.UnknownProfile, "header Profile: %q", name)
+	}
+	return c, nil
+}
+
+// maxDeadline bounds the time that a caller may give.
+const maxDeadline = 24 * 60 * clock.Minute
+
+// deadline reads the Deadline header; zero is none.
+func (s *Server) deadline(r *http.Request) (clock.Millis, error) {
+	text := r.Header.Get("Deadline")
+	if text == "" {
+		return 0, nil
+	}
+	left, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || left <= 0 || left > int64(maxDeadline) {
+		return 0, codes.New(codes.BadRequest, "header Deadline: want 1 to %d ms", maxDeadline)
+	}
+	return s.Clock.Now() + clock.Millis(left), nil
+}
--- /dev/null
+++ b/front/input_test.go
@@ -0,0 +1,134 @@
+package front_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/config"
+	"lacewinghook.example/lacewinghook/trial"
+)
+
+// bad is an input that must be refused with a code and without a run.
+type bad struct {
+	method, path, body string
+	header             http.Header
+	key                string
+	code               codes.Code
+	// says is a part of the message.
+	says string
+}
+
+const (
+	completions = "/v1/completions"
+	chat        = "/v1/chat/completions"
+	orders      = "/v1/services/card-desk/orders"
+	plain       = `{"model":"verse","prompt":"x"}`
+)
+
+func header(name, value string) http.Header { return http.Header{name: {value}} }
+
+var badInputs = map[string]bad{
+	"oversized body":      {path: completions, body: `{"prompt":"` + strings.Repeat("x", 4<<10) + `"}`, code: codes.TooLarge, says: "body"},
+	"oversized order":     {path: orders, body: strings.Repeat("x", 4<<10), header: header("Idempotency-Key", "k"), code: codes.TooLarge, says: "body"},
+	"broken JSON":         {path: completions, body: `{"model":`, code: codes.BadRequest, says: "not JSON"},
+	"unknown field":       {path: completions, body: `{"model":"verse","prompt":"x","temperature":1}`, code: codes.BadRequest, says: "temperature"},
+	"unknown, nested":     {path: chat, body: `{"model":"verse","messages":[{"role":"user","content":"x","name":"n"}]}`, code: codes.BadRequest, says: "messages[0].name"},
+	"unknown role":        {path: chat, body: `{"model":"verse","messages":[{"role":"king","content":"x"}]}`, code: codes.BadRequest, says: "messages[0].role"},
+	"no messages":         {path: chat, body: `{"model":"verse"}`, code: codes.BadRequest, says: "messages"},
+	"two answers":         {path: completions, body: `{"model":"verse","prompt":"x","n":2}`, code: codes.BadRequest, says: "n: want 1"},
+	"no prompt":           {path: completions, body: `{"model":"verse"}`, code: codes.BadRequest, says: "prompt"},
+	"bad max_tokens":      {path: completions, body: `{"model":"verse","prompt":"x","max_tokens":0}`, code: codes.BadRequest, says: "max_tokens"},
+	"unknown model":       {path: completions, body: `{"model":"prose","prompt":"x"}`, code: codes.UnknownModel, says: "model"},
+	"unknown profile":     {path: completions, body: plain, header: header("Profile", "hasty"), code: codes.UnknownProfile, says: "Profile"},
+	"wrong key":           {path: completions, body: plain, key: "not the key", code: codes.Unauthorized, says: "Authorization"},
+	"wrong key, service":  {path: orders, key: "not the key", code: codes.Unauthorized, says: "Authorization"},
+	"bad deadline":        {path: completions, body: plain, header: header("Deadline", "soon"), code: codes.BadRequest, says: "Deadline"},
+	"deadline overflows":  {path: completions, body: plain, header: header("Deadline", "9223372036854775807"), code: codes.BadRequest, says: "Deadline"},
+	"unknown service":     {path: "/v1/services/cards/orders", code: codes.UnknownService, says: "cards"},
+	"unknown route":       {path: "/v1/services/card-desk/refunds", code: codes.UnknownService, says: "refunds"},
+	"no idempotency key":  {path: orders, body: "{}", code: codes.KeyMissing, says: "Idempotency-Key"},
+	"dots in the path":    {method: http.MethodGet, path: "/v1/services/card-desk/stock/../orders", code: codes.BadRequest, says: "path"},
+	"dots, twice encoded": {method: http.MethodGet, path: "/v1/services/card-desk/stock/%252e%252e/orders", code: codes.BadRequest, says: "path"},
+	"hidden query":        {method: http.MethodGet, path: "/v1/services/card-desk/stock%3Fa=1", code: codes.BadRequest, says: "path"},
+	"unknown path":        {path: "/v1/embeddings", code: codes.NotFound, says: "embeddings"},
+	"wrong method":        {method: http.MethodGet, path: completions, code: codes.MethodDenied, says: "GET"},
+}
+
+func smallSet(t *testing.T) *trial.Set {
+	t.Helper()
+	set, err := trial.Start(trial.Plan{
+		Entries: 1, Prefills: 1, Decodes: 1, Services: 1, Linger: 1,
+		Setup: func(s *config.Settings) { s.Limits = config.Limits{Body: 2 << 10, Input: 100, Inputs: 1} },
+	})
+	is.New(t).NoErr(err)
+	t.Cleanup(set.Stop)
+	return set
+}
+
+// refusal is the error in an answer.
+type refusal struct {
+	Error struct {
+		Code    codes.Code `json:"code"`
+		Name    string     `json:"name"`
+		Run     codes.Run  `json:"run"`
+		Message string     `json:"message"`
+	} `json:"error"`
+}
+
+func TestPromise(t *testing.T) {
+	t.Run("not run is true", func(t *testing.T) {
+		set := smallSet(t)
+		for name, b := range badInputs {
+			t.Run(name, func(t *testing.T) { refused(t, set, b) })
+		}
+		is := is.New(t)
+		is.Equal(set.Prefills[0].Count.Prefills.Load(), int64(0))
+		is.Equal(set.Decodes[0].Count.Decodes.Load(), int64(0))
+		is.Equal(len(set.Services[0].Runs()), 0)
+	})
+}
+
+func refused(t *testing.T, set *trial.Set, b bad) {
+	is := is.New(t)
+	c := set.Client(0)
+	if b.key != "" {
+		c.Key = b.key
+	}
+	if b.method == "" {
+		b.method = http.MethodPost
+	}
+	resp, err := c.Do(context.Background(), b.method, b.path, []byte(b.body), b.header)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	var r refusal
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&r))
+	is.Equal(r.Error.Code, b.code)
+	is.Equal(r.Error.Name, b.code.String())
+	is.Equal(resp.StatusCode, b.code.Info().Status)
+	is.Equal(r.Error.Run, codes.NotRun)
+	is.True(strings.Contains(r.Error.Message, b.says))
+	is.True(strings.HasPrefix(resp.Header.Get("Request-Id"), "moose-jaw-1."))
+}
+
+func TestSlowBodyIsCutOffAndHoldsItsPlace(t *testing.T) {
+	is := is.New(t)
+	set := smallSet(t)
+	slow, err := net.Dial("tcp", set.Entries[0].Addr)
+	is.NoErr(err)
+	defer slow.Close()
+	fmt.Fprintf(slow, "POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\nConnection: close\r\n\r\n{", completions, trial.Key)
+	answer, err := io.ReadAll(slow)
+	is.NoErr(err)
+	is.True(strings.Contains(string(answer), `"name":"slow_input","run":"not_run"`))
+	// The place is free again: the next call is refused for itself.
+	refused(t, set, badInputs["no prompt"])
+}
--- a/front/server.go
+++ b/front/server.go
@@ -2,18 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
-	"strconv"
-	"strings"
+	"sync/atomic"
 
 	"github.com/gorilla/mux"
 	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/flow"
+	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/prof"
 )
 
@@ -50,14 +50,19 @@
 	Life clock.Millis
 	// State says what this entry does; callers are told when it is leaving.
 	State func() core.State
-}
+	// Limits bound the inputs; zero fields take their defaults.
+	Limits config.Limits
+	// Meter counts the refusals.
+	Meter *meter.Set
 
-// maxBodyBytes bounds the body of one call.
-const maxBodyBytes = 4 << 20
+	inputs atomic.Int64
+}
 
 // Handler returns the callers' HTTP interface.
 func (s *Server) Handler() http.Handler {
-	r := mux.NewRouter()
+	// A path that is not clean is refused and not redirected, since a route
+	// must not be found for another path than the service gets.
+	r := mux.NewRouter().SkipClean(true)
 	r.HandleFunc("/v1/addresses", s.addresses).Methods(http.MethodGet)
 	r.HandleFunc("/v1/healthz", s.health).Methods(http.MethodGet)
 	r.HandleFunc("/v1/readyz", s.ready).Methods(http.MethodGet)
@@ -67,7 +72,24 @@
 	r.HandleFunc("/v1/services/{service}/{path:.*}", s.service)
 	r.NotFoundHandler = http.HandlerFunc(s.notFound)
 	r.MethodNotAllowedHandler = http.HandlerFunc(s.wrongMethod)
-	return r
+	return s.identified(r)
+}
+
+// identified gives each call its request ID, which every answer carries.
+func (s *Server) identified(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := s.IDs.Next()
+		w.Header().Set("Request-Id", id.String())
+		h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), idKey{}, id)))
+	})
+}
+
+// idKey is the key of a call's request ID in its context.
+type idKey struct{}
+
+func idOf(r *http.Request) core.ID {
+	id, _ := r.Context().Value(idKey{}).(core.ID)
+	return id
 }
 
 type addressAnswer struct {
@@ -98,84 +120,9 @@
 }
 
 func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
-	writeError(w, codes.New(codes.NotFound, "path %s", r.URL.Path))
+	s.refuse(w, codes.New(codes.NotFound, "path %s", r.URL.Path))
 }
 
 func (s *Server) wrongMethod(w http.ResponseWriter, r *http.Request) {
-	writeError(w, codes.New(codes.MethodDenied, "%s %s", r.Method, r.URL.Path))
-}
-
-// caller is who calls, under which version of the document.
-type caller struct {
-	view      *prof.View
-	workspace core.Workspace
-	profile   core.Profile
-}
-
-// identify finds the workspace by its key, and the profile.
-func (s *Server) identify(r *http.Request) (caller, error) {
-	c := caller{view: s.Views.View()}
-	if c.view == nil {
-		return c, codes.New(codes.NoDocument, "this entry")
-	}
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return c, codes.New(codes.Unauthorized, "header Authorization: want a bearer key")
-	}
-	if c.workspace, ok = c.view.Workspace(key); !ok {
-		return c, codes.New(codes.Unauthorized, "header Authorization: unknown key")
-	}
-	name := r.Header.Get("Profile")
-	if name == "" {
-		name = c.workspace.Profile
-	}
-	if c.profile, ok = c.view.Profile(name); !ok {
-		return c, codes.New(codes.UnknownProfile, "header Profile: %q", name)
-	}
-	return c, nil
-}
-
-// deadline reads the Deadline header; zero is none.
-func (s *Server) deadline(r *http.Request) (clock.Millis, error) {
-	text := r.Header.Get("Deadline")
-	if text == "" {
-		return 0, nil
-	}
-	left, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || left <= 0 {
-		return 0, codes.New(codes.BadRequest, "header Deadline: want milliseconds above zero")
-	}
-	return s.Clock.Now() + clock.Millis(left), nil
-}
-
-type errorBody struct {
-	Code    codes.Code   `json:"code"`
-	Name    string       `json:"name"`
-	Run     codes.Run    `json:"run"`
-	Message string       `json:"message"`
-	Retry   clock.Millis `json:"retry,omitempty"`
-}
-
-type errorAnswer struct {
-	Error errorBody `json:"error"`
-}
-
-func errorOf(err error) (int, errorAnswer) {
-	e := codes.From(err)
-	info := e.Code.Info()
-	return info.Status, errorAnswer{Error: errorBody{
-		Code: e.Code, Name: info.Name, Run: e.Run, Message: e.Message, Retry: e.Retry,
-	}}
-}
-
-func writeError(w http.ResponseWriter, err error) {
-	status, body := errorOf(err)
-	writeJSON(w, status, body)
-}
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// An error here means that the caller is gone; nobody is left to tell.
-	_ = json.NewEncoder(w).Encode(v)
+	s.refuse(w, codes.New(codes.MethodDenied, "%s %s", r.Method, r.URL.Path))
 }
--- a/front/service.go
+++ b/front/service.go
@@ -1,13 +1,13 @@
 package front
 
 import (
-	"io"
 	"net/http"
+	"path"
 	"slices"
 	"strings"
 
-	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
+	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
@@ -23,13 +23,13 @@
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
 	call, err := s.call(w, r)
 	if err != nil {
-		writeError(w, err)
+		s.refuse(w, err)
 		return
 	}
-	w.Header().Set("Request-Id", call.ID.String())
 	a, err := s.Plain.Call(r.Context(), call)
 	if err != nil {
-		writeError(w, err)
+		s.Log.Info("front: a call failed", zap.Stringer("id", call.ID), zap.Error(err))
+		s.refuse(w, err)
 		return
 	}
 	if t := a.Header.Get("Content-Type"); t != "" {
@@ -39,6 +39,8 @@
 	_, _ = w.Write(a.Body)
 }
 
+// call reads and checks a call of a plain service. Who calls and what is
+// called are settled before the body is read.
 func (s *Server) call(w http.ResponseWriter, r *http.Request) (core.Call, error) {
 	c, err := s.identify(r)
 	if err != nil {
@@ -46,12 +48,15 @@
 	}
 	vars := mux.Vars(r)
 	call := core.Call{
-		Workspace: c.workspace.Name, Service: vars["service"], Method: r.Method,
+		ID: idOf(r), Workspace: c.workspace.Name, Service: vars["service"], Method: r.Method,
 		Path: "/" + vars["path"], Query: r.URL.RawQuery, Header: make(http.Header),
 	}
+	if err := cleanPath(call.Path); err != nil {
+		return core.Call{}, err
+	}
 	route, ok := findRoute(c.view.Doc.Routes, call)
 	if !ok {
-		return core.Call{}, codes.New(codes.UnknownService, "%s of service %q", call.Path, call.Service)
+		return core.Call{}, codes.New(codes.UnknownService, "%s %.256s of service %.64q", call.Method, call.Path, call.Service)
 	}
 	if call.Key, err = key(r, route); err != nil {
 		return core.Call{}, err
@@ -67,16 +72,24 @@
 			call.Header[name] = v
 		}
 	}
-	call.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return core.Call{}, codes.New(codes.TooLarge, "body: over %d bytes", maxBodyBytes)
+	call.Body, err = s.body(w, r)
+	return call, err
+}
+
+// unsafePath are characters that, decoded once more, would make another path.
+const unsafePath = "\\?#%\x00"
+
+// cleanPath refuses a path that a service could read as another one than the
+// route was found for.
+func cleanPath(p string) error {
+	clean := path.Clean(p)
+	if strings.HasSuffix(p, "/") && clean != "/" {
+		clean += "/"
 	}
-	if err != nil {
-		return core.Call{}, codes.Wrap(codes.BadRequest, err, "body: can't be read")
+	if clean != p || strings.ContainsAny(p, unsafePath) {
+		return codes.New(codes.BadRequest, "path: want one without empty or dot parts and without any of \\ ? # %%")
 	}
-	call.ID = s.IDs.Next()
-	return call, nil
+	return nil
 }
 
 // findRoute returns the published route with the longest matching prefix.
