admin, client, lacectl: the operators' interface and its tool

The operators' listener answered /metrics and the status to anybody. Now every path needs a bearer token, whose digest is compared in constant time with all of the settings' tokens; 52 cases without a valid one get 401 and nothing else (TestNothingIsAnsweredWithoutAToken).

/admin/v1/ has the document, its versions and confirmations, upstreams, instances, centres with their drains, orders, quarantine, status and promises. The parts behind it are small interfaces of admin with plain structs of its own; entry wires them. Each promise comes with its mechanism, its live counters and the violations seen, and has its violations_total counter from the start.

lacectl is thin over package client. Its scripts run against a trial set.

Ruled out: names of operators in the settings, which the published interface has as digests only; changes are kept under the first digits of the token's digest.

--- /dev/null
+++ b/admin/admin_test.go
@@ -0,0 +1,74 @@
+package admin_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/admin"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/trial"
+)
+
+func TestNothingIsAnsweredWithoutAToken(t *testing.T) {
+	set, err := trial.Start(trial.Plan{Entries: 1, Linger: 1})
+	is.New(t).NoErr(err)
+	t.Cleanup(set.Stop)
+	for _, path := range []string{
+		"/metrics", "/admin/v1/status", "/admin/v1/promises", "/admin/v1/profiles", "/admin/v1/history",
+		"/admin/v1/upstreams", "/admin/v1/instances", "/admin/v1/centres", "/admin/v1/orders",
+		"/admin/v1/quarantine", "/admin/v1/profiles/confirmed", "/nowhere", "/debug/pprof/",
+	} {
+		for name, token := range map[string]string{"none": "", "wrong": "Bearer x", "a digest": "Bearer " + set.Entries[0].Entry.Settings.Tokens[0], "other scheme": "Basic " + trial.Token} {
+			t.Run(name+path, func(t *testing.T) {
+				is := is.New(t)
+				status, body := ask(t, set, path, token)
+				is.Equal(status, http.StatusUnauthorized)
+				is.True(strings.Contains(body, `"name":"unauthorized"`))
+				is.True(!strings.Contains(body, trial.Workspace))
+			})
+		}
+	}
+	status, _ := ask(t, set, "/metrics", "Bearer "+trial.Token)
+	is.New(t).Equal(status, http.StatusOK)
+}
+
+func ask(t *testing.T, set *trial.Set, path, authorization string) (int, string) {
+	t.Helper()
+	is := is.New(t)
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+set.Entries[0].Admin+path, nil)
+	is.NoErr(err)
+	req.Header.Set("Authorization", authorization)
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	return resp.StatusCode, string(body)
+}
+
+func TestPromisesCarryEvidence(t *testing.T) {
+	is := is.New(t)
+	set, err := trial.Start(trial.Plan{Entries: 1, Linger: 1})
+	is.NoErr(err)
+	t.Cleanup(set.Stop)
+	// A refused caller moves the counter that bears on "not run is true".
+	_, err = set.Client(0).Complete(context.Background(), trial.Ask{Model: "none", Prompt: "x"}, nil)
+	is.True(codes.Has(err, codes.BadRequest) || codes.Has(err, codes.UnknownModel))
+	status, body := ask(t, set, "/admin/v1/promises", "Bearer "+trial.Token)
+	is.Equal(status, http.StatusOK)
+	var p admin.Promises
+	is.NoErr(json.Unmarshal([]byte(body), &p))
+	is.Equal(len(p.Promises), 8)
+	for _, one := range p.Promises {
+		is.True(one.Mechanism != "")
+	}
+	is.True(strings.Contains(body, `refused_total{code=`))
+	_, metrics := ask(t, set, "/metrics", "Bearer "+trial.Token)
+	is.True(strings.Contains(metrics, `lacewinghook_violations_total{promise="at_most_once"} 0`))
+}
--- /dev/null
+++ b/cmd/lacectl/watch.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"lacewinghook.example/lacewinghook/admin"
+	"lacewinghook.example/lacewinghook/args"
+)
+
+var watchCommands = commandsOf(
+	spec{name: "status", help: "show the asked entry, the others, and what is drained", run: status},
+	spec{name: "promises", help: "show each promise, its evidence and its violations", run: promises},
+)
+
+func status(ctx context.Context, d *desk) int {
+	s, err := d.Status(ctx)
+	if err != nil {
+		return d.fail(err)
+	}
+	return d.show(s, func(w *tabwriter.Writer) {
+		fmt.Fprintf(w, "%s in %s is %s at version %d, violations seen: %d\n",
+			s.Instance, s.Centre, s.State, s.Version, s.Violations)
+		printInstances(w, s.Instances)
+		for _, dr := range s.Drains {
+			fmt.Fprintf(w, "drained:\t%s\t%s\tby %s\n", dr.Kind, dr.Name, dr.By)
+		}
+	})
+}
+
+// promises exits with a failure if a violation was seen, so that it can be
+// used as a check.
+func promises(ctx context.Context, d *desk) int {
+	p, err := d.Promises(ctx)
+	if err != nil {
+		return d.fail(err)
+	}
+	status := d.show(p, func(w *tabwriter.Writer) {
+		for _, one := range p.Promises {
+			printPromise(w, one)
+		}
+	})
+	for _, one := range p.Promises {
+		if one.Violations.Count > 0 {
+			return args.ExitFail
+		}
+	}
+	return status
+}
+
+func printPromise(w *tabwriter.Writer, p admin.Promise) {
+	word := "no violation seen"
+	if n := p.Violations.Count; n > 0 {
+		word = fmt.Sprintf("VIOLATED %d times, last %s: %s", n, age(p.Violations.Ago), p.Violations.Last)
+	}
+	fmt.Fprintf(w, "%s: %s\n  %s\n  kept by: %s\n", p.Promise, word, p.Meaning, p.Mechanism)
+	for _, c := range p.Counters {
+		fmt.Fprintf(w, "  %s\t%g\n", c.Name, c.Value)
+	}
+}
--- /dev/null
+++ b/entry/admin.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"net/http"
+
+	"lacewinghook.example/lacewinghook/admin"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/meter"
+)
+
+func (e *Entry) operators() http.Handler {
+	// Every promise has its counter from the start, so that alerts on a rise
+	// see the first violation too.
+	for _, p := range meter.Promises {
+		e.meter.Add("violations_total", 0, "promise", string(p.Promise))
+	}
+	s := &admin.Server{
+		Tokens:  e.Settings.Tokens,
+		Self:    e.self,
+		Views:   &e.book,
+		Members: &e.members,
+		Pool:    &e.pool,
+		Meter:   &e.meter,
+		Clock:   e.Clock,
+		Log:     e.Log,
+	}
+	return s.Handler()
+}
+
+// self tells of this entry as it is now.
+func (e *Entry) self() core.Instance {
+	self := e.members.Self
+	self.State = e.state()
+	return self
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"lacewinghook.example/lacewinghook/admin"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
@@ -201,11 +200,6 @@
 	return route.Least{}
 }
 
-func (e *Entry) operators() http.Handler {
-	s := &admin.Server{Views: &e.book, Members: &e.members, Meter: &e.meter}
-	return s.Handler()
-}
-
 func (e *Entry) state() core.State {
 	if e.leaving.Load() {
 		return core.Leaving
