--- a/entry/admin.go
+++ b/entry/admin.go
@@ -16,7 +16,7 @@
 	}
 	s := &admin.Server{
 		Tokens:  e.Settings.Tokens,
-		Self:    e.self,
+		Self:    e.instance,
 		Views:   &e.book,
 		Members: &e.members,
 		Pool:    &e.pool,
@@ -27,8 +27,8 @@
 	return s.Handler()
 }
 
-// self tells of this entry as it is now.
-func (e *Entry) self() core.Instance {
+// instance tells of this entry as it is now.
+func (e *Entry) instance() core.Instance {
 	self := e.members.Self
 	self.State = e.state()
 	return self
--- a/scripts/verdict/judge_test.go
+++ b/scripts/verdict/judge_test.go
@@ -11,6 +11,7 @@
 	pass    = `{"Action":"pass","Package":"p","Test":"TestGood"}` + "\n"
 	said    = `{"Action":"output","Package":"p","Test":"TestBad/a","Output":"seen: 2\n"}` + "\n"
 	fails   = said + `{"Action":"fail","Package":"p","Test":"TestBad/a"}` + "\n" + `{"Action":"fail","Package":"p","Test":"TestBad"}` + "\n" + `{"Action":"fail","Package":"p"}` + "\n"
+	parent  = `{"Action":"pass","Package":"p","Test":"TestBad/b"}` + "\n" + `{"Action":"fail","Package":"p","Test":"TestBad"}` + "\n" + `{"Action":"fail","Package":"p"}` + "\n"
 	noBuild = `{"ImportPath":"q","Action":"build-output","Output":"q.go:1: undefined\n"}` + "\n" + `{"ImportPath":"q","Action":"build-fail"}` + "\n" + `{"Action":"fail","Package":"q","FailedBuild":"q"}` + "\n"
 	crash   = `{"Action":"output","Package":"q","Output":"panic: nil\n"}` + "\n" + `{"Action":"fail","Package":"q"}` + "\n"
 )
@@ -27,7 +28,7 @@
 		"known red":                {pass + fails, "p TestBad/a | go test -run X | 2 not 1 | issue 9", true, "known red: p TestBad/a"},
 		"known red, parent listed": {pass + fails, "p TestBad | go test | 2 not 1 | issue 9", true, "known red: p TestBad/a"},
 		"another one is known":     {pass + fails, "p TestBadly | go test | 2 not 1 | issue 9", false, "FAIL p TestBad"},
-		"its listed part passed":   {pass + fails, "p TestBad/b | go test | 2 not 1 | issue 9", false, "FAIL p TestBad"},
+		"its listed part passed":   {pass + parent, "p TestBad/b | go test | 2 not 1 | issue 9", false, "FAIL p TestBad"},
 		"listed in a comment":      {pass + fails, "# p TestBad | go test | 2 | issue 9", false, "FAIL p TestBad"},
 		"build failure":            {pass + noBuild, "q TestX | go test | - | issue 9", false, "FAIL q\nq.go:1: undefined"},
 		"package without a test":   {pass + crash, "q TestX | go test | - | issue 9", false, "FAIL q\npanic: nil"},
