--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,6 +65,10 @@
 		return err
 	}
 	e.prepare()
+	var err error
+	if e.store.Token, err = readToken(e.Settings.Platform.Token); err != nil {
+		return err
+	}
 	// work goes on while the entry stops and ends last of all.
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
@@ -84,7 +88,7 @@
 		return e.stop(work, callers, operators)
 	})
 	e.Log.Info("entry: serving", zap.String("callers", e.Sockets.Callers.Addr().String()))
-	err := g.Wait()
+	err = g.Wait()
 	e.peers.Close()
 	return err
 }
