front, strict: a header given twice and text that is not UTF-8 are refused

Two Idempotency-Keys let the entry pick one and the service see it, where the caller may have meant the other; a body that isn't UTF-8 was read with other characters in place of what was sent. Both end as bad_request now and name the header or the input.

--- a/front/input_test.go
+++ b/front/input_test.go
@@ -53,6 +53,8 @@
 	"wrong key, service":  {path: orders, key: "not the key", code: codes.Unauthorized, says: "Authorization"},
 	"bad deadline":        {path: completions, body: plain, header: header("Deadline", "soon"), code: codes.BadRequest, says: "Deadline"},
 	"deadline overflows":  {path: completions, body: plain, header: header("Deadline", "9223372036854775807"), code: codes.BadRequest, says: "Deadline"},
+	"two keys of order":   {path: orders, header: http.Header{"Idempotency-Key": {"a", "b"}}, code: codes.BadRequest, says: "Idempotency-Key: given twice"},
+	"two profiles":        {path: completions, body: plain, header: http.Header{"Profile": {"exact", "prompt"}}, code: codes.BadRequest, says: "Profile: given twice"},
 	"unknown service":     {path: "/v1/services/cards/orders", code: codes.UnknownService, says: "cards"},
 	"unknown route":       {path: "/v1/services/card-desk/refunds", code: codes.UnknownService, says: "refunds"},
 	"no idempotency key":  {path: orders, body: "{}", code: codes.KeyMissing, says: "Idempotency-Key"},
--- a/front/service.go
+++ b/front/service.go
@@ -115,7 +115,10 @@
 	if route.Repeatable {
 		return "", nil
 	}
-	k := r.Header.Get("Idempotency-Key")
+	k, err := single(r, "Idempotency-Key")
+	if err != nil {
+		return "", err
+	}
 	if k == "" {
 		return "", codes.New(codes.KeyMissing, "header Idempotency-Key: missing")
 	}
--- a/strict/decode.go
+++ b/strict/decode.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"reflect"
 	"strings"
+	"unicode/utf8"
 )
 
 // maxFaults bounds the faults that are reported of one input.
@@ -17,6 +18,11 @@
 // or pointer and is a fault elsewhere.
 func Decode(data []byte, v any) Faults {
 	d := decoder{}
+	if !utf8.Valid(data) {
+		// encoding/json would put other characters in their place.
+		d.add("", "not JSON: not in UTF-8")
+		return d.faults
+	}
 	var whole json.RawMessage
 	if err := json.Unmarshal(data, &whole); err != nil {
 		d.add("", "not JSON: %v", err)
--- a/strict/strict_test.go
+++ b/strict/strict_test.go
@@ -33,6 +33,7 @@
 		"wrong types":   {`{"name":7,"in":[],"list":{},"opt":{"count":1.5}}`, "name: want a string; in: want an object; list: want a list; opt.count: want a whole number"},
 		"null":          {`{"name":null,"in":null}`, "name: want a string, not null; in: want an object"},
 		"not JSON":      {`{"name":`, "not JSON: unexpected end of JSON input"},
+		"not UTF-8":     {"{\"name\":\"\xff\"}", "not JSON: not in UTF-8"},
 		"two values":    {`{} {}`, "not JSON: invalid character '{' after top-level value"},
 		"not an object": {`[1]`, "want an object"},
 		"strange name":  {`{"a\nb":1}`, `"a\nb": unknown field`},
