once: calls that may not be repeated, over conditional writes

The router must send an order at most once, and the platform's writes may land while their answers are lost. A row with a random token is inserted before the call is sent; a claim that can't be confirmed is withdrawn by a conditional abandoned row.

Ruled out: a lease on the key, since a holder that wakes may still send; a second row as an index of open orders, since it doubles the rows of a claim.

--- /dev/null
+++ b/once/save.go
@@ -0,0 +1,163 @@
+package once
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/meter"
+)
+
+// maxRowAnswer is the size up to which an answer is kept in its row. It also
+// keeps a full transaction within the platform's limits.
+const maxRowAnswer = 16 << 10
+
+// kept are the headers of an answer that are kept with it.
+var kept = []string{"Content-Type", "Location", "Retry-After"}
+
+// conclude tells the flight's outcome to its callers once it is kept, or
+// after a second at most; the write goes on in the background.
+func (b *Book) conclude(f *flight, state State, a core.Answer, err error) {
+	a.Header = keep(a.Header)
+	final := f.record
+	final.State, final.Ended = state, b.Clock.Wall()
+	if err != nil {
+		final.Note = codes.From(err).Code.String()
+	}
+	b.Meter.Add("order_states_total", 1, "state", string(state))
+	saved := make(chan struct{})
+	b.spawn(func() {
+		defer close(saved)
+		b.save(f, final, a)
+	})
+	late := make(chan struct{})
+	stop := b.Clock.AfterFunc(saveWait, func() { close(late) })
+	defer stop()
+	select {
+	case <-saved:
+	case <-late:
+		b.Meter.Add("once_saves_late_total", 1)
+	}
+	if state == Abandoned {
+		// The next call of the key begins anew, with a token of its own.
+		b.end(f)
+	}
+	f.finish(a, err)
+	if state != Abandoned {
+		<-saved
+		b.end(f)
+	}
+}
+
+func keep(h http.Header) http.Header {
+	few := make(http.Header)
+	for _, name := range kept {
+		if v := h.Values(name); len(v) > 0 {
+			few[name] = v
+		}
+	}
+	return few
+}
+
+// save writes the final record in place of the claim, however long it takes.
+func (b *Book) save(f *flight, final Record, a core.Answer) {
+	if final.State == Done && !b.attach(f, &final, a) {
+		return
+	}
+	expect := f.revision
+	for n := 0; ; n++ {
+		out := b.write(b.context(), core.Write{Key: final.key(), Value: final.encode(), Expect: expect})
+		if out.revision != 0 {
+			return
+		}
+		if out.row != nil {
+			if !b.merge(&final, *out.row) {
+				return
+			}
+			expect = out.row.Revision
+			continue
+		}
+		if b.pause(b.context(), n) != nil {
+			return
+		}
+	}
+}
+
+// attach puts the answer in the record, or in an object where it is large. It
+// returns false if the answer can't be kept; the row then stays open and will
+// read as unknown.
+func (b *Book) attach(f *flight, final *Record, a core.Answer) bool {
+	if !b.load.grow(int64(len(a.Body)), b.limitBytes()) {
+		b.Meter.Add("once_answers_dropped_total", 1)
+		b.log().Warn("once: an answer is not kept, too many wait for the platform", zap.String("order", final.ID))
+		return false
+	}
+	defer b.load.grow(-int64(len(a.Body)), b.limitBytes())
+	if len(a.Body) <= maxRowAnswer || b.Objects == nil {
+		final.Answer = &a
+		return true
+	}
+	// The token makes the object's key one that no other attempt writes.
+	final.Object = final.key() + "/" + final.Token
+	data, err := json.Marshal(a)
+	if err != nil {
+		return false
+	}
+	for n := 0; b.Objects.Put(b.context(), final.Object, data) != nil; n++ {
+		if b.pause(b.context(), n) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// merge looks at a row that stands where the flight's claim stood, and
+// reports whether final is to be written over it. Only an operator's finding
+// may stand there; anything else breaks the promise and is left alone.
+func (b *Book) merge(final *Record, row core.Row) bool {
+	if final.State == Abandoned || row.Revision == 0 {
+		return b.mergeGone(final, row)
+	}
+	found, err := decode(row)
+	if err != nil || found.Token != final.Token {
+		b.Meter.Violated(meter.AtMostOnce, "order "+final.ID+": another attempt holds the row")
+		return false
+	}
+	switch found.State {
+	case SettledRan, SettledNotRun:
+		if final.State != Done {
+			return false
+		}
+		final.Settled, final.SettledBy = found.State, found.SettledBy
+		if found.State == SettledNotRun {
+			b.Meter.Add("orders_settled_wrong_total", 1)
+			b.log().Warn("once: an order that was settled as not run has run", zap.String("order", final.ID))
+		}
+		return true
+	case Open:
+		return true
+	}
+	if found.State != final.State || !sameAnswer(found, final) {
+		b.Meter.Violated(meter.AtMostOnce, "order "+final.ID+": another outcome is kept")
+	}
+	return false
+}
+
+// mergeGone is [Book.merge] for a claim that is given up, which another
+// attempt may have taken over since, and for a row that has expired since it
+// was written.
+func (b *Book) mergeGone(final *Record, row core.Row) bool {
+	found, err := decode(row)
+	return row.Revision != 0 && err == nil && found.Token == final.Token && found.State == Open
+}
+
+func sameAnswer(a, b *Record) bool {
+	if a.Answer == nil || b.Answer == nil {
+		return a.Object == b.Object && (a.Answer == nil) == (b.Answer == nil)
+	}
+	return a.Answer.Status == b.Answer.Status && bytes.Equal(a.Answer.Body, b.Answer.Body)
+}
