--- a/engine/plain.go
+++ b/engine/plain.go
@@ -4,43 +4,39 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 
+	"github.com/go-faster/errors"
+
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 )
 
-// fresh opens a connection for each call. The library sends a call that has
-// an Idempotency-Key a second time on its own when a kept connection breaks;
-// on a connection that was never used before it does not.
-var fresh = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+// errLate says that a call's deadline passed before its first byte left.
+var errLate = errors.New("the deadline passed before the call was sent")
 
 // Call makes one call of a plain service and returns its whole answer. A call
-// that carries a key is sent at most once.
+// that carries a key is sent at most once. An error with Run [codes.NotRun]
+// is proof that the service didn't get the call.
 func (c *Client) Call(ctx context.Context, up core.Upstream, call core.Call, attempt core.Attempt) (core.Answer, error) {
-	url := "http://" + up.Addr + call.Path
-	if call.Query != "" {
-		url += "?" + call.Query
-	}
-	req, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(call.Body))
+	req, err := plainRequest(ctx, up, call, attempt)
 	if err != nil {
 		return core.Answer{}, codes.Wrap(codes.BadRequest, err, "path")
 	}
-	req.GetBody = nil
-	client := c.client()
-	for name, values := range call.Header {
-		req.Header[name] = values
-	}
-	req.Header.Set(headerID, call.ID.String())
-	req.Header.Set(headerAttempt, strconv.FormatUint(uint64(attempt), 10))
+	client := c.plainClient()
+	var watch *sentWatch
 	if call.Key != "" {
 		req.Header.Set("Idempotency-Key", call.Key)
-		client = fresh
+		watch = &sentWatch{clock: c.Clock, deadline: call.Deadline}
+		client.Transport = watch.transport()
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return core.Answer{}, failed(err, up)
+		return core.Answer{}, plainFailed(err, up, watch)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
@@ -52,3 +48,83 @@
 	}
 	return core.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
+
+func plainRequest(ctx context.Context, up core.Upstream, call core.Call, attempt core.Attempt) (*http.Request, error) {
+	url := "http://" + up.Addr + call.Path
+	if call.Query != "" {
+		url += "?" + call.Query
+	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the library can't send a body twice on its own.
+	req.GetBody = nil
+	for name, values := range call.Header {
+		req.Header[name] = values
+	}
+	req.Header.Set(headerID, call.ID.String())
+	req.Header.Set(headerAttempt, strconv.FormatUint(uint64(attempt), 10))
+	return req, nil
+}
+
+// plainClient returns a client that hands a redirect on to the caller: to
+// follow it would be a call of its own, which nobody asked for.
+func (c *Client) plainClient() *http.Client {
+	client := *c.client()
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &client
+}
+
+func plainFailed(err error, up core.Upstream, watch *sentWatch) error {
+	e := codes.From(failed(err, up))
+	switch {
+	case errors.Is(err, errLate):
+		return codes.Wrap(codes.DeadlinePast, err, "%s", up.Name)
+	case watch != nil && !watch.sent.Load():
+		return e.WithRun(codes.NotRun)
+	}
+	return e
+}
+
+// sentWatch knows whether a byte of one call has left. Each call that may not
+// be repeated has a connection of its own: the library sends a call that has
+// an Idempotency-Key a second time on its own when a kept connection breaks,
+// but not on one that was never used before.
+type sentWatch struct {
+	clock    clock.Clock
+	deadline clock.Millis
+	sent     atomic.Bool
+}
+
+func (s *sentWatch) transport() *http.Transport {
+	return &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &watchedConn{Conn: conn, watch: s}, nil
+		},
+	}
+}
+
+// watchedConn looks at the deadline right before the first byte leaves, so
+// that a process that was paused until then sends nothing.
+type watchedConn struct {
+	net.Conn
+	watch *sentWatch
+}
+
+// Write implements [net.Conn].
+func (c *watchedConn) Write(p []byte) (int, error) {
+	s := c.watch
+	if !s.sent.Load() {
+		if s.deadline != 0 && s.clock.Now() >= s.deadline {
+			return 0, errLate
+		}
+		s.sent.Store(true)
+	}
+	return c.Conn.Write(p)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"lacewinghook.example/lacewinghook/front"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/once"
 	"lacewinghook.example/lacewinghook/place"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
@@ -50,6 +51,7 @@
 	store   store.Client
 	engines engine.Client
 	peers   wire.Client
+	orders  once.Book
 }
 
 // Sockets are an entry's listeners.
@@ -148,7 +150,7 @@
 		Runner: &flow.Flow{
 			Engines: &e.engines, Placer: e.desk(), Clock: e.Clock, Meter: &e.meter,
 		},
-		Plain:   &flow.Plain{Services: &e.engines, Replicas: &e.pool},
+		Plain:   e.plain(),
 		Views:   &e.book,
 		Members: &e.members,
 		IDs:     &core.Sequence{Owner: e.owner},
@@ -208,6 +210,7 @@
 	for _, s := range servers {
 		faults = append(faults, s.Shutdown(ctx))
 	}
+	e.closeOrders(ctx)
 	e.Log.Info("entry: stopped")
 	return errors.Join(faults...)
 }
--- a/flow/plain.go
+++ b/flow/plain.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/pool"
 )
 
-// Services are the calls of plain services.
+// Services are the calls of plain services. An error with Run
+// [codes.NotRun] is proof that the service didn't get the call.
 type Services interface {
 	Call(ctx context.Context, up core.Upstream, call core.Call, attempt core.Attempt) (core.Answer, error)
 }
@@ -20,31 +23,109 @@
 	End(name string, w pool.Work)
 }
 
-// Plain makes calls of plain services that may be repeated. Both fields are
-// needed.
+// Orders makes calls that may not be repeated.
+type Orders interface {
+	Do(ctx context.Context, call core.Call) (core.Answer, error)
+}
+
+// Plain makes calls of plain services. Services and Replicas are needed, and
+// Orders where there are calls with a key.
 type Plain struct {
 	Services Services
 	Replicas Replicas
+	Orders   Orders
+	Clock    clock.Clock
+	Meter    *meter.Set
 }
 
 // plainTries bounds the replicas that one call is tried at.
 const plainTries = 3
 
-// Call makes the call at one replica after another until one answers.
+// Call makes the call. One with a key may not be repeated and goes to Orders;
+// any other is tried at one replica after another until one answers.
 func (p *Plain) Call(ctx context.Context, call core.Call) (core.Answer, error) {
+	if call.Key != "" {
+		return p.Orders.Do(ctx, call)
+	}
+	a, err := p.try(ctx, call, retryable)
+	if err != nil {
+		p.Meter.Refused(codes.From(err).Code)
+	}
+	return a, err
+}
+
+// Send sends a call that may not be repeated, at most once. Another replica
+// is tried only on proof that the call did not reach the one before.
+func (p *Plain) Send(ctx context.Context, call core.Call) (core.Answer, error) {
+	return p.try(ctx, call, notRun)
+}
+
+// try makes the call at one replica after another, each at most once, as long
+// as again allows it and the deadline has not passed.
+func (p *Plain) try(ctx context.Context, call core.Call, again func(*codes.Error) bool) (core.Answer, error) {
+	ctx, cancel := p.until(ctx, call.Deadline)
+	defer cancel()
 	ups := p.Replicas.Services(call.Service)
+	ups = ups[:min(len(ups), plainTries)]
 	if len(ups) == 0 {
 		return core.Answer{}, codes.New(codes.NoUpstream, "service %q", call.Service)
 	}
-	var err error
-	for i, up := range ups[:min(len(ups), plainTries)] {
-		var a core.Answer
-		a, err = p.at(ctx, up, call, core.Attempt(i+1))
-		if err == nil || ctx.Err() != nil {
-			return a, err
+	run := codes.NotRun
+	for i, up := range ups {
+		a, err := p.at(ctx, up, call, core.Attempt(i+1))
+		if err == nil {
+			return a, nil
+		}
+		e := codes.From(err)
+		run = worse(run, e.Run)
+		if i == len(ups)-1 || ctx.Err() != nil || p.past(call) || !again(e) {
+			return core.Answer{}, e.WithRun(run)
 		}
+		p.Meter.Retried(reasonOf(e.Code))
+	}
+	return core.Answer{}, codes.New(codes.NoUpstream, "service %q", call.Service)
+}
+
+func (p *Plain) past(call core.Call) bool {
+	return call.Deadline != 0 && p.Clock.Now() >= call.Deadline
+}
+
+// until returns a context that ends at the instant; zero is none.
+func (p *Plain) until(ctx context.Context, instant clock.Millis) (context.Context, context.CancelFunc) {
+	if instant == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, (instant - p.Clock.Now()).Std())
+}
+
+// notRun allows another try only on proof that nothing ran.
+func notRun(e *codes.Error) bool {
+	return e.Run == codes.NotRun && e.Code == codes.UpstreamRefused
+}
+
+// retryable allows another try after a failure of the replica.
+func retryable(e *codes.Error) bool {
+	switch e.Code {
+	case codes.UpstreamLost, codes.UpstreamRefused, codes.WrongAnswer:
+		return true
+	}
+	return false
+}
+
+// worse returns what is known of a call after two tries of it: it did not run
+// only if both did not.
+func worse(a, b codes.Run) codes.Run {
+	if a == codes.NotRun {
+		return b
+	}
+	return a
+}
+
+func reasonOf(c codes.Code) meter.Reason {
+	if c == codes.UpstreamRefused {
+		return meter.Refused
 	}
-	return core.Answer{}, err
+	return meter.Lost
 }
 
 func (p *Plain) at(ctx context.Context, up core.Upstream, call core.Call, attempt core.Attempt) (core.Answer, error) {
--- a/once/book.go
+++ b/once/book.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -63,6 +64,7 @@
 	load    load
 	life    life
 	sweep   place
+	unkept  atomic.Int64
 }
 
 // place is where a sweep has come to.
--- a/once/life.go
+++ b/once/life.go
@@ -108,6 +108,10 @@
 // yet kept.
 func (b *Book) Pending() int { return b.flights.Len() }
 
+// Unkept counts the outcomes that are known here and not yet kept in the
+// table.
+func (b *Book) Unkept() int { return int(b.unkept.Load()) }
+
 // until returns a context that ends at the instant, by the book's clock.
 func (b *Book) until(ctx context.Context, instant clock.Millis) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- /dev/null
+++ b/once/promise_test.go
@@ -0,0 +1,283 @@
+package once_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/plat"
+	"lacewinghook.example/lacewinghook/trial"
+)
+
+// callTimeout bounds one order in these tests.
+const callTimeout = 800 * clock.Millis(1)
+
+func fault(op plat.Op, kind plat.Kind, count int, delay clock.Millis) plat.Fault {
+	return plat.Fault{Op: op, Kind: kind, Count: count, Delay: delay, Prefix: "once/"}
+}
+
+// down is a platform that takes no order's row.
+var down = []plat.Fault{fault(plat.Commit, plat.Down, 0, 0), fault(plat.Read, plat.Down, 0, 0)}
+
+// faultCases are orders sent to one entry under faults, and again to another
+// entry once the faults are lifted.
+var faultCases = []struct {
+	name string
+	// before are in force when the order is sent, during from the time that
+	// it runs at the service.
+	before, during []plat.Fault
+	ills           fake.Ills
+	// first and again are the codes that the two calls end with; zero is
+	// success.
+	first, again codes.Code
+	runs         int
+}{
+	{name: "no fault", runs: 1},
+	{name: "insert landed, answer lost", before: []plat.Fault{fault(plat.Commit, plat.Lost, 1, 0)}, runs: 1},
+	{name: "insert dropped", before: []plat.Fault{fault(plat.Commit, plat.Dropped, 1, 0)}, runs: 1},
+	{name: "insert lands late", before: []plat.Fault{fault(plat.Commit, plat.Late, 1, 200)}, runs: 1},
+	{name: "insert slow", before: []plat.Fault{fault(plat.Commit, plat.Slow, 1, 200)}, runs: 1},
+	{name: "insert landed, read back fails", before: []plat.Fault{fault(plat.Commit, plat.Lost, 1, 0), down[0], down[1]}, first: codes.ClaimUnsure, runs: 1},
+	{name: "insert dropped, read back fails", before: []plat.Fault{fault(plat.Commit, plat.Dropped, 1, 0), down[0], down[1]}, first: codes.ClaimUnsure, runs: 1},
+	{name: "insert lands after the refusal", before: []plat.Fault{fault(plat.Commit, plat.Late, 1, 1200), down[0], down[1]}, first: codes.ClaimUnsure, runs: 1},
+	{name: "read back lost once", before: []plat.Fault{fault(plat.Commit, plat.Lost, 1, 0), fault(plat.Read, plat.Dropped, 1, 0)}, runs: 1},
+	{name: "table down before", before: down, first: codes.PlatformDown, runs: 1},
+	{name: "result's write landed, answer lost", during: []plat.Fault{fault(plat.Commit, plat.Lost, 1, 0)}, runs: 1},
+	{name: "result's write dropped", during: []plat.Fault{fault(plat.Commit, plat.Dropped, 1, 0)}, runs: 1},
+	{name: "result's write lands late", during: []plat.Fault{fault(plat.Commit, plat.Late, 1, 200)}, runs: 1},
+	{name: "table down after dispatch", during: down, runs: 1},
+	{name: "service closes without an answer", ills: fake.Ills{LoseAnswers: 1}, first: codes.UpstreamLost, again: codes.OutcomeUnknown, runs: 1},
+	{name: "no answer and table down", ills: fake.Ills{LoseAnswers: 1}, during: down, first: codes.UpstreamLost, again: codes.OutcomeUnknown, runs: 1},
+	{name: "insert's answer lost and no answer", before: []plat.Fault{fault(plat.Commit, plat.Lost, 1, 0)}, ills: fake.Ills{LoseAnswers: 1}, first: codes.UpstreamLost, again: codes.OutcomeUnknown, runs: 1},
+	{name: "service slower than the deadline", ills: fake.Ills{Slow: 20}, first: codes.UpstreamTimeout, again: codes.OutcomeUnknown, runs: 1},
+}
+
+func startSet(t *testing.T, edit func(*core.Document)) *trial.Set {
+	set, err := trial.Start(trial.Plan{Entries: 2, Services: 1, Linger: 1, Edit: func(d *core.Document) {
+		for i := range d.Routes {
+			d.Routes[i].Timeout = callTimeout
+		}
+		if edit != nil {
+			edit(d)
+		}
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(set.Stop)
+	return set
+}
+
+func send(set *trial.Set, entry int, key string) (fake.ServiceAnswer, error) {
+	return set.Client(entry).Service(context.Background(), http.MethodPost, "/orders", key, []byte("card"))
+}
+
+// until waits for a condition for as long as the promise of an answer allows.
+func until(t *testing.T, cond func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), (20 * clock.Second).Std())
+	defer cancel()
+	if err := trial.Until(ctx, cond); err != nil {
+		t.Fatal("the condition never held")
+	}
+}
+
+func codeOf(err error) codes.Code {
+	if err == nil {
+		return 0
+	}
+	return codes.From(err).Code
+}
+
+func TestPromise(t *testing.T) {
+	t.Run("at most once", func(t *testing.T) {
+		set := startSet(t, nil)
+		svc := set.Services[0]
+		svc.Work = 100
+		for _, c := range faultCases {
+			t.Run(c.name, func(t *testing.T) { underFault(t, set, svc, c.name) })
+		}
+		t.Run("sent to both entries at once", bothAtOnce)
+		t.Run("caller gone and sends again", callerGone)
+		t.Run("entry stops in between", entryStops)
+		t.Run("one replica refuses the connection", replicaRefuses)
+		t.Run("platform down for long", platformDown)
+	})
+}
+
+func underFault(t *testing.T, set *trial.Set, svc *fake.PlainService, key string) {
+	is := is.New(t)
+	defer set.Platform.Faults.Clear()
+	c := faultCases[0]
+	for _, other := range faultCases {
+		if other.name == key {
+			c = other
+		}
+	}
+	for _, f := range c.before {
+		set.Platform.Faults.Add(f)
+	}
+	svc.Trouble.Set(c.ills)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := send(set, 0, key)
+		ended <- err
+	}()
+	if len(c.during) > 0 {
+		until(t, func() bool { return svc.Runs()[key] > 0 })
+		for _, f := range c.during {
+			set.Platform.Faults.Add(f)
+		}
+	}
+	err := <-ended
+	is.Equal(codeOf(err), c.first)
+	if err != nil && codes.From(err).Run == codes.NotRun {
+		is.Equal(svc.Runs()[key], 0)
+	}
+	set.Platform.Faults.Clear()
+	svc.Trouble.Set(fake.Ills{})
+	// The first entry may still be about to write what came of it.
+	until(t, func() bool {
+		_, err = send(set, 1, key)
+		return !codes.Has(err, codes.InProgress)
+	})
+	is.Equal(codeOf(err), c.again)
+	a, err := send(set, 0, key)
+	is.Equal(codeOf(err), c.again)
+	is.True(err != nil || a.Run == 1)
+	is.Equal(svc.Runs()[key], c.runs)
+}
+
+func bothAtOnce(t *testing.T) {
+	is := is.New(t)
+	set := startSet(t, nil)
+	set.Services[0].Work = 50
+	var wg sync.WaitGroup
+	ends := make(chan error, 20)
+	for i := range cap(ends) {
+		wg.Go(func() {
+			_, err := send(set, i%2, "k")
+			ends <- err
+		})
+	}
+	wg.Wait()
+	close(ends)
+	served := 0
+	for err := range ends {
+		if err == nil {
+			served++
+			continue
+		}
+		is.True(codes.Has(err, codes.InProgress))
+		is.Equal(codes.From(err).Run, codes.Unknown)
+	}
+	is.True(served >= cap(ends)/2) // the winner's entry answers all of its callers
+	is.Equal(set.Services[0].Runs()["k"], 1)
+}
+
+func callerGone(t *testing.T) {
+	is := is.New(t)
+	set := startSet(t, nil)
+	svc := set.Services[0]
+	svc.Work = 200
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = set.Client(0).Service(ctx, http.MethodPost, "/orders", "k", []byte("card"))
+	}()
+	until(t, func() bool { return svc.Runs()["k"] == 1 })
+	cancel()
+	<-ended
+	_, err := send(set, 1, "k")
+	is.True(codes.Has(err, codes.InProgress))
+	until(t, func() bool {
+		_, err = send(set, 1, "k")
+		return err == nil
+	})
+	is.Equal(svc.Runs()["k"], 1)
+}
+
+func entryStops(t *testing.T) {
+	is := is.New(t)
+	set := startSet(t, nil)
+	svc := set.Services[0]
+	svc.Work = 300
+	ended := make(chan error, 1)
+	go func() {
+		_, err := send(set, 0, "k")
+		ended <- err
+	}()
+	until(t, func() bool { return svc.Runs()["k"] == 1 })
+	// The platform is down while the entry stops: it must wait to keep the
+	// outcome, since no other entry could learn it.
+	set.Platform.Faults.Add(down[0])
+	stopped := make(chan error, 1)
+	go func() { stopped <- set.Entries[0].Stop() }()
+	is.NoErr(<-ended)
+	set.Platform.Faults.Clear()
+	is.NoErr(<-stopped)
+	a, err := send(set, 1, "k")
+	is.NoErr(err)
+	is.Equal(a.Run, 1)
+}
+
+func replicaRefuses(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(ln.Close())
+	set := startSet(t, func(d *core.Document) {
+		d.Upstreams = append(d.Upstreams, core.Upstream{
+			Name: "card-desk-0", Addr: ln.Addr().String(), Role: core.Service, Service: trial.Service,
+		})
+	})
+	a, err := send(set, 0, "k")
+	is.NoErr(err)
+	is.Equal(a.Run, 1)
+}
+
+// platformDown sends many orders while the table is down: lookups go on, the
+// orders are refused as not run in time, and all can be sent afterwards.
+func platformDown(t *testing.T) {
+	const orders = 200
+	is := is.New(t)
+	set := startSet(t, nil)
+	for _, f := range down {
+		set.Platform.Faults.Add(f)
+	}
+	refuse := func(i int) error {
+		_, err := send(set, i%2, keyOf(i))
+		return err
+	}
+	var wg sync.WaitGroup
+	refused := make(chan error, orders)
+	for i := range orders {
+		wg.Go(func() { refused <- refuse(i) })
+	}
+	_, err := set.Client(0).Service(context.Background(), http.MethodGet, "/stock/burr", "", nil)
+	is.NoErr(err)
+	wg.Wait()
+	close(refused)
+	for err := range refused {
+		is.True(codes.Has(err, codes.PlatformDown))
+		is.Equal(codes.From(err).Run, codes.NotRun)
+	}
+	is.Equal(len(set.Services[0].Runs()), 1) // the lookup
+	set.Platform.Faults.Clear()
+	for i := range orders {
+		wg.Go(func() { _ = refuse(i) })
+	}
+	wg.Wait()
+	is.Equal(len(set.Services[0].Runs()), orders+1)
+}
+
+func keyOf(i int) string { return "k" + string(rune('a'+i%26)) + string(rune('a'+i/26)) }
--- a/once/save.go
+++ b/once/save.go
@@ -30,8 +30,10 @@
 	}
 	b.Meter.Add("order_states_total", 1, "state", string(state))
 	saved := make(chan struct{})
+	b.unkept.Add(1)
 	b.spawn(func() {
 		defer close(saved)
+		defer b.unkept.Add(-1)
 		b.save(f, final, a)
 	})
 	late := make(chan struct{})
