pool, route: own observations, cache hints and a choice of both upstreams together

A choice by the shortest queue and the most free memory sees neither stragglers, cached prefixes, links nor distance, and nine entries with the same late reports choose alike. Each upstream now has a lock of its own, the list is immutable, a late report is read as of its instant, and overdue work shows a straggler before it has ended. route.Cost ranks each side, compares a short list as pairs and adds a random part as large as the error of the prediction.

Comparing all pairs was ruled out: 32x32 pairs are 1024 predictions, the short list is 16.

--- a/place/place.go
+++ b/place/place.go
@@ -15,7 +15,7 @@
 
 // Upstreams is what is known of the upstreams.
 type Upstreams interface {
-	Candidates(role core.Role, model string, buf []route.Candidate) []route.Candidate
+	Candidates(role core.Role, model string, blocks []uint64, buf []route.Candidate) []route.Candidate
 	Get(name string) (pool.State, bool)
 	Begin(name string, w pool.Work)
 	End(name string, w pool.Work)
@@ -87,7 +87,7 @@
 // candidates leaves out the upstreams that failed this request, unless no
 // other is left.
 func (d *Desk) candidates(role core.Role, model string, failed []string) []route.Candidate {
-	all := d.Upstreams.Candidates(role, model, nil)
+	all := d.Upstreams.Candidates(role, model, nil, nil)
 	var kept []route.Candidate
 	for _, c := range all {
 		if !slices.Contains(failed, c.Name) {
--- /dev/null
+++ b/pool/bench_test.go
@@ -0,0 +1,54 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/pool"
+	"lacewinghook.example/lacewinghook/route"
+)
+
+func document(prefills, decodes int) *core.Document {
+	doc := &core.Document{}
+	add := func(role core.Role, n int) {
+		for i := range n {
+			doc.Upstreams = append(doc.Upstreams, core.Upstream{
+				Name: fmt.Sprintf("%s-%02d", role, i), Role: role, Models: []string{"verse"}, Pieces: 60,
+			})
+		}
+	}
+	add(core.Prefill, prefills)
+	add(core.Decode, decodes)
+	return doc
+}
+
+func BenchmarkCandidates64(b *testing.B) {
+	var t pool.Table
+	t.Apply(document(32, 32))
+	buf := make([]route.Candidate, 0, 64)
+	b.ReportAllocs()
+	for b.Loop() {
+		buf = t.Candidates(core.Prefill, "verse", nil, buf[:0])
+		buf = t.Candidates(core.Decode, "verse", nil, buf)
+	}
+}
+
+// BenchmarkCounts is the shared state of many threads at work: run it with
+// -cpu 1,8 to see how it scales.
+func BenchmarkCounts(b *testing.B) {
+	var t pool.Table
+	doc := document(32, 32)
+	t.Apply(doc)
+	names := t.Names()
+	w := pool.Work{Requests: 1, Pieces: 1}
+	b.RunParallel(func(pb *testing.PB) {
+		i := 0
+		for pb.Next() {
+			i = (i + 17) % len(names)
+			if t.Reserve(names[i], w) {
+				t.End(names[i], w)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pool/table_test.go
@@ -0,0 +1,134 @@
+package pool_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/pool"
+	"lacewinghook.example/lacewinghook/route"
+)
+
+func table(prefills, decodes int) (*pool.Table, *clock.Manual) {
+	m := &clock.Manual{}
+	t := &pool.Table{Clock: clock.Clock{Manual: m}}
+	t.Apply(document(prefills, decodes))
+	return t, m
+}
+
+func find(t *pool.Table, role core.Role, name string, blocks ...uint64) route.Candidate {
+	for _, c := range t.Candidates(role, "verse", blocks, nil) {
+		if c.Name == name {
+			return c
+		}
+	}
+	return route.Candidate{}
+}
+
+// prefill lets an upstream compute tokens in d.
+func prefill(t *pool.Table, m *clock.Manual, name string, tokens int, d clock.Millis) {
+	w := pool.Work{Requests: 1, Tokens: tokens, Prompt: tokens}
+	id := t.Start(name, w)
+	m.Advance(d)
+	t.Finish(name, id, w, d, nil)
+}
+
+func TestStragglerIsSeenAndForgiven(t *testing.T) {
+	is := is.New(t)
+	tab, m := table(3, 1)
+	for range 4 {
+		for _, name := range []string{"prefill-00", "prefill-01", "prefill-02"} {
+			prefill(tab, m, name, 1000, 120)
+		}
+	}
+	is.True(find(tab, core.Prefill, "prefill-00").Slow < 1.2)
+	// Work that is overdue shows before it has ended.
+	w := pool.Work{Requests: 1, Tokens: 1000}
+	id := tab.Start("prefill-00", w)
+	m.Advance(600)
+	is.True(find(tab, core.Prefill, "prefill-00").Slow > 1.8)
+	tab.Finish("prefill-00", id, w, 600, nil)
+	prefill(tab, m, "prefill-00", 1000, 600)
+	prefill(tab, m, "prefill-00", 1000, 600)
+	is.True(find(tab, core.Prefill, "prefill-00").Slow > 2.5)
+	is.True(find(tab, core.Prefill, "prefill-01").Slow < 1.2)
+	// Without news it is worth a trial again.
+	m.Advance(20 * clock.Second)
+	is.True(find(tab, core.Prefill, "prefill-00").Slow < 1.1)
+}
+
+func TestLateReportIsReadAsOfItsInstant(t *testing.T) {
+	is := is.New(t)
+	tab, m := table(1, 1)
+	w := pool.Work{Pieces: 10, Held: 10}
+	tab.Begin("decode-00", w)
+	m.Advance(500)
+	tab.End("decode-00", w)
+	m.Advance(100)
+	// 300 ms ago the engine held 25 pieces: our 10 and 15 of other entries.
+	tab.Report(core.Report{Upstream: "decode-00", Age: 300, Pieces: 60, FreePieces: 35})
+	is.Equal(find(tab, core.Decode, "decode-00").Free, 45)
+}
+
+func TestDrainingIsNoCandidate(t *testing.T) {
+	is := is.New(t)
+	tab, _ := table(1, 2)
+	tab.Drain("decode-00", true)
+	is.Equal(len(tab.Candidates(core.Decode, "verse", nil, nil)), 1)
+	is.True(!tab.Reserve("decode-00", pool.Work{Pieces: 1}))
+	tab.Apply(document(1, 2)) // a new document doesn't undo it
+	is.Equal(len(tab.Candidates(core.Decode, "verse", nil, nil)), 1)
+	tab.Drain("decode-00", false)
+	is.True(tab.Reserve("decode-00", pool.Work{Pieces: 1}))
+}
+
+func TestCacheHints(t *testing.T) {
+	is := is.New(t)
+	tab, m := table(1, 1)
+	hits := func(blocks ...uint64) int { return find(tab, core.Prefill, "prefill-00", blocks...).Hits }
+	id := tab.Start("prefill-00", pool.Work{})
+	tab.Finish("prefill-00", id, pool.Work{}, 1, []uint64{1, 2, 3})
+	is.Equal(hits(1, 2, 9), 2)
+	m.Advance(30 * clock.Second)
+	event := func(n int64, added, removed []uint64) {
+		tab.Event(pool.CacheEvent{Upstream: "prefill-00", Number: n, Added: added, Removed: removed})
+	}
+	event(7, []uint64{9}, []uint64{3})
+	is.Equal(hits(1, 2, 3), 2)
+	event(6, []uint64{3}, nil) // late, and out of order
+	is.Equal(hits(1, 2, 3), 2)
+	event(10, nil, nil) // a gap: what wasn't used lately may be gone
+	is.Equal(hits(1, 2), 0)
+	is.Equal(hits(9), 1) // used lately
+	event(11, []uint64{5}, nil)
+	m.Advance(2 * clock.Minute) // hints age
+	is.Equal(hits(5), 0)
+}
+
+// Whatever is reserved and given back, the memory is never overcommitted by
+// this entry's own counts, and ends free.
+func TestReserveNeverOvercommits(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tab, _ := table(1, 1)
+		var held []pool.Work
+		total := 0
+		for _, n := range rapid.SliceOf(rapid.IntRange(-1, 30)).Draw(rt, "steps") {
+			w := pool.Work{Pieces: n}
+			switch {
+			case n < 0 && len(held) > 0:
+				tab.End("decode-00", held[0])
+				total -= held[0].Pieces
+				held = held[1:]
+			case n >= 0 && tab.Reserve("decode-00", w):
+				held = append(held, w)
+				total += n
+			}
+			if total > 60 || find(tab, core.Decode, "decode-00").Free != 60-total {
+				rt.Fatalf("%d pieces reserved of 60", total)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/route/cost_test.go
@@ -0,0 +1,94 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/route"
+)
+
+// sides returns n equal upstreams of each role.
+func sides(n int) (prefills, decodes []route.Candidate) {
+	for i := range n {
+		prefills = append(prefills, route.Candidate{Name: fmt.Sprint("p", i), Speed: 8, Rate: 1000})
+		decodes = append(decodes, route.Candidate{Name: fmt.Sprint("d", i), Pieces: 60, Free: 60, First: 50, Step: 20, Rate: 1000})
+	}
+	return prefills, decodes
+}
+
+func TestCostWeighsEachFact(t *testing.T) {
+	base := route.Query{Tokens: 2048, Pieces: 3, Bytes: 2048 * 1024, Output: 50}
+	for name, tc := range map[string]struct {
+		edit            func(p, d []route.Candidate)
+		prefill, decode int
+	}{
+		"queue":                    {func(p, _ []route.Candidate) { p[0].Queue = 4096 }, 1, 0},
+		"straggling prefill":       {func(p, _ []route.Candidate) { p[0].Slow = 5 }, 1, 0},
+		"cached prefix":            {func(p, _ []route.Candidate) { p[1].Hits = 6 }, 1, 0},
+		"load beats a short match": {func(p, _ []route.Candidate) { p[1].Hits = 1; p[1].Queue = 4096 }, 0, 0},
+		"memory":                   {func(_, d []route.Candidate) { d[0].Free = 2 }, 0, 1},
+		"straggling decode":        {func(_, d []route.Candidate) { d[0].Slow = 5 }, 0, 1},
+		"busy link of the prefill": {func(p, _ []route.Candidate) { p[0].Moving = 1 << 22 }, 1, 0},
+		"busy link of the decode":  {func(_, d []route.Candidate) { d[0].Moving = 1 << 22 }, 0, 1},
+		"data centre": {func(p, d []route.Candidate) {
+			p[0].Centre, d[0].Centre = "weyburn", "weyburn"
+		}, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p, d := sides(2)
+			tc.edit(p, d)
+			c, ok := route.Cost{Steady: true}.Choose(base, p, d)
+			is.True(ok)
+			is.Equal([]int{c.Prefill, c.Decode}, []int{tc.prefill, tc.decode})
+		})
+	}
+}
+
+func TestCostRefusesWhatHasNoRoom(t *testing.T) {
+	is := is.New(t)
+	p, d := sides(2)
+	_, ok := route.Cost{}.Choose(route.Query{Tokens: 100, Pieces: 61}, p, d)
+	is.True(!ok)
+	_, ok = route.Cost{Overcommit: true}.Choose(route.Query{Tokens: 100, Pieces: 61}, p, d)
+	is.True(ok)
+	_, ok = route.Cost{}.Choose(route.Query{Tokens: 100, Pieces: 1, Export: true}, nil, d)
+	is.True(ok) // an export needs no prefill
+	_, ok = route.Cost{}.Choose(route.Query{Tokens: 100, Pieces: 1}, nil, d)
+	is.True(!ok)
+}
+
+// Entries that know the same must not all choose the same pair.
+func TestEqualPairsAreSpread(t *testing.T) {
+	is := is.New(t)
+	p, d := sides(8)
+	seen := make([]int, 8)
+	const draws = 8000
+	for i := range uint64(draws) {
+		c, ok := route.Cost{}.Choose(route.Query{Tokens: 100, Pieces: 1, Draw: i * 0x9e3779b97f4a7c15}, p, d)
+		is.True(ok)
+		seen[c.Prefill]++
+	}
+	for _, n := range seen {
+		is.True(n > draws/16) // at least half of the fair share each
+	}
+}
+
+func BenchmarkChoosePair(b *testing.B) {
+	for _, n := range []int{32, 64} {
+		b.Run(fmt.Sprintf("%dx%d", n, n), func(b *testing.B) {
+			p, d := sides(n)
+			b.ReportAllocs()
+			i := uint64(0)
+			for b.Loop() {
+				i++
+				_, ok := route.Cost{}.Choose(route.Query{Tokens: 2048, Pieces: 3, Bytes: 1 << 21, Draw: i}, p, d)
+				if !ok {
+					b.Fatal("no pair")
+				}
+			}
+		})
+	}
+}
