--- a/cmd/lacewinghook/signal.go
+++ b/cmd/lacewinghook/signal.go
@@ -7,10 +7,10 @@
 	"syscall"
 )
 
-// untilSignal returns a context that ends with the first stop signal. Each
-// further one calls again.
-func untilSignal(again func()) (ctx context.Context, stop func()) {
-	ctx, cancel := context.WithCancel(context.Background())
+// untilSignal returns a context under parent that ends with the first stop
+// signal. Each further one calls again.
+func untilSignal(parent context.Context, again func()) (ctx context.Context, stop func()) {
+	ctx, cancel := context.WithCancel(parent)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	done := make(chan struct{})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -11,7 +12,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"lacewinghook.example/lacewinghook/admin"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
@@ -21,6 +21,7 @@
 	"lacewinghook.example/lacewinghook/front"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/once"
 	"lacewinghook.example/lacewinghook/place"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
@@ -61,6 +62,7 @@
 	store     store.Client
 	engines   engine.Client
 	peers     wire.Client
+	orders    once.Book
 	// news wakes the heartbeats, listed does so with the first list, and met
 	// closes metAll once all partners were asked.
 	news   bell
@@ -82,15 +84,17 @@
 		return err
 	}
 	e.prepare()
+	var err error
+	if e.store.Token, err = readToken(e.Settings.Platform.Token); err != nil {
+		return err
+	}
 	// work goes on while the entry stops and ends last of all.
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	g, work := errgroup.WithContext(work)
-	callers := &http.Server{
-		Handler: e.counted(e.callers()), ConnState: e.connState,
-		ReadHeaderTimeout: headerTimeout.Std(), MaxHeaderBytes: maxHeaderBytes,
-	}
-	operators := &http.Server{Handler: e.operators(), ReadHeaderTimeout: headerTimeout.Std(), MaxHeaderBytes: maxHeaderBytes}
+	callers := e.server(e.counted(e.callers()))
+	callers.ConnState = e.connState
+	operators := e.server(e.operators())
 	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
 	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
 	g.Go(func() error { return (&wire.Server{Handler: e, Log: e.Log}).Serve(work, e.Sockets.Peers) })
@@ -104,7 +108,7 @@
 		return e.stop(work, callers, operators)
 	})
 	e.Log.Info("entry: serving", zap.String("callers", e.Sockets.Callers.Addr().String()))
-	err := g.Wait()
+	err = g.Wait()
 	e.peers.Close()
 	return err
 }
@@ -116,10 +120,29 @@
 
 // Bounds of the HTTP listeners.
 const (
-	headerTimeout  = 5 * clock.Second
-	maxHeaderBytes = 32 << 10
+	headerTimeout = 5 * clock.Second
+	idleTimeout   = 2 * clock.Minute
 )
 
+func (e *Entry) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout.Std(),
+		IdleTimeout:       idleTimeout.Std(),
+		MaxHeaderBytes:    e.Settings.Limits.Filled().Header,
+		ErrorLog:          e.httpLog(),
+	}
+}
+
+// httpLog takes what net/http has to say, such as failed TLS handshakes.
+func (e *Entry) httpLog() *log.Logger {
+	l, err := zap.NewStdLogAt(e.Log.Named("http"), zap.DebugLevel)
+	if err != nil {
+		return nil
+	}
+	return l
+}
+
 func serve(s *http.Server, ln net.Listener) error {
 	err := s.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
@@ -182,7 +205,7 @@
 		Runner: &flow.Flow{
 			Engines: &e.engines, Placer: e.placer(), Clock: e.Clock, Meter: &e.meter,
 		},
-		Plain:   &flow.Plain{Services: &e.engines, Replicas: &e.pool},
+		Plain:   e.plain(),
 		Views:   &e.book,
 		Members: &e.members,
 		Gate:    &e.members,
@@ -191,6 +214,8 @@
 		Log:     e.Log,
 		Life:    e.life(),
 		State:   e.state,
+		Limits:  e.Settings.Limits,
+		Meter:   &e.meter,
 	}
 	return s.Handler()
 }
@@ -208,8 +233,3 @@
 	}
 	return route.Least{}
 }
-
-func (e *Entry) operators() http.Handler {
-	s := &admin.Server{Views: &e.book, Members: &e.members, Meter: &e.meter}
-	return s.Handler()
-}
--- a/entry/prof.go
+++ b/entry/prof.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"sort"
-
-	"golang.org/x/sync/errgroup"
 
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
@@ -63,26 +60,3 @@
 func (e *Entry) Drains(context.Context) (drain.Set, error) {
 	return *e.drains.State(), nil
 }
-
-// maxAsking bounds the entries that are asked at once who has confirmed.
-const maxAsking = 16
-
-// Confirmed asks every entry for the version that it has in force.
-func (e *Entry) Confirmed(ctx context.Context) []prof.Confirmation {
-	all := []prof.Confirmation{{Instance: e.Settings.Instance, Version: e.book.Version(), Reached: true}}
-	peers := e.members.Peers()
-	found := make([]prof.Confirmation, len(peers))
-	var g errgroup.Group
-	g.SetLimit(maxAsking)
-	for i, p := range peers {
-		g.Go(func() error {
-			b, err := e.beatOne(ctx, p.Instance)
-			found[i] = prof.Confirmation{Instance: p.Instance.Name, Version: b.Version, Reached: err == nil}
-			return nil
-		})
-	}
-	_ = g.Wait()
-	all = append(all, found...)
-	sort.Slice(all, func(i, j int) bool { return all[i].Instance < all[j].Instance })
-	return all
-}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -42,6 +42,9 @@
 	e.leaving.Store(true)
 	e.announce()
 	linger := e.Linger
+	if linger == 0 {
+		linger = e.Settings.Linger
+	}
 	if linger == 0 {
 		linger = e.life() + spreadTime
 	}
@@ -54,6 +57,7 @@
 	for _, f := range e.finishers {
 		faults = append(faults, f.Finish(ctx))
 	}
+	e.closeOrders(ctx)
 	if n := e.flights.count(); n > 0 {
 		e.meter.Violated(meter.StopCutsNone, "the process ended with requests in flight")
 		e.Log.Error("entry: requests were cut", zap.Int("in_flight", n))
--- a/prof/rows.go
+++ b/prof/rows.go
@@ -43,14 +43,6 @@
 	Doc core.Document `json:"doc"`
 }
 
-// Confirmation is the version that one entry has in force.
-type Confirmation struct {
-	Instance string `json:"instance"`
-	Version  int64  `json:"version"`
-	// Reached says that the entry answered when it was asked.
-	Reached bool `json:"reached"`
-}
-
 func historyKey(version int64) string {
 	return fmt.Sprintf("%s%020d", historyPrefix, version)
 }
