--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,6 +45,9 @@
 	// Life is how long callers may keep an answer of addresses; zero is
 	// [member.AddressLife].
 	Life clock.Millis
+	// Advertise is the address that peers use for this entry; empty is that
+	// of the socket.
+	Advertise string
 
 	owner     core.Owner
 	began     clock.Millis
@@ -57,6 +60,7 @@
 	follower  prof.Follower
 	desk      prof.Desk
 	drains    drain.Book
+	draining  sync.Mutex
 	pool      pool.Table
 	members   member.Table
 	store     store.Client
@@ -187,6 +191,9 @@
 		Name: s.Instance, Centre: s.Centre, State: core.Live,
 		Addr: e.Sockets.Callers.Addr().String(), Peer: e.Sockets.Peers.Addr().String(),
 	}
+	if e.Advertise != "" {
+		e.members.Self.Peer = e.Advertise
+	}
 	e.members.Boot = e.owner.Boot
 	e.members.State = e.state
 	e.members.Load = e.flights.count
--- a/entry/prof.go
+++ b/entry/prof.go
@@ -13,6 +13,7 @@
 // peers and with those that they bear upon.
 func (e *Entry) prepareNews() {
 	e.metAll = make(chan struct{})
+	e.pool.Drained = e.drained
 	e.book.Clock = e.Clock
 	e.book.OnChange = func(v *prof.View) {
 		e.pool.Apply(v.Doc)
@@ -35,18 +36,26 @@
 	e.desk = prof.Desk{Table: &e.store, Clock: e.Clock, Book: &e.book}
 }
 
-// applyDrains keeps new work from every drained upstream.
+// applyDrains keeps new work from every drained upstream. The lock orders a
+// change of the document and one of the drains, so that the later state stays.
 func (e *Entry) applyDrains() {
+	e.draining.Lock()
+	defer e.draining.Unlock()
 	v := e.book.View()
 	if v == nil {
 		return
 	}
-	s := e.drains.State()
 	for _, u := range v.Doc.Upstreams {
-		e.pool.Drain(u.Name, s.Has(drain.Upstream, u.Name) || s.Has(drain.Centre, u.Centre))
+		e.pool.Drain(u.Name, e.drained(u))
 	}
 }
 
+// drained reports whether an upstream is to get no new work.
+func (e *Entry) drained(u core.Upstream) bool {
+	s := e.drains.State()
+	return s.Has(drain.Upstream, u.Name) || s.Has(drain.Centre, u.Centre)
+}
+
 // Document implements [wire.Handler].
 func (e *Entry) Document(context.Context) (*core.Document, error) {
 	v := e.book.View()
--- a/pool/table.go
+++ b/pool/table.go
@@ -18,6 +18,9 @@
 	// they are there for comparison.
 	NoScores bool
 	NoHints  bool
+	// Drained, if not nil, says whether an upstream that is published anew
+	// begins as kept from new work.
+	Drained func(core.Upstream) bool
 
 	applying sync.Mutex
 	index    atomic.Pointer[index]
@@ -54,7 +57,19 @@
 func (t *Table) Apply(doc *core.Document) {
 	t.applying.Lock()
 	defer t.applying.Unlock()
-	t.index.Store(newIndex(t.load(), doc))
+	x := newIndex(t.load(), doc)
+	if t.Drained != nil {
+		for _, u := range doc.Upstreams {
+			x.slots[u.Name].drain(t.Drained(u))
+		}
+	}
+	t.index.Store(x)
+}
+
+func (s *slot) drain(draining bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Draining = draining
 }
 
 // Names returns the names of all upstreams in order. The list must not be
--- a/trial/replace.go
+++ b/trial/replace.go
@@ -16,10 +16,12 @@
 	if err != nil {
 		return nil, err
 	}
-	n.Entry.Settings.Platform.Base = s.Base
+	if err := s.connect(n); err != nil {
+		return nil, err
+	}
 	s.Platform.Join(core.Instance{
 		Name: name, Centre: n.Entry.Settings.Centre, Addr: n.Addr,
-		Peer: n.Entry.Sockets.Peers.Addr().String(),
+		Peer: n.Peer,
 	})
 	s.run(n)
 	ctx, cancel := context.WithTimeout(s.ctx, readyTimeout.Std())
--- a/trial/set.go
+++ b/trial/set.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -30,6 +31,9 @@
 	// Linger is that of every entry, and Life that of the addresses it gives.
 	Linger clock.Millis
 	Life   clock.Millis
+	// Relays puts a [Relay] between each entry and the platform, and between
+	// each entry and those that beat it.
+	Relays bool
 	// Log is the entries' log; nil is none.
 	Log *zap.Logger
 	// Edit, if not nil, changes the document before it is published.
@@ -63,9 +67,15 @@
 	Addr  string
 	// Admin is the address of the operators' listener.
 	Admin string
-	stop  context.CancelFunc
-	done  chan struct{}
-	err   error
+	// Peer is where the others beat it.
+	Peer string
+	// Platform and Peers are the relays to the platform and to the entry's
+	// listener for peers, if the plan has relays.
+	Platform *Relay
+	Peers    *Relay
+	stop     context.CancelFunc
+	done     chan struct{}
+	err      error
 }
 
 // Names that every trial uses.
@@ -117,7 +127,9 @@
 	s.Base = "http://" + addr
 	s.wait.Go(func() { s.Platform.Watch(s.ctx) })
 	for _, n := range nodes {
-		n.Entry.Settings.Platform.Base = s.Base
+		if err := s.connect(n); err != nil {
+			return err
+		}
 		s.run(n)
 	}
 	return s.ready()
@@ -229,12 +241,29 @@
 		nodes = append(nodes, n)
 		s.Platform.Instances = append(s.Platform.Instances, core.Instance{
 			Name: n.Entry.Settings.Instance, Centre: Centre, Addr: n.Addr,
-			Peer: n.Entry.Sockets.Peers.Addr().String(),
+			Peer: n.Peer,
 		})
 	}
 	return nodes, nil
 }
 
+// connect tells the entry where the platform is.
+func (s *Set) connect(n *Node) error {
+	n.Entry.Settings.Platform.Base = s.Base
+	if !s.plan.Relays {
+		return nil
+	}
+	n.Platform = &Relay{Target: strings.TrimPrefix(s.Base, "http://")}
+	addr, err := n.Platform.Listen()
+	if err != nil {
+		return err
+	}
+	n.Entry.Settings.Platform.Base = "http://" + addr
+	context.AfterFunc(s.ctx, n.Platform.Close)
+	context.AfterFunc(s.ctx, n.Peers.Close)
+	return nil
+}
+
 func prepare(name string, p Plan) (*Node, error) {
 	settings := &config.Settings{
 		Instance: name, Centre: Centre, Policy: p.Policy, Tokens: []string{prof.Digest(Token)},
@@ -253,7 +282,19 @@
 	if p.Setup != nil {
 		p.Setup(settings)
 	}
-	return &Node{Entry: e, Addr: settings.Callers.Listen, Admin: settings.Operators.Listen}, nil
+	n := &Node{
+		Entry: e, Addr: settings.Callers.Listen, Admin: settings.Operators.Listen, Peer: settings.Peers.Listen,
+	}
+	if p.Relays {
+		n.Peers = &Relay{Target: n.Peer}
+		addr, err := n.Peers.Listen()
+		if err != nil {
+			return nil, err
+		}
+		n.Peer = addr
+		e.Advertise = addr
+	}
+	return n, nil
 }
 
 func (s *Set) run(n *Node) {
