--- /dev/null
+++ b/prof/promise_test.go
@@ -0,0 +1,313 @@
+package prof_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/plat"
+	"lacewinghook.example/lacewinghook/prof"
+	"lacewinghook.example/lacewinghook/store"
+	"lacewinghook.example/lacewinghook/trial"
+)
+
+const (
+	testLimit = 40 * time.Second
+	// inForce is the promise: in force everywhere after so long.
+	inForce = 12 * time.Second
+)
+
+func TestPromise(t *testing.T) {
+	t.Run("an accepted document never reverts", func(t *testing.T) {
+		t.Run("two operators at once", operatorsRace)
+		t.Run("answer of publish lost", answersLost)
+		t.Run("in force everywhere", everywhere)
+		t.Run("entry starts with the table down", startsWithTableDown)
+		t.Run("cut off entry", cutOff)
+		t.Run("stale offers", staleOffers)
+		t.Run("table reverts", tableReverts)
+	})
+}
+
+// document is a valid one that differs from others by its mark.
+func document(mark string) core.Document {
+	doc := trial.Document()
+	doc.Profiles[0].Name = mark
+	doc.Workspaces[0].Profile = mark
+	return doc
+}
+
+func platform(t *testing.T) (*plat.Platform, *prof.Desk) {
+	p := &plat.Platform{}
+	srv := httptest.NewServer(p.Handler())
+	t.Cleanup(srv.Close)
+	return p, &prof.Desk{Table: &store.Client{Base: srv.URL, HTTP: srv.Client()}}
+}
+
+// operatorsRace lets operators publish on the same version: one wins each
+// time, the others learn the present version, and the history is whole.
+func operatorsRace(t *testing.T) {
+	is := is.New(t)
+	_, desk := platform(t)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	const operators, rounds = 4, 55
+	for version := range int64(rounds) {
+		var wait sync.WaitGroup
+		errs := make([]error, operators)
+		for i := range operators {
+			wait.Go(func() {
+				_, errs[i] = desk.Publish(ctx, prof.Order{Expected: version, Doc: document(fmt.Sprintf("by-%d", i))})
+			})
+		}
+		wait.Wait()
+		won := -1
+		for i, err := range errs {
+			if err == nil {
+				is.Equal(won, -1) // two operators won
+				won = i
+				continue
+			}
+			is.True(codes.Has(err, codes.Conflict))
+			is.Equal(codes.From(err).Message, fmt.Sprintf("version %d is published", version+1))
+		}
+		now, err := desk.Current(ctx)
+		is.NoErr(err)
+		is.Equal(now.Version, version+1)
+		is.Equal(now.Profiles[0].Name, fmt.Sprintf("by-%d", won))
+	}
+	past, err := desk.History(ctx, 0)
+	is.NoErr(err)
+	is.Equal(len(past), 50)
+	for i, p := range past {
+		is.Equal(p.Version, int64(rounds-i))
+	}
+}
+
+func answersLost(t *testing.T) {
+	lost := plat.Fault{Kind: plat.Lost, Op: plat.Commit, Count: 1}
+	dropped := plat.Fault{Kind: plat.Dropped, Op: plat.Commit, Count: 1}
+	late := plat.Fault{Kind: plat.Late, Op: plat.Commit, Count: 1, Delay: 150}
+	unread := plat.Fault{Kind: plat.Dropped, Op: plat.Read, Count: 1}
+	for name, tc := range map[string]struct {
+		faults []plat.Fault
+		code   codes.Code
+		landed bool
+	}{
+		"landed":                    {faults: []plat.Fault{lost}, landed: true},
+		"not landed":                {faults: []plat.Fault{dropped}, landed: true},
+		"lands late":                {faults: []plat.Fault{late}, landed: true},
+		"twice":                     {faults: []plat.Fault{lost, dropped}, landed: true},
+		"landed, read back fails":   {faults: []plat.Fault{{Kind: plat.Lost, Op: plat.Commit, Count: 1}, {Kind: plat.Slow, Op: plat.Read, Count: 1}, unread}, landed: true},
+		"platform down":             {faults: []plat.Fault{{Kind: plat.Down}}, code: codes.PlatformDown},
+		"down for commits":          {faults: []plat.Fault{{Kind: plat.Down, Op: plat.Commit}}, code: codes.PlatformDown},
+		"never answered":            {faults: []plat.Fault{{Kind: plat.Dropped, Op: plat.Commit}}, code: codes.PublishUnsure},
+		"never answered but landed": {faults: []plat.Fault{lost, {Kind: plat.Dropped, Op: plat.Commit}}, code: codes.PublishUnsure, landed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p, desk := platform(t)
+			ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+			defer cancel()
+			for _, f := range tc.faults {
+				p.Faults.Add(f)
+			}
+			_, err := desk.Publish(ctx, prof.Order{Doc: document("first")})
+			p.Faults.Clear()
+			if tc.code == 0 {
+				is.NoErr(err)
+			} else {
+				is.True(codes.Has(err, tc.code))
+			}
+			now, err := desk.Current(ctx)
+			is.NoErr(err)
+			is.Equal(now != nil, tc.landed)
+			// Whatever happened, the next version builds on what stands.
+			var version int64
+			if now != nil {
+				version = now.Version
+			}
+			version, err = desk.Publish(ctx, prof.Order{Expected: version, Doc: document("second")})
+			is.NoErr(err)
+			now, err = desk.Current(ctx)
+			is.NoErr(err)
+			is.Equal(now.Version, version)
+			is.Equal(now.Profiles[0].Name, "second")
+		})
+	}
+}
+
+func start(t *testing.T, p trial.Plan) (*trial.Set, context.Context) {
+	t.Helper()
+	p.Services, p.Linger = 1, 1
+	set, err := trial.Start(p)
+	is.New(t).NoErr(err)
+	t.Cleanup(set.Stop)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	t.Cleanup(cancel)
+	for i := range set.Entries {
+		is.New(t).NoErr(trial.Until(ctx, func() bool {
+			addrs, err := set.Client(i).Addresses(ctx)
+			return err == nil && len(addrs) == len(set.Entries)
+		}))
+	}
+	return set, ctx
+}
+
+// lookup makes a call that every document of these tests allows for key.
+func lookup(ctx context.Context, n *trial.Node, key string) error {
+	c := &trial.Client{Addr: n.Addr, Key: key}
+	_, err := c.Service(ctx, http.MethodGet, "/stock/burr", "", nil)
+	return err
+}
+
+// rekey publishes the set's document with another key of the workspace.
+func rekey(ctx context.Context, t *testing.T, set *trial.Set, key string) {
+	t.Helper()
+	desk := &prof.Desk{Table: &store.Client{Base: set.Base}}
+	doc := set.Doc
+	doc.Workspaces = []core.Workspace{{Name: trial.Workspace, Profile: "exact", Keys: []string{prof.Digest(key)}}}
+	now, err := desk.Current(ctx)
+	is.New(t).NoErr(err)
+	_, err = desk.Publish(ctx, prof.Order{Expected: now.Version, Doc: doc})
+	is.New(t).NoErr(err)
+}
+
+func everywhere(t *testing.T) {
+	is := is.New(t)
+	set, ctx := start(t, trial.Plan{Entries: 3, Relays: true})
+	set.Entries[2].Platform.Cut() // learns from its peers
+	rekey(ctx, t, set, "new")
+	within, cancel := context.WithTimeout(ctx, inForce)
+	defer cancel()
+	for _, n := range set.Entries {
+		is.NoErr(trial.Until(within, func() bool { return lookup(ctx, n, "new") == nil }))
+	}
+	for range 50 {
+		for _, n := range set.Entries {
+			is.True(codes.Has(lookup(ctx, n, trial.Key), codes.Unauthorized))
+		}
+	}
+}
+
+// startsWithTableDown starts entries while the table is down: with peers they
+// take the highest version, without they serve nothing.
+func startsWithTableDown(t *testing.T) {
+	is := is.New(t)
+	set, ctx := start(t, trial.Plan{Entries: 2, Relays: true})
+	// The first entry is left with the old version: it can neither read the
+	// table nor reach the second one, nor be reached by it.
+	set.Entries[0].Platform.Cut()
+	set.Entries[1].Peers.Cut()
+	set.Entries[0].Peers.Cut()
+	rekey(ctx, t, set, "new")
+	is.NoErr(trial.Until(ctx, func() bool { return lookup(ctx, set.Entries[1], "new") == nil }))
+	set.Platform.Faults.Add(plat.Fault{Kind: plat.Down, Op: plat.Read})
+	set.Entries[0].Peers.Heal()
+	set.Entries[1].Peers.Heal()
+	fresh, err := set.Add("moose-jaw-3")
+	is.NoErr(err)
+	for range 50 {
+		is.NoErr(lookup(ctx, fresh, "new"))
+	}
+	alone, err := trial.Start(trial.Plan{Entries: 1, Services: 1, Linger: 1})
+	is.NoErr(err)
+	defer alone.Stop()
+	alone.Platform.Faults.Add(plat.Fault{Kind: plat.Down})
+	old := alone.Entries[0]
+	is.NoErr(old.Stop())
+	short, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	n, err := alone.Launch("moose-jaw-2")
+	is.NoErr(err)
+	is.True(trial.Until(short, func() bool { return lookup(ctx, n, trial.Key) == nil }) != nil)
+	is.True(codes.Has(lookup(ctx, n, trial.Key), codes.NoDocument))
+}
+
+// cutOff cuts an entry off from the table and from its peer: after the limit
+// it takes no new work and says not run, and healed it works again.
+func cutOff(t *testing.T) {
+	is := is.New(t)
+	set, ctx := start(t, trial.Plan{Entries: 2, Relays: true})
+	n := set.Entries[0]
+	n.Platform.Cut()
+	n.Peers.Cut()
+	set.Entries[1].Peers.Cut()
+	cut := clock.Clock{}.Now()
+	is.NoErr(lookup(ctx, n, trial.Key))
+	is.NoErr(trial.Until(ctx, func() bool { return lookup(ctx, n, trial.Key) != nil }))
+	took := clock.Clock{}.Now() - cut
+	is.True(took <= member.CutOffAfter+clock.Second)
+	err := lookup(ctx, n, trial.Key)
+	is.True(codes.Has(err, codes.CutOff))
+	is.Equal(codes.From(err).Run, codes.NotRun)
+	is.NoErr(lookup(ctx, set.Entries[1], trial.Key)) // has the table
+	set.Entries[1].Peers.Heal()                      // a peer is enough
+	is.NoErr(trial.Until(ctx, func() bool { return lookup(ctx, n, trial.Key) == nil }))
+}
+
+// staleOffers offers versions in any order from several threads: what is in
+// force never goes down, and ends at the highest.
+func staleOffers(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		versions := rapid.SliceOfN(rapid.Int64Range(1, 9), 1, 30).Draw(rt, "versions")
+		var book prof.Book
+		var seen []int64
+		book.OnChange = func(v *prof.View) { seen = append(seen, v.Doc.Version) }
+		var wait sync.WaitGroup
+		highest := int64(0)
+		for _, v := range versions {
+			highest = max(highest, v)
+			wait.Go(func() { book.Offer(&core.Document{Version: v}) })
+		}
+		wait.Wait()
+		for i := 1; i < len(seen); i++ {
+			if seen[i] <= seen[i-1] {
+				rt.Fatalf("reverted: %v", seen)
+			}
+		}
+		if book.Version() != highest || seen[len(seen)-1] != highest {
+			rt.Fatalf("in force %d of %v", book.Version(), versions)
+		}
+	})
+}
+
+// tableReverts puts a lower version into the table: it is not taken over, and
+// the violation is counted.
+func tableReverts(t *testing.T) {
+	is := is.New(t)
+	p, desk := platform(t)
+	ctx := context.Background()
+	for v := range int64(3) {
+		_, err := desk.Publish(ctx, prof.Order{Expected: v, Doc: document("exact")})
+		is.NoErr(err)
+	}
+	f := &prof.Follower{Book: &prof.Book{}, Table: desk.Table, Meter: &meter.Set{}}
+	f.Once(ctx)
+	is.Equal(f.Book.Version(), int64(3))
+	low := document("exact")
+	low.Version = 1
+	writes, err := prof.Seed(&low)
+	is.NoErr(err)
+	for i := range writes {
+		writes[i].Expect = p.Table.Read([]string{writes[i].Key})[0].Revision
+	}
+	_, err = p.Table.Commit(writes)
+	is.NoErr(err)
+	f.Once(ctx)
+	f.Once(ctx)
+	is.Equal(f.Book.Version(), int64(3))
+	is.Equal(f.Meter.Violation(meter.NeverReverts).Count, 1)
+}
--- a/trial/replace.go
+++ b/trial/replace.go
@@ -12,6 +12,20 @@
 // Add starts one more entry and returns it once it takes work. The name must
 // be new, or that of an entry that has stopped.
 func (s *Set) Add(name string) (*Node, error) {
+	n, err := s.Launch(name)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, readyTimeout.Std())
+	defer cancel()
+	if err := Until(ctx, func() bool { return isReady(ctx, n.Addr) }); err != nil {
+		return nil, errors.Wrapf(err, "trial: entry %s", name)
+	}
+	return n, nil
+}
+
+// Launch is [Set.Add] without waiting.
+func (s *Set) Launch(name string) (*Node, error) {
 	n, err := prepare(name, s.plan)
 	if err != nil {
 		return nil, err
@@ -24,11 +38,6 @@
 		Peer: n.Peer,
 	})
 	s.run(n)
-	ctx, cancel := context.WithTimeout(s.ctx, readyTimeout.Std())
-	defer cancel()
-	if err := Until(ctx, func() bool { return isReady(ctx, n.Addr) }); err != nil {
-		return nil, errors.Wrapf(err, "trial: entry %s", name)
-	}
 	return n, nil
 }
 
