--- /dev/null
+++ b/cmd/lacefake/cost.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"lacewinghook.example/lacewinghook/load"
+)
+
+// cost prints the time that an entry adds to a request.
+func cost(ctx context.Context, args []string) int {
+	if status, ok := parse(flag.NewFlagSet("lacefake cost", flag.ContinueOnError), args); !ok {
+		return status
+	}
+	c, err := load.MeasureCost(ctx)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lacefake cost:", err)
+		return exitFail
+	}
+	c.Text(os.Stdout)
+	return exitOK
+}
+
+// slope prints what idle entries cost at several sizes.
+func slope(ctx context.Context, args []string) int {
+	fs := flag.NewFlagSet("lacefake slope", flag.ContinueOnError)
+	sizes := fs.String("entries", "3,9,27", "numbers of entries")
+	upstreams := fs.Int("upstreams", 8, "number of engines")
+	if status, ok := parse(fs, args); !ok {
+		return status
+	}
+	var slopes []*load.Slope
+	for _, text := range strings.Split(*sizes, ",") {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 {
+			fmt.Fprintf(os.Stderr, "lacefake slope: flag -entries: %q is not a number of entries\n", text)
+			return exitUsage
+		}
+		s, err := load.MeasureSlope(ctx, n, *upstreams)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "lacefake slope:", err)
+			return exitFail
+		}
+		slopes = append(slopes, s)
+	}
+	load.SlopeText(os.Stdout, slopes)
+	return exitOK
+}
--- a/cmd/lacefake/main.go
+++ b/cmd/lacefake/main.go
@@ -8,6 +8,8 @@
 //	lacefake engine -listen A ...    a model engine
 //	lacefake service -listen A ...   a plain service
 //	lacefake load -config F          open-loop load, a row for each policy
+//	lacefake cost                    the time that an entry adds to a request
+//	lacefake slope -entries 3,9,27   what idle entries cost at several sizes
 //	lacefake files -dir D            settings for a trial run of processes
 //	lacefake ask -entry A -kind K    make one call and check its answer
 //
@@ -48,6 +50,8 @@
 	{"engine", "run a stand-in model engine", engine},
 	{"service", "run a stand-in plain service", service},
 	{"load", "meet a plan's load with each of its policies", runLoad},
+	{"cost", "measure the time that an entry adds to a request", cost},
+	{"slope", "measure what idle entries cost at several sizes", slope},
 	{"files", "write the settings of a trial run of processes", files},
 	{"ask", "make one call of an entry and check its answer", ask},
 }
--- a/trial/set.go
+++ b/trial/set.go
@@ -54,6 +54,8 @@
 	ctx  context.Context
 	end  context.CancelFunc
 	wait sync.WaitGroup
+
+	platform, engine, service, peer tally
 }
 
 // Node is one running entry.
@@ -108,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	addr, err := s.serve(s.Platform.Handler())
+	addr, err := s.serve(s.Platform.Handler(), &s.platform)
 	if err != nil {
 		return err
 	}
@@ -174,7 +176,7 @@
 	for i := range p.Services {
 		svc := &fake.PlainService{Name: fmt.Sprintf("%s-%d", Service, i+1)}
 		s.Services = append(s.Services, svc)
-		addr, err := s.serve(svc.Handler())
+		addr, err := s.serve(svc.Handler(), &s.service)
 		if err != nil {
 			return err
 		}
@@ -189,7 +191,7 @@
 	if tune != nil {
 		tune(e)
 	}
-	addr, err := s.serve(e.Handler())
+	addr, err := s.serve(e.Handler(), &s.engine)
 	if err != nil {
 		return err
 	}
@@ -201,14 +203,15 @@
 	return nil
 }
 
-// serve answers on a free port of loopback until the set stops.
-func (s *Set) serve(h http.Handler) (addr string, err error) {
+// serve answers on a free port of loopback until the set stops, and counts
+// what passes.
+func (s *Set) serve(h http.Handler, t *tally) (addr string, err error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	srv := &http.Server{Handler: h}
-	s.wait.Go(func() { _ = srv.Serve(ln) })
+	srv := &http.Server{Handler: t.handler(h)}
+	s.wait.Go(func() { _ = srv.Serve(listener{ln, t}) })
 	context.AfterFunc(s.ctx, func() { _ = srv.Close() })
 	return ln.Addr().String(), nil
 }
@@ -222,6 +225,7 @@
 		if err != nil {
 			return nil, err
 		}
+		n.Entry.Sockets.Peers = listener{n.Entry.Sockets.Peers, &s.peer}
 		nodes = append(nodes, n)
 		s.Platform.Instances = append(s.Platform.Instances, core.Instance{
 			Name: n.Entry.Settings.Instance, Centre: Centre, Addr: n.Addr,
