abort: a cancel is sent until the engine confirms it

A cancel was sent once, in the request's own thread, with a 2 s bound: one that was lost left the engine's memory held until the answer had run out, and one that overtook its call was taken for done. Cancels now go to a book of their own that outlives the request, is counted with its age, and is waited for (10 s at most) by a stop. An engine that doesn't know the request counts at once only if it has answered the call; else it must say so again 500 ms later, since a closed connection doesn't prove that the call wasn't taken up.

The life of a request is split into attempts (legs): a broken stream is resumed at its engine with a higher attempt, else continued elsewhere from the text that the caller has; a stalled transfer tries another decode upstream while the export lives; an answer of another request or attempt is dropped and counted; a second leg beside a straggler (not wired yet) is cancelled once the other speaks. An error says "not run" only if no upstream may have run it.

Ruled out: waiting for the call's local end alone. A call that was broken off here may still lie unread in the engine's socket.

With the check of ID off the cases of a crossed prefill answer pass, since the engine itself then refuses the other request's export: no witness for the check.

--- /dev/null
+++ b/abort/book_test.go
@@ -0,0 +1,88 @@
+package abort_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"lacewinghook.example/lacewinghook/abort"
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// script answers cancels one after another; the last answer stays.
+type script struct {
+	answers []answer
+	calls   chan core.Attempt
+}
+
+type answer struct {
+	known bool
+	err   error
+}
+
+func (s *script) Cancel(_ context.Context, _ core.Upstream, _ core.ID, a core.Attempt) (bool, error) {
+	now := s.answers[0]
+	if len(s.answers) > 1 {
+		s.answers = s.answers[1:]
+	}
+	s.calls <- a
+	return now.known, now.err
+}
+
+func TestCancelIsSentUntilConfirmed(t *testing.T) {
+	lost := answer{err: errors.New("lost")}
+	newer := answer{err: codes.New(codes.Superseded, "newer")}
+	known, unknown := answer{known: true}, answer{}
+	for _, c := range []struct {
+		name     string
+		answered bool
+		answers  []answer
+		calls    int
+	}{
+		{"known", true, []answer{known}, 1},
+		{"unknown after the call was answered", true, []answer{unknown}, 1},
+		{"unknown may have overtaken the call", false, []answer{unknown, known, unknown}, 3},
+		{"unknown twice", false, []answer{unknown, unknown}, 2},
+		{"lost, then known", true, []answer{lost, lost, known}, 3},
+		{"lost is no answer", false, []answer{lost, unknown, lost, unknown}, 4},
+		{"another owner", false, []answer{newer}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := &script{answers: c.answers, calls: make(chan core.Attempt, 10)}
+			b := &abort.Book{Engines: s}
+			defer b.Close()
+			b.Add(core.Cancel{Attempt: 1, Answered: c.answered})
+			ctx, done := context.WithTimeout(t.Context(), (10 * clock.Second).Std())
+			defer done()
+			is.NoErr(b.Wait(ctx))
+			is.Equal(len(s.calls), c.calls)
+			n, _ := b.Open()
+			is.Equal(n, 0)
+		})
+	}
+}
+
+func TestCancelOfHigherAttemptJoins(t *testing.T) {
+	is := is.New(t)
+	s := &script{answers: []answer{{err: errors.New("lost")}}, calls: make(chan core.Attempt, 100)}
+	b := &abort.Book{Engines: s}
+	b.Add(core.Cancel{Attempt: 1})
+	<-s.calls
+	b.Add(core.Cancel{Attempt: 2})
+	n, _ := b.Open()
+	is.Equal(n, 1)
+	for a := core.Attempt(1); a != 2; a = <-s.calls {
+	}
+	b.Close()
+	b.Add(core.Cancel{Attempt: 3})
+	n, _ = b.Open()
+	is.Equal(n, 0) // a closed book takes nothing
+}
--- a/core/id.go
+++ b/core/id.go
@@ -78,3 +78,18 @@
 // Attempt numbers the tries of one request, from 1. An answer that carries an
 // older attempt than the present one is dropped.
 type Attempt uint32
+
+// ownerBits is the width of the part of an attempt that one owner counts up.
+const ownerBits = 8
+
+// MaxAttempts is the count of attempts that one owner can make.
+const MaxAttempts = 1<<ownerBits - 1
+
+// Takeover returns the first attempt of the owner that takes a request over
+// from the owner of a. It is above every attempt of the earlier owner.
+func (a Attempt) Takeover() Attempt {
+	return (a>>ownerBits+1)<<ownerBits + 1
+}
+
+// Last reports whether the owner of a has no attempt left.
+func (a Attempt) Last() bool { return a&MaxAttempts == MaxAttempts }
--- a/core/instance.go
+++ b/core/instance.go
@@ -32,6 +32,8 @@
 // Report is an engine's own account of its load. It lags.
 type Report struct {
 	Upstream string `json:"upstream"`
+	// Boot changes whenever the engine starts again; empty is not known.
+	Boot string `json:"boot,omitempty"`
 	// Age is how old the data was when it was read.
 	Age clock.Millis `json:"age"`
 	// Running and Waiting count requests.
--- a/core/request.go
+++ b/core/request.go
@@ -59,11 +59,24 @@
 	// Offset is the token's place in the whole answer, from zero.
 	Offset int
 	Text   string
+	// Upstream is the decode upstream that gave the token.
+	Upstream string
 	// Finish is empty but for the last event, the end marker, which has no
 	// text and whose Offset is the count of all tokens.
 	Finish string
 }
 
+// Cancel is a request to free what an upstream holds for a request.
+type Cancel struct {
+	Upstream Upstream
+	ID       ID
+	// Attempt is the highest one that is cancelled.
+	Attempt Attempt
+	// Answered says that the upstream has answered the call that is
+	// cancelled, so that it can't take it up after the cancel.
+	Answered bool
+}
+
 // bytesPerToken is the customary estimate for western text where the
 // engine's own tokenizer isn't at hand.
 const bytesPerToken = 4
--- a/engine/client.go
+++ b/engine/client.go
@@ -14,6 +14,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/meter"
 )
 
 // Client speaks to upstreams over HTTP. The zero value works and is safe for
@@ -23,12 +24,16 @@
 	// HTTP is the client used; nil is [http.DefaultClient]. It must have no
 	// overall timeout, since streams are long.
 	HTTP *http.Client
+	// Owner is this entry; engines are told whose each call is.
+	Owner core.Owner
+	Meter *meter.Set
 }
 
 // The headers that identify a request at an upstream.
 const (
 	headerID      = "X-Request-Id"
 	headerAttempt = "Attempt"
+	headerOwner   = "Owner"
 )
 
 // Bounds of an upstream's answers.
@@ -74,6 +79,9 @@
 		req.Header.Set(headerID, t.id.String())
 		req.Header.Set(headerAttempt, strconv.FormatUint(uint64(t.attempt), 10))
 	}
+	if c.Owner != (core.Owner{}) {
+		req.Header.Set(headerOwner, c.Owner.String())
+	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.client().Do(req)
 	if err != nil {
@@ -144,9 +152,15 @@
 	return codes.Wrap(codes.UpstreamRefused, cause, "%s", up.Name).WithRun(codes.Unknown)
 }
 
-func checkOwner(up core.Upstream, try core.Try, id string, attempt core.Attempt) error {
-	if id == try.Request.ID.String() && attempt == try.Attempt {
+// check refuses an answer of another request or attempt, and counts it.
+func (c *Client) check(t target, own, id string, attempt core.Attempt) error {
+	switch {
+	case id != own:
+		c.Meter.Dropped(meter.WrongID)
+	case attempt != t.attempt:
+		c.Meter.Dropped(meter.OldAttempt)
+	default:
 		return nil
 	}
-	return codes.New(codes.WrongAnswer, "%s: answer of %s attempt %d", up.Name, id, attempt)
+	return codes.New(codes.WrongAnswer, "%s: answer of %q attempt %d", t.up.Name, id, attempt)
 }
--- a/engine/model.go
+++ b/engine/model.go
@@ -54,7 +54,7 @@
 	if err := c.read(ctx, t, body, &a); err != nil {
 		return core.Export{}, err
 	}
-	if err := checkOwner(up, try, a.ID, a.Attempt); err != nil {
+	if err := c.check(t, r.ID.String(), a.ID, a.Attempt); err != nil {
 		return core.Export{}, err
 	}
 	var life struct {
@@ -71,9 +71,10 @@
 	}, nil
 }
 
-// Decode hands the export to a decode engine and calls each for every token
-// of the answer, the end marker last. It returns nil only after the marker.
-func (c *Client) Decode(ctx context.Context, up core.Upstream, try core.Try, x core.Export, each func(core.Token) error) error {
+// Decode hands the export to a decode engine, calls arrived once the engine
+// holds the KV cache, and calls each for every token of the answer, the end
+// marker last. It returns nil only after the marker.
+func (c *Client) Decode(ctx context.Context, up core.Upstream, try core.Try, x core.Export, arrived func(), each func(core.Token) error) error {
 	r := try.Request
 	body := completion{
 		Model: r.Model, Prompt: r.Prompt + try.Prior, MaxTokens: r.MaxTokens - try.Sent,
@@ -85,7 +86,8 @@
 		return err
 	}
 	defer resp.Body.Close()
-	return readStream(resp.Body, t, try.Sent, each)
+	arrived()
+	return c.readStream(resp.Body, t, try.Sent, each)
 }
 
 // Resume attaches to a stream that runs at a decode engine, from the token at
@@ -98,11 +100,12 @@
 		return err
 	}
 	defer resp.Body.Close()
-	return readStream(resp.Body, t, offset, each)
+	return c.readStream(resp.Body, t, offset, each)
 }
 
 // Cancel frees what the engine holds for the request up to the attempt. It
-// reports whether the engine knew of it.
+// reports whether the engine knew of it. [codes.Superseded] says that a newer
+// attempt holds the request.
 func (c *Client) Cancel(ctx context.Context, up core.Upstream, id core.ID, attempt core.Attempt) (known bool, err error) {
 	path := "/v1/requests/" + url.PathEscape(id.String()) + "/cancel"
 	t := target{up: up, method: http.MethodPost, path: path, id: id, attempt: attempt}
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -40,8 +40,8 @@
 
 // readStream calls each for every token from offset on, and for the end
 // marker. A stream that breaks, leaves out a token or miscounts is an error.
-func readStream(r io.Reader, t target, offset int, each func(core.Token) error) error {
-	s := &stream{target: t, id: t.id.String(), next: offset, each: each}
+func (c *Client) readStream(r io.Reader, t target, offset int, each func(core.Token) error) error {
+	s := &stream{client: c, target: t, id: t.id.String(), next: offset, each: each}
 	sc := bufio.NewScanner(r)
 	sc.Buffer(make([]byte, 0, streamBuffer), maxEventBytes)
 	for sc.Scan() {
@@ -61,6 +61,7 @@
 
 // stream is the reading end of one engine stream.
 type stream struct {
+	client *Client
 	target target
 	id     string
 	next   int
@@ -73,8 +74,8 @@
 	if err := json.Unmarshal(data, &e); err != nil {
 		return codes.Wrap(codes.UpstreamLost, err, "%s: event", s.target.up.Name)
 	}
-	if e.ID != s.id || e.Attempt != s.target.attempt {
-		return codes.New(codes.WrongAnswer, "%s: event of %s attempt %d", s.target.up.Name, e.ID, e.Attempt)
+	if err := s.client.check(s.target, s.id, e.ID, e.Attempt); err != nil {
+		return err
 	}
 	if e.Error != "" {
 		return s.broken(e)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,12 +4,14 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"lacewinghook.example/lacewinghook/abort"
 	"lacewinghook.example/lacewinghook/admin"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
@@ -49,7 +51,11 @@
 	members member.Table
 	store   store.Client
 	engines engine.Client
+	cancels abort.Book
 	peers   wire.Client
+
+	deathInit, kill sync.Once
+	death           chan struct{}
 }
 
 // Sockets are an entry's listeners.
@@ -80,11 +86,14 @@
 		select {
 		case <-ctx.Done():
 		case <-work.Done():
+		case <-e.killed():
+			return errors.Join(callers.Close(), operators.Close())
 		}
 		return e.stop(work, callers, operators)
 	})
 	e.Log.Info("entry: serving", zap.String("callers", e.Sockets.Callers.Addr().String()))
 	err := g.Wait()
+	e.cancels.Close()
 	e.peers.Close()
 	return err
 }
@@ -137,6 +146,7 @@
 		Name: s.Instance, Centre: s.Centre, State: core.Live,
 		Addr: e.Sockets.Callers.Addr().String(), Peer: e.Sockets.Peers.Addr().String(),
 	}
+	e.prepareFlow()
 	e.book.OnChange = func(v *prof.View) { e.pool.Apply(v.Doc) }
 }
 
@@ -145,9 +155,7 @@
 
 func (e *Entry) callers() http.Handler {
 	s := &front.Server{
-		Runner: &flow.Flow{
-			Engines: &e.engines, Placer: e.desk(), Clock: e.Clock, Meter: &e.meter,
-		},
+		Runner:  e.newFlow(),
 		Plain:   &flow.Plain{Services: &e.engines, Replicas: &e.pool},
 		Views:   &e.book,
 		Members: &e.members,
@@ -208,6 +216,7 @@
 	for _, s := range servers {
 		faults = append(faults, s.Shutdown(ctx))
 	}
+	e.settleCancels(ctx)
 	e.Log.Info("entry: stopped")
 	return errors.Join(faults...)
 }
--- a/fake/decode.go
+++ b/fake/decode.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"net/http"
 	"strconv"
 
@@ -17,7 +15,11 @@
 func (e *Engine) decode(w http.ResponseWriter, r *http.Request, c completion) {
 	s, err := e.begin(r, c)
 	if err != nil {
-		writeError(w, http.StatusConflict, "transfer_failed", err.Error())
+		name := "transfer_failed"
+		if errors.Is(err, errExpired) {
+			name = "export_expired"
+		}
+		writeError(w, http.StatusConflict, name, err.Error())
 		return
 	}
 	e.stream(w, r, s, c.attempt, s.offset)
@@ -107,20 +109,29 @@
 		writeError(w, http.StatusConflict, "bad_offset", "the engine holds no token of this offset")
 		return
 	}
-	if !s.attach(attempt) {
+	if !s.attach(attempt, ownerOf(r, s.id)) {
 		writeError(w, http.StatusConflict, "superseded", "a newer attempt is attached")
 		return
 	}
 	e.stream(w, r, s, attempt, offset)
 }
 
-func (s *sequence) attach(attempt core.Attempt) bool {
+// newer reports whether a reader of a later attempt is attached.
+func (s *sequence) newer(attempt core.Attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return attempt < s.reader
+}
+
+// attach makes the attempt the sequence's one reader, and its owner that of
+// the sequence.
+func (s *sequence) attach(attempt core.Attempt, owner string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if attempt <= s.reader {
 		return false
 	}
-	s.reader = attempt
+	s.reader, s.owner = attempt, owner
 	s.signal()
 	return true
 }
@@ -151,26 +162,27 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Request-Id", s.id)
 	w.Header().Set("Attempt", strconv.Itoa(int(attempt)))
-	out := http.NewResponseController(w)
-	sent := 0
+	boot, _ := e.power.now()
+	out := &output{w: w, control: http.NewResponseController(w), trouble: &e.Trouble}
 	for {
 		v := s.look(attempt, offset)
+		if now, _ := e.power.now(); now != boot {
+			panic(http.ErrAbortHandler)
+		}
 		if v.superseded || v.failed {
-			writeEvent(w, event{ID: s.id, Attempt: attempt, Offset: offset, Error: endReason(v)})
+			out.event(event{ID: s.id, Attempt: attempt, Offset: offset, Error: endReason(v)})
 			return
 		}
 		for _, text := range v.tokens {
-			writeEvent(w, event{ID: s.id, Attempt: attempt, Offset: offset, Choices: []choice{{Text: text}}})
+			out.token(event{ID: s.id, Attempt: attempt, Offset: offset, Choices: []choice{{Text: text}}})
 			offset++
-			sent++
-			e.cut(out, sent)
 		}
 		if v.ended && offset == v.total {
-			writeEvent(w, event{ID: s.id, Attempt: attempt, Offset: offset, Choices: []choice{{Finish: "length"}}, Usage: &usage{CompletionTokens: offset}})
-			fmt.Fprint(w, "data: [DONE]\n\n")
+			out.event(event{ID: s.id, Attempt: attempt, Offset: offset, Choices: []choice{{Finish: "length"}}, Usage: &usage{CompletionTokens: offset}})
+			out.write([]byte("data: [DONE]\n\n"))
 			return
 		}
-		_ = out.Flush()
+		out.flush()
 		select {
 		case <-v.moved:
 		case <-r.Context().Done():
@@ -179,25 +191,9 @@
 	}
 }
 
-// cut closes the connection where the faults in force ask for it.
-func (e *Engine) cut(out *http.ResponseController, sent int) {
-	if after := e.Trouble.Now().CutAfter; after == 0 || sent != after {
-		return
-	}
-	if e.Trouble.spend(func(i *Ills) *int { return &i.CutTimes }) {
-		_ = out.Flush()
-		panic(http.ErrAbortHandler)
-	}
-}
-
 func endReason(v view) string {
 	if v.superseded {
 		return "superseded"
 	}
 	return "cancelled"
 }
-
-func writeEvent(w http.ResponseWriter, e event) {
-	data, _ := json.Marshal(e)
-	fmt.Fprintf(w, "data: %s\n\n", data)
-}
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -34,7 +34,9 @@
 
 	memory  memory
 	seqs    shard.Map[string, *sequence]
+	prompts shard.Map[string, *prompt]
 	exports shard.Map[string, *export]
+	power   power
 	cache   cache
 	batch   batch
 	lane    lane
@@ -73,6 +75,7 @@
 	PrefillTokens atomic.Int64
 	WastedTokens  atomic.Int64
 	Expired       atomic.Int64
+	Crashes       atomic.Int64
 }
 
 func (e *Engine) prefillRate() int {
--- a/fake/http.go
+++ b/fake/http.go
@@ -84,13 +84,13 @@
 	}
 	c.id = r.Header.Get("X-Request-Id")
 	c.attempt = attemptOf(r)
-	c.owner, _, _ = cutLast(c.id)
+	c.owner = ownerOf(r, c.id)
 	if c.id == "" || c.MaxTokens <= 0 {
 		writeError(w, http.StatusBadRequest, "bad_request", "want X-Request-Id and max_tokens")
 		return
 	}
 	if p := e.Trouble.Now().Poison; p != "" && strings.Contains(c.Prompt, p) {
-		e.crash()
+		e.Crash()
 		panic(http.ErrAbortHandler)
 	}
 	if e.Role == core.Prefill {
@@ -100,22 +100,16 @@
 	e.decode(w, r, c)
 }
 
-// crash ends every sequence, as a process that dies does.
-func (e *Engine) crash() {
-	e.seqs.Each(func(_ string, s *sequence) bool {
-		// The lock of the shard is held: the sequence is stopped beside it.
-		go e.stop(s)
-		return true
-	})
-}
-
-// cutLast splits "instance.boot.seq" into the owner and the sequence.
-func cutLast(id string) (owner, seq string, ok bool) {
-	i := strings.LastIndexByte(id, '.')
-	if i < 0 {
-		return id, "", false
+// ownerOf returns the entry that a call belongs to: the one that its header
+// names, or else the one that gave the ID out.
+func ownerOf(r *http.Request, id string) string {
+	if owner := r.Header.Get("Owner"); owner != "" {
+		return owner
 	}
-	return id[:i], id[i+1:], true
+	if i := strings.LastIndexByte(id, '.'); i >= 0 {
+		return id[:i]
+	}
+	return id
 }
 
 func attemptOf(r *http.Request) core.Attempt {
@@ -126,25 +120,42 @@
 // cancel frees what the engine holds for the request, if the attempt is not
 // newer than the one named.
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	if e.Clock.Sleep(r.Context(), e.Trouble.Now().SlowCancels) != nil {
+		return
+	}
 	if e.Trouble.spend(func(i *Ills) *int { return &i.LoseCancels }) {
 		panic(http.ErrAbortHandler)
 	}
 	id, attempt := mux.Vars(r)["id"], attemptOf(r)
+	if s, ok := e.seqs.Get(id); ok && s.newer(attempt) {
+		writeError(w, http.StatusConflict, "superseded", "a newer attempt is attached")
+		return
+	}
+	if !e.release(id, attempt) {
+		writeError(w, http.StatusNotFound, "not_found", "no such request")
+		return
+	}
+	e.Count.Cancels.Add(1)
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// release frees what the engine holds for the request up to the attempt, and
+// returns whether there was any.
+func (e *Engine) release(id string, attempt core.Attempt) bool {
 	known := false
 	if s, ok := e.seqs.Get(id); ok && s.attempt <= attempt {
 		known = true
 		e.stop(s)
 	}
+	if p, ok := e.prompts.Get(id); ok && p.attempt <= attempt {
+		known = true
+		p.cancel()
+	}
 	if x, ok := e.exports.Get(id); ok && x.attempt <= attempt && e.drop(x) {
 		known = true
 		e.Count.WastedTokens.Add(int64(x.tokens))
 	}
-	if !known {
-		writeError(w, http.StatusNotFound, "not_found", "no such request")
-		return
-	}
-	e.Count.Cancels.Add(1)
-	writeJSON(w, http.StatusOK, struct{}{})
+	return known
 }
 
 // running lists the requests that the engine holds memory for.
@@ -154,11 +165,15 @@
 	e.seqs.Each(func(id string, s *sequence) bool {
 		s.mu.Lock()
 		if !s.ended {
-			list = append(list, core.Running{ID: id, Owner: s.owner, Attempt: s.attempt, Age: now - s.start})
+			list = append(list, core.Running{ID: id, Owner: s.owner, Attempt: s.reader, Age: now - s.start})
 		}
 		s.mu.Unlock()
 		return true
 	})
+	e.prompts.Each(func(id string, p *prompt) bool {
+		list = append(list, core.Running{ID: id, Owner: p.owner, Attempt: p.attempt, Age: now - p.start})
+		return true
+	})
 	e.exports.Each(func(id string, x *export) bool {
 		list = append(list, core.Running{ID: id, Owner: x.owner, Attempt: x.attempt, Age: now - x.start})
 		return true
@@ -184,6 +199,7 @@
 	PrefillTokens int64 `json:"prefill_tokens"`
 	WastedTokens  int64 `json:"wasted_tokens"`
 	Expired       int64 `json:"expired"`
+	Crashes       int64 `json:"crashes"`
 	Held          int   `json:"held"`
 }
 
@@ -197,6 +213,7 @@
 		PrefillTokens: e.Count.PrefillTokens.Load(),
 		WastedTokens:  e.Count.WastedTokens.Load(),
 		Expired:       e.Count.Expired.Load(),
+		Crashes:       e.Count.Crashes.Load(),
 		Held:          e.Held(),
 	}
 }
--- a/fake/prefill.go
+++ b/fake/prefill.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -80,35 +81,65 @@
 	return l.queued
 }
 
-// prefill computes a prompt and keeps the result for a decode engine.
+// prompt is a prompt that is being computed.
+type prompt struct {
+	owner   string
+	attempt core.Attempt
+	start   clock.Millis
+	cancel  context.CancelFunc
+}
+
+// prefill computes a prompt and keeps the result for a decode engine. It goes
+// on when the connection closes, until it is cancelled.
 func (e *Engine) prefill(w http.ResponseWriter, r *http.Request, c completion) {
-	tokens := core.TokenEstimate(c.Prompt)
-	pieces := core.Pieces(tokens)
-	if err := e.memory.take(r.Context(), pieces, c.Priority, e.pieces()); err != nil {
-		return
-	}
-	computed, err := e.compute(r.Context(), c.Prompt, tokens)
-	if err != nil {
-		e.memory.give(pieces, e.pieces())
+	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
+	defer cancel()
+	p := &prompt{owner: c.owner, attempt: c.attempt, start: e.Clock.Now(), cancel: cancel}
+	e.prompts.Set(c.id, p)
+	x, computed := e.export(ctx, c)
+	e.prompts.Update(c.id, func(now *prompt, ok bool) (*prompt, bool) { return now, ok && now != p })
+	if x == nil {
 		e.Count.WastedTokens.Add(int64(computed))
+		writeError(w, http.StatusConflict, "cancelled", "the request was cancelled")
 		return
 	}
-	x := &export{id: c.id, owner: c.owner, attempt: c.attempt, start: e.Clock.Now(), tokens: tokens, pieces: pieces}
-	e.exports.Set(x.id, x)
-	e.Clock.AfterFunc(e.exportLife(), func() { e.expire(x) })
-	e.Count.Prefills.Add(1)
 	if e.Trouble.spend(func(i *Ills) *int { return &i.LoseAnswers }) {
 		panic(http.ErrAbortHandler)
 	}
 	host, port := localAddr(r)
+	id, attempt := e.Trouble.sign(c.id, c.attempt)
 	writeJSON(w, http.StatusOK, completed{
-		ID:       c.id,
-		Attempt:  c.attempt,
-		Usage:    usage{PromptTokens: tokens, CachedTokens: tokens - computed},
-		Transfer: &transfer{DoRemotePrefill: true, RemoteEngineID: e.Name, RemoteHost: host, RemotePort: port, RemoteRequestID: c.id, Expires: e.exportLife()},
+		ID:       id,
+		Attempt:  attempt,
+		Usage:    usage{PromptTokens: x.tokens, CachedTokens: x.tokens - computed},
+		Transfer: &transfer{DoRemotePrefill: true, RemoteEngineID: e.Name, RemoteHost: host, RemotePort: port, RemoteRequestID: id, Expires: e.exportLife()},
 	})
 }
 
+// export computes a prompt and holds its KV cache until it is fetched,
+// cancelled or expires. It returns nil if ctx ended before.
+func (e *Engine) export(ctx context.Context, c completion) (x *export, computed int) {
+	tokens := core.TokenEstimate(c.Prompt)
+	pieces := core.Pieces(tokens)
+	boot, _ := e.power.now()
+	if e.memory.take(ctx, pieces, c.Priority, e.pieces()) != nil {
+		return nil, 0
+	}
+	computed, err := e.compute(ctx, c.Prompt, tokens)
+	if now, _ := e.power.now(); err != nil || now != boot {
+		e.memory.give(pieces, e.pieces())
+		return nil, computed
+	}
+	x = &export{id: c.id, owner: c.owner, attempt: c.attempt, start: e.Clock.Now(), tokens: tokens, pieces: pieces}
+	if old, ok := e.exports.Get(x.id); ok {
+		e.drop(old)
+	}
+	e.exports.Set(x.id, x)
+	e.Clock.AfterFunc(e.exportLife(), func() { e.expire(x) })
+	e.Count.Prefills.Add(1)
+	return x, computed
+}
+
 // compute takes the time that the prompt's uncached tokens need and returns
 // how many these were.
 func (e *Engine) compute(ctx context.Context, prompt string, tokens int) (int, error) {
@@ -168,6 +199,8 @@
 	writeJSON(w, http.StatusOK, struct{}{})
 }
 
+var errExpired = errors.New("the export has expired")
+
 // fetchKV takes an export from the prefill engine that the parameters name.
 func (e *Engine) fetchKV(ctx context.Context, t *transfer) error {
 	addr := net.JoinHostPort(t.RemoteHost, strconv.Itoa(t.RemotePort))
@@ -180,6 +213,9 @@
 		return err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotFound {
+		return errExpired
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("export: status %d", resp.StatusCode)
 	}
--- a/fake/report.go
+++ b/fake/report.go
@@ -60,6 +60,7 @@
 		r.Age = e.Clock.Now() - e.reports.list[0].at
 	}
 	e.reports.mu.Unlock()
+	r.Boot = e.bootName()
 	writeJSON(w, http.StatusOK, r)
 }
 
--- a/fake/trouble.go
+++ b/fake/trouble.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
 )
 
 // Trouble is what is wrong with an engine or a service at the moment. The
@@ -21,6 +22,17 @@
 	// each count in CutTimes.
 	CutAfter int `json:"cut_after,omitempty"`
 	CutTimes int `json:"cut_times,omitempty"`
+	// CutByte closes a stream's connection after so many bytes, once for each
+	// count in CutTimes.
+	CutByte int `json:"cut_byte,omitempty"`
+	// CrossAnswers gives so many answers and events another request's ID,
+	// and LateAnswers gives as many an older attempt.
+	CrossAnswers int `json:"cross_answers,omitempty"`
+	LateAnswers  int `json:"late_answers,omitempty"`
+	// SlowCancels is how long a cancel waits before it is carried out.
+	SlowCancels clock.Millis `json:"slow_cancels,omitempty"`
+	// Down is how long a crashed engine refuses connections.
+	Down clock.Millis `json:"down,omitempty"`
 	// LoseCancels drops so many cancels: the connection is closed, and
 	// nothing is cancelled.
 	LoseCancels int `json:"lose_cancels,omitempty"`
@@ -63,3 +75,15 @@
 	*n--
 	return true
 }
+
+// sign returns the ID and attempt that an answer carries under the faults in
+// force.
+func (t *Trouble) sign(id string, attempt core.Attempt) (string, core.Attempt) {
+	if t.spend(func(i *Ills) *int { return &i.CrossAnswers }) {
+		id = "other.0000000000000001.1"
+	}
+	if t.spend(func(i *Ills) *int { return &i.LateAnswers }) {
+		attempt--
+	}
+	return id, attempt
+}
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -13,9 +13,17 @@
 // Engines are the calls of model engines that a request's life needs.
 type Engines interface {
 	Prefill(ctx context.Context, up core.Upstream, try core.Try) (core.Export, error)
-	Decode(ctx context.Context, up core.Upstream, try core.Try, x core.Export, each func(core.Token) error) error
+	// Decode calls arrived once the engine holds the KV cache, and then each
+	// for every token and the end marker.
+	Decode(ctx context.Context, up core.Upstream, try core.Try, x core.Export, arrived func(), each func(core.Token) error) error
+	// Resume goes on with a stream that runs at the engine.
 	Resume(ctx context.Context, up core.Upstream, id core.ID, attempt core.Attempt, offset int, each func(core.Token) error) error
-	Cancel(ctx context.Context, up core.Upstream, id core.ID, attempt core.Attempt) (known bool, err error)
+}
+
+// Canceller takes charge of cancels until they are confirmed. Add must not
+// block.
+type Canceller interface {
+	Add(c core.Cancel)
 }
 
 // Placer decides where and when an attempt runs.
@@ -26,6 +34,33 @@
 	Release(p *place.Placement, err error)
 }
 
+// Budget bounds the prefills that are begun again, over all requests.
+type Budget interface {
+	// Spend reports whether one more may be begun.
+	Spend() bool
+	// Earn counts a request that ended well.
+	Earn()
+}
+
+// Stragglers tells which upstreams are slow at the moment.
+type Stragglers interface {
+	Slow(name string) bool
+}
+
+// Suspects judges requests that were at an upstream when it crashed.
+type Suspects interface {
+	// Refused reports whether the digest is in quarantine.
+	Refused(digest uint64) bool
+	// Enter waits, if the digest is a suspect, until no other suspect is at
+	// the upstreams, and keeps others from them until leave is called.
+	Enter(ctx context.Context, digest uint64, upstreams ...string) (leave func(), err error)
+	// Boot returns the last known boot of the upstream.
+	Boot(upstream string) string
+	// Broke is told that an upstream broke off while it ran the digest, and
+	// judges whether it crashed.
+	Broke(ctx context.Context, up core.Upstream, boot string, digest uint64)
+}
+
 // Sink takes the answer to one request.
 type Sink interface {
 	// Token takes the next token, or the end marker. Its error ends the
@@ -33,12 +68,17 @@
 	Token(t core.Token) error
 }
 
-// Flow runs requests. Engines and Placer are needed.
+// Flow runs requests. Engines, Placer and Cancels are needed; a Budget,
+// Stragglers or Suspects that is nil bounds, hedges or refuses nothing.
 type Flow struct {
-	Engines Engines
-	Placer  Placer
-	Clock   clock.Clock
-	Meter   *meter.Set
+	Engines    Engines
+	Placer     Placer
+	Cancels    Canceller
+	Budget     Budget
+	Stragglers Stragglers
+	Suspects   Suspects
+	Clock      clock.Clock
+	Meter      *meter.Set
 }
 
 // defaultTimeout bounds a request whose profile sets no timeout.
@@ -46,103 +86,39 @@
 
 // Run carries out one request and hands its answer to sink.
 func (f *Flow) Run(ctx context.Context, r *core.Request, sink Sink) error {
-	timeout := r.Profile.Timeout
-	if timeout == 0 {
-		timeout = defaultTimeout
+	if f.Suspects != nil && f.Suspects.Refused(r.Digest) {
+		f.Meter.Refused(codes.Quarantined)
+		return codes.New(codes.Quarantined, "request %s", r.ID)
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout.Std())
+	ctx, cancel := context.WithTimeout(ctx, f.left(r).Std())
 	defer cancel()
 	l := &life{flow: f, request: r, sink: sink}
-	for {
-		err := l.attempt(ctx)
-		if err == nil {
-			return nil
-		}
-		if !l.again(ctx, err) {
-			return codes.From(err)
-		}
+	err := l.run(ctx)
+	if err == nil {
+		f.earn()
+		return nil
 	}
+	e := l.outcome(ctx, err)
+	f.Meter.Refused(e.Code)
+	return e
 }
 
-// life is one request on its way.
-type life struct {
-	flow    *Flow
-	request *core.Request
-	sink    Sink
-	try     core.Try
-	// prior is the text that the caller has, and sent the count of its
-	// tokens.
-	prior []byte
-	sent  int
-	// failed are the upstreams that failed this request.
-	failed []string
-}
-
-// attempt tries once, from the token that the caller has last.
-func (l *life) attempt(ctx context.Context) error {
-	l.try = core.Try{
-		Request: l.request, Attempt: l.try.Attempt + 1,
-		Prior: string(l.prior), Sent: l.sent,
+// left returns how long the request may take.
+func (f *Flow) left(r *core.Request) clock.Millis {
+	left := r.Profile.Timeout
+	if left == 0 {
+		left = defaultTimeout
 	}
-	p, err := l.flow.Placer.Place(ctx, place.Query{Try: l.try, Failed: l.failed})
-	if err != nil {
-		return err
+	if r.Deadline != 0 {
+		left = min(left, r.Deadline-f.Clock.Now())
 	}
-	err = l.at(ctx, p)
-	l.flow.Placer.Release(p, err)
-	return err
+	return left
 }
 
-// at runs the attempt where it was placed.
-func (l *life) at(ctx context.Context, p *place.Placement) error {
-	start := l.flow.Clock.Now()
-	x, err := l.flow.Engines.Prefill(ctx, p.Prefill, l.try)
-	l.flow.Placer.Prefilled(p, l.flow.Clock.Now()-start, err)
-	if err != nil {
-		l.cancel(ctx, p.Prefill)
-		l.failed = append(l.failed, p.Prefill.Name)
-		return err
-	}
-	if err := l.flow.Engines.Decode(ctx, p.Decode, l.try, x, l.token); err != nil {
-		l.cancel(ctx, p.Prefill)
-		l.cancel(ctx, p.Decode)
-		l.failed = append(l.failed, p.Decode.Name)
-		return err
-	}
-	return nil
-}
-
-// token hands a token on and keeps what the caller has.
-func (l *life) token(t core.Token) error {
-	if err := l.sink.Token(t); err != nil {
-		return codes.Wrap(codes.CallerGone, err, "caller")
-	}
-	if t.Finish == "" {
-		l.prior = append(l.prior, t.Text...)
-		l.sent++
-	}
-	return nil
-}
-
-// cancelTimeout bounds one cancel.
-const cancelTimeout = 2 * clock.Second
+func (f *Flow) spend() bool { return f.Budget == nil || f.Budget.Spend() }
 
-// cancel frees what an upstream holds for this attempt, whether or not the
-// caller's context has ended.
-func (l *life) cancel(ctx context.Context, up core.Upstream) {
-	ctx, done := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout.Std())
-	defer done()
-	_, _ = l.flow.Engines.Cancel(ctx, up, l.request.ID, l.try.Attempt)
-}
-
-// again reports whether the request is tried once more after err.
-func (l *life) again(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || int(l.try.Attempt) > l.request.Profile.Retries {
-		return false
-	}
-	switch codes.From(err).Code {
-	case codes.UpstreamLost, codes.UpstreamRefused, codes.TransferFailed, codes.ExportExpired:
-		return true
+func (f *Flow) earn() {
+	if f.Budget != nil {
+		f.Budget.Earn()
 	}
-	return false
 }
--- a/trial/set.go
+++ b/trial/set.go
@@ -183,13 +183,14 @@
 }
 
 func (s *Set) startEngine(e *fake.Engine) error {
-	addr, err := s.serve(e.Handler())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	s.wait.Go(func() { e.Run(s.ctx) })
+	s.wait.Go(func() { _ = e.Serve(s.ctx, ln) })
 	s.Doc.Upstreams = append(s.Doc.Upstreams, core.Upstream{
-		Name: e.Name, Addr: addr, Centre: Centre, Role: e.Role, Models: []string{Model},
+		Name: e.Name, Addr: ln.Addr().String(), Centre: Centre, Role: e.Role, Models: []string{Model},
 		Pieces: e.Capacity(), Rate: e.Speed.Rate, Fences: e.Fences,
 	})
 	return nil
@@ -262,6 +263,13 @@
 	return n.err
 }
 
+// Kill ends the entry as the death of its process would.
+func (n *Node) Kill() {
+	n.Entry.Kill()
+	n.stop()
+	<-n.done
+}
+
 // ready waits until every entry takes work.
 func (s *Set) ready() error {
 	ctx, cancel := context.WithTimeout(s.ctx, readyTimeout.Std())
@@ -296,11 +304,24 @@
 	return nil
 }
 
-// Stop stops everything and waits.
+// stopTimeout bounds how long entries may take to stop before all else is
+// ended too.
+const stopTimeout = 5 * clock.Second
+
+// Stop stops everything and waits: the entries first, so that they can settle
+// their business with the stand-ins.
 func (s *Set) Stop() {
 	for _, n := range s.Entries {
 		n.stop()
 	}
+	ctx, cancel := context.WithTimeout(s.ctx, stopTimeout.Std())
+	defer cancel()
+	for _, n := range s.Entries {
+		select {
+		case <-n.done:
+		case <-ctx.Done():
+		}
+	}
 	s.end()
 	s.wait.Wait()
 }
