--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -12,15 +13,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"lacewinghook.example/lacewinghook/abort"
-	"lacewinghook.example/lacewinghook/admin"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/engine"
-	"lacewinghook.example/lacewinghook/flow"
 	"lacewinghook.example/lacewinghook/front"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/once"
 	"lacewinghook.example/lacewinghook/place"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
@@ -53,6 +53,7 @@
 	engines engine.Client
 	cancels abort.Book
 	peers   wire.Client
+	orders  once.Book
 
 	deathInit, kill sync.Once
 	death           chan struct{}
@@ -71,12 +72,16 @@
 		return err
 	}
 	e.prepare()
+	var err error
+	if e.store.Token, err = readToken(e.Settings.Platform.Token); err != nil {
+		return err
+	}
 	// work goes on while the entry stops and ends last of all.
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	g, work := errgroup.WithContext(work)
-	callers := &http.Server{Handler: e.counted(e.callers()), ReadHeaderTimeout: headerTimeout.Std(), MaxHeaderBytes: maxHeaderBytes}
-	operators := &http.Server{Handler: e.operators(), ReadHeaderTimeout: headerTimeout.Std(), MaxHeaderBytes: maxHeaderBytes}
+	callers := e.server(e.counted(e.callers()))
+	operators := e.server(e.operators())
 	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
 	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
 	g.Go(func() error { return (&wire.Server{Handler: e}).Serve(work, e.Sockets.Peers) })
@@ -92,18 +97,42 @@
 		return e.stop(work, callers, operators)
 	})
 	e.Log.Info("entry: serving", zap.String("callers", e.Sockets.Callers.Addr().String()))
-	err := g.Wait()
+	err = g.Wait()
 	e.cancels.Close()
 	e.peers.Close()
 	return err
 }
 
+// Meter returns the entry's counters.
+func (e *Entry) Meter() *meter.Set {
+	return &e.meter
+}
+
 // Bounds of the HTTP listeners.
 const (
-	headerTimeout  = 5 * clock.Second
-	maxHeaderBytes = 32 << 10
+	headerTimeout = 5 * clock.Second
+	idleTimeout   = 2 * clock.Minute
 )
 
+func (e *Entry) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout.Std(),
+		IdleTimeout:       idleTimeout.Std(),
+		MaxHeaderBytes:    e.Settings.Limits.Filled().Header,
+		ErrorLog:          e.httpLog(),
+	}
+}
+
+// httpLog takes what net/http has to say, such as failed TLS handshakes.
+func (e *Entry) httpLog() *log.Logger {
+	l, err := zap.NewStdLogAt(e.Log.Named("http"), zap.DebugLevel)
+	if err != nil {
+		return nil
+	}
+	return l
+}
+
 func serve(s *http.Server, ln net.Listener) error {
 	err := s.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) {
@@ -156,7 +185,7 @@
 func (e *Entry) callers() http.Handler {
 	s := &front.Server{
 		Runner:  e.newFlow(),
-		Plain:   &flow.Plain{Services: &e.engines, Replicas: &e.pool},
+		Plain:   e.plain(),
 		Views:   &e.book,
 		Members: &e.members,
 		IDs:     &core.Sequence{Owner: e.owner},
@@ -164,6 +193,8 @@
 		Log:     e.Log,
 		Life:    member.AddressLife,
 		State:   e.state,
+		Limits:  e.Settings.Limits,
+		Meter:   &e.meter,
 	}
 	return s.Handler()
 }
@@ -182,11 +213,6 @@
 	return route.Least{}
 }
 
-func (e *Entry) operators() http.Handler {
-	s := &admin.Server{Views: &e.book, Members: &e.members, Meter: &e.meter}
-	return s.Handler()
-}
-
 func (e *Entry) state() core.State {
 	if e.leaving.Load() {
 		return core.Leaving
@@ -207,6 +233,9 @@
 func (e *Entry) stop(ctx context.Context, servers ...*http.Server) error {
 	e.leaving.Store(true)
 	linger := e.Linger
+	if linger == 0 {
+		linger = e.Settings.Linger
+	}
 	if linger == 0 {
 		linger = member.AddressLife + clock.Second
 	}
@@ -217,6 +246,7 @@
 		faults = append(faults, s.Shutdown(ctx))
 	}
 	e.settleCancels(ctx)
+	e.closeOrders(ctx)
 	e.Log.Info("entry: stopped")
 	return errors.Join(faults...)
 }
--- a/flow/decode.go
+++ b/flow/decode.go
@@ -51,13 +51,13 @@
 // lost ends what a decode upstream may still do for the request.
 func (g *leg) lost(ctx context.Context, up core.Upstream, boot string, err error) {
 	l := g.life
-	if !notRun(err) || g.arrived {
+	if !neverRan(err) || g.arrived {
 		l.touched()
 	}
 	l.cancelDecode(up, g, err)
 	if ctx.Err() == nil {
 		l.fail(up)
-		if g.arrived || !notRun(err) {
+		if g.arrived || !neverRan(err) {
 			l.broke(ctx, up, boot, err)
 		}
 	}
@@ -66,7 +66,7 @@
 // cancelDecode cancels at a decode upstream. A stalled transfer was broken
 // off here, so that the upstream has not answered it.
 func (l *life) cancelDecode(up core.Upstream, g *leg, err error) {
-	if errors.Is(err, errStalled) || g.arrived && notRun(err) {
+	if errors.Is(err, errStalled) || g.arrived && neverRan(err) {
 		err = codes.New(codes.UpstreamLost, "%s", up.Name)
 	}
 	l.cancel(up, g.try.Attempt, err)
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -87,7 +87,6 @@
 // Run carries out one request and hands its answer to sink.
 func (f *Flow) Run(ctx context.Context, r *core.Request, sink Sink) error {
 	if f.Suspects != nil && f.Suspects.Refused(r.Digest) {
-		f.Meter.Refused(codes.Quarantined)
 		return codes.New(codes.Quarantined, "request %s", r.ID)
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.left(r).Std())
@@ -98,9 +97,7 @@
 		f.earn()
 		return nil
 	}
-	e := l.outcome(ctx, err)
-	f.Meter.Refused(e.Code)
-	return e
+	return l.outcome(ctx, err)
 }
 
 // left returns how long the request may take.
--- a/flow/leg.go
+++ b/flow/leg.go
@@ -96,7 +96,7 @@
 	boot := l.boot(p.Prefill)
 	x, err := l.flow.Engines.Prefill(ctx, p.Prefill, g.try)
 	l.flow.Placer.Prefilled(p, l.flow.Clock.Now()-start, err)
-	if notRun(err) {
+	if neverRan(err) {
 		l.fail(p.Prefill)
 		return x, err
 	}
@@ -142,7 +142,7 @@
 
 // movable reports whether the export may still reach another upstream.
 func (l *life) movable(ctx context.Context, err error, x core.Export) bool {
-	return ctx.Err() == nil && retryable(err) && !codes.Has(err, codes.ExportExpired) &&
+	return ctx.Err() == nil && mayRetry(err) && !codes.Has(err, codes.ExportExpired) &&
 		l.flow.Clock.Now() < x.Expires && !l.exhausted()
 }
 
--- a/flow/life.go
+++ b/flow/life.go
@@ -64,7 +64,7 @@
 // again returns nil, after a pause, if the request is tried once more after
 // err, and else the error that ends it.
 func (l *life) again(ctx context.Context, n int, err error) error {
-	if ctx.Err() != nil || n >= l.request.Profile.Retries || !retryable(err) || l.exhausted() {
+	if ctx.Err() != nil || n >= l.request.Profile.Retries || !mayRetry(err) || l.exhausted() {
 		return err
 	}
 	if l.flow.Suspects != nil && l.flow.Suspects.Refused(l.request.Digest) {
@@ -77,8 +77,8 @@
 	return l.flow.pause(ctx, n)
 }
 
-// retryable reports whether another attempt may do better.
-func retryable(err error) bool {
+// mayRetry reports whether another attempt may do better.
+func mayRetry(err error) bool {
 	switch codes.From(err).Code {
 	case codes.UpstreamLost, codes.UpstreamRefused, codes.UpstreamTimeout, codes.WrongAnswer,
 		codes.TransferFailed, codes.ExportExpired, codes.NotFound:
@@ -159,7 +159,7 @@
 // cancel gives an upstream's cancel into the hands of the canceller, which
 // goes on when this request has ended.
 func (l *life) cancel(up core.Upstream, attempt core.Attempt, err error) {
-	if notRun(err) || codes.Has(err, codes.Superseded) {
+	if neverRan(err) || codes.Has(err, codes.Superseded) {
 		return
 	}
 	l.flow.Cancels.Add(core.Cancel{
@@ -167,8 +167,8 @@
 	})
 }
 
-// notRun reports whether err is an upstream's proof that nothing runs there.
-func notRun(err error) bool {
+// neverRan reports whether err is an upstream's proof that nothing runs there.
+func neverRan(err error) bool {
 	return codes.Has(err, codes.UpstreamRefused) && codes.From(err).Run == codes.NotRun
 }
 
