token, flow, front: an answer goes on at another entry by a signed token

The first event of a stream, and the first from another decode upstream, carries a token (HMAC-SHA256 under the entries' shared resume_key) with the request's ID, workspace, attempt and decode upstream. Any entry takes it with an offset, attaches to the engine's stream, and owns the request's cancel from there on. No state of a request is copied between entries.

An attempt's number has a part for the owner: a takeover is above all attempts of the earlier owner, however many it made, and two takeovers by one token draw the same number, of which the engine takes one.

Ruled out: copies of the request's state at peers (messages for each token, and none of them is needed while the engine keeps the text); attempts that count on by one (a first entry that had resumed often kept the others out).

The sink encodes what stands around a token's text once for a stream.

--- a/cmd/lacefake/files.go
+++ b/cmd/lacefake/files.go
@@ -107,6 +107,7 @@
 		Peers:     config.Listener{Listen: l.addr(port + 2)},
 		Platform:  config.Platform{Base: "http://" + l.addr(platformPort)},
 		Tokens:    []string{prof.Digest(trial.Token)},
+		ResumeKey: trial.ResumeKey,
 	}
 }
 
--- a/cmd/lacefake/try.go
+++ b/cmd/lacefake/try.go
@@ -28,6 +28,7 @@
 	{"verse, whole", tryWhole},
 	{"verse, streamed", tryStreamed},
 	{"lookup", tryLookup},
+	{"resume after an entry is gone", tryResume},
 }
 
 // tryTimeout bounds the whole of try.
@@ -106,3 +107,29 @@
 func tryLookup(ctx context.Context, s *trial.Set) (string, error) {
 	return askService(ctx, s.Client(2), http.MethodGet, "/stock/burr", "")
 }
+
+// tryResume kills the last entry in the middle of an answer and goes on at the
+// first one.
+func tryResume(ctx context.Context, s *trial.Set) (string, error) {
+	last := len(s.Entries) - 1
+	killed := 0
+	r, err := s.Client(last).Complete(ctx, trial.Ask{
+		Model: trial.Model, Prompt: verse, MaxTokens: verseTokens, Stream: true,
+	}, func(r *trial.Reply) {
+		if len(r.Tokens) == verseTokens/4 {
+			killed = len(r.Tokens)
+			s.Entries[last].Kill()
+		}
+	})
+	if err == nil || killed == 0 {
+		return "", errors.New("the answer was not cut")
+	}
+	r, err = s.Client(0).Resume(ctx, r, nil)
+	if err != nil {
+		return "", err
+	}
+	if r.Text != strings.Join(fake.Answer(verse, verseTokens), "") {
+		return "", errors.New("the answer is not the one that the engine gives")
+	}
+	return fmt.Sprintf("%d tokens, %d of them before", verseTokens, killed), nil
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/route"
 	"lacewinghook.example/lacewinghook/store"
+	"lacewinghook.example/lacewinghook/token"
 	"lacewinghook.example/lacewinghook/wire"
 )
 
@@ -195,6 +196,7 @@
 		State:   e.state,
 		Limits:  e.Settings.Limits,
 		Meter:   &e.meter,
+		Signer:  token.Signer{Key: []byte(e.Settings.ResumeKey)},
 	}
 	return s.Handler()
 }
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/flow"
 	"lacewinghook.example/lacewinghook/pool"
 )
@@ -14,7 +15,8 @@
 func (e *Entry) newFlow() *flow.Flow {
 	return &flow.Flow{
 		Engines: &e.engines, Placer: e.desk(), Cancels: &e.cancels,
-		Clock: e.Clock, Meter: &e.meter,
+		Upstreams: published{&e.pool},
+		Clock:     e.Clock, Meter: &e.meter,
 	}
 }
 
@@ -36,7 +38,7 @@
 	})
 }
 
-// published tells which upstreams the document in force names.
+// published knows the upstreams that the document in force names.
 type published struct {
 	pool *pool.Table
 }
@@ -47,6 +49,12 @@
 	return ok
 }
 
+// Upstream implements [flow.Upstreams].
+func (p published) Upstream(name string) (core.Upstream, bool) {
+	s, ok := p.pool.Get(name)
+	return s.Upstream, ok
+}
+
 // cancelWait bounds how long a stop waits for cancels that no engine has
 // confirmed. What is left then is swept by another entry.
 const cancelWait = 10 * clock.Second
--- a/fake/decode.go
+++ b/fake/decode.go
@@ -105,7 +105,7 @@
 		writeError(w, http.StatusNotFound, "not_found", "no such request")
 		return
 	}
-	if offset < s.offset {
+	if offset < s.offset || offset > s.offset+s.limit {
 		writeError(w, http.StatusConflict, "bad_offset", "the engine holds no token of this offset")
 		return
 	}
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -77,8 +77,11 @@
 	Budget     Budget
 	Stragglers Stragglers
 	Suspects   Suspects
-	Clock      clock.Clock
-	Meter      *meter.Set
+	// Upstreams finds what a resumed request runs at; without it none is
+	// resumed.
+	Upstreams Upstreams
+	Clock     clock.Clock
+	Meter     *meter.Set
 }
 
 // defaultTimeout bounds a request whose profile sets no timeout.
--- a/flow/promise_test.go
+++ b/flow/promise_test.go
@@ -113,6 +113,7 @@
 		}
 		t.Run("caller cuts in queue", cutInQueue)
 		t.Run("caller cuts in reserve", cutInReserve)
+		t.Run("caller cuts after a resume", resumedThenCut)
 	})
 	t.Run("answered once and whole", func(t *testing.T) {
 		for _, c := range breaks {
@@ -132,6 +133,8 @@
 			})
 		}
 		t.Run("decode dies in the middle", decodeDies)
+		t.Run("entry dies in the middle", entryDies)
+		t.Run("resumed on two entries at once", resumedAtTwo)
 	})
 }
 
--- /dev/null
+++ b/flow/resume_test.go
@@ -0,0 +1,128 @@
+package flow_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/prof"
+	"lacewinghook.example/lacewinghook/trial"
+)
+
+// slowSet is a set whose answers last long enough to be taken over.
+func slowSet(t *testing.T, decodes int) *trial.Set {
+	return start(t, trial.Plan{
+		Entries: 3, Prefills: 1, Decodes: decodes, Speed: fake.Speed{Step: 20, Prefill: 100},
+		Edit: func(d *core.Document) {
+			d.Workspaces = append(d.Workspaces, core.Workspace{
+				Name: "other", Profile: "exact", Keys: []string{prof.Digest("other-key")},
+			})
+		},
+	})
+}
+
+// begin reads the first tokens of an answer from entry 0. The caller's
+// connection stays open; ended gives how it ends.
+func begin(t *testing.T, s *trial.Set) (r *trial.Reply, ended chan error) {
+	t.Helper()
+	first := make(chan trial.Reply, 1)
+	ended = make(chan error, 1)
+	go func() {
+		_, err := s.Client(0).Complete(t.Context(), ask(true), func(r *trial.Reply) {
+			if len(r.Tokens) == 5 {
+				first <- trial.Reply{ID: r.ID, Resume: r.Resume, Text: r.Text, Tokens: append([]string(nil), r.Tokens...)}
+			}
+		})
+		ended <- err
+	}()
+	got := <-first
+	return &got, ended
+}
+
+func entryDies(t *testing.T) {
+	s := slowSet(t, 2)
+	r, ended := begin(t, s)
+	s.Entries[0].Kill()
+	is.New(t).True(<-ended != nil)
+	r, err := s.Client(1).Resume(t.Context(), r, nil)
+	whole(t, r, err)
+	within(t, freeWithin, "all memory is free", func() bool { return held(s) == 0 })
+}
+
+// resumedAtTwo takes a live answer over at two entries at once.
+func resumedAtTwo(t *testing.T) {
+	is := is.New(t)
+	s := slowSet(t, 1)
+	r, ended := begin(t, s)
+	errs := make(chan error, 2)
+	for i := range 2 {
+		go func() {
+			mine := *r
+			got, err := s.Client(1+i).Resume(t.Context(), &mine, nil)
+			if err == nil {
+				whole(t, got, err)
+			}
+			errs <- err
+		}()
+	}
+	won := 0
+	for range 2 {
+		if err := <-errs; err == nil {
+			won++
+		} else {
+			is.True(codes.Has(err, codes.Superseded))
+		}
+	}
+	is.Equal(won, 1)
+	is.True(codes.Has(<-ended, codes.Superseded)) // the first entry ended and cancelled nothing
+}
+
+// resumedThenCut cuts the caller's second connection too.
+func resumedThenCut(t *testing.T) {
+	s := slowSet(t, 1)
+	r, ended := begin(t, s)
+	s.Entries[0].Kill()
+	<-ended
+	ctx, cut := context.WithCancel(t.Context())
+	_, err := s.Client(1).Resume(ctx, r, func(r *trial.Reply) {
+		if len(r.Tokens) == 8 {
+			cut()
+		}
+	})
+	is.New(t).True(err != nil)
+	within(t, freeWithin, "all memory is free", func() bool { return held(s) == 0 })
+	is.New(t).True(s.Decodes[0].Count.Tokens.Load() < tokens)
+}
+
+func TestResumeRefuses(t *testing.T) {
+	s := slowSet(t, 1)
+	r, ended := begin(t, s)
+	s.Entries[0].Kill()
+	<-ended
+	s.Decodes[0].Crash()
+	for _, c := range []struct {
+		name string
+		edit func(c *trial.Client, r *trial.Reply)
+		code codes.Code
+		run  codes.Run
+	}{
+		{"other workspace", func(c *trial.Client, _ *trial.Reply) { c.Key = "other-key" }, codes.BadToken, codes.NotRun},
+		{"other request", func(_ *trial.Client, r *trial.Reply) { r.ID = "a.1.1" }, codes.BadToken, codes.NotRun},
+		{"forged token", func(_ *trial.Client, r *trial.Reply) { r.Resume = "e30." + r.Resume }, codes.BadToken, codes.NotRun},
+		{"offset past the end", func(_ *trial.Client, r *trial.Reply) { r.Tokens = make([]string, tokens+1) }, codes.BadRequest, codes.NotRun},
+		{"lost by its engine", func(*trial.Client, *trial.Reply) {}, codes.UpstreamLost, codes.Ran},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			client, mine := s.Client(1), *r
+			c.edit(client, &mine)
+			_, err := client.Resume(t.Context(), &mine, nil)
+			is.Equal(codes.From(err).Code, c.code)
+			is.Equal(codes.From(err).Run, c.run)
+		})
+	}
+}
--- a/front/complete.go
+++ b/front/complete.go
@@ -72,7 +72,7 @@
 }
 
 func (s *Server) streamed(w http.ResponseWriter, r *http.Request, req *core.Request) {
-	sink := &streamSink{w: w, out: http.NewResponseController(w), req: req}
+	sink := newStreamSink(w, resumeOf(req), s.Signer)
 	if err := s.Runner.Run(r.Context(), req, sink); err != nil {
 		s.failed(req, err)
 		sink.fail(err)
--- /dev/null
+++ b/front/resume.go
@@ -0,0 +1,61 @@
+package front
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/token"
+)
+
+// resume goes on with an answer that any entry began.
+func (s *Server) resume(w http.ResponseWriter, r *http.Request) {
+	t, offset, err := s.resumption(r)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	w.Header().Set("Request-Id", t.ID.String())
+	sink := newStreamSink(w, t, s.Signer)
+	if err := s.Runner.Resume(r.Context(), t, offset, sink); err != nil {
+		s.Meter.Refused(codes.From(err).Code)
+		s.Log.Info("front: a resumed request failed", zap.Stringer("id", t.ID), zap.Error(err))
+		sink.fail(err)
+	}
+}
+
+// resumption reads and checks the token, which must be for this request and
+// for the caller's workspace.
+func (s *Server) resumption(r *http.Request) (t token.Resume, offset int, err error) {
+	c, err := s.identify(r)
+	if err != nil {
+		return t, 0, err
+	}
+	text, err := single(r, "Resume-Token")
+	if err != nil {
+		return t, 0, err
+	}
+	if t, err = s.Signer.Open(text); err != nil {
+		return t, 0, err
+	}
+	if t.ID.String() != mux.Vars(r)["id"] || t.Workspace != c.workspace.Name {
+		return t, 0, codes.New(codes.BadToken, "resume token: not of this request and workspace")
+	}
+	offset, err = strconv.Atoi(r.URL.Query().Get("offset"))
+	if err != nil || offset < 0 || offset > t.Max {
+		return t, 0, codes.New(codes.BadRequest, "query offset: want 0 to %d", t.Max)
+	}
+	return t, offset, nil
+}
+
+// resumeOf returns what a token for the request holds at its start.
+func resumeOf(r *core.Request) token.Resume {
+	return token.Resume{
+		ID: r.ID, Workspace: r.Workspace, Model: r.Model, Chat: r.Chat,
+		Prompt: core.TokenEstimate(r.Prompt), Max: r.MaxTokens, Digest: r.Digest,
+	}
+}
--- a/front/server.go
+++ b/front/server.go
@@ -15,11 +15,13 @@
 	"lacewinghook.example/lacewinghook/flow"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/prof"
+	"lacewinghook.example/lacewinghook/token"
 )
 
 // Runner carries out completions.
 type Runner interface {
 	Run(ctx context.Context, r *core.Request, sink flow.Sink) error
+	Resume(ctx context.Context, t token.Resume, offset int, sink flow.Sink) error
 }
 
 // Caller makes calls of plain services.
@@ -54,6 +56,8 @@
 	Limits config.Limits
 	// Meter counts the refusals.
 	Meter *meter.Set
+	// Signer makes the resume tokens; without a key there are none.
+	Signer token.Signer
 
 	inputs atomic.Int64
 }
@@ -68,6 +72,7 @@
 	r.HandleFunc("/v1/readyz", s.ready).Methods(http.MethodGet)
 	r.HandleFunc("/v1/completions", s.completions).Methods(http.MethodPost)
 	r.HandleFunc("/v1/chat/completions", s.chat).Methods(http.MethodPost)
+	r.HandleFunc("/v1/requests/{id}/stream", s.resume).Methods(http.MethodGet)
 	r.HandleFunc("/v1/services/{service}", s.service)
 	r.HandleFunc("/v1/services/{service}/{path:.*}", s.service)
 	r.NotFoundHandler = http.HandlerFunc(s.notFound)
--- a/front/sink.go
+++ b/front/sink.go
@@ -1,8 +1,6 @@
 package front
 
 import (
-	"encoding/json"
-	"net/http"
 	"strings"
 
 	"lacewinghook.example/lacewinghook/core"
@@ -64,86 +62,10 @@
 	}
 	return answer{
 		ID: r.ID.String(), Object: object, Model: r.Model,
-		Choices: []choice{c}, Usage: usageOf(r, s.tokens),
+		Choices: []choice{c}, Usage: usageOf(core.TokenEstimate(r.Prompt), s.tokens),
 	}
 }
 
-func usageOf(r *core.Request, tokens int) *usage {
-	prompt := core.TokenEstimate(r.Prompt)
+func usageOf(prompt, tokens int) *usage {
 	return &usage{PromptTokens: prompt, CompletionTokens: tokens, TotalTokens: prompt + tokens}
 }
-
-// streamSink sends an answer as server-sent events.
-type streamSink struct {
-	w       http.ResponseWriter
-	out     *http.ResponseController
-	req     *core.Request
-	started bool
-}
-
-// Token implements [flow.Sink].
-func (s *streamSink) Token(t core.Token) error {
-	s.start()
-	if err := s.event(s.tokenAnswer(t)); err != nil {
-		return err
-	}
-	if t.Finish != "" {
-		if _, err := s.w.Write([]byte("data: [DONE]\n\n")); err != nil {
-			return err
-		}
-	}
-	return s.out.Flush()
-}
-
-func (s *streamSink) tokenAnswer(t core.Token) answer {
-	a := answer{ID: s.req.ID.String(), Model: s.req.Model, Object: "text_completion"}
-	c := choice{}
-	if s.req.Chat {
-		a.Object = "chat.completion.chunk"
-		c.Delta = &message{Role: "assistant", Content: t.Text}
-	} else {
-		c.Text = &t.Text
-	}
-	if t.Finish != "" {
-		c.Finish = &t.Finish
-		a.Usage = usageOf(s.req, t.Offset)
-	}
-	a.Choices = []choice{c}
-	return a
-}
-
-func (s *streamSink) start() {
-	if s.started {
-		return
-	}
-	s.started = true
-	s.w.Header().Set("Content-Type", "text/event-stream")
-	s.w.Header().Set("Cache-Control", "no-store")
-	s.w.WriteHeader(http.StatusOK)
-}
-
-func (s *streamSink) event(v any) error {
-	data, err := json.Marshal(v)
-	if err != nil {
-		return err
-	}
-	line := make([]byte, 0, len(data)+8)
-	line = append(line, "data: "...)
-	line = append(line, data...)
-	line = append(line, "\n\n"...)
-	_, err = s.w.Write(line)
-	return err
-}
-
-// fail tells the caller of an error: as the answer if nothing was sent yet,
-// else as the last event, which is not an end marker.
-func (s *streamSink) fail(err error) {
-	if !s.started {
-		writeError(s.w, err)
-		return
-	}
-	_, body := errorOf(err)
-	if s.event(body) == nil {
-		_ = s.out.Flush()
-	}
-}
--- /dev/null
+++ b/front/stream.go
@@ -0,0 +1,138 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/token"
+)
+
+// streamSink sends an answer as server-sent events.
+type streamSink struct {
+	w   http.ResponseWriter
+	out *http.ResponseController
+	// resume is what the caller's resume token holds, and signer signs it.
+	resume  token.Resume
+	signer  token.Signer
+	started bool
+	// head and tail stand around the text of a plain token event, and buf is
+	// used again for each.
+	head, tail, buf []byte
+}
+
+func newStreamSink(w http.ResponseWriter, r token.Resume, signer token.Signer) *streamSink {
+	s := &streamSink{w: w, out: http.NewResponseController(w), resume: r, signer: signer}
+	// The caller has no token of this entry yet.
+	s.resume.Upstream = ""
+	return s
+}
+
+// Token implements [flow.Sink].
+func (s *streamSink) Token(t core.Token) error {
+	s.start()
+	if err := s.token(t); err != nil {
+		return err
+	}
+	if t.Finish != "" {
+		if _, err := s.w.Write([]byte("data: [DONE]\n\n")); err != nil {
+			return err
+		}
+	}
+	return s.out.Flush()
+}
+
+// token sends one event. The first event, and the first from another decode
+// upstream, carries a resume token.
+func (s *streamSink) token(t core.Token) error {
+	moved := t.Upstream != s.resume.Upstream
+	if t.Finish == "" && !moved {
+		return s.plain(t.Text)
+	}
+	a := s.answer(t)
+	if moved {
+		s.resume.Upstream, s.resume.Attempt = t.Upstream, t.Attempt
+		a.Resume = s.signer.Seal(s.resume)
+	}
+	return s.event(a)
+}
+
+func (s *streamSink) answer(t core.Token) answer {
+	a := answer{ID: s.resume.ID.String(), Model: s.resume.Model, Object: "text_completion"}
+	c := choice{}
+	if s.resume.Chat {
+		a.Object = "chat.completion.chunk"
+		c.Delta = &message{Role: "assistant", Content: t.Text}
+	} else {
+		c.Text = &t.Text
+	}
+	if t.Finish != "" {
+		c.Finish = &t.Finish
+		a.Usage = usageOf(s.resume.Prompt, t.Offset)
+	}
+	a.Choices = []choice{c}
+	return a
+}
+
+// plain sends an event that has nothing but text. All such events of a stream
+// differ in the text alone, so that the rest is encoded once.
+func (s *streamSink) plain(text string) error {
+	if s.head == nil {
+		s.frame()
+	}
+	s.buf = append(s.buf[:0], s.head...)
+	s.buf = appendQuoted(s.buf, text)
+	s.buf = append(s.buf, s.tail...)
+	_, err := s.w.Write(s.buf)
+	return err
+}
+
+// mark stands in for the text when the frame of an event is encoded. It can't
+// occur in the ID or the model, which contain no line break.
+const mark = "\n"
+
+// frame encodes an event and keeps what stands around its text.
+func (s *streamSink) frame() {
+	// The type's fields always encode.
+	data, _ := json.Marshal(s.answer(core.Token{Text: mark}))
+	line := append([]byte("data: "), data...)
+	line = append(line, "\n\n"...)
+	at := lastIndex(line, `"\n"`)
+	s.head, s.tail = line[:at:at], line[at+len(`"\n"`):]
+}
+
+func (s *streamSink) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	s.w.Header().Set("Content-Type", "text/event-stream")
+	s.w.Header().Set("Cache-Control", "no-store")
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *streamSink) event(v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	line := make([]byte, 0, len(data)+8)
+	line = append(line, "data: "...)
+	line = append(line, data...)
+	line = append(line, "\n\n"...)
+	_, err = s.w.Write(line)
+	return err
+}
+
+// fail tells the caller of an error: as the answer if nothing was sent yet,
+// else as the last event, which is not an end marker.
+func (s *streamSink) fail(err error) {
+	if !s.started {
+		writeError(s.w, err)
+		return
+	}
+	_, body := errorOf(err)
+	if s.event(body) == nil {
+		_ = s.out.Flush()
+	}
+}
--- a/trial/client.go
+++ b/trial/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/reply"
 )
 
 // Client is a caller of one entry.
@@ -104,9 +106,32 @@
 	return r, nil
 }
 
+// Resume goes on with the answer of r, which another client began, and adds
+// to it.
+func (c *Client) Resume(ctx context.Context, r *Reply, each func(r *Reply)) (*Reply, error) {
+	path := fmt.Sprintf("/v1/requests/%s/stream?offset=%d", r.ID, len(r.Tokens))
+	resp, err := c.Do(ctx, http.MethodGet, path, nil, http.Header{"Resume-Token": {r.Resume}})
+	if err != nil {
+		return r, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+		if err != nil {
+			return r, err
+		}
+		return r, reply.ReadError(resp.StatusCode, data)
+	}
+	return r, r.read(resp.Body, each)
+}
+
 // ReadStream reads a stream of events to its end.
 func ReadStream(body io.Reader, each func(r *Reply)) (*Reply, error) {
 	r := &Reply{}
+	return r, r.read(body, each)
+}
+
+func (r *Reply) read(body io.Reader, each func(r *Reply)) error {
 	sc := bufio.NewScanner(body)
 	for sc.Scan() {
 		data, ok := strings.CutPrefix(sc.Text(), "data: ")
@@ -115,14 +140,14 @@
 		}
 		if data == "[DONE]" {
 			r.Done = true
-			return r, nil
+			return nil
 		}
 		var e event
 		if err := json.Unmarshal([]byte(data), &e); err != nil {
-			return r, err
+			return err
 		}
 		if e.Error != nil {
-			return r, e.err()
+			return e.err()
 		}
 		r.take(&e)
 		if each != nil {
@@ -130,9 +155,9 @@
 		}
 	}
 	if err := sc.Err(); err != nil {
-		return r, err
+		return err
 	}
-	return r, errors.New("trial: the stream ended without its end marker")
+	return errors.New("trial: the stream ended without its end marker")
 }
 
 func (r *Reply) take(e *event) {
--- a/trial/set.go
+++ b/trial/set.go
@@ -74,6 +74,7 @@
 	Token     = "trial-token"
 	Workspace = "verse-writers"
 	Service   = "card-desk"
+	ResumeKey = "the resume key that all entries of a trial share"
 	Centre    = "moose-jaw"
 )
 
@@ -235,6 +236,7 @@
 func prepare(name string, p Plan) (*Node, error) {
 	settings := &config.Settings{
 		Instance: name, Centre: Centre, Policy: p.Policy, Tokens: []string{prof.Digest(Token)},
+		ResumeKey: ResumeKey,
 	}
 	e := &entry.Entry{Settings: settings, Log: p.Log, Linger: p.Linger}
 	for _, socket := range []*net.Listener{&e.Sockets.Callers, &e.Sockets.Operators, &e.Sockets.Peers} {
