--- a/core/id.go
+++ b/core/id.go
@@ -56,6 +56,13 @@
 	return ID{Owner: Owner{Instance: parts[0], Boot: boot}, Seq: seq}, nil
 }
 
+// ParseOwner reads the form that [Owner.String] writes. Its error is
+// [codes.BadRequest].
+func ParseOwner(s string) (Owner, error) {
+	id, err := ParseID(s + ".0")
+	return id.Owner, err
+}
+
 // NewBoot draws a boot number.
 func NewBoot() uint64 {
 	var b [8]byte
