--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,17 +5,18 @@
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"lacewinghook.example/lacewinghook/abort"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/engine"
-	"lacewinghook.example/lacewinghook/flow"
 	"lacewinghook.example/lacewinghook/front"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
@@ -25,6 +26,7 @@
 	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/route"
 	"lacewinghook.example/lacewinghook/store"
+	"lacewinghook.example/lacewinghook/token"
 	"lacewinghook.example/lacewinghook/wire"
 )
 
@@ -50,8 +52,12 @@
 	members member.Table
 	store   store.Client
 	engines engine.Client
+	cancels abort.Book
 	peers   wire.Client
 	orders  once.Book
+
+	deathInit, kill sync.Once
+	death           chan struct{}
 }
 
 // Sockets are an entry's listeners.
@@ -86,11 +92,14 @@
 		select {
 		case <-ctx.Done():
 		case <-work.Done():
+		case <-e.killed():
+			return errors.Join(callers.Close(), operators.Close())
 		}
 		return e.stop(work, callers, operators)
 	})
 	e.Log.Info("entry: serving", zap.String("callers", e.Sockets.Callers.Addr().String()))
 	err = g.Wait()
+	e.cancels.Close()
 	e.peers.Close()
 	return err
 }
@@ -167,6 +176,7 @@
 		Name: s.Instance, Centre: s.Centre, State: core.Live,
 		Addr: e.Sockets.Callers.Addr().String(), Peer: e.Sockets.Peers.Addr().String(),
 	}
+	e.prepareFlow()
 	e.book.OnChange = func(v *prof.View) { e.pool.Apply(v.Doc) }
 }
 
@@ -175,9 +185,7 @@
 
 func (e *Entry) callers() http.Handler {
 	s := &front.Server{
-		Runner: &flow.Flow{
-			Engines: &e.engines, Placer: e.desk(), Clock: e.Clock, Meter: &e.meter,
-		},
+		Runner:  e.newFlow(),
 		Plain:   e.plain(),
 		Views:   &e.book,
 		Members: &e.members,
@@ -188,6 +196,7 @@
 		State:   e.state,
 		Limits:  e.Settings.Limits,
 		Meter:   &e.meter,
+		Signer:  token.Signer{Key: []byte(e.Settings.ResumeKey)},
 	}
 	return s.Handler()
 }
@@ -238,6 +247,7 @@
 	for _, s := range servers {
 		faults = append(faults, s.Shutdown(ctx))
 	}
+	e.settleCancels(ctx)
 	e.closeOrders(ctx)
 	e.Log.Info("entry: stopped")
 	return errors.Join(faults...)
--- a/load/cost.go
+++ b/load/cost.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	return c.Decode(ctx, decode, try, x, func(core.Token) error {
+	return c.Decode(ctx, decode, try, x, func() {}, func(core.Token) error {
 		each()
 		return nil
 	})
--- a/load/slope.go
+++ b/load/slope.go
@@ -23,11 +23,11 @@
 	// Heap is in KB and Threads counts goroutines for each entry.
 	Heap    float64
 	Threads float64
-	// Platform and Engine count calls a second and bytes a second, in and
-	// out, for each entry; Peer is the bytes a second that each entry sends
-	// to other entries and gets from them.
+	// Platform counts calls and bytes a second, in and out, for each entry;
+	// Engine and Peer are the bytes a second that each entry sends to engines
+	// and to other entries and gets from them.
 	Platform Traffic
-	Engine   Traffic
+	Engine   float64
 	Peer     float64
 }
 
@@ -77,7 +77,7 @@
 		return Traffic{Calls: float64(b.Calls-a.Calls) / each, Bytes: float64(b.Bytes-a.Bytes) / each}
 	}
 	s.Platform = rate(first.Platform, last.Platform)
-	s.Engine = rate(first.Engine, last.Engine)
+	s.Engine = rate(first.Engine, last.Engine).Bytes
 	// Each byte between entries leaves one of them and reaches another.
 	s.Peer = 2 * rate(first.Peer, last.Peer).Bytes
 	return s, nil
@@ -94,11 +94,11 @@
 // SlopeText writes the slopes as a table.
 func SlopeText(w io.Writer, slopes []*Slope) {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tw, "entries\tupstreams\tcpu ms/s\theap KB\tgoroutines\tplatform calls/s\tB/s\tengine calls/s\tB/s\tpeer B/s")
+	fmt.Fprintln(tw, "entries\tupstreams\tcpu ms/s\theap KB\tgoroutines\tplatform calls/s\tB/s\tengine B/s\tpeer B/s")
 	for _, s := range slopes {
-		fmt.Fprintf(tw, "%d\t%d\t%.2f\t%.0f\t%.0f\t%.2f\t%.0f\t%.2f\t%.0f\t%.0f\n",
+		fmt.Fprintf(tw, "%d\t%d\t%.2f\t%.0f\t%.0f\t%.2f\t%.0f\t%.0f\t%.0f\n",
 			s.Entries, s.Upstreams, s.CPU, s.Heap, s.Threads,
-			s.Platform.Calls, s.Platform.Bytes, s.Engine.Calls, s.Engine.Bytes, s.Peer)
+			s.Platform.Calls, s.Platform.Bytes, s.Engine, s.Peer)
 	}
 	tw.Flush()
 }
