--- a/entry/admin.go
+++ b/entry/admin.go
@@ -23,6 +23,9 @@
 		Meter:   &e.meter,
 		Clock:   e.Clock,
 		Log:     e.Log,
+
+		Documents: documents{e},
+		Drains:    drains{&e.drains},
 	}
 	return s.Handler()
 }
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -14,7 +14,7 @@
 // newFlow puts together what carries out completions.
 func (e *Entry) newFlow() *flow.Flow {
 	return &flow.Flow{
-		Engines: &e.engines, Placer: e.desk(), Cancels: &e.cancels,
+		Engines: &e.engines, Placer: e.placer(), Cancels: &e.cancels,
 		Upstreams: published{&e.pool},
 		Clock:     e.Clock, Meter: &e.meter,
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -39,12 +39,13 @@
 	Addresses() []string
 }
 
-// Server answers callers. All fields but Clock are needed.
+// Server answers callers. All fields but Gate and Clock are needed.
 type Server struct {
 	Runner  Runner
 	Plain   Caller
 	Views   Views
 	Members Members
+	Gate    Gate
 	IDs     *core.Sequence
 	Clock   clock.Clock
 	Log     *zap.Logger
@@ -121,6 +122,10 @@
 		writeError(w, codes.New(codes.NoDocument, "this entry"))
 		return
 	}
+	if err := s.admit(); err != nil {
+		writeError(w, err)
+		return
+	}
 	writeJSON(w, http.StatusOK, struct{}{})
 }
 
--- a/trial/set.go
+++ b/trial/set.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -28,8 +27,9 @@
 	Pieces int
 	// Policy is the entries' way of choosing upstreams.
 	Policy string
-	// Linger is that of every entry.
+	// Linger is that of every entry, and Life that of the addresses it gives.
 	Linger clock.Millis
+	Life   clock.Millis
 	// Log is the entries' log; nil is none.
 	Log *zap.Logger
 	// Edit, if not nil, changes the document before it is published.
@@ -51,6 +51,7 @@
 	Base string
 	Doc  core.Document
 
+	plan Plan
 	ctx  context.Context
 	end  context.CancelFunc
 	wait sync.WaitGroup
@@ -98,6 +99,7 @@
 	if p.Log == nil {
 		p.Log = zap.NewNop()
 	}
+	s.plan = p
 	if err := s.startUpstreams(p); err != nil {
 		return err
 	}
@@ -124,17 +126,19 @@
 	return s.ready()
 }
 
-// Publish writes the set's document to the platform's table as it stands.
+// Publish writes the set's document to the platform's table as it stands, as
+// the only version there.
 func (s *Set) Publish() error {
-	data, err := json.Marshal(s.Doc)
+	all, err := prof.Seed(&s.Doc)
 	if err != nil {
 		return err
 	}
-	var revision int64
-	for _, row := range s.Platform.Table.Read([]string{prof.Key}) {
-		revision = row.Revision
+	for i := range all {
+		for _, row := range s.Platform.Table.Read([]string{all[i].Key}) {
+			all[i].Expect = row.Revision
+		}
 	}
-	done, err := s.Platform.Table.Commit([]core.Write{{Key: prof.Key, Value: data, Expect: revision}})
+	done, err := s.Platform.Table.Commit(all)
 	if err == nil && !done.OK() {
 		err = errors.New("trial: the document was changed beside")
 	}
@@ -242,7 +246,7 @@
 		Instance: name, Centre: Centre, Policy: p.Policy, Tokens: []string{prof.Digest(Token)},
 		ResumeKey: ResumeKey,
 	}
-	e := &entry.Entry{Settings: settings, Log: p.Log, Linger: p.Linger}
+	e := &entry.Entry{Settings: settings, Log: p.Log, Linger: p.Linger, Life: p.Life}
 	for _, socket := range []*net.Listener{&e.Sockets.Callers, &e.Sockets.Operators, &e.Sockets.Peers} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
