--- a/trial/set.go
+++ b/trial/set.go
@@ -34,6 +34,8 @@
 	Log *zap.Logger
 	// Edit, if not nil, changes the document before it is published.
 	Edit func(*core.Document)
+	// Tune, if not nil, changes each engine before it starts.
+	Tune func(*fake.Engine)
 	// Setup, if not nil, changes the settings of each entry.
 	Setup func(*config.Settings)
 }
@@ -69,6 +71,7 @@
 const (
 	Model     = "verse"
 	Key       = "trial-key"
+	Token     = "trial-token"
 	Workspace = "verse-writers"
 	Service   = "card-desk"
 	Centre    = "moose-jaw"
@@ -157,14 +160,14 @@
 	for i := range p.Prefills {
 		e := &fake.Engine{Name: fmt.Sprintf("prefill-%d", i+1), Role: core.Prefill, Speed: p.Speed}
 		s.Prefills = append(s.Prefills, e)
-		if err := s.startEngine(e); err != nil {
+		if err := s.startEngine(e, p.Tune); err != nil {
 			return err
 		}
 	}
 	for i := range p.Decodes {
 		e := &fake.Engine{Name: fmt.Sprintf("decode-%d", i+1), Role: core.Decode, Speed: p.Speed, Pieces: p.Pieces}
 		s.Decodes = append(s.Decodes, e)
-		if err := s.startEngine(e); err != nil {
+		if err := s.startEngine(e, p.Tune); err != nil {
 			return err
 		}
 	}
@@ -182,7 +185,10 @@
 	return nil
 }
 
-func (s *Set) startEngine(e *fake.Engine) error {
+func (s *Set) startEngine(e *fake.Engine, tune func(*fake.Engine)) error {
+	if tune != nil {
+		tune(e)
+	}
 	addr, err := s.serve(e.Handler())
 	if err != nil {
 		return err
@@ -226,7 +232,9 @@
 }
 
 func prepare(name string, p Plan) (*Node, error) {
-	settings := &config.Settings{Instance: name, Centre: Centre, Policy: p.Policy}
+	settings := &config.Settings{
+		Instance: name, Centre: Centre, Policy: p.Policy, Tokens: []string{prof.Digest(Token)},
+	}
 	e := &entry.Entry{Settings: settings, Log: p.Log, Linger: p.Linger}
 	for _, socket := range []*net.Listener{&e.Sockets.Callers, &e.Sockets.Operators, &e.Sockets.Peers} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
