--- a/entry/admin.go
+++ b/entry/admin.go
@@ -20,6 +20,7 @@
 		Views:   &e.book,
 		Members: &e.members,
 		Pool:    &e.pool,
+		Orders:  orders{&e.orders},
 		Meter:   &e.meter,
 		Clock:   e.Clock,
 		Log:     e.Log,
--- /dev/null
+++ b/entry/orders.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"context"
+
+	"lacewinghook.example/lacewinghook/admin"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/once"
+)
+
+// orders gives operators the book of orders.
+type orders struct{ book *once.Book }
+
+// findings are the outcomes that an operator may name.
+var findings = map[string]once.State{
+	string(codes.Ran):    once.SettledRan,
+	string(codes.NotRun): once.SettledNotRun,
+}
+
+// List implements [admin.Orders].
+func (o orders) List(ctx context.Context, state, after string, limit int) (admin.OrderPage, error) {
+	page, err := o.book.List(ctx, once.State(state), after, limit)
+	if err != nil {
+		return admin.OrderPage{}, err
+	}
+	p := admin.OrderPage{Orders: make([]admin.Order, 0, len(page.Orders)), Next: page.Next}
+	for _, r := range page.Orders {
+		p.Orders = append(p.Orders, orderOf(r))
+	}
+	return p, nil
+}
+
+// Settle implements [admin.Orders].
+func (o orders) Settle(ctx context.Context, key, outcome, by string) (admin.Order, error) {
+	state, ok := findings[outcome]
+	if !ok {
+		return admin.Order{}, codes.New(codes.BadRequest, "outcome: want %s or %s", codes.Ran, codes.NotRun)
+	}
+	r, err := o.book.Settle(ctx, key, state, by)
+	return orderOf(r), err
+}
+
+func orderOf(r once.Record) admin.Order {
+	return admin.Order{
+		Key: r.ID, Workspace: r.Workspace, Service: r.Service, Caller: r.Key,
+		Method: r.Method, Path: r.Path, State: string(r.State),
+		Opened: r.Opened, Ended: r.Ended, Note: r.Note,
+	}
+}
--- a/flow/plain.go
+++ b/flow/plain.go
@@ -47,6 +47,8 @@
 	if call.Key != "" {
 		return p.Orders.Do(ctx, call)
 	}
+	ctx, cancel := p.until(ctx, call.Deadline)
+	defer cancel()
 	a, err := p.try(ctx, call, retryable)
 	if err != nil {
 		p.Meter.Refused(codes.From(err).Code)
@@ -55,7 +57,8 @@
 }
 
 // Send sends a call that may not be repeated, at most once. Another replica
-// is tried only on proof that the call did not reach the one before.
+// is tried only on proof that the call did not reach the one before. The wait
+// for the answer is bounded by ctx and not by the call's deadline.
 func (p *Plain) Send(ctx context.Context, call core.Call) (core.Answer, error) {
 	return p.try(ctx, call, notRun)
 }
@@ -63,8 +66,6 @@
 // try makes the call at one replica after another, each at most once, as long
 // as again allows it and the deadline has not passed.
 func (p *Plain) try(ctx context.Context, call core.Call, again func(*codes.Error) bool) (core.Answer, error) {
-	ctx, cancel := p.until(ctx, call.Deadline)
-	defer cancel()
 	ups := p.Replicas.Services(call.Service)
 	ups = ups[:min(len(ups), plainTries)]
 	if len(ups) == 0 {
--- a/once/book.go
+++ b/once/book.go
@@ -30,7 +30,8 @@
 }
 
 // Sender sends a call to its service, at most once. It looks at the call's
-// deadline right before the first byte leaves. An error with Run
+// deadline right before the first byte leaves; after that, ctx alone bounds
+// the wait for the answer. An error with Run
 // [codes.NotRun] is proof that the service didn't get the call.
 type Sender interface {
 	Send(ctx context.Context, call core.Call) (core.Answer, error)
@@ -80,11 +81,15 @@
 	defaultLimitBytes = 64 << 20
 	// defaultTimeout is for a call without a deadline.
 	defaultTimeout = 30 * clock.Second
-	// openGrace is how long after its deadline an open row still reads as
-	// being under way.
-	openGrace = 5 * clock.Second
+	// answerGrace is how long after its deadline an order still waits for
+	// the service's answer: a late answer spares an operator an unknown
+	// outcome. openGrace is how long an open row reads as being under way.
+	answerGrace = 4 * clock.Second
+	openGrace   = 5 * clock.Second
 	// saveWait is how long a caller waits for its answer to be kept.
 	saveWait = clock.Second
+	// refuseMargin is for a refusal that is made at the deadline.
+	refuseMargin = 200 * clock.Millis(1)
 	// askAgain is the hint to a caller whose order is under way.
 	askAgain = 500 * clock.Millis(1)
 )
@@ -97,7 +102,9 @@
 	revision int64
 	// bytes counts against the book's limit.
 	bytes int64
-	// answer and err are the outcome, once done is closed.
+	// known is closed when the outcome is known, and done once it is kept or
+	// has waited long enough for it. Then answer and err are the outcome.
+	known  chan struct{}
 	answer core.Answer
 	err    error
 	done   chan struct{}
@@ -127,7 +134,7 @@
 // join returns the flight of the call's key, and whether it is a new one that
 // the caller must run.
 func (b *Book) join(call core.Call) (f *flight, mine bool, err error) {
-	fresh := &flight{call: call, record: b.record(call), bytes: int64(len(call.Body)), done: make(chan struct{})}
+	fresh := &flight{call: call, record: b.record(call), bytes: int64(len(call.Body)), known: make(chan struct{}), done: make(chan struct{})}
 	b.flights.Update(fresh.record.ID, func(old *flight, ok bool) (*flight, bool) {
 		switch {
 		case ok:
@@ -160,17 +167,22 @@
 // allows.
 func (b *Book) await(ctx context.Context, call core.Call, f *flight) (core.Answer, error) {
 	late := make(chan struct{})
-	// The flight itself ends at its deadline; the margin is for its outcome
-	// to be kept.
-	stop := b.Clock.AfterFunc(call.Deadline-b.Clock.Now()+saveWait+askAgain, func() { close(late) })
+	stop := b.Clock.AfterFunc(call.Deadline-b.Clock.Now()+refuseMargin, func() { close(late) })
 	defer stop()
 	select {
 	case <-f.done:
 		return f.answer, b.refused(f.err)
-	case <-late:
-		return core.Answer{}, b.refused(codes.New(codes.InProgress, "order").WithRetry(askAgain))
 	case <-ctx.Done():
 		return core.Answer{}, b.refused(codes.Wrap(codes.CallerGone, ctx.Err(), "order"))
+	case <-late:
+	}
+	select {
+	case <-f.known:
+		// The outcome is about to be kept, within a second at most.
+		<-f.done
+		return f.answer, b.refused(f.err)
+	default:
+		return core.Answer{}, b.refused(codes.New(codes.InProgress, "order").WithRetry(askAgain))
 	}
 }
 
@@ -202,12 +214,14 @@
 		b.end(f)
 		f.finish(a, err)
 	default:
-		b.dispatch(ctx, f)
+		b.dispatch(f)
 	}
 }
 
 // dispatch sends the call of a flight that holds its row.
-func (b *Book) dispatch(ctx context.Context, f *flight) {
+func (b *Book) dispatch(f *flight) {
+	ctx, cancel := b.until(b.context(), f.call.Deadline+answerGrace)
+	defer cancel()
 	if b.Clock.Now() >= f.call.Deadline {
 		b.conclude(f, Abandoned, core.Answer{}, codes.New(codes.DeadlinePast, "order"))
 		return
--- a/once/save.go
+++ b/once/save.go
@@ -22,6 +22,7 @@
 // conclude tells the flight's outcome to its callers once it is kept, or
 // after a second at most; the write goes on in the background.
 func (b *Book) conclude(f *flight, state State, a core.Answer, err error) {
+	close(f.known)
 	a.Header = keep(a.Header)
 	final := f.record
 	final.State, final.Ended = state, b.Clock.Wall()
