lease: orders to engines under leases with fencing numbers

The published Desired was carried out by nobody.

Ruled out: expiry times in the row, since they compare two machines' clocks; one lease for each engine, since 1,500 replicas would write 500 rows a second.

go test -race ./lease ./entry ./trial passes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"lacewinghook.example/lacewinghook/engine"
 	"lacewinghook.example/lacewinghook/flow"
 	"lacewinghook.example/lacewinghook/front"
+	"lacewinghook.example/lacewinghook/lease"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/once"
@@ -52,6 +53,7 @@
 	engines engine.Client
 	peers   wire.Client
 	orders  once.Book
+	keeper  lease.Keeper
 }
 
 // Sockets are an entry's listeners.
@@ -167,6 +169,7 @@
 		Name: s.Instance, Centre: s.Centre, State: core.Live,
 		Addr: e.Sockets.Callers.Addr().String(), Peer: e.Sockets.Peers.Addr().String(),
 	}
+	e.prepareKeeper()
 	e.book.OnChange = func(v *prof.View) { e.pool.Apply(v.Doc) }
 }
 
