store, plat: contract tests under each fault; the platform's rates and weights

The stand-in had no rates: a load run could write any number of rows. GET /v1/weights/{name} streams weight files under one shared rate. A GET of a missing object answered 404 while the platform was down; it meets faults first now. The contract tests hold the client to its word: an error that says not run means that the write never lands (down, dropped, lost, late, slow, no listener).

--- a/cmd/lacefake/platform.go
+++ b/cmd/lacefake/platform.go
@@ -18,6 +18,8 @@
 	Instances []core.Instance `json:"instances"`
 	// Document, if there is one, stands in the table from the start.
 	Document *core.Document `json:"document,omitempty"`
+	// Limits are the rates that the platform keeps to; none if left out.
+	Limits plat.Limits `json:"limits"`
 }
 
 func platform(ctx context.Context, args []string) int {
@@ -31,7 +33,7 @@
 		fmt.Fprintln(os.Stderr, "lacefake platform:", err)
 		return exitFail
 	}
-	p := &plat.Platform{Instances: cfg.Instances}
+	p := &plat.Platform{Instances: cfg.Instances, Limits: cfg.Limits}
 	if err := seed(p, cfg.Document); err != nil {
 		fmt.Fprintln(os.Stderr, "lacefake platform:", err)
 		return exitFail
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -91,7 +91,18 @@
 			i := rapid.IntRange(0, 1).Draw(rt, "holder")
 			h, p := holders[i], ports[i]
 			pause := clock.Millis(rapid.IntRange(0, 10).Draw(rt, "pause")) * clock.Second
-			switch rapid.IntRange(0, 6).Draw(rt, "action") {
+			switch rapid.IntRange(0, 7).Draw(rt, "action") {
+			case 7:
+				// The holder is paused between the write and its answer, and
+				// the other candidate looks at the row meanwhile.
+				p.after = func() error {
+					for range 2 {
+						_ = holders[1-i].Tend(context.Background(), 1)
+						hands.Advance(pause)
+					}
+					return nil
+				}
+				_ = h.Tend(context.Background(), 1)
 			case 0:
 				hands.Advance(pause)
 			case 1:
--- a/plat/platform.go
+++ b/plat/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -25,6 +26,10 @@
 	Instances []core.Instance
 	// Lag is the time between two looks at an instance; zero is 500.
 	Lag clock.Millis
+	// Limits are the rates that the platform keeps to.
+	Limits Limits
+
+	limiters limiters
 
 	objects shard.Map[string, []byte]
 	states  shard.Map[string, seen]
@@ -44,6 +49,8 @@
 	maxLookedBytes = 4096
 )
 
+var errNoObject = errors.New("plat: no object of this key")
+
 // ReadCall asks for rows by key or by prefix.
 type ReadCall struct {
 	Keys   []string `json:"keys,omitempty"`
@@ -68,6 +75,7 @@
 	r.HandleFunc("/v1/table/read", p.read).Methods(http.MethodPost)
 	r.HandleFunc("/v1/table/commit", p.commit).Methods(http.MethodPost)
 	r.HandleFunc("/v1/objects/{key:.+}", p.object).Methods(http.MethodGet, http.MethodPut)
+	r.HandleFunc("/v1/weights/{name:.+}", p.weightFile).Methods(http.MethodGet)
 	r.HandleFunc("/v1/instances", p.list).Methods(http.MethodGet)
 	r.HandleFunc("/fake/faults", p.setFaults).Methods(http.MethodPost, http.MethodDelete)
 	return r
@@ -75,7 +83,7 @@
 
 func (p *Platform) read(w http.ResponseWriter, r *http.Request) {
 	var call ReadCall
-	if !decode(w, r, &call) {
+	if !decode(w, r, &call) || !p.admit(w, r, p.limits().table.reads) {
 		return
 	}
 	p.do(w, Read, append([]string{call.Prefix}, call.Keys...), func() (any, error) {
@@ -88,7 +96,7 @@
 
 func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
 	var call CommitCall
-	if !decode(w, r, &call) {
+	if !decode(w, r, &call) || !p.admit(w, r, p.limits().table.writes) {
 		return
 	}
 	var keys []string
@@ -106,18 +114,23 @@
 		return
 	}
 	if r.Method == http.MethodPut {
-		p.do(w, Object, []string{key}, func() (any, error) {
-			p.objects.Set(key, body)
-			return struct{}{}, nil
-		})
+		if p.admit(w, r, p.limits().objects.writes) {
+			p.do(w, Object, []string{key}, func() (any, error) {
+				p.objects.Set(key, body)
+				return struct{}{}, nil
+			})
+		}
 		return
 	}
-	data, ok := p.objects.Get(key)
-	if !ok {
-		http.NotFound(w, r)
-		return
+	if p.admit(w, r, p.limits().objects.reads) {
+		p.do(w, Object, []string{key}, func() (any, error) {
+			data, ok := p.objects.Get(key)
+			if !ok {
+				return nil, errNoObject
+			}
+			return data, nil
+		})
 	}
-	p.do(w, Object, []string{key}, func() (any, error) { return data, nil })
 }
 
 func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
@@ -211,6 +224,10 @@
 
 func answer(w http.ResponseWriter, f func() (any, error)) {
 	v, err := f()
+	if errors.Is(err, errNoObject) {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,160 @@
+package store_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/plat"
+	"lacewinghook.example/lacewinghook/store"
+)
+
+func start(t *testing.T, limits plat.Limits) (*plat.Platform, *store.Client) {
+	p := &plat.Platform{Limits: limits}
+	srv := httptest.NewServer(p.Handler())
+	t.Cleanup(srv.Close)
+	return p, &store.Client{Base: srv.URL, HTTP: srv.Client()}
+}
+
+// within waits for cond for as long as a late write may take.
+func within(t *testing.T, cond func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for !cond() {
+		if (clock.Clock{}).Sleep(ctx, 5) != nil {
+			t.Fatal("the condition never held")
+		}
+	}
+}
+
+func TestTableContract(t *testing.T) {
+	is := is.New(t)
+	_, c := start(t, plat.Limits{})
+	ctx := context.Background()
+	first, err := c.Commit(ctx, core.Write{Key: "a/1", Value: []byte("one")}, core.Write{Key: "a/2", Value: []byte("two")})
+	is.NoErr(err)
+	is.True(first.OK())
+	is.Equal(len(first.Revisions), 2)
+	// One write that doesn't hold keeps the whole transaction from landing.
+	done, err := c.Commit(ctx, core.Write{Key: "a/3", Value: []byte("three")}, core.Write{Key: "a/1", Value: []byte("new")})
+	is.NoErr(err)
+	is.Equal(len(done.Conflicts), 1)
+	is.Equal(done.Conflicts[0], core.Row{Key: "a/1", Value: []byte("one"), Revision: first.Revisions[0]})
+	rows, err := c.Read(ctx, "a/1", "a/3")
+	is.NoErr(err)
+	is.Equal(len(rows), 1)
+	// A row that was deleted and written anew shows no old revision.
+	_, err = c.Commit(ctx, core.Write{Key: "a/1", Expect: first.Revisions[0], Delete: true})
+	is.NoErr(err)
+	again, err := c.Commit(ctx, core.Write{Key: "a/1", Value: []byte("one")})
+	is.NoErr(err)
+	is.True(again.Revisions[0] > first.Revisions[0])
+	rows, err = c.List(ctx, "a/", "a/1", 10)
+	is.NoErr(err)
+	is.Equal(len(rows), 1)
+	is.Equal(rows[0].Key, "a/2")
+	_, err = c.Commit(ctx, core.Write{Key: ""})
+	is.Equal(codes.From(err).Run, codes.NotRun)
+}
+
+func TestObjectAndListContract(t *testing.T) {
+	is := is.New(t)
+	_, c := start(t, plat.Limits{})
+	ctx := context.Background()
+	_, err := c.Get(ctx, "once/a/b")
+	is.True(codes.Has(err, codes.NotFound))
+	body := bytes.Repeat([]byte("x"), 1<<20)
+	is.NoErr(c.Put(ctx, "once/a/b", body))
+	got, err := c.Get(ctx, "once/a/b")
+	is.NoErr(err)
+	is.True(bytes.Equal(got, body))
+	l, err := c.Listing(ctx)
+	is.NoErr(err)
+	is.Equal(len(l.Instances), 0)
+}
+
+// TestFaults holds the client to what it says of a write: not run is proof
+// that it did not and will not land.
+func TestFaults(t *testing.T) {
+	for _, tc := range []struct {
+		kind  plat.Kind
+		delay clock.Millis
+		run   codes.Run
+		lands bool
+	}{
+		{plat.Down, 0, codes.NotRun, false},
+		{plat.Dropped, 0, codes.Unknown, false},
+		{plat.Lost, 0, codes.Unknown, true},
+		{plat.Late, 100, codes.Unknown, true},
+		{plat.Slow, 400, codes.Unknown, true},
+	} {
+		t.Run(string(tc.kind), func(t *testing.T) {
+			is := is.New(t)
+			p, c := start(t, plat.Limits{})
+			c.Timeout = 200
+			ctx := context.Background()
+			for _, op := range []plat.Op{plat.Read, plat.Commit, plat.Object, plat.List} {
+				p.Faults.Add(plat.Fault{Kind: tc.kind, Op: op, Count: 1, Delay: tc.delay})
+			}
+			_, err := c.Commit(ctx, core.Write{Key: "k", Value: []byte("v")})
+			is.True(codes.Has(err, codes.PlatformDown))
+			is.Equal(codes.From(err).Run, tc.run)
+			_, err = c.Read(ctx, "k")
+			is.True(codes.Has(err, codes.PlatformDown))
+			is.True(codes.Has(c.Put(ctx, "k", nil), codes.PlatformDown))
+			_, err = c.Listing(ctx)
+			is.True(codes.Has(err, codes.PlatformDown))
+			within(t, func() bool { return len(p.Table.Read([]string{"k"})) == 1 || !tc.lands })
+			is.Equal(len(p.Table.Read([]string{"k"})) == 1, tc.lands)
+		})
+	}
+	t.Run("no listener", func(t *testing.T) {
+		is := is.New(t)
+		srv := httptest.NewServer(nil)
+		srv.Close()
+		_, err := (&store.Client{Base: srv.URL}).Commit(context.Background(), core.Write{Key: "k"})
+		is.Equal(codes.From(err).Run, codes.NotRun)
+	})
+}
+
+// TestRates holds the stand-in to its rates, by how long calls take together.
+func TestRates(t *testing.T) {
+	is := is.New(t)
+	_, c := start(t, plat.Limits{Writes: 100, Weights: 100, WeightBytes: 10_000})
+	ctx := context.Background()
+	begin := clock.Clock{}.Now()
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() { _, _ = c.Commit(ctx, core.Write{Key: fmt.Sprint("k", i)}) })
+	}
+	wg.Wait()
+	is.True(clock.Clock{}.Now()-begin >= 290) // 30 beyond the first 10, at 100 a second
+	begin = clock.Clock{}.Now()
+	for range 2 {
+		wg.Go(func() {
+			resp, err := c.HTTP.Get(c.Base + "/v1/weights/verse")
+			if err != nil {
+				return
+			}
+			defer resp.Body.Close()
+			var body bytes.Buffer
+			n, _ := body.ReadFrom(resp.Body)
+			if n != 10_000 || resp.StatusCode != http.StatusOK {
+				t.Errorf("%d bytes, status %d", n, resp.StatusCode)
+			}
+		})
+	}
+	wg.Wait()
+	is.True(clock.Clock{}.Now()-begin >= 140) // 20,000 bytes, 5,000 of them at once
+}
--- a/trial/set.go
+++ b/trial/set.go
@@ -30,6 +30,8 @@
 	Policy string
 	// Linger is that of every entry.
 	Linger clock.Millis
+	// Limits are the rates that the platform keeps to.
+	Limits plat.Limits
 	// Log is the entries' log; nil is none.
 	Log *zap.Logger
 	// Edit, if not nil, changes the document before it is published.
@@ -82,7 +84,7 @@
 
 // Start starts a set and returns once every entry takes work.
 func Start(p Plan) (*Set, error) {
-	s := &Set{Platform: &plat.Platform{Lag: 100}, Doc: Document()}
+	s := &Set{Platform: &plat.Platform{Lag: 100, Limits: p.Limits}, Doc: Document()}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	if err := s.start(p); err != nil {
 		s.Stop()
