--- a/front/input_test.go
+++ b/front/input_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -69,7 +70,7 @@
 	t.Helper()
 	set, err := trial.Start(trial.Plan{
 		Entries: 1, Prefills: 1, Decodes: 1, Services: 1, Linger: 1,
-		Setup: func(s *config.Settings) { s.Limits = config.Limits{Body: 2 << 10, Input: 100, Inputs: 1} },
+		Setup: func(s *config.Settings) { s.Limits = config.Limits{Body: 2 << 10, Input: 1000, Inputs: 1} },
 	})
 	is.New(t).NoErr(err)
 	t.Cleanup(set.Stop)
@@ -128,6 +129,13 @@
 	is.NoErr(err)
 	defer slow.Close()
 	fmt.Fprintf(slow, "POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\nConnection: close\r\n\r\n{", completions, trial.Key)
+	// While it holds the one place, the next body is refused.
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	is.NoErr(trial.Until(ctx, func() bool {
+		_, err := set.Client(0).Complete(ctx, trial.Ask{}, nil)
+		return codes.Has(err, codes.QueueFull)
+	}))
 	answer, err := io.ReadAll(slow)
 	is.NoErr(err)
 	is.True(strings.Contains(string(answer), `"name":"slow_input","run":"not_run"`))
