--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,17 +5,19 @@
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"lacewinghook.example/lacewinghook/abort"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/engine"
-	"lacewinghook.example/lacewinghook/flow"
 	"lacewinghook.example/lacewinghook/front"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
@@ -25,6 +27,7 @@
 	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/route"
 	"lacewinghook.example/lacewinghook/store"
+	"lacewinghook.example/lacewinghook/token"
 	"lacewinghook.example/lacewinghook/wire"
 )
 
@@ -37,21 +40,40 @@
 	// opened by Run.
 	Sockets Sockets
 	// Linger is how long an entry that stops goes on taking new work, since
-	// callers may still hold its address; zero is a second over the life of
-	// an answer of addresses.
+	// callers may still hold its address; zero is some seconds over the life
+	// of an answer of addresses.
 	Linger clock.Millis
-
-	owner   core.Owner
-	leaving atomic.Bool
-	flights atomic.Int64
-	meter   meter.Set
-	book    prof.Book
-	pool    pool.Table
-	members member.Table
-	store   store.Client
-	engines engine.Client
-	peers   wire.Client
-	orders  once.Book
+	// Life is how long callers may keep an answer of addresses; zero is
+	// [member.AddressLife].
+	Life clock.Millis
+
+	owner     core.Owner
+	began     clock.Millis
+	leaving   atomic.Bool
+	self      atomic.Pointer[standing]
+	flights   flights
+	finishers []Finisher
+	meter     meter.Set
+	book      prof.Book
+	follower  prof.Follower
+	desk      prof.Desk
+	drains    drain.Book
+	pool      pool.Table
+	members   member.Table
+	store     store.Client
+	engines   engine.Client
+	peers     wire.Client
+	cancels   abort.Book
+	orders    once.Book
+	// news wakes the heartbeats, listed does so with the first list, and met
+	// closes metAll once all partners were asked.
+	news   bell
+	listed sync.Once
+	met    sync.Once
+	metAll chan struct{}
+
+	deathInit, kill sync.Once
+	death           chan struct{}
 }
 
 // Sockets are an entry's listeners.
@@ -76,21 +98,25 @@
 	defer end()
 	g, work := errgroup.WithContext(work)
 	callers := e.server(e.counted(e.callers()))
+	callers.ConnState = e.connState
 	operators := e.server(e.operators())
 	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
 	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
-	g.Go(func() error { return (&wire.Server{Handler: e}).Serve(work, e.Sockets.Peers) })
+	g.Go(func() error { return (&wire.Server{Handler: e, Log: e.Log}).Serve(work, e.Sockets.Peers) })
 	e.background(work, g)
 	g.Go(func() error {
 		defer end()
 		select {
 		case <-ctx.Done():
 		case <-work.Done():
+		case <-e.killed():
+			return errors.Join(callers.Close(), operators.Close())
 		}
 		return e.stop(work, callers, operators)
 	})
 	e.Log.Info("entry: serving", zap.String("callers", e.Sockets.Callers.Addr().String()))
 	err = g.Wait()
+	e.cancels.Close()
 	e.peers.Close()
 	return err
 }
@@ -127,7 +153,7 @@
 
 func serve(s *http.Server, ln net.Listener) error {
 	err := s.Serve(ln)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return errors.Wrap(err, "entry: listener")
@@ -158,6 +184,8 @@
 func (e *Entry) prepare() {
 	s := e.Settings
 	e.owner = core.Owner{Instance: s.Instance, Boot: core.NewBoot()}
+	e.began = e.Clock.Now()
+	e.flights.changed = make(chan struct{}, 1)
 	e.store = store.Client{Base: s.Platform.Base}
 	e.engines.Clock = e.Clock
 	e.engines.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}
@@ -167,7 +195,15 @@
 		Name: s.Instance, Centre: s.Centre, State: core.Live,
 		Addr: e.Sockets.Callers.Addr().String(), Peer: e.Sockets.Peers.Addr().String(),
 	}
-	e.book.OnChange = func(v *prof.View) { e.pool.Apply(v.Doc) }
+	e.prepareFlow()
+	e.members.Boot = e.owner.Boot
+	e.members.State = e.state
+	e.members.Load = e.flights.count
+	e.members.OnNews = e.news.ring
+	e.peers.Names = &e.members
+	e.peers.Log = e.Log
+	e.prepareNews()
+	e.announce()
 }
 
 // maxIdleConns bounds the kept connections to one upstream.
@@ -175,24 +211,24 @@
 
 func (e *Entry) callers() http.Handler {
 	s := &front.Server{
-		Runner: &flow.Flow{
-			Engines: &e.engines, Placer: e.desk(), Clock: e.Clock, Meter: &e.meter,
-		},
+		Runner:  e.newFlow(),
 		Plain:   e.plain(),
 		Views:   &e.book,
 		Members: &e.members,
+		Gate:    &e.members,
 		IDs:     &core.Sequence{Owner: e.owner},
 		Clock:   e.Clock,
 		Log:     e.Log,
-		Life:    member.AddressLife,
+		Life:    e.life(),
 		State:   e.state,
 		Limits:  e.Settings.Limits,
 		Meter:   &e.meter,
+		Signer:  token.Signer{Key: []byte(e.Settings.ResumeKey)},
 	}
 	return s.Handler()
 }
 
-func (e *Entry) desk() *place.Desk {
+func (e *Entry) placer() *place.Desk {
 	return &place.Desk{
 		Upstreams: &e.pool, Chooser: e.chooser(), Clock: e.Clock, Meter: &e.meter,
 		Centre: e.Settings.Centre,
@@ -205,40 +241,3 @@
 	}
 	return route.Least{}
 }
-
-func (e *Entry) state() core.State {
-	if e.leaving.Load() {
-		return core.Leaving
-	}
-	return core.Live
-}
-
-// counted counts the requests in flight.
-func (e *Entry) counted(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		e.flights.Add(1)
-		defer e.flights.Add(-1)
-		h.ServeHTTP(w, r)
-	})
-}
-
-// stop leaves, lingers, and waits for what is in flight.
-func (e *Entry) stop(ctx context.Context, servers ...*http.Server) error {
-	e.leaving.Store(true)
-	linger := e.Linger
-	if linger == 0 {
-		linger = e.Settings.Linger
-	}
-	if linger == 0 {
-		linger = member.AddressLife + clock.Second
-	}
-	e.Log.Info("entry: leaving", zap.Int64("linger", int64(linger)))
-	_ = e.Clock.Sleep(ctx, linger)
-	var faults []error
-	for _, s := range servers {
-		faults = append(faults, s.Shutdown(ctx))
-	}
-	e.closeOrders(ctx)
-	e.Log.Info("entry: stopped")
-	return errors.Join(faults...)
-}
--- a/front/server.go
+++ b/front/server.go
@@ -15,11 +15,13 @@
 	"lacewinghook.example/lacewinghook/flow"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/prof"
+	"lacewinghook.example/lacewinghook/token"
 )
 
 // Runner carries out completions.
 type Runner interface {
 	Run(ctx context.Context, r *core.Request, sink flow.Sink) error
+	Resume(ctx context.Context, t token.Resume, offset int, sink flow.Sink) error
 }
 
 // Caller makes calls of plain services.
@@ -37,12 +39,13 @@
 	Addresses() []string
 }
 
-// Server answers callers. All fields but Clock are needed.
+// Server answers callers. All fields but Gate and Clock are needed.
 type Server struct {
 	Runner  Runner
 	Plain   Caller
 	Views   Views
 	Members Members
+	Gate    Gate
 	IDs     *core.Sequence
 	Clock   clock.Clock
 	Log     *zap.Logger
@@ -54,6 +57,8 @@
 	Limits config.Limits
 	// Meter counts the refusals.
 	Meter *meter.Set
+	// Signer makes the resume tokens; without a key there are none.
+	Signer token.Signer
 
 	inputs atomic.Int64
 }
@@ -68,6 +73,7 @@
 	r.HandleFunc("/v1/readyz", s.ready).Methods(http.MethodGet)
 	r.HandleFunc("/v1/completions", s.completions).Methods(http.MethodPost)
 	r.HandleFunc("/v1/chat/completions", s.chat).Methods(http.MethodPost)
+	r.HandleFunc("/v1/requests/{id}/stream", s.resume).Methods(http.MethodGet)
 	r.HandleFunc("/v1/services/{service}", s.service)
 	r.HandleFunc("/v1/services/{service}/{path:.*}", s.service)
 	r.NotFoundHandler = http.HandlerFunc(s.notFound)
@@ -116,6 +122,10 @@
 		writeError(w, codes.New(codes.NoDocument, "this entry"))
 		return
 	}
+	if err := s.admit(); err != nil {
+		writeError(w, err)
+		return
+	}
 	writeJSON(w, http.StatusOK, struct{}{})
 }
 
