entry: a stop waits also for a request whose first bytes have arrived

Between the first byte of a request and the call of its handler the connection was neither idle nor its request counted, and a stop that looked at that moment went on to close it. Logged: "before: conns 1, after 3 ms: conns 0, in flight 0".

A connection is now busy from its first byte, and the stop waits for it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,13 +12,14 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"lacewinghook.example/lacewinghook/abort"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/engine"
-	"lacewinghook.example/lacewinghook/flow"
 	"lacewinghook.example/lacewinghook/front"
+	"lacewinghook.example/lacewinghook/lease"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/once"
@@ -27,6 +28,7 @@
 	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/route"
 	"lacewinghook.example/lacewinghook/store"
+	"lacewinghook.example/lacewinghook/token"
 	"lacewinghook.example/lacewinghook/wire"
 )
 
@@ -49,30 +51,34 @@
 	// of the socket.
 	Advertise string
 
-	owner     core.Owner
-	began     clock.Millis
-	leaving   atomic.Bool
-	self      atomic.Pointer[standing]
-	flights   flights
-	finishers []Finisher
-	meter     meter.Set
-	book      prof.Book
-	follower  prof.Follower
-	desk      prof.Desk
-	drains    drain.Book
-	draining  sync.Mutex
-	pool      pool.Table
-	members   member.Table
-	store     store.Client
-	engines   engine.Client
-	peers     wire.Client
-	orders    once.Book
+	owner    core.Owner
+	began    clock.Millis
+	leaving  atomic.Bool
+	self     atomic.Pointer[standing]
+	flights  flights
+	meter    meter.Set
+	book     prof.Book
+	follower prof.Follower
+	desk     prof.Desk
+	drains   drain.Book
+	draining sync.Mutex
+	pool     pool.Table
+	members  member.Table
+	store    store.Client
+	engines  engine.Client
+	peers    wire.Client
+	cancels  abort.Book
+	orders   once.Book
+	keeper   lease.Keeper
 	// news wakes the heartbeats, listed does so with the first list, and met
 	// closes metAll once all partners were asked.
 	news   bell
 	listed sync.Once
 	met    sync.Once
 	metAll chan struct{}
+
+	deathInit, kill sync.Once
+	death           chan struct{}
 }
 
 // Sockets are an entry's listeners.
@@ -108,11 +114,14 @@
 		select {
 		case <-ctx.Done():
 		case <-work.Done():
+		case <-e.killed():
+			return errors.Join(callers.Close(), operators.Close())
 		}
 		return e.stop(work, callers, operators)
 	})
 	e.Log.Info("entry: serving", zap.String("callers", e.Sockets.Callers.Addr().String()))
 	err = g.Wait()
+	e.cancels.Close()
 	e.peers.Close()
 	return err
 }
@@ -194,6 +203,8 @@
 	if e.Advertise != "" {
 		e.members.Self.Peer = e.Advertise
 	}
+	e.prepareFlow()
+	e.prepareKeeper()
 	e.members.Boot = e.owner.Boot
 	e.members.State = e.state
 	e.members.Load = e.flights.count
@@ -209,9 +220,7 @@
 
 func (e *Entry) callers() http.Handler {
 	s := &front.Server{
-		Runner: &flow.Flow{
-			Engines: &e.engines, Placer: e.placer(), Clock: e.Clock, Meter: &e.meter,
-		},
+		Runner:  e.newFlow(),
 		Plain:   e.plain(),
 		Views:   &e.book,
 		Members: &e.members,
@@ -223,6 +232,7 @@
 		State:   e.state,
 		Limits:  e.Settings.Limits,
 		Meter:   &e.meter,
+		Signer:  token.Signer{Key: []byte(e.Settings.ResumeKey)},
 	}
 	return s.Handler()
 }
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -15,13 +15,6 @@
 	"lacewinghook.example/lacewinghook/shard"
 )
 
-// Finisher is a part with work of its own that outlasts requests, such as
-// cancels and writes that are still tried. A stop waits for each.
-type Finisher interface {
-	// Finish returns once nothing is pending, or with ctx's error.
-	Finish(ctx context.Context) error
-}
-
 // spreadTime is how long the news of a leaving entry takes to reach the others
 // at most, as long as they can be reached.
 const spreadTime = 3 * clock.Second
@@ -54,9 +47,7 @@
 	e.Log.Info("entry: takes no more connections", zap.Int("in_flight", e.flights.count()))
 	e.flights.quiet(ctx, e.Clock, min(linger, e.life()))
 	faults := []error{e.shutdown(ctx, servers)}
-	for _, f := range e.finishers {
-		faults = append(faults, f.Finish(ctx))
-	}
+	e.settleCancels(ctx)
 	e.closeOrders(ctx)
 	if n := e.flights.count(); n > 0 {
 		e.meter.Violated(meter.StopCutsNone, "the process ended with requests in flight")
@@ -95,8 +86,8 @@
 // zero value is ready but for changed.
 type flights struct {
 	running shard.Map[uint64, flight]
-	// conns holds the instant since when each connection has been idle; those
-	// that are busy are not in it.
+	// conns holds the instant since when each connection has been idle, or
+	// [busy].
 	conns   shard.Map[any, clock.Millis]
 	last    atomic.Uint64
 	n       atomic.Int64
@@ -139,34 +130,41 @@
 func (f *flights) quiet(ctx context.Context, c clock.Clock, grace clock.Millis) {
 	from := c.Now()
 	for ctx.Err() == nil {
-		left := f.left(from, c.Now(), grace)
-		if f.count() == 0 && left <= 0 {
+		left, working := f.left(from, c.Now(), grace)
+		if !working && left <= 0 {
 			return
 		}
-		due := make(chan struct{})
-		stop := c.AfterFunc(max(left, 1), func() { close(due) })
-		if f.count() > 0 {
-			// The end of a request rings; there is nothing else to wait for.
-			stop()
-		}
-		select {
-		case <-due:
-		case <-f.changed:
-		case <-ctx.Done():
-		}
-		stop()
+		f.wait(ctx, c, left, working)
+	}
+}
+
+// wait ends with a change, or after d if nothing is being worked on: whatever
+// is being worked on rings at its end.
+func (f *flights) wait(ctx context.Context, c clock.Clock, d clock.Millis, working bool) {
+	due := make(chan struct{})
+	if !working {
+		stop := c.AfterFunc(d, func() { close(due) })
+		defer stop()
+	}
+	select {
+	case <-due:
+	case <-f.changed:
+	case <-ctx.Done():
 	}
 }
 
 // left returns how long it takes until all idle connections have been so for
-// the grace.
-func (f *flights) left(from, now, grace clock.Millis) clock.Millis {
-	var left clock.Millis
+// the grace, and whether a request is being worked on.
+func (f *flights) left(from, now, grace clock.Millis) (left clock.Millis, working bool) {
+	working = f.count() > 0
 	f.conns.Each(func(_ any, since clock.Millis) bool {
+		if since == busy {
+			working = true
+		}
 		left = max(left, max(since, from)+grace-now)
 		return true
 	})
-	return left
+	return left, working
 }
 
 // state returns what this entry does.
--- a/trial/set.go
+++ b/trial/set.go
@@ -34,6 +34,8 @@
 	// Relays puts a [Relay] between each entry and the platform, and between
 	// each entry and those that beat it.
 	Relays bool
+	// Limits are the rates that the platform keeps to.
+	Limits plat.Limits
 	// Log is the entries' log; nil is none.
 	Log *zap.Logger
 	// Edit, if not nil, changes the document before it is published.
@@ -59,6 +61,8 @@
 	ctx  context.Context
 	end  context.CancelFunc
 	wait sync.WaitGroup
+
+	platform, engine, service, peer tally
 }
 
 // Node is one running entry.
@@ -85,6 +89,7 @@
 	Token     = "trial-token"
 	Workspace = "verse-writers"
 	Service   = "card-desk"
+	ResumeKey = "the resume key that all entries of a trial share"
 	Centre    = "moose-jaw"
 )
 
@@ -93,7 +98,7 @@
 
 // Start starts a set and returns once every entry takes work.
 func Start(p Plan) (*Set, error) {
-	s := &Set{Platform: &plat.Platform{Lag: 100}, Doc: Document()}
+	s := &Set{Platform: &plat.Platform{Lag: 100, Limits: p.Limits}, Doc: Document()}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	if err := s.start(p); err != nil {
 		s.Stop()
@@ -120,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	addr, err := s.serve(s.Platform.Handler())
+	addr, err := s.serve(s.Platform.Handler(), &s.platform)
 	if err != nil {
 		return err
 	}
@@ -190,7 +195,7 @@
 	for i := range p.Services {
 		svc := &fake.PlainService{Name: fmt.Sprintf("%s-%d", Service, i+1)}
 		s.Services = append(s.Services, svc)
-		addr, err := s.serve(svc.Handler())
+		addr, err := s.serve(svc.Handler(), &s.service)
 		if err != nil {
 			return err
 		}
@@ -205,26 +210,28 @@
 	if tune != nil {
 		tune(e)
 	}
-	addr, err := s.serve(e.Handler())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	s.wait.Go(func() { e.Run(s.ctx) })
+	s.wait.Go(func() { _ = e.Serve(s.ctx, listener{ln, &s.engine}) })
 	s.Doc.Upstreams = append(s.Doc.Upstreams, core.Upstream{
-		Name: e.Name, Addr: addr, Centre: Centre, Role: e.Role, Models: []string{Model},
+		Name: e.Name, Addr: ln.Addr().String(), Centre: Centre, Role: e.Role, Models: []string{Model},
 		Pieces: e.Capacity(), Rate: e.Speed.Rate, Fences: e.Fences,
 	})
 	return nil
 }
 
-// serve answers on a free port of loopback until the set stops.
-func (s *Set) serve(h http.Handler) (addr string, err error) {
+// serve answers on a free port of loopback until the set stops, and counts
+// what passes.
+func (s *Set) serve(h http.Handler, t *tally) (addr string, err error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	srv := &http.Server{Handler: h}
-	s.wait.Go(func() { _ = srv.Serve(ln) })
+	srv := &http.Server{Handler: t.handler(h)}
+	s.wait.Go(func() { _ = srv.Serve(listener{ln, t}) })
 	context.AfterFunc(s.ctx, func() { _ = srv.Close() })
 	return ln.Addr().String(), nil
 }
@@ -238,6 +245,7 @@
 		if err != nil {
 			return nil, err
 		}
+		n.Entry.Sockets.Peers = listener{n.Entry.Sockets.Peers, &s.peer}
 		nodes = append(nodes, n)
 		s.Platform.Instances = append(s.Platform.Instances, core.Instance{
 			Name: n.Entry.Settings.Instance, Centre: Centre, Addr: n.Addr,
@@ -267,6 +275,7 @@
 func prepare(name string, p Plan) (*Node, error) {
 	settings := &config.Settings{
 		Instance: name, Centre: Centre, Policy: p.Policy, Tokens: []string{prof.Digest(Token)},
+		ResumeKey: ResumeKey,
 	}
 	e := &entry.Entry{Settings: settings, Log: p.Log, Linger: p.Linger, Life: p.Life}
 	for _, socket := range []*net.Listener{&e.Sockets.Callers, &e.Sockets.Operators, &e.Sockets.Peers} {
@@ -315,6 +324,13 @@
 	return n.err
 }
 
+// Kill ends the entry as the death of its process would.
+func (n *Node) Kill() {
+	n.Entry.Kill()
+	n.stop()
+	<-n.done
+}
+
 // ready waits until every entry takes work.
 func (s *Set) ready() error {
 	ctx, cancel := context.WithTimeout(s.ctx, readyTimeout.Std())
@@ -349,11 +365,24 @@
 	return nil
 }
 
-// Stop stops everything and waits.
+// stopTimeout bounds how long entries may take to stop before all else is
+// ended too.
+const stopTimeout = 5 * clock.Second
+
+// Stop stops everything and waits: the entries first, so that they can settle
+// their business with the stand-ins.
 func (s *Set) Stop() {
 	for _, n := range s.Entries {
 		n.stop()
 	}
+	ctx, cancel := context.WithTimeout(s.ctx, stopTimeout.Std())
+	defer cancel()
+	for _, n := range s.Entries {
+		select {
+		case <-n.done:
+		case <-ctx.Done():
+		}
+	}
 	s.end()
 	s.wait.Wait()
 }
