wire, cert: bounded frames, mutual TLS and reload shown by tests

Need: one message was bounded only by the bytes of a connection, and a peer was not checked.

Tests: who gets answers (own name, seed, another's name, another authority, no certificate, wrong server), reload and a broken file, result codes across the connection, a call over its bound, and a fuzz test of the server with 16 seeds that run as a plain test.

--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,243 @@
+package wire_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/binary"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"lacewinghook.example/lacewinghook/cert"
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/drain"
+	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/trial"
+	"lacewinghook.example/lacewinghook/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// entry answers as the entry of that name.
+type entry string
+
+func (e entry) Beat(context.Context, member.Beat) (member.Beat, error) {
+	return member.Beat{Instance: core.Instance{Name: string(e)}}, nil
+}
+
+func (e entry) Document(context.Context) (*core.Document, error) {
+	doc := &core.Document{Version: 7}
+	for range 5000 {
+		doc.Upstreams = append(doc.Upstreams, core.Upstream{Name: "decode", Addr: "10.0.0.1:80", Centre: "weyburn", Models: []string{"verse"}})
+	}
+	return doc, nil
+}
+
+func (e entry) Drains(context.Context) (drain.Set, error) {
+	return drain.Set{}, codes.New(codes.NoDocument, "no drains")
+}
+
+type names map[string]string
+
+func (n names) NameOf(addr string) (string, bool) {
+	name, ok := n[addr]
+	return name, ok
+}
+
+// serve starts a server and returns its address.
+func serve(t *testing.T, s *wire.Server) string {
+	ctx, cancel := context.WithCancel(context.Background())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, ln) }()
+	t.Cleanup(func() {
+		cancel()
+		is.New(t).NoErr(<-done)
+	})
+	return ln.Addr().String()
+}
+
+// authority signs certificates.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	dir  string
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{dir: t.TempDir()}
+	a.cert, a.key = a.sign(t, "authority", "ca", nil)
+	return a
+}
+
+// sign writes NAME.crt and NAME.key for the common and DNS name cn.
+func (a *authority) sign(t *testing.T, cn, name string, by *authority) (*x509.Certificate, *ecdsa.PrivateKey) {
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: cn}, DNSNames: []string{cn},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	parent, signer := tmpl, key
+	if by == nil {
+		tmpl.IsCA, tmpl.BasicConstraintsValid, tmpl.ExtKeyUsage = true, true, nil
+	} else {
+		parent, signer = by.cert, by.key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, parent, &key.PublicKey, signer)
+	is.NoErr(err)
+	raw, err := x509.MarshalECPrivateKey(key)
+	is.NoErr(err)
+	a.write(t, name+".crt", "CERTIFICATE", der)
+	a.write(t, name+".key", "EC PRIVATE KEY", raw)
+	c, err := x509.ParseCertificate(der)
+	is.NoErr(err)
+	return c, key
+}
+
+func (a *authority) write(t *testing.T, file, kind string, der []byte) {
+	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	is.New(t).NoErr(os.WriteFile(filepath.Join(a.dir, file), data, 0o600))
+}
+
+// source signs a certificate for cn and returns its source.
+func (a *authority) source(t *testing.T, cn, name string) *cert.Source {
+	a.sign(t, cn, name, a)
+	file := func(s string) string { return filepath.Join(a.dir, s) }
+	return &cert.Source{CertFile: file(name + ".crt"), KeyFile: file(name + ".key"), CAFile: file("ca.crt")}
+}
+
+func TestOnlyPeersWithTheirCertificateGetAnswers(t *testing.T) {
+	ours, others := newAuthority(t), newAuthority(t)
+	addr := serve(t, &wire.Server{Handler: entry("weyburn-1"), Certs: ours.source(t, "weyburn-1", "server")})
+	for name, tc := range map[string]struct {
+		client   *wire.Client
+		instance string
+		ok       bool
+	}{
+		"its own":           {&wire.Client{Certs: ours.source(t, "weyburn-2", "a"), Names: names{addr: "weyburn-1"}}, "weyburn-2", true},
+		"seed":              {&wire.Client{Certs: ours.source(t, "weyburn-2", "b")}, "weyburn-2", true},
+		"another's name":    {&wire.Client{Certs: ours.source(t, "weyburn-2", "c")}, "weyburn-3", false},
+		"another authority": {&wire.Client{Certs: others.source(t, "weyburn-2", "d")}, "weyburn-2", false},
+		"none":              {&wire.Client{}, "weyburn-2", false},
+		"wrong server":      {&wire.Client{Certs: ours.source(t, "weyburn-2", "e"), Names: names{addr: "weyburn-9"}}, "weyburn-2", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			defer tc.client.Close()
+			b, err := tc.client.Beat(context.Background(), addr, member.Beat{Instance: core.Instance{Name: tc.instance}})
+			is.Equal(err == nil, tc.ok)
+			is.Equal(b.Instance.Name == "weyburn-1", tc.ok)
+		})
+	}
+}
+
+func TestCertificateIsReloaded(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	m := &clock.Manual{}
+	s := a.source(t, "weyburn-1", "server")
+	s.Clock = clock.Clock{Manual: m}
+	is.NoErr(s.Check())
+	addr := serve(t, &wire.Server{Handler: entry("weyburn-1"), Certs: s})
+	beat := func(server string) error {
+		c := &wire.Client{Certs: a.source(t, "weyburn-2", "client"), Names: names{addr: server}}
+		defer c.Close()
+		_, err := c.Beat(context.Background(), addr, member.Beat{Instance: core.Instance{Name: "weyburn-2"}})
+		return err
+	}
+	is.NoErr(beat("weyburn-1"))
+	a.sign(t, "renewed", "server", a)
+	is.NoErr(os.Chtimes(s.CertFile, time.Time{}, time.Now().Add(time.Minute)))
+	m.Advance(2 * clock.Second)
+	is.NoErr(beat("renewed"))
+	is.NoErr(os.WriteFile(s.CertFile, []byte("broken"), 0o600))
+	m.Advance(2 * clock.Second)
+	is.NoErr(beat("renewed")) // The former certificate stays in use.
+}
+
+func TestAnswers(t *testing.T) {
+	is := is.New(t)
+	addr := serve(t, &wire.Server{Handler: entry("weyburn-1"), Methods: map[wire.Method]wire.Func{}})
+	c := &wire.Client{}
+	defer c.Close()
+	ctx := context.Background()
+	doc, err := c.Document(ctx, addr)
+	is.NoErr(err)
+	is.Equal(len(doc.Upstreams), 5000)
+	_, err = c.Drains(ctx, addr)
+	is.True(codes.Has(err, codes.NoDocument)) // result codes cross the connection
+	_, err = c.Beat(ctx, addr, member.Beat{Instance: core.Instance{Name: strings.Repeat("a", 1<<17)}})
+	is.True(codes.Has(err, codes.CutOff)) // over the bound of a call
+	_, err = c.Beat(ctx, addr, member.Beat{})
+	is.NoErr(err) // on a new connection
+}
+
+// frame puts the length before a message.
+func frame(text string) []byte {
+	return append(binary.AppendUvarint(nil, uint64(len(text))), text...)
+}
+
+// seeds are the corpus of the fuzz test, which run as a plain test too.
+var seeds = [][]byte{
+	frame(`{"jsonrpc":"2.0","id":1,"method":"beat","params":{"instance":{"name":"a"}}}`),
+	frame(`{"jsonrpc":"2.0","id":1,"method":"beat"}`),
+	frame(`{"jsonrpc":"2.0","id":1,"method":"beat","params":null}`),
+	frame(`{"jsonrpc":"2.0","id":1,"method":"beat","params":[1]}`),
+	frame(`{"jsonrpc":"2.0","method":"document","params":{}}`),
+	frame(`{"jsonrpc":"2.0","id":"x","method":"nothing","params":{}}`),
+	frame(`{"jsonrpc":"2.0","id":1,"result":{}}`),
+	frame(`[]`), frame(`[{}]`), frame(`null`), frame(``), frame(`{`),
+	frame(`[{"method":"beat","id":1,"params":{}},{"method":"beat","id":2,"params":{}}]`),
+	binary.AppendUvarint(nil, 1<<40),
+	bytes.Repeat([]byte{0xff}, 20),
+	{0x05, 'a'},
+}
+
+// FuzzServer sends bytes to a server, which must neither end nor stop
+// answering others.
+func FuzzServer(f *testing.F) {
+	for _, s := range seeds {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		is := is.New(t)
+		addr := serve(t, &wire.Server{Handler: entry("weyburn-1")})
+		raw, err := net.Dial("tcp", addr)
+		is.NoErr(err)
+		defer raw.Close()
+		_, _ = raw.Write(data)
+		_ = raw.(*net.TCPConn).CloseWrite()
+		_ = raw.SetReadDeadline(time.Now().Add(10 * time.Second))
+		_, err = io.Copy(io.Discard, raw)
+		is.True(!errors.Is(err, os.ErrDeadlineExceeded)) // the server closes
+		c := &wire.Client{}
+		defer c.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		is.NoErr(trial.Until(ctx, func() bool {
+			_, err := c.Beat(ctx, addr, member.Beat{Instance: core.Instance{Name: "weyburn-2"}})
+			return err == nil
+		}))
+	})
+}
