--- a/member/address.go
+++ b/member/address.go
@@ -20,7 +20,8 @@
 	if p.Instance.Addr == "" || p.Failures >= suspectBeats || t.state(p) != core.Live {
 		return false
 	}
-	return p.Listed && p.ListState != core.Dead || t.Clock.Now()-p.Heard < DeadAfter
+	heard := p.Heard != 0 && t.Clock.Now()-p.Heard < DeadAfter
+	return heard || p.Listed && p.ListState != core.Dead
 }
 
 // self returns this entry as it is.
