share: each engine's report is read by one entry and passed on

Cause: every entry read every engine four times a second, one after another and without a time limit: 1.6 KB/s for each upstream at each entry, and one engine that hung stopped all reading. Ruled out: reading less often alone (with 16 engines 9 KB/s would allow a report every 3 s).

--- a/cmd/lacefake/cost.go
+++ b/cmd/lacefake/cost.go
@@ -29,7 +29,7 @@
 func slope(ctx context.Context, args []string) int {
 	fs := flag.NewFlagSet("lacefake slope", flag.ContinueOnError)
 	sizes := fs.String("entries", "3,9,27", "numbers of entries")
-	upstreams := fs.Int("upstreams", 8, "number of engines")
+	upstreams := fs.Int("upstreams", 16, "number of engines")
 	if status, ok := parse(fs, args); !ok {
 		return status
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,6 +27,7 @@
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/route"
+	"lacewinghook.example/lacewinghook/share"
 	"lacewinghook.example/lacewinghook/store"
 	"lacewinghook.example/lacewinghook/token"
 	"lacewinghook.example/lacewinghook/wire"
@@ -67,6 +68,7 @@
 	cancels   abort.Book
 	orders    once.Book
 	keeper    lease.Keeper
+	reports   share.Reader
 	// news wakes the heartbeats, listed does so with the first list, and met
 	// closes metAll once all partners were asked.
 	news   bell
@@ -104,7 +106,7 @@
 	operators := e.server(e.operators())
 	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
 	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
-	g.Go(func() error { return (&wire.Server{Handler: e, Log: e.Log}).Serve(work, e.Sockets.Peers) })
+	g.Go(func() error { return (&wire.Server{Handler: e, Methods: e.peerMethods(), Log: e.Log}).Serve(work, e.Sockets.Peers) })
 	e.background(work, g)
 	g.Go(func() error {
 		defer end()
@@ -199,6 +201,7 @@
 	}
 	e.prepareFlow()
 	e.prepareKeeper()
+	e.prepareShare()
 	e.members.Boot = e.owner.Boot
 	e.members.State = e.state
 	e.members.Load = e.flights.count
--- a/load/slope.go
+++ b/load/slope.go
@@ -37,9 +37,10 @@
 	Bytes float64
 }
 
-// The time that a set gets to calm down, and the time it is measured for.
+// The time that a set gets to calm down, which is longer than the news of a
+// start is passed on, and the time it is measured for.
 const (
-	calmTime    = 5 * clock.Second
+	calmTime    = 25 * clock.Second
 	measureTime = 10 * clock.Second
 )
 
--- /dev/null
+++ b/share/share_test.go
@@ -0,0 +1,142 @@
+package share_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/pool"
+	"lacewinghook.example/lacewinghook/share"
+)
+
+func entries(n int) []core.Instance {
+	var all []core.Instance
+	for i := range n {
+		all = append(all, core.Instance{Name: fmt.Sprint("e", i), Peer: fmt.Sprint("p", i)})
+	}
+	return all
+}
+
+func TestHomesAreSpreadAndMoveLittle(t *testing.T) {
+	is := is.New(t)
+	const upstreams, n = 3000, 30
+	all := entries(n)
+	counts := make(map[string]int)
+	moved := 0
+	for i := range upstreams {
+		name := fmt.Sprint("up", i)
+		home := share.Home(name, all)
+		counts[home]++
+		if after := share.Home(name, all[1:]); after != home {
+			is.Equal(home, all[0].Name) // only the homes of the one that left
+			moved++
+		}
+	}
+	is.Equal(moved, counts[all[0].Name])
+	for _, in := range all {
+		is.True(counts[in.Name] > upstreams/n/2) // at least half a fair share
+	}
+	is.Equal(share.Home("up", nil), "")
+}
+
+// net is a set of readers that pass reports to each other, and the engines
+// that they read.
+type net struct {
+	mu    sync.Mutex
+	live  []core.Instance
+	nodes map[string]*share.Reader
+	reads map[string]int
+}
+
+func (n *net) Live() []core.Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.live
+}
+
+func (n *net) Load(_ context.Context, up core.Upstream) (core.Report, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.reads[up.Name]++
+	return core.Report{Upstream: up.Name, FreePieces: 7}, nil
+}
+
+func (n *net) Share(_ context.Context, addr string, reports []core.Report) error {
+	n.mu.Lock()
+	node := n.nodes[addr]
+	n.mu.Unlock()
+	if node == nil {
+		return codes.New(codes.CutOff, "peer %s", addr)
+	}
+	node.Take(reports)
+	return nil
+}
+
+// round runs every node once and returns how many upstreams each knows.
+func (n *net) round(t *testing.T, tables map[string]*pool.Table) map[string]int {
+	t.Helper()
+	for _, node := range n.nodes {
+		m := &clock.Manual{}
+		node.Clock = clock.Clock{Manual: m}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { node.Run(ctx); close(done) }()
+		for m.Waiting() == 0 {
+			// The first round ends when the reader begins to sleep.
+			_ = clock.Clock{}.Sleep(ctx, 1)
+		}
+		cancel()
+		<-done
+	}
+	known := make(map[string]int)
+	for addr, table := range tables {
+		for _, name := range table.Names() {
+			if s, ok := table.Get(name); ok && s.Report.FreePieces == 7 {
+				known[addr]++
+			}
+		}
+	}
+	return known
+}
+
+func TestEveryEngineIsReadOnceAndKnownEverywhere(t *testing.T) {
+	for name, dead := range map[string]int{"all alive": 0, "one is gone but still thought alive": 1} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const upstreams = 40
+			n := &net{live: entries(4), nodes: make(map[string]*share.Reader), reads: make(map[string]int)}
+			doc := &core.Document{}
+			for i := range upstreams {
+				doc.Upstreams = append(doc.Upstreams, core.Upstream{Name: fmt.Sprint("up", i), Role: core.Decode})
+			}
+			tables := make(map[string]*pool.Table)
+			lost := 0
+			for i, in := range n.live {
+				if i < dead {
+					for _, u := range doc.Upstreams {
+						if share.Home(u.Name, n.live) == in.Name {
+							lost++
+						}
+					}
+					continue
+				}
+				tables[in.Peer] = &pool.Table{}
+				tables[in.Peer].Apply(doc)
+				n.nodes[in.Peer] = &share.Reader{Self: in.Name, Members: n, Upstreams: tables[in.Peer], Engines: n, Peers: n}
+			}
+			for _, known := range n.round(t, tables) {
+				is.Equal(known, upstreams-lost)
+			}
+			for _, reads := range n.reads {
+				is.Equal(reads, 1)
+			}
+			is.Equal(len(n.reads), upstreams-lost)
+		})
+	}
+}
--- /dev/null
+++ b/wire/share.go
@@ -0,0 +1,70 @@
+package wire
+
+import (
+	"context"
+	"encoding/json"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+)
+
+// MethodShare passes engines' load reports on.
+const MethodShare Method = "share"
+
+// maxReports bounds the reports of one message.
+const maxReports = 512
+
+// load is a report in the short form that goes between entries: an array, so
+// that the names of the fields aren't sent every second.
+type load core.Report
+
+// loadForm is the order of the array's items.
+type loadForm = [7]json.RawMessage
+
+// MarshalJSON implements [json.Marshaler].
+func (l load) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]any{l.Upstream, l.Age, l.Running, l.Waiting, l.QueueTokens, l.Pieces, l.FreePieces})
+}
+
+// UnmarshalJSON implements [json.Unmarshaler].
+func (l *load) UnmarshalJSON(data []byte) error {
+	var items loadForm
+	if err := json.Unmarshal(data, &items); err != nil {
+		return err
+	}
+	for i, v := range []any{&l.Upstream, &l.Age, &l.Running, &l.Waiting, &l.QueueTokens, &l.Pieces, &l.FreePieces} {
+		if err := json.Unmarshal(items[i], v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Share passes reports on to the peer at addr.
+func (c *Client) Share(ctx context.Context, addr string, reports []core.Report) error {
+	loads := make([]load, len(reports))
+	for i := range reports {
+		loads[i] = load(reports[i])
+	}
+	return c.call(ctx, addr, MethodShare, loads, &struct{}{})
+}
+
+// OnShare answers [MethodShare] by handing the reports to take.
+func OnShare(take func([]core.Report)) Func {
+	return Answer(func(_ context.Context, loads []load) (struct{}, error) {
+		if len(loads) > maxReports {
+			return struct{}{}, codes.New(codes.TooLarge, "share: over %d reports", maxReports)
+		}
+		reports := make([]core.Report, len(loads))
+		for i := range loads {
+			reports[i] = core.Report(loads[i])
+			reports[i].Age = max(0, min(reports[i].Age, maxReportAge))
+		}
+		take(reports)
+		return struct{}{}, nil
+	})
+}
+
+// maxReportAge is the greatest age that is told apart.
+const maxReportAge = clock.Minute
--- /dev/null
+++ b/wire/share_test.go
@@ -0,0 +1,44 @@
+package wire
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+)
+
+func TestReportSurvivesItsShortForm(t *testing.T) {
+	is := is.New(t)
+	want := core.Report{Upstream: "decode-1", Age: 12, Running: 3, Waiting: 4, QueueTokens: 500, Pieces: 60, FreePieces: 7}
+	data, err := json.Marshal([]load{load(want)})
+	is.NoErr(err)
+	var got []core.Report
+	_, err = OnShare(func(r []core.Report) { got = r })(context.Background(), data)
+	is.NoErr(err)
+	is.Equal(got, []core.Report{want})
+}
+
+func TestShareRefuses(t *testing.T) {
+	many, err := json.Marshal(make([]load, maxReports+1))
+	is.New(t).NoErr(err)
+	for name, tc := range map[string]struct {
+		params string
+		code   codes.Code
+	}{
+		"too many":     {string(many), codes.TooLarge},
+		"wrong type":   {`[["a","b",0,0,0,0,0]]`, codes.Internal},
+		"too few":      {`[["a"]]`, codes.Internal},
+		"not an array": {`{}`, codes.Internal},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := OnShare(func([]core.Report) { t.Error("taken") })(context.Background(), json.RawMessage(tc.params))
+			is.True(err != nil)
+			is.Equal(codes.From(err).Code, tc.code)
+		})
+	}
+}
