--- a/cmd/lacewinghook/serve.go
+++ b/cmd/lacewinghook/serve.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"os/signal"
-	"syscall"
 
 	"go.uber.org/zap"
 
@@ -25,9 +23,9 @@
 	if err != nil {
 		return c.Fail(err)
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	e := &entry.Entry{Settings: settings, Log: log}
+	ctx, stop := untilSignal(ctx, e.Hurry)
+	defer stop()
 	if err := e.Run(ctx); err != nil {
 		log.Error("entry: failed", zap.Error(err))
 		return args.ExitFail
--- a/config/config.go
+++ b/config/config.go
@@ -18,11 +18,18 @@
 	Callers   Listener `json:"callers"`
 	Operators Listener `json:"operators"`
 	Peers     Listener `json:"peers"`
+	// Seeds are addresses of other entries' listeners for peers, used while
+	// the platform's list can't be read.
+	Seeds []string `json:"seeds,omitempty"`
 	// Platform is where the platform answers.
 	Platform Platform `json:"platform"`
 	// Tokens are the SHA-256 digests of the operators' tokens, in
 	// hexadecimal. Without one no operator gets in.
 	Tokens []string `json:"tokens"`
+	// ResumeKey signs the resume tokens. It is the same at all entries, a
+	// secret, and best drawn at random with 32 bytes or more; without it no
+	// answer can be resumed.
+	ResumeKey string `json:"resume_key,omitempty"`
 	// Policy names the way of choosing upstreams: least or random. Empty is
 	// least.
 	Policy string `json:"policy,omitempty"`
--- a/entry/log_test.go
+++ b/entry/log_test.go
@@ -67,7 +67,7 @@
 		_, _ = c.Service(ctx, http.MethodPost, "/orders", "idem-key", []byte("card-for-aunt"))
 		_, _ = c.Service(ctx, http.MethodPost, "/orders", "", []byte("card-for-aunt"))
 	}
-	set.Decodes[0].Trouble.Set(fake.Ills{CutAfter: 1, CutTimes: 10})
+	set.Decodes[0].Trouble.Set(fake.Ills{CutByte: 9, CutTimes: 100})
 	set.Services[0].Trouble.Set(fake.Ills{LoseAnswers: 5})
 	set.Platform.Faults.Add(plat.Fault{Kind: plat.Down})
 	c.Key = trial.Key
--- a/front/complete.go
+++ b/front/complete.go
@@ -53,6 +53,9 @@
 	if !c.view.HasModel(p.Model) {
 		return nil, false, codes.New(codes.UnknownModel, "field model: %.64q", p.Model)
 	}
+	if err := s.admit(); err != nil {
+		return nil, false, err
+	}
 	return &core.Request{
 		ID: idOf(r), Workspace: c.workspace.Name, Weight: max(1, c.workspace.Weight),
 		Profile: c.profile, Model: p.Model, Prompt: p.Text, MaxTokens: p.MaxTokens,
@@ -72,7 +75,7 @@
 }
 
 func (s *Server) streamed(w http.ResponseWriter, r *http.Request, req *core.Request) {
-	sink := &streamSink{w: w, out: http.NewResponseController(w), req: req}
+	sink := newStreamSink(w, resumeOf(req), s.Signer)
 	if err := s.Runner.Run(r.Context(), req, sink); err != nil {
 		s.failed(req, err)
 		sink.fail(err)
--- a/trial/client.go
+++ b/trial/client.go
@@ -5,14 +5,17 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 
 	"github.com/go-faster/errors"
 
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/reply"
 )
 
 // Client is a caller of one entry.
@@ -104,9 +107,32 @@
 	return r, nil
 }
 
+// Resume goes on with the answer of r, which another client began, and adds
+// to it.
+func (c *Client) Resume(ctx context.Context, r *Reply, each func(r *Reply)) (*Reply, error) {
+	path := fmt.Sprintf("/v1/requests/%s/stream?offset=%d", r.ID, len(r.Tokens))
+	resp, err := c.Do(ctx, http.MethodGet, path, nil, http.Header{"Resume-Token": {r.Resume}})
+	if err != nil {
+		return r, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+		if err != nil {
+			return r, err
+		}
+		return r, reply.ReadError(resp.StatusCode, data)
+	}
+	return r, r.read(resp.Body, each)
+}
+
 // ReadStream reads a stream of events to its end.
 func ReadStream(body io.Reader, each func(r *Reply)) (*Reply, error) {
 	r := &Reply{}
+	return r, r.read(body, each)
+}
+
+func (r *Reply) read(body io.Reader, each func(r *Reply)) error {
 	sc := bufio.NewScanner(body)
 	for sc.Scan() {
 		data, ok := strings.CutPrefix(sc.Text(), "data: ")
@@ -115,14 +141,14 @@
 		}
 		if data == "[DONE]" {
 			r.Done = true
-			return r, nil
+			return nil
 		}
 		var e event
 		if err := json.Unmarshal([]byte(data), &e); err != nil {
-			return r, err
+			return err
 		}
 		if e.Error != nil {
-			return r, e.err()
+			return e.err()
 		}
 		r.take(&e)
 		if each != nil {
@@ -130,9 +156,9 @@
 		}
 	}
 	if err := sc.Err(); err != nil {
-		return r, err
+		return err
 	}
-	return r, errors.New("trial: the stream ended without its end marker")
+	return errors.New("trial: the stream ended without its end marker")
 }
 
 func (r *Reply) take(e *event) {
@@ -173,17 +199,28 @@
 	return http.DefaultClient.Do(req)
 }
 
-// Addresses asks the entry for the addresses that callers may use.
-func (c *Client) Addresses(ctx context.Context) ([]string, error) {
+// AddressAnswer is an answer of addresses.
+type AddressAnswer struct {
+	Addresses []string     `json:"addresses"`
+	TTL       clock.Millis `json:"ttl"`
+}
+
+// AddressAnswer asks the entry for the addresses that callers may use, and for
+// how long.
+func (c *Client) AddressAnswer(ctx context.Context) (AddressAnswer, error) {
+	var a AddressAnswer
 	resp, err := c.Do(ctx, http.MethodGet, "/v1/addresses", nil, nil)
 	if err != nil {
-		return nil, err
+		return a, err
 	}
 	defer resp.Body.Close()
-	var a struct {
-		Addresses []string `json:"addresses"`
-	}
 	err = json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&a)
+	return a, err
+}
+
+// Addresses asks the entry for the addresses that callers may use.
+func (c *Client) Addresses(ctx context.Context) ([]string, error) {
+	a, err := c.AddressAnswer(ctx)
 	return a.Addresses, err
 }
 
--- a/trial/set.go
+++ b/trial/set.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -28,8 +27,9 @@
 	Pieces int
 	// Policy is the entries' way of choosing upstreams.
 	Policy string
-	// Linger is that of every entry.
+	// Linger is that of every entry, and Life that of the addresses it gives.
 	Linger clock.Millis
+	Life   clock.Millis
 	// Limits are the rates that the platform keeps to.
 	Limits plat.Limits
 	// Log is the entries' log; nil is none.
@@ -53,9 +53,12 @@
 	Base string
 	Doc  core.Document
 
+	plan Plan
 	ctx  context.Context
 	end  context.CancelFunc
 	wait sync.WaitGroup
+
+	platform, engine, service, peer tally
 }
 
 // Node is one running entry.
@@ -76,6 +79,7 @@
 	Token     = "trial-token"
 	Workspace = "verse-writers"
 	Service   = "card-desk"
+	ResumeKey = "the resume key that all entries of a trial share"
 	Centre    = "moose-jaw"
 )
 
@@ -97,6 +101,7 @@
 	if p.Log == nil {
 		p.Log = zap.NewNop()
 	}
+	s.plan = p
 	if err := s.startUpstreams(p); err != nil {
 		return err
 	}
@@ -110,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	addr, err := s.serve(s.Platform.Handler())
+	addr, err := s.serve(s.Platform.Handler(), &s.platform)
 	if err != nil {
 		return err
 	}
@@ -123,17 +128,19 @@
 	return s.ready()
 }
 
-// Publish writes the set's document to the platform's table as it stands.
+// Publish writes the set's document to the platform's table as it stands, as
+// the only version there.
 func (s *Set) Publish() error {
-	data, err := json.Marshal(s.Doc)
+	all, err := prof.Seed(&s.Doc)
 	if err != nil {
 		return err
 	}
-	var revision int64
-	for _, row := range s.Platform.Table.Read([]string{prof.Key}) {
-		revision = row.Revision
+	for i := range all {
+		for _, row := range s.Platform.Table.Read([]string{all[i].Key}) {
+			all[i].Expect = row.Revision
+		}
 	}
-	done, err := s.Platform.Table.Commit([]core.Write{{Key: prof.Key, Value: data, Expect: revision}})
+	done, err := s.Platform.Table.Commit(all)
 	if err == nil && !done.OK() {
 		err = errors.New("trial: the document was changed beside")
 	}
@@ -176,7 +183,7 @@
 	for i := range p.Services {
 		svc := &fake.PlainService{Name: fmt.Sprintf("%s-%d", Service, i+1)}
 		s.Services = append(s.Services, svc)
-		addr, err := s.serve(svc.Handler())
+		addr, err := s.serve(svc.Handler(), &s.service)
 		if err != nil {
 			return err
 		}
@@ -191,26 +198,28 @@
 	if tune != nil {
 		tune(e)
 	}
-	addr, err := s.serve(e.Handler())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	s.wait.Go(func() { e.Run(s.ctx) })
+	s.wait.Go(func() { _ = e.Serve(s.ctx, listener{ln, &s.engine}) })
 	s.Doc.Upstreams = append(s.Doc.Upstreams, core.Upstream{
-		Name: e.Name, Addr: addr, Centre: Centre, Role: e.Role, Models: []string{Model},
+		Name: e.Name, Addr: ln.Addr().String(), Centre: Centre, Role: e.Role, Models: []string{Model},
 		Pieces: e.Capacity(), Rate: e.Speed.Rate, Fences: e.Fences,
 	})
 	return nil
 }
 
-// serve answers on a free port of loopback until the set stops.
-func (s *Set) serve(h http.Handler) (addr string, err error) {
+// serve answers on a free port of loopback until the set stops, and counts
+// what passes.
+func (s *Set) serve(h http.Handler, t *tally) (addr string, err error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	srv := &http.Server{Handler: h}
-	s.wait.Go(func() { _ = srv.Serve(ln) })
+	srv := &http.Server{Handler: t.handler(h)}
+	s.wait.Go(func() { _ = srv.Serve(listener{ln, t}) })
 	context.AfterFunc(s.ctx, func() { _ = srv.Close() })
 	return ln.Addr().String(), nil
 }
@@ -224,6 +233,7 @@
 		if err != nil {
 			return nil, err
 		}
+		n.Entry.Sockets.Peers = listener{n.Entry.Sockets.Peers, &s.peer}
 		nodes = append(nodes, n)
 		s.Platform.Instances = append(s.Platform.Instances, core.Instance{
 			Name: n.Entry.Settings.Instance, Centre: Centre, Addr: n.Addr,
@@ -236,8 +246,9 @@
 func prepare(name string, p Plan) (*Node, error) {
 	settings := &config.Settings{
 		Instance: name, Centre: Centre, Policy: p.Policy, Tokens: []string{prof.Digest(Token)},
+		ResumeKey: ResumeKey,
 	}
-	e := &entry.Entry{Settings: settings, Log: p.Log, Linger: p.Linger}
+	e := &entry.Entry{Settings: settings, Log: p.Log, Linger: p.Linger, Life: p.Life}
 	for _, socket := range []*net.Listener{&e.Sockets.Callers, &e.Sockets.Operators, &e.Sockets.Peers} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -272,6 +283,13 @@
 	return n.err
 }
 
+// Kill ends the entry as the death of its process would.
+func (n *Node) Kill() {
+	n.Entry.Kill()
+	n.stop()
+	<-n.done
+}
+
 // ready waits until every entry takes work.
 func (s *Set) ready() error {
 	ctx, cancel := context.WithTimeout(s.ctx, readyTimeout.Std())
@@ -306,11 +324,24 @@
 	return nil
 }
 
-// Stop stops everything and waits.
+// stopTimeout bounds how long entries may take to stop before all else is
+// ended too.
+const stopTimeout = 5 * clock.Second
+
+// Stop stops everything and waits: the entries first, so that they can settle
+// their business with the stand-ins.
 func (s *Set) Stop() {
 	for _, n := range s.Entries {
 		n.stop()
 	}
+	ctx, cancel := context.WithTimeout(s.ctx, stopTimeout.Std())
+	defer cancel()
+	for _, n := range s.Entries {
+		select {
+		case <-n.done:
+		case <-ctx.Done():
+		}
+	}
 	s.end()
 	s.wait.Wait()
 }
