engine, flow: contract tests of plain calls; entries order engines end to end

A table for each: not run is said only with proof, an order is tried at another replica only when the connection was refused, redirects are handed on, and the deadline is looked at when the first byte leaves. An entry that stops gives its leases up. TestEntriesOrderEngines: two entries, the one that may hold the lease stops, the next version still reaches both engines.

--- /dev/null
+++ b/engine/plain_test.go
@@ -0,0 +1,116 @@
+package engine_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/engine"
+)
+
+// TestPlainCall holds calls of plain services to their word: not run means
+// that no byte reached the service, and a call with a key is sent once.
+func TestPlainCall(t *testing.T) {
+	closes := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	for _, tc := range []struct {
+		name string
+		// handle is the service; nil is one that nobody listens for.
+		handle http.HandlerFunc
+		// left is the time to the call's deadline.
+		left clock.Millis
+		// status is the answer's, or code and run are the error's.
+		status int
+		code   codes.Code
+		run    codes.Run
+		calls  int64
+	}{
+		{name: "answered", handle: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(201) }, left: clock.Minute, status: 201, calls: 1},
+		{name: "fails and answers", handle: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, left: clock.Minute, status: 503, calls: 1},
+		{name: "redirects", handle: func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/other", http.StatusTemporaryRedirect)
+		}, left: clock.Minute, status: 307, calls: 1},
+		{name: "closes", handle: closes, left: clock.Minute, code: codes.UpstreamLost, run: codes.Unknown, calls: 1},
+		{name: "refuses the connection", left: clock.Minute, code: codes.UpstreamRefused, run: codes.NotRun},
+		{name: "deadline past when the bytes would leave", handle: closes, left: -1, code: codes.DeadlinePast, run: codes.NotRun},
+		{name: "answer too large", handle: func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 17<<20)) }, left: clock.Minute, code: codes.UpstreamLost, run: codes.Unknown, calls: 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var calls atomic.Int64
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				tc.handle(w, r)
+			}))
+			defer srv.Close()
+			if tc.handle == nil {
+				srv.Close()
+			}
+			up := core.Upstream{Name: "card-desk-1", Addr: srv.Listener.Addr().String()}
+			a, err := (&engine.Client{}).Call(context.Background(), up, keyed(tc.left), 1)
+			is.Equal(a.Status, tc.status)
+			is.Equal(calls.Load(), tc.calls)
+			if tc.code != 0 {
+				is.Equal(codes.From(err).Code, tc.code)
+				is.Equal(codes.From(err).Run, tc.run)
+			}
+		})
+	}
+}
+
+func keyed(left clock.Millis) core.Call {
+	return core.Call{
+		Method: http.MethodPost, Path: "/orders", Key: "k", Body: []byte("card"),
+		Deadline: clock.Clock{}.Now() + left,
+	}
+}
+
+// TestKeyedCallUsesNoKeptConnection closes each connection after its first
+// answer, which on a kept connection makes the library send a call again.
+func TestKeyedCallUsesNoKeptConnection(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	var calls atomic.Int64
+	go serveOnce(ln, &calls)
+	up := core.Upstream{Name: "card-desk-1", Addr: ln.Addr().String()}
+	c := &engine.Client{HTTP: &http.Client{Transport: &http.Transport{}}}
+	for want := range int64(5) {
+		_, err := c.Call(context.Background(), up, keyed(clock.Minute), 1)
+		is.NoErr(err)
+		is.Equal(calls.Load(), want+1)
+	}
+}
+
+// serveOnce answers one call on each connection and closes it when the next
+// call comes.
+func serveOnce(ln net.Listener, calls *atomic.Int64) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			buf := make([]byte, 4096)
+			if _, err := conn.Read(buf); err != nil {
+				return
+			}
+			calls.Add(1)
+			_, _ = io.WriteString(conn, answer)
+			if n, _ := conn.Read(buf); n > 0 {
+				calls.Add(1)
+			}
+		}()
+	}
+}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -59,6 +59,7 @@
 	}
 	e.settleCancels(ctx)
 	e.closeOrders(ctx)
+	e.keeper.Release(ctx)
 	if n := e.flights.count(); n > 0 {
 		e.meter.Violated(meter.StopCutsNone, "the process ended with requests in flight")
 		e.Log.Error("entry: requests were cut", zap.Int("in_flight", n))
--- /dev/null
+++ b/flow/plain_test.go
@@ -0,0 +1,75 @@
+package flow_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/flow"
+	"lacewinghook.example/lacewinghook/pool"
+)
+
+// replicas are three of one service, each with the error that it ends with.
+type replicas struct {
+	errs  []error
+	calls int
+	hands *clock.Manual
+	takes clock.Millis
+}
+
+func (r *replicas) Services(string) []core.Upstream { return make([]core.Upstream, len(r.errs)) }
+func (r *replicas) Begin(string, pool.Work)         {}
+func (r *replicas) End(string, pool.Work)           {}
+
+func (r *replicas) Call(_ context.Context, _ core.Upstream, _ core.Call, attempt core.Attempt) (core.Answer, error) {
+	r.calls++
+	r.hands.Advance(r.takes)
+	return core.Answer{Status: 200}, r.errs[attempt-1]
+}
+
+func TestPlainTries(t *testing.T) {
+	refused := codes.New(codes.UpstreamRefused, "replica")
+	lost := codes.New(codes.UpstreamLost, "replica")
+	unsure := refused.WithRun(codes.Unknown)
+	for _, tc := range []struct {
+		name string
+		errs []error
+		// order sends a call that may not be repeated.
+		order bool
+		takes clock.Millis
+		calls int
+		run   codes.Run
+	}{
+		{"repeatable, first answers", []error{nil, nil}, false, 0, 1, ""},
+		{"repeatable, lost and answered", []error{lost, nil}, false, 0, 2, ""},
+		{"repeatable, lost and refused is not known", []error{lost, refused}, false, 0, 2, codes.Unknown},
+		{"repeatable, all refused", []error{refused, refused, refused, nil}, false, 0, 3, codes.NotRun},
+		{"repeatable, deadline past", []error{lost, nil}, false, 200, 1, codes.Unknown},
+		{"order, refused and answered", []error{refused, nil}, true, 0, 2, ""},
+		{"order, lost is not tried again", []error{lost, nil}, true, 0, 1, codes.Unknown},
+		{"order, refused with bytes sent", []error{unsure, nil}, true, 0, 1, codes.Unknown},
+		{"order, deadline past", []error{refused, nil}, true, 200, 1, codes.NotRun},
+		{"no replica", nil, true, 0, 0, codes.NotRun},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := &replicas{errs: tc.errs, hands: &clock.Manual{}, takes: tc.takes}
+			r.hands.Advance(clock.Second)
+			p := &flow.Plain{Services: r, Replicas: r, Clock: clock.Clock{Manual: r.hands}}
+			call, do := core.Call{Deadline: r.hands.Now() + 100}, p.Call
+			if tc.order {
+				do = p.Send
+			}
+			_, err := do(context.Background(), call)
+			is.Equal(r.calls, tc.calls)
+			is.Equal(err == nil, tc.run == "")
+			if err != nil {
+				is.Equal(codes.From(err).Run, tc.run)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/lease/entry_test.go
@@ -0,0 +1,56 @@
+package lease_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/engine"
+	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/trial"
+)
+
+// TestEntriesOrderEngines publishes desired states, stops the entry that
+// ordered them, and publishes others.
+func TestEntriesOrderEngines(t *testing.T) {
+	is := is.New(t)
+	defer http.DefaultClient.CloseIdleConnections()
+	set, err := trial.Start(trial.Plan{
+		Entries: 2, Prefills: 1, Decodes: 1, Linger: 1,
+		Tune: func(e *fake.Engine) { e.Fences = true },
+		Edit: func(d *core.Document) { d.Desired = desired(d, "verse") },
+	})
+	is.NoErr(err)
+	defer set.Stop()
+	ordered := func(model string) int64 {
+		var fence int64
+		for _, up := range set.Doc.Upstreams {
+			ctx, cancel := context.WithTimeout(context.Background(), (20 * clock.Second).Std())
+			defer cancel()
+			is.NoErr(trial.Until(ctx, func() bool {
+				o, err := (&engine.Client{}).Ordered(ctx, up)
+				fence = o.Fence
+				return err == nil && len(o.State.Models) == 1 && o.State.Models[0] == model
+			}))
+		}
+		return fence
+	}
+	first := ordered("verse")
+	is.True(first >= 1)
+	is.NoErr(set.Entries[0].Stop())
+	set.Doc.Version++
+	set.Doc.Desired = desired(&set.Doc, "diagnosis")
+	is.NoErr(set.Publish())
+	is.True(ordered("diagnosis") >= first)
+}
+
+func desired(d *core.Document, model string) (all []core.Desired) {
+	for _, up := range d.Upstreams {
+		all = append(all, core.Desired{Upstream: up.Name, Role: up.Role, Models: []string{model}})
+	}
+	return all
+}
