--- a/once/book.go
+++ b/once/book.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 
 	"go.uber.org/zap"
@@ -56,6 +55,8 @@
 	// zero is 64 MiB.
 	Limit      int
 	LimitBytes int64
+	// Rows bounds the rows that one transaction writes; zero is 64.
+	Rows int
 	// Draw returns random numbers for tokens and pauses; nil draws them from
 	// the system.
 	Draw func() uint64
@@ -64,14 +65,8 @@
 	batch   batch
 	load    load
 	life    life
-	sweep   place
 	unkept  atomic.Int64
-}
-
-// place is where a sweep has come to.
-type place struct {
-	mu    sync.Mutex
-	after string
+	unknown atomic.Int64
 }
 
 // Defaults and bounds.
