poison: a request that crashes upstreams is refused after the second

A request that was at an upstream when it crashed (connections refused, or another boot than before) is a suspect. It runs again on another upstream where no other suspect is, of this entry or, by a row in the table, of any other. A digest that was sent again after one crash and was part of another is in quarantine: refused everywhere, not run, for an hour or until an operator lifts it. The caller of the condemned request waits for its refusal until every entry that reads the table knows (1.5 s), so that sending it again elsewhere finds it refused.

Ruled out: counting crashes by digest alone. The first test's innocents shared one prompt, ran at two upstreams that the poison crashed, and were condemned: copies that ran side by side now count as one crash. Marks that peers tell are not written to the table, or a lifted one would come back.

An export that two decode upstreams failed to take is given up: a prefill that had crashed was asked again and again until its export's time was over, and an innocent ran out of attempts.

--- a/entry/admin.go
+++ b/entry/admin.go
@@ -15,14 +15,15 @@
 		e.meter.Add("violations_total", 0, "promise", string(p.Promise))
 	}
 	s := &admin.Server{
-		Tokens:  e.Settings.Tokens,
-		Self:    e.instance,
-		Views:   &e.book,
-		Members: &e.members,
-		Pool:    &e.pool,
-		Meter:   &e.meter,
-		Clock:   e.Clock,
-		Log:     e.Log,
+		Tokens:     e.Settings.Tokens,
+		Self:       e.instance,
+		Views:      &e.book,
+		Members:    &e.members,
+		Pool:       &e.pool,
+		Quarantine: quarantine{&e.suspects},
+		Meter:      &e.meter,
+		Clock:      e.Clock,
+		Log:        e.Log,
 	}
 	return s.Handler()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/once"
 	"lacewinghook.example/lacewinghook/place"
+	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/route"
@@ -43,18 +44,19 @@
 	// an answer of addresses.
 	Linger clock.Millis
 
-	owner   core.Owner
-	leaving atomic.Bool
-	flights atomic.Int64
-	meter   meter.Set
-	book    prof.Book
-	pool    pool.Table
-	members member.Table
-	store   store.Client
-	engines engine.Client
-	cancels abort.Book
-	peers   wire.Client
-	orders  once.Book
+	owner    core.Owner
+	leaving  atomic.Bool
+	flights  atomic.Int64
+	meter    meter.Set
+	book     prof.Book
+	pool     pool.Table
+	members  member.Table
+	store    store.Client
+	engines  engine.Client
+	cancels  abort.Book
+	suspects poison.Book
+	peers    wire.Client
+	orders   once.Book
 
 	deathInit, kill sync.Once
 	death           chan struct{}
@@ -177,6 +179,7 @@
 		Addr: e.Sockets.Callers.Addr().String(), Peer: e.Sockets.Peers.Addr().String(),
 	}
 	e.prepareFlow()
+	e.preparePoison()
 	e.book.OnChange = func(v *prof.View) { e.pool.Apply(v.Doc) }
 }
 
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -15,8 +15,8 @@
 func (e *Entry) newFlow() *flow.Flow {
 	return &flow.Flow{
 		Engines: &e.engines, Placer: e.desk(), Cancels: &e.cancels,
-		Upstreams: published{&e.pool},
-		Clock:     e.Clock, Meter: &e.meter,
+		Upstreams: published{&e.pool}, Suspects: &e.suspects,
+		Clock: e.Clock, Meter: &e.meter,
 	}
 }
 
--- a/entry/work.go
+++ b/entry/work.go
@@ -28,6 +28,7 @@
 	e.every(ctx, g, beatEvery, e.sendBeats)
 	e.every(ctx, g, reportEvery, e.readReports)
 	e.every(ctx, g, sweepEvery, e.sweepOrders)
+	e.followPoison(ctx, g)
 }
 
 func (e *Entry) every(ctx context.Context, g *errgroup.Group, d clock.Millis, f func(context.Context)) {
--- a/flow/decode.go
+++ b/flow/decode.go
@@ -58,7 +58,7 @@
 	if ctx.Err() == nil {
 		l.fail(up)
 		if g.arrived || !neverRan(err) {
-			l.broke(ctx, up, boot, err)
+			l.broke(ctx, up, boot, g.start, err)
 		}
 	}
 }
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -56,9 +56,9 @@
 	Enter(ctx context.Context, digest uint64, upstreams ...string) (leave func(), err error)
 	// Boot returns the last known boot of the upstream.
 	Boot(upstream string) string
-	// Broke is told that an upstream broke off while it ran the digest, and
-	// judges whether it crashed.
-	Broke(ctx context.Context, up core.Upstream, boot string, digest uint64)
+	// Broke is told that an upstream, which had that boot at the instant
+	// began, broke off while it ran the digest, and judges whether it crashed.
+	Broke(ctx context.Context, up core.Upstream, boot string, began clock.Millis, digest uint64)
 }
 
 // Sink takes the answer to one request.
--- a/flow/leg.go
+++ b/flow/leg.go
@@ -108,13 +108,13 @@
 	l.flow.Meter.Wasted(wasteOf(ctx, err), p.Tokens)
 	if ctx.Err() == nil {
 		l.fail(p.Prefill)
-		l.broke(ctx, p.Prefill, boot, err)
+		l.broke(ctx, p.Prefill, boot, start, err)
 	}
 	return x, err
 }
 
-// deliver hands the export to a decode upstream, and to another one if that
-// fails while the export lives.
+// deliver hands the export to a decode upstream, and to one other if that
+// fails while the export lives. If both fail, the export is likely at fault.
 func (g *leg) deliver(ctx context.Context, p *place.Placement, x core.Export) error {
 	l := g.life
 	from := p.Prefill
@@ -124,7 +124,7 @@
 		if err == nil || g.arrived {
 			return err
 		}
-		if !l.movable(ctx, err, x) {
+		if g.moved || !l.movable(ctx, err, x) {
 			return g.discard(ctx, from, x, err)
 		}
 		l.flow.Meter.Retried(reason(err))
--- a/flow/life.go
+++ b/flow/life.go
@@ -211,12 +211,12 @@
 }
 
 // broke lets an upstream's break be judged, if it may have been a crash.
-func (l *life) broke(ctx context.Context, up core.Upstream, boot string, err error) {
+func (l *life) broke(ctx context.Context, up core.Upstream, boot string, began clock.Millis, err error) {
 	if l.flow.Suspects == nil {
 		return
 	}
 	switch codes.From(err).Code {
 	case codes.UpstreamLost, codes.UpstreamRefused, codes.NotFound:
-		l.flow.Suspects.Broke(ctx, up, boot, l.request.Digest)
+		l.flow.Suspects.Broke(ctx, up, boot, began, l.request.Digest)
 	}
 }
--- a/flow/promise_test.go
+++ b/flow/promise_test.go
@@ -136,6 +136,14 @@
 		t.Run("entry dies in the middle", entryDies)
 		t.Run("resumed on two entries at once", resumedAtTwo)
 	})
+	t.Run("poison", func(t *testing.T) {
+		t.Run("crashes decode upstreams", func(t *testing.T) {
+			poisoned(t, func(s *trial.Set) []*fake.Engine { return s.Decodes })
+		})
+		t.Run("crashes prefill upstreams", func(t *testing.T) {
+			poisoned(t, func(s *trial.Set) []*fake.Engine { return s.Prefills })
+		})
+	})
 }
 
 // join adds the faults of a cancel to others.
--- /dev/null
+++ b/poison/judge.go
@@ -0,0 +1,74 @@
+package poison
+
+import (
+	"context"
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+)
+
+// Boot returns the last known boot of the upstream.
+func (b *Book) Boot(upstream string) string {
+	if b.Boots == nil {
+		return ""
+	}
+	return b.Boots.Boot(upstream)
+}
+
+// Times of judging a break.
+const (
+	// probeTimeout bounds the question whether an upstream still stands.
+	probeTimeout = 1 * clock.Second
+	// spreadTime is how long the caller of a condemned request waits for its
+	// refusal: until every entry that reads the table knows of it.
+	spreadTime = Every + Every/2
+)
+
+// Broke judges whether the upstream, which broke off while it ran the digest,
+// crashed, and marks the digest if so. boot is that of the upstream at began,
+// the instant of the call. It returns once the crash stands in the table, or the table
+// doesn't answer.
+func (b *Book) Broke(ctx context.Context, up core.Upstream, boot string, began clock.Millis, digest uint64) {
+	if !b.crashed(ctx, up, boot) {
+		return
+	}
+	at := b.Clock.Wall()
+	crash := Crash{Upstream: up.Name, Boot: boot, Began: at - (b.Clock.Now() - began), At: at}
+	m := b.add(Mark{Digest: digest, Crashes: []Crash{crash}, Until: at + markLife})
+	b.Meter.Add("suspects_total", 1, "upstream", up.Name)
+	m = b.keep(ctx, m)
+	b.tell(m, up)
+	if m.Condemned() {
+		b.Meter.Add("quarantined_total", 1)
+		_ = b.Clock.Sleep(ctx, spreadTime)
+	}
+}
+
+// crashed reports whether the upstream refuses connections or has started
+// again. One that can't be reached in another way may be cut off, which says
+// nothing of what it runs.
+func (b *Book) crashed(ctx context.Context, up core.Upstream, boot string) bool {
+	ctx, done := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout.Std())
+	defer done()
+	r, err := b.Engines.Load(ctx, up)
+	if err != nil {
+		return codes.Has(err, codes.UpstreamRefused) && codes.From(err).Run == codes.NotRun
+	}
+	return boot != "" && r.Boot != "" && r.Boot != boot
+}
+
+func (b *Book) tell(m Mark, up core.Upstream) {
+	if b.Log == nil {
+		return
+	}
+	b.Log.Warn("poison: an upstream crashed under a request", zap.String("upstream", up.Name),
+		zap.String("digest", Name(m.Digest)), zap.Int("crashes", len(m.Crashes)),
+		zap.Bool("quarantined", m.Condemned()))
+}
+
+// Name returns the form in which operators see a digest.
+func Name(digest uint64) string { return fmt.Sprintf("%016x", digest) }
