--- a/entry/admin.go
+++ b/entry/admin.go
@@ -15,15 +15,20 @@
 		e.meter.Add("violations_total", 0, "promise", string(p.Promise))
 	}
 	s := &admin.Server{
-		Tokens:     e.Settings.Tokens,
-		Self:       e.instance,
-		Views:      &e.book,
-		Members:    &e.members,
-		Pool:       &e.pool,
+		Tokens:  e.Settings.Tokens,
+		Self:    e.instance,
+		Views:   &e.book,
+		Members: &e.members,
+		Pool:    &e.pool,
+		Orders:  orders{&e.orders},
+		Meter:   &e.meter,
+		Clock:   e.Clock,
+		Log:     e.Log,
+
+		Documents: documents{e},
+		Drains:    drains{&e.drains},
+
 		Quarantine: quarantine{&e.suspects},
-		Meter:      &e.meter,
-		Clock:      e.Clock,
-		Log:        e.Log,
 	}
 	return s.Handler()
 }
--- a/front/service.go
+++ b/front/service.go
@@ -72,8 +72,10 @@
 			call.Header[name] = v
 		}
 	}
-	call.Body, err = s.body(w, r)
-	return call, err
+	if call.Body, err = s.body(w, r); err != nil {
+		return core.Call{}, err
+	}
+	return call, s.admit()
 }
 
 // unsafePath are characters that, decoded once more, would make another path.
--- a/trial/set.go
+++ b/trial/set.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -28,8 +27,11 @@
 	Pieces int
 	// Policy is the entries' way of choosing upstreams.
 	Policy string
-	// Linger is that of every entry.
+	// Linger is that of every entry, and Life that of the addresses it gives.
 	Linger clock.Millis
+	Life   clock.Millis
+	// Limits are the rates that the platform keeps to.
+	Limits plat.Limits
 	// Log is the entries' log; nil is none.
 	Log *zap.Logger
 	// Edit, if not nil, changes the document before it is published.
@@ -51,9 +53,12 @@
 	Base string
 	Doc  core.Document
 
+	plan Plan
 	ctx  context.Context
 	end  context.CancelFunc
 	wait sync.WaitGroup
+
+	platform, engine, service, peer tally
 }
 
 // Node is one running entry.
@@ -83,7 +88,7 @@
 
 // Start starts a set and returns once every entry takes work.
 func Start(p Plan) (*Set, error) {
-	s := &Set{Platform: &plat.Platform{Lag: 100}, Doc: Document()}
+	s := &Set{Platform: &plat.Platform{Lag: 100, Limits: p.Limits}, Doc: Document()}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	if err := s.start(p); err != nil {
 		s.Stop()
@@ -96,6 +101,7 @@
 	if p.Log == nil {
 		p.Log = zap.NewNop()
 	}
+	s.plan = p
 	if err := s.startUpstreams(p); err != nil {
 		return err
 	}
@@ -109,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	addr, err := s.serve(s.Platform.Handler())
+	addr, err := s.serve(s.Platform.Handler(), &s.platform)
 	if err != nil {
 		return err
 	}
@@ -122,17 +128,19 @@
 	return s.ready()
 }
 
-// Publish writes the set's document to the platform's table as it stands.
+// Publish writes the set's document to the platform's table as it stands, as
+// the only version there.
 func (s *Set) Publish() error {
-	data, err := json.Marshal(s.Doc)
+	all, err := prof.Seed(&s.Doc)
 	if err != nil {
 		return err
 	}
-	var revision int64
-	for _, row := range s.Platform.Table.Read([]string{prof.Key}) {
-		revision = row.Revision
+	for i := range all {
+		for _, row := range s.Platform.Table.Read([]string{all[i].Key}) {
+			all[i].Expect = row.Revision
+		}
 	}
-	done, err := s.Platform.Table.Commit([]core.Write{{Key: prof.Key, Value: data, Expect: revision}})
+	done, err := s.Platform.Table.Commit(all)
 	if err == nil && !done.OK() {
 		err = errors.New("trial: the document was changed beside")
 	}
@@ -175,7 +183,7 @@
 	for i := range p.Services {
 		svc := &fake.PlainService{Name: fmt.Sprintf("%s-%d", Service, i+1)}
 		s.Services = append(s.Services, svc)
-		addr, err := s.serve(svc.Handler())
+		addr, err := s.serve(svc.Handler(), &s.service)
 		if err != nil {
 			return err
 		}
@@ -195,7 +203,7 @@
 		return err
 	}
 	s.wait.Go(func() { e.Run(s.ctx) })
-	s.wait.Go(func() { _ = e.Serve(s.ctx, ln) })
+	s.wait.Go(func() { _ = e.Serve(s.ctx, listener{ln, &s.engine}) })
 	s.Doc.Upstreams = append(s.Doc.Upstreams, core.Upstream{
 		Name: e.Name, Addr: ln.Addr().String(), Centre: Centre, Role: e.Role, Models: []string{Model},
 		Pieces: e.Capacity(), Rate: e.Speed.Rate, Fences: e.Fences,
@@ -203,14 +211,15 @@
 	return nil
 }
 
-// serve answers on a free port of loopback until the set stops.
-func (s *Set) serve(h http.Handler) (addr string, err error) {
+// serve answers on a free port of loopback until the set stops, and counts
+// what passes.
+func (s *Set) serve(h http.Handler, t *tally) (addr string, err error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	srv := &http.Server{Handler: h}
-	s.wait.Go(func() { _ = srv.Serve(ln) })
+	srv := &http.Server{Handler: t.handler(h)}
+	s.wait.Go(func() { _ = srv.Serve(listener{ln, t}) })
 	context.AfterFunc(s.ctx, func() { _ = srv.Close() })
 	return ln.Addr().String(), nil
 }
@@ -224,6 +233,7 @@
 		if err != nil {
 			return nil, err
 		}
+		n.Entry.Sockets.Peers = listener{n.Entry.Sockets.Peers, &s.peer}
 		nodes = append(nodes, n)
 		s.Platform.Instances = append(s.Platform.Instances, core.Instance{
 			Name: n.Entry.Settings.Instance, Centre: Centre, Addr: n.Addr,
@@ -238,7 +248,7 @@
 		Instance: name, Centre: Centre, Policy: p.Policy, Tokens: []string{prof.Digest(Token)},
 		ResumeKey: ResumeKey,
 	}
-	e := &entry.Entry{Settings: settings, Log: p.Log, Linger: p.Linger}
+	e := &entry.Entry{Settings: settings, Log: p.Log, Linger: p.Linger, Life: p.Life}
 	for _, socket := range []*net.Listener{&e.Sockets.Callers, &e.Sockets.Operators, &e.Sockets.Peers} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
