--- a/entry/admin.go
+++ b/entry/admin.go
@@ -27,6 +27,8 @@
 
 		Documents: documents{e},
 		Drains:    drains{&e.drains},
+
+		Quarantine: quarantine{&e.suspects},
 	}
 	return s.Handler()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,11 +24,13 @@
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/once"
 	"lacewinghook.example/lacewinghook/place"
+	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/route"
 	"lacewinghook.example/lacewinghook/share"
 	"lacewinghook.example/lacewinghook/store"
+	"lacewinghook.example/lacewinghook/sweep"
 	"lacewinghook.example/lacewinghook/token"
 	"lacewinghook.example/lacewinghook/wire"
 )
@@ -70,6 +72,8 @@
 	engines   engine.Client
 	peers     wire.Client
 	cancels   abort.Book
+	suspects  poison.Book
+	sweeper   sweep.Sweeper
 	orders    once.Book
 	keeper    lease.Keeper
 	reports   share.Reader
@@ -110,7 +114,9 @@
 	operators := e.server(e.operators())
 	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
 	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
-	g.Go(func() error { return (&wire.Server{Handler: e, Methods: e.peerMethods(), Log: e.Log}).Serve(work, e.Sockets.Peers) })
+	g.Go(func() error {
+		return (&wire.Server{Handler: e, Methods: e.peerMethods(), Log: e.Log}).Serve(work, e.Sockets.Peers)
+	})
 	e.background(work, g)
 	g.Go(func() error {
 		defer end()
@@ -204,6 +210,8 @@
 		Addr: e.Sockets.Callers.Addr().String(), Peer: e.Sockets.Peers.Addr().String(),
 	}
 	e.prepareFlow()
+	e.preparePoison()
+	e.prepareSweep()
 	e.prepareKeeper()
 	e.prepareShare()
 	if e.Advertise != "" {
--- a/entry/work.go
+++ b/entry/work.go
@@ -6,6 +6,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/sweep"
 )
 
 // background starts the work that goes on beside the requests.
@@ -20,6 +21,8 @@
 	}
 	e.every(ctx, g, sweepEvery, e.sweepOrders)
 	e.every(ctx, g, orderEvery, e.orderEngines)
+	e.followPoison(ctx, g)
+	e.every(ctx, g, sweep.Every, e.sweeper.Sweep)
 }
 
 func (e *Entry) every(ctx context.Context, g *errgroup.Group, d clock.Millis, f func(context.Context)) {
