--- a/cmd/lacefake/files.go
+++ b/cmd/lacefake/files.go
@@ -56,11 +56,18 @@
 }
 
 func (l layout) write(dir string) error {
+	dir, err := filepath.Abs(dir)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, resumeFile), []byte(trial.ResumeKey), 0o600); err != nil {
+		return err
+	}
 	doc := trial.Document()
 	doc.Upstreams = l.upstreams()
 	p := platformConfig{Listen: l.addr(platformPort), Document: &doc}
 	for i := range l.entries {
-		s := l.settings(i)
+		s := l.settings(dir, i)
 		p.Instances = append(p.Instances, core.Instance{
 			Name: s.Instance, Centre: s.Centre, Addr: s.Callers.Listen, Peer: s.Peers.Listen,
 		})
@@ -97,7 +104,10 @@
 // enginePieces is the memory of an engine that is started without -pieces.
 const enginePieces = 60
 
-func (l layout) settings(i int) *config.Settings {
+// resumeFile is the file of the secret that signs the resume tokens.
+const resumeFile = "resume.key"
+
+func (l layout) settings(dir string, i int) *config.Settings {
 	port := entryPort + i*portsAnEntry
 	return &config.Settings{
 		Instance:  fmt.Sprintf("%s-%d", trial.Centre, i+1),
@@ -107,7 +117,7 @@
 		Peers:     config.Listener{Listen: l.addr(port + 2)},
 		Platform:  config.Platform{Base: "http://" + l.addr(platformPort)},
 		Tokens:    []string{prof.Digest(trial.Token)},
-		ResumeKey: trial.ResumeKey,
+		ResumeKey: filepath.Join(dir, resumeFile),
 	}
 }
 
--- a/config/check.go
+++ b/config/check.go
@@ -54,6 +54,7 @@
 		c.add("peers.ca", "missing; entries prove to each other who they are")
 	}
 	c.overlaps(s)
+	c.seeds(s.Seeds)
 	c.platform(s.Platform)
 	c.tokens(s.Tokens)
 	c.oneOf("policy", s.Policy, policies)
@@ -141,6 +142,15 @@
 	}
 }
 
+func (c *checker) seeds(seeds []string) {
+	for i, seed := range seeds {
+		addr, err := netip.ParseAddrPort(seed)
+		if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() {
+			c.add(index("seeds", i), "want an IP address and port")
+		}
+	}
+}
+
 // overlaps checks that no two listeners take the same port of one address.
 func (c *checker) overlaps(s *Settings) {
 	all := []struct{ field, listen string }{
--- a/config/config.go
+++ b/config/config.go
@@ -26,9 +26,9 @@
 	// Tokens are the SHA-256 digests of the operators' tokens, in
 	// hexadecimal. Without one no operator gets in.
 	Tokens []string `json:"tokens"`
-	// ResumeKey signs the resume tokens. It is the same at all entries, a
-	// secret, and best drawn at random with 32 bytes or more; without it no
-	// answer can be resumed.
+	// ResumeKey is the file of the secret that signs the resume tokens. The
+	// secret is the same at all entries, and best drawn at random with 32
+	// bytes or more; without it no answer can be resumed.
 	ResumeKey string `json:"resume_key,omitempty"`
 	// Policy names the way of choosing upstreams: least or random. Empty is
 	// least.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -34,6 +34,7 @@
 		"token in the open": {`"http://127.0.0.1:9000"`, `"http://10.0.0.9:9000","token":"f"`, "platform.token: needs https off loopback, or platform.insecure"},
 		"token, not digest": {"e3b0", "secret", "tokens[0]: want a SHA-256 digest of 64 small hexadecimal digits"},
 		"policy and level":  {`"tokens"`, `"policy":"best","log":"loud","tokens"`, "policy: want one of least, random; log: want one of debug, info, warn, error"},
+		"seeds":             {`"tokens"`, `"seeds":["127.0.0.1:7002","weyburn:1"],"tokens"`, "seeds[1]: want an IP address and port"},
 		"wrong type":        {`"moose-jaw-1"`, `7`, "instance: want a string"},
 		"name":              {`"moose-jaw-1"`, `"moose.jaw"`, "instance: want up to 63 small letters, digits and hyphens"},
 	} {
--- a/config/examples_test.go
+++ b/config/examples_test.go
@@ -1,12 +1,16 @@
 package config_test
 
 import (
+	"os"
 	"path/filepath"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"lacewinghook.example/lacewinghook/config"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/prof"
+	"lacewinghook.example/lacewinghook/strict"
 )
 
 func TestExamplesPass(t *testing.T) {
@@ -23,6 +27,11 @@
 				listens[s.Callers.Listen] = true
 			}
 			is.Equal(len(listens), 9)
+			data, err := os.ReadFile(filepath.Join("..", "examples", region, "document.json"))
+			is.NoErr(err)
+			doc := &core.Document{}
+			is.NoErr(strict.Decode(data, doc).Err())
+			is.NoErr(prof.Check(doc))
 		})
 	}
 }
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -26,6 +26,7 @@
 
 		Documents: documents{e},
 		Drains:    drains{&e.drains},
+		Orders:    orders{&e.orders},
 	}
 	return s.Handler()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,6 +46,9 @@
 	// Life is how long callers may keep an answer of addresses; zero is
 	// [member.AddressLife].
 	Life clock.Millis
+	// ResumeKey signs the resume tokens; empty is read from the settings'
+	// file.
+	ResumeKey string
 
 	owner     core.Owner
 	began     clock.Millis
@@ -89,8 +92,7 @@
 		return err
 	}
 	e.prepare()
-	var err error
-	if e.store.Token, err = readToken(e.Settings.Platform.Token); err != nil {
+	if err := e.secure(); err != nil {
 		return err
 	}
 	// work goes on while the entry stops and ends last of all.
@@ -102,7 +104,9 @@
 	operators := e.server(e.operators())
 	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
 	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
-	g.Go(func() error { return (&wire.Server{Handler: e, Log: e.Log}).Serve(work, e.Sockets.Peers) })
+	g.Go(func() error {
+		return (&wire.Server{Handler: e, Log: e.Log, Certs: e.peers.Certs}).Serve(work, e.Sockets.Peers)
+	})
 	e.background(work, g)
 	g.Go(func() error {
 		defer end()
@@ -115,7 +119,7 @@
 		return e.stop(work, callers, operators)
 	})
 	e.Log.Info("entry: serving", zap.String("callers", e.Sockets.Callers.Addr().String()))
-	err = g.Wait()
+	err := g.Wait()
 	e.cancels.Close()
 	e.peers.Close()
 	return err
@@ -223,7 +227,7 @@
 		State:   e.state,
 		Limits:  e.Settings.Limits,
 		Meter:   &e.meter,
-		Signer:  token.Signer{Key: []byte(e.Settings.ResumeKey)},
+		Signer:  token.Signer{Key: []byte(e.ResumeKey)},
 	}
 	return s.Handler()
 }
--- a/entry/secret.go
+++ b/entry/secret.go
@@ -8,22 +8,27 @@
 	"github.com/go-faster/errors"
 )
 
-// maxTokenBytes bounds the file of the platform's token.
-const maxTokenBytes = 4 << 10
+// maxSecretBytes bounds the file of a secret.
+const maxSecretBytes = 4 << 10
 
-// readToken returns the platform's token from its file; no file is no token.
-func readToken(file string) (string, error) {
+// readSecret returns the secret that a file holds, without the space around
+// it; no file is no secret.
+func readSecret(file string) (string, error) {
 	if file == "" {
 		return "", nil
 	}
 	f, err := os.Open(file)
 	if err != nil {
-		return "", errors.Wrap(err, "entry: the platform's token")
+		return "", err
 	}
 	defer f.Close()
-	data, err := io.ReadAll(io.LimitReader(f, maxTokenBytes))
+	data, err := io.ReadAll(io.LimitReader(f, maxSecretBytes))
 	if err != nil {
-		return "", errors.Wrap(err, "entry: the platform's token")
+		return "", err
 	}
-	return strings.TrimSpace(string(data)), nil
+	secret := strings.TrimSpace(string(data))
+	if secret == "" {
+		return "", errors.Errorf("%s: no secret in it", file)
+	}
+	return secret, nil
 }
--- a/prof/check.go
+++ b/prof/check.go
@@ -71,15 +71,31 @@
 	}
 }
 
-// name checks a name and that it wasn't seen before.
+// name checks a name of one word.
 func (c *checker) name(field, name string, seen map[string]bool) {
+	if strings.ContainsAny(name, "/ \t\r\n") {
+		c.fault(field, "%q has a slash or white space", name)
+	}
+	c.unique(field, name, seen)
+}
+
+// words checks a name of several words, such as "patient and exact". It
+// travels in a header of HTTP.
+func (c *checker) words(field, name string, seen map[string]bool) {
+	strange := func(r rune) bool { return r < ' ' || r > '~' }
+	if name != strings.Join(strings.Fields(name), " ") || strings.ContainsFunc(name, strange) {
+		c.fault(field, "want plain words with one space between them")
+	}
+	c.unique(field, name, seen)
+}
+
+// unique checks the length of a name and that it wasn't seen before.
+func (c *checker) unique(field, name string, seen map[string]bool) {
 	switch {
 	case name == "":
 		c.fault(field, "missing")
 	case len(name) > maxNameBytes:
 		c.fault(field, "over %d bytes", maxNameBytes)
-	case strings.ContainsAny(name, "/ \t\r\n"):
-		c.fault(field, "%q has a slash or white space", name)
 	case seen[name]:
 		c.fault(field, "%q stands twice", name)
 	}
@@ -97,7 +113,7 @@
 	seen := make(map[string]bool, len(all))
 	for i, p := range all {
 		at := fmt.Sprintf("profiles[%d]", i)
-		c.name(at+".name", p.Name, seen)
+		c.words(at+".name", p.Name, seen)
 		number(c, at+".first_token", p.FirstToken, 1, maxTime)
 		number(c, at+".per_token", p.PerToken, 1, maxTime)
 		number(c, at+".patience", p.Patience, 0, maxTime)
