--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/engine"
 	"lacewinghook.example/lacewinghook/front"
+	"lacewinghook.example/lacewinghook/lease"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/once"
@@ -68,6 +69,7 @@
 	peers     wire.Client
 	cancels   abort.Book
 	orders    once.Book
+	keeper    lease.Keeper
 	// news wakes the heartbeats, listed does so with the first list, and met
 	// closes metAll once all partners were asked.
 	news   bell
@@ -200,6 +202,7 @@
 		Addr: e.Sockets.Callers.Addr().String(), Peer: e.Sockets.Peers.Addr().String(),
 	}
 	e.prepareFlow()
+	e.prepareKeeper()
 	e.members.Boot = e.owner.Boot
 	e.members.State = e.state
 	e.members.Load = e.flights.count
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -8,27 +8,33 @@
 	"lacewinghook.example/lacewinghook/once"
 )
 
-// orders implements [admin.Orders]. It leaves out what operators have no use
-// for: the answers and the attempts' tokens.
-type orders struct {
-	book *once.Book
+// orders gives operators the book of orders.
+type orders struct{ book *once.Book }
+
+// findings are the outcomes that an operator may name.
+var findings = map[string]once.State{
+	string(codes.Ran):    once.SettledRan,
+	string(codes.NotRun): once.SettledNotRun,
 }
 
 // List implements [admin.Orders].
 func (o orders) List(ctx context.Context, state, after string, limit int) (admin.OrderPage, error) {
 	page, err := o.book.List(ctx, once.State(state), after, limit)
-	list := admin.OrderPage{Orders: make([]admin.Order, 0, len(page.Orders)), Next: page.Next}
+	if err != nil {
+		return admin.OrderPage{}, err
+	}
+	p := admin.OrderPage{Orders: make([]admin.Order, 0, len(page.Orders)), Next: page.Next}
 	for _, r := range page.Orders {
-		list.Orders = append(list.Orders, orderOf(r))
+		p.Orders = append(p.Orders, orderOf(r))
 	}
-	return list, err
+	return p, nil
 }
 
 // Settle implements [admin.Orders].
 func (o orders) Settle(ctx context.Context, key, outcome, by string) (admin.Order, error) {
-	state := once.SettledRan
-	if outcome == string(codes.NotRun) {
-		state = once.SettledNotRun
+	state, ok := findings[outcome]
+	if !ok {
+		return admin.Order{}, codes.New(codes.BadRequest, "outcome: want %s or %s", codes.Ran, codes.NotRun)
 	}
 	r, err := o.book.Settle(ctx, key, state, by)
 	return orderOf(r), err
