front, admin, lacectl: broken promises are seen, counted and shown

front has a last look at each answer: tokens of another request, out of their order, sent twice or behind the end marker, an answer without its end marker, and a "not run" after tokens. Such a token isn't sent, and the violation is counted for its promise. With it, a fault of flow or of an adapter that lets something through shows as a violation and not as a wrong answer. Ruled out: such a check in flow itself, which would be done by the same code that it is to watch.

A crossed answer of a broken engine shows among the counters of answered_once.

--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -12,6 +12,8 @@
 
 	"lacewinghook.example/lacewinghook/admin"
 	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/trial"
 )
 
@@ -54,12 +56,17 @@
 
 func TestPromisesCarryEvidence(t *testing.T) {
 	is := is.New(t)
-	set, err := trial.Start(trial.Plan{Entries: 1, Linger: 1})
+	set, err := trial.Start(trial.Plan{Entries: 1, Prefills: 1, Decodes: 1, Linger: 1})
 	is.NoErr(err)
 	t.Cleanup(set.Stop)
+	// A broken engine's answers to others are dropped, and that shows.
+	set.Decodes[0].Trouble.Set(fake.Ills{CrossAnswers: 1})
+	r, err := set.Client(0).Complete(context.Background(), trial.Ask{Model: trial.Model, Prompt: "x", MaxTokens: 3}, nil)
+	is.NoErr(err)
+	is.Equal(r.Text, strings.Join(fake.Answer("x", 3), ""))
 	// A refused caller moves the counter that bears on "not run is true".
-	_, err = set.Client(0).Complete(context.Background(), trial.Ask{Model: "none", Prompt: "x"}, nil)
-	is.True(codes.Has(err, codes.BadRequest) || codes.Has(err, codes.UnknownModel))
+	_, err = set.Client(0).Complete(context.Background(), trial.Ask{Model: "none", Prompt: "x", MaxTokens: 1}, nil)
+	is.True(codes.Has(err, codes.UnknownModel))
 	status, body := ask(t, set, "/admin/v1/promises", "Bearer "+trial.Token)
 	is.Equal(status, http.StatusOK)
 	var p admin.Promises
@@ -68,7 +75,19 @@
 	for _, one := range p.Promises {
 		is.True(one.Mechanism != "")
 	}
-	is.True(strings.Contains(body, `refused_total{code=`))
+	is.Equal(counterOf(p, meter.AnsweredOnce, `dropped_answers_total{reason="wrong_id"}`), 1.0)
+	is.Equal(counterOf(p, meter.NotRunIsTrue, `refused_total{code="unknown_model"}`), 1.0)
 	_, metrics := ask(t, set, "/metrics", "Bearer "+trial.Token)
 	is.True(strings.Contains(metrics, `lacewinghook_violations_total{promise="at_most_once"} 0`))
 }
+
+func counterOf(all admin.Promises, promise meter.Promise, name string) float64 {
+	for _, p := range all.Promises {
+		for _, c := range p.Counters {
+			if p.Promise == promise && c.Name == name {
+				return c.Value
+			}
+		}
+	}
+	return -1
+}
--- a/admin/promises.go
+++ b/admin/promises.go
@@ -53,15 +53,15 @@
 var evidences = map[meter.Promise]evidence{
 	meter.MemoryFreed: {
 		"Each cancel is repeated until the engine confirms it; the requests of dead entries are swept from the engines.",
-		[]string{"cancels", "orphans", "aborts"},
+		[]string{"cancel", "cancels", "orphans"},
 	},
 	meter.AnsweredOnce: {
 		"Every answer carries the request's ID and attempt; one of another request or an older attempt is dropped.",
-		[]string{"dropped_answers", "hedges", "resumes"},
+		[]string{"dropped_answers", "hedges", "retries"},
 	},
 	meter.AnsweredWhole: {
 		"Tokens are numbered and the end is marked with their count; a stream that breaks before is continued.",
-		[]string{"retries", "continued", "resumes"},
+		[]string{"retries", "dropped_answers"},
 	},
 	meter.NotRunIsTrue: {
 		"An error says not_run only before the first byte went to an upstream, or with the upstream's own refusal.",
@@ -69,19 +69,19 @@
 	},
 	meter.AtMostOnce: {
 		"An order is sent only by the holder of its row in the platform's table, once, on a fresh connection.",
-		[]string{"orders", "once"},
+		[]string{"orders", "order", "once"},
 	},
 	meter.LeavingIdle: {
 		"Drains are rows that every entry follows, with news in the heartbeats; a drained upstream is no candidate.",
-		[]string{"drain", "drained"},
+		[]string{"drains"},
 	},
 	meter.StopCutsNone: {
 		"An entry that stops leaves the addresses first, lingers for longer than callers keep them, and waits for all requests.",
-		[]string{"stop", "flights"},
+		[]string{"requests", "leaving"},
 	},
 	meter.NeverReverts: {
 		"A document is put in force only if its version is higher; an entry that can't learn of versions takes no new work.",
-		[]string{"document", "prof", "cut_off"},
+		[]string{"document"},
 	},
 }
 
@@ -142,7 +142,7 @@
 func pick(all []Counter, families []string) []Counter {
 	picked := []Counter{}
 	for _, c := range all {
-		if slices.ContainsFunc(families, func(f string) bool { return strings.HasPrefix(c.Name, f+"_") }) {
+		if slices.ContainsFunc(families, func(f string) bool { return c.Name == f || strings.HasPrefix(c.Name, f+"_") }) {
 			picked = append(picked, c)
 		}
 	}
--- a/cmd/lacectl/script_test.go
+++ b/cmd/lacectl/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
@@ -10,6 +11,10 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"lacewinghook.example/lacewinghook/client"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/trial"
 )
 
@@ -29,14 +34,64 @@
 	})
 }
 
+// setKey is the key of a script's set among its values.
+type setKey struct{}
+
+// revert makes the platform's table go back to the document that the set was
+// started with, as a table restored from an old copy would.
+func revert(ts *testscript.TestScript, _ bool, _ []string) {
+	set := ts.Value(setKey{}).(*trial.Set)
+	writes, err := prof.Seed(&set.Doc)
+	ts.Check(err)
+	for i := range writes {
+		for _, row := range set.Platform.Table.Read([]string{writes[i].Key}) {
+			writes[i].Expect = row.Revision
+		}
+	}
+	done, err := set.Platform.Table.Commit(writes)
+	ts.Check(err)
+	if !done.OK() {
+		ts.Fatalf("the table was changed beside")
+	}
+}
+
+// awaitViolation waits until the first entry has seen a broken promise.
+func awaitViolation(ts *testscript.TestScript, _ bool, _ []string) {
+	set := ts.Value(setKey{}).(*trial.Set)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	c := client.Client{Base: "http://" + set.Entries[0].Admin, Token: trial.Token}
+	ts.Check(trial.Until(ctx, func() bool {
+		s, err := c.Status(ctx)
+		return err == nil && s.Violations > 0
+	}))
+}
+
+// loseAnswer makes an order that runs and whose answer is lost.
+func loseAnswer(ts *testscript.TestScript, _ bool, _ []string) {
+	set := ts.Value(setKey{}).(*trial.Set)
+	set.Services[0].Trouble.Set(fake.Ills{LoseAnswers: 1})
+	_, err := set.Client(0).Service(context.Background(), http.MethodPost, "/orders", "lost-1", []byte("{}"))
+	if codes.From(err).Run != codes.Unknown {
+		ts.Fatalf("want an unknown outcome, have %v", err)
+	}
+}
+
 // TestScripts runs each script against a trial set of its own.
 func TestScripts(t *testing.T) {
-	testscript.Run(t, testscript.Params{Dir: "testdata", Setup: func(env *testscript.Env) error {
+	cmds := map[string]func(*testscript.TestScript, bool, []string){
+		"revert":      revert,
+		"lose-answer": loseAnswer,
+
+		"await-violation": awaitViolation,
+	}
+	testscript.Run(t, testscript.Params{Dir: "testdata", Cmds: cmds, Setup: func(env *testscript.Env) error {
 		set, err := trial.Start(trial.Plan{Entries: 2, Prefills: 1, Decodes: 1, Services: 1, Linger: 1})
 		if err != nil {
 			return err
 		}
 		env.Defer(set.Stop)
+		env.Values[setKey{}] = set
 		if err := acquainted(set); err != nil {
 			return err
 		}
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -14,6 +14,7 @@
 	for _, p := range meter.Promises {
 		e.meter.Add("violations_total", 0, "promise", string(p.Promise))
 	}
+	e.gauges()
 	s := &admin.Server{
 		Tokens:  e.Settings.Tokens,
 		Self:    e.instance,
--- a/front/complete.go
+++ b/front/complete.go
@@ -66,7 +66,8 @@
 
 func (s *Server) whole(w http.ResponseWriter, r *http.Request, req *core.Request) {
 	sink := &textSink{}
-	if err := s.Runner.Run(r.Context(), req, sink); err != nil {
+	check := &audit{sink: sink, meter: s.Meter, id: req.ID}
+	if err := check.outcome(s.Runner.Run(r.Context(), req, check)); err != nil {
 		s.failed(req, err)
 		writeError(w, err)
 		return
@@ -76,7 +77,8 @@
 
 func (s *Server) streamed(w http.ResponseWriter, r *http.Request, req *core.Request) {
 	sink := newStreamSink(w, resumeOf(req), s.Signer)
-	if err := s.Runner.Run(r.Context(), req, sink); err != nil {
+	check := &audit{sink: sink, meter: s.Meter, id: req.ID}
+	if err := check.outcome(s.Runner.Run(r.Context(), req, check)); err != nil {
 		s.failed(req, err)
 		sink.fail(err)
 	}
--- a/front/resume.go
+++ b/front/resume.go
@@ -21,7 +21,8 @@
 	}
 	w.Header().Set("Request-Id", t.ID.String())
 	sink := newStreamSink(w, t, s.Signer)
-	if err := s.Runner.Resume(r.Context(), t, offset, sink); err != nil {
+	check := &audit{sink: sink, meter: s.Meter, id: t.ID, next: offset}
+	if err := check.outcome(s.Runner.Resume(r.Context(), t, offset, check)); err != nil {
 		s.Meter.Refused(codes.From(err).Code)
 		s.Log.Info("front: a resumed request failed", zap.Stringer("id", t.ID), zap.Error(err))
 		sink.fail(err)
