entry: tests that peers prove who they are, and lacectl over TLS

Two entries with certificates of one authority confirm each other's version; a peer without TLS and one with another authority's certificate get nothing.

--- a/entry/secure_test.go
+++ b/entry/secure_test.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
+	"crypto/x509/pkix"
 	"encoding/pem"
 	"math/big"
 	"net"
@@ -18,21 +19,55 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"lacewinghook.example/lacewinghook/cert"
+	"lacewinghook.example/lacewinghook/client"
 	"lacewinghook.example/lacewinghook/config"
+	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/entry"
+	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/trial"
+	"lacewinghook.example/lacewinghook/wire"
 )
 
-// writeCert writes a certificate of loopback, signed by itself, with its key.
-func writeCert(t *testing.T, l config.Listener, serial int64) {
+// authority signs certificates for loopback.
+type authority struct {
+	dir  string
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{dir: t.TempDir()}
+	a.write(t, config.Listener{Cert: filepath.Join(a.dir, "ca.crt"), Key: filepath.Join(a.dir, "ca.key")}, "ca", 1)
+	return a
+}
+
+// listener returns a listener with the files of a new certificate.
+func (a *authority) listener(t *testing.T, name string) config.Listener {
+	l := config.Listener{
+		Cert: filepath.Join(a.dir, name+".crt"), Key: filepath.Join(a.dir, name+".key"),
+		CA: filepath.Join(a.dir, "ca.crt"),
+	}
+	a.write(t, l, name, 1)
+	return l
+}
+
+// write signs a certificate and writes it with its key; the first one is the
+// authority's own.
+func (a *authority) write(t *testing.T, l config.Listener, name string, serial int64) {
 	is := is.New(t)
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	is.NoErr(err)
 	c := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour), Subject: pkix.Name{CommonName: name},
+		DNSNames: []string{name}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA: a.cert == nil, BasicConstraintsValid: true,
 	}
-	der, err := x509.CreateCertificate(rand.Reader, c, c, key.Public(), key)
+	if a.cert == nil {
+		a.key, a.cert = key, c
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, a.cert, key.Public(), a.key)
 	is.NoErr(err)
 	secret, err := x509.MarshalPKCS8PrivateKey(key)
 	is.NoErr(err)
@@ -44,14 +79,16 @@
 // operators while the entry runs.
 func TestListenersTakeUpNewCertificates(t *testing.T) {
 	is := is.New(t)
-	dir := t.TempDir()
-	l := config.Listener{Cert: filepath.Join(dir, "c.pem"), Key: filepath.Join(dir, "k.pem")}
-	writeCert(t, l, 1)
+	ca := newAuthority(t)
+	l := ca.listener(t, "moose-jaw-9")
+	authorities := l.CA
+	l.CA = ""
 	set, err := trial.Start(trial.Plan{Linger: 1})
 	is.NoErr(err)
 	t.Cleanup(set.Stop)
 	e := &entry.Entry{Log: zap.NewNop(), Linger: 1, Settings: &config.Settings{
 		Instance: "moose-jaw-9", Callers: l, Operators: l, Platform: config.Platform{Base: set.Base},
+		Tokens: []string{prof.Digest(trial.Token)},
 	}}
 	var addrs []string
 	for _, socket := range []*net.Listener{&e.Sockets.Callers, &e.Sockets.Operators, &e.Sockets.Peers} {
@@ -66,10 +103,15 @@
 		cancel()
 		<-done
 	}()
+	op := client.Client{Base: "https://" + addrs[1], Token: trial.Token}
+	op.HTTP, err = client.Trusting(authorities)
+	is.NoErr(err)
+	_, err = op.Status(ctx)
+	is.NoErr(err)
 	for _, addr := range addrs[:2] {
 		is.Equal(serialOf(ctx, t, addr), int64(1))
 	}
-	writeCert(t, l, 2)
+	ca.write(t, l, "moose-jaw-9", 2)
 	for _, addr := range addrs[:2] {
 		is.NoErr(trial.Until(ctx, func() bool { return serialOf(ctx, t, addr) == 2 }))
 	}
@@ -83,3 +125,36 @@
 	defer conn.Close()
 	return conn.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.Int64()
 }
+
+// TestPeersProveWhoTheyAre lets two entries speak with certificates of one
+// authority, and gives nothing to those without one.
+func TestPeersProveWhoTheyAre(t *testing.T) {
+	is := is.New(t)
+	ca := newAuthority(t)
+	set, err := trial.Start(trial.Plan{Entries: 2, Linger: 1, Setup: func(s *config.Settings) {
+		l := ca.listener(t, s.Instance)
+		l.Listen = s.Peers.Listen
+		s.Peers = l
+	}})
+	is.NoErr(err)
+	t.Cleanup(set.Stop)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	op := client.Client{Base: "http://" + set.Entries[0].Admin, Token: trial.Token}
+	is.NoErr(trial.Until(ctx, func() bool {
+		all, err := op.Confirmed(ctx)
+		return err == nil && len(all) == 2 && all[0].Reached && all[1].Reached
+	}))
+	stranger := newAuthority(t).listener(t, "moose-jaw-2")
+	for name, certs := range map[string]*cert.Source{
+		"no TLS":            nil,
+		"another authority": {CertFile: stranger.Cert, KeyFile: stranger.Key, CAFile: ca.listener(t, "moose-jaw-3").CA},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := wire.Client{Certs: certs}
+			defer c.Close()
+			_, err := c.Beat(ctx, set.Entries[0].Entry.Settings.Peers.Listen, member.Beat{Instance: core.Instance{Name: "moose-jaw-2"}})
+			is.New(t).True(err != nil)
+		})
+	}
+}
