--- a/plat/platform.go
+++ b/plat/platform.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -20,12 +23,18 @@
 	Table  Table
 	Faults Faults
 	Clock  clock.Clock
-	// Instances are those that the platform runs. It learns their states by
-	// asking each for its readiness, so that its list lags.
+	// Instances are those that the platform runs at the start; later changes
+	// go through Join and Part. It learns their states by asking each for its
+	// readiness, so that its list lags.
 	Instances []core.Instance
 	// Lag is the time between two looks at an instance; zero is 500.
 	Lag clock.Millis
+	// Limits are the rates that the platform keeps to.
+	Limits Limits
 
+	limiters limiters
+
+	mu      sync.Mutex
 	objects shard.Map[string, []byte]
 	states  shard.Map[string, seen]
 }
@@ -44,6 +53,8 @@
 	maxLookedBytes = 4096
 )
 
+var errNoObject = errors.New("plat: no object of this key")
+
 // ReadCall asks for rows by key or by prefix.
 type ReadCall struct {
 	Keys   []string `json:"keys,omitempty"`
@@ -68,6 +79,7 @@
 	r.HandleFunc("/v1/table/read", p.read).Methods(http.MethodPost)
 	r.HandleFunc("/v1/table/commit", p.commit).Methods(http.MethodPost)
 	r.HandleFunc("/v1/objects/{key:.+}", p.object).Methods(http.MethodGet, http.MethodPut)
+	r.HandleFunc("/v1/weights/{name:.+}", p.weightFile).Methods(http.MethodGet)
 	r.HandleFunc("/v1/instances", p.list).Methods(http.MethodGet)
 	r.HandleFunc("/fake/faults", p.setFaults).Methods(http.MethodPost, http.MethodDelete)
 	return r
@@ -75,7 +87,7 @@
 
 func (p *Platform) read(w http.ResponseWriter, r *http.Request) {
 	var call ReadCall
-	if !decode(w, r, &call) {
+	if !decode(w, r, &call) || !p.admit(w, r, p.limits().table.reads) {
 		return
 	}
 	p.do(w, Read, append([]string{call.Prefix}, call.Keys...), func() (any, error) {
@@ -88,7 +100,7 @@
 
 func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
 	var call CommitCall
-	if !decode(w, r, &call) {
+	if !decode(w, r, &call) || !p.admit(w, r, p.limits().table.writes) {
 		return
 	}
 	var keys []string
@@ -106,28 +118,57 @@
 		return
 	}
 	if r.Method == http.MethodPut {
-		p.do(w, Object, []string{key}, func() (any, error) {
-			p.objects.Set(key, body)
-			return struct{}{}, nil
-		})
+		if p.admit(w, r, p.limits().objects.writes) {
+			p.do(w, Object, []string{key}, func() (any, error) {
+				p.objects.Set(key, body)
+				return struct{}{}, nil
+			})
+		}
 		return
 	}
-	data, ok := p.objects.Get(key)
-	if !ok {
-		http.NotFound(w, r)
-		return
+	if p.admit(w, r, p.limits().objects.reads) {
+		p.do(w, Object, []string{key}, func() (any, error) {
+			data, ok := p.objects.Get(key)
+			if !ok {
+				return nil, errNoObject
+			}
+			return data, nil
+		})
 	}
-	p.do(w, Object, []string{key}, func() (any, error) { return data, nil })
 }
 
 func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
 	p.do(w, List, nil, func() (any, error) { return p.Listing(), nil })
 }
 
+// Join adds an instance, or takes the place of the one of that name.
+func (p *Platform) Join(in core.Instance) {
+	p.Part(in.Name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Instances = append(slices.Clone(p.Instances), in)
+}
+
+// Part removes an instance from the list.
+func (p *Platform) Part(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Instances = slices.DeleteFunc(slices.Clone(p.Instances), func(in core.Instance) bool {
+		return in.Name == name
+	})
+	p.states.Delete(name)
+}
+
+func (p *Platform) instances() []core.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Instances
+}
+
 // Listing returns the instance list as the platform knows it.
 func (p *Platform) Listing() core.Listing {
 	var l core.Listing
-	for _, in := range p.Instances {
+	for _, in := range p.instances() {
 		s, ok := p.states.Get(in.Name)
 		if !ok {
 			continue
@@ -151,7 +192,7 @@
 }
 
 func (p *Platform) look(ctx context.Context, client *http.Client) {
-	for _, in := range p.Instances {
+	for _, in := range p.instances() {
 		state := lookAt(ctx, client, in.Addr)
 		p.states.Set(in.Name, seen{state: state, at: p.Clock.Now()})
 	}
@@ -211,6 +252,10 @@
 
 func answer(w http.ResponseWriter, f func() (any, error)) {
 	v, err := f()
+	if errors.Is(err, errNoObject) {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
