member: the test's look at a listener doesn't wait a second for a lost packet

A connection attempt that meets a listener as it closes is sent again after a second, and with it the kept connection of the test is older than the test means it to be.

--- a/member/promise_test.go
+++ b/member/promise_test.go
@@ -121,8 +121,12 @@
 	is.NoErr(<-stopped)
 }
 
+// listenTimeout is short: a connection attempt that meets a listener as it
+// closes is sent again only after a second.
+const listenTimeout = 100 * time.Millisecond
+
 func listens(addr string) bool {
-	c, err := net.DialTimeout("tcp", addr, time.Second)
+	c, err := net.DialTimeout("tcp", addr, listenTimeout)
 	if err != nil {
 		return false
 	}
