--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,10 +24,13 @@
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/once"
 	"lacewinghook.example/lacewinghook/place"
+	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/route"
+	"lacewinghook.example/lacewinghook/share"
 	"lacewinghook.example/lacewinghook/store"
+	"lacewinghook.example/lacewinghook/sweep"
 	"lacewinghook.example/lacewinghook/token"
 	"lacewinghook.example/lacewinghook/wire"
 )
@@ -50,9 +53,11 @@
 	// Advertise is the address that peers use for this entry; empty is that
 	// of the socket.
 	Advertise string
+	// ResumeKey signs the resume tokens; empty is read from the settings'
+	// file.
+	ResumeKey string
 
 	owner    core.Owner
-	began    clock.Millis
 	leaving  atomic.Bool
 	self     atomic.Pointer[standing]
 	flights  flights
@@ -68,8 +73,11 @@
 	engines  engine.Client
 	peers    wire.Client
 	cancels  abort.Book
+	suspects poison.Book
+	sweeper  sweep.Sweeper
 	orders   once.Book
 	keeper   lease.Keeper
+	reports  share.Reader
 	// news wakes the heartbeats, listed does so with the first list, and met
 	// closes metAll once all partners were asked.
 	news   bell
@@ -94,8 +102,7 @@
 		return err
 	}
 	e.prepare()
-	var err error
-	if e.store.Token, err = readToken(e.Settings.Platform.Token); err != nil {
+	if err := e.secure(); err != nil {
 		return err
 	}
 	// work goes on while the entry stops and ends last of all.
@@ -107,7 +114,9 @@
 	operators := e.server(e.operators())
 	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
 	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
-	g.Go(func() error { return (&wire.Server{Handler: e, Log: e.Log}).Serve(work, e.Sockets.Peers) })
+	g.Go(func() error {
+		return (&wire.Server{Handler: e, Methods: e.peerMethods(), Log: e.Log, Certs: e.peers.Certs}).Serve(work, e.Sockets.Peers)
+	})
 	e.background(work, g)
 	g.Go(func() error {
 		defer end()
@@ -120,7 +129,7 @@
 		return e.stop(work, callers, operators)
 	})
 	e.Log.Info("entry: serving", zap.String("callers", e.Sockets.Callers.Addr().String()))
-	err = g.Wait()
+	err := g.Wait()
 	e.cancels.Close()
 	e.peers.Close()
 	return err
@@ -199,11 +208,14 @@
 		Name: s.Instance, Centre: s.Centre, State: core.Live,
 		Addr: e.Sockets.Callers.Addr().String(), Peer: e.Sockets.Peers.Addr().String(),
 	}
+	e.prepareFlow()
+	e.preparePoison()
+	e.prepareSweep()
+	e.prepareKeeper()
+	e.prepareShare()
 	if e.Advertise != "" {
 		e.members.Self.Peer = e.Advertise
 	}
-	e.prepareFlow()
-	e.prepareKeeper()
 	e.members.Boot = e.owner.Boot
 	e.members.State = e.state
 	e.members.Load = e.flights.count
@@ -231,7 +243,7 @@
 		State:   e.state,
 		Limits:  e.Settings.Limits,
 		Meter:   &e.meter,
-		Signer:  token.Signer{Key: []byte(e.Settings.ResumeKey)},
+		Signer:  token.Signer{Key: []byte(e.ResumeKey)},
 	}
 	return s.Handler()
 }
