prof: documents are kept compressed, and their reads are spread

Need: every entry reads the document after each change.

gzip by the standard library: 90873 bytes kept. Ruled out: sending only the differences, since an entry that missed one needs the whole anyway and two forms would have to be kept equal.

With news of a new version an entry waits for a random time of up to 5 ms for each known entry before it reads.

--- a/member/partner.go
+++ b/member/partner.go
@@ -49,6 +49,15 @@
 	return p
 }
 
+// spreadPerEntry is what each known entry adds to [Table.Spread].
+const spreadPerEntry = 5 * clock.Millis(1)
+
+// Spread returns the time over which entries that all want the same thing from
+// the platform spread their calls: 1.7 s for 330 entries.
+func (t *Table) Spread() clock.Millis {
+	return clock.Millis(t.peers.Len()) * spreadPerEntry
+}
+
 // Partners returns the entries that this one beats: all of a small set; of a
 // large one the next in the ring of names, which joins the set together, some
 // chosen by hash, which keep the ways short, and those that are suspect.
--- a/prof/follow.go
+++ b/prof/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 
 	"go.uber.org/zap"
@@ -35,10 +36,13 @@
 	// Met, if not nil, is closed once all peers have been asked for their
 	// versions. An entry without a document that can't read the table waits
 	// for it, so that it starts with the highest version that any has.
-	Met   <-chan struct{}
-	Clock clock.Clock
-	Log   *zap.Logger
-	Meter *meter.Set
+	Met <-chan struct{}
+	// Spread, if not nil, gives the time over which the entries spread their
+	// reads of a new version, so that not all read at the same moment.
+	Spread func() clock.Millis
+	Clock  clock.Clock
+	Log    *zap.Logger
+	Meter  *meter.Set
 
 	news   news
 	warned int64
@@ -101,6 +105,9 @@
 	select {
 	case <-due:
 	case <-f.news.bell():
+		if f.Spread != nil && f.Book.Version() > 0 {
+			_ = f.Clock.Sleep(ctx, rand.N(f.Spread()+1))
+		}
 	case <-ctx.Done():
 	}
 }
--- a/prof/rows.go
+++ b/prof/rows.go
@@ -1,7 +1,6 @@
 package prof
 
 import (
-	"encoding/json"
 	"fmt"
 
 	"lacewinghook.example/lacewinghook/codes"
@@ -22,7 +21,8 @@
 // maxHistory bounds the versions that are kept.
 const maxHistory = 50
 
-// maxDocumentBytes bounds the document, so that it fits a row of the table.
+// maxDocumentBytes bounds the document as it is kept, so that it fits a row of
+// the table.
 const maxDocumentBytes = 900 << 10
 
 // Stamp says which version stands in the table and which publishing wrote it.
@@ -64,7 +64,7 @@
 		{StampKey, stamp},
 		{historyKey(stamp.Version), Past{Stamp: stamp, Doc: *doc}},
 	} {
-		value, err := json.Marshal(row.value)
+		value, err := pack(row.value)
 		if err != nil {
 			return nil, codes.Wrap(codes.Internal, err, "row %s", row.key)
 		}
@@ -93,7 +93,7 @@
 	if row.Revision == 0 {
 		return nil
 	}
-	if err := json.Unmarshal(row.Value, v); err != nil {
+	if err := unpack(row.Value, v); err != nil {
 		return codes.Wrap(codes.BadDocument, err, "row %s", row.Key)
 	}
 	return nil
