--- a/config/config.go
+++ b/config/config.go
@@ -36,7 +36,7 @@
 	// Limits bound what callers send.
 	Limits Limits `json:"limits,omitzero"`
 	// Linger is how long an entry that stops goes on taking new work, since
-	// callers may still hold its address; zero is a second over the life of
+	// callers may still hold its address; zero is 3 seconds over the life of
 	// an answer of addresses.
 	Linger clock.Millis `json:"linger,omitempty"`
 	// Log is the lowest level that is logged: debug, info, warn or error.
--- a/member/beat.go
+++ b/member/beat.go
@@ -45,6 +45,6 @@
 // rumourLife is how long a change of state is passed on, and maxRumours
 // bounds those in one beat.
 const (
-	rumourLife = 20 * clock.Second
+	rumourLife = 6 * clock.Second
 	maxRumours = 32
 )
--- a/member/doc.go
+++ b/member/doc.go
@@ -3,7 +3,7 @@
 //
 // The platform's list gives the candidates; it lags. Heartbeats between the
 // entries give freshness, and carry news: versions of what is published and
-// drained, and which entries have begun to leave. Up to a dozen entries beat
+// drained, and which entries have begun to leave. Up to nine entries beat
 // each other all; in a larger set each beats a few fixed partners, and news
 // pass from partner to partner at once.
 //
