--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -29,17 +29,26 @@
 		e.flights.quiet(context.Background(), e.Clock, grace)
 		close(done)
 	}()
-	// The connection becomes idle: only now is there an instant to wait for.
-	is.Equal(m.Waiting(), 0)
-	e.connState(c, http.StateIdle)
-	for m.Waiting() == 0 {
+	ended := func() bool {
 		select {
 		case <-done:
-			t.Fatal("the stop did not wait for the request")
+			return true
 		default:
+			return false
+		}
+	}
+	until := func(cond func() bool) {
+		for !ended() && !cond() {
+			_ = clock.Clock{}.Sleep(context.Background(), 1)
 		}
-		_ = clock.Clock{}.Sleep(context.Background(), 1)
 	}
+	// The ring of the connection is taken once the stop has looked at it.
+	until(func() bool { return len(e.flights.changed) == 0 })
+	is.True(!ended())
+	e.connState(c, http.StateIdle)
+	// From now on there is an instant to wait for.
+	until(func() bool { return m.Waiting() == 1 })
+	is.True(!ended())
 	m.Advance(grace)
 	<-done
 }
