--- a/once/batch.go
+++ b/batch/batch.go
@@ -1,26 +1,52 @@
-package once
+package batch
 
 import (
 	"bytes"
 	"context"
 	"sync"
 
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/meter"
 )
 
+// Table is the part of the platform's table that a batch needs. An error of
+// Commit with Run [codes.NotRun] is proof that nothing was or will be
+// written; after any other error the writes may have landed or may still.
+type Table interface {
+	Read(ctx context.Context, keys ...string) ([]core.Row, error)
+	Commit(ctx context.Context, writes ...core.Write) (core.Committed, error)
+}
+
 // Bounds of one transaction.
 const (
-	maxBatchRows  = 64
-	maxBatchBytes = 1 << 20
+	maxRows  = 64
+	maxBytes = 1 << 20
+)
+
+// Pauses between two transactions while the platform fails.
+const (
+	firstPause = 20 * clock.Millis(1)
+	lastPause  = 1 * clock.Second
 )
 
-// batch gathers the writes that arrive while a transaction is under way and
-// commits them together in the next one. There is never more than one
-// transaction under way, so that many waiting orders are no burden to a
-// platform that comes back.
-type batch struct {
+// Batch gathers writes. Table is needed. There is never more than one
+// transaction under way.
+type Batch struct {
+	Table Table
+	Clock clock.Clock
+	Meter *meter.Set
+	// Rows bounds the rows that one transaction writes; zero is 64.
+	Rows int
+	// Draw returns random numbers for the pauses; nil draws them from the
+	// system.
+	Draw func() uint64
+	// Spawn starts a thread that commits, and Context is what it runs under;
+	// nil is a plain one without an end. The thread ends when nothing waits.
+	Spawn   func(f func()) bool
+	Context func() context.Context
+
 	mu      sync.Mutex
 	queue   []*item
 	running bool
@@ -30,23 +56,26 @@
 type item struct {
 	write core.Write
 	// done gets the outcome; it has room for it, so that nobody need listen.
-	done chan outcome
+	done chan Outcome
 }
 
-// outcome is what came of one write: it landed at a revision, another row
-// stands in its place, or err says that neither is known. An err with Run
+// Outcome is what came of one write: it landed at a revision, another row
+// stands in its place, or Err says that neither is known. An Err with Run
 // [codes.NotRun] is proof that the write did not and will not land.
-type outcome struct {
-	revision int64
-	row      *core.Row
-	err      error
+type Outcome struct {
+	Revision int64
+	// Row has the revision zero if there is none where one was expected.
+	Row *core.Row
+	Err error
 }
 
-// write hands in a write and waits for its outcome or the end of ctx.
-func (b *Book) write(ctx context.Context, w core.Write) outcome {
-	it := &item{write: w, done: make(chan outcome, 1)}
-	if b.batch.add(it) {
-		b.spawn(b.commitAll)
+// Write hands in a write and waits for its outcome or the end of ctx. The
+// write's value must differ from that of any other write of the row: a row
+// with the same value is taken for the write itself.
+func (b *Batch) Write(ctx context.Context, w core.Write) Outcome {
+	it := &item{write: w, done: make(chan Outcome, 1)}
+	if b.add(it) {
+		b.spawn()
 	}
 	select {
 	case out := <-it.done:
@@ -54,30 +83,54 @@
 	case <-ctx.Done():
 	}
 	err := codes.Wrap(codes.PlatformDown, context.Cause(ctx), "platform: the write waited too long")
-	if !b.batch.leave(it) {
+	if !b.leave(it) {
 		err = err.WithRun(codes.Unknown)
 	}
-	return outcome{err: err}
+	return Outcome{Err: err}
+}
+
+// spawn starts the thread that commits. If none can be started, what waits
+// fails without having been sent.
+func (b *Batch) spawn() {
+	if b.Spawn == nil {
+		go b.commitAll()
+		return
+	}
+	if b.Spawn(b.commitAll) {
+		return
+	}
+	for items := b.take(); len(items) > 0; items = b.take() {
+		for _, it := range items {
+			it.done <- Outcome{Err: codes.New(codes.Leaving, "platform: no more writes")}
+		}
+	}
+}
+
+func (b *Batch) context() context.Context {
+	if b.Context == nil {
+		return context.Background()
+	}
+	return b.Context()
 }
 
 // add queues it and reports whether the caller must start a thread that
 // commits.
-func (q *batch) add(it *item) (start bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.queue = append(q.queue, it)
-	start = !q.running
-	q.running = true
+func (b *Batch) add(it *item) (start bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.queue = append(b.queue, it)
+	start = !b.running
+	b.running = true
 	return start
 }
 
 // leave takes it out of the queue and reports whether it still was there.
-func (q *batch) leave(it *item) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for i, other := range q.queue {
+func (b *Batch) leave(it *item) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, other := range b.queue {
 		if other == it {
-			q.queue = append(q.queue[:i], q.queue[i+1:]...)
+			b.queue = append(b.queue[:i], b.queue[i+1:]...)
 			return true
 		}
 	}
@@ -86,15 +139,16 @@
 
 // take returns the writes of the next transaction, and none when the queue is
 // empty. Two writes of one row go in different transactions.
-func (q *batch) take(maxRows int) []*item {
-	q.mu.Lock()
-	defer q.mu.Unlock()
+func (b *Batch) take() []*item {
+	rows := b.rows()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	var taken, rest []*item
 	seen := make(map[string]bool)
 	size := 0
-	for _, it := range q.queue {
+	for _, it := range b.queue {
 		size += len(it.write.Value)
-		full := len(taken) > 0 && (len(taken) >= maxRows || size > maxBatchBytes)
+		full := len(taken) > 0 && (len(taken) >= rows || size > maxBytes)
 		if full || seen[it.write.Key] {
 			rest = append(rest, it)
 			continue
@@ -102,18 +156,18 @@
 		seen[it.write.Key] = true
 		taken = append(taken, it)
 	}
-	q.queue = rest
-	q.running = len(taken) > 0
+	b.queue = rest
+	b.running = len(taken) > 0
 	return taken
 }
 
 // commitAll commits until nothing is queued. While the platform fails it
 // pauses longer and longer between two transactions, however many writes are
 // queued: an entry is a small burden to a platform that is down or comes back.
-func (b *Book) commitAll() {
+func (b *Batch) commitAll() {
 	failures := 0
 	for {
-		items := b.batch.take(b.rows())
+		items := b.take()
 		if len(items) == 0 {
 			return
 		}
@@ -125,15 +179,16 @@
 			failures = 0
 			continue
 		}
-		// A book that is given up doesn't pause: its writes fail at once.
-		_ = b.pause(b.context(), failures)
+		// Once the context has ended there is no pause: the writes that are
+		// left fail at once.
+		_ = b.Clock.Pause(b.context(), clock.Backoff{First: firstPause, Last: lastPause, Draw: b.Draw}, failures)
 		failures++
 	}
 }
 
-func (b *Book) rows() int {
+func (b *Batch) rows() int {
 	if b.Rows == 0 {
-		return maxBatchRows
+		return maxRows
 	}
 	return b.Rows
 }
@@ -141,22 +196,22 @@
 // commit makes one transaction of items, tells the outcomes that are known,
 // and returns the items that are to be tried again without those, and whether
 // the platform failed.
-func (b *Book) commit(items []*item) (again []*item, failed bool) {
+func (b *Batch) commit(items []*item) (again []*item, failed bool) {
 	writes := make([]core.Write, len(items))
 	for i, it := range items {
 		writes[i] = it.write
 	}
-	b.Meter.Add("once_commits_total", 1)
-	b.Meter.Add("once_rows_total", len(writes))
+	b.Meter.Add("batch_commits_total", 1)
+	b.Meter.Add("batch_rows_total", len(writes))
 	done, err := b.Table.Commit(b.context(), writes...)
 	if err != nil {
-		b.Meter.Add("once_commit_failures_total", 1, "run", string(codes.From(err).Run))
+		b.Meter.Add("batch_failures_total", 1, "run", string(codes.From(err).Run))
 		b.unsure(items, err)
 		return nil, true
 	}
 	if done.OK() && len(done.Revisions) == len(items) {
 		for i, it := range items {
-			it.done <- outcome{revision: done.Revisions[i]}
+			it.done <- Outcome{Revision: done.Revisions[i]}
 		}
 		return nil, false
 	}
@@ -183,7 +238,7 @@
 }
 
 // unsure reads back what a transaction without an answer may have written.
-func (b *Book) unsure(items []*item, err error) {
+func (b *Batch) unsure(items []*item, err error) {
 	var rows []core.Row
 	readErr := err
 	if codes.From(err).Run != codes.NotRun {
@@ -196,7 +251,7 @@
 	for _, it := range items {
 		row, ok := find(rows, it.write.Key)
 		if readErr != nil || !ok && it.write.Expect == 0 || ok && row.Revision == it.write.Expect {
-			it.done <- outcome{err: err}
+			it.done <- Outcome{Err: err}
 			continue
 		}
 		it.done <- compare(it.write, row)
@@ -205,11 +260,11 @@
 
 // compare returns the outcome of w where row stands in its place. Each write
 // holds a random token, so that an equal value is the write itself.
-func compare(w core.Write, row core.Row) outcome {
+func compare(w core.Write, row core.Row) Outcome {
 	if row.Revision != 0 && !w.Delete && bytes.Equal(row.Value, w.Value) {
-		return outcome{revision: row.Revision}
+		return Outcome{Revision: row.Revision}
 	}
-	return outcome{row: &row}
+	return Outcome{Row: &row}
 }
 
 func find(rows []core.Row, key string) (core.Row, bool) {
--- a/entry/once.go
+++ b/entry/once.go
@@ -7,7 +7,7 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/flow"
-	"lacewinghook.example/lacewinghook/once"
+	"lacewinghook.example/lacewinghook/record"
 )
 
 // closeWait bounds how long a stopping entry waits for the platform to take
@@ -46,7 +46,7 @@
 }
 
 // sweepEvery is how often this entry sweeps.
-const sweepEvery = once.SweepEvery
+const sweepEvery = record.SweepEvery
 
 // closeOrders waits until the outcomes of all orders are kept.
 func (e *Entry) closeOrders(ctx context.Context) {
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -6,20 +6,21 @@
 	"lacewinghook.example/lacewinghook/admin"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/once"
+	"lacewinghook.example/lacewinghook/record"
 )
 
 // orders gives operators the book of orders.
 type orders struct{ book *once.Book }
 
 // findings are the outcomes that an operator may name.
-var findings = map[string]once.State{
-	string(codes.Ran):    once.SettledRan,
-	string(codes.NotRun): once.SettledNotRun,
+var findings = map[string]record.State{
+	string(codes.Ran):    record.SettledRan,
+	string(codes.NotRun): record.SettledNotRun,
 }
 
 // List implements [admin.Orders].
 func (o orders) List(ctx context.Context, state, after string, limit int) (admin.OrderPage, error) {
-	page, err := o.book.List(ctx, once.State(state), after, limit)
+	page, err := o.book.List(ctx, record.State(state), after, limit)
 	if err != nil {
 		return admin.OrderPage{}, err
 	}
@@ -40,7 +41,7 @@
 	return orderOf(r), err
 }
 
-func orderOf(r once.Record) admin.Order {
+func orderOf(r record.Record) admin.Order {
 	return admin.Order{
 		Key: r.ID, Workspace: r.Workspace, Service: r.Service, Caller: r.Key,
 		Method: r.Method, Path: r.Path, State: string(r.State),
--- a/once/bench_test.go
+++ b/once/bench_test.go
@@ -64,8 +64,8 @@
 	for _, book := range books {
 		_ = book.Close(context.Background())
 	}
-	commits := max(1, m.Get("once_commits_total"))
-	b.ReportMetric(float64(m.Get("once_rows_total"))/float64(commits), "rows/write")
+	commits := max(1, m.Get("batch_commits_total"))
+	b.ReportMetric(float64(m.Get("batch_rows_total"))/float64(commits), "rows/write")
 	b.ReportMetric(float64(b.N-n)*1000/float64(max(1, took)), "orders/s")
 	b.ReportMetric(float64(n)/float64(b.N), "refused")
 }
--- a/once/book.go
+++ b/once/book.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
 	"go.uber.org/zap"
 
+	"lacewinghook.example/lacewinghook/batch"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/record"
 	"lacewinghook.example/lacewinghook/shard"
 )
 
@@ -30,8 +33,8 @@
 
 // Sender sends a call to its service, at most once. It looks at the call's
 // deadline right before the first byte leaves; after that, ctx alone bounds
-// the wait for the answer. An error with Run
-// [codes.NotRun] is proof that the service didn't get the call.
+// the wait for the answer. An error with Run [codes.NotRun] is proof that the
+// service didn't get the call.
 type Sender interface {
 	Send(ctx context.Context, call core.Call) (core.Answer, error)
 }
@@ -62,16 +65,18 @@
 	Draw func() uint64
 
 	flights shard.Map[string, *flight]
-	batch   batch
 	load    load
 	life    life
 	unkept  atomic.Int64
-	unknown atomic.Int64
+
+	// batch and ledger are connected by prepare.
+	once   sync.Once
+	batch  batch.Batch
+	ledger record.Ledger
 }
 
 // Defaults and bounds.
 const (
-	defaultRetention  = 7 * 24 * 60 * clock.Minute
 	defaultLimit      = 4096
 	defaultLimitBytes = 64 << 20
 	// defaultTimeout is for a call without a deadline.
@@ -92,7 +97,7 @@
 // flight is one order under way at this entry.
 type flight struct {
 	call   core.Call
-	record Record
+	record record.Record
 	// revision is that of the row, once it is held.
 	revision int64
 	// bytes counts against the book's limit.
@@ -148,12 +153,12 @@
 	return f, mine, nil
 }
 
-func (b *Book) record(call core.Call) Record {
+func (b *Book) record(call core.Call) record.Record {
 	now := b.Clock.Wall()
-	return Record{
-		ID: identity(call), Workspace: call.Workspace, Service: call.Service, Key: call.Key,
-		Digest: content(call), Method: call.Method, Path: call.Path,
-		State: Open, Token: b.token(), Owner: b.Owner,
+	return record.Record{
+		ID: record.Identity(call), Workspace: call.Workspace, Service: call.Service, Key: call.Key,
+		Digest: record.Content(call), Method: call.Method, Path: call.Path,
+		State: record.Open, Token: b.token(), Owner: b.Owner,
 		Opened: now, Until: now + call.Deadline - b.Clock.Now() + openGrace,
 	}
 }
@@ -218,20 +223,20 @@
 	ctx, cancel := b.until(b.context(), f.call.Deadline+answerGrace)
 	defer cancel()
 	if b.Clock.Now() >= f.call.Deadline {
-		b.conclude(f, Abandoned, core.Answer{}, codes.New(codes.DeadlinePast, "order"))
+		b.conclude(f, record.Abandoned, core.Answer{}, codes.New(codes.DeadlinePast, "order"))
 		return
 	}
 	a, err := b.Sender.Send(ctx, f.call)
 	if err == nil {
-		b.conclude(f, Done, a, nil)
+		b.conclude(f, record.Done, a, nil)
 		return
 	}
 	e := codes.From(err)
 	if e.Run == codes.NotRun {
-		b.conclude(f, Abandoned, core.Answer{}, e)
+		b.conclude(f, record.Abandoned, core.Answer{}, e)
 		return
 	}
-	b.conclude(f, Unknown, core.Answer{}, e.WithRun(codes.Unknown))
+	b.conclude(f, record.Unknown, core.Answer{}, e.WithRun(codes.Unknown))
 }
 
 // refused counts an error on its way to the caller and returns it as one.
--- a/once/book_test.go
+++ b/once/book_test.go
@@ -18,6 +18,7 @@
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/once"
 	"lacewinghook.example/lacewinghook/plat"
+	"lacewinghook.example/lacewinghook/record"
 	"lacewinghook.example/lacewinghook/shard"
 )
 
@@ -82,24 +83,24 @@
 	ctx := context.Background()
 	_, err := b.Do(ctx, order("k1", "card"))
 	is.Equal(codes.From(err).Run, codes.Unknown)
-	page, err := b.List(ctx, once.Unknown, "", 10)
+	page, err := b.List(ctx, record.Unknown, "", 10)
 	is.NoErr(err)
 	is.Equal(len(page.Orders), 1)
 	id := page.Orders[0].ID
-	_, err = b.Settle(ctx, id, once.Done, "ann")
+	_, err = b.Settle(ctx, id, record.Done, "ann")
 	is.True(codes.Has(err, codes.BadRequest))
-	_, err = b.Settle(ctx, "none", once.SettledRan, "ann")
+	_, err = b.Settle(ctx, "none", record.SettledRan, "ann")
 	is.True(codes.Has(err, codes.NotFound))
-	r, err := b.Settle(ctx, id, once.SettledNotRun, "ann")
+	r, err := b.Settle(ctx, id, record.SettledNotRun, "ann")
 	is.NoErr(err)
-	is.Equal(r.State, once.SettledNotRun)
-	_, err = b.Settle(ctx, id, once.SettledRan, "ben")
+	is.Equal(r.State, record.SettledNotRun)
+	_, err = b.Settle(ctx, id, record.SettledRan, "ben")
 	is.True(codes.Has(err, codes.AlreadySettled))
 	_, err = b.Do(ctx, order("k1", "card"))
 	is.True(codes.Has(err, codes.OutcomeUnknown))
 	is.Equal(codes.From(err).Run, codes.Unknown)
 	is.Equal(runs, 1)
-	page, err = b.List(ctx, once.Unknown, "", 10)
+	page, err = b.List(ctx, record.Unknown, "", 10)
 	is.NoErr(err)
 	is.Equal(len(page.Orders), 0)
 	is.NoErr(b.Close(ctx))
@@ -197,7 +198,7 @@
 	is := is.New(t)
 	table, m := &memory{}, &meter.Set{}
 	b := &once.Book{Table: table, Meter: m, Sender: sendFunc(func(core.Call) (core.Answer, error) {
-		row := table.t.List(once.Prefix, "", 1)[0]
+		row := table.t.List(record.Prefix, "", 1)[0]
 		other := bytes.Replace(row.Value, []byte(`"token":"`), []byte(`"token":"x`), 1)
 		_, err := table.t.Commit([]core.Write{{Key: row.Key, Value: other, Expect: row.Revision}})
 		return core.Answer{Status: 200}, err
--- a/once/claim.go
+++ b/once/claim.go
@@ -9,6 +9,7 @@
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/record"
 )
 
 // claim puts the flight's row in the table. If err is nil and found is nil,
@@ -17,31 +18,31 @@
 //
 // The insert may be tried again with the same token as often as needed: it
 // lands at most once, whichever of the tries it is, and the flight sends once.
-func (b *Book) claim(ctx context.Context, f *flight) (found *Record, err error) {
+func (b *Book) claim(ctx context.Context, f *flight) (found *record.Record, err error) {
 	var expect int64
 	unsure := false
 	for n := 0; ; n++ {
-		out := b.write(ctx, core.Write{Key: f.record.key(), Value: f.record.encode(), Expect: expect})
+		out := b.write(ctx, &f.record, expect)
 		switch {
-		case out.revision != 0:
-			f.revision = out.revision
+		case out.Revision != 0:
+			f.revision = out.Revision
 			return nil, nil
-		case out.row != nil && out.row.Revision == 0:
+		case out.Row != nil && out.Row.Revision == 0:
 			expect = 0
-		case out.row != nil:
-			if found, err = decode(*out.row); err != nil {
+		case out.Row != nil:
+			if found, err = record.Decode(*out.Row); err != nil {
 				return nil, codes.From(err).WithRun(codes.NotRun)
 			}
-			if found.State != Abandoned || found.Digest != f.record.Digest {
+			if found.State != record.Abandoned || found.Digest != f.record.Digest {
 				return found, nil
 			}
-			expect = out.row.Revision
+			expect = out.Row.Revision
 		default:
-			unsure = unsure || codes.From(out.err).Run != codes.NotRun
+			unsure = unsure || codes.From(out.Err).Run != codes.NotRun
 			b.Meter.Retried(meter.Failed)
 		}
 		if b.pause(ctx, n) != nil {
-			return nil, b.unclaimed(f, unsure, out.err)
+			return nil, b.unclaimed(f, unsure, out.Err)
 		}
 	}
 }
@@ -60,21 +61,21 @@
 // insert that is still under way fails. The flight must never send.
 func (b *Book) withdraw(f *flight) {
 	gone := f.record
-	gone.State, gone.Ended = Abandoned, b.Clock.Wall()
+	gone.State, gone.Ended = record.Abandoned, b.Clock.Wall()
 	gone.Note = "the claim could not be confirmed"
 	var expect int64
 	for n := 0; ; n++ {
-		out := b.write(b.context(), core.Write{Key: gone.key(), Value: gone.encode(), Expect: expect})
-		if out.revision != 0 {
+		out := b.write(b.context(), &gone, expect)
+		if out.Revision != 0 {
 			b.Meter.Add("orders_withdrawn_total", 1)
 			return
 		}
-		if out.row != nil {
-			found, err := decode(*out.row)
-			if out.row.Revision != 0 && (err != nil || !found.yields(f.record.Token)) {
+		if out.Row != nil {
+			found, err := record.Decode(*out.Row)
+			if out.Row.Revision != 0 && (err != nil || !yields(found, f.record.Token)) {
 				return
 			}
-			expect = out.row.Revision
+			expect = out.Row.Revision
 		}
 		if b.pause(b.context(), n) != nil {
 			return
@@ -85,30 +86,30 @@
 // yields reports whether a withdrawal of the attempt may write over the row:
 // it is the attempt's own claim, or an abandoned row that the attempt may
 // still be about to take over.
-func (r *Record) yields(token string) bool {
-	return r.State == Abandoned || r.State == Open && r.Token == token
+func yields(r *record.Record, token string) bool {
+	return r.State == record.Abandoned || r.State == record.Open && r.Token == token
 }
 
 // known answers a call whose order stands in the table already.
-func (b *Book) known(ctx context.Context, f *flight, found *Record) (core.Answer, error) {
+func (b *Book) known(ctx context.Context, f *flight, found *record.Record) (core.Answer, error) {
 	if found.Digest != f.record.Digest {
 		return core.Answer{}, codes.New(codes.KeyReused, "header Idempotency-Key")
 	}
-	switch found.at(b.Clock.Wall()) {
-	case Done:
+	switch found.At(b.Clock.Wall()) {
+	case record.Done:
 		return b.stored(ctx, found)
-	case Open:
+	case record.Open:
 		return core.Answer{}, codes.New(codes.InProgress, "order").WithRetry(askAgain)
-	case SettledRan:
+	case record.SettledRan:
 		return core.Answer{}, codes.New(codes.OutcomeUnknown, "an operator found that the order ran").WithRun(codes.Ran)
-	case SettledNotRun:
+	case record.SettledNotRun:
 		return core.Answer{}, codes.New(codes.OutcomeUnknown, "an operator found that the order did not run; send it with a new key")
 	}
 	return core.Answer{}, codes.New(codes.OutcomeUnknown, "order")
 }
 
 // stored returns the answer that was kept.
-func (b *Book) stored(ctx context.Context, r *Record) (core.Answer, error) {
+func (b *Book) stored(ctx context.Context, r *record.Record) (core.Answer, error) {
 	if r.Object == "" && r.Answer != nil {
 		b.Meter.Add("orders_total", 1, "outcome", "stored", "run", string(codes.Ran))
 		return *r.Answer, nil
--- a/once/doc.go
+++ b/once/doc.go
@@ -11,8 +11,8 @@
 //
 //	b := &once.Book{Table: table, Objects: objects, Sender: sender}
 //	answer, err := b.Do(ctx, call)
-//	page, err := b.List(ctx, once.Unknown, "", 100)
-//	record, err := b.Settle(ctx, id, once.SettledRan, "operator")
+//	page, err := b.List(ctx, record.Unknown, "", 100)
+//	record, err := b.Settle(ctx, id, record.SettledRan, "operator")
 //
 // An error whose Run is [codes.NotRun] promises that the call didn't run. Any
 // other error leaves it open, and the same call may be asked for again: it
--- a/once/life.go
+++ b/once/life.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/clock"
-	"lacewinghook.example/lacewinghook/codes"
 )
 
 // life counts the book's threads, so that a stop can wait for them.
@@ -158,27 +157,6 @@
 	l.bytes -= bytes
 }
 
-func (b *Book) limit() int {
-	if b.Limit == 0 {
-		return defaultLimit
-	}
-	return b.Limit
-}
-
-func (b *Book) limitBytes() int64 {
-	if b.LimitBytes == 0 {
-		return defaultLimitBytes
-	}
-	return b.LimitBytes
-}
-
-func (b *Book) log() *zap.Logger {
-	if b.Log == nil {
-		return zap.NewNop()
-	}
-	return b.Log
-}
-
 func (b *Book) draw() uint64 {
 	if b.Draw != nil {
 		return b.Draw()
@@ -192,20 +170,3 @@
 func (b *Book) token() string {
 	return fmt.Sprintf("%016x%016x", b.draw(), b.draw())
 }
-
-// Pauses between two tries of the same write.
-const (
-	firstPause = 20 * clock.Millis(1)
-	lastPause  = 1 * clock.Second
-)
-
-// pause waits before the n-th new try: twice as long each time, with jitter
-// of up to the same again, so that waiting orders don't come back at once.
-func (b *Book) pause(ctx context.Context, n int) error {
-	d := min(firstPause<<min(n, 10), lastPause)
-	d += clock.Millis(b.draw() % uint64(d))
-	if err := b.Clock.Sleep(ctx, d); err != nil {
-		return codes.Wrap(codes.PlatformDown, context.Cause(ctx), "order")
-	}
-	return nil
-}
--- a/once/model_test.go
+++ b/once/model_test.go
@@ -20,6 +20,7 @@
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/once"
 	"lacewinghook.example/lacewinghook/plat"
+	"lacewinghook.example/lacewinghook/record"
 )
 
 // world is two entries, one caller, one order, the table and the service.
@@ -175,18 +176,18 @@
 
 // order lets an operator settle the order at the node, or asks for it.
 func (w *world) order(n *node, arg byte) {
-	rows := w.table.List(once.Prefix, "", 1)
+	rows := w.table.List(record.Prefix, "", 1)
 	if arg&2 == 0 || len(rows) == 0 {
 		w.ask(n)
 		return
 	}
-	outcome := once.SettledRan
+	outcome := record.SettledRan
 	if arg&4 != 0 {
-		outcome = once.SettledNotRun
+		outcome = record.SettledNotRun
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	clock.Clock{Manual: n.hands}.AfterFunc(4*clock.Second, cancel)
-	go func() { _, _ = n.book.Settle(ctx, rows[0].Key[len(once.Prefix):], outcome, "ann") }()
+	go func() { _, _ = n.book.Settle(ctx, rows[0].Key[len(record.Prefix):], outcome, "ann") }()
 }
 
 // drop takes an event out; its effect may still come about.
@@ -320,13 +321,13 @@
 }
 
 func (w *world) checkRow() {
-	for _, row := range w.table.List(once.Prefix, "", 0) {
-		var r once.Record
+	for _, row := range w.table.List(record.Prefix, "", 0) {
+		var r record.Record
 		if err := json.Unmarshal(row.Value, &r); err != nil {
 			w.fail("row: %v", err)
 		}
 		now := ""
-		if r.State == once.Done {
+		if r.State == record.Done {
 			now = string(r.Answer.Body)
 		}
 		if w.kept != "" && now != w.kept {
--- a/once/process_test.go
+++ b/once/process_test.go
@@ -138,7 +138,7 @@
 
 // committing reports whether entry 1 has begun to commit an order's row.
 func (p *processes) committing() bool {
-	return strings.Contains(fetch("http://"+p.addr(entryPort+1)+"/metrics"), "lacewinghook_once_commits_total 1")
+	return strings.Contains(fetch("http://"+p.addr(entryPort+1)+"/metrics"), "lacewinghook_batch_commits_total 1")
 }
 
 // landed reports whether the table holds an order's row.
--- a/once/save.go
+++ b/once/save.go
@@ -10,6 +10,7 @@
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/record"
 )
 
 // maxRowAnswer is the size up to which an answer is kept in its row. It also
@@ -21,7 +22,7 @@
 
 // conclude tells the flight's outcome to its callers once it is kept, or
 // after a second at most; the write goes on in the background.
-func (b *Book) conclude(f *flight, state State, a core.Answer, err error) {
+func (b *Book) conclude(f *flight, state record.State, a core.Answer, err error) {
 	close(f.known)
 	a.Header = keep(a.Header)
 	final := f.record
@@ -45,12 +46,12 @@
 	case <-late:
 		b.Meter.Add("once_saves_late_total", 1)
 	}
-	if state == Abandoned {
+	if state == record.Abandoned {
 		// The next call of the key begins anew, with a token of its own.
 		b.end(f)
 	}
 	f.finish(a, err)
-	if state != Abandoned {
+	if state != record.Abandoned {
 		<-saved
 		b.end(f)
 	}
@@ -67,21 +68,21 @@
 }
 
 // save writes the final record in place of the claim, however long it takes.
-func (b *Book) save(f *flight, final Record, a core.Answer) {
-	if final.State == Done && !b.attach(f, &final, a) {
+func (b *Book) save(f *flight, final record.Record, a core.Answer) {
+	if final.State == record.Done && !b.attach(f, &final, a) {
 		return
 	}
 	expect := f.revision
 	for n := 0; ; n++ {
-		out := b.write(b.context(), core.Write{Key: final.key(), Value: final.encode(), Expect: expect})
-		if out.revision != 0 {
+		out := b.write(b.context(), &final, expect)
+		if out.Revision != 0 {
 			return
 		}
-		if out.row != nil {
-			if !b.merge(&final, *out.row) {
+		if out.Row != nil {
+			if !b.merge(&final, *out.Row) {
 				return
 			}
-			expect = out.row.Revision
+			expect = out.Row.Revision
 			continue
 		}
 		if b.pause(b.context(), n) != nil {
@@ -93,7 +94,7 @@
 // attach puts the answer in the record, or in an object where it is large. It
 // returns false if the answer can't be kept; the row then stays open and will
 // read as unknown.
-func (b *Book) attach(f *flight, final *Record, a core.Answer) bool {
+func (b *Book) attach(f *flight, final *record.Record, a core.Answer) bool {
 	if !b.load.grow(int64(len(a.Body)), b.limitBytes()) {
 		b.Meter.Add("once_answers_dropped_total", 1)
 		b.log().Warn("once: an answer is not kept, too many wait for the platform", zap.String("order", final.ID))
@@ -105,7 +106,7 @@
 		return true
 	}
 	// The token makes the object's key one that no other attempt writes.
-	final.Object = final.key() + "/" + final.Token
+	final.Object = final.RowKey() + "/" + final.Token
 	data, err := json.Marshal(a)
 	if err != nil {
 		return false
@@ -121,27 +122,27 @@
 // merge looks at a row that stands where the flight's claim stood, and
 // reports whether final is to be written over it. Only an operator's finding
 // may stand there; anything else breaks the promise and is left alone.
-func (b *Book) merge(final *Record, row core.Row) bool {
-	if final.State == Abandoned || row.Revision == 0 {
+func (b *Book) merge(final *record.Record, row core.Row) bool {
+	if final.State == record.Abandoned || row.Revision == 0 {
 		return b.mergeGone(final, row)
 	}
-	found, err := decode(row)
+	found, err := record.Decode(row)
 	if err != nil || found.Token != final.Token {
 		b.Meter.Violated(meter.AtMostOnce, "order "+final.ID+": another attempt holds the row")
 		return false
 	}
 	switch found.State {
-	case SettledRan, SettledNotRun:
-		if final.State != Done {
+	case record.SettledRan, record.SettledNotRun:
+		if final.State != record.Done {
 			return false
 		}
 		final.Settled, final.SettledBy = found.State, found.SettledBy
-		if found.State == SettledNotRun {
+		if found.State == record.SettledNotRun {
 			b.Meter.Add("orders_settled_wrong_total", 1)
 			b.log().Warn("once: an order that was settled as not run has run", zap.String("order", final.ID))
 		}
 		return true
-	case Open:
+	case record.Open:
 		return true
 	}
 	if found.State != final.State || !sameAnswer(found, final) {
@@ -153,12 +154,12 @@
 // mergeGone is [Book.merge] for a claim that is given up, which another
 // attempt may have taken over since, and for a row that has expired since it
 // was written.
-func (b *Book) mergeGone(final *Record, row core.Row) bool {
-	found, err := decode(row)
-	return row.Revision != 0 && err == nil && found.Token == final.Token && found.State == Open
+func (b *Book) mergeGone(final *record.Record, row core.Row) bool {
+	found, err := record.Decode(row)
+	return row.Revision != 0 && err == nil && found.Token == final.Token && found.State == record.Open
 }
 
-func sameAnswer(a, b *Record) bool {
+func sameAnswer(a, b *record.Record) bool {
 	if a.Answer == nil || b.Answer == nil {
 		return a.Object == b.Object && (a.Answer == nil) == (b.Answer == nil)
 	}
--- a/once/record.go
+++ b/record/record.go
@@ -1,4 +1,4 @@
-package once
+package record
 
 import (
 	"crypto/sha256"
@@ -66,15 +66,18 @@
 // Prefix begins the keys of all orders' rows.
 const Prefix = "once/"
 
-func (r *Record) key() string { return Prefix + r.ID }
+// RowKey returns the key of the order's row.
+func (r *Record) RowKey() string { return Prefix + r.ID }
 
-func (r *Record) encode() []byte {
+// Encode returns the value of the order's row.
+func (r *Record) Encode() []byte {
 	// A record of strings and numbers always encodes.
 	data, _ := json.Marshal(r)
 	return data
 }
 
-func decode(row core.Row) (*Record, error) {
+// Decode reads an order's row.
+func Decode(row core.Row) (*Record, error) {
 	r := &Record{}
 	if err := json.Unmarshal(row.Value, r); err != nil {
 		return nil, codes.Wrap(codes.Internal, err, "row %s", row.Key)
@@ -82,22 +85,22 @@
 	return r, nil
 }
 
-// at returns the state as it reads at the wall clock time now.
-func (r *Record) at(now clock.Millis) State {
+// At returns the state as it reads at the wall clock time now.
+func (r *Record) At(now clock.Millis) State {
 	if r.State == Open && now >= r.Until {
 		return Unknown
 	}
 	return r.State
 }
 
-// identity returns the order's ID. The parts are written with their lengths,
+// Identity returns the order's ID. The parts are written with their lengths,
 // so that no two different orders share one.
-func identity(call core.Call) string {
+func Identity(call core.Call) string {
 	return digest([]byte(call.Workspace), []byte(call.Service), []byte(call.Key))
 }
 
-// content returns the digest of what is asked for.
-func content(call core.Call) string {
+// Content returns the digest of what is asked for.
+func Content(call core.Call) string {
 	return digest([]byte(call.Method), []byte(call.Path), []byte(call.Query), call.Body)
 }
 
--- a/once/sweep.go
+++ b/record/sweep.go
@@ -1,4 +1,4 @@
-package once
+package record
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"lacewinghook.example/lacewinghook/core"
 )
 
-// SweepEvery is how often an entry should call [Book.Sweep].
+// SweepEvery is how often an entry should call [Ledger.Sweep].
 const SweepEvery = clock.Minute
 
 // Bounds of the sweeps over all entries.
@@ -18,8 +18,12 @@
 	// turnEvery that between two turns of a pass that is not through.
 	passEvery = 10 * clock.Minute
 	turnEvery = clock.Minute
-	// turnScans bounds the reads of one turn.
-	turnScans = 200
+	// turnScans bounds the reads of one turn, and maxDeletes the rows that
+	// one transaction deletes.
+	turnScans  = 200
+	maxDeletes = 64
+	// defaultRetention is 7 days.
+	defaultRetention = 7 * 24 * 60 * clock.Minute
 )
 
 // sweepKey is the row by which the entries take turns. It lies outside of
@@ -45,25 +49,25 @@
 // An insert that is under way lands in vain as long as its order's row
 // stands, so that the retention must be far over the time that a write of the
 // platform may be under way.
-func (b *Book) Sweep(ctx context.Context) (n int, err error) {
-	t, revision, err := b.turn(ctx)
+func (l *Ledger) Sweep(ctx context.Context) (n int, err error) {
+	t, revision, err := l.turn(ctx)
 	if err != nil {
 		return 0, err
 	}
-	b.unknown.Store(int64(t.Unknown))
-	now := b.Clock.Wall()
+	l.unknown.Store(int64(t.Unknown))
+	now := l.Clock.Wall()
 	if now < t.Due {
 		return 0, nil
 	}
 	// The turn is taken before the work, so that entries don't do it twice.
 	t.Due = now + turnEvery
-	if revision, err = b.setTurn(ctx, t, revision); err != nil || revision == 0 {
+	if revision, err = l.setTurn(ctx, t, revision); err != nil || revision == 0 {
 		return 0, err
 	}
-	n, err = b.pass(ctx, &t, now)
-	b.Meter.Add("once_expired_rows_total", n)
-	b.unknown.Store(int64(t.Unknown))
-	if _, setErr := b.setTurn(ctx, t, revision); err == nil {
+	n, err = l.pass(ctx, &t, now)
+	l.Meter.Add("orders_expired_total", n)
+	l.unknown.Store(int64(t.Unknown))
+	if _, setErr := l.setTurn(ctx, t, revision); err == nil {
 		err = setErr
 	}
 	return n, err
@@ -71,10 +75,10 @@
 
 // Unknown counts the orders whose outcome is unknown, as the last pass over
 // the table found them.
-func (b *Book) Unknown() int { return int(b.unknown.Load()) }
+func (l *Ledger) Unknown() int { return int(l.unknown.Load()) }
 
-func (b *Book) turn(ctx context.Context) (t turn, revision int64, err error) {
-	rows, err := b.Table.Read(ctx, sweepKey)
+func (l *Ledger) turn(ctx context.Context) (t turn, revision int64, err error) {
+	rows, err := l.Table.Read(ctx, sweepKey)
 	if err != nil || len(rows) == 0 {
 		return t, 0, err
 	}
@@ -86,10 +90,10 @@
 
 // setTurn writes the turn and returns its new revision; zero means that
 // another entry was faster.
-func (b *Book) setTurn(ctx context.Context, t turn, expect int64) (revision int64, err error) {
+func (l *Ledger) setTurn(ctx context.Context, t turn, expect int64) (revision int64, err error) {
 	// A turn of strings and numbers always encodes.
 	value, _ := json.Marshal(t)
-	done, err := b.Table.Commit(ctx, core.Write{Key: sweepKey, Value: value, Expect: expect})
+	done, err := l.Table.Commit(ctx, core.Write{Key: sweepKey, Value: value, Expect: expect})
 	if err != nil || !done.OK() {
 		return 0, err
 	}
@@ -97,13 +101,13 @@
 }
 
 // pass goes on with the pass over the table for one turn.
-func (b *Book) pass(ctx context.Context, t *turn, now clock.Millis) (n int, err error) {
+func (l *Ledger) pass(ctx context.Context, t *turn, now clock.Millis) (n int, err error) {
 	for range turnScans {
-		rows, err := b.Table.List(ctx, Prefix, t.After, scanRows)
+		rows, err := l.Table.List(ctx, Prefix, t.After, scanRows)
 		if err != nil {
 			return n, err
 		}
-		n += b.expire(ctx, rows, t, now)
+		n += l.expire(ctx, rows, t, now)
 		if len(rows) < scanRows {
 			t.After, t.Unknown, t.Count = "", t.Count, 0
 			t.Due = now + passEvery
@@ -116,27 +120,27 @@
 
 // expire counts the unknown orders among rows, and deletes those that ended
 // before their retention.
-func (b *Book) expire(ctx context.Context, rows []core.Row, t *turn, now clock.Millis) (n int) {
+func (l *Ledger) expire(ctx context.Context, rows []core.Row, t *turn, now clock.Millis) (n int) {
 	var writes []core.Write
 	for _, row := range rows {
-		r, err := decode(row)
+		r, err := Decode(row)
 		if err != nil {
-			b.Meter.Add("once_bad_rows_total", 1)
+			l.Meter.Add("orders_bad_rows_total", 1)
 			continue
 		}
 		switch {
-		case r.at(now) == Unknown:
+		case r.At(now) == Unknown:
 			t.Count++
-		case r.State != Open && r.Ended+b.retention() <= now:
+		case r.State != Open && r.Ended+l.retention() <= now:
 			writes = append(writes, core.Write{Key: row.Key, Expect: row.Revision, Delete: true})
 		}
 	}
 	for len(writes) > 0 {
-		part := writes[:min(len(writes), maxBatchRows)]
+		part := writes[:min(len(writes), maxDeletes)]
 		writes = writes[len(part):]
 		// A row that was changed beside makes this part fail; the next pass
 		// looks at it again.
-		done, err := b.Table.Commit(ctx, part...)
+		done, err := l.Table.Commit(ctx, part...)
 		if err != nil {
 			return n
 		}
@@ -147,9 +151,9 @@
 	return n
 }
 
-func (b *Book) retention() clock.Millis {
-	if b.Retention == 0 {
+func (l *Ledger) retention() clock.Millis {
+	if l.Retention == 0 {
 		return defaultRetention
 	}
-	return b.Retention
+	return l.Retention
 }
