--- a/trial/replace.go
+++ b/trial/replace.go
@@ -12,16 +12,10 @@
 // Add starts one more entry and returns it once it takes work. The name must
 // be new, or that of an entry that has stopped.
 func (s *Set) Add(name string) (*Node, error) {
-	n, err := prepare(name, s.plan)
+	n, err := s.Launch(name)
 	if err != nil {
 		return nil, err
 	}
-	n.Entry.Settings.Platform.Base = s.Base
-	s.Platform.Join(core.Instance{
-		Name: name, Centre: n.Entry.Settings.Centre, Addr: n.Addr,
-		Peer: n.Entry.Sockets.Peers.Addr().String(),
-	})
-	s.run(n)
 	ctx, cancel := context.WithTimeout(s.ctx, readyTimeout.Std())
 	defer cancel()
 	if err := Until(ctx, func() bool { return isReady(ctx, n.Addr) }); err != nil {
@@ -30,6 +24,23 @@
 	return n, nil
 }
 
+// Launch is [Set.Add] without waiting.
+func (s *Set) Launch(name string) (*Node, error) {
+	n, err := prepare(name, s.plan)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.connect(n); err != nil {
+		return nil, err
+	}
+	s.Platform.Join(core.Instance{
+		Name: name, Centre: n.Entry.Settings.Centre, Addr: n.Addr,
+		Peer: n.Peer,
+	})
+	s.run(n)
+	return n, nil
+}
+
 // Replace starts an entry under a new name, stops the i-th one, and takes that
 // off the platform's list once it has ended.
 func (s *Set) Replace(i int) error {
