--- a/flow/plain.go
+++ b/flow/plain.go
@@ -49,11 +49,7 @@
 	}
 	ctx, cancel := p.until(ctx, call.Deadline)
 	defer cancel()
-	a, err := p.try(ctx, call, retryable)
-	if err != nil {
-		p.Meter.Refused(codes.From(err).Code)
-	}
-	return a, err
+	return p.try(ctx, call, retryable)
 }
 
 // Send sends a call that may not be repeated, at most once. Another replica
