once: process tests on trial.Procs; plat: a held answer

The tests had a harness of their own beside the one in trial, and met the moment between insert and dispatch by a slow commit and the counters of the entry. Plain services get the ill 'delay'.

--- a/fake/service.go
+++ b/fake/service.go
@@ -54,7 +54,7 @@
 		a.Run = n + 1
 		return n + 1, true
 	})
-	if s.Clock.Sleep(r.Context(), s.Trouble.stretch(s.Work)) != nil {
+	if s.Clock.Sleep(r.Context(), s.Trouble.stretch(s.Work)+s.Trouble.Now().Delay) != nil {
 		return
 	}
 	if s.Trouble.spend(func(i *Ills) *int { return &i.LoseAnswers }) {
--- a/fake/trouble.go
+++ b/fake/trouble.go
@@ -43,6 +43,8 @@
 	Poison string `json:"poison,omitempty"`
 	// StallTransfers delays transfers by so long.
 	StallTransfers clock.Millis `json:"stall_transfers,omitempty"`
+	// Delay is time that each call of a plain service takes besides.
+	Delay clock.Millis `json:"delay,omitempty"`
 }
 
 // Set replaces the faults in force.
--- a/once/process_test.go
+++ b/once/process_test.go
@@ -3,13 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"os/exec"
-	"path/filepath"
-	"strings"
 	"syscall"
 	"testing"
 
@@ -17,197 +13,131 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/plat"
+	"lacewinghook.example/lacewinghook/record"
+	"lacewinghook.example/lacewinghook/store"
 	"lacewinghook.example/lacewinghook/trial"
 )
 
-// processes are a platform, a plain service and two entries on loopback.
+// processes are a platform, a plain service and two entries.
 type processes struct {
-	dir     string
-	base    int
-	entries [2]*exec.Cmd
-}
-
-// The ports above the base, as lacefake files lays them out.
-const (
-	servicePort = 300
-	entryPort   = 400
-	entryPorts  = 10
-)
-
-// freeBase finds a base whose ports nobody listens on.
-func freeBase(t *testing.T) int {
-	for base := 30000; base < 60000; base += 1000 {
-		free := true
-		for _, port := range []int{0, servicePort, entryPort, entryPort + 1, entryPort + 2, entryPort + 10, entryPort + 11, entryPort + 12} {
-			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base+port))
-			if err != nil {
-				free = false
-				break
-			}
-			_ = ln.Close()
-		}
-		if free {
-			return base
-		}
-	}
-	t.Fatal("no free ports")
-	return 0
+	*trial.Procs
+	service string
 }
 
 func startProcesses(t *testing.T) *processes {
-	p := &processes{dir: t.TempDir(), base: freeBase(t)}
-	build := exec.Command("go", "build", "-o", p.dir, "../cmd/lacewinghook", "../cmd/lacefake")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	fake := filepath.Join(p.dir, "lacefake")
-	files := exec.Command(fake, "files", "-dir", p.dir, "-base", fmt.Sprint(p.base), "-entries", "2", "-prefills", "0", "-decodes", "0")
-	if out, err := files.CombinedOutput(); err != nil {
-		t.Fatalf("files: %v\n%s", err, out)
-	}
-	p.start(t, fake, "platform", "-config", filepath.Join(p.dir, "platform.json"))
-	p.start(t, fake, "service", "-name", "card-desk-1", "-work", "400", "-listen", p.addr(servicePort))
-	for i := range p.entries {
-		settings := filepath.Join(p.dir, fmt.Sprintf("%s-%d.json", trial.Centre, i+1))
-		p.entries[i] = p.start(t, filepath.Join(p.dir, "lacewinghook"), "serve", "-config", settings)
-	}
-	for i := range p.entries {
-		until(t, func() bool { return p.client(i).Ready(context.Background()) == nil })
-	}
-	return p
-}
-
-func (p *processes) start(t *testing.T, name string, args ...string) *exec.Cmd {
-	cmd := exec.Command(name, args...)
-	if err := cmd.Start(); err != nil {
+	dir, ctx := t.TempDir(), t.Context()
+	if err := trial.Build(ctx, dir); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() {
-		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
-	})
-	return cmd
-}
-
-func (p *processes) addr(port int) string { return fmt.Sprintf("127.0.0.1:%d", p.base+port) }
-
-func (p *processes) client(i int) *trial.Client {
-	return &trial.Client{Addr: p.addr(entryPort + i*entryPorts), Key: trial.Key}
-}
-
-// send sends an order that must run within a second.
-func (p *processes) send(i int, key string) (status int, body string) {
-	header := http.Header{"Idempotency-Key": {key}, "Deadline": {"1000"}}
-	resp, err := p.client(i).Do(context.Background(), http.MethodPost, "/v1/services/"+trial.Service+"/orders", []byte("card"), header)
+	p, err := trial.StartProcs(ctx, dir, 2, nil)
 	if err != nil {
-		return 0, err.Error()
+		t.Fatal(err)
 	}
-	defer resp.Body.Close()
-	data, _ := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(data)
+	t.Cleanup(p.Stop)
+	const servicePort = 300
+	return &processes{p, fmt.Sprintf("http://127.0.0.1:%d", p.Base+servicePort)}
 }
 
-func fetch(url string) string {
-	req, err := http.NewRequest(http.MethodGet, url, nil)
+// order sends the order "k" that must run within a second. It returns the
+// service's run, or the code and what is said of the run.
+func (p *processes) order(entry int) (ran int, code codes.Code, run codes.Run) {
+	header := http.Header{"Idempotency-Key": {"k"}, "Deadline": {"1000"}}
+	resp, err := p.Client(entry).Do(context.Background(), http.MethodPost, "/v1/services/"+trial.Service+"/orders", []byte("card"), header)
 	if err != nil {
-		return ""
-	}
-	req.Header.Set("Authorization", "Bearer "+trial.Token)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return ""
+		return 0, codes.CallerGone, codes.Unknown
 	}
 	defer resp.Body.Close()
-	data, _ := io.ReadAll(resp.Body)
-	return string(data)
-}
-
-func (p *processes) ran(key string) bool {
-	return strings.Contains(fetch("http://"+p.addr(servicePort)+"/fake/runs"), fmt.Sprintf("%q:1", key))
+	var a struct {
+		Run   int
+		Error struct {
+			Code codes.Code
+			Run  codes.Run
+		}
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&a)
+	return a.Run, a.Error.Code, a.Error.Run
 }
 
-// slowInsert makes the platform hold the next commit of an order back.
-func (p *processes) slowInsert(t *testing.T) {
-	f := []byte(`{"kind":"slow","op":"commit","prefix":"once/","count":1,"delay":300}`)
-	resp, err := http.Post("http://"+p.addr(0)+"/fake/faults", "application/json", bytes.NewReader(f))
-	if err != nil {
-		t.Fatal(err)
+// runs is the service's own count.
+func (p *processes) runs() int {
+	all := make(map[string]int)
+	if resp, err := http.Get(p.service + "/fake/runs"); err == nil {
+		defer resp.Body.Close()
+		_ = json.NewDecoder(resp.Body).Decode(&all)
 	}
-	_ = resp.Body.Close()
+	return all["k"]
 }
 
-// committing reports whether entry 1 has begun to commit an order's row.
-func (p *processes) committing() bool {
-	return strings.Contains(fetch("http://"+p.addr(entryPort+1)+"/metrics"), "lacewinghook_batch_commits_total 1")
+func (p *processes) landed() bool {
+	rows, err := (&store.Client{Base: p.Platform()}).List(context.Background(), record.Prefix, "", 1)
+	return err == nil && len(rows) == 1
 }
 
-// landed reports whether the table holds an order's row.
-func (p *processes) landed() bool {
-	resp, err := http.Post("http://"+p.addr(0)+"/v1/table/read", "application/json", strings.NewReader(`{"prefix":"once/"}`))
-	if err != nil {
-		return false
-	}
-	defer resp.Body.Close()
-	data, _ := io.ReadAll(resp.Body)
-	return bytes.Contains(data, []byte(`"once/`))
+func post(t *testing.T, url string, v any) {
+	t.Helper()
+	body, err := json.Marshal(v)
+	is.New(t).NoErr(err)
+	resp, err := http.Post(url, "application/json", bytes.NewReader(body))
+	is.New(t).NoErr(err)
+	_ = resp.Body.Close()
 }
 
 func TestPromiseProcesses(t *testing.T) {
-	const (
-		key      = "k"
-		progress = `"name":"in_progress"`
-		unknown  = `"name":"outcome_unknown"`
-	)
 	for _, c := range []struct {
 		name string
 		// claimed freezes or kills entry 1 when the row stands and the call
 		// is not sent; else it is when the call runs.
 		claimed bool
 		kill    bool
-		// end is what entry 2 answers at last.
-		end string
-		ran bool
+		// end is the code that entry 2 ends with; zero is the answer.
+		end  codes.Code
+		runs int
 	}{
-		{name: "killed between insert and dispatch", claimed: true, kill: true, end: unknown},
-		{name: "killed after dispatch", kill: true, end: unknown, ran: true},
-		{name: "frozen between insert and dispatch", claimed: true, end: `"run":1`, ran: true},
-		{name: "frozen after dispatch", end: `"run":1`, ran: true},
+		{name: "killed between insert and dispatch", claimed: true, kill: true, end: codes.OutcomeUnknown},
+		{name: "killed after dispatch", kill: true, end: codes.OutcomeUnknown, runs: 1},
+		{name: "frozen between insert and dispatch", claimed: true, runs: 1},
+		{name: "frozen after dispatch", runs: 1},
 	} {
 		t.Run("at most once/entry "+c.name, func(t *testing.T) {
 			is := is.New(t)
 			p := startProcesses(t)
+			post(t, p.service+"/fake/ills", fake.Ills{Delay: 400})
+			kind := plat.Slow
 			if c.claimed {
-				p.slowInsert(t)
+				// The row stands and its answer is under way for longer than
+				// it takes to stop the entry.
+				kind = plat.Held
 			}
-			ended := make(chan string, 1)
+			post(t, p.Platform()+"/fake/faults", plat.Fault{Kind: kind, Op: plat.Commit, Prefix: record.Prefix, Count: 1, Delay: 300})
+			first := make(chan codes.Run, 1)
 			go func() {
-				_, body := p.send(0, key)
-				ended <- body
+				_, _, run := p.order(0)
+				first <- run
 			}()
-			until(t, func() bool { return c.claimed && p.committing() || p.ran(key) })
+			until(t, func() bool { return c.claimed && p.landed() || p.runs() > 0 })
 			signal := syscall.SIGSTOP
 			if c.kill {
 				signal = syscall.SIGKILL
 			}
-			is.NoErr(p.entries[0].Process.Signal(signal))
-			until(t, p.landed)
-			_, body := p.send(1, key)
-			is.True(strings.Contains(body, progress)) // the row is open and young
+			is.NoErr(p.Entries[0].Signal(signal))
+			_, code, _ := p.order(1)
+			is.Equal(code, codes.InProgress) // the row is open and young
 			if !c.kill {
 				// The order's second is over when the entry wakes.
-				is.NoErr((clock.Clock{}).Sleep(context.Background(), clock.Second))
-				is.NoErr(p.entries[0].Process.Signal(syscall.SIGCONT))
-				first := <-ended
-				is.True(c.claimed || !strings.Contains(first, string(codes.NotRun)))
+				is.NoErr((clock.Clock{}).Sleep(t.Context(), clock.Second))
+				is.NoErr(p.Entries[0].Signal(syscall.SIGCONT))
+				is.True(<-first != codes.NotRun || c.claimed)
 			}
+			var ran int
 			until(t, func() bool {
-				_, body = p.send(1, key)
-				return !strings.Contains(body, progress)
+				ran, code, _ = p.order(1)
+				return code != codes.InProgress
 			})
-			if !strings.Contains(body, c.end) {
-				t.Fatalf("entry 2 answers %s, want %s", body, c.end)
-			}
-			is.Equal(p.ran(key), c.ran)
+			is.Equal(code, c.end)
+			is.True(ran == 1 || code != 0)
+			is.Equal(p.runs(), c.runs)
 		})
 	}
 }
--- a/plat/fault.go
+++ b/plat/fault.go
@@ -20,6 +20,8 @@
 	// Late closes the connection with no answer and does what was asked
 	// after the fault's delay.
 	Late Kind = "late"
+	// Held does what was asked and answers after the fault's delay.
+	Held Kind = "held"
 	// Slow waits for the fault's delay first and then does what was asked.
 	Slow Kind = "slow"
 )
@@ -45,7 +47,7 @@
 	// Count is the number of calls that it meets; zero is all until it is
 	// lifted.
 	Count int `json:"count,omitempty"`
-	// Delay is for Late and Slow.
+	// Delay is for Late, Held and Slow.
 	Delay clock.Millis `json:"delay,omitempty"`
 }
 
--- a/plat/platform.go
+++ b/plat/platform.go
@@ -239,6 +239,10 @@
 	case Slow:
 		_ = p.Clock.Sleep(context.Background(), fault.Delay)
 		answer(w, f)
+	case Held:
+		v, err := f()
+		_ = p.Clock.Sleep(context.Background(), fault.Delay)
+		answer(w, func() (any, error) { return v, err })
 	case Lost:
 		_, _ = f()
 		panic(http.ErrAbortHandler)
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -97,6 +97,7 @@
 		{plat.Dropped, 0, codes.Unknown, false},
 		{plat.Lost, 0, codes.Unknown, true},
 		{plat.Late, 100, codes.Unknown, true},
+		{plat.Held, 400, codes.Unknown, true},
 		{plat.Slow, 400, codes.Unknown, true},
 	} {
 		t.Run(string(tc.kind), func(t *testing.T) {
