--- a/once/book.go
+++ b/once/book.go
@@ -14,6 +14,7 @@
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/record"
 	"lacewinghook.example/lacewinghook/shard"
+	"lacewinghook.example/lacewinghook/task"
 )
 
 // Table is the part of the platform's table that orders need. An error of
@@ -65,8 +66,8 @@
 	Draw func() uint64
 
 	flights shard.Map[string, *flight]
-	load    load
-	life    life
+	quota   task.Quota
+	tasks   task.Group
 	unkept  atomic.Int64
 
 	// batch and ledger are connected by prepare.
@@ -124,7 +125,7 @@
 	if err != nil {
 		return core.Answer{}, b.refused(err)
 	}
-	if mine && !b.spawn(func() { b.run(f) }) {
+	if mine && !b.tasks.Go(func() { b.run(f) }) {
 		b.end(f)
 		f.finish(core.Answer{}, codes.New(codes.Leaving, "order"))
 	}
@@ -139,7 +140,7 @@
 		switch {
 		case ok:
 			f = old
-		case b.load.add(fresh.bytes, b.limit(), b.limitBytes()):
+		case b.quota.Add(fresh.bytes, b.limit(), b.limitBytes()):
 			f, mine = fresh, true
 		}
 		return f, f != nil
@@ -197,12 +198,12 @@
 	b.flights.Update(f.record.ID, func(old *flight, ok bool) (*flight, bool) {
 		return old, ok && old != f
 	})
-	b.load.remove(f.bytes)
+	b.quota.Remove(f.bytes)
 }
 
 // run takes a flight from its claim to its kept outcome.
 func (b *Book) run(f *flight) {
-	ctx, cancel := b.until(b.context(), f.call.Deadline)
+	ctx, cancel := b.until(b.tasks.Context(), f.call.Deadline)
 	defer cancel()
 	found, err := b.claim(ctx, f)
 	switch {
@@ -220,7 +221,7 @@
 
 // dispatch sends the call of a flight that holds its row.
 func (b *Book) dispatch(f *flight) {
-	ctx, cancel := b.until(b.context(), f.call.Deadline+answerGrace)
+	ctx, cancel := b.until(b.tasks.Context(), f.call.Deadline+answerGrace)
 	defer cancel()
 	if b.Clock.Now() >= f.call.Deadline {
 		b.conclude(f, record.Abandoned, core.Answer{}, codes.New(codes.DeadlinePast, "order"))
--- a/once/claim.go
+++ b/once/claim.go
@@ -53,7 +53,7 @@
 	if !unsure {
 		return codes.Wrap(codes.PlatformDown, cause, "order: the platform's table").WithRetry(askAgain)
 	}
-	b.spawn(func() { b.withdraw(f) })
+	b.tasks.Go(func() { b.withdraw(f) })
 	return codes.Wrap(codes.ClaimUnsure, cause, "order").WithRetry(askAgain)
 }
 
@@ -65,7 +65,7 @@
 	gone.Note = "the claim could not be confirmed"
 	var expect int64
 	for n := 0; ; n++ {
-		out := b.write(b.context(), &gone, expect)
+		out := b.write(b.tasks.Context(), &gone, expect)
 		if out.Revision != 0 {
 			b.Meter.Add("orders_withdrawn_total", 1)
 			return
@@ -77,7 +77,7 @@
 			}
 			expect = out.Row.Revision
 		}
-		if b.pause(b.context(), n) != nil {
+		if b.pause(b.tasks.Context(), n) != nil {
 			return
 		}
 	}
--- a/once/life.go
+++ b/once/life.go
@@ -5,102 +5,21 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
-	"sync"
 
 	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/clock"
 )
 
-// life counts the book's threads, so that a stop can wait for them.
-type life struct {
-	mu      sync.Mutex
-	ctx     context.Context
-	cancel  context.CancelFunc
-	threads int
-	closed  bool
-	// idle is closed once a closed book has no threads.
-	idle chan struct{}
-}
-
-func (l *life) context() context.Context {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.prepare()
-	return l.ctx
-}
-
-func (l *life) prepare() {
-	if l.ctx == nil {
-		l.ctx, l.cancel = context.WithCancel(context.Background())
-		l.idle = make(chan struct{})
-	}
-}
-
-// begin counts a thread. A closed book takes new ones only while others that
-// may need them are left.
-func (l *life) begin() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.prepare()
-	if l.closed && l.threads == 0 {
-		return false
-	}
-	l.threads++
-	return true
-}
-
-func (l *life) finish() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.threads--
-	if l.closed && l.threads == 0 {
-		close(l.idle)
-	}
-}
-
-// close starts the end and returns a channel that is closed at the end.
-func (l *life) close() (idle <-chan struct{}, cancel context.CancelFunc) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.prepare()
-	if !l.closed && l.threads == 0 {
-		close(l.idle)
-	}
-	l.closed = true
-	return l.idle, l.cancel
-}
-
-// context is the one that the book's own work runs under.
-func (b *Book) context() context.Context { return b.life.context() }
-
-// spawn runs f in a thread of its own, unless the book is closed.
-func (b *Book) spawn(f func()) bool {
-	if !b.life.begin() {
-		return false
-	}
-	go func() {
-		defer b.life.finish()
-		f()
-	}()
-	return true
-}
-
 // Close waits until every order under way has its outcome kept, or until ctx
 // ends; then it gives up what is left. Rows that it gives up stay open and
 // read as unknown. Its error is the context's.
 func (b *Book) Close(ctx context.Context) error {
-	idle, cancel := b.life.close()
-	defer cancel()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
+	err := b.tasks.Close(ctx)
+	if err != nil {
+		b.log().Warn("once: stopped before all outcomes were kept", zap.Error(err))
 	}
-	b.log().Warn("once: stopped with outcomes that are not kept", zap.Int("orders", b.Pending()))
-	cancel()
-	<-idle
-	return ctx.Err()
+	return err
 }
 
 // Pending counts the orders under way, those included whose outcome is not
@@ -121,42 +40,6 @@
 	}
 }
 
-// load bounds what the orders under way hold.
-type load struct {
-	mu     sync.Mutex
-	orders int
-	bytes  int64
-}
-
-func (l *load) add(bytes int64, maxOrders int, maxBytes int64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.orders >= maxOrders || l.bytes+bytes > maxBytes {
-		return false
-	}
-	l.orders++
-	l.bytes += bytes
-	return true
-}
-
-// grow adds bytes to an order that is counted already.
-func (l *load) grow(bytes, maxBytes int64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.bytes+bytes > maxBytes {
-		return false
-	}
-	l.bytes += bytes
-	return true
-}
-
-func (l *load) remove(bytes int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.orders--
-	l.bytes -= bytes
-}
-
 func (b *Book) draw() uint64 {
 	if b.Draw != nil {
 		return b.Draw()
--- a/once/parts.go
+++ b/once/parts.go
@@ -19,8 +19,8 @@
 		b.batch.Meter = b.Meter
 		b.batch.Rows = b.Rows
 		b.batch.Draw = b.Draw
-		b.batch.Spawn = b.spawn
-		b.batch.Context = b.context
+		b.batch.Spawn = b.tasks.Go
+		b.batch.Context = b.tasks.Context
 		b.ledger.Table = b.Table
 		b.ledger.Writer = &b.batch
 		b.ledger.Clock = b.Clock
--- a/once/save.go
+++ b/once/save.go
@@ -33,7 +33,7 @@
 	b.Meter.Add("order_states_total", 1, "state", string(state))
 	saved := make(chan struct{})
 	b.unkept.Add(1)
-	b.spawn(func() {
+	b.tasks.Go(func() {
 		defer close(saved)
 		defer b.unkept.Add(-1)
 		b.save(f, final, a)
@@ -74,7 +74,7 @@
 	}
 	expect := f.revision
 	for n := 0; ; n++ {
-		out := b.write(b.context(), &final, expect)
+		out := b.write(b.tasks.Context(), &final, expect)
 		if out.Revision != 0 {
 			return
 		}
@@ -85,7 +85,7 @@
 			expect = out.Row.Revision
 			continue
 		}
-		if b.pause(b.context(), n) != nil {
+		if b.pause(b.tasks.Context(), n) != nil {
 			return
 		}
 	}
@@ -95,12 +95,12 @@
 // returns false if the answer can't be kept; the row then stays open and will
 // read as unknown.
 func (b *Book) attach(f *flight, final *record.Record, a core.Answer) bool {
-	if !b.load.grow(int64(len(a.Body)), b.limitBytes()) {
+	if !b.quota.Grow(int64(len(a.Body)), b.limitBytes()) {
 		b.Meter.Add("once_answers_dropped_total", 1)
 		b.log().Warn("once: an answer is not kept, too many wait for the platform", zap.String("order", final.ID))
 		return false
 	}
-	defer b.load.grow(-int64(len(a.Body)), b.limitBytes())
+	defer b.quota.Shrink(int64(len(a.Body)))
 	if len(a.Body) <= maxRowAnswer || b.Objects == nil {
 		final.Answer = &a
 		return true
@@ -111,8 +111,8 @@
 	if err != nil {
 		return false
 	}
-	for n := 0; b.Objects.Put(b.context(), final.Object, data) != nil; n++ {
-		if b.pause(b.context(), n) != nil {
+	for n := 0; b.Objects.Put(b.tasks.Context(), final.Object, data) != nil; n++ {
+		if b.pause(b.tasks.Context(), n) != nil {
 			return false
 		}
 	}
