--- a/once/book.go
+++ b/once/book.go
@@ -82,6 +82,8 @@
 	defaultLimitBytes = 64 << 20
 	// defaultTimeout is for a call without a deadline.
 	defaultTimeout = 30 * clock.Second
+	// maxTimeout bounds a call's deadline.
+	maxTimeout = 5 * clock.Minute
 	// answerGrace is how long after its deadline an order still waits for
 	// the service's answer: a late answer spares an operator an unknown
 	// outcome. openGrace is how long an open row reads as being under way.
@@ -118,9 +120,7 @@
 	if call.Key == "" {
 		return core.Answer{}, b.refused(codes.New(codes.KeyMissing, "order"))
 	}
-	if call.Deadline == 0 {
-		call.Deadline = b.Clock.Now() + defaultTimeout
-	}
+	call.Deadline = b.deadline(call.Deadline)
 	f, mine, err := b.join(call)
 	if err != nil {
 		return core.Answer{}, b.refused(err)
@@ -132,6 +132,16 @@
 	return b.await(ctx, call, f)
 }
 
+// deadline bounds how far off a call's deadline may be, so that nobody waits
+// for the platform without an end.
+func (b *Book) deadline(asked clock.Millis) clock.Millis {
+	now := b.Clock.Now()
+	if asked == 0 {
+		return now + defaultTimeout
+	}
+	return min(asked, now+maxTimeout)
+}
+
 // join returns the flight of the call's key, and whether it is a new one that
 // the caller must run.
 func (b *Book) join(call core.Call) (f *flight, mine bool, err error) {
--- a/once/model_test.go
+++ b/once/model_test.go
@@ -23,7 +23,7 @@
 	"lacewinghook.example/lacewinghook/record"
 )
 
-// world is two entries, one caller, one order, the table and the service.
+// world is two entries, one caller, two orders, the table and the service.
 // Every call of an interface waits until the schedule lets it go on, so that
 // a run is a function of the schedule's bytes.
 type world struct {
@@ -35,7 +35,8 @@
 	late []*event
 	asks []*ask
 	runs map[core.ID]int
-	kept string
+	// kept is the answer that stands in each row.
+	kept map[string]string
 	seq  uint64
 	bad  string
 }
@@ -68,11 +69,15 @@
 // ask is one call of the caller.
 type ask struct {
 	id     core.ID
+	key    string
 	answer core.Answer
 	err    error
 	ended  bool
 }
 
+// keys are those of the two orders.
+var keys = [2]string{"k", "l"}
+
 // How an event goes on.
 const (
 	asked = iota
@@ -139,7 +144,7 @@
 }
 
 func newWorld() *world {
-	w := &world{runs: make(map[core.ID]int)}
+	w := &world{runs: make(map[core.ID]int), kept: make(map[string]string)}
 	for i := range w.nodes {
 		w.start(i)
 	}
@@ -159,14 +164,14 @@
 	w.nodes[i] = n
 }
 
-func (w *world) ask(n *node) {
+func (w *world) ask(n *node, arg byte) {
 	if len(w.asks) == 12 {
 		return
 	}
 	w.seq++
-	a := &ask{id: core.ID{Seq: w.seq}}
+	a := &ask{id: core.ID{Seq: w.seq}, key: keys[arg>>3&1]}
 	w.asks = append(w.asks, a)
-	call := order("k", "card")
+	call := order(a.key, "card")
 	call.ID, call.Deadline = a.id, n.hands.Now()+2*clock.Second
 	go func() {
 		a.answer, a.err = n.book.Do(context.Background(), call)
@@ -178,7 +183,7 @@
 func (w *world) order(n *node, arg byte) {
 	rows := w.table.List(record.Prefix, "", 1)
 	if arg&2 == 0 || len(rows) == 0 {
-		w.ask(n)
+		w.ask(n, arg)
 		return
 	}
 	outcome := record.SettledRan
@@ -265,7 +270,7 @@
 	sortEvents(w.late)
 	switch action % 16 {
 	case 0:
-		w.ask(n)
+		w.ask(n, arg)
 	case 1:
 		w.order(n, arg)
 	case 2:
@@ -302,18 +307,20 @@
 
 // check looks at what must always hold.
 func (w *world) check() {
-	total := 0
-	for _, n := range w.runs {
-		total += n
+	total := make(map[string]int)
+	for _, a := range w.asks {
+		total[a.key] += w.runs[a.id]
 	}
-	if total > 1 {
-		w.fail("the order ran %d times", total)
+	for key, n := range total {
+		if n > 1 {
+			w.fail("the order %s ran %d times", key, n)
+		}
 	}
 	for _, a := range w.asks {
 		if a.ended && a.err != nil && codes.From(a.err).Run == codes.NotRun && w.runs[a.id] > 0 {
 			w.fail("ask %d was refused as not run and ran: %v", a.id.Seq, a.err)
 		}
-		if a.ended && a.err == nil && total == 0 {
+		if a.ended && a.err == nil && total[a.key] == 0 {
 			w.fail("ask %d was answered and nothing ran", a.id.Seq)
 		}
 	}
@@ -330,10 +337,10 @@
 		if r.State == record.Done {
 			now = string(r.Answer.Body)
 		}
-		if w.kept != "" && now != w.kept {
-			w.fail("the kept answer %q was replaced by %q", w.kept, now)
+		if old := w.kept[row.Key]; old != "" && now != old {
+			w.fail("the kept answer %q was replaced by %q", old, now)
 		}
-		w.kept = now
+		w.kept[row.Key] = now
 	}
 	for _, n := range w.nodes {
 		if v := n.book.Meter.Violation(meter.AtMostOnce); v.Count > 0 {
