--- a/once/book.go
+++ b/once/book.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
 	"go.uber.org/zap"
 
+	"lacewinghook.example/lacewinghook/batch"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/record"
 	"lacewinghook.example/lacewinghook/shard"
+	"lacewinghook.example/lacewinghook/task"
 )
 
 // Table is the part of the platform's table that orders need. An error of
@@ -30,8 +34,8 @@
 
 // Sender sends a call to its service, at most once. It looks at the call's
 // deadline right before the first byte leaves; after that, ctx alone bounds
-// the wait for the answer. An error with Run
-// [codes.NotRun] is proof that the service didn't get the call.
+// the wait for the answer. An error with Run [codes.NotRun] is proof that the
+// service didn't get the call.
 type Sender interface {
 	Send(ctx context.Context, call core.Call) (core.Answer, error)
 }
@@ -62,20 +66,24 @@
 	Draw func() uint64
 
 	flights shard.Map[string, *flight]
-	batch   batch
-	load    load
-	life    life
+	quota   task.Quota
+	tasks   task.Group
 	unkept  atomic.Int64
-	unknown atomic.Int64
+
+	// batch and ledger are connected by prepare.
+	once   sync.Once
+	batch  batch.Batch
+	ledger record.Ledger
 }
 
 // Defaults and bounds.
 const (
-	defaultRetention  = 7 * 24 * 60 * clock.Minute
 	defaultLimit      = 4096
 	defaultLimitBytes = 64 << 20
 	// defaultTimeout is for a call without a deadline.
 	defaultTimeout = 30 * clock.Second
+	// maxTimeout bounds a call's deadline.
+	maxTimeout = 5 * clock.Minute
 	// answerGrace is how long after its deadline an order still waits for
 	// the service's answer: a late answer spares an operator an unknown
 	// outcome. openGrace is how long an open row reads as being under way.
@@ -92,7 +100,7 @@
 // flight is one order under way at this entry.
 type flight struct {
 	call   core.Call
-	record Record
+	record record.Record
 	// revision is that of the row, once it is held.
 	revision int64
 	// bytes counts against the book's limit.
@@ -112,20 +120,28 @@
 	if call.Key == "" {
 		return core.Answer{}, b.refused(codes.New(codes.KeyMissing, "order"))
 	}
-	if call.Deadline == 0 {
-		call.Deadline = b.Clock.Now() + defaultTimeout
-	}
+	call.Deadline = b.deadline(call.Deadline)
 	f, mine, err := b.join(call)
 	if err != nil {
 		return core.Answer{}, b.refused(err)
 	}
-	if mine && !b.spawn(func() { b.run(f) }) {
+	if mine && !b.tasks.Go(func() { b.run(f) }) {
 		b.end(f)
 		f.finish(core.Answer{}, codes.New(codes.Leaving, "order"))
 	}
 	return b.await(ctx, call, f)
 }
 
+// deadline bounds how far off a call's deadline may be, so that nobody waits
+// for the platform without an end.
+func (b *Book) deadline(asked clock.Millis) clock.Millis {
+	now := b.Clock.Now()
+	if asked == 0 {
+		return now + defaultTimeout
+	}
+	return min(asked, now+maxTimeout)
+}
+
 // join returns the flight of the call's key, and whether it is a new one that
 // the caller must run.
 func (b *Book) join(call core.Call) (f *flight, mine bool, err error) {
@@ -134,7 +150,7 @@
 		switch {
 		case ok:
 			f = old
-		case b.load.add(fresh.bytes, b.limit(), b.limitBytes()):
+		case b.quota.Add(fresh.bytes, b.limit(), b.limitBytes()):
 			f, mine = fresh, true
 		}
 		return f, f != nil
@@ -148,12 +164,12 @@
 	return f, mine, nil
 }
 
-func (b *Book) record(call core.Call) Record {
+func (b *Book) record(call core.Call) record.Record {
 	now := b.Clock.Wall()
-	return Record{
-		ID: identity(call), Workspace: call.Workspace, Service: call.Service, Key: call.Key,
-		Digest: content(call), Method: call.Method, Path: call.Path,
-		State: Open, Token: b.token(), Owner: b.Owner,
+	return record.Record{
+		ID: record.Identity(call), Workspace: call.Workspace, Service: call.Service, Key: call.Key,
+		Digest: record.Content(call), Method: call.Method, Path: call.Path,
+		State: record.Open, Token: b.token(), Owner: b.Owner,
 		Opened: now, Until: now + call.Deadline - b.Clock.Now() + openGrace,
 	}
 }
@@ -192,12 +208,12 @@
 	b.flights.Update(f.record.ID, func(old *flight, ok bool) (*flight, bool) {
 		return old, ok && old != f
 	})
-	b.load.remove(f.bytes)
+	b.quota.Remove(f.bytes)
 }
 
 // run takes a flight from its claim to its kept outcome.
 func (b *Book) run(f *flight) {
-	ctx, cancel := b.until(b.context(), f.call.Deadline)
+	ctx, cancel := b.until(b.tasks.Context(), f.call.Deadline)
 	defer cancel()
 	found, err := b.claim(ctx, f)
 	switch {
@@ -215,23 +231,23 @@
 
 // dispatch sends the call of a flight that holds its row.
 func (b *Book) dispatch(f *flight) {
-	ctx, cancel := b.until(b.context(), f.call.Deadline+answerGrace)
+	ctx, cancel := b.until(b.tasks.Context(), f.call.Deadline+answerGrace)
 	defer cancel()
 	if b.Clock.Now() >= f.call.Deadline {
-		b.conclude(f, Abandoned, core.Answer{}, codes.New(codes.DeadlinePast, "order"))
+		b.conclude(f, record.Abandoned, core.Answer{}, codes.New(codes.DeadlinePast, "order"))
 		return
 	}
 	a, err := b.Sender.Send(ctx, f.call)
 	if err == nil {
-		b.conclude(f, Done, a, nil)
+		b.conclude(f, record.Done, a, nil)
 		return
 	}
 	e := codes.From(err)
 	if e.Run == codes.NotRun {
-		b.conclude(f, Abandoned, core.Answer{}, e)
+		b.conclude(f, record.Abandoned, core.Answer{}, e)
 		return
 	}
-	b.conclude(f, Unknown, core.Answer{}, e.WithRun(codes.Unknown))
+	b.conclude(f, record.Unknown, core.Answer{}, e.WithRun(codes.Unknown))
 }
 
 // refused counts an error on its way to the caller and returns it as one.
