--- a/fake/engine.go
+++ b/fake/engine.go
@@ -128,3 +128,6 @@
 func (e *Engine) Held() int {
 	return e.memory.used()
 }
+
+// Sequences returns how many requests the batch advances.
+func (e *Engine) Sequences() int { return len(e.batch.list()) }
--- /dev/null
+++ b/flow/hedge_test.go
@@ -0,0 +1,124 @@
+package flow_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/flow"
+	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/place"
+)
+
+// pair are two pairs of upstreams. Calls of the first pair wait until they are
+// let go or cancelled.
+type pair struct {
+	slow    bool
+	hold    core.Role
+	let     chan struct{}
+	held    chan struct{}
+	cancels chan core.Cancel
+}
+
+func (p *pair) Slow(string) bool { return p.slow }
+
+func (p *pair) Add(c core.Cancel) { p.cancels <- c }
+
+func (p *pair) Place(_ context.Context, q place.Query) (*place.Placement, error) {
+	n := "1"
+	if len(q.Failed) > 0 {
+		n = "2"
+	}
+	return &place.Placement{
+		Prefill: core.Upstream{Name: "p" + n}, Decode: core.Upstream{Name: "d" + n},
+	}, nil
+}
+func (p *pair) Prefilled(*place.Placement, clock.Millis, error) {}
+func (p *pair) FirstToken(*place.Placement, clock.Millis)       {}
+func (p *pair) Release(_ *place.Placement, _ error)             {}
+func (p *pair) wait(ctx context.Context, up core.Upstream) error {
+	if up.Name != map[core.Role]string{core.Prefill: "p1", core.Decode: "d1"}[p.hold] {
+		return nil
+	}
+	p.held <- struct{}{}
+	select {
+	case <-p.let:
+		return nil
+	case <-ctx.Done():
+		return codes.Wrap(codes.CallerGone, ctx.Err(), "%s", up.Name)
+	}
+}
+
+func (p *pair) Prefill(ctx context.Context, up core.Upstream, _ core.Try) (core.Export, error) {
+	return core.Export{Upstream: up.Name, Expires: clock.Minute}, p.wait(ctx, up)
+}
+
+func (p *pair) Decode(ctx context.Context, up core.Upstream, try core.Try, _ core.Export, arrived func(), each func(core.Token) error) error {
+	arrived()
+	if err := p.wait(ctx, up); err != nil {
+		return err
+	}
+	for i := range 3 {
+		if err := each(core.Token{Attempt: try.Attempt, Offset: i, Text: up.Name + " "}); err != nil {
+			return err
+		}
+	}
+	return each(core.Token{Offset: 3, Finish: "stop"})
+}
+
+func (p *pair) Resume(context.Context, core.Upstream, core.ID, core.Attempt, int, func(core.Token) error) error {
+	return codes.New(codes.NotFound, "nothing to resume")
+}
+
+// text gathers an answer.
+type text string
+
+func (s *text) Token(t core.Token) error {
+	*s += text(t.Text + t.Finish)
+	return nil
+}
+
+func TestHedge(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		hedge      bool
+		slow       bool
+		hold       core.Role
+		want       text
+		hedges     uint64
+		cancelled  string
+		firstAgain bool
+	}{
+		{"prefill at a straggler", true, true, core.Prefill, "d2 d2 d2 stop", 1, "p1", false},
+		{"decode at a straggler", true, true, core.Decode, "d2 d2 d2 stop", 1, "d1", false},
+		{"late, but no straggler", true, false, core.Prefill, "d1 d1 d1 stop", 0, "", true},
+		{"not allowed by the profile", false, true, core.Prefill, "d1 d1 d1 stop", 0, "", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := &pair{slow: c.slow, hold: c.hold, let: make(chan struct{}), held: make(chan struct{}, 2), cancels: make(chan core.Cancel, 4)}
+			m, manual := &meter.Set{}, &clock.Manual{}
+			f := &flow.Flow{Engines: p, Placer: p, Cancels: p, Stragglers: p, Meter: m, Clock: clock.Clock{Manual: manual}}
+			r := &core.Request{Profile: core.Profile{FirstToken: 1000, Hedge: c.hedge}}
+			var got text
+			ended := make(chan error, 1)
+			go func() { ended <- f.Run(t.Context(), r, &got) }()
+			<-p.held
+			manual.Advance(500)
+			if c.firstAgain {
+				close(p.let)
+			}
+			is.NoErr(<-ended)
+			is.Equal(got, c.want)
+			is.Equal(m.Get("hedges_total"), c.hedges)
+			if c.cancelled != "" {
+				is.Equal((<-p.cancels).Upstream.Name, c.cancelled)
+			}
+			is.Equal(len(p.cancels), 0)
+		})
+	}
+}
--- a/flow/promise_test.go
+++ b/flow/promise_test.go
@@ -114,6 +114,8 @@
 		t.Run("caller cuts in queue", cutInQueue)
 		t.Run("caller cuts in reserve", cutInReserve)
 		t.Run("caller cuts after a resume", resumedThenCut)
+		t.Run("entry killed", entryKilled)
+		t.Run("entry frozen, then woken", entryFrozen)
 	})
 	t.Run("answered once and whole", func(t *testing.T) {
 		for _, c := range breaks {
@@ -136,6 +138,11 @@
 		t.Run("entry dies in the middle", entryDies)
 		t.Run("resumed on two entries at once", resumedAtTwo)
 	})
+	t.Run("not run is true", func(t *testing.T) {
+		for _, c := range refusals {
+			t.Run(c.name, func(t *testing.T) { refused(t, c.decodes, c.harm, c.deadline, c.ran) })
+		}
+	})
 	t.Run("poison", func(t *testing.T) {
 		t.Run("crashes decode upstreams", func(t *testing.T) {
 			poisoned(t, func(s *trial.Set) []*fake.Engine { return s.Decodes })
--- a/trial/procs.go
+++ b/trial/procs.go
@@ -167,6 +167,9 @@
 // Platform returns the platform's URL.
 func (p *Procs) Platform() string { return "http://" + p.addr(0) }
 
+// Decode returns the address of the decode engine.
+func (p *Procs) Decode() string { return p.addr(decodePorts) }
+
 // Log returns what a process has logged.
 func (p *Procs) Log(name string) string {
 	data, err := os.ReadFile(p.file(name + ".log"))
