--- a/entry/admin.go
+++ b/entry/admin.go
@@ -14,19 +14,20 @@
 	for _, p := range meter.Promises {
 		e.meter.Add("violations_total", 0, "promise", string(p.Promise))
 	}
+	e.gauges()
 	s := &admin.Server{
 		Tokens:  e.Settings.Tokens,
 		Self:    e.instance,
 		Views:   &e.book,
 		Members: &e.members,
 		Pool:    &e.pool,
-		Orders:  orders{&e.orders},
 		Meter:   &e.meter,
 		Clock:   e.Clock,
 		Log:     e.Log,
 
 		Documents: documents{e},
 		Drains:    drains{&e.drains},
+		Orders:    orders{&e.orders},
 
 		Quarantine: quarantine{&e.suspects},
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,7 @@
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/route"
+	"lacewinghook.example/lacewinghook/share"
 	"lacewinghook.example/lacewinghook/store"
 	"lacewinghook.example/lacewinghook/sweep"
 	"lacewinghook.example/lacewinghook/token"
@@ -49,6 +50,12 @@
 	// Life is how long callers may keep an answer of addresses; zero is
 	// [member.AddressLife].
 	Life clock.Millis
+	// Advertise is the address that peers use for this entry; empty is that
+	// of the socket.
+	Advertise string
+	// ResumeKey signs the resume tokens; empty is read from the settings'
+	// file.
+	ResumeKey string
 
 	owner     core.Owner
 	began     clock.Millis
@@ -61,6 +68,7 @@
 	follower  prof.Follower
 	desk      prof.Desk
 	drains    drain.Book
+	draining  sync.Mutex
 	pool      pool.Table
 	members   member.Table
 	store     store.Client
@@ -71,6 +79,7 @@
 	sweeper   sweep.Sweeper
 	orders    once.Book
 	keeper    lease.Keeper
+	reports   share.Reader
 	// news wakes the heartbeats, listed does so with the first list, and met
 	// closes metAll once all partners were asked.
 	news   bell
@@ -95,8 +104,7 @@
 		return err
 	}
 	e.prepare()
-	var err error
-	if e.store.Token, err = readToken(e.Settings.Platform.Token); err != nil {
+	if err := e.secure(); err != nil {
 		return err
 	}
 	// work goes on while the entry stops and ends last of all.
@@ -108,7 +116,9 @@
 	operators := e.server(e.operators())
 	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
 	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
-	g.Go(func() error { return (&wire.Server{Handler: e, Log: e.Log}).Serve(work, e.Sockets.Peers) })
+	g.Go(func() error {
+		return (&wire.Server{Handler: e, Methods: e.peerMethods(), Log: e.Log, Certs: e.peers.Certs}).Serve(work, e.Sockets.Peers)
+	})
 	e.background(work, g)
 	g.Go(func() error {
 		defer end()
@@ -121,7 +131,7 @@
 		return e.stop(work, callers, operators)
 	})
 	e.Log.Info("entry: serving", zap.String("callers", e.Sockets.Callers.Addr().String()))
-	err = g.Wait()
+	err := g.Wait()
 	e.cancels.Close()
 	e.peers.Close()
 	return err
@@ -205,6 +215,10 @@
 	e.preparePoison()
 	e.prepareSweep()
 	e.prepareKeeper()
+	e.prepareShare()
+	if e.Advertise != "" {
+		e.members.Self.Peer = e.Advertise
+	}
 	e.members.Boot = e.owner.Boot
 	e.members.State = e.state
 	e.members.Load = e.flights.count
@@ -232,7 +246,7 @@
 		State:   e.state,
 		Limits:  e.Settings.Limits,
 		Meter:   &e.meter,
-		Signer:  token.Signer{Key: []byte(e.Settings.ResumeKey)},
+		Signer:  token.Signer{Key: []byte(e.ResumeKey)},
 	}
 	return s.Handler()
 }
