flow, abort: one retry budget and one backoff for all

The policy's limit.Budget bounds the prefills that are begun again and the hedges; limit.Backoff takes the place of two jitters of the same kind, and share.Home that of a second hash of homes.

go test -race ./abort ./flow: ok.

--- a/abort/book.go
+++ b/abort/book.go
@@ -8,6 +8,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/shard"
 )
@@ -59,6 +60,9 @@
 	since  clock.Millis
 }
 
+// pauses are those between the tries of one cancel.
+var pauses = limit.Backoff{Base: 20, Max: 2 * clock.Second}
+
 // The times of one cancel.
 const (
 	callTimeout = 2 * clock.Second
@@ -121,9 +125,8 @@
 
 // pursue sends a cancel until it is confirmed or the book is closed.
 func (b *Book) pursue(ctx context.Context, k key) {
-	pause := firstPause
 	heard := false
-	for {
+	for n := 1; ; n++ {
 		o, ok := b.open.Get(k)
 		if !ok {
 			return
@@ -132,16 +135,16 @@
 		if final(o.cancel, v, heard) && b.close(k, o) {
 			return
 		}
+		pause := pauses.Delay(n, rand.Uint64())
 		if v == failed {
 			b.Meter.Add("cancel_retries_total", 1)
 		} else {
 			heard, pause = true, settleTime
 		}
-		if b.gone(k) || b.Clock.Sleep(ctx, jitter(pause)) != nil {
+		if b.gone(k) || b.Clock.Sleep(ctx, pause) != nil {
 			b.open.Delete(k)
 			return
 		}
-		pause = min(2*pause, lastPause)
 	}
 }
 
@@ -201,11 +204,6 @@
 	return b.Upstreams != nil && !b.Upstreams.Published(k.upstream)
 }
 
-// jitter draws a time of d, less up to half.
-func jitter(d clock.Millis) clock.Millis {
-	return d - rand.N(d/2+1)
-}
-
 // Open returns the count of unconfirmed cancels and the age of the oldest.
 func (b *Book) Open() (n int, oldest clock.Millis) {
 	now := b.Clock.Now()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"lacewinghook.example/lacewinghook/engine"
 	"lacewinghook.example/lacewinghook/front"
 	"lacewinghook.example/lacewinghook/lease"
+	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/once"
@@ -76,6 +77,7 @@
 	peers     wire.Client
 	cancels   abort.Book
 	suspects  poison.Book
+	budget    limit.Budget
 	sweeper   sweep.Sweeper
 	orders    once.Book
 	keeper    lease.Keeper
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -15,7 +15,7 @@
 func (e *Entry) newFlow() *flow.Flow {
 	return &flow.Flow{
 		Engines: &e.engines, Placer: e.placer(), Cancels: &e.cancels,
-		Upstreams: published{&e.pool}, Suspects: &e.suspects,
+		Upstreams: published{&e.pool}, Suspects: &e.suspects, Budget: &e.budget,
 		Clock: e.Clock, Meter: &e.meter,
 	}
 }
--- a/entry/sweep.go
+++ b/entry/sweep.go
@@ -1,9 +1,8 @@
 package entry
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/share"
 )
 
 // prepareSweep sets up the search for what dead entries left at the engines.
@@ -22,15 +21,7 @@
 	members *member.Table
 }
 
-// Home implements [sweep.Homes]: of all live entries the one with the highest
-// hash of its name and the upstream's looks after it, so that few upstreams
-// move when an entry comes or goes.
+// Home implements [sweep.Homes].
 func (h homes) Home(upstream string) bool {
-	best, top := "", uint64(0)
-	for _, in := range h.members.Live() {
-		if sum := xxhash.Sum64String(in.Name + "\x00" + upstream); best == "" || sum > top {
-			best, top = in.Name, sum
-		}
-	}
-	return best == h.members.Self.Name
+	return share.Home(upstream, h.members.Live()) == h.members.Self.Name
 }
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -38,8 +38,8 @@
 type Budget interface {
 	// Spend reports whether one more may be begun.
 	Spend() bool
-	// Earn counts a request that ended well.
-	Earn()
+	// Success counts a request that ended well.
+	Success()
 }
 
 // Stragglers tells which upstreams are slow at the moment.
@@ -119,6 +119,6 @@
 
 func (f *Flow) earn() {
 	if f.Budget != nil {
-		f.Budget.Earn()
+		f.Budget.Success()
 	}
 }
--- a/flow/life.go
+++ b/flow/life.go
@@ -10,6 +10,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/meter"
 )
 
@@ -110,16 +111,9 @@
 	return meter.Failed
 }
 
-// The pauses before a new attempt.
-const (
-	firstPause = 10 * clock.Millis(1)
-	lastPause  = 500 * clock.Millis(1)
-)
-
-// pause waits before the attempt after the n-th, with jitter.
+// pause waits before the attempt after the n-th, counted from zero.
 func (f *Flow) pause(ctx context.Context, n int) error {
-	d := min(firstPause<<min(n, 10), lastPause)
-	return f.Clock.Sleep(ctx, d/2+rand.N(d/2+1))
+	return f.Clock.Sleep(ctx, limit.Backoff{}.Delay(n+1, rand.Uint64()))
 }
 
 // next gives out an attempt.
