engine: an event that is plain text is compared, not decoded

All events of a stream but the last differ in offset and text alone. They are now compared with the stream's own head, and only another form goes to the JSON decoder; the connections' buffers are sized for many small events.

Ruled out: another JSON library (a dependency for one known form).

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -33,8 +33,9 @@
 	errCount    = errors.New("the end marker counts other tokens than came")
 )
 
-// streamBuffer is the size of the buffer that a stream is read through.
-const streamBuffer = 4 << 10
+// streamBuffer is the size of the buffer that a stream is read through; it
+// grows for an event that is larger.
+const streamBuffer = 1 << 10
 
 var dataPrefix = []byte("data: ")
 
@@ -42,6 +43,7 @@
 // marker. A stream that breaks, leaves out a token or miscounts is an error.
 func (c *Client) readStream(r io.Reader, t target, offset int, each func(core.Token) error) error {
 	s := &stream{client: c, target: t, id: t.id.String(), next: offset, each: each}
+	s.quick = newQuick(t, s.id)
 	sc := bufio.NewScanner(r)
 	sc.Buffer(make([]byte, 0, streamBuffer), maxEventBytes)
 	for sc.Scan() {
@@ -67,9 +69,13 @@
 	next   int
 	ended  bool
 	each   func(core.Token) error
+	quick  quick
 }
 
 func (s *stream) event(data []byte) error {
+	if offset, text, ok := s.quick.read(data); ok {
+		return s.text(offset, text)
+	}
 	var e event
 	if err := json.Unmarshal(data, &e); err != nil {
 		return codes.Wrap(codes.UpstreamLost, err, "%s: event", s.target.up.Name)
@@ -96,18 +102,36 @@
 
 func (s *stream) token(e event) error {
 	c := e.Choices[0]
-	if e.Offset != s.next {
-		return codes.Wrap(codes.UpstreamLost, errGap, "%s: offset %d, want %d", s.target.up.Name, e.Offset, s.next)
+	if c.Finish == "" {
+		return s.text(e.Offset, c.Text)
 	}
-	if c.Finish != "" {
-		if e.Usage == nil || e.Usage.CompletionTokens != s.next {
-			return codes.Wrap(codes.UpstreamLost, errCount, "%s", s.target.up.Name)
-		}
-		s.ended = true
-	} else {
-		s.next++
+	if err := s.inOrder(e.Offset); err != nil {
+		return err
+	}
+	if e.Usage == nil || e.Usage.CompletionTokens != s.next {
+		return codes.Wrap(codes.UpstreamLost, errCount, "%s", s.target.up.Name)
+	}
+	s.ended = true
+	return s.hand(core.Token{Offset: e.Offset, Text: c.Text, Finish: c.Finish})
+}
+
+// text hands on a token with text.
+func (s *stream) text(offset int, text string) error {
+	if err := s.inOrder(offset); err != nil {
+		return err
 	}
-	return s.each(core.Token{
-		ID: s.target.id, Attempt: e.Attempt, Offset: e.Offset, Text: c.Text, Finish: c.Finish,
-	})
+	s.next++
+	return s.hand(core.Token{Offset: offset, Text: text})
+}
+
+func (s *stream) inOrder(offset int) error {
+	if offset == s.next {
+		return nil
+	}
+	return codes.Wrap(codes.UpstreamLost, errGap, "%s: offset %d, want %d", s.target.up.Name, offset, s.next)
+}
+
+func (s *stream) hand(t core.Token) error {
+	t.ID, t.Attempt = s.target.id, s.target.attempt
+	return s.each(t)
 }
--- /dev/null
+++ b/engine/stream_test.go
@@ -0,0 +1,129 @@
+package engine_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/engine"
+	"lacewinghook.example/lacewinghook/meter"
+)
+
+// body is an engine that answers every call with it.
+type body string
+
+func (b body) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(string(b)))}, nil
+}
+
+var streamID = core.ID{Owner: core.Owner{Instance: "a", Boot: 1}, Seq: 2}
+
+const (
+	own   = `"id":"a.0000000000000001.2","attempt":3`
+	other = `"id":"a.0000000000000001.9","attempt":3`
+	old   = `"id":"a.0000000000000001.2","attempt":2`
+)
+
+// ev returns an event with a token.
+func ev(sign string, offset int, text string) string {
+	return fmt.Sprintf(`data: {%s,"offset":%d,"choices":[{"text":%s}]}`+"\n\n", sign, offset, text)
+}
+
+// end returns an end marker.
+func end(sign string, count int) string {
+	return fmt.Sprintf(`data: {%s,"offset":%d,"choices":[{"text":"","finish_reason":"stop"}],"usage":{"completion_tokens":%d}}`+"\n\n", sign, count, count)
+}
+
+// resume reads a stream from token 5 on and returns its text.
+func resume(stream string, m *meter.Set) (string, error) {
+	c := &engine.Client{HTTP: &http.Client{Transport: body(stream)}, Meter: m}
+	got := ""
+	err := c.Resume(context.Background(), core.Upstream{Name: "d1", Addr: "x"}, streamID, 3, 5, func(t core.Token) error {
+		got += t.Text + t.Finish
+		return nil
+	})
+	return got, err
+}
+
+func TestStreamIsHandedOnWholeOrBroken(t *testing.T) {
+	good := ev(own, 5, `"one "`) + ev(own, 6, `"two "`)
+	for _, c := range []struct {
+		name, stream, text string
+		code               codes.Code
+		dropped            uint64
+	}{
+		{"whole", good + end(own, 7), "one two stop", 0, 0},
+		{"comments and other fields between", ": ping\n\nevent: x\n" + good + end(own, 7), "one two stop", 0, 0},
+		{"escapes", ev(own, 5, `"\u00fc\n\"<"`) + end(own, 6), "ü\n\"<stop", 0, 0},
+		{"not ASCII", ev(own, 5, `"Kaffeemühle "`) + end(own, 6), "Kaffeemühle stop", 0, 0},
+		{"nothing", "", "", codes.UpstreamLost, 0},
+		{"no end marker", good, "one two ", codes.UpstreamLost, 0},
+		{"cut in the middle of an event", good + ev(own, 7, `"three "`)[:40], "one two ", codes.UpstreamLost, 0},
+		{"cut in the end marker", good + end(own, 7)[:60], "one two ", codes.UpstreamLost, 0},
+		{"a token left out", ev(own, 5, `"one "`) + ev(own, 7, `"three "`), "one ", codes.UpstreamLost, 0},
+		{"a token twice", ev(own, 5, `"one "`) + ev(own, 5, `"one "`), "one ", codes.UpstreamLost, 0},
+		{"marker counts too many", good + end(own, 8), "one two ", codes.UpstreamLost, 0},
+		{"marker without a count", good + strings.ReplaceAll(end(own, 7), "usage", "other"), "one two ", codes.UpstreamLost, 0},
+		{"another request's token", good + ev(other, 7, `"hers "`), "one two ", codes.WrongAnswer, 1},
+		{"another request's end", good + end(other, 7), "one two ", codes.WrongAnswer, 1},
+		{"an old attempt's token", ev(old, 5, `"one "`), "", codes.WrongAnswer, 1},
+		{"no JSON", "data: <html>\n\n", "", codes.UpstreamLost, 0},
+		{"superseded", good + `data: {` + own + `,"offset":7,"error":"superseded"}` + "\n\n", "one two ", codes.Superseded, 0},
+		{"cancelled", good + `data: {` + own + `,"offset":7,"error":"cancelled"}` + "\n\n", "one two ", codes.UpstreamLost, 0},
+		{"an endless event", "data: " + strings.Repeat("x", 2<<20), "", codes.UpstreamLost, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := &meter.Set{}
+			got, err := resume(c.stream, m)
+			is.Equal(got, c.text)
+			is.Equal(err == nil, c.code == 0)
+			if err != nil {
+				is.Equal(codes.From(err).Code, c.code)
+			}
+			is.Equal(m.Get("dropped_answers_total", "reason", "wrong_id")+m.Get("dropped_answers_total", "reason", "old_attempt"), c.dropped)
+		})
+	}
+}
+
+// FuzzStreamEvent checks that an event which is handed on is the one that the
+// JSON decoder reads.
+func FuzzStreamEvent(f *testing.F) {
+	for _, text := range []string{`"one "`, `"ü"`, `"\u0000"`, `"a"}]},{"text":"b"`, `"`, `1`, `"a","text":"b"`} {
+		f.Add([]byte(strings.TrimSpace(ev(own, 5, text))))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		event := bytes.TrimPrefix(data, []byte("data: "))
+		if bytes.ContainsAny(event, "\r\n") {
+			return
+		}
+		got, _ := resume("data: "+string(event)+"\n\n", nil)
+		if got == "" {
+			return
+		}
+		var e struct {
+			ID      string
+			Attempt int
+			Offset  int
+			Choices []struct {
+				Text   string
+				Finish string `json:"finish_reason"`
+			}
+		}
+		is := is.New(t)
+		is.NoErr(json.Unmarshal(event, &e))
+		is.Equal(e.ID, streamID.String())
+		is.Equal(e.Attempt, 3)
+		is.Equal(e.Offset, 5)
+		is.Equal(got, e.Choices[0].Text+e.Choices[0].Finish)
+	})
+}
--- /dev/null
+++ b/engine/transport.go
@@ -0,0 +1,21 @@
+package engine
+
+import "net/http"
+
+// The sizes of what a connection to an upstream keeps. A stream comes in small
+// events, and of many thousand streams each holds a connection; larger bodies
+// pass the buffers by.
+const (
+	readBuffer  = 2 << 10
+	writeBuffer = 1 << 10
+	// maxIdle bounds the kept connections to one upstream.
+	maxIdle = 64
+)
+
+// NewTransport returns a transport for [Client.HTTP] that is sized for many
+// streams.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: maxIdle, ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -206,7 +206,7 @@
 	e.flights.changed = make(chan struct{}, 1)
 	e.store = store.Client{Base: s.Platform.Base}
 	e.engines.Clock = e.Clock
-	e.engines.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}
+	e.engines.HTTP = &http.Client{Transport: engine.NewTransport()}
 	e.pool.Clock = e.Clock
 	e.members.Clock = e.Clock
 	e.members.Self = core.Instance{
@@ -231,9 +231,6 @@
 	e.announce()
 }
 
-// maxIdleConns bounds the kept connections to one upstream.
-const maxIdleConns = 64
-
 func (e *Entry) callers() http.Handler {
 	s := &front.Server{
 		Runner:  e.newFlow(),
--- /dev/null
+++ b/flow/bench_test.go
@@ -0,0 +1,236 @@
+package flow_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/abort"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/engine"
+	"lacewinghook.example/lacewinghook/flow"
+	"lacewinghook.example/lacewinghook/front"
+	"lacewinghook.example/lacewinghook/prof"
+	"lacewinghook.example/lacewinghook/token"
+	"lacewinghook.example/lacewinghook/trial"
+)
+
+// benchTokens is the length of the answer that is forwarded in one go.
+const benchTokens = 10000
+
+// canned answers every call with the same stream of events.
+type canned []byte
+
+func (c canned) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(c))}, nil
+}
+
+func (canned) Upstream(name string) (core.Upstream, bool) {
+	return core.Upstream{Name: name, Addr: "127.0.0.1:1"}, true
+}
+
+func (canned) View() *prof.View { return view }
+
+var view = func() *prof.View {
+	doc := trial.Document()
+	return prof.NewView(&doc)
+}()
+
+// cannedStream returns the stream of an engine that answers the attempt.
+func cannedStream(id core.ID, a core.Attempt) canned {
+	var b bytes.Buffer
+	for i := range benchTokens {
+		fmt.Fprintf(&b, `data: {"id":%q,"attempt":%d,"offset":%d,"choices":[{"text":"harvest "}]}`+"\n\n", id, a, i)
+	}
+	fmt.Fprintf(&b, `data: {"id":%q,"attempt":%d,"offset":%d,"choices":[{"text":"","finish_reason":"length"}],"usage":{"completion_tokens":%d}}`+"\n\n", id, a, benchTokens, benchTokens)
+	return b.Bytes()
+}
+
+// null takes an answer and counts its bytes.
+type null struct {
+	header http.Header
+	bytes  int
+	status int
+}
+
+func (n *null) Header() http.Header    { return n.header }
+func (n *null) WriteHeader(status int) { n.status = status }
+func (n *null) Flush()                 {}
+func (n *null) Write(p []byte) (int, error) {
+	n.bytes += len(p)
+	return len(p), nil
+}
+
+var signer = token.Signer{Key: []byte(trial.ResumeKey)}
+
+// forwarder returns an entry's way for streams, with a client of engines.
+func forwarder(t testing.TB, engines *http.Client, ups upstreams) http.Handler {
+	c := &engine.Client{HTTP: engines}
+	cancels := &abort.Book{Engines: c}
+	t.Cleanup(cancels.Close)
+	s := &front.Server{
+		Runner: &flow.Flow{Engines: c, Upstreams: ups, Cancels: cancels},
+		Views:  ups, IDs: &core.Sequence{}, Log: zap.NewNop(), Signer: signer,
+	}
+	return s.Handler()
+}
+
+// upstreams is what a forwarder needs beside its engine client.
+type upstreams interface {
+	flow.Upstreams
+	front.Views
+}
+
+// BenchmarkForward reads an engine's stream and writes the caller's, all but
+// the sockets. One operation is one token.
+func BenchmarkForward(b *testing.B) {
+	id := core.ID{Owner: core.Owner{Instance: "moose-jaw-1", Boot: 1 << 60}, Seq: 123456}
+	t := token.Resume{ID: id, Workspace: trial.Workspace, Upstream: "d1", Model: trial.Model, Max: benchTokens}
+	stream := cannedStream(id, t.Attempt.Takeover())
+	h := forwarder(b, &http.Client{Transport: stream}, stream)
+	req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("/v1/requests/%s/stream?offset=0", id), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+trial.Key)
+	req.Header.Set("Resume-Token", signer.Seal(t))
+	b.ReportAllocs()
+	b.ResetTimer()
+	for n := 0; n < b.N; n += benchTokens {
+		w := &null{header: http.Header{}}
+		h.ServeHTTP(w, req)
+		if w.status != http.StatusOK || w.bytes < benchTokens*100 {
+			b.Fatalf("status %d, %d bytes", w.status, w.bytes)
+		}
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "tokens/s")
+}
+
+// engineAt is a document whose one engine stands at an address.
+type engineAt struct {
+	canned
+	addr string
+}
+
+func (e engineAt) Upstream(name string) (core.Upstream, bool) {
+	return core.Upstream{Name: name, Addr: e.addr}, true
+}
+
+const (
+	memoryStreams = 500
+	// maxStreamBytes bounds the memory of one stream in flight.
+	maxStreamBytes = 64 << 10
+)
+
+// TestMemoryOfStreamsInFlight holds streams open, each with one token sent.
+// Engine and callers are bare connections, so that what grows is the entry's.
+func TestMemoryOfStreamsInFlight(t *testing.T) {
+	is := is.New(t)
+	id := core.ID{Owner: core.Owner{Instance: "moose-jaw-1", Boot: 1 << 60}, Seq: 123456}
+	resume := token.Resume{ID: id, Workspace: trial.Workspace, Upstream: "d1", Model: trial.Model, Max: benchTokens}
+	eng := bareEngine(t, cannedStream(id, resume.Attempt.Takeover())[:200])
+	transport := engine.NewTransport()
+	t.Cleanup(transport.CloseIdleConnections)
+	entry := httptest.NewServer(forwarder(t, &http.Client{Transport: transport}, engineAt{addr: eng}))
+	call := fmt.Sprintf("GET /v1/requests/%s/stream?offset=0 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nResume-Token: %s\r\n\r\n", id, trial.Key, signer.Seal(resume))
+	conns := make([]net.Conn, memoryStreams)
+	before := inUse()
+	first := make([]byte, 4096)
+	for i := range conns {
+		conn, err := net.Dial("tcp", entry.Listener.Addr().String())
+		is.NoErr(err)
+		conns[i] = conn
+		_, err = conn.Write([]byte(call))
+		is.NoErr(err)
+		n, err := io.ReadAtLeast(conn, first, 300)
+		is.NoErr(err)
+		is.True(bytes.Contains(first[:n], []byte("200 OK")))
+	}
+	each := (inUse() - before) / memoryStreams
+	t.Logf("%d bytes a stream", each)
+	is.True(each < maxStreamBytes)
+	for _, conn := range conns {
+		is.NoErr(conn.Close())
+	}
+	entry.CloseClientConnections()
+	entry.Close()
+}
+
+// inUse returns the bytes of live objects and of stacks.
+func inUse() int {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int(m.HeapAlloc + m.StackInuse)
+}
+
+// bareEngine answers every connection with the start of a stream and leaves
+// it open.
+func bareEngine(t *testing.T, start []byte) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = ln.Close() })
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	answer := fmt.Sprintf("%s%x\r\n%s\r\n", head, len(start), start)
+	go func() {
+		buf := make([]byte, 4096)
+		var conns []net.Conn
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				break
+			}
+			conns = append(conns, conn)
+			_, _ = conn.Read(buf)
+			_, _ = conn.Write([]byte(answer))
+		}
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// BenchmarkForwardSockets is BenchmarkForward over loopback: an engine that
+// sends each token by itself as fast as it can, the entry, and a caller that
+// reads, all in one process.
+func BenchmarkForwardSockets(b *testing.B) {
+	id := core.ID{Owner: core.Owner{Instance: "moose-jaw-1", Boot: 1 << 60}, Seq: 123456}
+	t := token.Resume{ID: id, Workspace: trial.Workspace, Upstream: "d1", Model: trial.Model, Max: benchTokens}
+	events := bytes.SplitAfter(cannedStream(id, t.Attempt.Takeover()), []byte("\n\n"))
+	eng := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		out := http.NewResponseController(w)
+		for _, e := range events {
+			_, _ = w.Write(e)
+			_ = out.Flush()
+		}
+	}))
+	defer eng.Close()
+	transport := engine.NewTransport()
+	defer transport.CloseIdleConnections()
+	entry := httptest.NewServer(forwarder(b, &http.Client{Transport: transport}, engineAt{addr: eng.Listener.Addr().String()}))
+	defer entry.Close()
+	c := trial.Client{Addr: entry.Listener.Addr().String(), Key: trial.Key}
+	path := fmt.Sprintf("/v1/requests/%s/stream?offset=0", id)
+	b.ResetTimer()
+	for n := 0; n < b.N; n += benchTokens {
+		resp, err := c.Do(b.Context(), http.MethodGet, path, nil, http.Header{"Resume-Token": {signer.Seal(t)}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, resp.Body); err != nil || n < benchTokens*100 {
+			b.Fatal(n, err)
+		}
+		_ = resp.Body.Close()
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "tokens/s")
+}
