flow: a prefill engine that two decode upstreams can't fetch from is avoided

Only the decode upstreams were blamed for a stalled transfer, so that the new prefill could go to the same engine again.

Before (no second decode upstream, no blame): FAIL transfer_stalls 3 of 3: "transfer_failed: decode-1".

--- a/flow/leg.go
+++ b/flow/leg.go
@@ -124,6 +124,9 @@
 		if err == nil || g.arrived {
 			return err
 		}
+		if g.moved && ctx.Err() == nil {
+			l.fail(from)
+		}
 		if g.moved || !l.movable(ctx, err, x) {
 			return g.discard(ctx, from, x, err)
 		}
--- a/flow/promise_test.go
+++ b/flow/promise_test.go
@@ -114,8 +114,10 @@
 		t.Run("caller cuts in queue", cutInQueue)
 		t.Run("caller cuts in reserve", cutInReserve)
 		t.Run("caller cuts after a resume", resumedThenCut)
+		t.Run("caller cuts, then the entry stops", cutThenStop)
 		t.Run("entry killed", entryKilled)
 		t.Run("entry frozen, then woken", entryFrozen)
+		t.Run("engine frozen, then woken", engineFrozen)
 	})
 	t.Run("answered once and whole", func(t *testing.T) {
 		for _, c := range breaks {
@@ -135,6 +137,7 @@
 			})
 		}
 		t.Run("decode dies in the middle", decodeDies)
+		t.Run("transfer stalls", transferStalls)
 		t.Run("entry dies in the middle", entryDies)
 		t.Run("resumed on two entries at once", resumedAtTwo)
 	})
@@ -255,3 +258,30 @@
 	whole(t, r, err)
 	is.New(t).True(crashed)
 }
+
+// cutThenStop stops the entry while the engine loses its cancels.
+func cutThenStop(t *testing.T) {
+	s := start(t, trial.Plan{Entries: 1, Prefills: 1, Decodes: 1})
+	s.Decodes[0].Trouble.Set(fake.Ills{Slow: 20, LoseCancels: 5})
+	cutIn(t, s, func(seen int) bool { return seen > 2 })
+	is.New(t).NoErr(s.Entries[0].Stop())
+	is.New(t).Equal(held(s), 0) // a stop waits for its cancels
+}
+
+// transferStalls stalls every transfer from one of two prefill engines.
+func transferStalls(t *testing.T) {
+	s := start(t, trial.Plan{Entries: 1, Prefills: 2, Decodes: 2})
+	s.Prefills[0].Trouble.Set(fake.Ills{StallTransfers: clock.Minute})
+	stalled := func() bool { return s.Prefills[0].Count.Prefills.Load() > 0 }
+	for range 20 {
+		r, err := s.Client(0).Complete(t.Context(), ask(true), nil)
+		whole(t, r, err)
+		if stalled() {
+			break
+		}
+	}
+	is := is.New(t)
+	is.True(stalled())
+	is.True(s.Entries[0].Entry.Meter().Get("wasted_prefill_tokens_total", "reason", "transfer_stalled") > 0)
+	within(t, freeWithin, "all memory is free", func() bool { return held(s) == 0 })
+}
--- a/flow/sweep_test.go
+++ b/flow/sweep_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"syscall"
@@ -86,9 +87,47 @@
 	within(t, sweepWithin, "all memory is free", func() bool { return tally(ctx, p).Held == 0 })
 }
 
+// engineFrozen stops the decode engine while a caller cuts, and wakes it.
+func engineFrozen(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	is.NoErr(trial.Build(t.Context(), dir))
+	p, err := trial.StartProcs(t.Context(), dir, 1, nil)
+	is.NoErr(err)
+	t.Cleanup(p.Stop)
+	ctx, cut := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = p.Client(0).Complete(ctx, long, nil)
+	}()
+	within(t, freeWithin, "it runs", func() bool { return tally(t.Context(), p).Held == pieces })
+	engine := p.Other("decode-1")
+	is.NoErr(engine.Signal(syscall.SIGSTOP))
+	cut()
+	<-ended
+	within(t, sweepWithin, "a try of the cancel has failed", func() bool {
+		return strings.Contains(metrics(t.Context(), p.Admin(0)), "lacewinghook_cancel_retries_total")
+	})
+	is.NoErr(engine.Signal(syscall.SIGCONT))
+	within(t, freeWithin, "all memory is free", func() bool { return tally(t.Context(), p).Held == 0 })
+}
+
 // pieces is the memory that one long answer holds.
 const pieces = 4
 
+// metrics reads an entry's counters.
+func metrics(ctx context.Context, admin string) string {
+	c := trial.Client{Addr: admin, Key: trial.Token}
+	resp, err := c.Do(ctx, http.MethodGet, "/metrics", nil, nil)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body)
+	return string(data)
+}
+
 // tally reads the decode engine's counters.
 func tally(ctx context.Context, p *trial.Procs) fake.Tally {
 	var n fake.Tally
--- a/trial/procs.go
+++ b/trial/procs.go
@@ -167,6 +167,19 @@
 // Platform returns the platform's URL.
 func (p *Procs) Platform() string { return "http://" + p.addr(0) }
 
+// Admin returns the operators' address of the i-th entry.
+func (p *Procs) Admin(i int) string { return p.addr(entryPorts + i*portsPerEntry + 1) }
+
+// Other returns the stand-in of that name, or nil.
+func (p *Procs) Other(name string) *Proc {
+	for _, proc := range p.others {
+		if proc.Name == name {
+			return proc
+		}
+	}
+	return nil
+}
+
 // Decode returns the address of the decode engine.
 func (p *Procs) Decode() string { return p.addr(decodePorts) }
 
