--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"lacewinghook.example/lacewinghook/engine"
 	"lacewinghook.example/lacewinghook/front"
 	"lacewinghook.example/lacewinghook/lease"
+	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/once"
@@ -76,6 +77,7 @@
 	peers     wire.Client
 	cancels   abort.Book
 	suspects  poison.Book
+	budget    limit.Budget
 	sweeper   sweep.Sweeper
 	orders    once.Book
 	keeper    lease.Keeper
@@ -204,7 +206,7 @@
 	e.flights.changed = make(chan struct{}, 1)
 	e.store = store.Client{Base: s.Platform.Base}
 	e.engines.Clock = e.Clock
-	e.engines.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}
+	e.engines.HTTP = &http.Client{Transport: engine.NewTransport()}
 	e.pool.Clock = e.Clock
 	e.members.Clock = e.Clock
 	e.members.Self = core.Instance{
@@ -229,9 +231,6 @@
 	e.announce()
 }
 
-// maxIdleConns bounds the kept connections to one upstream.
-const maxIdleConns = 64
-
 func (e *Entry) callers() http.Handler {
 	s := &front.Server{
 		Runner:  e.newFlow(),
