--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,30 +58,28 @@
 	// file.
 	ResumeKey string
 
-	owner     core.Owner
-	began     clock.Millis
-	leaving   atomic.Bool
-	self      atomic.Pointer[standing]
-	flights   flights
-	finishers []Finisher
-	meter     meter.Set
-	book      prof.Book
-	follower  prof.Follower
-	desk      prof.Desk
-	drains    drain.Book
-	draining  sync.Mutex
-	pool      pool.Table
-	members   member.Table
-	store     store.Client
-	engines   engine.Client
-	peers     wire.Client
-	cancels   abort.Book
-	suspects  poison.Book
-	budget    limit.Budget
-	sweeper   sweep.Sweeper
-	orders    once.Book
-	keeper    lease.Keeper
-	reports   share.Reader
+	owner    core.Owner
+	leaving  atomic.Bool
+	self     atomic.Pointer[standing]
+	flights  flights
+	meter    meter.Set
+	book     prof.Book
+	follower prof.Follower
+	desk     prof.Desk
+	drains   drain.Book
+	draining sync.Mutex
+	pool     pool.Table
+	members  member.Table
+	store    store.Client
+	engines  engine.Client
+	peers    wire.Client
+	cancels  abort.Book
+	suspects poison.Book
+	budget   limit.Budget
+	sweeper  sweep.Sweeper
+	orders   once.Book
+	keeper   lease.Keeper
+	reports  share.Reader
 	// news wakes the heartbeats, listed does so with the first list, and met
 	// closes metAll once all partners were asked.
 	news   bell
@@ -202,7 +200,6 @@
 func (e *Entry) prepare() {
 	s := e.Settings
 	e.owner = core.Owner{Instance: s.Instance, Boot: core.NewBoot()}
-	e.began = e.Clock.Now()
 	e.flights.changed = make(chan struct{}, 1)
 	e.store = store.Client{Base: s.Platform.Base}
 	e.engines.Clock = e.Clock
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -16,13 +16,6 @@
 	"lacewinghook.example/lacewinghook/shard"
 )
 
-// Finisher is a part with work of its own that outlasts requests, such as
-// cancels and writes that are still tried. A stop waits for each.
-type Finisher interface {
-	// Finish returns once nothing is pending, or with ctx's error.
-	Finish(ctx context.Context) error
-}
-
 // spreadTime is how long the news of a leaving entry takes to reach the others
 // at most, as long as they can be reached.
 const spreadTime = 3 * clock.Second
@@ -55,9 +48,6 @@
 	e.Log.Info("entry: takes no more connections", zap.Int("in_flight", e.flights.count()))
 	e.flights.quiet(ctx, e.Clock, min(linger, e.life()))
 	faults := []error{e.shutdown(ctx, servers)}
-	for _, f := range e.finishers {
-		faults = append(faults, f.Finish(ctx))
-	}
 	e.settleCancels(ctx)
 	e.closeOrders(ctx)
 	e.keeper.Release(ctx)
