front, admin: a stranger's slow body no longer holds a connection for ever

net/http reads on in a body that was refused unread, before it sends the answer, and without a limit of time: a caller without a key that sends one byte of its body got no answer and held the connection. Now the limit of time is set before anything else, for callers and operators. TestSlowBodyOfAStranger: red, no answer within 10 s; green, unauthorized after the second that the test sets.

http.Server.ReadTimeout was ruled out: it also ends the context of handlers that still work when it passes. Reading bodies is package input, used by both.

--- a/admin/auth.go
+++ b/admin/auth.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"strings"
 
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/input"
 	"lacewinghook.example/lacewinghook/reply"
 )
 
@@ -24,6 +26,7 @@
 // authorized answers nothing to those without a valid token.
 func (s *Server) authorized(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		input.Limit(w, r, inputTime)
 		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		name, known := s.operator(token)
 		if !ok || !known {
@@ -35,6 +38,9 @@
 	})
 }
 
+// inputTime is the time within which an operator's input must have arrived.
+const inputTime = 10 * clock.Second
+
 // nameDigits is how much of a token's digest names the operator.
 const nameDigits = 8
 
--- a/admin/document.go
+++ b/admin/document.go
@@ -1,7 +1,6 @@
 package admin
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,6 +8,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/input"
 	"lacewinghook.example/lacewinghook/reply"
 	"lacewinghook.example/lacewinghook/strict"
 )
@@ -105,12 +105,12 @@
 
 // readBody decodes a body strictly; its error names every field at fault.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, v any) error {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	data, err := input.Read(w, r, limit)
 	if err != nil {
-		return codes.Wrap(codes.TooLarge, err, "body: over %d bytes or cut off", limit)
+		return err
 	}
 	if err := strict.Decode(data, v).Err(); err != nil {
-		return codes.New(codes.BadDocument, "body: %v", err)
+		return codes.New(codes.BadRequest, "body: %v", err)
 	}
 	return nil
 }
--- a/front/input.go
+++ b/front/input.go
@@ -1,15 +1,11 @@
 package front
 
 import (
-	"io"
 	"net/http"
-	"os"
-	"time"
-
-	"github.com/go-faster/errors"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/input"
 	"lacewinghook.example/lacewinghook/strict"
 )
 
@@ -23,30 +19,7 @@
 	if s.inputs.Add(1) > int64(limits.Inputs) {
 		return nil, codes.New(codes.QueueFull, "%d bodies are being read", limits.Inputs).WithRetry(inputRetry)
 	}
-	if r.ContentLength > limits.Body {
-		return nil, codes.New(codes.TooLarge, "body: over %d bytes", limits.Body)
-	}
-	// The deadline is that of the connection, and is lifted for what comes
-	// after the body. A writer of tests may have none.
-	c := http.NewResponseController(w)
-	_ = c.SetReadDeadline(time.Now().Add(limits.Input.Std()))
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limits.Body))
-	if err != nil {
-		return nil, inputError(err)
-	}
-	_ = c.SetReadDeadline(time.Time{})
-	return data, nil
-}
-
-func inputError(err error) error {
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return codes.New(codes.TooLarge, "body: over %d bytes", tooLarge.Limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return codes.Wrap(codes.SlowInput, err, "body")
-	}
-	return codes.Wrap(codes.BadRequest, err, "body: can't be read")
+	return input.Read(w, r, limits.Body)
 }
 
 // badFields returns the error that names every field at fault.
--- a/front/input_test.go
+++ b/front/input_test.go
@@ -125,10 +125,7 @@
 func TestSlowBodyIsCutOffAndHoldsItsPlace(t *testing.T) {
 	is := is.New(t)
 	set := smallSet(t)
-	slow, err := net.Dial("tcp", set.Entries[0].Addr)
-	is.NoErr(err)
-	defer slow.Close()
-	fmt.Fprintf(slow, "POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\nConnection: close\r\n\r\n{", completions, trial.Key)
+	slow := sendSlowly(t, set, trial.Key)
 	// While it holds the one place, the next body is refused.
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -136,9 +133,32 @@
 		_, err := set.Client(0).Complete(ctx, trial.Ask{}, nil)
 		return codes.Has(err, codes.QueueFull)
 	}))
-	answer, err := io.ReadAll(slow)
-	is.NoErr(err)
-	is.True(strings.Contains(string(answer), `"name":"slow_input","run":"not_run"`))
+	is.True(strings.Contains(answerOf(t, slow), `"name":"slow_input","run":"not_run"`))
 	// The place is free again: the next call is refused for itself.
 	refused(t, set, badInputs["no prompt"])
 }
+
+func TestSlowBodyOfAStrangerIsCutOff(t *testing.T) {
+	set := smallSet(t)
+	answer := answerOf(t, sendSlowly(t, set, "not the key"))
+	is.New(t).True(strings.Contains(answer, `"name":"unauthorized","run":"not_run"`))
+}
+
+// sendSlowly sends the head of a call and the first byte of its body.
+func sendSlowly(t *testing.T, set *trial.Set, key string) net.Conn {
+	is := is.New(t)
+	slow, err := net.Dial("tcp", set.Entries[0].Addr)
+	is.NoErr(err)
+	t.Cleanup(func() { slow.Close() })
+	is.NoErr(slow.SetDeadline(time.Now().Add(10 * time.Second)))
+	_, err = fmt.Fprintf(slow, "POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", completions, key)
+	is.NoErr(err)
+	return slow
+}
+
+// answerOf returns all that comes until the connection is closed.
+func answerOf(t *testing.T, conn net.Conn) string {
+	data, err := io.ReadAll(conn)
+	is.New(t).NoErr(err)
+	return string(data)
+}
--- a/front/server.go
+++ b/front/server.go
@@ -13,6 +13,7 @@
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/flow"
+	"lacewinghook.example/lacewinghook/input"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/token"
@@ -86,6 +87,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		id := s.IDs.Next()
 		w.Header().Set("Request-Id", id.String())
+		input.Limit(w, r, s.Limits.Filled().Input)
 		h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), idKey{}, id)))
 	})
 }
