place: late binding, decode memory before the prefill, both upstreams at once

The desk sent each attempt out at once, without room for it in any decode memory. It now waits in its model's line until a prefill's queue is under 60 ms and a decode memory has room, takes both in one step and refuses what its profile can't have any more. Each part has a switch in policy_options; the baselines random and least have them all off.

--- a/config/check.go
+++ b/config/check.go
@@ -33,7 +33,8 @@
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 
 var (
-	policies = []string{"", "least", "random"}
+	policies = []string{"", PolicyCost, PolicyLeast, PolicyRandom}
+	grants   = []string{"", GrantAlone, GrantHome}
 	levels   = []string{"", "debug", "info", "warn", "error"}
 )
 
@@ -56,7 +57,7 @@
 	c.overlaps(s)
 	c.platform(s.Platform)
 	c.tokens(s.Tokens)
-	c.oneOf("policy", s.Policy, policies)
+	c.policy(s)
 	c.oneOf("log", s.Log, levels)
 	c.limits(s.Limits)
 	c.within("linger", int64(s.Linger), int64(minLinger), int64(maxLinger), "ms")
--- a/config/config.go
+++ b/config/config.go
@@ -30,9 +30,11 @@
 	// secret, and best drawn at random with 32 bytes or more; without it no
 	// answer can be resumed.
 	ResumeKey string `json:"resume_key,omitempty"`
-	// Policy names the way of choosing upstreams: least or random. Empty is
-	// least.
+	// Policy names the way of choosing upstreams: cost, least or random. Empty
+	// is cost.
 	Policy string `json:"policy,omitempty"`
+	// PolicyOptions turns parts of the policy on and off.
+	PolicyOptions PolicyOptions `json:"policy_options,omitzero"`
 	// Limits bound what callers send.
 	Limits Limits `json:"limits,omitzero"`
 	// Linger is how long an entry that stops goes on taking new work, since
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,13 +20,13 @@
 	"lacewinghook.example/lacewinghook/engine"
 	"lacewinghook.example/lacewinghook/front"
 	"lacewinghook.example/lacewinghook/lease"
+	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/once"
 	"lacewinghook.example/lacewinghook/place"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
-	"lacewinghook.example/lacewinghook/route"
 	"lacewinghook.example/lacewinghook/store"
 	"lacewinghook.example/lacewinghook/token"
 	"lacewinghook.example/lacewinghook/wire"
@@ -65,6 +65,8 @@
 	engines   engine.Client
 	peers     wire.Client
 	cancels   abort.Book
+	budget    limit.Budget
+	places    place.Desk
 	orders    once.Book
 	keeper    lease.Keeper
 	// news wakes the heartbeats, listed does so with the first list, and met
@@ -230,17 +232,3 @@
 	}
 	return s.Handler()
 }
-
-func (e *Entry) placer() *place.Desk {
-	return &place.Desk{
-		Upstreams: &e.pool, Chooser: e.chooser(), Clock: e.Clock, Meter: &e.meter,
-		Centre: e.Settings.Centre,
-	}
-}
-
-func (e *Entry) chooser() place.Chooser {
-	if e.Settings.Policy == "random" {
-		return route.Random{}
-	}
-	return route.Least{}
-}
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -16,7 +16,8 @@
 	return &flow.Flow{
 		Engines: &e.engines, Placer: e.placer(), Cancels: &e.cancels,
 		Upstreams: published{&e.pool},
-		Clock:     e.Clock, Meter: &e.meter,
+		Budget:    &e.budget, Stragglers: &e.pool,
+		Clock: e.Clock, Meter: &e.meter,
 	}
 }
 
--- /dev/null
+++ b/entry/policy.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"lacewinghook.example/lacewinghook/config"
+	"lacewinghook.example/lacewinghook/grant"
+	"lacewinghook.example/lacewinghook/place"
+	"lacewinghook.example/lacewinghook/route"
+)
+
+// placer puts together what decides where and when an attempt runs.
+func (e *Entry) placer() *place.Desk {
+	s, o := e.Settings, e.Settings.PolicyOptions
+	e.pool.NoHints = !s.On(o.Hints)
+	e.pool.NoScores = !s.On(o.Scores)
+	d := &e.places
+	d.Upstreams = &e.pool
+	d.Memory = e.memory()
+	d.Chooser = e.chooser(d.Memory == nil)
+	d.Clock = e.Clock
+	d.Meter = &e.meter
+	d.Centre = s.Centre
+	d.TokenBytes = o.TokenBytes
+	d.Ahead = o.Ahead
+	d.Early = !s.On(o.Late)
+	d.Hopeful = !s.On(o.Refuse)
+	d.Unfair = !s.On(o.Fair)
+	e.meter.Gauge("waiting", func() float64 { return float64(d.Waiting()) })
+	return d
+}
+
+func (e *Entry) chooser(unreserved bool) place.Chooser {
+	switch e.Settings.Policy {
+	case config.PolicyRandom:
+		return route.Random{}
+	case config.PolicyLeast:
+		return route.Least{}
+	}
+	return route.Cost{Overcommit: unreserved}
+}
+
+// memory returns what counts the decode memory, or nil where none is
+// reserved.
+func (e *Entry) memory() place.Memory {
+	if !e.Settings.On(e.Settings.PolicyOptions.Reserve) {
+		return nil
+	}
+	return &grant.Alone{Counts: &e.pool}
+}
+
+// Waiting returns the number of requests that wait for their turn.
+func (e *Entry) Waiting() int { return e.places.Waiting() }
--- a/entry/work.go
+++ b/entry/work.go
@@ -45,4 +45,5 @@
 			e.pool.Report(r)
 		}
 	}
+	e.places.Wake()
 }
--- a/limit/budget.go
+++ b/limit/budget.go
@@ -25,11 +25,11 @@
 // The defaults of a [Budget].
 const (
 	defaultShare = 0.1
-	defaultBurst = 10.0
+	defaultBurst = 50.0
 )
 
-// Success earns a share of a new attempt.
-func (b *Budget) Success() {
+// Earn counts a success, which is worth a share of a new attempt.
+func (b *Budget) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.spent = max(0, b.spent-orDefault(b.Share, defaultShare))
--- a/limit/doc.go
+++ b/limit/doc.go
@@ -19,5 +19,5 @@
 //
 //	var b limit.Budget
 //	if b.Spend() { /* try again after limit.Backoff{}.Delay(n, draw) */ }
-//	b.Success()
+//	b.Earn()
 package limit
--- a/place/place.go
+++ b/place/place.go
@@ -4,21 +4,29 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/route"
+	"lacewinghook.example/lacewinghook/shard"
 )
 
 // Upstreams is what is known of the upstreams.
 type Upstreams interface {
 	Candidates(role core.Role, model string, blocks []uint64, buf []route.Candidate) []route.Candidate
 	Get(name string) (pool.State, bool)
+	Largest(role core.Role, model string) (pieces int)
 	Begin(name string, w pool.Work)
 	End(name string, w pool.Work)
+	Start(name string, w pool.Work) (flight uint64)
+	Finish(name string, flight uint64, w pool.Work, took clock.Millis, blocks []uint64)
+	First(name string, took clock.Millis)
+	Steps(name string, took clock.Millis, tokens int)
 }
 
 // Chooser chooses the upstreams of a request.
@@ -26,16 +34,52 @@
 	Choose(q route.Query, prefills, decodes []route.Candidate) (c route.Choice, ok bool)
 }
 
+// Memory is the decode memory that this entry may give out. It must not
+// block.
+type Memory interface {
+	// Free returns the pieces that can be taken, where count is what the
+	// upstream's own count says.
+	Free(name string, count int) int
+	// Take takes pieces and reports whether there were enough.
+	Take(name string, pieces int) bool
+	Give(name string, pieces int)
+	// Short says that a request for pieces found no room at any of the
+	// upstreams.
+	Short(decodes []route.Candidate, pieces int)
+}
+
 // Desk places attempts. Upstreams and Chooser are needed.
 type Desk struct {
 	Upstreams Upstreams
 	Chooser   Chooser
-	Clock     clock.Clock
-	Meter     *meter.Set
+	// Memory, if nil, leaves decode memory unreserved.
+	Memory Memory
+	Clock  clock.Clock
+	Meter  *meter.Set
 	// Centre is the data centre of this entry.
 	Centre string
+	// TokenBytes is the size of one token's KV cache; zero is
+	// defaultTokenBytes.
+	TokenBytes int64
+	// Ahead is the work, in milliseconds, that may wait before a prefill for
+	// another request to be sent there; zero is defaultAhead.
+	Ahead clock.Millis
+	// Early sends each request out at once, Hopeful refuses none by its
+	// predicted first token, and Unfair leaves the workspaces' shares out.
+	// They are there for comparison.
+	Early   bool
+	Hopeful bool
+	Unfair  bool
+
+	lines shard.Map[string, *limit.Line]
 }
 
+// The defaults of a [Desk].
+const (
+	defaultTokenBytes              = 1024
+	defaultAhead      clock.Millis = 60
+)
+
 // Query is what is to be placed.
 type Query struct {
 	Try core.Try
@@ -47,82 +91,250 @@
 	Export *core.Export
 }
 
-// Placement is where one attempt runs. Everything that it stands for is held
-// until [Desk.Release].
-type Placement struct {
-	Prefill core.Upstream
-	Decode  core.Upstream
-	// Tokens counts the prompt's tokens, and Pieces the decode memory.
-	Tokens int
-	Pieces int
+// Place returns a placement, or an error that says that the attempt did not
+// run.
+func (d *Desk) Place(ctx context.Context, q Query) (*Placement, error) {
+	a := d.prepare(q)
+	err := d.check(a)
+	if err == nil && d.Early {
+		err = d.at(a)
+	} else if err == nil {
+		err = d.line(q.Try.Request.Model).Wait(ctx, d.ticket(a))
+	}
+	if err == nil {
+		return a.placement, nil
+	}
+	fault := codes.From(err)
+	if q.Try.Attempt > 1 {
+		fault = fault.WithRun(codes.Unknown)
+	}
+	return nil, fault
+}
 
-	prefilling pool.Work
-	decoding   pool.Work
+// ask is one query on its way.
+type ask struct {
+	query     Query
+	route     route.Query
+	blocks    []uint64
+	target    clock.Millis
+	latest    clock.Millis
+	placement *Placement
 }
 
-// Place returns a placement, or an error with Run [codes.NotRun].
-func (d *Desk) Place(_ context.Context, q Query) (*Placement, error) {
+func (d *Desk) prepare(q Query) *ask {
 	r := q.Try.Request
-	p := &Placement{Tokens: core.TokenEstimate(r.Prompt) + core.TokenEstimate(q.Try.Prior)}
-	p.Pieces = core.Pieces(p.Tokens + r.MaxTokens - q.Try.Sent)
-	prefills := d.candidates(core.Prefill, r.Model, q.Failed)
-	decodes := d.candidates(core.Decode, r.Model, q.Failed)
-	c, ok := d.Chooser.Choose(route.Query{
-		Tokens: p.Tokens, Pieces: p.Pieces, Centre: d.Centre, Draw: rand.Uint64(),
-	}, prefills, decodes)
-	if !ok {
-		return nil, codes.New(codes.NoUpstream, "model %q", r.Model)
+	tokens := core.TokenEstimate(r.Prompt) + core.TokenEstimate(q.Try.Prior)
+	output := r.MaxTokens - q.Try.Sent
+	size := d.TokenBytes
+	if size == 0 {
+		size = defaultTokenBytes
 	}
-	p.Decode = d.upstream(decodes[c.Decode].Name)
-	p.decoding = pool.Work{Requests: 1, Pieces: p.Pieces}
-	d.Upstreams.Begin(p.Decode.Name, p.decoding)
+	a := &ask{query: q, route: route.Query{
+		Tokens: tokens, Pieces: core.Pieces(tokens + output), Output: output,
+		Bytes: int64(tokens) * size, Centre: d.Centre, Export: q.Export != nil,
+	}}
 	if q.Export == nil {
-		p.Prefill = d.upstream(prefills[c.Prefill].Name)
-		p.prefilling = pool.Work{Requests: 1, Tokens: p.Tokens}
-		d.Upstreams.Begin(p.Prefill.Name, p.prefilling)
+		a.blocks = core.Blocks(r.Prompt)
+	}
+	a.target = r.Arrived + r.Profile.FirstToken
+	if r.Profile.FirstToken == 0 {
+		a.target = d.Clock.Now() + noTarget
+	}
+	a.latest = a.target + r.Profile.Patience
+	if r.Deadline != 0 {
+		a.latest = min(a.latest, r.Deadline)
+	}
+	if q.Export != nil {
+		a.latest = min(a.latest, q.Export.Expires)
 	}
-	return p, nil
+	return a
 }
 
-// candidates leaves out the upstreams that failed this request, unless no
-// other is left.
-func (d *Desk) candidates(role core.Role, model string, failed []string) []route.Candidate {
-	all := d.Upstreams.Candidates(role, model, nil, nil)
-	var kept []route.Candidate
-	for _, c := range all {
-		if !slices.Contains(failed, c.Name) {
-			kept = append(kept, c)
+// noTarget stands for the target of a profile that has none.
+const noTarget = clock.Minute
+
+// check refuses what no upstream could ever take, or not any more.
+func (d *Desk) check(a *ask) error {
+	r := a.query.Try.Request
+	now := d.Clock.Now()
+	switch largest := d.Upstreams.Largest(core.Decode, r.Model); {
+	case r.Deadline != 0 && now >= r.Deadline:
+		return codes.New(codes.DeadlinePast, "%d ms ago", now-r.Deadline)
+	case largest > 0 && a.route.Pieces > largest:
+		return codes.New(codes.TooLong, "%d pieces of memory, the largest has %d", a.route.Pieces, largest)
+	}
+	return nil
+}
+
+func (d *Desk) ticket(a *ask) limit.Ticket {
+	r := a.query.Try.Request
+	return limit.Ticket{
+		Workspace: r.Workspace, Weight: r.Weight, Cost: a.route.Tokens,
+		Target: a.target, Latest: a.latest, Need: d.need(a),
+		Urgent: a.query.Try.Attempt > 1 || a.route.Export,
+		Try: func() (bool, error) {
+			err := d.at(a)
+			if codes.Has(err, codes.NoMemory) {
+				return false, nil
+			}
+			return err == nil, err
+		},
+	}
+}
+
+// need is the time to the first token at the best pair there is, were it
+// idle.
+func (d *Desk) need(a *ask) clock.Millis {
+	b := d.look(a)
+	defer buffers.Put(b)
+	for i := range b.prefills {
+		b.prefills[i].Queue = 0
+		b.prefills[i].Moving = 0
+	}
+	for i := range b.decodes {
+		b.decodes[i].Free = a.route.Pieces
+		b.decodes[i].Moving = 0
+	}
+	q := a.route
+	q.MaxQueue = 0
+	c, _ := d.Chooser.Choose(q, b.prefills, b.decodes)
+	return c.Wait
+}
+
+// line returns the line of requests for a model.
+func (d *Desk) line(model string) *limit.Line {
+	var l *limit.Line
+	d.lines.Update(model, func(old *limit.Line, ok bool) (*limit.Line, bool) {
+		if !ok {
+			old = &limit.Line{Clock: d.Clock, Unfair: d.Unfair, Hopeful: d.Hopeful}
 		}
+		l = old
+		return old, true
+	})
+	return l
+}
+
+// Wake serves the requests for which there is room now. It is called when
+// capacity may have become free that this desk didn't release itself.
+func (d *Desk) Wake() {
+	var all []*limit.Line
+	d.lines.Each(func(_ string, l *limit.Line) bool {
+		all = append(all, l)
+		return true
+	})
+	for _, l := range all {
+		l.Wake()
 	}
-	if len(kept) == 0 {
+}
+
+// Waiting returns the number of requests that wait for their turn.
+func (d *Desk) Waiting() int {
+	n := 0
+	d.lines.Each(func(_ string, l *limit.Line) bool {
+		n += l.Len()
+		return true
+	})
+	return n
+}
+
+// buffer holds the candidates of one choice.
+type buffer struct {
+	prefills, decodes []route.Candidate
+}
+
+var buffers = sync.Pool{New: func() any { return &buffer{} }}
+
+// look fills a buffer with the candidates for a query.
+func (d *Desk) look(a *ask) *buffer {
+	b := buffers.Get().(*buffer)
+	model, failed := a.query.Try.Request.Model, a.query.Failed
+	b.prefills = b.prefills[:0]
+	if !a.route.Export {
+		b.prefills = without(d.Upstreams.Candidates(core.Prefill, model, a.blocks, b.prefills), failed)
+	}
+	b.decodes = without(d.Upstreams.Candidates(core.Decode, model, nil, b.decodes[:0]), failed)
+	if d.Memory != nil {
+		for i := range b.decodes {
+			c := &b.decodes[i]
+			c.Free = d.Memory.Free(c.Name, c.Free)
+		}
+	}
+	return b
+}
+
+// without leaves out the upstreams that failed this request. If all have
+// failed, it leaves out the one that failed last, unless it is the only one.
+func without(all []route.Candidate, failed []string) []route.Candidate {
+	if len(failed) == 0 || len(all) < 2 {
 		return all
 	}
-	return kept
+	left := func(c route.Candidate) bool { return !slices.Contains(failed, c.Name) }
+	if slices.ContainsFunc(all, left) {
+		return slices.DeleteFunc(all, func(c route.Candidate) bool { return !left(c) })
+	}
+	last := lastOf(all, failed)
+	return slices.DeleteFunc(all, func(c route.Candidate) bool { return c.Name == last })
 }
 
-func (d *Desk) upstream(name string) core.Upstream {
-	s, _ := d.Upstreams.Get(name)
-	return s.Upstream
+// lastOf returns the last of the failed that is among the candidates.
+func lastOf(all []route.Candidate, failed []string) string {
+	for _, name := range slices.Backward(failed) {
+		if slices.ContainsFunc(all, func(c route.Candidate) bool { return c.Name == name }) {
+			return name
+		}
+	}
+	return ""
+}
+
+// at chooses the pair and takes what it needs there. Its error is NoMemory
+// where that may change by waiting.
+func (d *Desk) at(a *ask) error {
+	b := d.look(a)
+	defer buffers.Put(b)
+	model := a.query.Try.Request.Model
+	if len(b.decodes) == 0 || len(b.prefills) == 0 && !a.route.Export {
+		return codes.New(codes.NoUpstream, "model %q", model)
+	}
+	a.route.Draw = rand.Uint64()
+	if !d.Early {
+		a.route.MaxQueue = d.ahead()
+	}
+	c, ok := d.Chooser.Choose(a.route, b.prefills, b.decodes)
+	if !ok {
+		d.short(a, b)
+		return codes.New(codes.NoMemory, "model %q: %d pieces", model, a.route.Pieces)
+	}
+	if err := d.worthwhile(a, c); err != nil {
+		return err
+	}
+	return d.take(a, c, b)
 }
 
-// Prefilled says that the placement's prefill has ended, and how long it
-// took. The prefill's queue is free of it from here on.
-func (d *Desk) Prefilled(p *Placement, _ clock.Millis, _ error) {
-	if p.prefilling != (pool.Work{}) {
-		d.Upstreams.End(p.Prefill.Name, p.prefilling)
-		p.prefilling = pool.Work{}
+// short tells the memory that there was no room.
+func (d *Desk) short(a *ask, b *buffer) {
+	fits := func(c route.Candidate) bool { return c.Free >= a.route.Pieces }
+	if d.Memory != nil && !slices.ContainsFunc(b.decodes, fits) {
+		d.Memory.Short(b.decodes, a.route.Pieces)
 	}
 }
 
-// FirstToken says that the decode upstream gave its first token so long after
-// it was called.
-func (d *Desk) FirstToken(*Placement, clock.Millis) {}
+func (d *Desk) ahead() clock.Millis {
+	if d.Ahead == 0 {
+		return defaultAhead
+	}
+	return d.Ahead
+}
 
-// Release gives back what the placement holds. err is how the attempt ended.
-func (d *Desk) Release(p *Placement, err error) {
-	d.Prefilled(p, 0, err)
-	if p.decoding != (pool.Work{}) {
-		d.Upstreams.End(p.Decode.Name, p.decoding)
-		p.decoding = pool.Work{}
+// worthwhile refuses a request whose predicted first token is later than its
+// profile allows, before anything runs.
+func (d *Desk) worthwhile(a *ask, c route.Choice) error {
+	late := d.Clock.Now() + c.Wait - a.latest
+	if d.Hopeful || late <= 0 || a.query.Try.Attempt > 1 || a.route.Export {
+		return nil
 	}
+	return codes.New(codes.DeadlineUnmet, "first token predicted %d ms too late", late).WithRetry(max(late, minRetry))
 }
+
+// minRetry is the least time after which a refused caller is told to try
+// again.
+const minRetry clock.Millis = 50
--- a/pool/seen.go
+++ b/pool/seen.go
@@ -116,3 +116,26 @@
 
 // defaultBase is assumed until something was observed.
 var defaultBase = Base{Prefill: 0.1, First: 50, Step: 30}
+
+// slowFrom is the score from which an upstream counts as a straggler.
+const slowFrom = 2.0
+
+// Slow reports whether the upstream is a straggler among its peers.
+func (t *Table) Slow(name string) bool {
+	x := t.load()
+	s, ok := x.slots[name]
+	if !ok || t.NoScores {
+		return false
+	}
+	s.mu.Lock()
+	up := s.state.Upstream
+	s.mu.Unlock()
+	if len(up.Models) == 0 {
+		return false
+	}
+	now := t.Clock.Now()
+	base := x.groups[groupKey{role: up.Role, model: up.Models[0]}].usual(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slow(now, base) >= slowFrom
+}
--- a/pool/table.go
+++ b/pool/table.go
@@ -143,15 +143,16 @@
 	return id
 }
 
-// Finish ends what [Table.Start] counted. took is how long the call lasted;
-// blocks are those that the upstream has cached now, or nil if it failed.
+// Finish ends what [Table.Start] counted. took is how long the call lasted,
+// zero if that tells nothing; blocks are those that the upstream has cached
+// now, nil if it failed.
 func (t *Table) Finish(name string, id uint64, w Work, took clock.Millis, blocks []uint64) {
 	now := t.Clock.Now()
 	t.edit(name, func(s *slot) {
 		s.count(now, w, -1)
 		for i, f := range s.flights {
 			if f.id == id {
-				s.state.Seen.Prefill.add(now, took, f.amount)
+				s.observe(now, took, f.amount)
 				s.flights = append(s.flights[:i], s.flights[i+1:]...)
 				break
 			}
@@ -160,6 +161,12 @@
 	})
 }
 
+func (s *slot) observe(now, took clock.Millis, amount float64) {
+	if took > 0 {
+		s.state.Seen.Prefill.add(now, took, amount)
+	}
+}
+
 // First says how long a decode upstream took to its first token.
 func (t *Table) First(name string, took clock.Millis) {
 	now := t.Clock.Now()
--- a/route/cost.go
+++ b/route/cost.go
@@ -110,6 +110,9 @@
 	}
 	for i := range prefills {
 		p := &prefills[i]
+		if q.MaxQueue > 0 && p.queueTime() > float64(q.MaxQueue) {
+			continue
+		}
 		cost := p.queueTime() + p.computeTime(q.Tokens) + p.distance(q.Centre)
 		l.add(scored{place: i, cost: cost, order: c.shake(q.Draw, i, cost)})
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -39,6 +39,8 @@
 	// Bytes is the size of the prompt's KV cache.
 	Bytes  int64
 	Centre string
+	// MaxQueue, if not zero, leaves out prefills with a longer wait.
+	MaxQueue clock.Millis
 	// Draw is a random number, so that choices themselves stay pure.
 	Draw uint64
 	// Export says that the prompt is computed already: only the decode counts.
