--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,15 +19,19 @@
 	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/engine"
 	"lacewinghook.example/lacewinghook/front"
+	"lacewinghook.example/lacewinghook/grant"
 	"lacewinghook.example/lacewinghook/lease"
 	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/once"
 	"lacewinghook.example/lacewinghook/place"
+	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
+	"lacewinghook.example/lacewinghook/share"
 	"lacewinghook.example/lacewinghook/store"
+	"lacewinghook.example/lacewinghook/sweep"
 	"lacewinghook.example/lacewinghook/token"
 	"lacewinghook.example/lacewinghook/wire"
 )
@@ -47,6 +51,12 @@
 	// Life is how long callers may keep an answer of addresses; zero is
 	// [member.AddressLife].
 	Life clock.Millis
+	// Advertise is the address that peers use for this entry; empty is that
+	// of the socket.
+	Advertise string
+	// ResumeKey signs the resume tokens; empty is read from the settings'
+	// file.
+	ResumeKey string
 
 	owner     core.Owner
 	began     clock.Millis
@@ -59,6 +69,7 @@
 	follower  prof.Follower
 	desk      prof.Desk
 	drains    drain.Book
+	draining  sync.Mutex
 	pool      pool.Table
 	members   member.Table
 	store     store.Client
@@ -67,8 +78,13 @@
 	cancels   abort.Book
 	budget    limit.Budget
 	places    place.Desk
+	ledger    grant.Ledger
+	shared    grant.Shared
+	suspects  poison.Book
+	sweeper   sweep.Sweeper
 	orders    once.Book
 	keeper    lease.Keeper
+	reports   share.Reader
 	// news wakes the heartbeats, listed does so with the first list, and met
 	// closes metAll once all partners were asked.
 	news   bell
@@ -93,8 +109,7 @@
 		return err
 	}
 	e.prepare()
-	var err error
-	if e.store.Token, err = readToken(e.Settings.Platform.Token); err != nil {
+	if err := e.secure(); err != nil {
 		return err
 	}
 	// work goes on while the entry stops and ends last of all.
@@ -106,7 +121,9 @@
 	operators := e.server(e.operators())
 	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
 	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
-	g.Go(func() error { return (&wire.Server{Handler: e, Log: e.Log}).Serve(work, e.Sockets.Peers) })
+	g.Go(func() error {
+		return (&wire.Server{Handler: e, Methods: e.peerMethods(), Log: e.Log, Certs: e.peers.Certs}).Serve(work, e.Sockets.Peers)
+	})
 	e.background(work, g)
 	g.Go(func() error {
 		defer end()
@@ -119,7 +136,7 @@
 		return e.stop(work, callers, operators)
 	})
 	e.Log.Info("entry: serving", zap.String("callers", e.Sockets.Callers.Addr().String()))
-	err = g.Wait()
+	err := g.Wait()
 	e.cancels.Close()
 	e.peers.Close()
 	return err
@@ -200,7 +217,14 @@
 		Addr: e.Sockets.Callers.Addr().String(), Peer: e.Sockets.Peers.Addr().String(),
 	}
 	e.prepareFlow()
+	e.preparePoison()
+	e.prepareSweep()
 	e.prepareKeeper()
+	e.prepareShare()
+	e.prepareGrant()
+	if e.Advertise != "" {
+		e.members.Self.Peer = e.Advertise
+	}
 	e.members.Boot = e.owner.Boot
 	e.members.State = e.state
 	e.members.Load = e.flights.count
@@ -228,7 +252,7 @@
 		State:   e.state,
 		Limits:  e.Settings.Limits,
 		Meter:   &e.meter,
-		Signer:  token.Signer{Key: []byte(e.Settings.ResumeKey)},
+		Signer:  token.Signer{Key: []byte(e.ResumeKey)},
 	}
 	return s.Handler()
 }
--- a/entry/policy.go
+++ b/entry/policy.go
@@ -2,7 +2,6 @@
 
 import (
 	"lacewinghook.example/lacewinghook/config"
-	"lacewinghook.example/lacewinghook/grant"
 	"lacewinghook.example/lacewinghook/place"
 	"lacewinghook.example/lacewinghook/route"
 )
@@ -12,6 +11,7 @@
 	s, o := e.Settings, e.Settings.PolicyOptions
 	e.pool.NoHints = !s.On(o.Hints)
 	e.pool.NoScores = !s.On(o.Scores)
+	e.pool.OnReport = e.places.Wake
 	d := &e.places
 	d.Upstreams = &e.pool
 	d.Memory = e.memory()
@@ -38,14 +38,5 @@
 	return route.Cost{Overcommit: unreserved}
 }
 
-// memory returns what counts the decode memory, or nil where none is
-// reserved.
-func (e *Entry) memory() place.Memory {
-	if !e.Settings.On(e.Settings.PolicyOptions.Reserve) {
-		return nil
-	}
-	return &grant.Alone{Counts: &e.pool}
-}
-
 // Waiting returns the number of requests that wait for their turn.
 func (e *Entry) Waiting() int { return e.places.Waiting() }
