--- a/flow/flow.go
+++ b/flow/flow.go
@@ -38,8 +38,8 @@
 type Budget interface {
 	// Spend reports whether one more may be begun.
 	Spend() bool
-	// Success counts a request that ended well.
-	Success()
+	// Earn counts a request that ended well.
+	Earn()
 }
 
 // Stragglers tells which upstreams are slow at the moment.
@@ -119,6 +119,6 @@
 
 func (f *Flow) earn() {
 	if f.Budget != nil {
-		f.Budget.Success()
+		f.Budget.Earn()
 	}
 }
