--- a/entry/conns.go
+++ b/entry/conns.go
@@ -7,18 +7,21 @@
 	"lacewinghook.example/lacewinghook/clock"
 )
 
-// busy stands for the instant since when a connection is idle, if it is not.
-const busy clock.Millis = -1
+// link is a caller's connection. Busy means that a request has begun to
+// arrive on it or is being answered; else it has been idle since an instant.
+type link struct {
+	busy  bool
+	since clock.Millis
+}
 
-// connState takes note of when a caller's connection is idle. One that was
-// accepted and has sent nothing yet counts as idle; one is busy from the first
-// byte of a request on, which is before the request counts as in flight.
+// connState takes note of what a caller's connection does. One that was
+// accepted and has sent nothing yet counts as idle.
 func (e *Entry) connState(c net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew, http.StateIdle:
-		e.flights.conns.Set(c, e.Clock.Now())
+		e.flights.conns.Set(c, link{since: e.Clock.Now()})
 	case http.StateActive:
-		e.flights.conns.Set(c, busy)
+		e.flights.conns.Set(c, link{busy: true})
 	default:
 		e.flights.conns.Delete(c)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,7 +19,9 @@
 	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/engine"
 	"lacewinghook.example/lacewinghook/front"
+	"lacewinghook.example/lacewinghook/grant"
 	"lacewinghook.example/lacewinghook/lease"
+	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/once"
@@ -27,7 +29,6 @@
 	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
-	"lacewinghook.example/lacewinghook/route"
 	"lacewinghook.example/lacewinghook/share"
 	"lacewinghook.example/lacewinghook/store"
 	"lacewinghook.example/lacewinghook/sweep"
@@ -74,6 +75,10 @@
 	peers    wire.Client
 	cancels  abort.Book
 	suspects poison.Book
+	budget   limit.Budget
+	places   place.Desk
+	ledger   grant.Ledger
+	shared   grant.Shared
 	sweeper  sweep.Sweeper
 	orders   once.Book
 	keeper   lease.Keeper
@@ -201,7 +206,7 @@
 	e.flights.changed = make(chan struct{}, 1)
 	e.store = store.Client{Base: s.Platform.Base}
 	e.engines.Clock = e.Clock
-	e.engines.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}
+	e.engines.HTTP = &http.Client{Transport: engine.NewTransport()}
 	e.pool.Clock = e.Clock
 	e.members.Clock = e.Clock
 	e.members.Self = core.Instance{
@@ -213,6 +218,7 @@
 	e.prepareSweep()
 	e.prepareKeeper()
 	e.prepareShare()
+	e.prepareGrant()
 	if e.Advertise != "" {
 		e.members.Self.Peer = e.Advertise
 	}
@@ -226,9 +232,6 @@
 	e.announce()
 }
 
-// maxIdleConns bounds the kept connections to one upstream.
-const maxIdleConns = 64
-
 func (e *Entry) callers() http.Handler {
 	s := &front.Server{
 		Runner:  e.newFlow(),
@@ -247,17 +250,3 @@
 	}
 	return s.Handler()
 }
-
-func (e *Entry) placer() *place.Desk {
-	return &place.Desk{
-		Upstreams: &e.pool, Chooser: e.chooser(), Clock: e.Clock, Meter: &e.meter,
-		Centre: e.Settings.Centre,
-	}
-}
-
-func (e *Entry) chooser() place.Chooser {
-	if e.Settings.Policy == "random" {
-		return route.Random{}
-	}
-	return route.Least{}
-}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 
@@ -87,9 +88,8 @@
 // zero value is ready but for changed.
 type flights struct {
 	running shard.Map[uint64, flight]
-	// conns holds the instant since when each connection has been idle, or
-	// [busy].
-	conns   shard.Map[any, clock.Millis]
+	// conns holds the callers' open connections.
+	conns   shard.Map[net.Conn, link]
 	last    atomic.Uint64
 	n       atomic.Int64
 	changed chan struct{}
@@ -131,41 +131,37 @@
 func (f *flights) quiet(ctx context.Context, c clock.Clock, grace clock.Millis) {
 	from := c.Now()
 	for ctx.Err() == nil {
-		left, working := f.left(from, c.Now(), grace)
-		if !working && left <= 0 {
+		busy, left := f.look(from, c.Now(), grace)
+		if !busy && left <= 0 {
 			return
 		}
-		f.wait(ctx, c, left, working)
-	}
-}
-
-// wait ends with a change, or after d if nothing is being worked on: whatever
-// is being worked on rings at its end.
-func (f *flights) wait(ctx context.Context, c clock.Clock, d clock.Millis, working bool) {
-	due := make(chan struct{})
-	if !working {
-		stop := c.AfterFunc(d, func() { close(due) })
-		defer stop()
-	}
-	select {
-	case <-due:
-	case <-f.changed:
-	case <-ctx.Done():
+		due := make(chan struct{})
+		stop := func() bool { return true }
+		if !busy {
+			// While something is busy its end rings; there is nothing else to
+			// wait for.
+			stop = c.AfterFunc(left, func() { close(due) })
+		}
+		select {
+		case <-due:
+		case <-f.changed:
+		case <-ctx.Done():
+		}
+		stop()
 	}
 }
 
-// left returns how long it takes until all idle connections have been so for
-// the grace, and whether a request is being worked on.
-func (f *flights) left(from, now, grace clock.Millis) (left clock.Millis, working bool) {
-	working = f.count() > 0
-	f.conns.Each(func(_ any, since clock.Millis) bool {
-		if since == busy {
-			working = true
-		}
-		left = max(left, max(since, from)+grace-now)
+// look reports whether a request is in flight, and how long it takes until
+// all idle connections have been so for the grace. A connection is busy before
+// its request is counted, since the count begins with the handler.
+func (f *flights) look(from, now, grace clock.Millis) (busy bool, left clock.Millis) {
+	busy = f.count() > 0
+	f.conns.Each(func(_ net.Conn, l link) bool {
+		busy = busy || l.busy
+		left = max(left, max(l.since, from)+grace-now)
 		return true
 	})
-	return left, working
+	return busy, left
 }
 
 // state returns what this entry does.
