entry: work placed before a drain is not sent after it

Need: a decode engine is chosen before the prompt is computed, which may take seconds. The test during_long_prefills showed 3 of 4 requests at the drained engine 3 s after the order ("3 != 0").

Ruled out: to free the placement when the drain arrives, since the choice and the call would still not be one step, and a frozen process lies between them. So each call is held against the drains right before it is made, with a grace of 1 s; an entry without a sign of being up to date reads the drains first and knows no grace. The error is proof that nothing ran: the export goes to another decode engine, a call to another replica.

--- a/drain/promise_test.go
+++ b/drain/promise_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -39,6 +41,7 @@
 			drainInBurst(t, drain.Drain{Kind: drain.Upstream, Name: "decode-1"},
 				func(s *trial.Set) { s.Entries[1].Platform.Cut() })
 		})
+		t.Run("during long prefills", drainInPrefill)
 		t.Run("undrain racing drain", undrainRaces)
 		t.Run("instance", drainInstance)
 		t.Run("answers lost", answersLost)
@@ -104,6 +107,36 @@
 	wait.Wait()
 }
 
+// drainInPrefill drains a decode engine while prompts are computed whose
+// requests were placed there before. All are answered, elsewhere.
+func drainInPrefill(t *testing.T) {
+	is := is.New(t)
+	set, err := trial.Start(trial.Plan{Entries: 1, Prefills: 4, Decodes: 2, Linger: 1, Speed: fake.Speed{Prefill: 1, Step: 1}})
+	is.NoErr(err)
+	defer set.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	const requests = 4
+	var wait sync.WaitGroup
+	for i := range requests {
+		wait.Go(func() {
+			prompt := fmt.Sprint(i) + strings.Repeat(" wheat", 3000) // 4.5 s
+			r, err := set.Client(0).Complete(ctx, trial.Ask{Model: trial.Model, Prompt: prompt, MaxTokens: 5}, nil)
+			if err != nil || r.Text != strings.Join(fake.Answer(prompt, 5), "") {
+				t.Error(err)
+			}
+		})
+	}
+	is.NoErr(trial.Until(ctx, func() bool { return set.Prefills[0].Held() >= 1 && set.Prefills[3].Held() >= 1 }))
+	is.NoErr((&drain.Book{Table: &store.Client{Base: set.Base}}).Drain(ctx, drain.Drain{Kind: drain.Upstream, Name: "decode-1"}))
+	ordered := clock.Clock{}.Now()
+	is.NoErr(trial.Until(ctx, func() bool { return clock.Clock{}.Now()-ordered >= bound }))
+	count := set.Decodes[0].Count.Decodes.Load()
+	wait.Wait()
+	is.Equal(set.Decodes[0].Count.Decodes.Load(), count) // new work after the bound
+	is.True(set.Decodes[1].Count.Decodes.Load() > 0)
+}
+
 // drainInstance drains an entry: it leaves the addresses and goes on serving.
 func drainInstance(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/entry/guard_test.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/config"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/drain"
+	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/plat"
+	"lacewinghook.example/lacewinghook/store"
+)
+
+// TestWorkOfAWokenEntry drains an upstream while an entry is frozen between
+// the choice of that upstream and the call.
+func TestWorkOfAWokenEntry(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer((&plat.Platform{}).Handler())
+	defer srv.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	m := &clock.Manual{}
+	e := &Entry{
+		Settings: &config.Settings{Instance: "moose-jaw-1", Platform: config.Platform{Base: srv.URL}},
+		Log:      zap.NewNop(), Clock: clock.Clock{Manual: m},
+		Sockets: Sockets{Callers: ln, Operators: ln, Peers: ln},
+	}
+	e.prepare()
+	up := core.Upstream{Name: "decode-1"}
+	e.book.Offer(&core.Document{Version: 1, Upstreams: []core.Upstream{up}})
+	ctx := context.Background()
+	is.NoErr(e.open(ctx, up))
+	other := &drain.Book{Table: &store.Client{Base: srv.URL}}
+	is.NoErr(other.Drain(ctx, drain.Drain{Kind: drain.Upstream, Name: up.Name}))
+	is.NoErr(e.open(ctx, up)) // not heard of yet
+	m.Advance(member.CutOffAfter + 1)
+	err = e.open(ctx, up)
+	is.True(codes.Has(err, codes.UpstreamRefused))
+	is.Equal(codes.From(err).Run, codes.NotRun)
+}
--- a/entry/prof.go
+++ b/entry/prof.go
@@ -46,7 +46,9 @@
 		return
 	}
 	for _, u := range v.Doc.Upstreams {
-		e.pool.Drain(u.Name, e.drained(u))
+		drained := e.drained(u)
+		e.pool.Drain(u.Name, drained)
+		e.noteDrain(u.Name, drained)
 	}
 }
 
