scripts: two runs of procs.sh at once seldom share ports

Cause: a run of procs.sh ended with 'an entry stopped with status 1' while another one ran on the same ports; its calls had been answered by the other run's entries. Ruled out: a fault in stopping, five runs on ports of their own passed, four of them at once. The logs' errors are printed now as well.

--- a/scripts/procs.sh
+++ b/scripts/procs.sh
@@ -7,7 +7,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-base=${BASE:-21000}
+# The ports stay below those that the kernel gives to outgoing connections.
+base=${BASE:-$((20000 + $$ % 25 * 500))}
 dir=$(mktemp -d)
 pids=()
 
@@ -58,7 +59,7 @@
 # The entries stop on SIGTERM by themselves; then the stand-ins are stopped.
 kill -TERM "${entries[@]}"
 for pid in "${entries[@]}"; do
-  wait "$pid" || { echo "an entry stopped with status $?"; exit 1; }
+  wait "$pid" || { echo "an entry stopped with status $?"; grep -hE "error|warn" "$dir"/entry-*.log; exit 1; }
 done
 for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
 for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
