poison, member: heartbeats carry the crashes that the table has not taken

While the table was down a quarantine was known at one entry alone, and the request crashed a third upstream through the next one. A beat carries up to 32 marks, and none once the table has them; the count in its place was unused. What is heard stands for 10 s, is not told on and not written.

Before (marks are not heard): FAIL poison/table_is_down. After: TestPromise/poison twice under -race, ok (22.6 s).

--- a/entry/member.go
+++ b/entry/member.go
@@ -166,10 +166,11 @@
 	return answer, nil
 }
 
-// take passes on what a beat says of documents and drains.
+// take passes on what a beat says of documents, drains and crashes.
 func (e *Entry) take(b member.Beat) {
 	e.follower.News(b.Version, b.Instance.Peer)
 	e.drains.News(b.Drains, b.Instance.Peer)
+	e.suspects.Merge(b.Marks)
 }
 
 // beat is what this entry tells of itself.
@@ -178,6 +179,7 @@
 	b := member.Beat{
 		Boot: e.owner.Boot, Version: e.book.Version(), Drains: e.drains.Version(),
 		Load: e.flights.count(), Rumours: e.members.Rumours(),
+		Marks: e.suspects.Unkept(),
 	}
 	if s := e.self.Load(); s != nil {
 		self.State, b.Turn = s.State, s.Turn
--- a/flow/poison_test.go
+++ b/flow/poison_test.go
@@ -9,6 +9,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/plat"
 	"lacewinghook.example/lacewinghook/trial"
 )
 
@@ -86,3 +87,21 @@
 		return err == nil
 	})
 }
+
+// poisonedWithoutTable sends a poison request to one entry and then to the
+// other while the table is down.
+func poisonedWithoutTable(t *testing.T) {
+	is := is.New(t)
+	s := start(t, trial.Plan{Entries: 2, Prefills: 1, Decodes: 3})
+	within(t, freeWithin, "the entries have reports", func() bool { return reported(t, s) })
+	for _, e := range s.Decodes {
+		e.Trouble.Set(fake.Ills{Poison: venom, Down: 200})
+	}
+	s.Platform.Faults.Add(plat.Fault{Kind: plat.Down})
+	for i := range 3 {
+		bad := trial.Ask{Model: trial.Model, Prompt: venom, MaxTokens: tokens}
+		_, err := s.Client(i%2).Complete(t.Context(), bad, nil)
+		is.True(codes.Has(err, codes.Quarantined))
+	}
+	is.Equal(crashes(s), int64(2))
+}
--- a/flow/promise_test.go
+++ b/flow/promise_test.go
@@ -150,6 +150,7 @@
 		t.Run("crashes decode upstreams", func(t *testing.T) {
 			poisoned(t, func(s *trial.Set) []*fake.Engine { return s.Decodes })
 		})
+		t.Run("table is down", poisonedWithoutTable)
 		t.Run("crashes prefill upstreams", func(t *testing.T) {
 			poisoned(t, func(s *trial.Set) []*fake.Engine { return s.Prefills })
 		})
--- a/member/beat.go
+++ b/member/beat.go
@@ -3,6 +3,7 @@
 import (
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/poison"
 )
 
 // Beat is what one entry tells another of itself.
@@ -17,8 +18,9 @@
 	// the drains.
 	Version int64 `json:"version"`
 	Drains  int64 `json:"drains,omitempty"`
-	// Poison counts the quarantines known there.
-	Poison int64 `json:"poison,omitempty"`
+	// Marks are those of requests that crashed upstreams which the platform's
+	// table has not taken yet.
+	Marks []poison.Mark `json:"marks,omitempty"`
 	// Load counts the requests in flight.
 	Load int `json:"load"`
 	// Rumours are the latest changes of other entries' states.
--- a/poison/book.go
+++ b/poison/book.go
@@ -80,6 +80,9 @@
 	Meter   *meter.Set
 	// Log, if not nil, is told of crashes and quarantines.
 	Log *zap.Logger
+	// OnNews, if not nil, is called when [Book.Unkept] has something new. It
+	// must not block.
+	OnNews func()
 	// Self names this entry in the table.
 	Self string
 
@@ -122,7 +125,7 @@
 	return m, len(m.Crashes) > 0
 }
 
-// Snapshot returns the marks that stand, for peers.
+// Snapshot returns the entry's own marks that stand.
 func (b *Book) Snapshot() []Mark {
 	var all []Mark
 	now := b.Clock.Wall()
@@ -135,14 +138,32 @@
 	return all
 }
 
+// maxTold bounds the marks that are told at once.
+const maxTold = 32
+
+// Unkept returns the marks that the table has not taken yet, for peers.
+func (b *Book) Unkept() []Mark {
+	var all []Mark
+	for _, m := range b.Snapshot() {
+		if !m.Kept && len(all) < maxTold {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
 // heardLife is how long what a peer told stands unless it is told again.
 const heardLife = 10 * clock.Second
 
 // Merge takes over the marks that a peer knows.
 func (b *Book) Merge(marks []Mark) {
+	if len(marks) == 0 {
+		return
+	}
 	until := b.Clock.Wall() + heardLife
 	b.heard.Each(func(_ uint64, m Mark) bool { return m.Until > until-heardLife })
-	for _, m := range marks {
+	for _, m := range marks[:min(len(marks), maxTold)] {
+		m.Kept = false
 		m.Until = min(m.Until, until)
 		b.heard.Update(m.Digest, func(known Mark, _ bool) (Mark, bool) { return join(known, m), true })
 	}
--- a/poison/doc.go
+++ b/poison/doc.go
@@ -8,8 +8,8 @@
 // not run, until the time is over or an operator lifts it.
 //
 // The crashes of a digest stand in one row of the platform's table. While the
-// table is down an entry goes by what it knows itself and what its peers tell,
-// and writes its part when the table is back.
+// table is down an entry goes by what it knows itself and what its peers tell
+// with their heartbeats, and writes its part when the table is back.
 //
 // # Usage
 //
--- a/poison/judge.go
+++ b/poison/judge.go
@@ -24,7 +24,8 @@
 	// probeTimeout bounds the question whether an upstream still stands.
 	probeTimeout = 1 * clock.Second
 	// spreadTime is how long the caller of a condemned request waits for its
-	// refusal: until every entry that reads the table knows of it.
+	// refusal: until every entry that reads the table, or hears the beats of
+	// this one, knows of it.
 	spreadTime = Every + Every/2
 )
 
@@ -40,7 +41,11 @@
 	crash := Crash{Upstream: up.Name, Boot: boot, Began: at - (b.Clock.Now() - began), At: at}
 	m := b.add(Mark{Digest: digest, Crashes: []Crash{crash}, Until: at + markLife})
 	b.Meter.Add("suspects_total", 1, "upstream", up.Name)
-	m = b.keep(ctx, m)
+	if b.OnNews != nil {
+		b.OnNews()
+	}
+	b.keep(ctx, m)
+	m, _ = b.mark(digest)
 	b.tell(m, up)
 	if m.Condemned() {
 		b.Meter.Add("quarantined_total", 1)
