--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/engine"
 	"lacewinghook.example/lacewinghook/front"
+	"lacewinghook.example/lacewinghook/grant"
 	"lacewinghook.example/lacewinghook/lease"
 	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/member"
@@ -28,7 +29,6 @@
 	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
-	"lacewinghook.example/lacewinghook/route"
 	"lacewinghook.example/lacewinghook/share"
 	"lacewinghook.example/lacewinghook/store"
 	"lacewinghook.example/lacewinghook/sweep"
@@ -76,6 +76,9 @@
 	cancels  abort.Book
 	suspects poison.Book
 	budget   limit.Budget
+	places   place.Desk
+	ledger   grant.Ledger
+	shared   grant.Shared
 	sweeper  sweep.Sweeper
 	orders   once.Book
 	keeper   lease.Keeper
@@ -215,6 +218,7 @@
 	e.prepareSweep()
 	e.prepareKeeper()
 	e.prepareShare()
+	e.prepareGrant()
 	if e.Advertise != "" {
 		e.members.Self.Peer = e.Advertise
 	}
@@ -246,17 +250,3 @@
 	}
 	return s.Handler()
 }
-
-func (e *Entry) placer() *place.Desk {
-	return &place.Desk{
-		Upstreams: &e.pool, Chooser: e.chooser(), Clock: e.Clock, Meter: &e.meter,
-		Centre: e.Settings.Centre,
-	}
-}
-
-func (e *Entry) chooser() place.Chooser {
-	if e.Settings.Policy == "random" {
-		return route.Random{}
-	}
-	return route.Least{}
-}
--- a/entry/share.go
+++ b/entry/share.go
@@ -17,5 +17,7 @@
 func (e *Entry) peerMethods() map[wire.Method]wire.Func {
 	return map[wire.Method]wire.Func{
 		wire.MethodShare: wire.OnShare(e.reports.Take),
+		wire.MethodLease: wire.OnLease(e.lease),
+		wire.MethodOffer: wire.OnOffer(e.shared.Offered),
 	}
 }
--- a/entry/work.go
+++ b/entry/work.go
@@ -12,7 +12,7 @@
 // background starts the work that goes on beside the requests.
 func (e *Entry) background(ctx context.Context, g *errgroup.Group) {
 	for _, run := range []func(context.Context){
-		e.follower.Run, e.drains.Run, e.readList, e.sendBeats, e.reports.Run,
+		e.follower.Run, e.drains.Run, e.readList, e.sendBeats, e.reports.Run, e.runGrant,
 	} {
 		g.Go(func() error {
 			run(ctx)
