front: a caller that takes nothing of its stream counts as gone

A caller that keeps its connection open and reads nothing blocked the write of the next token, and so held a decode engine's memory up to the profile's timeout and beyond, since a write doesn't end with the context. Each token now has to be taken within limits.output, 10 s if not set.

TestCallerThatTakesNothingCountsAsGone, over a connection that buffers nothing: red without the limit, still there after 10 s; green after 0.1 s.

--- a/config/check.go
+++ b/config/check.go
@@ -105,6 +105,7 @@
 	c.within("limits.body", l.Body, minBody, maxBody, "bytes")
 	c.within("limits.header", int64(l.Header), minHeader, maxHeader, "bytes")
 	c.within("limits.input", int64(l.Input), int64(minInput), int64(maxInput), "ms")
+	c.within("limits.output", int64(l.Output), int64(minInput), int64(maxInput), "ms")
 	c.within("limits.inputs", int64(l.Inputs), 1, maxInputs, "bodies")
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -86,6 +86,9 @@
 	// Inputs is the number of bodies that are read at the same time; zero is
 	// 256.
 	Inputs int `json:"inputs,omitempty"`
+	// Output is how long a caller may take nothing of a streamed answer
+	// before it counts as gone; zero is 10 seconds.
+	Output clock.Millis `json:"output,omitempty"`
 }
 
 // The defaults of [Limits].
@@ -94,6 +97,7 @@
 	defaultHeader              = 32 << 10
 	defaultInput  clock.Millis = 10 * clock.Second
 	defaultInputs              = 256
+	defaultOutput clock.Millis = 10 * clock.Second
 )
 
 // Filled returns the limits with the defaults in place of zeros.
@@ -110,6 +114,9 @@
 	if l.Inputs == 0 {
 		l.Inputs = defaultInputs
 	}
+	if l.Output == 0 {
+		l.Output = defaultOutput
+	}
 	return l
 }
 
--- a/front/complete.go
+++ b/front/complete.go
@@ -76,7 +76,7 @@
 }
 
 func (s *Server) streamed(w http.ResponseWriter, r *http.Request, req *core.Request) {
-	sink := newStreamSink(w, resumeOf(req), s.Signer)
+	sink := newStreamSink(w, resumeOf(req), s.Signer, s.Limits.Filled().Output)
 	check := &audit{sink: sink, meter: s.Meter, id: req.ID}
 	if err := check.outcome(s.Runner.Run(r.Context(), req, check)); err != nil {
 		s.failed(req, err)
--- a/front/stream.go
+++ b/front/stream.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/token"
 )
@@ -16,13 +18,15 @@
 	resume  token.Resume
 	signer  token.Signer
 	started bool
+	// stall is how long the caller may take nothing; zero is not limited.
+	stall clock.Millis
 	// head and tail stand around the text of a plain token event, and buf is
 	// used again for each.
 	head, tail, buf []byte
 }
 
-func newStreamSink(w http.ResponseWriter, r token.Resume, signer token.Signer) *streamSink {
-	s := &streamSink{w: w, out: http.NewResponseController(w), resume: r, signer: signer}
+func newStreamSink(w http.ResponseWriter, r token.Resume, signer token.Signer, stall clock.Millis) *streamSink {
+	s := &streamSink{w: w, out: http.NewResponseController(w), resume: r, signer: signer, stall: stall}
 	// The caller has no token of this entry yet.
 	s.resume.Upstream = ""
 	return s
@@ -31,6 +35,7 @@
 // Token implements [flow.Sink].
 func (s *streamSink) Token(t core.Token) error {
 	s.start()
+	s.limitOutput()
 	if err := s.token(t); err != nil {
 		return err
 	}
@@ -124,6 +129,15 @@
 	return err
 }
 
+// limitOutput sets the time within which the caller must take what is sent
+// next. A caller that takes nothing is as good as gone, and its request must
+// not hold engine memory.
+func (s *streamSink) limitOutput() {
+	if s.stall > 0 {
+		_ = s.out.SetWriteDeadline(time.Now().Add(s.stall.Std()))
+	}
+}
+
 // fail tells the caller of an error: as the answer if nothing was sent yet,
 // else as the last event, which is not an end marker.
 func (s *streamSink) fail(err error) {
--- a/input/input.go
+++ b/input/input.go
@@ -12,16 +12,19 @@
 	"lacewinghook.example/lacewinghook/codes"
 )
 
-// Limit sets the time within which a body must have arrived. It holds also
+// Limit sets the time within which a body must have arrived, and lifts limits
+// that an earlier answer on the connection has left. It holds also
 // for a body that is refused unread, since net/http reads on for a while
 // before it answers. [Read] lifts it.
 func Limit(w http.ResponseWriter, r *http.Request, d clock.Millis) {
+	// A writer of tests may have no deadlines.
+	c := http.NewResponseController(w)
+	_ = c.SetWriteDeadline(time.Time{})
 	if r.ContentLength == 0 {
 		// Reading ahead for the end of the connection must not be cut.
 		return
 	}
-	// A writer of tests may have no deadlines.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(d.Std()))
+	_ = c.SetReadDeadline(time.Now().Add(d.Std()))
 }
 
 // Read reads a body of up to limit bytes. Afterwards the connection is
