--- a/entry/admin.go
+++ b/entry/admin.go
@@ -28,6 +28,8 @@
 		Documents: documents{e},
 		Drains:    drains{&e.drains},
 		Orders:    orders{&e.orders},
+
+		Quarantine: quarantine{&e.suspects},
 	}
 	return s.Handler()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,15 +19,19 @@
 	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/engine"
 	"lacewinghook.example/lacewinghook/front"
+	"lacewinghook.example/lacewinghook/grant"
 	"lacewinghook.example/lacewinghook/lease"
+	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/once"
 	"lacewinghook.example/lacewinghook/place"
+	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
-	"lacewinghook.example/lacewinghook/route"
+	"lacewinghook.example/lacewinghook/share"
 	"lacewinghook.example/lacewinghook/store"
+	"lacewinghook.example/lacewinghook/sweep"
 	"lacewinghook.example/lacewinghook/token"
 	"lacewinghook.example/lacewinghook/wire"
 )
@@ -47,29 +51,38 @@
 	// Life is how long callers may keep an answer of addresses; zero is
 	// [member.AddressLife].
 	Life clock.Millis
+	// Advertise is the address that peers use for this entry; empty is that
+	// of the socket.
+	Advertise string
 	// ResumeKey signs the resume tokens; empty is read from the settings'
 	// file.
 	ResumeKey string
 
-	owner     core.Owner
-	began     clock.Millis
-	leaving   atomic.Bool
-	self      atomic.Pointer[standing]
-	flights   flights
-	finishers []Finisher
-	meter     meter.Set
-	book      prof.Book
-	follower  prof.Follower
-	desk      prof.Desk
-	drains    drain.Book
-	pool      pool.Table
-	members   member.Table
-	store     store.Client
-	engines   engine.Client
-	peers     wire.Client
-	cancels   abort.Book
-	orders    once.Book
-	keeper    lease.Keeper
+	owner    core.Owner
+	leaving  atomic.Bool
+	self     atomic.Pointer[standing]
+	flights  flights
+	meter    meter.Set
+	book     prof.Book
+	follower prof.Follower
+	desk     prof.Desk
+	drains   drain.Book
+	draining sync.Mutex
+	pool     pool.Table
+	members  member.Table
+	store    store.Client
+	engines  engine.Client
+	peers    wire.Client
+	cancels  abort.Book
+	suspects poison.Book
+	budget   limit.Budget
+	places   place.Desk
+	ledger   grant.Ledger
+	shared   grant.Shared
+	sweeper  sweep.Sweeper
+	orders   once.Book
+	keeper   lease.Keeper
+	reports  share.Reader
 	// news wakes the heartbeats, listed does so with the first list, and met
 	// closes metAll once all partners were asked.
 	news   bell
@@ -107,7 +120,7 @@
 	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
 	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
 	g.Go(func() error {
-		return (&wire.Server{Handler: e, Log: e.Log, Certs: e.peers.Certs}).Serve(work, e.Sockets.Peers)
+		return (&wire.Server{Handler: e, Methods: e.peerMethods(), Log: e.Log, Certs: e.peers.Certs}).Serve(work, e.Sockets.Peers)
 	})
 	e.background(work, g)
 	g.Go(func() error {
@@ -190,11 +203,10 @@
 func (e *Entry) prepare() {
 	s := e.Settings
 	e.owner = core.Owner{Instance: s.Instance, Boot: core.NewBoot()}
-	e.began = e.Clock.Now()
 	e.flights.changed = make(chan struct{}, 1)
 	e.store = store.Client{Base: s.Platform.Base}
 	e.engines.Clock = e.Clock
-	e.engines.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}
+	e.engines.HTTP = &http.Client{Transport: engine.NewTransport()}
 	e.pool.Clock = e.Clock
 	e.members.Clock = e.Clock
 	e.members.Self = core.Instance{
@@ -202,7 +214,14 @@
 		Addr: e.Sockets.Callers.Addr().String(), Peer: e.Sockets.Peers.Addr().String(),
 	}
 	e.prepareFlow()
+	e.preparePoison()
+	e.prepareSweep()
 	e.prepareKeeper()
+	e.prepareShare()
+	e.prepareGrant()
+	if e.Advertise != "" {
+		e.members.Self.Peer = e.Advertise
+	}
 	e.members.Boot = e.owner.Boot
 	e.members.State = e.state
 	e.members.Load = e.flights.count
@@ -213,9 +232,6 @@
 	e.announce()
 }
 
-// maxIdleConns bounds the kept connections to one upstream.
-const maxIdleConns = 64
-
 func (e *Entry) callers() http.Handler {
 	s := &front.Server{
 		Runner:  e.newFlow(),
@@ -234,17 +250,3 @@
 	}
 	return s.Handler()
 }
-
-func (e *Entry) placer() *place.Desk {
-	return &place.Desk{
-		Upstreams: &e.pool, Chooser: e.chooser(), Clock: e.Clock, Meter: &e.meter,
-		Centre: e.Settings.Centre,
-	}
-}
-
-func (e *Entry) chooser() place.Chooser {
-	if e.Settings.Policy == "random" {
-		return route.Random{}
-	}
-	return route.Least{}
-}
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -15,8 +15,9 @@
 func (e *Entry) newFlow() *flow.Flow {
 	return &flow.Flow{
 		Engines: &e.engines, Placer: e.placer(), Cancels: &e.cancels,
-		Upstreams: published{&e.pool},
-		Clock:     e.Clock, Meter: &e.meter,
+		Upstreams: published{&e.pool}, Suspects: &e.suspects,
+		Budget: &e.budget, Stragglers: &e.pool,
+		Clock: e.Clock, Meter: &e.meter,
 	}
 }
 
@@ -49,6 +50,9 @@
 	return ok
 }
 
+// Names implements [sweep.Upstreams].
+func (p published) Names() []string { return p.pool.Names() }
+
 // Upstream implements [flow.Upstreams].
 func (p published) Upstream(name string) (core.Upstream, bool) {
 	s, ok := p.pool.Get(name)
--- /dev/null
+++ b/entry/grant.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/config"
+	"lacewinghook.example/lacewinghook/grant"
+	"lacewinghook.example/lacewinghook/place"
+	"lacewinghook.example/lacewinghook/pool"
+)
+
+// prepareGrant sets up this entry's leases, and its ledger as the home of
+// upstreams.
+func (e *Entry) prepareGrant() {
+	e.ledger.Clock = e.Clock
+	e.ledger.Home = e.Settings.Instance
+	e.ledger.Sizes = sizes{&e.pool}
+	e.shared.Clock = e.Clock
+	e.shared.Holder = e.Settings.Instance
+	e.shared.Counts = &e.pool
+	e.shared.Homes = leaseHomes{e}
+	e.shared.OnLease = e.places.Wake
+}
+
+// memory returns what counts the decode memory, or nil where none is
+// reserved.
+func (e *Entry) memory() place.Memory {
+	o := e.Settings.PolicyOptions
+	switch {
+	case !e.Settings.On(o.Reserve):
+		return nil
+	case o.Grant == config.GrantHome:
+		return &e.shared
+	}
+	return &grant.Alone{Counts: &e.pool}
+}
+
+// runGrant keeps the leases until ctx ends.
+func (e *Entry) runGrant(ctx context.Context) {
+	if e.Settings.PolicyOptions.Grant == config.GrantHome {
+		e.shared.Run(ctx)
+	}
+}
+
+// sizes implements [grant.Sizes].
+type sizes struct {
+	pool *pool.Table
+}
+
+// Pieces implements [grant.Sizes].
+func (s sizes) Pieces(upstream string) int {
+	state, _ := s.pool.Get(upstream)
+	return state.Upstream.Pieces
+}
+
+// leaseHomes implements [grant.Homes].
+type leaseHomes struct {
+	e *Entry
+}
+
+// Home implements [grant.Homes].
+func (h leaseHomes) Home(upstream string) string {
+	live := h.e.members.Live()
+	names := make([]string, len(live))
+	for i := range live {
+		names[i] = live[i].Name
+	}
+	return grant.Rendezvous(upstream, names)
+}
+
+// Lease implements [grant.Homes].
+func (h leaseHomes) Lease(ctx context.Context, home string, a grant.Ask) (grant.Answer, error) {
+	if home == h.e.Settings.Instance {
+		return h.e.lease(ctx, a), nil
+	}
+	addr, ok := h.addr(home)
+	if !ok {
+		return grant.Answer{}, codes.New(codes.CutOff, "home %s", home)
+	}
+	return h.e.peers.Lease(ctx, addr, a)
+}
+
+func (h leaseHomes) addr(name string) (string, bool) {
+	for _, in := range h.e.members.Live() {
+		if in.Name == name {
+			return in.Peer, true
+		}
+	}
+	return "", false
+}
+
+// lease answers an ask as a home, and sends what others have waited for.
+func (e *Entry) lease(_ context.Context, a grant.Ask) grant.Answer {
+	answer, offers := e.ledger.Lease(a)
+	for _, o := range offers {
+		if o.Holder == e.Settings.Instance {
+			e.shared.Offered(o.Lease)
+			continue
+		}
+		// The home doesn't wait for the holder. A lost offer lapses.
+		go e.offer(o)
+	}
+	return answer
+}
+
+func (e *Entry) offer(o grant.Offer) {
+	if addr, ok := (leaseHomes{e}).addr(o.Holder); ok {
+		_ = e.peers.Offer(context.Background(), addr, o.Lease)
+	}
+}
--- /dev/null
+++ b/entry/sweep.go
@@ -0,0 +1,27 @@
+package entry
+
+import (
+	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/share"
+)
+
+// prepareSweep sets up the search for what dead entries left at the engines.
+func (e *Entry) prepareSweep() {
+	e.sweeper.Owners = &e.members
+	e.sweeper.Homes = homes{&e.members}
+	e.sweeper.Upstreams = published{&e.pool}
+	e.sweeper.Engines = &e.engines
+	e.sweeper.Cancels = &e.cancels
+	e.sweeper.Clock = e.Clock
+	e.sweeper.Meter = &e.meter
+}
+
+// homes shares the upstreams out among the live entries.
+type homes struct {
+	members *member.Table
+}
+
+// Home implements [sweep.Homes].
+func (h homes) Home(upstream string) bool {
+	return share.Home(upstream, h.members.Live()) == h.members.Self.Name
+}
--- /dev/null
+++ b/grant/grant_test.go
@@ -0,0 +1,141 @@
+package grant_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/grant"
+	"lacewinghook.example/lacewinghook/pool"
+	"lacewinghook.example/lacewinghook/route"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type size int
+
+func (s size) Pieces(string) int { return int(s) }
+
+// Whatever is asked in whatever order, a ledger leases no more than there is,
+// as long as each holder says what it uses out of its lease.
+func TestLedgerNeverOvercommits(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &clock.Manual{}
+		l := &grant.Ledger{Clock: clock.Clock{Manual: m}, Sizes: size(20)}
+		total := make(map[string]int)
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			holder := fmt.Sprint(rapid.IntRange(0, 4).Draw(rt, "holder"))
+			used := rapid.IntRange(0, total[holder]).Draw(rt, "used")
+			a, offers := l.Lease(grant.Ask{Holder: holder, Wants: []grant.Want{
+				{Upstream: "d", Used: used, Total: used + rapid.IntRange(0, 9).Draw(rt, "more")},
+			}})
+			total[holder] = a.Leases[0].Total
+			for _, o := range offers {
+				total[o.Holder] = o.Lease.Total
+			}
+			sum := 0
+			for _, n := range total {
+				sum += n
+			}
+			if sum > 20 {
+				rt.Fatalf("%d of 20 pieces leased: %v", sum, total)
+			}
+		}
+	})
+}
+
+func TestLedgerOffersWhatComesBackAndForgetsTheDead(t *testing.T) {
+	is := is.New(t)
+	m := &clock.Manual{}
+	l := &grant.Ledger{Clock: clock.Clock{Manual: m}, Sizes: size(10)}
+	ask := func(holder string, used, total int) (grant.Lease, []grant.Offer) {
+		a, offers := l.Lease(grant.Ask{Holder: holder, Wants: []grant.Want{{Upstream: "d", Used: used, Total: total}}})
+		return a.Leases[0], offers
+	}
+	a, _ := ask("a", 0, 8)
+	is.Equal(a.Total, 8)
+	b, _ := ask("b", 0, 5)
+	is.Equal(b.Total, 2)
+	_, offers := ask("a", 3, 3)
+	is.Equal(len(offers), 1)
+	is.Equal(offers[0].Lease.Total, 5)
+	is.True(offers[0].Lease.Seq > b.Seq)
+	m.Advance(3 * clock.Second) // nobody renewed
+	c, _ := ask("c", 0, 10)
+	is.Equal(c.Total, 10)
+	// A home that is new learns of what is used and takes nothing away.
+	d, _ := ask("a", 3, 3)
+	is.Equal(d.Total, 3)
+}
+
+// homes is one home, which may be silent.
+type homes struct {
+	ledger *grant.Ledger
+	silent bool
+}
+
+func (h *homes) Home(string) string { return "home" }
+
+func (h *homes) Lease(_ context.Context, _ string, a grant.Ask) (grant.Answer, error) {
+	if h.silent {
+		return grant.Answer{}, errors.New("no answer")
+	}
+	answer, _ := h.ledger.Lease(a)
+	return answer, nil
+}
+
+func TestSharedAsksAndGoesOnWithoutAHome(t *testing.T) {
+	for name, silent := range map[string]bool{"home answers": false, "home is silent": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := clock.Clock{Manual: &clock.Manual{}}
+			tab := &pool.Table{Clock: c}
+			tab.Apply(&core.Document{Upstreams: []core.Upstream{{Name: "d", Role: core.Decode, Pieces: 10}}})
+			more := make(chan struct{}, 100)
+			s := &grant.Shared{
+				Clock: c, Counts: tab, Holder: "a", OnLease: func() { more <- struct{}{} },
+				Homes: &homes{ledger: &grant.Ledger{Clock: c, Sizes: size(10)}, silent: silent},
+			}
+			is.True(!s.Take("d", 3))
+			s.Free("d", 10)
+			s.Short([]route.Candidate{{Name: "d"}}, 3)
+			<-more
+			is.True(s.Take("d", 3))
+			st, _ := tab.Get("d")
+			is.Equal(st.Own.Pieces, 3)
+			if !silent {
+				is.True(!s.Take("d", 3)) // it was asked for 3 pieces only
+			}
+			is.True(!s.Take("d", 8))
+			s.Give("d", 3)
+			if !silent {
+				<-more
+				is.True(s.Free("d", 10) <= 10/4) // little is kept idle
+			}
+		})
+	}
+}
+
+func TestRendezvousMovesOnlyTheHomesOfTheGone(t *testing.T) {
+	is := is.New(t)
+	all := []string{"a", "b", "c", "d", "e"}
+	count := make(map[string]int)
+	for i := range 1000 {
+		up := fmt.Sprint("decode-", i)
+		home := grant.Rendezvous(up, all)
+		count[home]++
+		if home != "e" {
+			is.Equal(grant.Rendezvous(up, all[:4]), home)
+		}
+	}
+	for _, n := range count {
+		is.True(n > 100) // half of an even share
+	}
+}
