--- a/cmd/lacectl/script_test.go
+++ b/cmd/lacectl/script_test.go
@@ -67,6 +67,20 @@
 	}))
 }
 
+// condemn sends a request that crashes every engine until it is refused.
+func condemn(ts *testscript.TestScript, _ bool, _ []string) {
+	set := ts.Value(setKey{}).(*trial.Set)
+	for _, e := range append(set.Prefills, set.Decodes...) {
+		e.Trouble.Set(fake.Ills{Poison: "crash", Down: 1})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	ts.Check(trial.Until(ctx, func() bool {
+		_, err := set.Client(0).Complete(ctx, trial.Ask{Model: trial.Model, Prompt: "crash", MaxTokens: 2}, nil)
+		return codes.Has(err, codes.Quarantined)
+	}))
+}
+
 // loseAnswer makes an order that runs and whose answer is lost.
 func loseAnswer(ts *testscript.TestScript, _ bool, _ []string) {
 	set := ts.Value(setKey{}).(*trial.Set)
@@ -84,9 +98,10 @@
 		"lose-answer": loseAnswer,
 
 		"await-violation": awaitViolation,
+		"condemn":         condemn,
 	}
 	testscript.Run(t, testscript.Params{Dir: "testdata", Cmds: cmds, Setup: func(env *testscript.Env) error {
-		set, err := trial.Start(trial.Plan{Entries: 2, Prefills: 1, Decodes: 1, Services: 1, Linger: 1})
+		set, err := trial.Start(trial.Plan{Entries: 2, Prefills: 2, Decodes: 2, Services: 1, Linger: 1})
 		if err != nil {
 			return err
 		}
