--- a/cmd/lacefake/main.go
+++ b/cmd/lacefake/main.go
@@ -57,35 +57,26 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	status := dispatch(ctx, os.Args[1:])
-	stop()
-	os.Exit(status)
+	os.Exit(run())
 }
 
-func dispatch(ctx context.Context, args []string) int {
-	if len(args) == 0 {
-		usage(os.Stderr)
-		return exitUsage
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	p := args.Program{
+		Name:  "lacefake",
+		Help:  "Stand-ins of the platform and of the upstreams, for tests and trial runs.",
+		Notes: "Exit codes: 0 for success, 1 for a failure, 2 for a wrong command line.",
 	}
 	for _, c := range commands {
-		if c.name == args[0] {
-			return c.run(ctx, args[1:])
-		}
-	}
-	if args[0] == "-h" || args[0] == "-help" || args[0] == "--help" || args[0] == "help" {
-		usage(os.Stdout)
-		return exitOK
+		p.Commands = append(p.Commands, args.Command{Name: c.name, Help: c.help, Run: c.call})
 	}
-	fmt.Fprintf(os.Stderr, "lacefake: unknown command %q\n", args[0])
-	return exitUsage
+	return p.Run(ctx, os.Args[1:])
 }
 
-func usage(w *os.File) {
-	fmt.Fprintln(w, "usage: lacefake COMMAND [flags]")
-	for _, c := range commands {
-		fmt.Fprintf(w, "  %-9s %s\n", c.name, c.help)
-	}
+// call implements [args.Command].
+func (c command) call(ctx context.Context, call *args.Call) int {
+	return c.run(ctx, call.Args)
 }
 
 // parse parses a subcommand's flags; ok is false if it must end with status.
