grant: the homes also give out the prefills' turns; on by default

With nine entries a prefill's queue was read from reports of the last second, and each entry sent 60 ms of work ahead of its own: queues were long at one engine while another stood idle. The upstream's home now also leases its turns, two prefills under way at a time, so that a request is bound to a prefill only when one is about to be free. Memory is asked for before a turn.

Ruled out on the way: asking again whenever a lease arrives that doesn't fit went round between the homes without end (20 to 50 ms of processor time for a request); unused pieces now go back after 10 ms, at most two homes are waited for, and where others wait a holder gives a turn back before it can take it again.

--- a/config/policy.go
+++ b/config/policy.go
@@ -16,7 +16,7 @@
 // others.
 type PolicyOptions struct {
 	// Grant says who counts the decode memory: each entry alone, or a home
-	// entry for each upstream. Empty is alone.
+	// entry for each upstream. Empty is home.
 	Grant string `json:"grant,omitempty"`
 	// Reserve reserves decode memory before the prefill starts.
 	Reserve *bool `json:"reserve,omitempty"`
@@ -33,6 +33,10 @@
 	// Ahead is the work that may wait at a prefill upstream before a request
 	// is kept back; zero is 60 ms.
 	Ahead clock.Millis `json:"ahead,omitempty"`
+	// Turns is the number of prefills that may be under way at one upstream
+	// over all entries, with grant home; zero is 2, and below zero each entry
+	// goes by the queues that it knows.
+	Turns int `json:"turns,omitempty"`
 	// TokenBytes is the size of one token's KV cache; zero is 1024.
 	TokenBytes int64 `json:"token_bytes,omitempty"`
 }
@@ -48,6 +52,7 @@
 // bounds of the options.
 const (
 	maxAhead      = 10 * clock.Second
+	maxTurns      = 1024
 	maxTokenBytes = 1 << 30
 )
 
@@ -56,5 +61,6 @@
 	c.oneOf("policy", s.Policy, policies)
 	c.oneOf("policy_options.grant", o.Grant, grants)
 	c.within("policy_options.ahead", int64(o.Ahead), 1, int64(maxAhead), "ms")
+	c.within("policy_options.turns", int64(o.Turns), -1, maxTurns, "prefills")
 	c.within("policy_options.token_bytes", o.TokenBytes, 1, maxTokenBytes, "bytes")
 }
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -16,7 +16,7 @@
 	return &flow.Flow{
 		Engines: &e.engines, Placer: e.placer(), Cancels: &e.cancels,
 		Upstreams: published{&e.pool}, Suspects: &e.suspects,
-		Budget: &e.budget, Stragglers: &e.pool,
+		Budget: &e.budget, Stragglers: stragglers{e},
 		Clock: e.Clock, Meter: &e.meter,
 	}
 }
--- a/entry/grant.go
+++ b/entry/grant.go
@@ -5,6 +5,7 @@
 
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/config"
+	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/grant"
 	"lacewinghook.example/lacewinghook/place"
 	"lacewinghook.example/lacewinghook/pool"
@@ -15,7 +16,7 @@
 func (e *Entry) prepareGrant() {
 	e.ledger.Clock = e.Clock
 	e.ledger.Home = e.Settings.Instance
-	e.ledger.Sizes = sizes{&e.pool}
+	e.ledger.Sizes = sizes{pool: &e.pool, turns: e.Settings.PolicyOptions.Turns}
 	e.shared.Clock = e.Clock
 	e.shared.Holder = e.Settings.Instance
 	e.shared.Counts = &e.pool
@@ -26,32 +27,56 @@
 // memory returns what counts the decode memory, or nil where none is
 // reserved.
 func (e *Entry) memory() place.Memory {
-	o := e.Settings.PolicyOptions
 	switch {
-	case !e.Settings.On(o.Reserve):
+	case !e.Settings.On(e.Settings.PolicyOptions.Reserve):
+		return nil
+	case e.Settings.PolicyOptions.Grant == config.GrantAlone:
+		return &grant.Alone{Counts: &e.pool}
+	}
+	return &e.shared
+}
+
+// leases reports whether this entry takes leases from homes.
+func (e *Entry) leases() bool { return e.memory() == place.Memory(&e.shared) }
+
+// turns returns what counts the prefills under way at each upstream, or nil
+// where each entry goes by what it knows of the queues.
+func (e *Entry) turns() place.Memory {
+	o := e.Settings.PolicyOptions
+	if !e.leases() || !e.Settings.On(o.Late) || o.Turns < 0 {
 		return nil
-	case o.Grant == config.GrantHome:
-		return &e.shared
 	}
-	return &grant.Alone{Counts: &e.pool}
+	return &e.shared
 }
 
+// defaultTurns is the number of prefills that may be under way at one
+// upstream: the one that is computed and those that keep it busy.
+const defaultTurns = 2
+
 // runGrant keeps the leases until ctx ends.
 func (e *Entry) runGrant(ctx context.Context) {
-	if e.Settings.PolicyOptions.Grant == config.GrantHome {
+	if e.leases() {
 		e.shared.Run(ctx)
 	}
 }
 
 // sizes implements [grant.Sizes].
 type sizes struct {
-	pool *pool.Table
+	pool  *pool.Table
+	turns int
 }
 
-// Pieces implements [grant.Sizes].
+// Pieces implements [grant.Sizes]: the pieces of a decode memory, and the
+// turns of a prefill.
 func (s sizes) Pieces(upstream string) int {
-	state, _ := s.pool.Get(upstream)
-	return state.Upstream.Pieces
+	state, ok := s.pool.Get(upstream)
+	if !ok || state.Upstream.Role != core.Prefill {
+		return state.Upstream.Pieces
+	}
+	if s.turns == 0 {
+		return defaultTurns
+	}
+	return s.turns
 }
 
 // leaseHomes implements [grant.Homes].
--- a/entry/policy.go
+++ b/entry/policy.go
@@ -15,6 +15,7 @@
 	d := &e.places
 	d.Upstreams = &e.pool
 	d.Memory = e.memory()
+	d.Turns = e.turns()
 	d.Chooser = e.chooser(d.Memory == nil)
 	d.Clock = e.Clock
 	d.Meter = &e.meter
@@ -38,5 +39,16 @@
 	return route.Cost{Overcommit: unreserved}
 }
 
+// stragglers implements [flow.Stragglers]. While requests wait, a second
+// attempt beside a slow one would take the place of another request.
+type stragglers struct {
+	e *Entry
+}
+
+// Slow implements [flow.Stragglers].
+func (s stragglers) Slow(name string) bool {
+	return s.e.places.Waiting() == 0 && s.e.pool.Slow(name)
+}
+
 // Waiting returns the number of requests that wait for their turn.
 func (e *Entry) Waiting() int { return e.places.Waiting() }
--- a/grant/ledger.go
+++ b/grant/ledger.go
@@ -106,7 +106,17 @@
 	if total > 0 {
 		b.held[holder] = held{total: total, until: now + leaseLife}
 	}
-	return Lease{Total: total, Free: max(0, b.free(size)), Life: leaseLife, Seq: b.seq}
+	return Lease{Total: total, Free: max(0, b.free(size)), Wanted: b.wanted(holder), Life: leaseLife, Seq: b.seq}
+}
+
+// wanted reports whether others wait than the holder.
+func (b *book) wanted(holder string) bool {
+	for _, w := range b.waiting {
+		if w.holder != holder {
+			return true
+		}
+	}
+	return false
 }
 
 func (b *book) forget(holder string) {
--- a/grant/message.go
+++ b/grant/message.go
@@ -21,8 +21,10 @@
 	Upstream string `json:"upstream"`
 	Total    int    `json:"total"`
 	// Free is what nobody holds.
-	Free int          `json:"free"`
-	Life clock.Millis `json:"life"`
+	Free int `json:"free"`
+	// Wanted says that other holders wait.
+	Wanted bool         `json:"wanted,omitempty"`
+	Life   clock.Millis `json:"life"`
 	// Home and Seq tell a later lease from an earlier one.
 	Home string `json:"home"`
 	Seq  uint64 `json:"seq"`
--- a/grant/shared.go
+++ b/grant/shared.go
@@ -52,7 +52,13 @@
 	seq       uint64
 	// alone is the instant up to which the home is taken for silent.
 	alone clock.Millis
-	dirty bool
+	// asked is the instant up to which the home remembers what is wanted.
+	asked clock.Millis
+	// contended is the instant up to which others are known to wait.
+	contended clock.Millis
+	// leaving says that unused pieces go back in a moment.
+	leaving bool
+	dirty   bool
 }
 
 // asking is the one call to a home that is under way.
@@ -63,7 +69,8 @@
 
 // Times of a holder.
 const (
-	renewEvery clock.Millis = 500
+	renewEvery clock.Millis = 250
+	idleLife   clock.Millis = 10
 	freeLife   clock.Millis = 500
 	silentLife              = 1 * clock.Second
 	askTimeout              = 1 * clock.Second
@@ -131,14 +138,47 @@
 	return taken
 }
 
-// Give puts pieces back. What is not likely to be used again soon goes back
-// to the home.
+// Give puts pieces back. Where others wait, they go to the home before this
+// entry can take them again; else what stays unused goes back a little later.
 func (s *Shared) Give(name string, pieces int) {
 	now := s.Clock.Now()
 	s.Counts.End(name, pool.Work{Pieces: pieces})
-	back := false
+	yield := false
 	s.edit(name, func(h *holding) {
 		h.used -= pieces
+		yield = now < h.contended
+		if yield {
+			h.total -= pieces
+			h.dirty = true
+		}
+	})
+	if yield {
+		s.ask(s.Homes.Home(name))
+		return
+	}
+	s.giveBack(name)
+}
+
+// giveBack sees to it that pieces that are still unused after idleLife go
+// back to the home. The pause keeps leases that fit nobody from going round
+// without end.
+func (s *Shared) giveBack(name string) {
+	now := s.Clock.Now()
+	begin := false
+	s.edit(name, func(h *holding) {
+		begin = !h.leaving && h.spare(now) > h.keep()
+		h.leaving = h.leaving || begin
+	})
+	if begin {
+		s.Clock.AfterFunc(idleLife, func() { s.giveBackNow(name) })
+	}
+}
+
+func (s *Shared) giveBackNow(name string) {
+	now := s.Clock.Now()
+	back := false
+	s.edit(name, func(h *holding) {
+		h.leaving = false
 		back = h.spare(now) > h.keep()
 		h.dirty = h.dirty || back
 	})
@@ -153,21 +193,48 @@
 	return min(h.demand, h.free/4)
 }
 
-// Short asks the home of an upstream, the freer of two drawn at random.
-func (s *Shared) Short(decodes []route.Candidate, pieces int) {
-	if len(decodes) == 0 {
+// maxPending bounds the homes that are waited for on behalf of one kind of
+// request.
+const maxPending = 2
+
+// Short asks the home of an upstream, the freer of two drawn at random. While
+// homes remember earlier asks, they will offer.
+func (s *Shared) Short(ups []route.Candidate, pieces int) {
+	if len(ups) == 0 || s.pending(ups, pieces) >= min(maxPending, len(ups)) {
 		return
 	}
-	a := decodes[rand.N(len(decodes))].Name
-	b := decodes[rand.N(len(decodes))].Name
+	a := ups[rand.N(len(ups))].Name
+	b := ups[rand.N(len(ups))].Name
 	if s.likely(b) > s.likely(a) {
 		a = b
 	}
+	now := s.Clock.Now()
+	begin := false
 	s.edit(a, func(h *holding) {
-		h.wanted = max(h.wanted, pieces)
-		h.dirty = true
+		begin = now >= h.asked || h.wanted < pieces
+		if begin {
+			h.wanted = max(h.wanted, pieces)
+			h.asked = now + waitLife
+			h.dirty = true
+		}
 	})
-	s.ask(s.Homes.Home(a))
+	if begin {
+		s.ask(s.Homes.Home(a))
+	}
+}
+
+// pending counts the upstreams whose homes remember an ask for the pieces.
+func (s *Shared) pending(ups []route.Candidate, pieces int) int {
+	now := s.Clock.Now()
+	n := 0
+	for i := range ups {
+		s.edit(ups[i].Name, func(h *holding) {
+			if now < h.asked && h.wanted >= pieces {
+				n++
+			}
+		})
+	}
+	return n
 }
 
 // likely is the best knowledge of what the home could lease.
@@ -241,9 +308,9 @@
 		s.silent(a)
 	}
 	for _, lease := range answer.Leases {
-		s.Leased(lease)
+		s.Offered(lease)
 	}
-	if s.OnLease != nil {
+	if err != nil && s.OnLease != nil {
 		s.OnLease()
 	}
 }
@@ -274,28 +341,37 @@
 	}
 }
 
-// Leased takes over a lease, from an answer or an offer, unless a later one
-// of the same home has come before.
-func (s *Shared) Leased(lease Lease) {
+// Offered takes over a lease, from an answer or an offer, unless a later one
+// of the same home has come before. What nobody takes goes back at once.
+func (s *Shared) Offered(lease Lease) {
+	if !s.leased(lease) {
+		return
+	}
+	if s.OnLease != nil {
+		s.OnLease()
+	}
+	s.giveBack(lease.Upstream)
+}
+
+// leased reports whether there is more to take than before.
+func (s *Shared) leased(lease Lease) (more bool) {
 	now := s.Clock.Now()
 	s.edit(lease.Upstream, func(h *holding) {
 		if h.home == lease.Home && lease.Seq < h.seq {
 			return
 		}
+		more = lease.Total-h.used > h.spare(now)
 		h.home, h.seq = lease.Home, lease.Seq
 		h.total = lease.Total
 		h.until = now + lease.Life
 		h.free, h.freeUntil = lease.Free, now+freeLife
+		h.contended = 0
+		if lease.Wanted {
+			h.contended = now + freeLife
+		}
 		if h.total-h.used >= h.wanted {
-			h.wanted = 0
+			h.wanted, h.asked = 0, 0
 		}
 	})
-}
-
-// Offered takes over a lease that a home gave later than it was asked for.
-func (s *Shared) Offered(lease Lease) {
-	s.Leased(lease)
-	if s.OnLease != nil {
-		s.OnLease()
-	}
+	return more
 }
--- a/place/held.go
+++ b/place/held.go
@@ -30,6 +30,7 @@
 	moving     pool.Work
 	decoding   pool.Work
 	leased     bool
+	turn       bool
 	firstAt    clock.Millis
 }
 
@@ -49,6 +50,13 @@
 	default:
 		p.leased = true
 	}
+	if d.Turns != nil && !a.route.Export {
+		if !d.Turns.Take(b.prefills[c.Prefill].Name, 1) {
+			d.giveMemory(p, name)
+			return codes.New(codes.NoMemory, "%s: no turn", b.prefills[c.Prefill].Name)
+		}
+		p.turn = true
+	}
 	d.Upstreams.Begin(name, p.decoding)
 	p.Decode = d.upstream(name)
 	if a.route.Export {
@@ -105,6 +113,7 @@
 	}
 	d.Upstreams.Finish(p.Prefill.Name, p.flight, p.prefilling, took, blocks)
 	p.prefilling = pool.Work{}
+	d.giveTurn(p)
 	if err == nil {
 		d.move(p)
 	}
@@ -122,6 +131,21 @@
 	d.moved(p)
 }
 
+// giveTurn lets another prefill go ahead at the upstream.
+func (d *Desk) giveTurn(p *Placement) {
+	if p.turn {
+		p.turn = false
+		d.Turns.Give(p.Prefill.Name, 1)
+	}
+}
+
+func (d *Desk) giveMemory(p *Placement, name string) {
+	if p.leased {
+		p.leased = false
+		d.Memory.Give(name, p.Pieces)
+	}
+}
+
 // Release gives back what the placement holds. err is how the attempt ended.
 func (d *Desk) Release(p *Placement, err error) {
 	if p.decoding == (pool.Work{}) {
@@ -130,15 +154,14 @@
 	if p.prefilling != (pool.Work{}) {
 		d.Upstreams.Finish(p.Prefill.Name, p.flight, p.prefilling, 0, nil)
 		p.prefilling = pool.Work{}
+		d.giveTurn(p)
 	}
 	d.observe(p, err)
 	d.moved(p)
 	p.decoding.Held = p.moving.Held
 	d.Upstreams.End(p.Decode.Name, p.decoding)
 	p.decoding, p.moving = pool.Work{}, pool.Work{}
-	if p.leased {
-		d.Memory.Give(p.Decode.Name, p.Pieces)
-	}
+	d.giveMemory(p, p.Decode.Name)
 	d.wake(p)
 }
 
--- a/place/place.go
+++ b/place/place.go
@@ -54,8 +54,11 @@
 	Chooser   Chooser
 	// Memory, if nil, leaves decode memory unreserved.
 	Memory Memory
-	Clock  clock.Clock
-	Meter  *meter.Set
+	// Turns, if not nil, are the prefills that may be under way at each
+	// upstream; Ahead is then not used.
+	Turns Memory
+	Clock clock.Clock
+	Meter *meter.Set
 	// Centre is the data centre of this entry.
 	Centre string
 	// TokenBytes is the size of one token's KV cache; zero is
@@ -252,6 +255,12 @@
 	if !a.route.Export {
 		b.prefills = without(d.Upstreams.Candidates(core.Prefill, model, a.blocks, b.prefills), failed)
 	}
+	if d.Turns != nil {
+		for i := range b.prefills {
+			c := &b.prefills[i]
+			c.Free = d.Turns.Free(c.Name, 1)
+		}
+	}
 	b.decodes = without(d.Upstreams.Candidates(core.Decode, model, nil, b.decodes[:0]), failed)
 	if d.Memory != nil {
 		for i := range b.decodes {
@@ -296,12 +305,23 @@
 		return codes.New(codes.NoUpstream, "model %q", model)
 	}
 	a.route.Draw = rand.Uint64()
-	if !d.Early {
+	if !d.Early && d.Turns == nil {
 		a.route.MaxQueue = d.ahead()
 	}
-	c, ok := d.Chooser.Choose(a.route, b.prefills, b.decodes)
+	if !b.fits(a.route.Pieces) && d.Memory != nil {
+		d.Memory.Short(b.decodes, a.route.Pieces)
+		return codes.New(codes.NoMemory, "model %q: %d pieces", model, a.route.Pieces)
+	}
+	free := b.prefills
+	if d.Turns != nil && !a.route.Export {
+		free = b.withTurns()
+		if len(free) == 0 {
+			d.Turns.Short(b.prefills, 1)
+			return codes.New(codes.NoMemory, "model %q: no prefill is free", model)
+		}
+	}
+	c, ok := d.Chooser.Choose(a.route, free, b.decodes)
 	if !ok {
-		d.short(a, b)
 		return codes.New(codes.NoMemory, "model %q: %d pieces", model, a.route.Pieces)
 	}
 	if err := d.worthwhile(a, c); err != nil {
@@ -310,12 +330,21 @@
 	return d.take(a, c, b)
 }
 
-// short tells the memory that there was no room.
-func (d *Desk) short(a *ask, b *buffer) {
-	fits := func(c route.Candidate) bool { return c.Free >= a.route.Pieces }
-	if d.Memory != nil && !slices.ContainsFunc(b.decodes, fits) {
-		d.Memory.Short(b.decodes, a.route.Pieces)
+// withTurns puts the prefills that have a turn first and returns them.
+func (b *buffer) withTurns() []route.Candidate {
+	n := 0
+	for i := range b.prefills {
+		if b.prefills[i].Free > 0 {
+			b.prefills[n], b.prefills[i] = b.prefills[i], b.prefills[n]
+			n++
+		}
 	}
+	return b.prefills[:n]
+}
+
+// fits reports whether any decode memory has room.
+func (b *buffer) fits(pieces int) bool {
+	return slices.ContainsFunc(b.decodes, func(c route.Candidate) bool { return c.Free >= pieces })
 }
 
 func (d *Desk) ahead() clock.Millis {
--- a/pool/index.go
+++ b/pool/index.go
@@ -111,7 +111,7 @@
 }
 
 func (g *group) medians(now clock.Millis) Base {
-	var prefill, first, step []float64
+	var prefill, first, step, quick []float64
 	keep := func(list []float64, p Pace) []float64 {
 		if mean, ok := p.Mean(); ok {
 			list = append(list, mean)
@@ -125,11 +125,15 @@
 		prefill = keep(prefill, seen.Prefill)
 		first = keep(first, seen.First)
 		step = keep(step, seen.Step)
+		if seen.Quick > 0 {
+			quick = append(quick, seen.Quick)
+		}
 	}
 	return Base{
 		Prefill: median(prefill, defaultBase.Prefill),
 		First:   median(first, defaultBase.First),
 		Step:    median(step, defaultBase.Step),
+		Quick:   median(quick, defaultBase.Quick),
 	}
 }
 
--- a/pool/seen.go
+++ b/pool/seen.go
@@ -61,6 +61,32 @@
 	First Pace
 	// Step is by token of an answer.
 	Step Pace
+	// Quick is a low quantile of the prefill times by token: what the engine
+	// takes where nothing unseen was ahead.
+	Quick float64
+}
+
+// The quantile that Quick follows, and the share by which one observation
+// moves it.
+const (
+	quickQuantile = 0.3
+	quickStep     = 0.1
+	// quickLeast is the least amount, in tokens, that tells the speed.
+	quickLeast = 256
+)
+
+// quick moves the quantile towards one observation.
+func (s *Seen) quick(took clock.Millis, amount float64) {
+	x := float64(took) / amount
+	switch {
+	case amount < quickLeast:
+	case s.Quick == 0:
+		s.Quick = x
+	case x < s.Quick:
+		s.Quick *= 1 - quickStep*(1-quickQuantile)
+	default:
+		s.Quick *= 1 + quickStep*quickQuantile
+	}
 }
 
 // The priors of the scores: this much time as usual stands against what was
@@ -112,10 +138,12 @@
 	Prefill float64
 	First   float64
 	Step    float64
+	// Quick is the time by token of a prefill with nothing unseen ahead.
+	Quick float64
 }
 
 // defaultBase is assumed until something was observed.
-var defaultBase = Base{Prefill: 0.1, First: 50, Step: 30}
+var defaultBase = Base{Prefill: 0.1, First: 50, Step: 30, Quick: 0.1}
 
 // slowFrom is the score from which an upstream counts as a straggler.
 const slowFrom = 2.0
--- a/pool/table.go
+++ b/pool/table.go
@@ -184,6 +184,7 @@
 func (s *slot) observe(now, took clock.Millis, amount float64) {
 	if took > 0 {
 		s.state.Seen.Prefill.add(now, took, amount)
+		s.state.Seen.quick(took, amount)
 	}
 }
 
@@ -233,7 +234,7 @@
 		Running: st.Own.Requests,
 		Pieces:  st.Upstream.Pieces,
 		Free:    st.free(),
-		Speed:   1 / base.Prefill,
+		Speed:   1 / base.Quick,
 		First:   base.First,
 		Step:    base.Step,
 		Rate:    st.Upstream.Rate,
