place: tests of what is refused, reserved and given back

TestPromise/not_run_is_true covers each refusal of the desk: the code, run not_run for a first attempt, unknown for a later one, and no work left counted at any upstream.

--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,172 @@
+package place_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/grant"
+	"lacewinghook.example/lacewinghook/place"
+	"lacewinghook.example/lacewinghook/pool"
+	"lacewinghook.example/lacewinghook/route"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const now clock.Millis = 1000
+
+// desk stands before one prefill and two decode upstreams of 4 pieces.
+func desk() (*place.Desk, *pool.Table, *clock.Manual) {
+	m := &clock.Manual{}
+	m.Advance(now)
+	c := clock.Clock{Manual: m}
+	tab := &pool.Table{Clock: c}
+	tab.Apply(&core.Document{Upstreams: []core.Upstream{
+		{Name: "p1", Role: core.Prefill, Models: []string{"verse"}},
+		{Name: "d1", Role: core.Decode, Models: []string{"verse"}, Pieces: 4},
+		{Name: "d2", Role: core.Decode, Models: []string{"verse"}, Pieces: 4},
+	}})
+	return &place.Desk{Upstreams: tab, Chooser: route.Cost{}, Memory: &grant.Alone{Counts: tab}, Clock: c}, tab, m
+}
+
+// request needs so many pieces and has its first token's target in a second.
+func request(pieces int) *core.Request {
+	return &core.Request{
+		Model: "verse", Prompt: strings.Repeat("x", 400), MaxTokens: pieces*core.PieceTokens - 100,
+		Workspace: "w", Arrived: now, Profile: core.Profile{FirstToken: clock.Second},
+	}
+}
+
+func query(r *core.Request) place.Query {
+	return place.Query{Try: core.Try{Request: r, Attempt: 1}}
+}
+
+// idle reports whether nothing of this entry is left at any upstream.
+func idle(tab *pool.Table) bool {
+	for _, name := range tab.Names() {
+		if s, _ := tab.Get(name); s.Own != (pool.Work{}) {
+			return false
+		}
+	}
+	return true
+}
+
+func TestPromise(t *testing.T) {
+	t.Run("not_run_is_true", func(t *testing.T) {
+		for name, tc := range map[string]struct {
+			edit func(r *core.Request, tab *pool.Table, m *clock.Manual)
+			code codes.Code
+		}{
+			"no upstream":    {func(r *core.Request, _ *pool.Table, _ *clock.Manual) { r.Model = "prose" }, codes.NoUpstream},
+			"all draining":   {func(_ *core.Request, tab *pool.Table, _ *clock.Manual) { tab.Drain("p1", true) }, codes.NoUpstream},
+			"too long":       {func(r *core.Request, _ *pool.Table, _ *clock.Manual) { r.MaxTokens = 5 * core.PieceTokens }, codes.TooLong},
+			"deadline past":  {func(r *core.Request, _ *pool.Table, m *clock.Manual) { r.Deadline = now + 5; m.Advance(5) }, codes.DeadlinePast},
+			"target too far": {func(_ *core.Request, _ *pool.Table, m *clock.Manual) { m.Advance(2 * clock.Second) }, codes.DeadlineUnmet},
+		} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				d, tab, m := desk()
+				r := request(1)
+				tc.edit(r, tab, m)
+				_, err := d.Place(t.Context(), query(r))
+				is.True(codes.Has(err, tc.code))
+				is.Equal(codes.From(err).Run, codes.NotRun)
+				is.True(idle(tab))
+				// A later attempt can't promise it: an earlier one may have run.
+				q := query(r)
+				q.Try.Attempt = 2
+				if _, err := d.Place(t.Context(), q); err != nil {
+					is.Equal(codes.From(err).Run, codes.Unknown)
+				}
+			})
+		}
+		t.Run("no memory in time", func(t *testing.T) {
+			is := is.New(t)
+			d, tab, m := desk()
+			full := fill(t, d)
+			got := make(chan error)
+			go func() {
+				_, err := d.Place(t.Context(), query(request(4)))
+				got <- err
+			}()
+			waitFor(d, 1)
+			m.Advance(2 * clock.Second)
+			err := <-got
+			is.True(codes.Has(err, codes.DeadlineUnmet))
+			is.Equal(codes.From(err).Run, codes.NotRun)
+			for _, p := range full {
+				d.Release(p, nil)
+			}
+			is.True(idle(tab))
+		})
+	})
+}
+
+// fill takes all decode memory.
+func fill(t *testing.T, d *place.Desk) (all []*place.Placement) {
+	for range 2 {
+		p, err := d.Place(t.Context(), query(request(4)))
+		is.New(t).NoErr(err)
+		d.Prefilled(p, 1, nil)
+		d.FirstToken(p, 1)
+		all = append(all, p)
+	}
+	return all
+}
+
+// waitFor returns once n requests wait in the line.
+func waitFor(d *place.Desk, n int) {
+	ctx, done := context.WithTimeout(context.Background(), (10 * clock.Second).Std())
+	defer done()
+	for d.Waiting() != n && (clock.Clock{}).Sleep(ctx, 1) == nil {
+	}
+}
+
+func TestReleaseWakesTheLine(t *testing.T) {
+	is := is.New(t)
+	d, tab, _ := desk()
+	full := fill(t, d)
+	var wait sync.WaitGroup
+	var second *place.Placement
+	wait.Go(func() { second, _ = d.Place(t.Context(), query(request(4))) })
+	waitFor(d, 1)
+	s, _ := tab.Get("p1")
+	is.Equal(s.Own.Requests, 0) // its prefill hasn't begun
+	d.Release(full[0], nil)
+	wait.Wait()
+	is.Equal(second.Decode.Name, full[0].Decode.Name)
+	d.Release(second, nil)
+	d.Release(second, nil) // a second release gives back nothing
+	d.Release(full[1], nil)
+	is.True(idle(tab))
+}
+
+func TestExportGoesToAnotherDecode(t *testing.T) {
+	is := is.New(t)
+	d, tab, _ := desk()
+	q := query(request(1))
+	q.Try.Attempt = 2
+	q.Failed = []string{"d1"}
+	q.Export = &core.Export{Upstream: "p1", Expires: now + 500}
+	for range 4 {
+		p, err := d.Place(t.Context(), q)
+		is.NoErr(err)
+		is.Equal(p.Decode.Name, "d2")
+		is.Equal(p.Prefill.Name, "")
+		d.Release(p, nil)
+	}
+	// Where both have failed, not the one that failed last.
+	q.Failed = []string{"d2", "d1"}
+	p, err := d.Place(t.Context(), q)
+	is.NoErr(err)
+	is.Equal(p.Decode.Name, "d2")
+	d.Release(p, nil)
+	is.True(idle(tab))
+}
