once: orders under faults of platform and service together

60 orders, each sent four times to either entry, while random faults meet the platform's calls and the service loses answers.

--- a/once/promise_test.go
+++ b/once/promise_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -14,6 +15,7 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/fake"
 	"lacewinghook.example/lacewinghook/plat"
+	"lacewinghook.example/lacewinghook/record"
 	"lacewinghook.example/lacewinghook/trial"
 )
 
@@ -110,6 +112,7 @@
 		t.Run("entry stops in between", entryStops)
 		t.Run("one replica refuses the connection", replicaRefuses)
 		t.Run("platform down for long", platformDown)
+		t.Run("faults together", faultsTogether)
 	})
 }
 
@@ -286,3 +289,48 @@
 }
 
 func keyOf(i int) string { return "k" + string(rune('a'+i%26)) + string(rune('a'+i/26)) }
+
+// faultsTogether sends orders again and again to both entries while the
+// platform's calls and the service's answers are lost at random.
+func faultsTogether(t *testing.T) {
+	const orders, sends = 60, 4
+	is := is.New(t)
+	set := startSet(t, nil)
+	svc := set.Services[0]
+	var wg sync.WaitGroup
+	refused := make([]bool, orders)
+	for i := range orders {
+		draw := rand.New(rand.NewPCG(1, uint64(i)))
+		wg.Go(func() {
+			refused[i] = true
+			for range sends {
+				set.Platform.Faults.Add(plat.Fault{
+					Kind:  []plat.Kind{plat.Down, plat.Lost, plat.Dropped, plat.Late, plat.Held, plat.Slow}[draw.IntN(6)],
+					Op:    []plat.Op{plat.Commit, plat.Commit, plat.Read}[draw.IntN(3)],
+					Count: 1 + draw.IntN(3), Delay: clock.Millis(draw.IntN(1500)), Prefix: record.Prefix,
+				})
+				svc.Trouble.Set(fake.Ills{LoseAnswers: draw.IntN(3)})
+				_, err := send(set, draw.IntN(2), keyOf(i))
+				refused[i] = refused[i] && err != nil && codes.From(err).Run == codes.NotRun
+			}
+		})
+	}
+	wg.Wait()
+	for i, never := range refused {
+		is.True(!never || svc.Runs()[keyOf(i)] == 0) // every call was refused as not run
+	}
+	set.Platform.Faults.Clear()
+	svc.Trouble.Set(fake.Ills{})
+	ends := make(map[codes.Code]int)
+	for i := range orders {
+		var err error
+		until(t, func() bool {
+			_, err = send(set, i%2, keyOf(i))
+			return err == nil || codes.Has(err, codes.OutcomeUnknown)
+		})
+		ends[codeOf(err)]++
+		is.True(svc.Runs()[keyOf(i)] <= 1)
+		is.True(err != nil || svc.Runs()[keyOf(i)] == 1)
+	}
+	t.Logf("%d answered, %d unknown", ends[0], ends[codes.OutcomeUnknown])
+}
