--- a/fake/batch.go
+++ b/fake/batch.go
@@ -6,6 +6,7 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/prose"
 )
 
 // sequence is one request at a decode engine.
@@ -18,7 +19,7 @@
 	cancel  context.CancelFunc
 
 	mu     sync.Mutex
-	writer *writer
+	writer *prose.Writer
 	tokens []string
 	// offset is the count of tokens that earlier attempts gave.
 	offset int
@@ -90,7 +91,7 @@
 				return
 			}
 		}
-		if e.Clock.Sleep(ctx, e.Trouble.stretch(e.step())) != nil {
+		if e.Clock.Sleep(ctx, e.Trouble.Stretch(e.step())) != nil {
 			return
 		}
 		for _, s := range seqs {
@@ -102,7 +103,7 @@
 func (e *Engine) advance(s *sequence) {
 	s.mu.Lock()
 	if !s.ended {
-		s.tokens = append(s.tokens, s.writer.next())
+		s.tokens = append(s.tokens, s.writer.Next())
 		s.ended = len(s.tokens) >= s.limit
 		e.Count.Tokens.Add(1)
 	}
@@ -129,7 +130,7 @@
 	s.pieces = 0
 	s.mu.Unlock()
 	if pieces > 0 {
-		e.memory.give(pieces, e.pieces())
+		e.memory.Give(pieces, e.pieces())
 	}
 	e.Clock.AfterFunc(textLife, func() { e.forget(s) })
 }
--- a/fake/decode.go
+++ b/fake/decode.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/mux"
 
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/prose"
 )
 
 // decode takes a prefill's result and streams the answer.
@@ -33,7 +34,7 @@
 	s := &sequence{
 		id: c.id, owner: c.owner, attempt: c.attempt, reader: c.attempt,
 		start: e.Clock.Now(), cancel: cancel,
-		writer: newWriter(c.Prompt), offset: c.Offset, limit: c.MaxTokens,
+		writer: prose.NewWriter(c.Prompt), offset: c.Offset, limit: c.MaxTokens,
 		moved: make(chan struct{}),
 	}
 	if !e.enter(s) {
@@ -41,7 +42,7 @@
 		return nil, errOldAttempt
 	}
 	pieces := core.Pieces(core.TokenEstimate(c.Prompt) + c.MaxTokens)
-	if err := e.memory.take(ctx, pieces, c.Priority, e.pieces()); err != nil {
+	if err := e.memory.Take(ctx, pieces, c.Priority, e.pieces()); err != nil {
 		e.forget(s)
 		return nil, err
 	}
--- a/fake/doc.go
+++ b/fake/doc.go
@@ -1,5 +1,6 @@
-// Package fake holds small stand-ins for the upstreams: a model engine, for
-// prefill or decode, and a plain service. Tests and trial runs use them.
+// Package fake is a small stand-in for a model engine, for prefill or decode.
+// Tests and trial runs use it. Its faults are in package fault, its memory in
+// kvmem, its text in prose; the stand-in for a plain service is shop.
 //
 // A model engine answers with text that follows from the text before it
 // alone: the same prompt gives the same answer on every engine, and the answer
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -8,6 +8,8 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/fault"
+	"lacewinghook.example/lacewinghook/kvmem"
 	"lacewinghook.example/lacewinghook/shard"
 )
 
@@ -30,14 +32,14 @@
 	// Count counts what the engine did; tests take it as the witness.
 	Count Count
 	// Trouble holds the faults in force.
-	Trouble Trouble
+	Trouble fault.Trouble
 
-	memory  memory
+	memory  kvmem.Memory
 	seqs    shard.Map[string, *sequence]
 	prompts shard.Map[string, *prompt]
 	exports shard.Map[string, *export]
 	power   power
-	cache   cache
+	cache   kvmem.Cache
 	batch   batch
 	lane    lane
 	reports reports
@@ -126,7 +128,7 @@
 
 // Held returns the pieces of memory that are in use.
 func (e *Engine) Held() int {
-	return e.memory.used()
+	return e.memory.Used()
 }
 
 // Sequences returns how many requests the batch advances.
--- a/fake/http.go
+++ b/fake/http.go
@@ -10,6 +10,8 @@
 	"github.com/gorilla/mux"
 
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/fault"
+	"lacewinghook.example/lacewinghook/reply"
 )
 
 // maxBodyBytes bounds the body of one call.
@@ -123,7 +125,7 @@
 	if e.Clock.Sleep(r.Context(), e.Trouble.Now().SlowCancels) != nil {
 		return
 	}
-	if e.Trouble.spend(func(i *Ills) *int { return &i.LoseCancels }) {
+	if e.Trouble.Spend(func(i *fault.Ills) *int { return &i.LoseCancels }) {
 		panic(http.ErrAbortHandler)
 	}
 	id, attempt := mux.Vars(r)["id"], attemptOf(r)
@@ -136,7 +138,7 @@
 		return
 	}
 	e.Count.Cancels.Add(1)
-	writeJSON(w, http.StatusOK, struct{}{})
+	reply.JSON(w, http.StatusOK, struct{}{})
 }
 
 // release frees what the engine holds for the request up to the attempt, and
@@ -178,11 +180,11 @@
 		list = append(list, core.Running{ID: id, Owner: x.owner, Attempt: x.attempt, Age: now - x.start})
 		return true
 	})
-	writeJSON(w, http.StatusOK, list)
+	reply.JSON(w, http.StatusOK, list)
 }
 
 func (e *Engine) setIlls(w http.ResponseWriter, r *http.Request) {
-	var ills Ills
+	var ills fault.Ills
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&ills); err != nil {
 		writeError(w, http.StatusBadRequest, "bad_request", err.Error())
 		return
@@ -219,13 +221,7 @@
 }
 
 func (e *Engine) showCount(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, e.Tally())
-}
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
+	reply.JSON(w, http.StatusOK, e.Tally())
 }
 
 func writeError(w http.ResponseWriter, status int, name, message string) {
--- a/fake/order.go
+++ b/fake/order.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/reply"
 )
 
 // orders is what the engine was ordered to run.
@@ -33,7 +34,7 @@
 		writeError(w, http.StatusConflict, "order_stale", "a newer fencing number was seen")
 		return
 	}
-	writeJSON(w, http.StatusOK, struct{}{})
+	reply.JSON(w, http.StatusOK, struct{}{})
 }
 
 func (s *orders) take(o Order, fences bool) bool {
@@ -61,5 +62,5 @@
 	e.orders.mu.Lock()
 	s := EngineState{Fence: e.orders.fence, State: e.orders.state, Taken: e.orders.taken, Refused: e.orders.refused}
 	e.orders.mu.Unlock()
-	writeJSON(w, http.StatusOK, s)
+	reply.JSON(w, http.StatusOK, s)
 }
--- a/fake/output.go
+++ b/fake/output.go
@@ -1,6 +1,8 @@
 package fake
 
 import (
+	"lacewinghook.example/lacewinghook/fault"
+
 	"encoding/json"
 	"net/http"
 )
@@ -9,7 +11,7 @@
 type output struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
-	trouble *Trouble
+	trouble *fault.Trouble
 	tokens  int
 	bytes   int
 }
@@ -25,7 +27,7 @@
 }
 
 func (o *output) event(e event) {
-	id, attempt := o.trouble.sign(e.ID, e.Attempt)
+	id, attempt := o.trouble.Sign(e.ID, e.Attempt)
 	if id != e.ID || attempt != e.Attempt {
 		e.ID, e.Attempt, e.Choices = id, attempt, []choice{{Text: "foreign "}}
 	}
@@ -51,7 +53,7 @@
 
 // cut closes the connection if a cut is left.
 func (o *output) cut() {
-	if o.trouble.spend(func(i *Ills) *int { return &i.CutTimes }) {
+	if o.trouble.Spend(func(i *fault.Ills) *int { return &i.CutTimes }) {
 		o.flush()
 		panic(http.ErrAbortHandler)
 	}
--- a/fake/prefill.go
+++ b/fake/prefill.go
@@ -14,6 +14,8 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/fault"
+	"lacewinghook.example/lacewinghook/reply"
 )
 
 // transfer is the kv_transfer_params of a call, in the form that vLLM uses
@@ -103,12 +105,12 @@
 		writeError(w, http.StatusConflict, "cancelled", "the request was cancelled")
 		return
 	}
-	if e.Trouble.spend(func(i *Ills) *int { return &i.LoseAnswers }) {
+	if e.Trouble.Spend(func(i *fault.Ills) *int { return &i.LoseAnswers }) {
 		panic(http.ErrAbortHandler)
 	}
 	host, port := localAddr(r)
-	id, attempt := e.Trouble.sign(c.id, c.attempt)
-	writeJSON(w, http.StatusOK, completed{
+	id, attempt := e.Trouble.Sign(c.id, c.attempt)
+	reply.JSON(w, http.StatusOK, completed{
 		ID:       id,
 		Attempt:  attempt,
 		Usage:    usage{PromptTokens: x.tokens, CachedTokens: x.tokens - computed},
@@ -122,12 +124,12 @@
 	tokens := core.TokenEstimate(c.Prompt)
 	pieces := core.Pieces(tokens)
 	boot, _ := e.power.now()
-	if e.memory.take(ctx, pieces, c.Priority, e.pieces()) != nil {
+	if e.memory.Take(ctx, pieces, c.Priority, e.pieces()) != nil {
 		return nil, 0
 	}
 	computed, err := e.compute(ctx, c.Prompt, tokens)
 	if now, _ := e.power.now(); err != nil || now != boot {
-		e.memory.give(pieces, e.pieces())
+		e.memory.Give(pieces, e.pieces())
 		return nil, computed
 	}
 	x = &export{id: c.id, owner: c.owner, attempt: c.attempt, start: e.Clock.Now(), tokens: tokens, pieces: pieces}
@@ -148,12 +150,12 @@
 	}
 	defer e.lane.exit(tokens)
 	blocks := core.Blocks(prompt)
-	computed := max(1, tokens-e.cache.hits(blocks)*core.BlockTokens)
+	computed := max(1, tokens-e.cache.Hits(blocks)*core.BlockTokens)
 	d := clock.Millis(computed / e.prefillRate())
-	if err := e.Clock.Sleep(ctx, e.Trouble.stretch(d)); err != nil {
+	if err := e.Clock.Sleep(ctx, e.Trouble.Stretch(d)); err != nil {
 		return computed, err
 	}
-	e.cache.add(blocks)
+	e.cache.Add(blocks)
 	e.Count.PrefillTokens.Add(int64(computed))
 	return computed, nil
 }
@@ -166,7 +168,7 @@
 		return now, ok && now != x
 	})
 	if dropped {
-		e.memory.give(x.pieces, e.pieces())
+		e.memory.Give(x.pieces, e.pieces())
 	}
 	return dropped
 }
@@ -196,7 +198,7 @@
 		writeError(w, http.StatusNotFound, "export_expired", "the export expired during its transfer")
 		return
 	}
-	writeJSON(w, http.StatusOK, struct{}{})
+	reply.JSON(w, http.StatusOK, struct{}{})
 }
 
 var errExpired = errors.New("the export has expired")
--- a/fake/report.go
+++ b/fake/report.go
@@ -10,6 +10,7 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/reply"
 )
 
 // reports holds readings of the engine's load, so that it can report an old
@@ -36,10 +37,10 @@
 	r := core.Report{
 		Upstream:    e.Name,
 		Running:     len(e.batch.list()),
-		Waiting:     e.memory.queued(),
+		Waiting:     e.memory.Queued(),
 		QueueTokens: e.lane.tokens(),
 		Pieces:      e.pieces(),
-		FreePieces:  e.pieces() - e.memory.used(),
+		FreePieces:  e.pieces() - e.memory.Used(),
 	}
 	now := e.Clock.Now()
 	e.reports.mu.Lock()
@@ -61,7 +62,7 @@
 	}
 	e.reports.mu.Unlock()
 	r.Boot = e.bootName()
-	writeJSON(w, http.StatusOK, r)
+	reply.JSON(w, http.StatusOK, r)
 }
 
 // eventsEvery is the time between two looks for new cache events.
@@ -73,7 +74,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	out := http.NewResponseController(w)
 	send := func(context.Context) {
-		for _, ev := range e.cache.after(after) {
+		for _, ev := range e.cache.After(after) {
 			data, _ := json.Marshal(ev)
 			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", ev.Number, data)
 			after = ev.Number
--- a/fake/trouble.go
+++ b/fault/fault.go
@@ -1,4 +1,4 @@
-package fake
+package fault
 
 import (
 	"sync"
@@ -61,13 +61,13 @@
 	return t.now
 }
 
-// stretch returns a working time as it is under the faults in force.
-func (t *Trouble) stretch(d clock.Millis) clock.Millis {
+// Stretch returns a working time as it is under the faults in force.
+func (t *Trouble) Stretch(d clock.Millis) clock.Millis {
 	return d * clock.Millis(max(1, t.Now().Slow))
 }
 
-// spend reports whether a counted fault is left, and counts it.
-func (t *Trouble) spend(count func(*Ills) *int) bool {
+// Spend reports whether a counted fault is left, and counts it.
+func (t *Trouble) Spend(count func(*Ills) *int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := count(&t.now)
@@ -78,13 +78,13 @@
 	return true
 }
 
-// sign returns the ID and attempt that an answer carries under the faults in
+// Sign returns the ID and attempt that an answer carries under the faults in
 // force.
-func (t *Trouble) sign(id string, attempt core.Attempt) (string, core.Attempt) {
-	if t.spend(func(i *Ills) *int { return &i.CrossAnswers }) {
+func (t *Trouble) Sign(id string, attempt core.Attempt) (string, core.Attempt) {
+	if t.Spend(func(i *Ills) *int { return &i.CrossAnswers }) {
 		id = "other.0000000000000001.1"
 	}
-	if t.spend(func(i *Ills) *int { return &i.LateAnswers }) {
+	if t.Spend(func(i *Ills) *int { return &i.LateAnswers }) {
 		attempt--
 	}
 	return id, attempt
--- a/fake/cache.go
+++ b/kvmem/cache.go
@@ -1,4 +1,4 @@
-package fake
+package kvmem
 
 import "sync"
 
@@ -8,24 +8,25 @@
 // maxEvents bounds the cache events that are kept for readers.
 const maxEvents = 1024
 
-// cache is an engine's prefix cache: the blocks it holds, oldest first out.
-type cache struct {
+// Cache is an engine's prefix cache: the blocks it holds, oldest first out.
+type Cache struct {
 	mu     sync.Mutex
 	held   map[uint64]bool
 	order  []uint64
-	events []cacheEvent
+	events []Event
 	last   int64
 }
 
-// cacheEvent is one change of the cache, numbered so that gaps show.
-type cacheEvent struct {
-	Number  int64    `json:"number"`
+// Event is one change of the cache, numbered so that gaps show.
+type Event struct {
+	Number int64 `json:"number"`
+	// Added and Removed are hashes of blocks.
 	Added   []uint64 `json:"added,omitempty"`
 	Removed []uint64 `json:"removed,omitempty"`
 }
 
-// hits returns how many of the leading blocks are cached.
-func (c *cache) hits(blocks []uint64) int {
+// Hits returns how many of the leading blocks are cached.
+func (c *Cache) Hits(blocks []uint64) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
@@ -35,13 +36,14 @@
 	return n
 }
 
-func (c *cache) add(blocks []uint64) {
+// Add holds the blocks too, and drops the oldest beyond the bound.
+func (c *Cache) Add(blocks []uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.held == nil {
 		c.held = make(map[uint64]bool)
 	}
-	var e cacheEvent
+	var e Event
 	for _, b := range blocks {
 		if !c.held[b] {
 			c.held[b] = true
@@ -59,7 +61,7 @@
 	}
 }
 
-func (c *cache) publish(e cacheEvent) {
+func (c *Cache) publish(e Event) {
 	c.last++
 	e.Number = c.last
 	c.events = append(c.events, e)
@@ -68,13 +70,13 @@
 	}
 }
 
-// after returns the events with a higher number.
-func (c *cache) after(n int64) []cacheEvent {
+// After returns the events with a higher number.
+func (c *Cache) After(n int64) []Event {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i, e := range c.events {
 		if e.Number > n {
-			return append([]cacheEvent(nil), c.events[i:]...)
+			return append([]Event(nil), c.events[i:]...)
 		}
 	}
 	return nil
--- a/fake/memory.go
+++ b/kvmem/memory.go
@@ -1,4 +1,4 @@
-package fake
+package kvmem
 
 import (
 	"container/heap"
@@ -6,9 +6,9 @@
 	"sync"
 )
 
-// memory counts pieces of engine memory and lines up those who wait for some,
+// Memory counts pieces of engine memory and lines up those who wait for some,
 // by priority and then by arrival.
-type memory struct {
+type Memory struct {
 	mu      sync.Mutex
 	held    int
 	waiting waiters
@@ -41,20 +41,22 @@
 	return last
 }
 
-func (m *memory) used() int {
+// Used returns the pieces that are held.
+func (m *Memory) Used() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.held
 }
 
-func (m *memory) queued() int {
+// Queued returns how many wait.
+func (m *Memory) Queued() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return len(m.waiting)
 }
 
-// take waits for pieces out of total.
-func (m *memory) take(ctx context.Context, pieces, priority, total int) error {
+// Take waits for pieces out of total.
+func (m *Memory) Take(ctx context.Context, pieces, priority, total int) error {
 	w := &waiter{pieces: min(pieces, total), priority: priority, ready: make(chan struct{})}
 	m.mu.Lock()
 	m.arrived++
@@ -72,7 +74,7 @@
 }
 
 // grant serves the head of the line while there is room.
-func (m *memory) grant(total int) {
+func (m *Memory) grant(total int) {
 	for len(m.waiting) > 0 && m.held+m.waiting[0].pieces <= total {
 		w := heap.Pop(&m.waiting).(*waiter)
 		m.held += w.pieces
@@ -83,7 +85,7 @@
 
 // leave takes a waiter out of the line, or gives back what it was granted
 // while it was leaving.
-func (m *memory) leave(w *waiter, total int) {
+func (m *Memory) leave(w *waiter, total int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if w.granted {
@@ -100,7 +102,8 @@
 	m.grant(total)
 }
 
-func (m *memory) give(pieces, total int) {
+// Give takes pieces back.
+func (m *Memory) Give(pieces, total int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.held -= min(pieces, total)
--- a/fake/text.go
+++ b/prose/prose.go
@@ -1,4 +1,4 @@
-package fake
+package prose
 
 import "strings"
 
@@ -15,25 +15,26 @@
 	fnvPrime  = 1099511628211
 )
 
-// writer makes text that follows from the text before it.
-type writer struct {
+// Writer makes text that follows from the text before it.
+type Writer struct {
 	state uint64
 }
 
-func newWriter(text string) *writer {
-	w := &writer{state: fnvOffset}
+// NewWriter returns a writer that goes on from the text.
+func NewWriter(text string) *Writer {
+	w := &Writer{state: fnvOffset}
 	w.read(text)
 	return w
 }
 
-func (w *writer) read(text string) {
+func (w *Writer) read(text string) {
 	for i := range len(text) {
 		w.state = (w.state ^ uint64(text[i])) * fnvPrime
 	}
 }
 
-// next returns the next token.
-func (w *writer) next() string {
+// Next returns the next token.
+func (w *Writer) Next() string {
 	word := words[(w.state>>17)%uint64(len(words))] + " "
 	w.read(word)
 	return word
@@ -41,10 +42,10 @@
 
 // Answer returns the n tokens that every engine answers to the prompt.
 func Answer(prompt string, n int) []string {
-	w := newWriter(prompt)
+	w := NewWriter(prompt)
 	tokens := make([]string, n)
 	for i := range tokens {
-		tokens[i] = w.next()
+		tokens[i] = w.Next()
 	}
 	return tokens
 }
