--- a/cmd/lacefake/engine.go
+++ b/cmd/lacefake/engine.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"flag"
+	"fmt"
+	"net"
+	"os"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
@@ -27,6 +30,15 @@
 	e.Role = core.Role(*role)
 	e.Speed.Step = clock.Millis(*step)
 	e.ReportLag = clock.Millis(*lag)
+	ln, err := net.Listen("tcp", *addr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lacefake:", err)
+		return exitFail
+	}
 	go e.Run(ctx)
-	return listen(ctx, *addr, e.Handler())
+	if err := e.Serve(ctx, ln); err != nil {
+		fmt.Fprintln(os.Stderr, "lacefake:", err)
+		return exitFail
+	}
+	return exitOK
 }
