flow: two tests that failed by chance, mended

The test cut while the second call might still be on its way to the engine, where its cancel can overtake it: the call then starts and is cancelled 500 ms later, as designed. The detector's larger frames are not what the bound is about: it is 64 KiB in a plain build (55,665 bytes), and 8 KiB more under the detector, whose share was measured. Stacks are let shrink before the reading, and connections to upstreams read through 1 KiB.

--- a/engine/transport.go
+++ b/engine/transport.go
@@ -6,7 +6,7 @@
 // events, and of many thousand streams each holds a connection; larger bodies
 // pass the buffers by.
 const (
-	readBuffer  = 2 << 10
+	readBuffer  = 1 << 10
 	writeBuffer = 1 << 10
 	// maxIdle bounds the kept connections to one upstream.
 	maxIdle = 64
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -133,3 +133,6 @@
 
 // Sequences returns how many requests the batch advances.
 func (e *Engine) Sequences() int { return len(e.batch.list()) }
+
+// Waiting returns how many requests wait for memory.
+func (e *Engine) Waiting() int { return e.memory.Queued() }
--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -156,7 +156,7 @@
 	}
 	each := (inUse() - before) / memoryStreams
 	t.Logf("%d bytes a stream", each)
-	is.True(each < maxStreamBytes)
+	is.True(each < maxStreamBytes+detectorBytes)
 	for _, conn := range conns {
 		is.NoErr(conn.Close())
 	}
@@ -164,10 +164,15 @@
 	entry.Close()
 }
 
+// settled is the number of collections after which stacks have shrunk to what
+// a stream that runs on needs: each halves a stack once at most.
+const settled = 5
+
 // inUse returns the bytes of live objects and of stacks.
 func inUse() int {
-	runtime.GC()
-	runtime.GC()
+	for range settled {
+		runtime.GC()
+	}
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	return int(m.HeapAlloc + m.StackInuse)
--- /dev/null
+++ b/flow/norace_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package flow_test
+
+// detectorBytes is zero without the race detector.
+const detectorBytes = 0
--- a/flow/promise_test.go
+++ b/flow/promise_test.go
@@ -204,8 +204,9 @@
 	s, end := occupied(t, trial.Plan{Pieces: 2, Policy: "least", Speed: fake.Speed{Step: 20, Prefill: 100}}, func(s *trial.Set) bool {
 		return s.Decodes[0].Held() == 2
 	})
-	prefills := s.Prefills[0].Count.Prefills.Load()
-	cutIn(t, s, func(int) bool { return s.Prefills[0].Count.Prefills.Load() > prefills })
+	waits := func(int) bool { return s.Decodes[0].Waiting() > 0 }
+	cutIn(t, s, waits)
+	within(t, freeWithin, "it waits no longer", func() bool { return !waits(0) })
 	end()
 	within(t, freeWithin, "all memory is free", func() bool { return held(s) == 0 })
 	is.New(t).Equal(s.Decodes[0].Count.Decodes.Load(), int64(1))
