flow: a crash under a resumed request counts too

The entry that had taken a stream over didn't tell of a break, so that the request was no suspect after it. go test -race ./flow -run of resume, answered_once_and_whole and the cut after a resume: ok.

--- a/flow/resume.go
+++ b/flow/resume.go
@@ -50,12 +50,17 @@
 	p := &place.Placement{Decode: up}
 	// The placement is not the placer's, which isn't told of a first token.
 	g := &leg{life: l, arrived: true, heard: true, try: core.Try{Request: l.request, Attempt: l.last}}
+	g.start = l.flow.Clock.Now()
+	boot := l.boot(up)
 	err := l.flow.Engines.Resume(ctx, up, l.request.ID, l.last, offset, g.token(p))
 	err = g.rejoin(ctx, p, err)
 	if err == nil {
 		return nil
 	}
 	l.cancel(up, g.try.Attempt, err)
+	if ctx.Err() == nil {
+		l.broke(ctx, up, boot, g.start, err)
+	}
 	if codes.Has(err, codes.NotFound) {
 		return codes.Wrap(codes.UpstreamLost, err, "%s no longer holds the request; it ran there at least to token %d", up.Name, l.had()).WithRun(codes.Ran)
 	}
