front: a call is judged by the document in force when it is handed on

Seen in a run of the whole suite, once of three runs: TestPromise/an_accepted_document_never_reverts/a_frozen_process_wakes, a call with a withdrawn key was served. A call was identified under the document of before the freeze; then news came in, the gate opened, and the call went on under the old document. Now, once the gate has let a call pass, the caller is identified again if another document has come in force meanwhile.

--- a/front/complete.go
+++ b/front/complete.go
@@ -50,12 +50,12 @@
 	if err != nil {
 		return nil, false, err
 	}
+	if c, err = s.admitted(r, c); err != nil {
+		return nil, false, err
+	}
 	if !c.view.HasModel(p.Model) {
 		return nil, false, codes.New(codes.UnknownModel, "field model: %.64q", p.Model)
 	}
-	if err := s.admit(); err != nil {
-		return nil, false, err
-	}
 	return &core.Request{
 		ID: idOf(r), Workspace: c.workspace.Name, Weight: max(1, c.workspace.Weight),
 		Profile: c.profile, Model: p.Model, Prompt: p.Text, MaxTokens: p.MaxTokens,
--- a/front/gate.go
+++ b/front/gate.go
@@ -1,5 +1,7 @@
 package front
 
+import "net/http"
+
 // Gate says whether this entry takes new work.
 type Gate interface {
 	// Admit returns the error for the caller if it does not.
@@ -15,3 +17,16 @@
 	}
 	return s.Gate.Admit()
 }
+
+// admitted asks the gate, and then identifies the caller once more if another
+// document came in force since c was identified: an entry that was frozen
+// between the two must not go by a key that was withdrawn meanwhile.
+func (s *Server) admitted(r *http.Request, c caller) (caller, error) {
+	if err := s.admit(); err != nil {
+		return c, err
+	}
+	if s.Views.View() == c.view {
+		return c, nil
+	}
+	return s.identify(r)
+}
--- a/front/service.go
+++ b/front/service.go
@@ -46,8 +46,27 @@
 	if err != nil {
 		return core.Call{}, err
 	}
+	call, err := s.routed(r, c)
+	if err != nil {
+		return core.Call{}, err
+	}
+	if call.Body, err = s.body(w, r); err != nil {
+		return core.Call{}, err
+	}
+	now, err := s.admitted(r, c)
+	if err != nil || now.view == c.view {
+		return call, err
+	}
+	again, err := s.routed(r, now)
+	again.Body, again.Deadline = call.Body, call.Deadline
+	return again, err
+}
+
+// routed returns the call without its body, as the document that the caller
+// was identified under has it.
+func (s *Server) routed(r *http.Request, c caller) (call core.Call, err error) {
 	vars := mux.Vars(r)
-	call := core.Call{
+	call = core.Call{
 		ID: idOf(r), Workspace: c.workspace.Name, Service: vars["service"], Method: r.Method,
 		Path: "/" + vars["path"], Query: r.URL.RawQuery, Header: make(http.Header),
 	}
@@ -72,10 +91,7 @@
 			call.Header[name] = v
 		}
 	}
-	if call.Body, err = s.body(w, r); err != nil {
-		return core.Call{}, err
-	}
-	return call, s.admit()
+	return call, nil
 }
 
 // unsafePath are characters that, decoded once more, would make another path.
--- a/front/stall_test.go
+++ b/front/stall_test.go
@@ -53,14 +53,8 @@
 
 func TestCallerThatTakesNothingCountsAsGone(t *testing.T) {
 	is := is.New(t)
-	doc := &core.Document{
-		Version:    1,
-		Profiles:   []core.Profile{{Name: "exact"}},
-		Workspaces: []core.Workspace{{Name: "verse-writers", Profile: "exact", Keys: []string{prof.Digest("k")}}},
-		Upstreams:  []core.Upstream{{Name: "decode-1", Models: []string{"verse"}}},
-	}
 	book := &prof.Book{}
-	book.Offer(doc)
+	book.Offer(documentWith(1, "k"))
 	runner := endless{gone: make(chan error, 1)}
 	s := &Server{
 		Runner: runner, Views: book, IDs: &core.Sequence{}, Log: zap.NewNop(),
