grant, place: no call to a home begins after the end; a bound for times without homes

The wait for calls under way could race with the start of one more. And while no home answers, turns are counted alone, which the size of a prefill's memory bounds and not its queue: ten times the usual wait is now the most that is sent ahead.

--- a/grant/shared.go
+++ b/grant/shared.go
@@ -32,7 +32,11 @@
 
 	leases shard.Map[string, *holding]
 	asks   shard.Map[string, *asking]
-	wait   sync.WaitGroup
+
+	// mu orders the start of calls against the end of Run.
+	mu    sync.Mutex
+	ended bool
+	wait  sync.WaitGroup
 }
 
 // holding is what this entry has at one upstream, under its shard's lock.
@@ -79,9 +83,21 @@
 // Run renews the leases until ctx ends, and waits for the asks under way.
 func (s *Shared) Run(ctx context.Context) {
 	s.Clock.Every(ctx, renewEvery, func(context.Context) { s.renew() })
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
 	s.wait.Wait()
 }
 
+// start runs f in a thread of its own unless Run has ended.
+func (s *Shared) start(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ended {
+		s.wait.Go(f)
+	}
+}
+
 func (s *Shared) edit(name string, f func(*holding)) {
 	s.leases.Update(name, func(h *holding, ok bool) (*holding, bool) {
 		if !ok {
@@ -279,7 +295,7 @@
 		return a, true
 	})
 	if begin {
-		s.wait.Go(func() { s.call(home) })
+		s.start(func() { s.call(home) })
 	}
 }
 
--- a/place/place.go
+++ b/place/place.go
@@ -55,7 +55,7 @@
 	// Memory, if nil, leaves decode memory unreserved.
 	Memory Memory
 	// Turns, if not nil, are the prefills that may be under way at each
-	// upstream; Ahead is then not used.
+	// upstream; ten times Ahead may then wait there.
 	Turns Memory
 	Clock clock.Clock
 	Meter *meter.Set
@@ -305,9 +305,7 @@
 		return codes.New(codes.NoUpstream, "model %q", model)
 	}
 	a.route.Draw = rand.Uint64()
-	if !d.Early && d.Turns == nil {
-		a.route.MaxQueue = d.ahead()
-	}
+	a.route.MaxQueue = d.maxQueue()
 	if !b.fits(a.route.Pieces) && d.Memory != nil {
 		d.Memory.Short(b.decodes, a.route.Pieces)
 		return codes.New(codes.NoMemory, "model %q: %d pieces", model, a.route.Pieces)
@@ -347,11 +345,24 @@
 	return slices.ContainsFunc(b.decodes, func(c route.Candidate) bool { return c.Free >= pieces })
 }
 
-func (d *Desk) ahead() clock.Millis {
-	if d.Ahead == 0 {
-		return defaultAhead
+// turnsAhead is how many times as much may wait before a prefill where turns
+// are counted: the queue is then kept short by them, and the bound is for the
+// times when no home answers.
+const turnsAhead = 10
+
+// maxQueue bounds the wait before the prefill of a choice; zero is no bound.
+func (d *Desk) maxQueue() clock.Millis {
+	ahead := d.Ahead
+	if ahead == 0 {
+		ahead = defaultAhead
+	}
+	switch {
+	case d.Early:
+		return 0
+	case d.Turns != nil:
+		return turnsAhead * ahead
 	}
-	return d.Ahead
+	return ahead
 }
 
 // worthwhile refuses a request whose predicted first token is later than its
