pool: what changes with each request stands on one cache line

The history of an upstream's work was written on each change and lay apart from the counts, as did the counts from their lock. It is now written every 20 ms at most.

--- a/pool/index.go
+++ b/pool/index.go
@@ -35,7 +35,9 @@
 
 // slot is the state of one upstream under its lock.
 type slot struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// keepAt is the instant of the next sample of the history.
+	keepAt  clock.Millis
 	state   State
 	past    history
 	hints   hints
--- a/pool/table.go
+++ b/pool/table.go
@@ -28,21 +28,22 @@
 	index    atomic.Pointer[index]
 }
 
-// State is what is known of one upstream.
+// State is what is known of one upstream. What changes with each request
+// stands first, apart from what is only read.
 type State struct {
+	// Own is the work that this entry has there, and Others what the report
+	// has beyond it.
+	Own    Work
+	Others Work
+	// Draining says that no new work may go there.
+	Draining bool
 	Upstream core.Upstream
 	// Report is the engine's own account, and ReportAt the instant of its
 	// data.
 	Report   core.Report
 	ReportAt clock.Millis
-	// Own is the work that this entry has there, and Others what the report
-	// has beyond it.
-	Own    Work
-	Others Work
 	// Seen is what the entry has observed.
 	Seen Seen
-	// Draining says that no new work may go there.
-	Draining bool
 }
 
 var emptyIndex = &index{}
@@ -101,7 +102,7 @@
 func (t *Table) Report(r core.Report) {
 	at := t.Clock.Now() - r.Age
 	t.edit(r.Upstream, func(s *slot) {
-		own := s.past.at(at)
+		own := s.past.at(at, s.state.Own)
 		s.state.Report = r
 		s.state.ReportAt = at
 		s.state.Others = Work{
@@ -131,8 +132,11 @@
 }
 
 func (s *slot) count(now clock.Millis, w Work, sign int) {
+	if now >= s.keepAt {
+		s.past.keep(now, s.state.Own)
+		s.keepAt = now + historyEvery
+	}
 	s.state.Own.add(w, sign)
-	s.past.keep(now, s.state.Own)
 }
 
 // Reserve counts work only if the upstream takes new work and its memory, by
--- a/pool/work.go
+++ b/pool/work.go
@@ -27,7 +27,7 @@
 }
 
 // The history of an upstream's own work reaches back at least
-// historySize*historyEvery.
+// historySize*historyEvery. Changes within historyEvery are one sample.
 const (
 	historySize               = 64
 	historyEvery clock.Millis = 20
@@ -40,32 +40,25 @@
 	next    int
 }
 
+// sample is the work up to an instant, from the sample before it on.
 type sample struct {
-	at   clock.Millis
-	work Work
+	until clock.Millis
+	work  Work
 }
 
-// keep records the work from now on. Changes within historyEvery are one
-// sample.
+// keep records the work as it was up to now.
 func (h *history) keep(now clock.Millis, w Work) {
-	last := &h.samples[(h.next+historySize-1)%historySize]
-	if h.next > 0 && now-last.at < historyEvery {
-		last.work = w
-		return
-	}
-	h.samples[h.next%historySize] = sample{at: now, work: w}
+	h.samples[h.next%historySize] = sample{until: now, work: w}
 	h.next++
 }
 
-// at returns the work at an instant, or the oldest that is known.
-func (h *history) at(instant clock.Millis) Work {
-	var found Work
+// at returns the work at an instant; after the last sample it is the present
+// one.
+func (h *history) at(instant clock.Millis, present Work) Work {
 	for i := max(0, h.next-historySize); i < h.next; i++ {
-		s := &h.samples[i%historySize]
-		if s.at > instant {
-			break
+		if s := &h.samples[i%historySize]; instant < s.until {
+			return s.work
 		}
-		found = s.work
 	}
-	return found
+	return present
 }
