place, limit: refusal at once no longer goes by queues that are gone

With turns from the homes, a queue that a late report shows is mostly gone, but a request was still refused for it at its turn. It now counts a tenth, and the line refuses only where half of the predicted wait is already too long.

--- a/entry/grant.go
+++ b/entry/grant.go
@@ -27,10 +27,12 @@
 // memory returns what counts the decode memory, or nil where none is
 // reserved.
 func (e *Entry) memory() place.Memory {
+	s, o := e.Settings, e.Settings.PolicyOptions
 	switch {
-	case !e.Settings.On(e.Settings.PolicyOptions.Reserve):
+	case !s.On(o.Reserve):
 		return nil
-	case e.Settings.PolicyOptions.Grant == config.GrantAlone:
+	case o.Grant == config.GrantAlone || !s.On(o.Late):
+		// Leases come after they are asked for: they need the line.
 		return &grant.Alone{Counts: &e.pool}
 	}
 	return &e.shared
@@ -43,7 +45,7 @@
 // where each entry goes by what it knows of the queues.
 func (e *Entry) turns() place.Memory {
 	o := e.Settings.PolicyOptions
-	if !e.leases() || !e.Settings.On(o.Late) || o.Turns < 0 {
+	if !e.leases() || o.Turns < 0 {
 		return nil
 	}
 	return &e.shared
--- a/limit/line.go
+++ b/limit/line.go
@@ -56,6 +56,9 @@
 // Bounds of a line.
 const (
 	defaultMax = 1024
+	// refuseFrom is how many times the predicted wait has to be too long for a
+	// request to be refused at once.
+	refuseFrom = 2
 	// maxTries bounds the requests that are tried in a row without room.
 	maxTries = 4
 	// maxPassed is how often others may be served past a request that found
@@ -132,7 +135,9 @@
 		return nil
 	}
 	wait := l.predict(w, now)
-	if late := now + wait + w.Need - w.Latest; late > 0 && !l.Hopeful {
+	// The line's speed swings with what the waiting ones need, so that only a
+	// prediction that is well past the latest instant is sure enough.
+	if late := now + wait/refuseFrom + w.Need - w.Latest; late > 0 && !l.Hopeful {
 		return codes.New(codes.DeadlineUnmet, "first token predicted %d ms too late", late).WithRetry(max(late, minRetry))
 	}
 	limit := l.Max
--- a/place/place.go
+++ b/place/place.go
@@ -55,7 +55,7 @@
 	// Memory, if nil, leaves decode memory unreserved.
 	Memory Memory
 	// Turns, if not nil, are the prefills that may be under way at each
-	// upstream; ten times Ahead may then wait there.
+	// upstream; the queues that reports show then count a tenth.
 	Turns Memory
 	Clock clock.Clock
 	Meter *meter.Set
@@ -259,6 +259,7 @@
 		for i := range b.prefills {
 			c := &b.prefills[i]
 			c.Free = d.Turns.Free(c.Name, 1)
+			c.Queue /= staleQueue
 		}
 	}
 	b.decodes = without(d.Upstreams.Candidates(core.Decode, model, nil, b.decodes[:0]), failed)
@@ -345,24 +346,20 @@
 	return slices.ContainsFunc(b.decodes, func(c route.Candidate) bool { return c.Free >= pieces })
 }
 
-// turnsAhead is how many times as much may wait before a prefill where turns
-// are counted: the queue is then kept short by them, and the bound is for the
-// times when no home answers.
-const turnsAhead = 10
+// staleQueue divides the queues that reports show where turns are counted: the
+// turns keep the queues short, and what a late report shows is mostly gone. The
+// rest bounds them while no home answers.
+const staleQueue = 10
 
 // maxQueue bounds the wait before the prefill of a choice; zero is no bound.
 func (d *Desk) maxQueue() clock.Millis {
-	ahead := d.Ahead
-	if ahead == 0 {
-		ahead = defaultAhead
-	}
 	switch {
 	case d.Early:
 		return 0
-	case d.Turns != nil:
-		return turnsAhead * ahead
+	case d.Ahead == 0:
+		return defaultAhead
 	}
-	return ahead
+	return d.Ahead
 }
 
 // worthwhile refuses a request whose predicted first token is later than its
