--- a/config/config.go
+++ b/config/config.go
@@ -38,7 +38,7 @@
 	// Limits bound what callers send.
 	Limits Limits `json:"limits,omitzero"`
 	// Linger is how long an entry that stops goes on taking new work, since
-	// callers may still hold its address; zero is a second over the life of
+	// callers may still hold its address; zero is 3 seconds over the life of
 	// an answer of addresses.
 	Linger clock.Millis `json:"linger,omitempty"`
 	// Log is the lowest level that is logged: debug, info, warn or error.
@@ -88,6 +88,9 @@
 	// Inputs is the number of bodies that are read at the same time; zero is
 	// 256.
 	Inputs int `json:"inputs,omitempty"`
+	// Output is how long a caller may take nothing of a streamed answer
+	// before it counts as gone; zero is 10 seconds.
+	Output clock.Millis `json:"output,omitempty"`
 }
 
 // The defaults of [Limits].
@@ -96,6 +99,7 @@
 	defaultHeader              = 32 << 10
 	defaultInput  clock.Millis = 10 * clock.Second
 	defaultInputs              = 256
+	defaultOutput clock.Millis = 10 * clock.Second
 )
 
 // Filled returns the limits with the defaults in place of zeros.
@@ -112,6 +116,9 @@
 	if l.Inputs == 0 {
 		l.Inputs = defaultInputs
 	}
+	if l.Output == 0 {
+		l.Output = defaultOutput
+	}
 	return l
 }
 
