--- a/place/place.go
+++ b/place/place.go
@@ -55,7 +55,7 @@
 	// Memory, if nil, leaves decode memory unreserved.
 	Memory Memory
 	// Turns, if not nil, are the prefills that may be under way at each
-	// upstream; Ahead is then not used.
+	// upstream; the queues that reports show then count a tenth.
 	Turns Memory
 	Clock clock.Clock
 	Meter *meter.Set
@@ -259,6 +259,7 @@
 		for i := range b.prefills {
 			c := &b.prefills[i]
 			c.Free = d.Turns.Free(c.Name, 1)
+			c.Queue /= staleQueue
 		}
 	}
 	b.decodes = without(d.Upstreams.Candidates(core.Decode, model, nil, b.decodes[:0]), failed)
@@ -305,9 +306,7 @@
 		return codes.New(codes.NoUpstream, "model %q", model)
 	}
 	a.route.Draw = rand.Uint64()
-	if !d.Early && d.Turns == nil {
-		a.route.MaxQueue = d.ahead()
-	}
+	a.route.MaxQueue = d.maxQueue()
 	if !b.fits(a.route.Pieces) && d.Memory != nil {
 		d.Memory.Short(b.decodes, a.route.Pieces)
 		return codes.New(codes.NoMemory, "model %q: %d pieces", model, a.route.Pieces)
@@ -347,8 +346,17 @@
 	return slices.ContainsFunc(b.decodes, func(c route.Candidate) bool { return c.Free >= pieces })
 }
 
-func (d *Desk) ahead() clock.Millis {
-	if d.Ahead == 0 {
+// staleQueue divides the queues that reports show where turns are counted: the
+// turns keep the queues short, and what a late report shows is mostly gone. The
+// rest bounds them while no home answers.
+const staleQueue = 10
+
+// maxQueue bounds the wait before the prefill of a choice; zero is no bound.
+func (d *Desk) maxQueue() clock.Millis {
+	switch {
+	case d.Early:
+		return 0
+	case d.Ahead == 0:
 		return defaultAhead
 	}
 	return d.Ahead
