drain: the burst needs the memory of both decode engines

The test expects that an upstream gets work again once its drain is lifted. Since leases on decode memory came in, six callers with little memory fit one engine, and the other is left alone: the test waited 30 s (drain_during_a_burst, data_centre, entry_cut_from_the_table). The engines now have 4 pieces each, so that six callers need both; the promise itself and its bound are as before.

--- a/drain/promise_test.go
+++ b/drain/promise_test.go
@@ -53,7 +53,8 @@
 func drainInBurst(t *testing.T, d drain.Drain, before func(*trial.Set)) {
 	is := is.New(t)
 	set, err := trial.Start(trial.Plan{
-		Entries: 2, Prefills: 1, Decodes: 2, Linger: 1, Relays: true,
+		// Six callers need the memory of both decode engines.
+		Entries: 2, Prefills: 1, Decodes: 2, Linger: 1, Relays: true, Pieces: 4,
 		Speed: fake.Speed{Prefill: 1000, Step: 1}, Edit: func(doc *core.Document) {
 			for i := range doc.Upstreams {
 				if doc.Upstreams[i].Name == "decode-1" {
