--- a/drain/promise_test.go
+++ b/drain/promise_test.go
@@ -15,7 +15,6 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
-	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/fake"
@@ -54,10 +53,9 @@
 func drainInBurst(t *testing.T, d drain.Drain, before func(*trial.Set)) {
 	is := is.New(t)
 	set, err := trial.Start(trial.Plan{
-		Entries: 2, Prefills: 1, Decodes: 2, Linger: 1, Relays: true,
-		// A random choice gives work to the engine in the other data centre.
-		Policy: config.PolicyRandom,
-		Speed:  fake.Speed{Prefill: 1000, Step: 1}, Edit: func(doc *core.Document) {
+		// Six callers need the memory of both decode engines.
+		Entries: 2, Prefills: 1, Decodes: 2, Linger: 1, Relays: true, Pieces: 4,
+		Speed: fake.Speed{Prefill: 1000, Step: 1}, Edit: func(doc *core.Document) {
 			for i := range doc.Upstreams {
 				if doc.Upstreams[i].Name == "decode-1" {
 					doc.Upstreams[i].Centre = "weyburn"
