--- a/load/plot.go
+++ b/chart/plot.go
@@ -1,4 +1,4 @@
-package load
+package chart
 
 import (
 	"fmt"
--- a/load/report.go
+++ b/chart/report.go
@@ -1,7 +1,6 @@
-package load
+package chart
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,23 +15,6 @@
 	Rows []Row  `json:"rows"`
 }
 
-// Run meets the plan with every policy and seed, one after another, and tells
-// of its progress.
-func Run(ctx context.Context, p *Plan, progress io.Writer) (*Report, error) {
-	r := &Report{Plan: p.Name}
-	for _, seed := range p.Seeds {
-		for _, policy := range p.Policies {
-			row, err := runOne(ctx, p, policy, seed)
-			if err != nil {
-				return r, err
-			}
-			fmt.Fprintf(progress, "load: %s seed %d: %d of %d good\n", policy.Name, seed, row.Good, row.Offered)
-			r.Rows = append(r.Rows, row)
-		}
-	}
-	return r, nil
-}
-
 // policies returns the rows by policy, in the order of the plan.
 func (r *Report) policies() (names []string, rows map[string][]Row) {
 	rows = make(map[string][]Row)
--- a/cmd/lacefake/cost.go
+++ b/cmd/lacefake/cost.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"lacewinghook.example/lacewinghook/load"
+	price "lacewinghook.example/lacewinghook/cost"
 )
 
 // cost prints the time that an entry adds to a request.
@@ -16,7 +16,7 @@
 	if status, ok := parse(flag.NewFlagSet("lacefake cost", flag.ContinueOnError), args); !ok {
 		return status
 	}
-	c, err := load.MeasureCost(ctx)
+	c, err := price.Measure(ctx)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lacefake cost:", err)
 		return exitFail
@@ -33,20 +33,20 @@
 	if status, ok := parse(fs, args); !ok {
 		return status
 	}
-	var slopes []*load.Slope
+	var slopes []*price.Slope
 	for _, text := range strings.Split(*sizes, ",") {
 		n, err := strconv.Atoi(text)
 		if err != nil || n < 1 {
 			fmt.Fprintf(os.Stderr, "lacefake slope: flag -entries: %q is not a number of entries\n", text)
 			return exitUsage
 		}
-		s, err := load.MeasureSlope(ctx, n, *upstreams)
+		s, err := price.MeasureSlope(ctx, n, *upstreams)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "lacefake slope:", err)
 			return exitFail
 		}
 		slopes = append(slopes, s)
 	}
-	load.SlopeText(os.Stdout, slopes)
+	price.SlopeText(os.Stdout, slopes)
 	return exitOK
 }
--- a/load/cost.go
+++ b/cost/cost.go
@@ -1,4 +1,4 @@
-package load
+package cost
 
 import (
 	"context"
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"lacewinghook.example/lacewinghook/chart"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/engine"
 	"lacewinghook.example/lacewinghook/fake"
@@ -19,8 +20,8 @@
 // stand-in engines without an entry. Times are in microseconds.
 type Cost struct {
 	// First is the time to the first token, Gap that between two tokens.
-	DirectFirst, EntryFirst Quantiles
-	DirectGap, EntryGap     Quantiles
+	DirectFirst, EntryFirst chart.Quantiles
+	DirectGap, EntryGap     chart.Quantiles
 }
 
 // The calls that a cost is measured by.
@@ -30,8 +31,8 @@
 	costPrompt = 2000
 )
 
-// MeasureCost makes the same calls in turn with and without an entry.
-func MeasureCost(ctx context.Context) (*Cost, error) {
+// Measure makes the same calls in turn with and without an entry.
+func Measure(ctx context.Context) (*Cost, error) {
 	set, err := trial.Start(trial.Plan{
 		Entries: 1, Prefills: 1, Decodes: 1, Speed: fake.Speed{Step: 2, Prefill: 1000}, Linger: 1,
 	})
@@ -85,11 +86,14 @@
 }
 
 func newTimes() *times {
-	return &times{first: hdrhistogram.New(1, maxMicros, precision), gap: hdrhistogram.New(1, maxMicros, precision)}
+	return &times{first: hdrhistogram.New(1, maxMicros, digits), gap: hdrhistogram.New(1, maxMicros, digits)}
 }
 
-// maxMicros is the largest time that is told apart.
-const maxMicros = 60_000_000
+// The largest time that is told apart, and the digits of its precision.
+const (
+	maxMicros = 60_000_000
+	digits    = 3
+)
 
 func (t *times) call(f func(each func()) error) error {
 	start := time.Now().UnixMicro()
@@ -105,14 +109,14 @@
 	})
 }
 
-func micros(h *hdrhistogram.Histogram) Quantiles {
-	return Quantiles{P50: h.ValueAtQuantile(50), P95: h.ValueAtQuantile(95), P99: h.ValueAtQuantile(99)}
+func micros(h *hdrhistogram.Histogram) chart.Quantiles {
+	return chart.Quantiles{P50: h.ValueAtQuantile(50), P95: h.ValueAtQuantile(95), P99: h.ValueAtQuantile(99)}
 }
 
 // Text writes the cost as a table.
 func (c *Cost) Text(w io.Writer) {
 	fmt.Fprintf(w, "%d calls in turn, %d prompt tokens, %d tokens each, a decode step of 2 ms; us\n", costCalls, costPrompt, costTokens)
-	line := func(name string, direct, entry Quantiles) {
+	line := func(name string, direct, entry chart.Quantiles) {
 		fmt.Fprintf(w, "%s: direct p50 %d p95 %d p99 %d; through an entry p50 %d p95 %d p99 %d; added p50 %d p99 %d\n",
 			name, direct.P50, direct.P95, direct.P99, entry.P50, entry.P95, entry.P99, entry.P50-direct.P50, entry.P99-direct.P99)
 	}
--- a/load/slope.go
+++ b/cost/slope.go
@@ -1,4 +1,4 @@
-package load
+package cost
 
 import (
 	"context"
@@ -61,7 +61,7 @@
 		return nil, err
 	}
 	threads := runtime.NumGoroutine()
-	start, cpu := c.Now(), cpuMicros()
+	start, cpu := c.Now(), CPU()
 	first := set.Traffic()
 	if err := c.Sleep(ctx, measureTime); err != nil {
 		return nil, err
@@ -70,7 +70,7 @@
 	each := float64(c.Now()-start) / float64(clock.Second) * float64(entries)
 	s := &Slope{
 		Entries: entries, Upstreams: upstreams,
-		CPU:     float64(cpuMicros()-cpu) / 1000 / each,
+		CPU:     float64(CPU()-cpu) / 1000 / each,
 		Threads: float64(threads) / float64(entries),
 	}
 	s.Heap = (heapKB() - before) / float64(entries)
--- a/load/drive.go
+++ b/load/drive.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"sync"
 
+	"lacewinghook.example/lacewinghook/chart"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/cost"
 	"lacewinghook.example/lacewinghook/fake"
 	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/trial"
@@ -51,11 +53,11 @@
 const maxIdle = 512
 
 // runOne starts a set, meets the arrivals and returns the row.
-func runOne(ctx context.Context, p *Plan, policy Policy, seed uint64) (Row, error) {
+func runOne(ctx context.Context, p *Plan, policy Policy, seed uint64) (chart.Row, error) {
 	arrivals := p.Arrivals(seed)
 	set, err := trial.Start(p.trial(policy))
 	if err != nil {
-		return Row{}, err
+		return chart.Row{}, err
 	}
 	defer set.Stop()
 	d := &drive{plan: p, policy: policy, slow: p.Slow, set: set}
@@ -64,14 +66,14 @@
 	}
 	d.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdle}}
 	defer d.client.CloseIdleConnections()
-	use := startUsage()
+	cpu := cost.CPU()
 	d.run(ctx, arrivals)
 	row := summarize(p, policy, d.samples)
 	row.Seed = seed
-	row.CPU = use.perRequest(len(arrivals))
+	row.CPU = float64(cost.CPU()-cpu) / float64(max(1, len(arrivals)))
 	d.settle(ctx)
-	row.engines(set)
-	row.promises(set)
+	addEngines(&row, set)
+	addPromises(&row, set)
 	return row, ctx.Err()
 }
 
