flight: requests in flight and connections in a package of their own

entry, which is to put parts together and decide nothing, held the counting of requests and the wait of a stop. They move as they were, with their test; the zero value works now, where entry had to make a channel first. entry, member and flight passed under -race before and after.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/engine"
+	"lacewinghook.example/lacewinghook/flight"
 	"lacewinghook.example/lacewinghook/front"
 	"lacewinghook.example/lacewinghook/grant"
 	"lacewinghook.example/lacewinghook/lease"
@@ -62,7 +63,7 @@
 	owner    core.Owner
 	leaving  atomic.Bool
 	self     atomic.Pointer[standing]
-	flights  flights
+	flights  flight.Book
 	meter    meter.Set
 	book     prof.Book
 	follower prof.Follower
@@ -117,8 +118,8 @@
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	g, work := errgroup.WithContext(work)
-	callers := e.server(e.counted(e.callers()))
-	callers.ConnState = e.connState
+	callers := e.server(e.flights.Count(e.callers(), e.leaving.Load))
+	callers.ConnState = e.flights.ConnState
 	operators := e.server(e.operators())
 	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
 	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
@@ -206,7 +207,7 @@
 func (e *Entry) prepare() {
 	s := e.Settings
 	e.owner = core.Owner{Instance: s.Instance, Boot: core.NewBoot()}
-	e.flights.changed = make(chan struct{}, 1)
+	e.flights.Clock = e.Clock
 	e.store = store.Client{Base: s.Platform.Base}
 	e.engines.Clock = e.Clock
 	e.engines.HTTP = &http.Client{Transport: engine.NewTransport()}
@@ -227,7 +228,7 @@
 	}
 	e.members.Boot = e.owner.Boot
 	e.members.State = e.state
-	e.members.Load = e.flights.count
+	e.members.Load = e.flights.Len
 	e.members.OnNews = e.news.ring
 	e.peers.Names = &e.members
 	e.peers.Log = e.Log
--- a/entry/member.go
+++ b/entry/member.go
@@ -178,7 +178,7 @@
 	self := e.members.Self
 	b := member.Beat{
 		Boot: e.owner.Boot, Version: e.book.Version(), Drains: e.drains.Version(),
-		Load: e.flights.count(), Rumours: e.members.Rumours(),
+		Load: e.flights.Len(), Rumours: e.members.Rumours(),
 		Marks: e.suspects.Unkept(),
 	}
 	if s := e.self.Load(); s != nil {
--- a/entry/stop_test.go
+++ b/flight/book_test.go
@@ -1,4 +1,4 @@
-package entry
+package flight
 
 import (
 	"context"
@@ -13,20 +13,19 @@
 
 // A connection on which a request has begun to arrive keeps the entry from
 // ending before the request is counted as in flight.
-func TestStopWaitsForARequestThatHasBegunToArrive(t *testing.T) {
+func TestQuietWaitsForARequestThatHasBegunToArrive(t *testing.T) {
 	is := is.New(t)
 	m := &clock.Manual{}
-	e := &Entry{Clock: clock.Clock{Manual: m}}
-	e.flights.changed = make(chan struct{}, 1)
+	b := &Book{Clock: clock.Clock{Manual: m}}
 	c, other := net.Pipe()
 	defer c.Close()
 	defer other.Close()
 	const grace = 100
-	e.connState(c, http.StateActive)
+	b.ConnState(c, http.StateActive)
 	m.Advance(10 * grace)
 	done := make(chan struct{})
 	go func() {
-		e.flights.quiet(context.Background(), e.Clock, grace)
+		b.Quiet(context.Background(), grace)
 		close(done)
 	}()
 	ended := func() bool {
@@ -43,9 +42,9 @@
 		}
 	}
 	// The ring of the connection is taken once the stop has looked at it.
-	until(func() bool { return len(e.flights.changed) == 0 })
+	until(func() bool { return len(b.changes()) == 0 })
 	is.True(!ended())
-	e.connState(c, http.StateIdle)
+	b.ConnState(c, http.StateIdle)
 	// From now on there is an instant to wait for.
 	until(func() bool { return m.Waiting() == 1 })
 	is.True(!ended())
