wire: reports are passed on without an answer

Each report that is passed on was answered, though nothing is done with the answer: a lost report is followed by another a second later.

--- a/wire/client.go
+++ b/wire/client.go
@@ -103,12 +103,29 @@
 func (c *Client) timed(ctx context.Context, timeout clock.Millis, addr string, m Method, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Std())
 	defer cancel()
+	return c.on(ctx, addr, func(conn *jsonrpc2.Conn) error {
+		return conn.Call(ctx, string(m), in, out)
+	})
+}
+
+// notify sends a message that has no answer.
+func (c *Client) notify(ctx context.Context, addr string, m Method, in any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Std())
+	defer cancel()
+	return c.on(ctx, addr, func(conn *jsonrpc2.Conn) error {
+		return conn.Notify(ctx, string(m), in)
+	})
+}
+
+// on calls f with the connection to the peer at addr, which is dropped if f
+// fails in another way than by the peer's answer.
+func (c *Client) on(ctx context.Context, addr string, f func(*jsonrpc2.Conn) error) error {
 	l := c.link(addr)
 	conn, err := c.open(ctx, l, addr)
 	if err != nil {
 		return codes.Wrap(codes.CutOff, err, "peer %s", addr)
 	}
-	err = conn.Call(ctx, string(m), in, out)
+	err = f(conn)
 	var answered *jsonrpc2.Error
 	switch {
 	case err == nil:
--- a/wire/share.go
+++ b/wire/share.go
@@ -41,13 +41,14 @@
 	return nil
 }
 
-// Share passes reports on to the peer at addr.
+// Share passes reports on to the peer at addr. There is no answer: a report
+// that is lost is followed by another a second later.
 func (c *Client) Share(ctx context.Context, addr string, reports []core.Report) error {
 	loads := make([]load, len(reports))
 	for i := range reports {
 		loads[i] = load(reports[i])
 	}
-	return c.call(ctx, addr, MethodShare, loads, &struct{}{})
+	return c.notify(ctx, addr, MethodShare, loads)
 }
 
 // OnShare answers [MethodShare] by handing the reports to take.
