--- a/drain/promise_test.go
+++ b/drain/promise_test.go
@@ -128,7 +128,13 @@
 			}
 		})
 	}
-	is.NoErr(trial.Until(ctx, func() bool { return set.Prefills[0].Held() >= 1 && set.Prefills[3].Held() >= 1 }))
+	is.NoErr(trial.Until(ctx, func() bool {
+		working := 0
+		for _, p := range set.Prefills {
+			working += min(1, p.Held())
+		}
+		return working >= 2
+	}))
 	is.NoErr((&drain.Book{Table: &store.Client{Base: set.Base}}).Drain(ctx, drain.Drain{Kind: drain.Upstream, Name: "decode-1"}))
 	ordered := clock.Clock{}.Now()
 	is.NoErr(trial.Until(ctx, func() bool { return clock.Clock{}.Now()-ordered >= bound }))
