notify: one signal in place of four

A channel of one that is made at its first use, a select with a timer, and the highest version heard stood in drain, prof, entry and flight, under the names bell, mailbox and news.

--- a/drain/book.go
+++ b/drain/book.go
@@ -8,6 +8,7 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/notify"
 )
 
 // Kind is what a drain is of.
@@ -82,7 +83,7 @@
 
 	state atomic.Pointer[Set]
 	apply applier
-	news  mailbox
+	news  notify.News
 }
 
 // State returns the drains in force. It is never nil and must not be changed.
--- a/drain/follow.go
+++ b/drain/follow.go
@@ -24,56 +24,11 @@
 	mu sync.Mutex
 }
 
-// mailbox holds the newest state that a peer was heard to have.
-type mailbox struct {
-	once sync.Once
-	ring chan struct{}
-
-	mu      sync.Mutex
-	version int64
-	peer    string
-}
-
-func (m *mailbox) bell() chan struct{} {
-	m.once.Do(func() { m.ring = make(chan struct{}, 1) })
-	return m.ring
-}
-
-func (m *mailbox) put(version int64, peer string) {
-	m.mu.Lock()
-	if version > m.version {
-		m.version, m.peer = version, peer
-	}
-	m.mu.Unlock()
-	select {
-	case m.bell() <- struct{}{}:
-	default:
-	}
-}
-
-func (m *mailbox) get() (version int64, peer string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.version, m.peer
-}
-
 // Run follows the table and the news of peers until ctx ends.
 func (b *Book) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		b.once(ctx)
-		b.wait(ctx)
-	}
-}
-
-// wait ends with news, or when the next read is due.
-func (b *Book) wait(ctx context.Context) {
-	due := make(chan struct{})
-	stop := b.Clock.AfterFunc(pollEvery, func() { close(due) })
-	defer stop()
-	select {
-	case <-due:
-	case <-b.news.bell():
-	case <-ctx.Done():
+		b.news.Wait(ctx, b.Clock, pollEvery)
 	}
 }
 
@@ -83,7 +38,7 @@
 	if err := b.Refresh(ctx); err != nil && ctx.Err() == nil && b.Log != nil {
 		b.Log.Warn("drain: the drains can't be read", zap.Error(err))
 	}
-	version, peer := b.news.get()
+	version, peer := b.news.Get()
 	if b.Peers == nil || version <= b.Version() {
 		return
 	}
@@ -102,7 +57,7 @@
 // News says that the entry at the peer address has drains of that version.
 func (b *Book) News(version int64, peer string) {
 	if version > b.Version() {
-		b.news.put(version, peer)
+		b.news.Put(version, peer)
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,6 +25,7 @@
 	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/notify"
 	"lacewinghook.example/lacewinghook/once"
 	"lacewinghook.example/lacewinghook/place"
 	"lacewinghook.example/lacewinghook/poison"
@@ -89,7 +90,7 @@
 	reports   share.Reader
 	// news wakes the heartbeats, listed does so with the first list, and met
 	// closes metAll once all partners were asked.
-	news   bell
+	news   notify.Signal
 	listed sync.Once
 	met    sync.Once
 	metAll chan struct{}
@@ -229,7 +230,7 @@
 	e.members.Boot = e.owner.Boot
 	e.members.State = e.state
 	e.members.Load = e.flights.Len
-	e.members.OnNews = e.news.ring
+	e.members.OnNews = e.news.Send
 	e.peers.Names = &e.members
 	e.peers.Log = e.Log
 	e.prepareNews()
--- a/entry/member.go
+++ b/entry/member.go
@@ -38,31 +38,12 @@
 			next.Turn = max(next.Turn, old.Turn+1)
 		}
 		if e.self.CompareAndSwap(old, next) {
-			e.news.ring()
+			e.news.Send()
 			return
 		}
 	}
 }
 
-// bell wakes a thread that waits. The zero value is ready.
-type bell struct {
-	once sync.Once
-	c    chan struct{}
-}
-
-func (b *bell) wait() <-chan struct{} {
-	b.once.Do(func() { b.c = make(chan struct{}, 1) })
-	return b.c
-}
-
-func (b *bell) ring() {
-	b.wait()
-	select {
-	case b.c <- struct{}{}:
-	default:
-	}
-}
-
 // readList reads the platform's list again and again, the less often the
 // longer it is.
 func (e *Entry) readList(ctx context.Context) {
@@ -71,7 +52,7 @@
 		switch {
 		case err == nil:
 			e.members.List(l)
-			e.listed.Do(e.news.ring)
+			e.listed.Do(e.news.Send)
 		case ctx.Err() == nil:
 			e.Log.Warn("entry: the instance list can't be read", zap.Error(err))
 		}
@@ -135,14 +116,7 @@
 
 func (e *Entry) pause(ctx context.Context) {
 	_ = e.Clock.Sleep(ctx, beatGap)
-	due := make(chan struct{})
-	stop := e.Clock.AfterFunc(e.members.Pace().Beat-beatGap, func() { close(due) })
-	defer stop()
-	select {
-	case <-due:
-	case <-e.news.wait():
-	case <-ctx.Done():
-	}
+	e.news.Wait(ctx, e.Clock, e.members.Pace().Beat-beatGap)
 }
 
 // beatOne beats one entry and takes its answer over.
--- a/entry/prof.go
+++ b/entry/prof.go
@@ -18,7 +18,7 @@
 	e.book.OnChange = func(v *prof.View) {
 		e.pool.Apply(v.Doc)
 		e.applyDrains()
-		e.news.ring()
+		e.news.Send()
 	}
 	e.follower = prof.Follower{
 		Book: &e.book, Table: &e.store, Peers: &e.peers, Freshness: &e.members.Document,
@@ -30,7 +30,7 @@
 		OnChange: func(*drain.Set) {
 			e.applyDrains()
 			e.announce()
-			e.news.ring()
+			e.news.Send()
 		},
 	}
 	e.desk = prof.Desk{Table: &e.store, Clock: e.Clock, Book: &e.book}
--- a/flight/book.go
+++ b/flight/book.go
@@ -4,10 +4,10 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/notify"
 	"lacewinghook.example/lacewinghook/shard"
 )
 
@@ -20,8 +20,7 @@
 	conns   shard.Map[net.Conn, conn]
 	last    atomic.Uint64
 	n       atomic.Int64
-	once    sync.Once
-	changed chan struct{}
+	changed notify.Signal
 }
 
 // Request is one request in flight.
@@ -67,7 +66,7 @@
 func (b *Book) end(key uint64) {
 	b.running.Delete(key)
 	b.n.Add(-1)
-	b.signal()
+	b.changed.Send()
 }
 
 // ConnState takes note of what a caller's connection does. One that was
@@ -81,20 +80,7 @@
 	default:
 		b.conns.Delete(c)
 	}
-	b.signal()
-}
-
-// changes returns the channel that gets a value after changes.
-func (b *Book) changes() chan struct{} {
-	b.once.Do(func() { b.changed = make(chan struct{}, 1) })
-	return b.changed
-}
-
-func (b *Book) signal() {
-	select {
-	case b.changes() <- struct{}{}:
-	default:
-	}
+	b.changed.Send()
 }
 
 // Quiet waits until no request is in flight and every connection has been
@@ -114,14 +100,12 @@
 // wait ends with a change, or after d if nothing is busy: whatever is busy
 // signals its end, and there is nothing else to wait for.
 func (b *Book) wait(ctx context.Context, busy bool, d clock.Millis) {
-	due := make(chan struct{})
 	if !busy {
-		stop := b.Clock.AfterFunc(d, func() { close(due) })
-		defer stop()
+		b.changed.Wait(ctx, b.Clock, d)
+		return
 	}
 	select {
-	case <-due:
-	case <-b.changes():
+	case <-b.changed.C():
 	case <-ctx.Done():
 	}
 }
--- a/flight/book_test.go
+++ b/flight/book_test.go
@@ -42,7 +42,7 @@
 		}
 	}
 	// The ring of the connection is taken once the stop has looked at it.
-	until(func() bool { return len(b.changes()) == 0 })
+	until(func() bool { return len(b.changed.C()) == 0 })
 	is.True(!ended())
 	b.ConnState(c, http.StateIdle)
 	// From now on there is an instant to wait for.
--- /dev/null
+++ b/notify/signal_test.go
@@ -0,0 +1,33 @@
+package notify_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/notify"
+)
+
+func TestWaitEndsWithSignalTimeOrContext(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var s notify.Signal
+	s.Send()
+	s.Send() // kept as one
+	is.True(s.Wait(ctx, clock.Clock{}, clock.Minute))
+	is.True(!s.Wait(ctx, clock.Clock{}, 1))
+	cancel()
+	is.True(!s.Wait(ctx, clock.Clock{}, clock.Minute))
+}
+
+func TestNewsKeepsTheHighest(t *testing.T) {
+	is := is.New(t)
+	var n notify.News
+	n.Put(3, "a")
+	n.Put(2, "b")
+	version, peer := n.Get()
+	is.Equal(version, int64(3))
+	is.Equal(peer, "a")
+}
--- a/prof/follow.go
+++ b/prof/follow.go
@@ -4,13 +4,13 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 
 	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/notify"
 )
 
 // Peers reads the document that another entry has in force.
@@ -44,46 +44,16 @@
 	Log    *zap.Logger
 	Meter  *meter.Set
 
-	news   news
+	news   notify.News
 	warned int64
 }
 
-// news is the highest version that a peer was heard to have. The zero value
-// is ready.
-type news struct {
-	once sync.Once
-	ring chan struct{}
-
-	mu      sync.Mutex
-	version int64
-	peer    string
-}
-
-func (n *news) bell() chan struct{} {
-	n.once.Do(func() { n.ring = make(chan struct{}, 1) })
-	return n.ring
-}
-
-func (n *news) get() (version int64, peer string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.version, n.peer
-}
-
 // News says that the entry at the peer address has that version in force.
 func (f *Follower) News(version int64, peer string) {
 	if version <= f.Book.Version() {
 		return
 	}
-	f.news.mu.Lock()
-	if version > f.news.version {
-		f.news.version, f.news.peer = version, peer
-	}
-	f.news.mu.Unlock()
-	select {
-	case f.news.bell() <- struct{}{}:
-	default:
-	}
+	f.news.Put(version, peer)
 }
 
 // pollEvery is the time between two reads of the stamp. News of peers come
@@ -98,17 +68,10 @@
 	}
 }
 
+// wait ends when the next read is due, or with news and a part of the spread.
 func (f *Follower) wait(ctx context.Context) {
-	due := make(chan struct{})
-	stop := f.Clock.AfterFunc(pollEvery, func() { close(due) })
-	defer stop()
-	select {
-	case <-due:
-	case <-f.news.bell():
-		if f.Spread != nil && f.Book.Version() > 0 {
-			_ = f.Clock.Sleep(ctx, rand.N(f.Spread()+1))
-		}
-	case <-ctx.Done():
+	if f.news.Wait(ctx, f.Clock, pollEvery) && f.Spread != nil && f.Book.Version() > 0 {
+		_ = f.Clock.Sleep(ctx, rand.N(f.Spread()+1))
 	}
 }
 
@@ -119,7 +82,7 @@
 		f.log("prof: the table can't be read", zap.Error(err))
 	}
 	f.meet(ctx)
-	version, peer := f.news.get()
+	version, peer := f.news.Get()
 	if f.Peers == nil || version <= f.Book.Version() {
 		return
 	}
