--- a/chart/report.go
+++ b/chart/report.go
@@ -46,6 +46,7 @@
 	{"p99", func(r *Row) float64 { return float64(r.PerToken.P99) }},
 	{"wasted %", func(r *Row) float64 { return 100 * float64(r.WastedTokens) / float64(max(1, r.PrefillTokens)) }},
 	{"cpu us", func(r *Row) float64 { return r.CPU }},
+	{"peer B/s", func(r *Row) float64 { return r.Peer }},
 	{"held", func(r *Row) float64 { return float64(r.Held) }},
 	{"wrong", func(r *Row) float64 { return float64(r.Wrong) }},
 	{"broken promises", func(r *Row) float64 { return float64(r.Violations) }},
--- a/chart/row.go
+++ b/chart/row.go
@@ -44,6 +44,9 @@
 	// CPU is the processor time of the whole process in microseconds for
 	// each request: entries, stand-ins and callers together.
 	CPU float64 `json:"cpu"`
+	// Peer is the bytes a second that each entry sent to other entries and
+	// got from them.
+	Peer float64 `json:"peer"`
 	// Series counts the good ones by the second they arrived in.
 	Series []int `json:"series"`
 }
--- a/load/drive.go
+++ b/load/drive.go
@@ -66,11 +66,15 @@
 	}
 	d.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdle}}
 	defer d.client.CloseIdleConnections()
-	cpu := cost.CPU()
+	cpu, peer := cost.CPU(), set.Traffic().Peer.Bytes
 	d.run(ctx, arrivals)
+	took := float64(d.clock.Now()-d.start) / float64(clock.Second)
+	peer = set.Traffic().Peer.Bytes - peer
 	row := summarize(p, policy, d.samples)
 	row.Seed = seed
 	row.CPU = float64(cost.CPU()-cpu) / float64(max(1, len(arrivals)))
+	// Each byte between entries leaves one of them and reaches another.
+	row.Peer = 2 * float64(peer) / took / float64(len(set.Entries))
 	d.settle(ctx)
 	addEngines(&row, set)
 	addPromises(&row, set)
