pool: an upstream counts as a straggler from 2.5 times its peers' time

Cause: with two turns at each prefill, the later of two prompts takes up to twice as long as one that is alone, so that at 2.0 a crest made upstreams look like stragglers, and hedges wasted prefills there.

Ruled out: 3.0.

--- a/pool/seen.go
+++ b/pool/seen.go
@@ -146,7 +146,7 @@
 var defaultBase = Base{Prefill: 0.1, First: 50, Step: 30, Quick: 0.1}
 
 // slowFrom is the score from which an upstream counts as a straggler.
-const slowFrom = 2.0
+const slowFrom = 2.5
 
 // Slow reports whether the upstream is a straggler among its peers.
 func (t *Table) Slow(name string) bool {
