drain: the gate before each call decides apart from entry

entry held the grace, the instants and the rule of when work may still go to a drained upstream, though it is to decide nothing. They are drain.Gate now; entry keeps the adapter. Behaviour and the test's expectations are as before: entry and drain passed under -race.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,7 +31,6 @@
 	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/prof"
-	"lacewinghook.example/lacewinghook/shard"
 	"lacewinghook.example/lacewinghook/share"
 	"lacewinghook.example/lacewinghook/store"
 	"lacewinghook.example/lacewinghook/sweep"
@@ -71,23 +70,22 @@
 	desk     prof.Desk
 	drains   drain.Book
 	draining sync.Mutex
-	// drainedAt holds the instant since when each drained upstream is so.
-	drainedAt shard.Map[string, clock.Millis]
-	pool      pool.Table
-	members   member.Table
-	store     store.Client
-	engines   engine.Client
-	peers     wire.Client
-	cancels   abort.Book
-	suspects  poison.Book
-	budget    limit.Budget
-	places    place.Desk
-	ledger    grant.Ledger
-	shared    grant.Shared
-	sweeper   sweep.Sweeper
-	orders    once.Book
-	keeper    lease.Keeper
-	reports   share.Reader
+	gate     drain.Gate
+	pool     pool.Table
+	members  member.Table
+	store    store.Client
+	engines  engine.Client
+	peers    wire.Client
+	cancels  abort.Book
+	suspects poison.Book
+	budget   limit.Budget
+	places   place.Desk
+	ledger   grant.Ledger
+	shared   grant.Shared
+	sweeper  sweep.Sweeper
+	orders   once.Book
+	keeper   lease.Keeper
+	reports  share.Reader
 	// news wakes the heartbeats, listed does so with the first list, and met
 	// closes metAll once all partners were asked.
 	news   notify.Signal
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -14,7 +14,7 @@
 // newFlow puts together what carries out completions.
 func (e *Entry) newFlow() *flow.Flow {
 	return &flow.Flow{
-		Engines: guarded{&e.engines, e}, Placer: e.placer(), Cancels: &e.cancels,
+		Engines: guarded{&e.engines, &e.gate}, Placer: e.placer(), Cancels: &e.cancels,
 		Upstreams: published{&e.pool}, Suspects: &e.suspects,
 		Budget: &e.budget, Stragglers: stragglers{e},
 		Clock: e.Clock, Meter: &e.meter,
--- a/entry/guard_test.go
+++ b/entry/guard_test.go
@@ -38,12 +38,12 @@
 	up := core.Upstream{Name: "decode-1"}
 	e.book.Offer(&core.Document{Version: 1, Upstreams: []core.Upstream{up}})
 	ctx := context.Background()
-	is.NoErr(e.open(ctx, up))
+	is.NoErr(e.gate.Open(ctx, up.Name))
 	other := &drain.Book{Table: &store.Client{Base: srv.URL}}
 	is.NoErr(other.Drain(ctx, drain.Drain{Kind: drain.Upstream, Name: up.Name}))
-	is.NoErr(e.open(ctx, up)) // not heard of yet
+	is.NoErr(e.gate.Open(ctx, up.Name)) // not heard of yet
 	m.Advance(member.CutOffAfter + 1)
-	err = e.open(ctx, up)
+	err = e.gate.Open(ctx, up.Name)
 	is.True(codes.Has(err, codes.UpstreamRefused))
 	is.Equal(codes.From(err).Run, codes.NotRun)
 }
--- a/entry/once.go
+++ b/entry/once.go
@@ -17,7 +17,7 @@
 // plain connects the calls of plain services with the book of orders.
 func (e *Entry) plain() *flow.Plain {
 	p := &flow.Plain{
-		Services: guarded{&e.engines, e}, Replicas: &e.pool, Orders: &e.orders,
+		Services: guarded{&e.engines, &e.gate}, Replicas: &e.pool, Orders: &e.orders,
 		Clock: e.Clock, Meter: &e.meter,
 	}
 	e.orders.Table = &e.store
--- a/entry/prof.go
+++ b/entry/prof.go
@@ -33,6 +33,8 @@
 			e.news.Send()
 		},
 	}
+	e.gate.Book, e.gate.Stale = &e.drains, e.members.CutOff
+	e.gate.Clock, e.gate.Log, e.gate.Meter = e.Clock, e.Log, &e.meter
 	e.desk = prof.Desk{Table: &e.store, Clock: e.Clock, Book: &e.book}
 }
 
@@ -48,7 +50,7 @@
 	for _, u := range v.Doc.Upstreams {
 		drained := e.drained(u)
 		e.pool.Drain(u.Name, drained)
-		e.noteDrain(u.Name, drained)
+		e.gate.Note(u.Name, drained)
 	}
 }
 
