--- a/prof/check.go
+++ b/check/document.go
@@ -1,4 +1,4 @@
-package prof
+package check
 
 import (
 	"encoding/hex"
@@ -28,9 +28,9 @@
 	digestBytes   = 32
 )
 
-// Check returns every fault of a document in one error with the code
+// Document returns every fault of a document in one error with the code
 // [codes.BadDocument]; each names the field it stands in.
-func Check(doc *core.Document) error {
+func Document(doc *core.Document) error {
 	c := &checker{}
 	c.counts(doc)
 	profiles := c.profiles(doc.Profiles)
--- a/prof/check_test.go
+++ b/check/document_test.go
@@ -1,13 +1,12 @@
-package prof_test
+package check_test
 
 import (
-	"encoding/json"
-	"fmt"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"lacewinghook.example/lacewinghook/check"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/prof"
@@ -20,7 +19,7 @@
 	doc := trial.Document()
 	engine := core.Upstream{Name: "decode-1", Addr: "10.0.0.1:80", Centre: "weyburn", Role: core.Decode, Models: []string{"org/verse"}}
 	doc.Upstreams = []core.Upstream{engine}
-	is.NoErr(prof.Check(&doc))
+	is.NoErr(check.Document(&doc))
 
 	doc.Profiles[0].Timeout = -1
 	doc.Profiles[1].Name = doc.Profiles[0].Name
@@ -34,9 +33,9 @@
 	doc.Routes[0].Prefix = "orders"
 	doc.Routes[1].Timeout = 0
 	doc.Desired = []core.Desired{{Upstream: "decode-9", Role: core.Service}}
-	err := prof.Check(&doc)
+	err := check.Document(&doc)
 	is.True(codes.Has(err, codes.BadDocument))
-	faults := prof.Faults(err)
+	faults := check.Faults(err)
 	want := []string{
 		"profiles[0].timeout", "profiles[1].name", "workspaces[0].profile",
 		"workspaces[0].keys[0]", "workspaces[0].keys[2]",
@@ -49,41 +48,3 @@
 		is.True(strings.HasPrefix(faults[i], field+": "))
 	}
 }
-
-// largeDocument is a document of the size that is expected in two years.
-func largeDocument() core.Document {
-	doc := trial.Document()
-	doc.Workspaces = nil
-	for i := range 990 {
-		w := core.Workspace{Name: fmt.Sprintf("workspace-%d", i), Profile: "exact"}
-		for j := range 2 {
-			w.Keys = append(w.Keys, prof.Digest(fmt.Sprint(i, j)))
-		}
-		doc.Workspaces = append(doc.Workspaces, w)
-	}
-	for i := range 1500 {
-		doc.Upstreams = append(doc.Upstreams, core.Upstream{
-			Name: fmt.Sprintf("decode-%d", i), Addr: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250),
-			Centre: fmt.Sprintf("centre-%d", i%11), Role: core.Decode, Pieces: 60, Rate: 12500000,
-			Models: []string{fmt.Sprintf("org/model-%d", i%32), fmt.Sprintf("org/model-%d", (i+7)%32)},
-		})
-	}
-	return doc
-}
-
-// TestLargeDocumentFitsItsRow publishes a document of the size to come.
-func TestLargeDocumentFitsItsRow(t *testing.T) {
-	is := is.New(t)
-	p, desk := platform(t)
-	doc := largeDocument()
-	_, err := desk.Publish(t.Context(), prof.Order{Doc: doc})
-	is.NoErr(err)
-	now, err := desk.Current(t.Context())
-	is.NoErr(err)
-	is.Equal(len(now.Upstreams), 1500)
-	plain, err := json.Marshal(now)
-	is.NoErr(err)
-	kept := len(p.Table.Read([]string{prof.Key})[0].Value)
-	t.Logf("plain %d bytes, kept %d bytes", len(plain), kept)
-	is.True(kept < len(plain)/2)
-}
--- a/config/examples_test.go
+++ b/config/examples_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/matryer/is"
 
+	"lacewinghook.example/lacewinghook/check"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
-	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/strict"
 )
 
@@ -31,7 +31,7 @@
 			is.NoErr(err)
 			doc := &core.Document{}
 			is.NoErr(strict.Decode(data, doc).Err())
-			is.NoErr(prof.Check(doc))
+			is.NoErr(check.Document(doc))
 		})
 	}
 }
--- /dev/null
+++ b/prof/large_test.go
@@ -0,0 +1,51 @@
+package prof_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/prof"
+	"lacewinghook.example/lacewinghook/trial"
+)
+
+// largeDocument is a document of the size that is expected in two years.
+func largeDocument() core.Document {
+	doc := trial.Document()
+	doc.Workspaces = nil
+	for i := range 990 {
+		w := core.Workspace{Name: fmt.Sprintf("workspace-%d", i), Profile: "exact"}
+		for j := range 2 {
+			w.Keys = append(w.Keys, prof.Digest(fmt.Sprint(i, j)))
+		}
+		doc.Workspaces = append(doc.Workspaces, w)
+	}
+	for i := range 1500 {
+		doc.Upstreams = append(doc.Upstreams, core.Upstream{
+			Name: fmt.Sprintf("decode-%d", i), Addr: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250),
+			Centre: fmt.Sprintf("centre-%d", i%11), Role: core.Decode, Pieces: 60, Rate: 12500000,
+			Models: []string{fmt.Sprintf("org/model-%d", i%32), fmt.Sprintf("org/model-%d", (i+7)%32)},
+		})
+	}
+	return doc
+}
+
+// TestLargeDocumentFitsItsRow publishes a document of the size to come.
+func TestLargeDocumentFitsItsRow(t *testing.T) {
+	is := is.New(t)
+	p, desk := platform(t)
+	doc := largeDocument()
+	_, err := desk.Publish(t.Context(), prof.Order{Doc: doc})
+	is.NoErr(err)
+	now, err := desk.Current(t.Context())
+	is.NoErr(err)
+	is.Equal(len(now.Upstreams), 1500)
+	plain, err := json.Marshal(now)
+	is.NoErr(err)
+	kept := len(p.Table.Read([]string{prof.Key})[0].Value)
+	t.Logf("plain %d bytes, kept %d bytes", len(plain), kept)
+	is.True(kept < len(plain)/2)
+}
--- a/prof/publish.go
+++ b/prof/publish.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"lacewinghook.example/lacewinghook/check"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
@@ -48,7 +49,7 @@
 // on the expected version, so it can't take effect twice, and once the table
 // answers it is known whether one of them did.
 func (d *Desk) Publish(ctx context.Context, o Order) (int64, error) {
-	if err := Check(&o.Doc); err != nil {
+	if err := check.Document(&o.Doc); err != nil {
 		return 0, err
 	}
 	o.Doc.Version = o.Expected + 1
