wire, home: leases go as arrays; one function for homes in place of two

Most of a lease's bytes were the names of its fields, and an offer was answered though nothing looks at the answer.

grant.Rendezvous and share.Home did the same; home.Of takes their place, and the test of the one stands for both: its test asks for more, even shares too. wire, grant, home, share, entry and place passed under -race.

--- a/entry/grant.go
+++ b/entry/grant.go
@@ -7,6 +7,7 @@
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/grant"
+	"lacewinghook.example/lacewinghook/home"
 	"lacewinghook.example/lacewinghook/place"
 	"lacewinghook.example/lacewinghook/pool"
 )
@@ -88,12 +89,7 @@
 
 // Home implements [grant.Homes].
 func (h leaseHomes) Home(upstream string) string {
-	live := h.e.members.Live()
-	names := make([]string, len(live))
-	for i := range live {
-		names[i] = live[i].Name
-	}
-	return grant.Rendezvous(upstream, names)
+	return home.Of(upstream, h.e.members.Live())
 }
 
 // Lease implements [grant.Homes].
--- a/entry/sweep.go
+++ b/entry/sweep.go
@@ -1,8 +1,8 @@
 package entry
 
 import (
+	"lacewinghook.example/lacewinghook/home"
 	"lacewinghook.example/lacewinghook/member"
-	"lacewinghook.example/lacewinghook/share"
 )
 
 // prepareSweep sets up the search for what dead entries left at the engines.
@@ -23,5 +23,5 @@
 
 // Home implements [sweep.Homes].
 func (h homes) Home(upstream string) bool {
-	return share.Home(upstream, h.members.Live()) == h.members.Self.Name
+	return home.Of(upstream, h.members.Live()) == h.members.Self.Name
 }
--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -130,20 +130,3 @@
 		})
 	}
 }
-
-func TestRendezvousMovesOnlyTheHomesOfTheGone(t *testing.T) {
-	is := is.New(t)
-	all := []string{"a", "b", "c", "d", "e"}
-	count := make(map[string]int)
-	for i := range 1000 {
-		up := fmt.Sprint("decode-", i)
-		home := grant.Rendezvous(up, all)
-		count[home]++
-		if home != "e" {
-			is.Equal(grant.Rendezvous(up, all[:4]), home)
-		}
-	}
-	for _, n := range count {
-		is.True(n > 100) // half of an even share
-	}
-}
--- a/share/home.go
+++ b/home/home.go
@@ -1,4 +1,4 @@
-package share
+package home
 
 import (
 	"github.com/cespare/xxhash/v2"
@@ -6,10 +6,10 @@
 	"lacewinghook.example/lacewinghook/core"
 )
 
-// Home returns the name of the entry among live that is the upstream's home;
+// Of returns the name of the entry among live that is the upstream's home;
 // empty if there is none. When an entry comes or goes, only the homes at that
 // entry move.
-func Home(upstream string, live []core.Instance) string {
+func Of(upstream string, live []core.Instance) string {
 	var best string
 	var most uint64
 	for i := range live {
--- /dev/null
+++ b/home/home_test.go
@@ -0,0 +1,41 @@
+package home_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/home"
+)
+
+func entries(n int) []core.Instance {
+	var all []core.Instance
+	for i := range n {
+		all = append(all, core.Instance{Name: fmt.Sprint("e", i)})
+	}
+	return all
+}
+
+func TestHomesAreSpreadAndMoveLittle(t *testing.T) {
+	is := is.New(t)
+	const upstreams, n = 3000, 30
+	all := entries(n)
+	counts := make(map[string]int)
+	moved := 0
+	for i := range upstreams {
+		name := fmt.Sprint("up", i)
+		before := home.Of(name, all)
+		counts[before]++
+		if after := home.Of(name, all[1:]); after != before {
+			is.Equal(before, all[0].Name) // only the homes of the one that left
+			moved++
+		}
+	}
+	is.Equal(moved, counts[all[0].Name])
+	for _, in := range all {
+		is.True(counts[in.Name] > upstreams/n/2) // at least half a fair share
+	}
+	is.Equal(home.Of("up", nil), "")
+}
--- a/share/reader.go
+++ b/share/reader.go
@@ -8,6 +8,7 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/home"
 	"lacewinghook.example/lacewinghook/pool"
 )
 
@@ -87,8 +88,7 @@
 func (r *Reader) own(live []core.Instance) []core.Upstream {
 	var ups []core.Upstream
 	for _, name := range r.Upstreams.Names() {
-		home := Home(name, live)
-		if home != r.Self && home != "" {
+		if h := home.Of(name, live); h != r.Self && h != "" {
 			continue
 		}
 		if s, ok := r.Upstreams.Get(name); ok && s.Upstream.Role != core.Service {
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -11,6 +11,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/home"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/share"
 )
@@ -23,28 +24,6 @@
 	return all
 }
 
-func TestHomesAreSpreadAndMoveLittle(t *testing.T) {
-	is := is.New(t)
-	const upstreams, n = 3000, 30
-	all := entries(n)
-	counts := make(map[string]int)
-	moved := 0
-	for i := range upstreams {
-		name := fmt.Sprint("up", i)
-		home := share.Home(name, all)
-		counts[home]++
-		if after := share.Home(name, all[1:]); after != home {
-			is.Equal(home, all[0].Name) // only the homes of the one that left
-			moved++
-		}
-	}
-	is.Equal(moved, counts[all[0].Name])
-	for _, in := range all {
-		is.True(counts[in.Name] > upstreams/n/2) // at least half a fair share
-	}
-	is.Equal(share.Home("up", nil), "")
-}
-
 // net is a set of readers that pass reports to each other, and the engines
 // that they read.
 type net struct {
@@ -120,7 +99,7 @@
 			for i, in := range n.live {
 				if i < dead {
 					for _, u := range doc.Upstreams {
-						if share.Home(u.Name, n.live) == in.Name {
+						if home.Of(u.Name, n.live) == in.Name {
 							lost++
 						}
 					}
--- a/wire/grant.go
+++ b/wire/grant.go
@@ -18,30 +18,50 @@
 
 // Lease asks the home at addr for decode memory.
 func (c *Client) Lease(ctx context.Context, addr string, a grant.Ask) (grant.Answer, error) {
-	var answer grant.Answer
-	err := c.call(ctx, addr, MethodLease, a, &answer)
-	return answer, err
+	short := ask{Holder: a.Holder, Wants: make([]want, len(a.Wants))}
+	for i := range a.Wants {
+		short.Wants[i] = want(a.Wants[i])
+	}
+	var leases []lease
+	if err := c.call(ctx, addr, MethodLease, short, &leases); err != nil {
+		return grant.Answer{}, err
+	}
+	answer := grant.Answer{Leases: make([]grant.Lease, len(leases))}
+	for i := range leases {
+		answer.Leases[i] = grant.Lease(leases[i])
+	}
+	return answer, nil
 }
 
-// Offer gives the holder at addr a lease that it asked for before.
+// Offer gives the holder at addr a lease that it asked for before. There is no
+// answer: an offer that is lost lapses.
 func (c *Client) Offer(ctx context.Context, addr string, l grant.Lease) error {
-	return c.call(ctx, addr, MethodOffer, l, &struct{}{})
+	return c.notify(ctx, addr, MethodOffer, lease(l))
 }
 
 // OnLease answers [MethodLease].
-func OnLease(lease func(context.Context, grant.Ask) grant.Answer) Func {
-	return Answer(func(ctx context.Context, a grant.Ask) (grant.Answer, error) {
-		if len(a.Wants) > maxWants {
-			return grant.Answer{}, codes.New(codes.TooLarge, "lease: over %d upstreams", maxWants)
+func OnLease(decide func(context.Context, grant.Ask) grant.Answer) Func {
+	return Answer(func(ctx context.Context, short ask) ([]lease, error) {
+		if len(short.Wants) > maxWants {
+			return nil, codes.New(codes.TooLarge, "lease: over %d upstreams", maxWants)
 		}
-		return lease(ctx, a), nil
+		a := grant.Ask{Holder: short.Holder, Wants: make([]grant.Want, len(short.Wants))}
+		for i := range short.Wants {
+			a.Wants[i] = grant.Want(short.Wants[i])
+		}
+		answer := decide(ctx, a)
+		leases := make([]lease, len(answer.Leases))
+		for i := range answer.Leases {
+			leases[i] = lease(answer.Leases[i])
+		}
+		return leases, nil
 	})
 }
 
-// OnOffer answers [MethodOffer].
+// OnOffer takes the offers of [MethodOffer].
 func OnOffer(take func(grant.Lease)) Func {
-	return Answer(func(_ context.Context, l grant.Lease) (struct{}, error) {
-		take(l)
+	return Answer(func(_ context.Context, l lease) (struct{}, error) {
+		take(grant.Lease(l))
 		return struct{}{}, nil
 	})
 }
--- a/wire/share.go
+++ b/wire/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
@@ -15,32 +14,6 @@
 // maxReports bounds the reports of one message.
 const maxReports = 512
 
-// load is a report in the short form that goes between entries: an array, so
-// that the names of the fields aren't sent every second.
-type load core.Report
-
-// loadForm is the order of the array's items.
-type loadForm = [7]json.RawMessage
-
-// MarshalJSON implements [json.Marshaler].
-func (l load) MarshalJSON() ([]byte, error) {
-	return json.Marshal([]any{l.Upstream, l.Age, l.Running, l.Waiting, l.QueueTokens, l.Pieces, l.FreePieces})
-}
-
-// UnmarshalJSON implements [json.Unmarshaler].
-func (l *load) UnmarshalJSON(data []byte) error {
-	var items loadForm
-	if err := json.Unmarshal(data, &items); err != nil {
-		return err
-	}
-	for i, v := range []any{&l.Upstream, &l.Age, &l.Running, &l.Waiting, &l.QueueTokens, &l.Pieces, &l.FreePieces} {
-		if err := json.Unmarshal(items[i], v); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Share passes reports on to the peer at addr. There is no answer: a report
 // that is lost is followed by another a second later.
 func (c *Client) Share(ctx context.Context, addr string, reports []core.Report) error {
--- a/wire/share_test.go
+++ b/wire/share_test.go
@@ -9,6 +9,7 @@
 
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/grant"
 )
 
 func TestReportSurvivesItsShortForm(t *testing.T) {
@@ -42,3 +43,16 @@
 		})
 	}
 }
+
+func TestLeaseSurvivesItsShortForm(t *testing.T) {
+	is := is.New(t)
+	want := grant.Lease{Upstream: "decode-1", Total: 3, Free: 9, Wanted: true, Life: 2000, Home: "moose-jaw-2", Seq: 7}
+	data, err := json.Marshal(lease(want))
+	is.NoErr(err)
+	var got grant.Lease
+	_, err = OnOffer(func(l grant.Lease) { got = l })(context.Background(), data)
+	is.NoErr(err)
+	is.Equal(got, want)
+	_, err = OnOffer(func(grant.Lease) { t.Error("taken") })(context.Background(), json.RawMessage(`["decode-1",3]`))
+	is.True(err != nil)
+}
