--- a/load/bound.go
+++ b/load/bound.go
@@ -13,7 +13,8 @@
 // The bound is generous: all prefill engines are taken as one, and all decode
 // memory as one; every house style is cached everywhere but for its first
 // use; requests are served in the order of their arrival and refused without
-// cost as soon as they can't meet the first token's target.
+// cost as soon as they can't meet the first token's target. Past capacity it is
+// no bound for a policy that lets short requests go before long ones.
 func (p *Plan) bound(samples []Sample) (all, crest int) {
 	sorted := make([]*Sample, 0, len(samples))
 	for i := range samples {
