--- a/limit/line.go
+++ b/limit/line.go
@@ -69,8 +69,6 @@
 	fairSlack = 8192
 	// tardyTurn gives every so many turns to those that are late.
 	tardyTurn = 8
-	// pressedTurn is the same where one of them will soon be refused.
-	pressedTurn = 2
 )
 
 // Wait returns nil once the request's Try has taken what it needs. An error
@@ -319,22 +317,12 @@
 		timely = earlier(timely, s.timely.head(), s.timely.until)
 		tardy = earlier(tardy, s.tardy.head(), s.tardy.until)
 	}
-	if timely == nil || tardy != nil && l.tardyIsDue(tardy, now) {
+	if timely == nil || tardy != nil && l.turns%tardyTurn == tardyTurn-1 {
 		return tardy
 	}
 	return timely
 }
 
-// tardyIsDue reports whether this turn is for those that are late, of which w
-// can wait least.
-func (l *Line) tardyIsDue(w *waiter, now clock.Millis) bool {
-	every := tardyTurn
-	if w.pressed(now) {
-		every = pressedTurn
-	}
-	return l.turns%every == every-1
-}
-
 func earlier(a, b *waiter, until func(*waiter) clock.Millis) *waiter {
 	switch {
 	case a == nil:
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -23,14 +23,6 @@
 // hopeless is the instant from which the request can't make its latest one.
 func (w *waiter) hopeless() clock.Millis { return w.Latest - w.Need }
 
-// pressedPart is the last part of a request's patience in which it is pressed.
-const pressedPart = 4
-
-// pressed reports whether little of the request's patience is left.
-func (w *waiter) pressed(now clock.Millis) bool {
-	return now >= w.hopeless()-(w.Latest-w.Target)/pressedPart
-}
-
 // late reports whether the request can't make its target any more.
 func (w *waiter) late(now clock.Millis) bool { return !w.Urgent && w.Target-w.Need < now }
 
