procs: what starts processes stands in a package that only tests import

trial is linked into lacefake and held the code that builds programs and starts them for the process tests, though no program may start another.

--- a/cmd/lacewinghook/process_test.go
+++ b/cmd/lacewinghook/process_test.go
@@ -17,6 +17,7 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/fake"
 	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/procs"
 	"lacewinghook.example/lacewinghook/prof"
 	"lacewinghook.example/lacewinghook/store"
 	"lacewinghook.example/lacewinghook/trial"
@@ -28,13 +29,13 @@
 	tokens    = 100
 )
 
-func startProcs(t *testing.T, ctx context.Context, n int) *trial.Procs {
+func startProcs(t *testing.T, ctx context.Context, n int) *procs.Set {
 	t.Helper()
 	dir := t.TempDir()
-	if err := trial.Build(ctx, dir); err != nil {
+	if err := procs.Build(ctx, dir); err != nil {
 		t.Fatal(err)
 	}
-	p, err := trial.StartProcs(ctx, dir, n, nil)
+	p, err := procs.Start(ctx, dir, n, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/flow/sweep_test.go
+++ b/flow/sweep_test.go
@@ -13,6 +13,7 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/procs"
 	"lacewinghook.example/lacewinghook/trial"
 )
 
@@ -58,8 +59,8 @@
 	is := is.New(t)
 	ctx := t.Context()
 	dir := t.TempDir()
-	is.NoErr(trial.Build(ctx, dir))
-	p, err := trial.StartProcs(ctx, dir, 3, nil)
+	is.NoErr(procs.Build(ctx, dir))
+	p, err := procs.Start(ctx, dir, 3, nil)
 	is.NoErr(err)
 	t.Cleanup(p.Stop)
 	type result struct {
@@ -91,8 +92,8 @@
 func engineFrozen(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
-	is.NoErr(trial.Build(t.Context(), dir))
-	p, err := trial.StartProcs(t.Context(), dir, 1, nil)
+	is.NoErr(procs.Build(t.Context(), dir))
+	p, err := procs.Start(t.Context(), dir, 1, nil)
 	is.NoErr(err)
 	t.Cleanup(p.Stop)
 	ctx, cut := context.WithCancel(t.Context())
@@ -129,7 +130,7 @@
 }
 
 // tally reads the decode engine's counters.
-func tally(ctx context.Context, p *trial.Procs) fake.Tally {
+func tally(ctx context.Context, p *procs.Set) fake.Tally {
 	var n fake.Tally
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Decode()+"/fake/count", nil)
 	if err != nil {
--- a/once/process_test.go
+++ b/once/process_test.go
@@ -15,6 +15,7 @@
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/fake"
 	"lacewinghook.example/lacewinghook/plat"
+	"lacewinghook.example/lacewinghook/procs"
 	"lacewinghook.example/lacewinghook/record"
 	"lacewinghook.example/lacewinghook/store"
 	"lacewinghook.example/lacewinghook/trial"
@@ -22,16 +23,16 @@
 
 // processes are a platform, a plain service and two entries.
 type processes struct {
-	*trial.Procs
+	*procs.Set
 	service string
 }
 
 func startProcesses(t *testing.T) *processes {
 	dir, ctx := t.TempDir(), t.Context()
-	if err := trial.Build(ctx, dir); err != nil {
+	if err := procs.Build(ctx, dir); err != nil {
 		t.Fatal(err)
 	}
-	p, err := trial.StartProcs(ctx, dir, 2, nil)
+	p, err := procs.Start(ctx, dir, 2, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/trial/procs.go
+++ b/procs/procs.go
@@ -1,4 +1,4 @@
-package trial
+package procs
 
 import (
 	"context"
@@ -15,11 +15,12 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
+	"lacewinghook.example/lacewinghook/trial"
 )
 
-// Procs is a set of stand-ins and entries that run as separate processes on
+// Set is a set of stand-ins and entries that run as separate processes on
 // loopback.
-type Procs struct {
+type Set struct {
 	// Dir holds the programs, the settings and the logs.
 	Dir     string
 	Base    int
@@ -53,16 +54,16 @@
 	cmd := exec.CommandContext(ctx, "go", append(args, "lacewinghook.example/lacewinghook/cmd/...")...)
 	out, err := cmd.CombinedOutput()
 	if err != nil {
-		return errors.Wrapf(err, "trial: build: %s", out)
+		return errors.Wrapf(err, "procs: build: %s", out)
 	}
 	return nil
 }
 
-// StartProcs starts one prefill and one decode engine, a plain service, a
+// Start starts one prefill and one decode engine, a plain service, a
 // platform and n entries, from programs that stand in dir, and returns once
 // every entry takes work. Setup, if not nil, changes each entry's settings.
-func StartProcs(ctx context.Context, dir string, n int, setup func(*config.Settings)) (*Procs, error) {
-	p := &Procs{Dir: dir, Base: freeBase()}
+func Start(ctx context.Context, dir string, n int, setup func(*config.Settings)) (*Set, error) {
+	p := &Set{Dir: dir, Base: freeBase()}
 	err := p.start(ctx, n, setup)
 	if err != nil {
 		p.Stop()
@@ -71,12 +72,12 @@
 	return p, nil
 }
 
-func (p *Procs) start(ctx context.Context, n int, setup func(*config.Settings)) error {
+func (p *Set) start(ctx context.Context, n int, setup func(*config.Settings)) error {
 	base := strconv.Itoa(p.Base)
 	cmd := exec.CommandContext(ctx, p.program("lacefake"), "files", "-dir", p.Dir, "-base", base,
 		"-entries", strconv.Itoa(n), "-prefills", "1", "-decodes", "1")
 	if out, err := cmd.CombinedOutput(); err != nil {
-		return errors.Wrapf(err, "trial: settings: %s", out)
+		return errors.Wrapf(err, "procs: settings: %s", out)
 	}
 	fakes := []struct {
 		name string
@@ -86,7 +87,7 @@
 		{"platform", 0, []string{"platform", "-config", p.file("platform.json")}},
 		{"prefill-1", prefillPorts, []string{"engine", "-name", "prefill-1", "-role", "prefill", "-prefill", "100", "-listen", p.addr(prefillPorts)}},
 		{"decode-1", decodePorts, []string{"engine", "-name", "decode-1", "-role", "decode", "-step", "5", "-listen", p.addr(decodePorts)}},
-		{"service", servicePorts, []string{"service", "-name", Service + "-1", "-listen", p.addr(servicePorts)}},
+		{"service", servicePorts, []string{"service", "-name", trial.Service + "-1", "-listen", p.addr(servicePorts)}},
 	}
 	for _, f := range fakes {
 		proc, err := p.run(f.name, p.addr(f.port), "lacefake", f.args...)
@@ -101,15 +102,15 @@
 		}
 	}
 	for _, e := range p.Entries {
-		if err := Until(ctx, func() bool { return isReady(ctx, e.Addr) }); err != nil {
-			return errors.Wrapf(err, "trial: %s", e.Name)
+		if err := trial.Until(ctx, func() bool { return trial.IsReady(ctx, e.Addr) }); err != nil {
+			return errors.Wrapf(err, "procs: %s", e.Name)
 		}
 	}
 	return nil
 }
 
-func (p *Procs) startEntry(i int, setup func(*config.Settings)) error {
-	name := fmt.Sprintf("%s-%d", Centre, i+1)
+func (p *Set) startEntry(i int, setup func(*config.Settings)) error {
+	name := fmt.Sprintf("%s-%d", trial.Centre, i+1)
 	file := p.file(name + ".json")
 	if setup != nil {
 		if err := editSettings(file, setup); err != nil {
@@ -139,7 +140,7 @@
 	return os.WriteFile(file, data, 0o600)
 }
 
-func (p *Procs) run(name, addr, program string, args ...string) (*Proc, error) {
+func (p *Set) run(name, addr, program string, args ...string) (*Proc, error) {
 	log, err := os.Create(p.file(name + ".log"))
 	if err != nil {
 		return nil, err
@@ -158,20 +159,20 @@
 	return proc, nil
 }
 
-func (p *Procs) program(name string) string { return filepath.Join(p.Dir, name) }
-func (p *Procs) file(name string) string    { return filepath.Join(p.Dir, name) }
+func (p *Set) program(name string) string { return filepath.Join(p.Dir, name) }
+func (p *Set) file(name string) string    { return filepath.Join(p.Dir, name) }
 
 // addr returns the address of a port above the base.
-func (p *Procs) addr(port int) string { return fmt.Sprintf("127.0.0.1:%d", p.Base+port) }
+func (p *Set) addr(port int) string { return fmt.Sprintf("127.0.0.1:%d", p.Base+port) }
 
 // Platform returns the platform's URL.
-func (p *Procs) Platform() string { return "http://" + p.addr(0) }
+func (p *Set) Platform() string { return "http://" + p.addr(0) }
 
 // Admin returns the operators' address of the i-th entry.
-func (p *Procs) Admin(i int) string { return p.addr(entryPorts + i*portsPerEntry + 1) }
+func (p *Set) Admin(i int) string { return p.addr(entryPorts + i*portsPerEntry + 1) }
 
 // Other returns the stand-in of that name, or nil.
-func (p *Procs) Other(name string) *Proc {
+func (p *Set) Other(name string) *Proc {
 	for _, proc := range p.others {
 		if proc.Name == name {
 			return proc
@@ -181,10 +182,10 @@
 }
 
 // Decode returns the address of the decode engine.
-func (p *Procs) Decode() string { return p.addr(decodePorts) }
+func (p *Set) Decode() string { return p.addr(decodePorts) }
 
 // Log returns what a process has logged.
-func (p *Procs) Log(name string) string {
+func (p *Set) Log(name string) string {
 	data, err := os.ReadFile(p.file(name + ".log"))
 	if err != nil {
 		return err.Error()
@@ -193,13 +194,13 @@
 }
 
 // Client returns a caller of the i-th entry.
-func (p *Procs) Client(i int) *Client {
-	return &Client{Addr: p.Entries[i].Addr, Key: Key}
+func (p *Set) Client(i int) *trial.Client {
+	return &trial.Client{Addr: p.Entries[i].Addr, Key: trial.Key}
 }
 
 // Follower returns a caller that begins with the i-th entry.
-func (p *Procs) Follower(i int) *Follower {
-	return &Follower{Key: Key, addrs: []string{p.Entries[i].Addr}}
+func (p *Set) Follower(i int) *trial.Follower {
+	return trial.Follow(p.Entries[i].Addr)
 }
 
 // Signal sends a signal to the process.
@@ -217,7 +218,7 @@
 }
 
 // Stop kills every process that still runs, and waits.
-func (p *Procs) Stop() {
+func (p *Set) Stop() {
 	for _, proc := range append(p.Entries, p.others...) {
 		// A process that is stopped by a signal can be killed all the same.
 		_ = proc.cmd.Process.Kill()
--- a/trial/client.go
+++ b/trial/client.go
@@ -252,5 +252,5 @@
 
 // Ready waits until the entry takes work.
 func (c *Client) Ready(ctx context.Context) error {
-	return Until(ctx, func() bool { return isReady(ctx, c.Addr) })
+	return Until(ctx, func() bool { return IsReady(ctx, c.Addr) })
 }
--- a/trial/follow.go
+++ b/trial/follow.go
@@ -25,7 +25,12 @@
 
 // Follower returns a caller that begins with the i-th entry.
 func (s *Set) Follower(i int) *Follower {
-	return &Follower{Key: Key, addrs: []string{s.Entries[i].Addr}}
+	return Follow(s.Entries[i].Addr)
+}
+
+// Follow returns a caller that begins with the entry at addr.
+func Follow(addr string) *Follower {
+	return &Follower{Key: Key, addrs: []string{addr}}
 }
 
 // Client returns a caller of the entry that is to be used now.
--- a/trial/replace.go
+++ b/trial/replace.go
@@ -18,7 +18,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, readyTimeout.Std())
 	defer cancel()
-	if err := Until(ctx, func() bool { return isReady(ctx, n.Addr) }); err != nil {
+	if err := Until(ctx, func() bool { return IsReady(ctx, n.Addr) }); err != nil {
 		return nil, errors.Wrapf(err, "trial: entry %s", name)
 	}
 	return n, nil
--- a/trial/set.go
+++ b/trial/set.go
@@ -335,14 +335,15 @@
 	ctx, cancel := context.WithTimeout(s.ctx, readyTimeout.Std())
 	defer cancel()
 	for _, n := range s.Entries {
-		if err := Until(ctx, func() bool { return isReady(ctx, n.Addr) }); err != nil {
+		if err := Until(ctx, func() bool { return IsReady(ctx, n.Addr) }); err != nil {
 			return errors.Wrapf(err, "trial: entry %s", n.Addr)
 		}
 	}
 	return nil
 }
 
-func isReady(ctx context.Context, addr string) bool {
+// IsReady reports whether the entry at addr takes work.
+func IsReady(ctx context.Context, addr string) bool {
 	resp, err := get(ctx, "http://"+addr+"/v1/readyz")
 	if err != nil {
 		return false
