procs: every port of a range is looked at before it is taken

The look for free ports left out those for operators and peers, so that two suites could share a range. Ruled out: nothing yet, the log was not kept; the test prints it now.

--- a/cmd/lacewinghook/process_test.go
+++ b/cmd/lacewinghook/process_test.go
@@ -79,7 +79,10 @@
 	is.NoErr(p.Entries[0].Signal(syscall.SIGTERM))
 	is.NoErr(trial.Until(ctx, func() bool { return strings.Contains(p.Log(p.Entries[0].Name), "entry: leaving") }))
 	is.NoErr(p.Entries[0].Signal(syscall.SIGTERM))
-	is.NoErr(p.Entries[0].Wait(ctx))
+	if err := p.Entries[0].Wait(ctx); err != nil {
+		t.Log(p.Log(p.Entries[0].Name))
+		is.NoErr(err)
+	}
 	over.Store(true)
 	wait.Wait()
 	t.Logf("served %d, failed %d", served.Load(), failed.Load())
--- a/procs/procs.go
+++ b/procs/procs.go
@@ -246,7 +246,12 @@
 }
 
 func isFree(base int) bool {
-	for _, port := range []int{0, prefillPorts, decodePorts, servicePorts, entryPorts, entryPorts + portsPerEntry} {
+	ports := []int{0, prefillPorts, decodePorts, servicePorts}
+	for port := entryPorts; port < portsInAll; port += portsPerEntry {
+		// An entry has a port for callers, operators and peers each.
+		ports = append(ports, port, port+1, port+2)
+	}
+	for _, port := range ports {
 		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base+port))
 		if err != nil {
 			return false
