core, load, lacefake: loops that the library has, and a check that stood twice

slices.Contains and slices.Equal take the place of two loops, and both lines of try hold a verse against one check. Behaviour is as it was: vet, staticcheck, core, load and trial under -race, and lacefake try passed.

--- a/cmd/lacefake/try.go
+++ b/cmd/lacefake/try.go
@@ -99,12 +99,20 @@
 	if err != nil {
 		return "", err
 	}
-	if r.Text != strings.Join(fake.Answer(verse, verseTokens), "") {
-		return "", errors.New("the answer is not the one that the engine gives")
+	if err := checkVerse(r); err != nil {
+		return "", err
 	}
 	return fmt.Sprintf("%d tokens, the engine's own", verseTokens), nil
 }
 
+// checkVerse holds a reply against the answer that every engine gives.
+func checkVerse(r *trial.Reply) error {
+	if r.Text != strings.Join(fake.Answer(verse, verseTokens), "") {
+		return errors.New("the answer is not the one that the engine gives")
+	}
+	return nil
+}
+
 func tryLookup(ctx context.Context, s *trial.Set) (string, error) {
 	return askService(ctx, s.Client(2), http.MethodGet, "/stock/burr", "")
 }
@@ -129,8 +137,8 @@
 	if err != nil {
 		return "", err
 	}
-	if r.Text != strings.Join(fake.Answer(verse, verseTokens), "") {
-		return "", errors.New("the answer is not the one that the engine gives")
+	if err := checkVerse(r); err != nil {
+		return "", err
 	}
 	return fmt.Sprintf("%d tokens, %d of them before", verseTokens, killed), nil
 }
--- a/core/document.go
+++ b/core/document.go
@@ -1,6 +1,10 @@
 package core
 
-import "lacewinghook.example/lacewinghook/clock"
+import (
+	"slices"
+
+	"lacewinghook.example/lacewinghook/clock"
+)
 
 // Role is what an upstream does.
 type Role string
@@ -35,12 +39,7 @@
 
 // Serves reports whether the engine serves the model.
 func (u *Upstream) Serves(model string) bool {
-	for _, m := range u.Models {
-		if m == model {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(u.Models, model)
 }
 
 // Profile is a named way of treating requests, edited by operators.
--- a/load/drive.go
+++ b/load/drive.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 
 	"lacewinghook.example/lacewinghook/chart"
@@ -181,22 +182,10 @@
 		s.Tokens = len(r.Tokens)
 	}
 	if err == nil {
-		s.Wrong = !sameTokens(r.Tokens, fake.Answer(s.Prompt, s.Answer))
+		s.Wrong = !slices.Equal(r.Tokens, fake.Answer(s.Prompt, s.Answer))
 	}
 }
 
-func sameTokens(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // runSlow slows a share of the engines during the plan's window.
 func (d *drive) runSlow(ctx context.Context) {
 	s := d.slow
