--- a/codes/codes.go
+++ b/codes/codes.go
@@ -55,11 +55,13 @@
 	BudgetSpent     Code = 1405
 	WrongAnswer     Code = 1406
 	UpstreamTimeout Code = 1407
+	UpstreamFailed  Code = 1408
 	Leaving         Code = 1501
 	NoDocument      Code = 1502
 	CutOff          Code = 1503
 	PlatformDown    Code = 1504
 	Internal        Code = 1505
+	HistoryLost     Code = 1506
 	Conflict        Code = 1601
 	BadDocument     Code = 1602
 	AlreadySettled  Code = 1603
@@ -118,11 +120,13 @@
 	BudgetSpent:     {"budget_spent", http.StatusServiceUnavailable, Ran, "The request failed and the retry budget is spent."},
 	WrongAnswer:     {"wrong_answer", http.StatusBadGateway, Unknown, "The upstream's answer belongs to another request or attempt and was dropped."},
 	UpstreamTimeout: {"upstream_timeout", http.StatusGatewayTimeout, Unknown, "The upstream did not answer within the deadline."},
+	UpstreamFailed:  {"upstream_failed", http.StatusBadGateway, Ran, "The upstream answered that it failed."},
 	Leaving:         {"leaving", http.StatusServiceUnavailable, NotRun, "This entry is stopping; ask for addresses again."},
 	NoDocument:      {"no_document", http.StatusServiceUnavailable, NotRun, "This entry has no published document yet."},
 	CutOff:          {"cut_off", http.StatusServiceUnavailable, NotRun, "This entry is cut off from the platform and its peers."},
 	PlatformDown:    {"platform_down", http.StatusServiceUnavailable, NotRun, "The platform's table does not answer and the call needs it."},
 	Internal:        {"internal", http.StatusInternalServerError, Unknown, "A fault of the router itself; the log has the cause."},
+	HistoryLost:     {"history_lost", http.StatusServiceUnavailable, Unknown, "The platform no longer has the changes that were asked for; the table is read anew."},
 	Conflict:        {"conflict", http.StatusConflict, NotRun, "Another operator's change came first; the message has the current version."},
 	BadDocument:     {"bad_document", http.StatusBadRequest, NotRun, "The document has faults; the message lists every one."},
 	AlreadySettled:  {"already_settled", http.StatusConflict, NotRun, "The order's outcome is already known or settled."},
--- a/core/request.go
+++ b/core/request.go
@@ -27,6 +27,9 @@
 	Digest uint64
 	// Chat says that the caller used the chat form.
 	Chat bool
+	// Opaque is set for a request that is passed on unread. Prompt is then
+	// empty.
+	Opaque *Opaque
 }
 
 // Try is one attempt of a request at the upstreams.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 )
 
@@ -91,6 +92,17 @@
 	return "lacewinghook_" + name + "{" + text + "}"
 }
 
+// latencyBuckets are the upper bounds of the latency histograms, in seconds.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 1.5, 3, 6, 14, 30}
+
+// Took records how long a step of the requests of a route took.
+func (s *Set) Took(step, route string, d clock.Millis) {
+	if s != nil {
+		name := full("latency_seconds", []string{"step", step, "route", route})
+		s.Metrics().GetOrCreatePrometheusHistogramExt(name, latencyBuckets).Update(float64(d) / float64(clock.Second))
+	}
+}
+
 // Refused counts a request that ended with the code.
 func (s *Set) Refused(c codes.Code) {
 	s.Add("refused_total", 1, "code", c.String())
--- a/pool/table.go
+++ b/pool/table.go
@@ -115,6 +115,46 @@
 	}
 }
 
+// Load is the work that one entry has at an upstream.
+type Load struct {
+	Upstream string
+	Work     Work
+}
+
+// Loads returns the work that this entry has at each upstream, as far as
+// there is any.
+func (t *Table) Loads() []Load {
+	x := t.load()
+	var all []Load
+	for _, name := range x.names {
+		s := x.slots[name]
+		s.mu.Lock()
+		own := s.state.Own
+		s.mu.Unlock()
+		if own != (Work{}) {
+			all = append(all, Load{Upstream: name, Work: own})
+		}
+	}
+	return all
+}
+
+// SetOthers takes over what the other entries say that they have at the
+// upstreams. One that is not named has none.
+func (t *Table) SetOthers(loads map[string]Work) {
+	x := t.load()
+	for name, s := range x.slots {
+		s.mu.Lock()
+		s.state.Others = loads[name]
+		s.mu.Unlock()
+	}
+}
+
+// Add returns the sum of two amounts of work.
+func (w Work) Add(other Work) Work {
+	w.add(other, 1)
+	return w
+}
+
 // Drain sets whether an upstream is kept from new work.
 func (t *Table) Drain(name string, draining bool) {
 	t.edit(name, func(s *slot) { s.state.Draining = draining })
@@ -235,7 +275,7 @@
 		Name:    st.Upstream.Name,
 		Centre:  st.Upstream.Centre,
 		Queue:   st.Others.Tokens + st.Own.Tokens,
-		Running: st.Own.Requests,
+		Running: st.Own.Requests + st.Others.Requests,
 		Pieces:  st.Upstream.Pieces,
 		Free:    st.free(),
 		Speed:   1 / base.Quick,
@@ -286,6 +326,18 @@
 // Services returns the replicas of a plain service that take new work, those
 // with the least work of this entry first.
 func (t *Table) Services(service string) []core.Upstream {
+	found := t.Replicas(service)
+	sort.SliceStable(found, func(i, j int) bool { return found[i].Own.Requests < found[j].Own.Requests })
+	ups := make([]core.Upstream, len(found))
+	for i := range found {
+		ups[i] = found[i].Upstream
+	}
+	return ups
+}
+
+// Replicas returns what is known of the replicas of a plain service that take
+// new work.
+func (t *Table) Replicas(service string) []State {
 	var found []State
 	for _, s := range t.load().services[service] {
 		s.mu.Lock()
@@ -294,10 +346,5 @@
 		}
 		s.mu.Unlock()
 	}
-	sort.SliceStable(found, func(i, j int) bool { return found[i].Own.Requests < found[j].Own.Requests })
-	ups := make([]core.Upstream, len(found))
-	for i := range found {
-		ups[i] = found[i].Upstream
-	}
-	return ups
+	return found
 }
--- a/route/route.go
+++ b/route/route.go
@@ -57,6 +57,9 @@
 	Queue clock.Millis
 	// Tokens counts the prompt tokens that are not expected to be cached.
 	Tokens int
+	// Direct says that the decode upstream computes the prompt itself, so
+	// that there is no prefill.
+	Direct bool
 }
 
 // possible reports whether each side that is needed has a candidate.
