gossip, follow, sock, logs: entries on a platform with a store

gossip tells peers of life, versions and work at the upstreams; follow reads manifest, replicas and entries from the store, or from a peer while the store is away; sock sets up connections that notice a silent other side; logs writes without blocking. config gains the section fleet.

--- a/config/check.go
+++ b/config/check.go
@@ -45,6 +45,9 @@
 
 // check returns the faults of those fields that decoding found none in.
 func (s *Settings) check(decoded strict.Faults) strict.Faults {
+	if s.Fleet != nil {
+		return s.checkFleet(decoded)
+	}
 	c := checker{decoded: decoded}
 	c.name("instance", s.Instance)
 	c.name("centre", s.Centre)
--- a/config/config.go
+++ b/config/config.go
@@ -41,6 +41,8 @@
 	// callers may still hold its address; zero is 3 seconds over the life of
 	// an answer of addresses.
 	Linger clock.Millis `json:"linger,omitempty"`
+	// Fleet is set for an entry on a platform with a list of replicas.
+	Fleet *Fleet `json:"fleet,omitempty"`
 	// Log is the lowest level that is logged: debug, info, warn or error.
 	// Empty is info.
 	Log string `json:"log,omitempty"`
--- /dev/null
+++ b/follow/follow.go
@@ -0,0 +1,375 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/notify"
+)
+
+// Source reads the platform's store.
+type Source interface {
+	Manifest(ctx context.Context) (m *core.Manifest, revision int64, err error)
+	// ManifestAfter waits for a manifest written after the revision; it is nil
+	// if none came in time. Its error is [codes.HistoryLost] where the changes
+	// are no longer known.
+	ManifestAfter(ctx context.Context, revision int64, wait clock.Millis) (m *core.Manifest, now int64, err error)
+	// Fleet returns the replicas, and how many rows could not be read.
+	Fleet(ctx context.Context) (fleet core.Fleet, unread int, err error)
+	Entries(ctx context.Context) (list []core.Instance, revision int64, err error)
+	EntriesChanged(ctx context.Context, revision int64, wait clock.Millis) (changed bool, now int64, err error)
+	Register(ctx context.Context, in core.Instance) error
+	Withdraw(ctx context.Context, name string) error
+}
+
+// View is what a peer has.
+type View struct {
+	Manifest *core.Manifest
+	Fleet    core.Fleet
+	Entries  []core.Instance
+}
+
+// Peers asks the other entries.
+type Peers interface {
+	// View returns what a peer has that has a manifest above the version or
+	// a list of replicas above the revision. It returns false if there is no
+	// such peer.
+	View(ctx context.Context, manifest, fleet int64) (View, bool)
+}
+
+// Times of the follower.
+const (
+	// fleetEvery is the pause between two readings of the list of replicas.
+	// With the reading itself it stays well under the time within which a
+	// leaving replica must get nothing new.
+	fleetEvery clock.Millis = 1200
+	// waitFor is how long the store is asked to wait for a change. Peers that
+	// hear of one earlier tell.
+	waitFor = 10 * clock.Second
+	// retryLeast and retryMost bound the backoff after a failed call. All
+	// entries share the store's rate.
+	retryLeast clock.Millis = 150
+	retryMost  clock.Millis = 1200
+	// outageLeast is how long the list must not have been read for the store
+	// to count as having been away: replicas write their rows about as often.
+	outageLeast clock.Millis = 1800
+	// settleTime is how long a replica that is missing from the list is kept
+	// after the store was away. Replicas write their rows again within two
+	// seconds.
+	settleTime clock.Millis = 2300
+	// newsDelay is how long the store may take to tell of a manifest that a
+	// peer has already, before the peer is asked.
+	newsDelay clock.Millis = 150
+)
+
+// Follower follows the store. Source and Self are needed.
+type Follower struct {
+	Source Source
+	Peers  Peers
+	// Self is the row by which others find this entry.
+	Self core.Instance
+	// OnManifest, OnFleet and OnEntries take over what was read. OnManifest
+	// ignores a version that is not above the one in force.
+	OnManifest func(*core.Manifest)
+	OnFleet    func(core.Fleet)
+	OnEntries  func([]core.Instance)
+	Clock      clock.Clock
+	Log        *zap.Logger
+	Meter      *meter.Set
+
+	// manifest is the version in force, newest the highest that a peer has.
+	manifest, newest atomic.Int64
+	news             notify.Signal
+
+	mu    sync.Mutex
+	fleet core.Fleet
+	// read is the instant of the last reading, and settled the one up to which
+	// missing replicas are kept.
+	read, settled clock.Millis
+	entries       []core.Instance
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var g errgroup.Group
+	g.Go(func() error { f.followFleet(ctx); return nil })
+	g.Go(func() error { f.followManifest(ctx); return nil })
+	g.Go(func() error { f.followEntries(ctx); return nil })
+	g.Go(func() error { f.followPeers(ctx); return nil })
+	// The loops end with ctx and return nothing else.
+	_ = g.Wait()
+}
+
+// News says that a peer has a manifest of that version.
+func (f *Follower) News(version int64) {
+	for {
+		old := f.newest.Load()
+		if version <= old {
+			return
+		}
+		if f.newest.CompareAndSwap(old, version) {
+			f.news.Send()
+			return
+		}
+	}
+}
+
+// View returns what this entry has, for a peer.
+func (f *Follower) View() (core.Fleet, []core.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fleet, f.entries
+}
+
+// Age returns the revision of the list of replicas and how long ago it was
+// read.
+func (f *Follower) Age() (revision int64, age clock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fleet.Revision, f.Clock.Now() - f.read
+}
+
+// backoff counts the failures of one loop in a row, and logs the first and
+// the end of them.
+type backoff struct {
+	follower *Follower
+	what     string
+	failures int
+	since    clock.Millis
+}
+
+// failed waits before the next try.
+func (b *backoff) failed(ctx context.Context, err error) {
+	f := b.follower
+	if ctx.Err() != nil {
+		return
+	}
+	f.Meter.Add("store_failures_total", 1, "table", b.what)
+	if b.failures == 0 {
+		b.since = f.Clock.Now()
+		f.log().Warn("follow: the store can't be read", zap.String("table", b.what), zap.Error(err))
+	}
+	pause := min(retryLeast<<min(b.failures, 4), retryMost)
+	b.failures++
+	pause += clock.Millis(rand.Int64N(int64(pause)))
+	// The loop looks at ctx itself.
+	_ = f.Clock.Sleep(ctx, pause)
+}
+
+func (b *backoff) worked() {
+	if b.failures > 0 {
+		b.follower.log().Info("follow: the store can be read again", zap.String("table", b.what),
+			zap.Int("failures", b.failures), zap.Int64("away", int64(b.follower.Clock.Now()-b.since)))
+	}
+	b.failures = 0
+}
+
+// followFleet reads the list of replicas again and again.
+func (f *Follower) followFleet(ctx context.Context) {
+	b := backoff{follower: f, what: "replicas"}
+	for ctx.Err() == nil {
+		fleet, unread, err := f.Source.Fleet(ctx)
+		if err != nil {
+			f.askPeers(ctx)
+			b.failed(ctx, err)
+			continue
+		}
+		b.worked()
+		if unread > 0 {
+			f.Meter.Add("rows_unread_total", unread)
+		}
+		f.takeFleet(fleet)
+		if f.Clock.Sleep(ctx, fleetEvery) != nil {
+			return
+		}
+	}
+}
+
+// takeFleet takes over a list that was read from the store.
+func (f *Follower) takeFleet(fleet core.Fleet) {
+	now := f.Clock.Now()
+	f.mu.Lock()
+	if fleet.Revision < f.fleet.Revision {
+		have := f.fleet.Revision
+		f.mu.Unlock()
+		f.log().Warn("follow: the list of replicas is older than the one in force",
+			zap.Int64("revision", fleet.Revision), zap.Int64("have", have))
+		return
+	}
+	if f.read != 0 && now-f.read > outageLeast+fleetEvery {
+		f.settled = now + settleTime
+		f.log().Info("follow: missing replicas are kept for a while", zap.Int64("away", int64(now-f.read)))
+	}
+	f.read = now
+	if now < f.settled {
+		fleet.Replicas = withMissing(fleet.Replicas, f.fleet.Replicas)
+	}
+	f.fleet = fleet
+	f.mu.Unlock()
+	f.OnFleet(fleet)
+}
+
+// withMissing adds the replicas of the earlier list that a list lacks.
+func withMissing(list, earlier []core.Replica) []core.Replica {
+	have := make(map[string]bool, len(list))
+	for i := range list {
+		have[list[i].Name] = true
+	}
+	for _, r := range earlier {
+		if !have[r.Name] {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// followManifest waits for one manifest after the other.
+func (f *Follower) followManifest(ctx context.Context) {
+	b := backoff{follower: f, what: "manifest"}
+	revision := int64(0)
+	for ctx.Err() == nil {
+		var m *core.Manifest
+		var err error
+		var now int64
+		if revision == 0 {
+			m, now, err = f.Source.Manifest(ctx)
+		} else {
+			m, now, err = f.Source.ManifestAfter(ctx, revision, waitFor)
+		}
+		if codes.Has(err, codes.BadDocument) {
+			f.Meter.Add("manifests_unread_total", 1)
+		}
+		if err != nil {
+			if codes.Has(err, codes.HistoryLost) || codes.Has(err, codes.BadDocument) {
+				revision = 0
+			}
+			b.failed(ctx, err)
+			continue
+		}
+		b.worked()
+		first := revision == 0
+		revision = max(now, 1)
+		f.takeManifest(m, "store")
+		if first && m == nil {
+			// No operator has written one yet.
+			revision = 0
+			_ = f.Clock.Sleep(ctx, retryLeast)
+		}
+	}
+}
+
+func (f *Follower) takeManifest(m *core.Manifest, from string) {
+	if m == nil || m.Version <= f.manifest.Load() {
+		return
+	}
+	old := f.manifest.Swap(m.Version)
+	f.log().Info("follow: a manifest is in force", zap.Int64("version", m.Version), zap.Int64("before", old),
+		zap.String("from", from), zap.Int("routes", len(m.Routes)), zap.Int("services", len(m.Services)))
+	f.OnManifest(m)
+}
+
+// followEntries registers this entry and follows the table of entries.
+func (f *Follower) followEntries(ctx context.Context) {
+	b := backoff{follower: f, what: "entries"}
+	registered := false
+	revision := int64(0)
+	for ctx.Err() == nil {
+		if !registered {
+			if err := f.Source.Register(ctx, f.Self); err != nil {
+				b.failed(ctx, err)
+				continue
+			}
+			registered = true
+		}
+		if revision == 0 {
+			list, now, err := f.Source.Entries(ctx)
+			if err != nil {
+				b.failed(ctx, err)
+				continue
+			}
+			b.worked()
+			revision = max(now, 1)
+			f.takeEntries(list)
+		}
+		changed, now, err := f.Source.EntriesChanged(ctx, revision, 2*waitFor)
+		switch {
+		case codes.Has(err, codes.HistoryLost):
+			revision = 0
+		case err != nil:
+			b.failed(ctx, err)
+		case changed:
+			revision = 0
+		default:
+			revision = max(now, 1)
+		}
+	}
+}
+
+func (f *Follower) takeEntries(list []core.Instance) {
+	f.mu.Lock()
+	f.entries = list
+	f.mu.Unlock()
+	f.OnEntries(list)
+}
+
+// followPeers asks a peer that has a newer manifest, where the store doesn't
+// tell of it soon.
+func (f *Follower) followPeers(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.news.C():
+		}
+		if f.Clock.Sleep(ctx, newsDelay) != nil {
+			return
+		}
+		if f.newest.Load() > f.manifest.Load() {
+			f.askPeers(ctx)
+		}
+	}
+}
+
+// askPeers takes over what a peer has that is newer.
+func (f *Follower) askPeers(ctx context.Context) {
+	if f.Peers == nil {
+		return
+	}
+	f.mu.Lock()
+	revision := f.fleet.Revision
+	f.mu.Unlock()
+	v, ok := f.Peers.View(ctx, f.manifest.Load(), revision)
+	if !ok {
+		return
+	}
+	f.takeManifest(v.Manifest, "peer")
+	f.mu.Lock()
+	newer := v.Fleet.Revision > f.fleet.Revision
+	if newer {
+		f.fleet, f.read = v.Fleet, f.Clock.Now()
+	}
+	first := len(f.entries) == 0
+	f.mu.Unlock()
+	if newer {
+		f.OnFleet(v.Fleet)
+	}
+	if first && len(v.Entries) > 0 {
+		f.takeEntries(v.Entries)
+	}
+}
+
+func (f *Follower) log() *zap.Logger {
+	if f.Log == nil {
+		return zap.NewNop()
+	}
+	return f.Log
+}
--- a/wire/client.go
+++ b/wire/client.go
@@ -18,6 +18,7 @@
 	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/member"
 	"lacewinghook.example/lacewinghook/shard"
+	"lacewinghook.example/lacewinghook/sock"
 )
 
 // Method is the name of a call between entries.
@@ -184,8 +185,7 @@
 
 // dial connects, and checks who answers.
 func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", addr)
+	raw, err := sock.Dialer(callTimeout).DialContext(ctx, "tcp", addr)
 	if err != nil || c.Certs == nil {
 		return raw, err
 	}
--- /dev/null
+++ b/wire/gossip.go
@@ -0,0 +1,47 @@
+package wire
+
+import (
+	"context"
+	"encoding/json"
+
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/gossip"
+)
+
+// The calls of entries that stand on a platform with a list of replicas.
+const (
+	MethodHello Method = "hello"
+	MethodView  Method = "view"
+)
+
+// View is what an entry that can't read the platform's store takes from a
+// peer.
+type View struct {
+	Manifest *core.Manifest  `json:"manifest,omitempty"`
+	Fleet    core.Fleet      `json:"fleet"`
+	Entries  []core.Instance `json:"entries,omitempty"`
+}
+
+// Hello implements [gossip.Sender].
+func (c *Client) Hello(ctx context.Context, addr string, h gossip.Hello) error {
+	return c.notify(ctx, addr, MethodHello, h)
+}
+
+// OnHello makes a [Func] of what takes a peer's message.
+func OnHello(take func(gossip.Hello)) Func {
+	return func(_ context.Context, params json.RawMessage) (any, error) {
+		var h gossip.Hello
+		if err := json.Unmarshal(params, &h); err != nil {
+			return nil, err
+		}
+		take(h)
+		return nil, nil
+	}
+}
+
+// View returns what the peer has.
+func (c *Client) View(ctx context.Context, addr string) (View, error) {
+	var v View
+	err := c.timed(ctx, bulkTimeout, addr, MethodView, struct{}{}, &v)
+	return v, err
+}
--- a/wire/server.go
+++ b/wire/server.go
@@ -44,7 +44,8 @@
 	}
 }
 
-// Server answers other entries. Handler is needed.
+// Server answers other entries. Handler may be nil, which leaves its methods
+// out.
 type Server struct {
 	Handler Handler
 	// Methods holds further methods.
@@ -120,7 +121,18 @@
 }
 
 func (s *Server) methods() map[Method]Func {
-	all := map[Method]Func{
+	all := map[Method]Func{}
+	if s.Handler != nil {
+		all = s.handlerMethods()
+	}
+	for m, f := range s.Methods {
+		all[m] = f
+	}
+	return all
+}
+
+func (s *Server) handlerMethods() map[Method]Func {
+	return map[Method]Func{
 		MethodBeat: Answer(s.beat),
 		MethodDocument: Answer(func(ctx context.Context, _ struct{}) (*core.Document, error) {
 			return s.Handler.Document(ctx)
@@ -129,10 +141,6 @@
 			return s.Handler.Drains(ctx)
 		}),
 	}
-	for m, f := range s.Methods {
-		all[m] = f
-	}
-	return all
 }
 
 // beat takes a heartbeat only from the instance that it tells of.
