--- a/cmd/lacewinghook/serve.go
+++ b/cmd/lacewinghook/serve.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"os"
 
 	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/args"
 	"lacewinghook.example/lacewinghook/config"
+	"lacewinghook.example/lacewinghook/edge"
 	"lacewinghook.example/lacewinghook/entry"
+	"lacewinghook.example/lacewinghook/logs"
 )
 
 func serve(ctx context.Context, c *args.Call) int {
@@ -19,31 +22,44 @@
 	if err != nil {
 		return faults(c, err)
 	}
-	log, err := logger(settings.Log)
+	log, err := logs.New(os.Stdout, settings.Log)
 	if err != nil {
 		return c.Fail(err)
 	}
-	e := &entry.Entry{Settings: settings, Log: log}
-	ctx, stop := untilSignal(ctx, e.Hurry)
-	defer stop()
-	if err := e.Run(ctx); err != nil {
-		log.Error("entry: failed", zap.Error(err))
+	defer log.Close()
+	run := serveEntry
+	if settings.Fleet != nil {
+		run = serveEdge
+	}
+	if err := run(ctx, file, settings, log.Logger); err != nil {
+		log.Logger.Error("serve: failed", zap.Error(err))
 		return args.ExitFail
 	}
 	return args.ExitOK
 }
 
-// logger returns the log of that lowest level; empty is info.
-func logger(level string) (*zap.Logger, error) {
-	cfg := zap.NewProductionConfig()
-	// Sampling would drop lines that an operator looks for by request ID.
-	cfg.Sampling = nil
-	if level != "" {
-		parsed, err := zap.ParseAtomicLevel(level)
-		if err != nil {
-			return nil, err
-		}
-		cfg.Level = parsed
+func serveEntry(ctx context.Context, _ string, settings *config.Settings, log *zap.Logger) error {
+	e := &entry.Entry{Settings: settings, Log: log}
+	ctx, stop := untilSignal(ctx, e.Hurry)
+	defer stop()
+	return e.Run(ctx)
+}
+
+func serveEdge(ctx context.Context, file string, settings *config.Settings, log *zap.Logger) error {
+	e := &edge.Edge{Settings: settings, Log: log}
+	ctx, stop := untilSignal(ctx, func() { log.Info("edge: stops already") })
+	defer stop()
+	defer onReload(func() { reload(file, log) })()
+	return e.Run(ctx)
+}
+
+// reload reads the settings again and logs whether they are valid. All of them
+// hold from the start of the process; what operators change while it runs is
+// in the manifest.
+func reload(file string, log *zap.Logger) {
+	if _, err := config.Read(file); err != nil {
+		log.Error("edge: the changed settings are not valid", zap.String("file", file), zap.Error(err))
+		return
 	}
-	return cfg.Build()
+	log.Info("edge: the changed settings are valid and hold from the next start", zap.String("file", file))
 }
--- a/cmd/lacewinghook/signal.go
+++ b/cmd/lacewinghook/signal.go
@@ -33,3 +33,25 @@
 		cancel()
 	}
 }
+
+// onReload calls f with each signal that the settings have changed, until stop
+// is called.
+func onReload(f func()) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-signals:
+				f()
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
+	}
+}
--- /dev/null
+++ b/edge/callers.go
@@ -0,0 +1,61 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/platform"
+)
+
+// callers carries out callers' requests. It implements [platform.Runner].
+type callers struct {
+	edge *Edge
+}
+
+// Run implements [platform.Runner].
+func (c callers) Run(ctx context.Context, r *core.Request, a *platform.Answers) error {
+	return c.edge.relay.Run(ctx, r, a)
+}
+
+// Leaving implements [platform.Runner].
+func (c callers) Leaving() bool { return c.edge.leaving.Load() }
+
+// Limits implements [platform.Runner].
+func (c callers) Limits() core.InputLimits {
+	if m := c.edge.routes.Manifest(); m != nil {
+		return m.Limits
+	}
+	return core.InputLimits{}
+}
+
+// Admit implements [platform.Runner].
+func (c callers) Admit(r *core.Request) error {
+	e := c.edge
+	o := r.Opaque
+	path, _, _ := strings.Cut(o.Target, "?")
+	route, version, err := e.routes.Match(o.Host, path)
+	if err != nil {
+		return err
+	}
+	o.Route, o.Version = route, version
+	o.Service = route.Service(rand.Uint64())
+	r.Profile = route.Profile
+	latest := r.Arrived + route.Profile.Timeout
+	if route.Profile.Timeout == 0 {
+		latest = r.Arrived + defaultTimeout
+	}
+	if r.Deadline == 0 || r.Deadline > latest {
+		r.Deadline = latest
+	}
+	if r.Deadline <= r.Arrived {
+		return codes.New(codes.DeadlinePast, "request %s", o.ID)
+	}
+	return nil
+}
+
+// defaultTimeout bounds a request whose route sets no timeout.
+const defaultTimeout = 30 * clock.Second
--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,199 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/config"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/follow"
+	"lacewinghook.example/lacewinghook/gossip"
+	"lacewinghook.example/lacewinghook/limit"
+	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/platform"
+	"lacewinghook.example/lacewinghook/pool"
+	"lacewinghook.example/lacewinghook/relay"
+	"lacewinghook.example/lacewinghook/shard"
+	"lacewinghook.example/lacewinghook/sock"
+	"lacewinghook.example/lacewinghook/vhost"
+	"lacewinghook.example/lacewinghook/wire"
+)
+
+// Edge is one entry. Settings are needed.
+type Edge struct {
+	Settings *config.Settings
+	Log      *zap.Logger
+	Clock    clock.Clock
+
+	boot     uint64
+	leaving  atomic.Bool
+	listed   atomic.Bool
+	stale    atomic.Bool
+	fleet    atomic.Pointer[core.Fleet]
+	meter    meter.Set
+	routes   vhost.Table
+	pool     pool.Table
+	store    platform.Store
+	replicas platform.Replicas
+	gossip   gossip.Table
+	follower follow.Follower
+	relay    relay.Relay
+	peers    wire.Client
+	budgets  shard.Map[string, *limit.Window]
+}
+
+// Run serves until ctx ends, and then stops without cutting a request.
+func (e *Edge) Run(ctx context.Context) error {
+	e.prepare()
+	servers, err := e.listen(ctx)
+	if err != nil {
+		return err
+	}
+	work, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	g, work := errgroup.WithContext(work)
+	for _, s := range servers {
+		g.Go(func() error { return s.serve(work) })
+	}
+	g.Go(func() error { e.gossip.Run(work); return nil })
+	g.Go(func() error { e.follower.Run(work); return nil })
+	g.Go(func() error {
+		defer end()
+		select {
+		case <-ctx.Done():
+			e.stop(work, servers)
+		case <-work.Done():
+		}
+		return nil
+	})
+	e.Log.Info("edge: started", zap.String("instance", e.Settings.Instance), zap.String("callers", e.Settings.Callers.Listen),
+		zap.Uint64("boot", e.boot), zap.String("store", e.Settings.Fleet.Store))
+	err = g.Wait()
+	e.peers.Close()
+	e.Log.Info("edge: stopped", zap.Error(err))
+	return err
+}
+
+// prepare wires the parts.
+func (e *Edge) prepare() {
+	if e.Log == nil {
+		e.Log = zap.NewNop()
+	}
+	e.limitRuntime()
+	s := e.Settings
+	e.boot = core.NewBoot()
+	e.pool.Clock = e.Clock
+	e.store = platform.Store{Addr: s.Fleet.Store, Clock: e.Clock}
+	e.replicas.Clock = e.Clock
+	e.peers.Log = e.Log
+	self := core.Instance{Name: s.Instance, Addr: s.Callers.Listen, Peer: s.Peers.Listen, Centre: s.Centre, State: core.Live}
+	e.gossip = gossip.Table{
+		Sender: &e.peers, Self: self.Peer, Clock: e.Clock, Log: e.Log,
+		Hello: e.hello, OnHeard: e.heard,
+	}
+	e.gossip.Seed(s.Seeds)
+	e.follower = follow.Follower{
+		Source: &e.store, Peers: e, Self: self, Clock: e.Clock, Log: e.Log, Meter: &e.meter,
+		OnManifest: e.takeManifest, OnFleet: e.takeFleet, OnEntries: e.gossip.Know,
+	}
+	e.relay = relay.Relay{
+		Upstreams: &e.replicas, Pool: &counted{Table: &e.pool, edge: e}, Budget: e, Specs: e.spec,
+		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre,
+	}
+}
+
+// memoryShare is the part of the process's memory that the runtime's heap may
+// take; the rest is for stacks, sockets' buffers and the program itself.
+const memoryShare = 0.6
+
+// limitRuntime keeps the Go runtime within the instance's limits.
+func (e *Edge) limitRuntime() {
+	f := e.Settings.Fleet
+	if f.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(f.Memory) * memoryShare * (1 << 20)))
+	}
+	if f.Cores > 0 {
+		runtime.GOMAXPROCS(f.Cores)
+	}
+}
+
+// server is one listener and what answers on it.
+type server struct {
+	ln   net.Listener
+	http *http.Server
+	rpc  *wire.Server
+}
+
+func (s *server) serve(ctx context.Context) error {
+	if s.rpc != nil {
+		return s.rpc.Serve(ctx, s.ln)
+	}
+	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// listen opens all listeners before anything is served.
+func (e *Edge) listen(ctx context.Context) ([]*server, error) {
+	s := e.Settings
+	front := e.server(&platform.Ingress{Runner: callers{e}, Clock: e.Clock})
+	front.MaxHeaderBytes = s.Limits.Filled().Header
+	handlers := []struct {
+		addr string
+		server
+	}{
+		{s.Callers.Listen, server{http: front}},
+		{s.Fleet.Directory, server{http: e.server(platform.Resolver(e))}},
+		{s.Fleet.Readiness, server{http: e.server(platform.Readiness(e))}},
+		{s.Peers.Listen, server{rpc: &wire.Server{Log: e.Log, Methods: map[wire.Method]wire.Func{
+			wire.MethodHello: wire.OnHello(e.gossip.Heard),
+			wire.MethodView:  wire.Answer(e.view),
+		}}}},
+		{s.Fleet.Metrics, server{http: e.server(http.HandlerFunc(e.metrics))}},
+	}
+	var all []*server
+	for i := range handlers {
+		h := &handlers[i]
+		if h.addr == "" {
+			continue
+		}
+		ln, err := sock.Listen(ctx, h.addr)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen at %s", h.addr)
+		}
+		h.ln = ln
+		all = append(all, &h.server)
+	}
+	return all, nil
+}
+
+// Times of the servers' connections.
+const (
+	// headTime bounds the arrival of a request's head, and inputTime that of
+	// the whole request.
+	headTime = 5 * clock.Second
+	// idleTime is longer than callers keep idle connections, by any manifest
+	// that was seen.
+	idleTime = 90 * clock.Second
+)
+
+func (e *Edge) server(h http.Handler) *http.Server {
+	errs, err := zap.NewStdLogAt(e.Log, zap.DebugLevel)
+	if err != nil {
+		errs = zap.NewStdLog(e.Log)
+	}
+	return &http.Server{Handler: h, ReadHeaderTimeout: headTime.Std(), IdleTimeout: idleTime.Std(), ErrorLog: errs}
+}
+
+func (e *Edge) metrics(w http.ResponseWriter, _ *http.Request) { e.meter.Write(w) }
--- /dev/null
+++ b/edge/state.go
@@ -0,0 +1,211 @@
+package edge
+
+import (
+	"context"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/follow"
+	"lacewinghook.example/lacewinghook/gossip"
+	"lacewinghook.example/lacewinghook/wire"
+)
+
+// takeManifest puts a manifest in force.
+func (e *Edge) takeManifest(m *core.Manifest) {
+	if !e.routes.Apply(m) {
+		return
+	}
+	e.applyPool()
+	e.gossip.Changed()
+}
+
+// takeFleet puts a list of replicas in force.
+func (e *Edge) takeFleet(fleet core.Fleet) {
+	old := e.fleet.Swap(&fleet)
+	e.logChanges(old, &fleet)
+	e.applyPool()
+	e.replicas.Retain(fleet.Replicas)
+	e.listed.Store(true)
+}
+
+// applyPool lets the pool have the replicas as the manifest and the list say.
+func (e *Edge) applyPool() {
+	fleet, m := e.fleet.Load(), e.routes.Manifest()
+	if fleet == nil || m == nil {
+		return
+	}
+	doc := &core.Document{Version: m.Version}
+	for _, r := range fleet.Replicas {
+		up := r.Upstream
+		if s, ok := m.Service(up.Service); ok && s.Engines != nil && up.Role == core.Decode {
+			up.Pieces = s.Engines.Tokens / core.PieceTokens
+		}
+		doc.Upstreams = append(doc.Upstreams, up)
+	}
+	e.pool.Apply(doc)
+	for _, r := range fleet.Replicas {
+		e.pool.Drain(r.Name, r.Leaving)
+	}
+	e.stale.Store(true)
+}
+
+// logChanges logs which replicas came, left or began to leave.
+func (e *Edge) logChanges(old, fleet *core.Fleet) {
+	before := make(map[string]core.Replica)
+	if old != nil {
+		for _, r := range old.Replicas {
+			before[r.Name] = r
+		}
+	}
+	for _, r := range fleet.Replicas {
+		was, ok := before[r.Name]
+		delete(before, r.Name)
+		if !ok || was.Leaving != r.Leaving || was.Born != r.Born || was.Role != r.Role {
+			e.Log.Info("edge: a replica has changed", zap.String("replica", r.Name), zap.String("addr", r.Addr),
+				zap.String("service", r.Service), zap.String("role", string(r.Role)), zap.Bool("leaving", r.Leaving),
+				zap.Bool("new", !ok), zap.Int64("revision", fleet.Revision))
+		}
+	}
+	for name, r := range before {
+		e.Log.Info("edge: a replica is gone", zap.String("replica", name), zap.String("addr", r.Addr),
+			zap.String("service", r.Service), zap.Int64("revision", fleet.Revision))
+	}
+}
+
+func (e *Edge) spec(service string) (core.ServiceSpec, bool) {
+	m := e.routes.Manifest()
+	if m == nil {
+		return core.ServiceSpec{}, false
+	}
+	return m.Service(service)
+}
+
+// hello is what this entry tells its peers.
+func (e *Edge) hello() gossip.Hello {
+	s := e.Settings
+	state := core.Live
+	if e.leaving.Load() {
+		state = core.Leaving
+	}
+	revision, _ := e.follower.Age()
+	h := gossip.Hello{
+		Instance: core.Instance{Name: s.Instance, Addr: s.Callers.Listen, Peer: s.Peers.Listen, Centre: s.Centre, State: state},
+		Boot:     e.boot, Ready: e.Ready(), Manifest: e.routes.Version(), Fleet: revision,
+	}
+	for _, l := range e.pool.Loads() {
+		if l.Work.Tokens != 0 || l.Work.Pieces != 0 {
+			h.Loads = append(h.Loads, gossip.Load{Upstream: l.Upstream, Requests: l.Work.Requests, Tokens: l.Work.Tokens, Pieces: l.Work.Pieces})
+		}
+	}
+	return h
+}
+
+// heard takes note of a peer's message.
+func (e *Edge) heard(h gossip.Hello) {
+	e.stale.Store(true)
+	if h.Manifest > e.routes.Version() {
+		e.follower.News(h.Manifest)
+	}
+}
+
+// view answers a peer that can't read the store.
+func (e *Edge) view(context.Context, struct{}) (wire.View, error) {
+	fleet, entries := e.follower.View()
+	return wire.View{Manifest: e.routes.Manifest(), Fleet: fleet, Entries: entries}, nil
+}
+
+// View implements [follow.Peers]. It asks the peer with the newest state, and
+// a seed where no peer is heard yet.
+func (e *Edge) View(ctx context.Context, manifest, fleet int64) (follow.View, bool) {
+	addr := ""
+	best := int64(0)
+	for _, p := range e.gossip.Live() {
+		newer := max(0, p.Hello.Manifest-manifest) + max(0, p.Hello.Fleet-fleet)
+		if newer > best {
+			best, addr = newer, p.Peer
+		}
+	}
+	if addr == "" {
+		return follow.View{}, false
+	}
+	v, err := e.peers.View(ctx, addr)
+	if err != nil {
+		e.Log.Warn("edge: a peer did not tell what it has", zap.String("addr", addr), zap.Error(err))
+		return follow.View{}, false
+	}
+	e.Log.Info("edge: a peer told what it has", zap.String("addr", addr), zap.Int64("fleet", v.Fleet.Revision))
+	return follow.View{Manifest: v.Manifest, Fleet: v.Fleet, Entries: v.Entries}, true
+}
+
+// Ready implements [platform.Directory].
+func (e *Edge) Ready() bool {
+	return !e.leaving.Load() && e.listed.Load() && e.routes.Version() > 0
+}
+
+// maxAddresses bounds an answer to callers that ask where to connect.
+const maxAddresses = 64
+
+// Addresses implements [platform.Directory].
+func (e *Edge) Addresses(centre string) ([]string, clock.Millis) {
+	var near, far []string
+	add := func(in core.Instance) {
+		if in.Centre == centre {
+			near = append(near, in.Addr)
+		} else {
+			far = append(far, in.Addr)
+		}
+	}
+	if e.Ready() {
+		add(core.Instance{Addr: e.Settings.Callers.Listen, Centre: e.Settings.Centre})
+	}
+	for _, p := range e.gossip.Live() {
+		if p.Hello.Ready && p.Hello.Instance.State == core.Live {
+			add(p.Instance)
+		}
+	}
+	all := slices.Concat(near, far)
+	return all[:min(len(all), maxAddresses)], e.Settings.Fleet.Keep
+}
+
+// stop leaves, lingers while callers may still hold the address, and ends what
+// is in flight.
+func (e *Edge) stop(ctx context.Context, servers []*server) {
+	grace := e.Settings.Fleet.Grace
+	linger := min(keptTwiceMore*e.Settings.Fleet.Keep, grace-endTime-killMargin)
+	e.leaving.Store(true)
+	e.gossip.Changed()
+	e.Log.Info("edge: leaving", zap.Int64("linger", int64(linger)), zap.Int64("grace", int64(grace)))
+	withdraw, cancel := context.WithTimeout(ctx, linger.Std())
+	defer cancel()
+	go func() {
+		if err := e.store.Withdraw(withdraw, e.Settings.Instance); err != nil {
+			e.Log.Warn("edge: the entry's row was not removed", zap.Error(err))
+		}
+	}()
+	// An ended context ends the linger early.
+	_ = e.Clock.Sleep(ctx, linger)
+	end, cancel := context.WithTimeout(ctx, endTime.Std())
+	defer cancel()
+	for _, s := range servers {
+		if s.http == nil {
+			continue
+		}
+		if err := s.http.Shutdown(end); err != nil {
+			e.Log.Warn("edge: requests were cut", zap.Stringer("addr", s.ln.Addr()), zap.Error(err))
+		}
+	}
+}
+
+// Times of a stop.
+const (
+	// keptTwiceMore is how many times the life of an answer some callers keep
+	// it for.
+	keptTwiceMore = 3
+	// endTime is left for what is in flight once the listeners are closed,
+	// and killMargin before the kill.
+	endTime    = clock.Millis(1200)
+	killMargin = clock.Millis(400)
+)
