relay: completions wait at the entry until decode memory is free

Ruled out: a lapsed handle (the answers came within some milliseconds). Change: the line of limit holds a request until a decode engine has room for its prompt and the expected answer by the work that all entries tell; a handle that is refused is offered to another engine.

--- a/core/opaque.go
+++ b/core/opaque.go
@@ -20,6 +20,9 @@
 	After string
 	// PromptTokens is the length of the prompt as the caller counted it.
 	PromptTokens int
+	// OutputHint is the caller's estimate of the answer's length; zero is
+	// none. It is right in the middle and often far off.
+	OutputHint int
 	// Route is the one in force when the request arrived, and Version that of
 	// its manifest.
 	Route   HostRoute
--- a/edge/state.go
+++ b/edge/state.go
@@ -106,6 +106,7 @@
 // heard takes note of a peer's message.
 func (e *Edge) heard(h gossip.Hello) {
 	e.stale.Store(true)
+	e.relay.Wake()
 	if h.Manifest > e.routes.Version() {
 		e.follower.News(h.Manifest)
 	}
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -63,7 +63,7 @@
 	// beatEvery is the pause between messages while nothing changes.
 	beatEvery clock.Millis = 600
 	// gapLeast is the least pause between two messages to a peer.
-	gapLeast clock.Millis = 8
+	gapLeast clock.Millis = 10
 	// LiveFor is how long a peer counts as live after a message: three that
 	// are missing and the way.
 	LiveFor clock.Millis = 2100
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -48,46 +47,36 @@
 
 // generateOnce goes one way through the engines and passes the events on.
 func (l *life) generateOnce(ctx context.Context, tail *events) error {
-	a, err := l.choose()
+	a, err := l.place(ctx, nil)
 	if err != nil {
 		return err
 	}
-	defer a.release()
 	if err := a.computePrompt(ctx); err != nil {
+		a.release()
 		return err
 	}
-	return a.run(ctx, tail)
+	for {
+		err := a.run(ctx, tail)
+		a.release()
+		if !a.movable(ctx, err) {
+			a.free()
+			return err
+		}
+		next, refused := l.place(ctx, a)
+		if refused != nil {
+			a.free()
+			return err
+		}
+		a = next
+	}
 }
 
-// choose decides which engines the next attempt goes to.
-func (l *life) choose() (*attempt, error) {
-	f, service := l.relay, l.opaque.Service
-	spec := l.spec()
-	tokens := l.opaque.PromptTokens
-	q := route.Query{
-		Tokens: tokens, Output: l.request.MaxTokens, Pieces: core.Pieces(tokens + l.request.MaxTokens),
-		Bytes: int64(tokens) * spec.TokenBytes, Centre: f.Centre, Draw: rand.Uint64(),
-	}
-	prefills := l.without(f.Pool.Candidates(core.Prefill, service, nil, nil))
-	decodes := l.without(f.Pool.Candidates(core.Decode, service, nil, nil))
-	c, ok := route.Direct{Pair: route.Cost{Overcommit: true}}.Choose(q, prefills, decodes)
-	if !ok {
-		return nil, codes.New(codes.NoUpstream, "service %q: %d prefill and %d decode upstreams", service, len(prefills), len(decodes))
-	}
-	a := &attempt{life: l, choice: c, prompt: pool.Work{Tokens: c.Tokens, Prompt: tokens}}
-	a.decode = l.upstream(decodes[c.Decode].Name)
-	a.at = a.decode.Name
-	if !c.Direct {
-		a.prefill = l.upstream(prefills[c.Prefill].Name)
-		a.at = a.prefill.Name
-	}
-	a.held = pool.Work{Requests: 1, Pieces: q.Pieces}
-	f.Pool.Begin(a.decode.Name, a.held)
-	a.flight = f.Pool.Start(a.at, a.prompt)
-	l.log.Info("relay: upstreams chosen", zap.String("request", l.opaque.ID), zap.String("service", service),
-		zap.String("prefill", a.prefill.Name), zap.String("decode", a.decode.Name), zap.Int("tokens", tokens),
-		zap.Int64("predicted", int64(c.Wait)), zap.Int64("queue", int64(c.Queue)), zap.Int("sends", l.sends))
-	return a, nil
+// movable reports whether another decode engine may take the computed prompt
+// after err.
+func (a *attempt) movable(ctx context.Context, err error) bool {
+	return err != nil && a.export != nil && a.events == 0 && codes.From(err).Run == codes.NotRun &&
+		codes.Has(err, codes.UpstreamRefused) && a.life.relay.Clock.Now()+leastLeft < a.export.Expires &&
+		a.life.again(ctx, err)
 }
 
 // without leaves out the upstreams that failed this request, as long as
@@ -195,13 +184,13 @@
 func (a *attempt) release() {
 	a.promptDone(0)
 	a.life.relay.Pool.End(a.decode.Name, a.held)
+	a.life.relay.line(a.life.opaque.Service).Wake()
 }
 
 // run sends the request to the decode engine and passes the events on.
 func (a *attempt) run(ctx context.Context, tail *events) error {
 	l := a.life
 	if err := l.spend(); err != nil {
-		a.free()
 		return codes.Wrap(codes.BudgetSpent, err, "service %q", l.opaque.Service)
 	}
 	s := Send{Request: l.request, Export: a.export, From: a.prefill, After: l.opaque.After}
@@ -222,7 +211,6 @@
 	if errors.Is(context.Cause(call), errSilent) && ctx.Err() == nil {
 		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errSilent, err), "%s", a.decode.Name)
 	}
-	a.free()
 	if !l.gone && ctx.Err() == nil {
 		l.lost(ctx, a.decode, err)
 	} else {
--- a/relay/life.go
+++ b/relay/life.go
@@ -77,7 +77,8 @@
 	}
 	attempts := 1 + l.opaque.Route.Profile.Retries
 	switch e := codes.From(err); {
-	case e.Code == codes.NoUpstream, e.Code == codes.BudgetSpent:
+	case e.Code == codes.NoUpstream, e.Code == codes.BudgetSpent, e.Code == codes.DeadlineUnmet, e.Code == codes.QueueFull:
+		// The entry's own refusals were weighed already.
 		return false
 	case e.Run == codes.NotRun:
 		return l.sends < attempts+maxRefusals && l.runs < attempts
--- /dev/null
+++ b/relay/place.go
@@ -0,0 +1,158 @@
+package relay
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/limit"
+	"lacewinghook.example/lacewinghook/pool"
+	"lacewinghook.example/lacewinghook/route"
+)
+
+// Weights of the memory that a completion is expected to take.
+const (
+	// hintWeight is how much the caller's estimate of the answer's length
+	// counts against the usual length: its spread is about as wide as that of
+	// the lengths themselves.
+	hintWeight = 0.6
+	// usualShare is the usual length of an answer as a share of its bound.
+	usualShare = 0.4
+	// growthShare is the part of the expected answer that is reserved. An
+	// answer takes memory as it grows, and others end meanwhile.
+	growthShare = 0.7
+)
+
+// expectedTokens returns the memory that a completion is expected to take.
+func (l *life) expectedTokens() int {
+	bound := float64(l.request.MaxTokens)
+	output := bound * usualShare
+	if hint := float64(l.opaque.OutputHint); hint > 0 && bound > 0 {
+		output = min(bound, math.Pow(hint, hintWeight)*math.Pow(output, 1-hintWeight))
+	}
+	return l.opaque.PromptTokens + int(output*growthShare)
+}
+
+// pieces returns the nearest number of pieces, since the errors of many
+// requests even out.
+func pieces(tokens int) int {
+	return max(1, (tokens+core.PieceTokens/2)/core.PieceTokens)
+}
+
+// firstLimit is how many times its first token's target a completion may take
+// to its first event. Callers give up at about four times the target.
+const firstLimit = 3
+
+// place waits until there is room for the request and takes it. moved, if not
+// nil, is an attempt whose computed prompt goes to another decode engine.
+func (l *life) place(ctx context.Context, moved *attempt) (*attempt, error) {
+	var a *attempt
+	try := func() (bool, error) {
+		var err error
+		a, err = l.choose(moved)
+		return a != nil, err
+	}
+	target := l.request.Arrived + l.request.Profile.FirstToken
+	latest := l.request.Arrived + firstLimit*l.request.Profile.FirstToken
+	if l.begun || l.request.Profile.FirstToken == 0 {
+		latest = l.request.Deadline
+	}
+	if moved != nil {
+		latest = moved.export.Expires
+	}
+	t := limit.Ticket{
+		Cost: l.opaque.PromptTokens, Target: target, Latest: min(latest, l.request.Deadline),
+		Need: l.need(), Urgent: moved != nil || l.begun, Try: try,
+	}
+	start := l.relay.Clock.Now()
+	if err := l.relay.line(l.opaque.Service).Wait(ctx, t); err != nil {
+		return nil, codes.From(err)
+	}
+	a.log(l.relay.Clock.Now() - start)
+	return a, nil
+}
+
+// usualSpeed is the prompt tokens that a prefill engine computes in a
+// millisecond while nothing is known.
+const usualSpeed = 30
+
+// need is the time to the first event at idle engines.
+func (l *life) need() clock.Millis {
+	return clock.Millis(l.opaque.PromptTokens/usualSpeed) + leastLeft
+}
+
+// line returns the line of requests that wait for engines of a service.
+func (f *Relay) line(service string) *limit.Line {
+	var l *limit.Line
+	f.lines.Update(service, func(old *limit.Line, ok bool) (*limit.Line, bool) {
+		if !ok {
+			old = &limit.Line{Clock: f.Clock}
+		}
+		l = old
+		return old, true
+	})
+	return l
+}
+
+// Wake serves the requests for which there is room now. It is called when
+// another entry has told of its work.
+func (f *Relay) Wake() {
+	f.lines.Each(func(_ string, l *limit.Line) bool {
+		if l.Len() > 0 {
+			l.Wake()
+		}
+		return true
+	})
+}
+
+// choose decides which engines the next attempt goes to and counts its work
+// there. Both results are nil where no decode engine has room.
+func (l *life) choose(moved *attempt) (*attempt, error) {
+	f, service := l.relay, l.opaque.Service
+	tokens := l.opaque.PromptTokens
+	q := route.Query{
+		Tokens: tokens, Output: l.request.MaxTokens, Pieces: pieces(l.expectedTokens()),
+		Bytes: int64(tokens) * l.spec().TokenBytes, Centre: f.Centre, Draw: rand.Uint64(), Export: moved != nil,
+	}
+	prefills := l.without(f.Pool.Candidates(core.Prefill, service, nil, nil))
+	decodes := l.without(f.Pool.Candidates(core.Decode, service, nil, nil))
+	if len(decodes) == 0 {
+		return nil, codes.New(codes.NoUpstream, "service %q: %d prefill and no decode upstreams", service, len(prefills))
+	}
+	if moved != nil {
+		q.Centre = moved.prefill.Centre
+	}
+	c, ok := route.Direct{}.Choose(q, prefills, decodes)
+	if !ok {
+		return nil, nil
+	}
+	a := &attempt{life: l, choice: c, held: pool.Work{Requests: 1, Pieces: q.Pieces}}
+	a.decode = l.upstream(decodes[c.Decode].Name)
+	f.Pool.Begin(a.decode.Name, a.held)
+	if moved != nil {
+		a.prefill, a.export, a.prompt, a.computed = moved.prefill, moved.export, moved.prompt, true
+		return a, nil
+	}
+	a.prompt = pool.Work{Tokens: c.Tokens, Prompt: tokens}
+	a.at = a.decode.Name
+	if !c.Direct {
+		a.prefill = l.upstream(prefills[c.Prefill].Name)
+		a.at = a.prefill.Name
+	}
+	a.flight = f.Pool.Start(a.at, a.prompt)
+	return a, nil
+}
+
+// log tells which engines were chosen.
+func (a *attempt) log(waited clock.Millis) {
+	l := a.life
+	l.log.Info("relay: upstreams chosen", zap.String("request", l.opaque.ID), zap.String("service", l.opaque.Service),
+		zap.String("prefill", a.prefill.Name), zap.String("decode", a.decode.Name), zap.Bool("direct", a.choice.Direct),
+		zap.Int("tokens", l.opaque.PromptTokens), zap.Int("pieces", a.held.Pieces), zap.Int64("waited", int64(waited)),
+		zap.Int64("predicted", int64(a.choice.Wait)), zap.Int("sends", l.sends))
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,9 +9,11 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/route"
+	"lacewinghook.example/lacewinghook/shard"
 )
 
 // Upstreams sends requests to upstreams. An error with Run [codes.NotRun] is
@@ -94,6 +96,8 @@
 	Log   *zap.Logger
 	// Centre is the data centre of this entry.
 	Centre string
+
+	lines shard.Map[string, *limit.Line]
 }
 
 // Run carries out one request and hands its answer to sink.
