relay: memory is set aside at a decode engine before the prompt is computed

Ruled out: stale counts (the first refusals come at a full ledger). Change: from 45% of an engine's memory its own hold is asked for first, and the whole expected answer is reserved in place of 0.7 of it.

--- a/core/routing.go
+++ b/core/routing.go
@@ -62,6 +62,9 @@
 	TokenBytes int64
 	// HandleLife is how long an engine keeps the result of a prefill.
 	HandleLife clock.Millis
+	// HoldMost is how long memory may be set aside for a request; zero is not
+	// at all.
+	HoldMost clock.Millis
 }
 
 // ServiceSpec is one service as it was published.
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -21,6 +21,9 @@
 	prefill core.Upstream
 	decode  core.Upstream
 	export  *core.Export
+	// hold names the memory that is set aside at the decode engine until it
+	// takes the request.
+	hold string
 	// prompt is the work of computing the prompt, counted at one engine under
 	// the number flight until computed is called.
 	prompt   pool.Work
@@ -182,6 +185,7 @@
 
 // release ends all that the attempt holds.
 func (a *attempt) release() {
+	a.drop()
 	a.promptDone(0)
 	a.life.relay.Pool.End(a.decode.Name, a.held)
 	a.life.relay.line(a.life.opaque.Service).Wake()
@@ -193,7 +197,8 @@
 	if err := l.spend(); err != nil {
 		return codes.Wrap(codes.BudgetSpent, err, "service %q", l.opaque.Service)
 	}
-	s := Send{Request: l.request, Export: a.export, From: a.prefill, After: l.opaque.After}
+	s := Send{Request: l.request, Export: a.export, From: a.prefill, After: l.opaque.After, Hold: a.hold}
+	a.hold = ""
 	if tail.last != "" {
 		s.After = tail.last
 	}
@@ -219,9 +224,22 @@
 	return err
 }
 
-// freeTime bounds the call that frees the result of a prefill.
+// freeTime bounds a call that gives back what an engine holds.
 const freeTime = 1 * clock.Second
 
+// behind makes a call that gives back what an engine holds. It doesn't delay
+// the request, whose caller may be gone.
+func (l *life) behind(what string, up core.Upstream, call func(context.Context) error) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTime.Std())
+		defer cancel()
+		if err := call(ctx); err != nil {
+			l.log.Info("relay: an engine did not confirm what was given back", zap.String("request", l.opaque.ID),
+				zap.String("what", what), zap.String("upstream", up.Name), zap.Error(err))
+		}
+	}()
+}
+
 // free drops the result of a prefill that no engine fetched. Where the decode
 // engine has fetched it, the call finds nothing.
 func (a *attempt) free() {
@@ -234,14 +252,9 @@
 	if l.relay.Clock.Now() >= x.Expires {
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), freeTime.Std())
-		defer cancel()
-		if err := l.relay.Upstreams.Free(ctx, a.prefill, x); err != nil {
-			l.log.Info("relay: the result of a prefill was not freed", zap.String("request", l.opaque.ID),
-				zap.String("upstream", a.prefill.Name), zap.Error(err))
-		}
-	}()
+	l.behind("export", a.prefill, func(ctx context.Context) error {
+		return l.relay.Upstreams.Free(ctx, a.prefill, x)
+	})
 }
 
 // pass hands the answer to the caller as it arrives.
--- a/relay/place.go
+++ b/relay/place.go
@@ -23,9 +23,6 @@
 	hintWeight = 0.6
 	// usualShare is the usual length of an answer as a share of its bound.
 	usualShare = 0.4
-	// growthShare is the part of the expected answer that is reserved. An
-	// answer takes memory as it grows, and others end meanwhile.
-	growthShare = 0.7
 )
 
 // expectedTokens returns the memory that a completion is expected to take.
@@ -35,7 +32,7 @@
 	if hint := float64(l.opaque.OutputHint); hint > 0 && bound > 0 {
 		output = min(bound, math.Pow(hint, hintWeight)*math.Pow(output, 1-hintWeight))
 	}
-	return l.opaque.PromptTokens + int(output*growthShare)
+	return l.opaque.PromptTokens + int(output)
 }
 
 // pieces returns the nearest number of pieces, since the errors of many
@@ -70,11 +67,19 @@
 		Need: l.need(), Urgent: moved != nil || l.begun, Try: try,
 	}
 	start := l.relay.Clock.Now()
-	if err := l.relay.line(l.opaque.Service).Wait(ctx, t); err != nil {
-		return nil, codes.From(err)
+	for {
+		if err := l.relay.line(l.opaque.Service).Wait(ctx, t); err != nil {
+			return nil, codes.From(err)
+		}
+		if a.reserve(ctx) {
+			a.log(l.relay.Clock.Now() - start)
+			return a, nil
+		}
+		a.release()
+		if err := l.relay.Clock.Sleep(ctx, fullPause); err != nil {
+			return nil, codes.From(err)
+		}
 	}
-	a.log(l.relay.Clock.Now() - start)
-	return a, nil
 }
 
 // usualSpeed is the prompt tokens that a prefill engine computes in a
@@ -148,6 +153,58 @@
 	return a, nil
 }
 
+// Bounds of the memory that is set aside at a decode engine before the prompt
+// is computed.
+const (
+	// holdFrom is the share of an engine's memory from which its own word is
+	// asked for. Below, the entries' counts are right enough.
+	holdFrom = 0.45
+	// holdTime bounds the call, and holdSpare what the hold lasts beyond the
+	// predicted first event.
+	holdTime  clock.Millis = 300
+	holdSpare clock.Millis = 600
+	// fullPause is the pause after an engine had no memory although the
+	// entries' counts said so.
+	fullPause clock.Millis = 30
+)
+
+// reserve sets memory aside at a decode engine that is fairly full, so that no
+// prompt is computed in vain. It reports whether the attempt may go on.
+func (a *attempt) reserve(ctx context.Context) bool {
+	l := a.life
+	most := l.spec().HoldMost
+	if most == 0 || a.choice.Direct || a.choice.Fill < holdFrom {
+		return true
+	}
+	call, cancel := context.WithTimeout(ctx, holdTime.Std())
+	defer cancel()
+	hold, err := l.relay.Upstreams.Hold(call, a.decode, l.expectedTokens(), min(most, 2*a.choice.Wait+holdSpare))
+	if err == nil {
+		a.hold = hold
+		return true
+	}
+	l.relay.Meter.Add("holds_refused_total", 1)
+	l.log.Info("relay: no memory was set aside", zap.String("request", l.opaque.ID), zap.String("upstream", a.decode.Name),
+		zap.Float64("fill", a.choice.Fill), zap.Error(err))
+	if codes.Has(err, codes.NoMemory) {
+		return false
+	}
+	l.failed = append(l.failed, a.decode.Name)
+	return false
+}
+
+// drop gives back memory that was set aside and not used.
+func (a *attempt) drop() {
+	hold := a.hold
+	if hold == "" {
+		return
+	}
+	a.hold = ""
+	a.life.behind("hold", a.decode, func(ctx context.Context) error {
+		return a.life.relay.Upstreams.Drop(ctx, a.decode, hold)
+	})
+}
+
 // log tells which engines were chosen.
 func (a *attempt) log(waited clock.Millis) {
 	l := a.life
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,6 +24,11 @@
 	// Send sends the request and returns once the head of the answer is
 	// there.
 	Send(ctx context.Context, up core.Upstream, s Send) (Answer, error)
+	// Hold sets memory of an engine aside for one request, for at most the
+	// time. An error with the code [codes.NoMemory] says that there is none.
+	Hold(ctx context.Context, up core.Upstream, tokens int, most clock.Millis) (hold string, err error)
+	// Drop gives back what was set aside and not used.
+	Drop(ctx context.Context, up core.Upstream, hold string) error
 	// Free drops the result of a prefill that nobody fetches.
 	Free(ctx context.Context, up core.Upstream, x core.Export) error
 }
@@ -37,6 +42,9 @@
 	From   core.Upstream
 	// After is the last event that the caller has; empty is none.
 	After string
+	// Hold names the memory that was set aside for the request; empty is
+	// none.
+	Hold string
 }
 
 // Answer is an upstream's answer whose body is still to be read. Body must be
--- a/route/cost.go
+++ b/route/cost.go
@@ -95,6 +95,7 @@
 	if math.IsInf(least, 1) {
 		return Choice{}, false
 	}
+	best.Fill = decodes[best.Decode].fill()
 	if !q.Export {
 		p := &prefills[best.Prefill]
 		best.Queue = clock.Millis(p.queueTime())
--- a/route/route.go
+++ b/route/route.go
@@ -57,6 +57,8 @@
 	Queue clock.Millis
 	// Tokens counts the prompt tokens that are not expected to be cached.
 	Tokens int
+	// Fill is the share of the decode upstream's memory that is taken.
+	Fill float64
 	// Direct says that the decode upstream computes the prompt itself, so
 	// that there is no prefill.
 	Direct bool
