--- a/core/routing.go
+++ b/core/routing.go
@@ -60,6 +60,8 @@
 	Tokens int
 	// TokenBytes is the size of one token's KV cache.
 	TokenBytes int64
+	// EventTokens is how many tokens one event of a stream holds.
+	EventTokens int
 	// HandleLife is how long an engine keeps the result of a prefill.
 	HandleLife clock.Millis
 	// HoldMost is how long memory may be set aside for a request; zero is not
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -33,6 +33,9 @@
 	Settings *config.Settings
 	Log      *zap.Logger
 	Clock    clock.Clock
+	// Open holds listeners that are open already; those at other addresses of
+	// the settings are opened by Run.
+	Open []net.Listener
 
 	boot     uint64
 	leaving  atomic.Bool
@@ -168,7 +171,7 @@
 		if h.addr == "" {
 			continue
 		}
-		ln, err := sock.Listen(ctx, h.addr)
+		ln, err := e.open(ctx, h.addr)
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen at %s", h.addr)
 		}
@@ -178,6 +181,15 @@
 	return all, nil
 }
 
+func (e *Edge) open(ctx context.Context, addr string) (net.Listener, error) {
+	for _, ln := range e.Open {
+		if ln.Addr().String() == addr {
+			return ln, nil
+		}
+	}
+	return sock.Listen(ctx, addr)
+}
+
 // Times of the servers' connections.
 const (
 	// headTime bounds the arrival of a request's head, and inputTime that of
--- /dev/null
+++ b/edge/edge_test.go
@@ -0,0 +1,426 @@
+package edge_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/config"
+	"lacewinghook.example/lacewinghook/edge"
+	"lacewinghook.example/lacewinghook/stand"
+)
+
+// testLimit bounds a wait for a condition.
+const testLimit = 10 * time.Second
+
+// manifestText is a manifest with one route of each kind.
+const manifestText = `{"version":%d,"routes":[
+{"name":"once","host":"h.example","prefix":"/once/","route_kind":"non_idempotent","timeout_ms":%d,"target_latency_ms":300,"priority":2,"service":"desk","max_attempts":1,"sticky":false},
+{"name":"safe","host":"h.example","prefix":"/safe/","route_kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"desk","max_attempts":2,"sticky":false},
+{"name":"deep","host":"h.example","prefix":"/safe/deep/","route_kind":"idempotent","timeout_ms":2000,"target_latency_ms":300.5,"priority":2,"split":[{"service":"nobody","weight":0},{"service":"desk","weight":10}],"max_attempts":2},
+{"name":"verse","host":"h.example","prefix":"/verse/","route_kind":"streaming","timeout_ms":14000,"target_latency_ms":900,"priority":1,"service":"verse","max_attempts":1,"sticky":true,"resumable":false,"target_itl_ms":300},
+{"name":"long","host":"h.example","prefix":"/long/","route_kind":"streaming","timeout_ms":14000,"target_latency_ms":900,"priority":1,"service":"verse","max_attempts":2,"sticky":true,"resumable":true,"target_itl_ms":300}
+%s],
+"services":[{"name":"verse","health_path":"/healthz","max_conns":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kv_tokens":39418,"kv_token_bytes":327680,"link_mbps":3400000.0,"stride":16,"kv_hold_s":0.5,"switch_s":6.0,"hold_ms":2000.0,"models":[{"name":"m"}]}},{"name":"desk","health_path":"/healthz","max_conns":110,"protocol":"h1","tls":false}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
+// site is a platform with entries.
+type site struct {
+	t       *testing.T
+	store   *stand.Store
+	desks   []*stand.Replica
+	prefill []*stand.Replica
+	decode  []*stand.Replica
+	entries []*running
+	n       int
+}
+
+// running is one entry that serves.
+type running struct {
+	settings *config.Settings
+	stop     context.CancelFunc
+	done     chan error
+	client   *http.Client
+}
+
+// newSite starts a store with a manifest and two replicas of each kind.
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: stand.NewStore(t)}
+	s.publish(1, 1000, "")
+	for i := range 2 {
+		s.desks = append(s.desks, s.replica(fmt.Sprintf("d-%d", i), "desk", ""))
+		s.prefill = append(s.prefill, s.replica(fmt.Sprintf("p-%d", i), "verse", "prefill"))
+		s.decode = append(s.decode, s.replica(fmt.Sprintf("g-%d", i), "verse", "decode"))
+	}
+	return s
+}
+
+func (s *site) publish(version, timeout int, more string) {
+	s.store.Put("op", "config", fmt.Sprintf(manifestText, version, timeout, more))
+}
+
+func (s *site) replica(id, service, phase string) *stand.Replica {
+	r := stand.NewReplica(s.t, id, service, phase)
+	s.store.Put("servers", id, r.Row("ready"))
+	return r
+}
+
+// start starts an entry. seeds are other entries that it knows at once.
+func (s *site) start(seeds ...*running) *running {
+	s.t.Helper()
+	s.n++
+	var open []net.Listener
+	port := func() string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		open = append(open, ln)
+		return ln.Addr().String()
+	}
+	set := &config.Settings{
+		Instance: fmt.Sprintf("edge-%d", s.n), Centre: "moose-jaw",
+		Callers: config.Listener{Listen: port()}, Peers: config.Listener{Listen: port()},
+		Fleet: &config.Fleet{
+			Store: s.store.Addr, Directory: port(), Readiness: port(), Metrics: port(),
+			Grace: 4000, Keep: 500, Retries: config.Retries{Ratio: 0.2, Slack: 58, Span: 10000},
+		},
+	}
+	for _, r := range seeds {
+		set.Seeds = append(set.Seeds, r.settings.Peers.Listen)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{settings: set, stop: stop, done: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
+	go func() { r.done <- (&edge.Edge{Settings: set, Open: open}).Run(ctx) }()
+	s.entries = append(s.entries, r)
+	s.t.Cleanup(func() {
+		stop()
+		select {
+		case <-r.done:
+		case <-time.After(testLimit):
+			s.t.Error("the entry did not stop")
+		}
+		r.client.CloseIdleConnections()
+	})
+	return r
+}
+
+// started starts an entry and waits until it is ready.
+func (s *site) started(seeds ...*running) *running {
+	s.t.Helper()
+	r := s.start(seeds...)
+	s.until("the entry is ready", r.ready)
+	return r
+}
+
+func (s *site) until(what string, f func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(testLimit); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("not within %v: %s", testLimit, what)
+		}
+	}
+}
+
+func (r *running) ready() bool {
+	a, err := r.client.Get("http://" + r.settings.Fleet.Readiness + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer a.Body.Close()
+	return a.StatusCode == http.StatusOK
+}
+
+func (r *running) addresses() []string {
+	a, err := r.client.Get("http://" + r.settings.Fleet.Directory + "/resolve?name=h.example&region=r&zone=moose-jaw")
+	if err != nil {
+		return nil
+	}
+	defer a.Body.Close()
+	var got struct {
+		Addresses []string `json:"addresses"`
+		TTL       float64  `json:"ttl_s"`
+	}
+	if json.NewDecoder(a.Body).Decode(&got) != nil || got.TTL <= 0 {
+		return nil
+	}
+	return got.Addresses
+}
+
+// ask is a caller's request.
+type ask struct {
+	id, method, path, body string
+	header                 map[string]string
+}
+
+// answer is what the caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+	took   time.Duration
+}
+
+func (r *running) do(ctx context.Context, a ask) answer {
+	if a.method == "" {
+		a.method = http.MethodPost
+	}
+	hr, err := http.NewRequestWithContext(ctx, a.method, "http://"+r.settings.Callers.Listen+a.path, strings.NewReader(a.body))
+	if err != nil {
+		return answer{err: err}
+	}
+	hr.Host = "h.example"
+	if a.id != "" {
+		hr.Header.Set("Lacewinghook-Request-Id", a.id)
+	}
+	hr.Header.Set("Lacewinghook-Deadline-Ms", "4000")
+	if strings.HasPrefix(a.path, "/verse/") || strings.HasPrefix(a.path, "/long/") {
+		hr.Header.Set("Lacewinghook-Model", "m")
+		hr.Header.Set("Lacewinghook-Token-Counts", "3000,2720")
+		hr.Header.Set("Lacewinghook-Prefix-Hash", "5c1e07a2:200,91bd3f06:2800")
+	}
+	for name, value := range a.header {
+		hr.Header.Set(name, value)
+	}
+	begun := time.Now()
+	got, err := r.client.Do(hr)
+	if err != nil {
+		return answer{err: err, took: time.Since(begun)}
+	}
+	defer got.Body.Close()
+	body, err := io.ReadAll(got.Body)
+	return answer{status: got.StatusCode, header: got.Header, body: string(body), err: err, took: time.Since(begun)}
+}
+
+func (s *site) runs(id string) int {
+	n := 0
+	for _, list := range [][]*stand.Replica{s.desks, s.decode} {
+		for _, r := range list {
+			n += r.Runs(id)
+		}
+	}
+	return n
+}
+
+func each(list []*stand.Replica, f stand.Fault, n int) {
+	for _, r := range list {
+		r.Fail(f, n)
+	}
+}
+
+// events returns the whole answer of a stream.
+func events(n int) string {
+	text := ""
+	for i := 1; i <= n; i++ {
+		text += fmt.Sprintf("id: %d\ndata: token%d\n\n", i, i)
+	}
+	return text
+}
+
+func TestAnswers(t *testing.T) {
+	ctx := context.Background()
+	cases := map[string]struct {
+		prepare func(s *site)
+		ask     ask
+		status  int
+		// body is what the answer holds; empty is not looked at.
+		body string
+		// cut says that the answer must look cut short.
+		cut  bool
+		runs int
+		// later says that the caller is told when to come back.
+		later bool
+	}{
+		"a call":                {ask: ask{path: "/once/a?x=%2f", body: "b"}, status: 200, body: "answer of d-", runs: 1},
+		"a call without a body": {ask: ask{method: "GET", path: "/safe/a"}, status: 200, runs: 1},
+		"the longest prefix":    {ask: ask{method: "GET", path: "/safe/deep/a"}, status: 200, runs: 1},
+		"a stream":              {ask: ask{path: "/verse/a", body: "p"}, status: 200, body: events(4), runs: 1},
+		"no such route":         {ask: ask{path: "/none/a"}, status: 404},
+		"no such host":          {ask: ask{path: "/", header: map[string]string{}}, status: 404},
+		"a bad count":           {ask: ask{path: "/verse/a", header: map[string]string{"Lacewinghook-Token-Counts": "x,1"}}, status: 400},
+		"a bad prefix":          {ask: ask{path: "/verse/a", header: map[string]string{"Lacewinghook-Prefix-Hash": "zz:1"}}, status: 400},
+		"a bad deadline":        {ask: ask{path: "/once/a", header: map[string]string{"Lacewinghook-Deadline-Ms": "soon"}}, status: 400},
+		"a long body":           {ask: ask{path: "/once/a", body: strings.Repeat("x", 100001)}, status: 413},
+		"a deadline that is past": {
+			ask: ask{path: "/once/a", header: map[string]string{"Lacewinghook-Deadline-Ms": "0"}}, status: 503,
+		},
+
+		"once, the answer is lost": {
+			prepare: func(s *site) { each(s.desks, stand.LoseAnswer, 1) }, ask: ask{path: "/once/a"}, status: 502, runs: 1,
+		},
+		"once, the answer is cut": {
+			prepare: func(s *site) { each(s.desks, stand.CutAnswer, 1) }, ask: ask{path: "/once/a"}, status: 502, runs: 1,
+		},
+		"once, the answer is garbage": {
+			prepare: func(s *site) { each(s.desks, stand.Garbage, 1) }, ask: ask{path: "/once/a"}, status: 502, runs: 1,
+		},
+		"once, the success is unsigned": {
+			prepare: func(s *site) { each(s.desks, stand.Unsigned, 1) }, ask: ask{path: "/once/a"}, status: 502, runs: 1,
+		},
+		"once, the replica fails": {
+			prepare: func(s *site) { each(s.desks, stand.Fails, 1) }, ask: ask{path: "/once/a"}, status: 500, body: "failed", runs: 1,
+		},
+		"once, one replica is full": {
+			prepare: func(s *site) { s.desks[0].Fail(stand.Shed, 1) }, ask: ask{path: "/once/a"}, status: 200, runs: 1,
+		},
+		"once, all replicas are full": {
+			prepare: func(s *site) { each(s.desks, stand.Shed, 5) }, ask: ask{path: "/once/a"}, status: 503, later: true,
+		},
+		"once, one replica is gone": {
+			prepare: func(s *site) { s.desks[0].Stop() }, ask: ask{path: "/once/a"}, status: 200, runs: 1,
+		},
+		"once, all replicas are gone": {
+			prepare: func(s *site) { s.desks[0].Stop(); s.desks[1].Stop() }, ask: ask{path: "/once/a"}, status: 503, later: true,
+		},
+		"once, the replica is silent": {
+			prepare: func(s *site) { each(s.desks, stand.Mute, 1) }, ask: ask{path: "/once/a"}, status: 504, runs: 1,
+		},
+		"once, without a length": {
+			prepare: func(s *site) { each(s.desks, stand.Unframed, 1) }, ask: ask{path: "/once/a"}, status: 200, body: "answer of d-", runs: 1,
+		},
+		"safe, the answer is lost": {
+			prepare: func(s *site) { s.desks[0].Fail(stand.LoseAnswer, 1); s.desks[1].Fail(stand.LoseAnswer, 1) },
+			ask:     ask{method: "GET", path: "/safe/a"}, status: 502, runs: 2,
+		},
+		"safe, the first replica fails": {
+			prepare: func(s *site) { s.desks[0].Fail(stand.Fails, 1) }, ask: ask{method: "GET", path: "/safe/a"}, status: 200,
+		},
+		"safe, both replicas fail": {
+			prepare: func(s *site) { each(s.desks, stand.Fails, 1) }, ask: ask{method: "GET", path: "/safe/a"}, status: 500, body: "failed", runs: 2,
+		},
+
+		"a stream that is cut": {
+			prepare: func(s *site) { each(s.decode, stand.CutAnswer, 1) }, ask: ask{path: "/verse/a"}, status: 200, cut: true, runs: 1,
+		},
+		"a stream that is resumed": {
+			prepare: func(s *site) { s.decode[0].Fail(stand.CutAnswer, 1); s.decode[1].Fail(stand.CutAnswer, 1) },
+			ask:     ask{path: "/long/a"}, status: 200, body: events(4), runs: 2,
+		},
+		"a stream whose caller resumes it": {
+			ask: ask{path: "/long/a", header: map[string]string{"Last-Event-Id": "3"}}, status: 200, body: "id: 4\ndata: token4\n\n", runs: 1,
+		},
+		"a stream, all decode engines are full": {
+			prepare: func(s *site) { each(s.decode, stand.Shed, 9) }, ask: ask{path: "/verse/a"}, status: 503, later: true,
+		},
+		"a stream without prefill engines": {
+			prepare: func(s *site) { s.prefill[0].Stop(); s.prefill[1].Stop() }, ask: ask{path: "/verse/a"}, status: 200, body: events(4), runs: 1,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			r := s.started()
+			if c.prepare != nil {
+				c.prepare(s)
+			}
+			c.ask.id = "id-1"
+			if name == "no such host" {
+				r.client = &http.Client{Transport: hostless{}}
+			}
+			got := r.do(ctx, c.ask)
+			if c.cut {
+				is.True(got.err != nil || got.status == 0)
+			} else {
+				is.NoErr(got.err)
+				is.Equal(got.status, c.status)
+			}
+			is.True(strings.Contains(got.body, c.body))
+			if c.runs > 0 || c.status >= 400 && c.status != 500 {
+				is.Equal(s.runs("id-1"), c.runs)
+			}
+			is.Equal(got.header.Get("Retry-After") != "", c.later)
+			if got.status == 200 && !c.cut {
+				is.Equal(got.header.Get("Lacewinghook-Replica-Signature"), "sig.id-1")
+			}
+			if c.ask.path == "/once/a?x=%2f" {
+				is.Equal(got.header.Get("Seen-Path"), c.ask.path)
+				is.Equal(got.header.Get("Seen-Body"), c.ask.body)
+			}
+		})
+	}
+}
+
+// hostless sends requests for another host.
+type hostless struct{}
+
+func (hostless) RoundTrip(r *http.Request) (*http.Response, error) {
+	r.Host = "other.example"
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+func TestHeadersOfTheRouter(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	r := s.started()
+	got := r.do(context.Background(), ask{id: "id-1", path: "/verse/a", header: map[string]string{
+		"Lacewinghook-Kv-Source": "10.0.0.1:1/x", "Lacewinghook-Kv-Retain": "x", "Lacewinghook-Phase": "prefill",
+		"Lacewinghook-Pin-Ms": "9", "Lacewinghook-Kv-Backup": "10.0.0.1:1", "Lacewinghook-Expect-Replica": "i-other",
+		"Lacewinghook-Request-Priority": "0", "Connection": "X-Hop", "X-Hop": "1", "X-Kept": "1",
+	}})
+	is.Equal(got.status, 200)
+	is.Equal(got.body, events(4))
+	for _, list := range [][]*stand.Replica{s.prefill, s.decode} {
+		for _, replica := range list {
+			for _, h := range replica.Seen() {
+				is.Equal(h.Get("Lacewinghook-Expect-Replica"), replica.ID)
+				if h.Get("Lacewinghook-Request-Id") == "" {
+					continue
+				}
+				for _, name := range []string{"Lacewinghook-Pin-Ms", "Lacewinghook-Kv-Backup", "Lacewinghook-Request-Priority", "X-Hop"} {
+					is.Equal(h.Get(name), "")
+				}
+				is.True(h.Get("Lacewinghook-Kv-Source") != "10.0.0.1:1/x")
+				is.True(h.Get("Lacewinghook-Kv-Retain") != "x")
+				is.Equal(h.Get("X-Kept"), "1")
+				is.Equal(h.Get("Lacewinghook-Prefix-Hash"), "5c1e07a2:200,91bd3f06:2800")
+				var left int
+				_, err := fmt.Sscan(h.Get("Lacewinghook-Deadline-Ms"), &left)
+				is.NoErr(err)
+				is.True(left > 0 && left <= 4000)
+			}
+		}
+	}
+}
+
+func TestAnExtraAnswerIsNoOnesAnswer(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	r := s.started()
+	for i := range 20 {
+		each(s.desks, stand.Extra, 1)
+		id := fmt.Sprintf("id-%d", i)
+		got := r.do(context.Background(), ask{id: id, path: "/once/a"})
+		is.NoErr(got.err)
+		is.Equal(got.status, 200)
+		is.Equal(got.header.Get("Lacewinghook-Replica-Signature"), "sig."+id)
+		is.Equal(s.runs(id), 1)
+	}
+}
+
+func TestACallerThatLeavesEndsTheRun(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	for _, d := range s.decode {
+		d.Events, d.Pause = 1000, 20*time.Millisecond
+	}
+	r := s.started()
+	ctx, leave := context.WithCancel(context.Background())
+	time.AfterFunc(300*time.Millisecond, leave)
+	got := r.do(ctx, ask{id: "id-1", path: "/long/a"})
+	is.True(got.err != nil)
+	left := time.Now()
+	s.until("the run has ended", func() bool { return s.decode[0].Counts().Ended+s.decode[1].Counts().Ended == 1 })
+	is.True(time.Since(left) < 500*time.Millisecond)
+	is.Equal(s.runs("id-1"), 1)
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -69,7 +69,7 @@
 		if err := l.forward(head); err != nil {
 			return err
 		}
-		return l.stream(up, a.Body, func() {})
+		return l.stream(up, a.Body, func([]byte) {})
 	}
 	a.Length = int64(len(head))
 	got := &whole{reply: a.Reply, body: head}
--- a/relay/events.go
+++ b/relay/events.go
@@ -26,13 +26,13 @@
 )
 
 // stream passes the whole events of a body on as they arrive.
-func (t *events) stream(l *life, up core.Upstream, body io.Reader, first func()) error {
+func (t *events) stream(l *life, up core.Upstream, body io.Reader, arrived func([]byte)) error {
 	t.part = t.part[:0]
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			first()
+			arrived(buf[:n])
 			t.part = append(t.part, buf[:n]...)
 			if err := t.pass(l); err != nil {
 				return err
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 
 	"github.com/go-faster/errors"
@@ -31,7 +32,10 @@
 	flight   uint64
 	computed bool
 	held     pool.Work
+	// events counts what the engine has sent, and reserved is the tokens of
+	// the answer that held stands for.
 	events   int
+	reserved int
 }
 
 // generate carries out a completion.
@@ -269,10 +273,11 @@
 		}
 	}
 	start := watch.began
-	first := func() {
+	arrived := func(p []byte) {
 		watch.sign()
-		a.events++
-		if a.events > 1 {
+		first := a.events == 0
+		a.grow(p)
+		if !first {
 			return
 		}
 		took := l.relay.Clock.Now() - start
@@ -284,9 +289,25 @@
 		l.relay.Meter.Took("first", l.opaque.Route.Name, l.relay.Clock.Now()-l.request.Arrived)
 	}
 	if l.opaque.Route.Resumable {
-		return tail.stream(l, a.decode, answer.Body, first)
+		return tail.stream(l, a.decode, answer.Body, arrived)
 	}
-	return l.stream(a.decode, answer.Body, first)
+	return l.stream(a.decode, answer.Body, arrived)
+}
+
+// eventEnd ends an event.
+var eventEnd = []byte("\n\n")
+
+// grow counts the events in a part of the answer, and the memory that the
+// answer takes beyond what was expected of it.
+func (a *attempt) grow(p []byte) {
+	a.events += max(1, bytes.Count(p, eventEnd))
+	over := a.events*a.life.spec().EventTokens - a.reserved
+	if over <= 0 {
+		return
+	}
+	a.reserved += core.PieceTokens
+	a.held.Pieces++
+	a.life.relay.Pool.Begin(a.decode.Name, pool.Work{Pieces: 1})
 }
 
 // failure delivers the answer of an engine that failed, unless it is tried
@@ -299,5 +320,5 @@
 	if err := l.begin(answer.Reply); err != nil {
 		return err
 	}
-	return l.stream(a.decode, answer.Body, func() {})
+	return l.stream(a.decode, answer.Body, func([]byte) {})
 }
--- a/relay/life.go
+++ b/relay/life.go
@@ -166,14 +166,14 @@
 // copyBuffer is the size of the pieces in which an answer is passed on.
 const copyBuffer = 16 << 10
 
-// stream passes a body on as it arrives. first is called with the first
-// piece.
-func (l *life) stream(up core.Upstream, body io.Reader, first func()) error {
+// stream passes a body on as it arrives. arrived is called with each part
+// before.
+func (l *life) stream(up core.Upstream, body io.Reader, arrived func([]byte)) error {
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			first()
+			arrived(buf[:n])
 			if err := l.forward(buf[:n]); err != nil {
 				return err
 			}
--- a/relay/place.go
+++ b/relay/place.go
@@ -25,14 +25,14 @@
 	usualShare = 0.4
 )
 
-// expectedTokens returns the memory that a completion is expected to take.
-func (l *life) expectedTokens() int {
+// expectedOutput returns the length that is expected of the answer.
+func (l *life) expectedOutput() int {
 	bound := float64(l.request.MaxTokens)
 	output := bound * usualShare
 	if hint := float64(l.opaque.OutputHint); hint > 0 && bound > 0 {
 		output = min(bound, math.Pow(hint, hintWeight)*math.Pow(output, 1-hintWeight))
 	}
-	return l.opaque.PromptTokens + int(output)
+	return int(output)
 }
 
 // pieces returns the nearest number of pieces, since the errors of many
@@ -121,7 +121,7 @@
 	f, service := l.relay, l.opaque.Service
 	tokens := l.opaque.PromptTokens
 	q := route.Query{
-		Tokens: tokens, Output: l.request.MaxTokens, Pieces: pieces(l.expectedTokens()),
+		Tokens: tokens, Output: l.request.MaxTokens, Pieces: pieces(tokens + l.expectedOutput()),
 		Bytes: int64(tokens) * l.spec().TokenBytes, Centre: f.Centre, Draw: rand.Uint64(), Export: moved != nil,
 	}
 	prefills := l.without(f.Pool.Candidates(core.Prefill, service, nil, nil))
@@ -136,7 +136,7 @@
 	if !ok {
 		return nil, nil
 	}
-	a := &attempt{life: l, choice: c, held: pool.Work{Requests: 1, Pieces: q.Pieces}}
+	a := &attempt{life: l, choice: c, held: pool.Work{Requests: 1, Pieces: q.Pieces}, reserved: l.expectedOutput()}
 	a.decode = l.upstream(decodes[c.Decode].Name)
 	f.Pool.Begin(a.decode.Name, a.held)
 	if moved != nil {
@@ -178,7 +178,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, holdTime.Std())
 	defer cancel()
-	hold, err := l.relay.Upstreams.Hold(call, a.decode, l.expectedTokens(), min(most, 2*a.choice.Wait+holdSpare))
+	hold, err := l.relay.Upstreams.Hold(call, a.decode, l.opaque.PromptTokens+l.expectedOutput(), min(most, 2*a.choice.Wait+holdSpare))
 	if err == nil {
 		a.hold = hold
 		return true
--- /dev/null
+++ b/stand/store.go
@@ -0,0 +1,282 @@
+package stand
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Mode is how the store answers.
+type Mode string
+
+// The modes of a [Store].
+const (
+	Up     Mode = ""
+	Busy   Mode = "503"
+	Many   Mode = "429"
+	Silent Mode = "silent"
+	Reset  Mode = "reset"
+)
+
+// Store stands in for the metadata store.
+type Store struct {
+	Addr string
+
+	mu       sync.Mutex
+	changed  chan struct{}
+	mode     Mode
+	rows     map[string]storedRow
+	log      []storedRow
+	forgot   int64
+	revision int64
+	calls    map[string]int
+	quit     chan struct{}
+}
+
+type storedRow struct {
+	table, key string
+	value      []byte
+	revision   int64
+	deleted    bool
+}
+
+// NewStore starts a store that ends with the test.
+func NewStore(t *testing.T) *Store {
+	s := &Store{
+		rows: make(map[string]storedRow), calls: make(map[string]int),
+		changed: make(chan struct{}), quit: make(chan struct{}),
+	}
+	server := httptest.NewServer(s)
+	t.Cleanup(func() {
+		close(s.quit)
+		server.CloseClientConnections()
+		server.Close()
+	})
+	s.Addr = strings.TrimPrefix(server.URL, "http://")
+	return s
+}
+
+// Set changes how the store answers.
+func (s *Store) Set(m Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+	s.signal()
+}
+
+// Put writes a row as the operator or a replica does.
+func (s *Store) Put(table, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.apply(storedRow{table: table, key: key, value: []byte(value), revision: s.revision})
+}
+
+// Remove removes a row.
+func (s *Store) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.apply(storedRow{table: table, key: key, revision: s.revision, deleted: true})
+}
+
+// Forget drops the history, so that changes up to now can't be asked for.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgot = s.revision
+	s.signal()
+}
+
+// Keys returns the keys of a table.
+func (s *Store) Keys(table string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for _, r := range s.table(table) {
+		keys = append(keys, r.key)
+	}
+	return keys
+}
+
+// Calls returns how often a path was called.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+func (s *Store) apply(r storedRow) {
+	id := r.table + "\x00" + r.key
+	if r.deleted {
+		delete(s.rows, id)
+	} else {
+		s.rows[id] = r
+	}
+	s.log = append(s.log, r)
+	s.signal()
+}
+
+func (s *Store) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) table(name string) []storedRow {
+	var all []storedRow
+	for _, r := range s.rows {
+		if r.table == name {
+			all = append(all, r)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].key < all[j].key })
+	return all
+}
+
+// ServeHTTP implements [http.Handler].
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	mode := s.mode
+	s.calls[r.URL.Path]++
+	s.mu.Unlock()
+	switch mode {
+	case Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Many:
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	case Silent:
+		select {
+		case <-r.Context().Done():
+		case <-s.quit:
+		}
+		panic(http.ErrAbortHandler)
+	case Reset:
+		panic(http.ErrAbortHandler)
+	}
+	switch r.Method + " " + r.URL.Path {
+	case "GET /rows-get":
+		s.get(w, r)
+	case "GET /rows-feed":
+		s.feed(w, r)
+	case "POST /rows-tx":
+		s.transact(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// pageRows is the number of rows of an answer; the platform's is 500.
+const pageRows = 20
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := r.URL.Query()
+	var rows []storedRow
+	more := false
+	for _, row := range s.table(q.Get("table")) {
+		if row.key < q.Get("from") {
+			continue
+		}
+		if len(rows) == pageRows {
+			more = true
+			break
+		}
+		rows = append(rows, row)
+	}
+	s.answer(w, rows, more)
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	over := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		if after < s.forgot {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		var rows []storedRow
+		for _, row := range s.log {
+			if row.table == q.Get("table") && row.revision > after {
+				rows = append(rows, row)
+			}
+		}
+		if len(rows) > 0 {
+			s.answer(w, rows, false)
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-over:
+			s.mu.Lock()
+			s.answer(w, nil, false)
+			s.mu.Unlock()
+			return
+		case <-r.Context().Done():
+			return
+		case <-s.quit:
+			return
+		}
+	}
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Precondition []map[string]any `json:"precondition"`
+		Puts         []map[string]any `json:"puts"`
+		Remove       []map[string]any `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || in.Precondition == nil || in.Puts == nil || in.Remove == nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	for _, p := range in.Puts {
+		value, err := base64.StdEncoding.DecodeString(p["value"].(string))
+		if err != nil || p["part"] != "" {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		s.apply(storedRow{table: p["table"].(string), key: p["key"].(string), value: value, revision: s.revision})
+	}
+	for _, p := range in.Remove {
+		s.apply(storedRow{table: p["table"].(string), key: p["key"].(string), revision: s.revision, deleted: true})
+	}
+	s.answer(w, nil, false)
+}
+
+// answer writes rows; the caller holds the lock.
+func (s *Store) answer(w http.ResponseWriter, rows []storedRow, more bool) {
+	list := []map[string]any{}
+	for _, r := range rows {
+		row := map[string]any{"table": r.table, "part": "", "key": r.key, "schema_version": r.revision}
+		if r.deleted {
+			row["deleted"] = true
+		} else {
+			row["value"] = base64.StdEncoding.EncodeToString(r.value)
+		}
+		list = append(list, row)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"rows": list, "has_more": more, "schema_version": s.revision, "now_ms": time.Now().UnixMilli(),
+	})
+}
