edge: an entry is ready once its upstreams are in force

Cause: a 503 seen once in edge's tests (safe, the answer is lost), with nothing sent: an entry counted as ready from its manifest and list on, before the pool had them, and two threads could leave the older of two in the pool. Ruled out: the ports of tests beside. Beside it, a replica's usual time fades, so that one that was slow once is tried again.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
@@ -39,7 +40,9 @@
 
 	boot     uint64
 	leaving  atomic.Bool
-	listed   atomic.Bool
+	applying sync.Mutex
+	// applied says that a manifest and a list of replicas are in force.
+	applied  atomic.Bool
 	stale    atomic.Bool
 	fleet    atomic.Pointer[core.Fleet]
 	meter    meter.Set
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -168,6 +168,8 @@
 	body   string
 	err    error
 	took   time.Duration
+	// closes says that the connection is not used again.
+	closes bool
 }
 
 func (r *running) do(ctx context.Context, a ask) answer {
@@ -198,7 +200,7 @@
 	}
 	defer got.Body.Close()
 	body, err := io.ReadAll(got.Body)
-	return answer{status: got.StatusCode, header: got.Header, body: string(body), err: err, took: time.Since(begun)}
+	return answer{status: got.StatusCode, header: got.Header, body: string(body), err: err, took: time.Since(begun), closes: got.Close}
 }
 
 func (s *site) runs(id string) int {
--- a/edge/state.go
+++ b/edge/state.go
@@ -28,7 +28,6 @@
 	e.logChanges(old, &fleet)
 	e.applyPool()
 	e.replicas.Retain(fleet.Replicas)
-	e.listed.Store(true)
 }
 
 // memoryUsed is the part of an engine's memory that requests are placed in. The
@@ -38,6 +37,10 @@
 
 // applyPool lets the pool have the replicas as the manifest and the list say.
 func (e *Edge) applyPool() {
+	// Manifest and list come in threads of their own: the later call must see
+	// both.
+	e.applying.Lock()
+	defer e.applying.Unlock()
 	fleet, m := e.fleet.Load(), e.routes.Manifest()
 	if fleet == nil || m == nil {
 		return
@@ -55,6 +58,7 @@
 		e.pool.Drain(r.Name, r.Leaving)
 	}
 	e.stale.Store(true)
+	e.applied.Store(true)
 }
 
 // logChanges logs which replicas came, left or began to leave.
@@ -148,7 +152,7 @@
 
 // Ready implements [platform.Directory].
 func (e *Edge) Ready() bool {
-	return !e.leaving.Load() && e.listed.Load() && e.routes.Version() > 0
+	return !e.leaving.Load() && e.applied.Load()
 }
 
 // maxAddresses bounds an answer to callers that ask where to connect.
--- /dev/null
+++ b/edge/state_test.go
@@ -0,0 +1,276 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/stand"
+)
+
+const entriesTable = "lacewinghook-entries"
+
+// newRoute is a route that a manifest adds.
+const newRoute = `,{"name":"new","host":"h.example","prefix":"/new/","route_kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"desk","max_attempts":2}`
+
+func (r *running) status(path string) int {
+	return r.do(context.Background(), ask{id: fmt.Sprint("q", time.Now().UnixNano()), method: "GET", path: path}).status
+}
+
+func TestNoManifest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := &site{t: t, store: stand.NewStore(t)}
+	r := s.start()
+	s.until("the entry listens", func() bool { return r.status("/safe/a") != 0 })
+	is.Equal(r.status("/safe/a"), 503)
+	is.True(!r.ready())
+	is.Equal(len(r.addresses()), 0)
+	s.publish(3, 1000, "")
+	s.until("the entry is ready", r.ready)
+	is.Equal(len(r.addresses()), 1)
+}
+
+// TestReadyMeansServing asks right after an entry says that it is ready. It
+// was red when an entry counted as ready before its upstreams were in force.
+func TestReadyMeansServing(t *testing.T) {
+	for i := range 8 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			for range 3 {
+				r := s.start()
+				for !r.ready() {
+				}
+				is.Equal(r.status("/safe/a"), 200)
+			}
+		})
+	}
+}
+
+func TestManifests(t *testing.T) {
+	changes := map[string]func(s *site){
+		"a newer one":               func(s *site) { s.publish(7, 1000, newRoute) },
+		"after the history is lost": func(s *site) { s.store.Forget(); s.publish(7, 1000, newRoute); s.store.Forget() },
+		"after one that can't be read": func(s *site) {
+			s.store.Put("op", "config", `{"version":"x"`)
+			s.publish(7, 1000, newRoute)
+		},
+		"while changes are refused": func(s *site) {
+			s.store.Set(stand.Busy)
+			s.publish(7, 1000, newRoute)
+			time.AfterFunc(200*time.Millisecond, func() { s.store.Set(stand.Up) })
+		},
+		"while the store resets": func(s *site) {
+			s.store.Set(stand.Reset)
+			s.publish(7, 1000, newRoute)
+			time.AfterFunc(200*time.Millisecond, func() { s.store.Set(stand.Up) })
+		},
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			r := s.started()
+			is.Equal(r.status("/new/a"), 404)
+			changed := time.Now()
+			change(s)
+			s.until("the route is there", func() bool { return r.status("/new/a") == 200 })
+			is.True(time.Since(changed) < 2*time.Second)
+			// A copy of the earlier one, as a stale store may hand out.
+			s.publish(6, 1000, "")
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(r.status("/new/a"), 200)
+		})
+	}
+}
+
+func TestLeavingReplicas(t *testing.T) {
+	for name, leave := range map[string]func(s *site){
+		"says so":              func(s *site) { s.store.Put("servers", "d-0", s.desks[0].Row("draining")) },
+		"is removed":           func(s *site) { s.store.Remove("servers", "d-0") },
+		"is unreadable":        func(s *site) { s.store.Put("servers", "d-0", `{"service":7}`) },
+		"has an unknown state": func(s *site) { s.store.Put("servers", "d-0", s.desks[0].Row("resting")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			r := s.started()
+			s.until("both are used", func() bool {
+				var wait sync.WaitGroup
+				for range 8 {
+					wait.Go(func() { r.status("/safe/a") })
+				}
+				wait.Wait()
+				return s.desks[0].Counts().Runs > 0 && s.desks[1].Counts().Runs > 0
+			})
+			leave(s)
+			time.Sleep(1900 * time.Millisecond)
+			before := s.desks[0].Counts().Runs
+			for range 40 {
+				is.Equal(r.status("/safe/a"), 200)
+			}
+			is.Equal(s.desks[0].Counts().Runs, before)
+		})
+	}
+}
+
+func TestRowsThatCanNotBeRead(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	for i, row := range []string{
+		`{`, `[]`, `7`, `{"service":"desk"}`, `{"service":"desk","address":7,"state":"ready"}`,
+		`{"service":"desk","address":"nowhere","state":"ready"}`, `{"service":"desk","address":"127.0.0.1:1","state":"ready","phase":"resting"}`,
+		`{"service":null,"address":"127.0.0.1:1","state":"ready"}`, `{"service":"desk","address":"127.0.0.1:1","state":["ready"]}`,
+	} {
+		s.store.Put("servers", fmt.Sprintf("bad-%d", i), row)
+	}
+	for i := range 30 {
+		s.store.Put("servers", fmt.Sprintf("other-%d", i), strings.Replace(s.desks[0].Row("draining"), "desk", "another", 1))
+	}
+	r := s.started()
+	for range 10 {
+		is.Equal(r.status("/safe/a"), 200)
+	}
+}
+
+func TestStoreIsAway(t *testing.T) {
+	for _, mode := range []stand.Mode{stand.Busy, stand.Many, stand.Silent, stand.Reset} {
+		t.Run(string(mode), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			r := s.started()
+			s.until("the entry is registered", func() bool { return len(s.store.Keys(entriesTable)) == 1 })
+			s.store.Set(mode)
+			time.Sleep(500 * time.Millisecond)
+			for _, path := range []string{"/once/a", "/verse/a"} {
+				got := r.do(context.Background(), ask{id: "id" + path, path: path})
+				is.NoErr(got.err)
+				is.Equal(got.status, 200)
+			}
+			is.True(r.ready())
+
+			// Another entry starts meanwhile and knows this one only as a seed.
+			other := s.start(r)
+			s.until("the other entry has what its peer has", other.ready)
+			is.Equal(other.status("/safe/a"), 200)
+			s.until("callers are told of both", func() bool { return len(r.addresses()) == 2 && len(other.addresses()) == 2 })
+
+			s.store.Set(stand.Up)
+			s.publish(9, 1000, newRoute)
+			s.until("the other entry follows the store", func() bool { return other.status("/new/a") == 200 })
+			s.until("both are registered", func() bool { return len(s.store.Keys(entriesTable)) == 2 })
+		})
+	}
+}
+
+// TestReplicasAreKeptAfterAnOutage removes rows while the store is away, as
+// the platform does when no heartbeat can be written.
+func TestReplicasAreKeptAfterAnOutage(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	r := s.started()
+	is.Equal(r.status("/safe/a"), 200)
+	s.store.Set(stand.Busy)
+	for _, d := range s.desks {
+		s.store.Remove("servers", d.ID)
+	}
+	time.Sleep(3500 * time.Millisecond)
+	s.store.Set(stand.Up)
+	back := time.Now()
+	for time.Since(back) < 1700*time.Millisecond {
+		is.Equal(r.status("/safe/a"), 200)
+		time.Sleep(50 * time.Millisecond)
+	}
+	s.store.Put("servers", "d-1", s.desks[1].Row("ready"))
+	time.Sleep(4 * time.Second)
+	before := s.desks[0].Counts().Runs
+	for range 20 {
+		is.Equal(r.status("/safe/a"), 200)
+	}
+	is.Equal(s.desks[0].Counts().Runs, before)
+}
+
+func TestPeersTellOfManifests(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	a := s.started()
+	b := s.started(a)
+	s.until("both know of each other", func() bool { return len(a.addresses()) == 2 && len(b.addresses()) == 2 })
+}
+
+func TestStop(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	for _, d := range s.decode {
+		d.Events, d.Pause = 30, 20*time.Millisecond
+	}
+	r := s.started()
+	other := s.started(r)
+	s.until("callers are told of both", func() bool { return len(r.addresses()) == 2 && len(other.addresses()) == 2 })
+
+	var failed atomic.Int64
+	streamed := make(chan answer, 1)
+	go func() { streamed <- r.do(context.Background(), ask{id: "stream", path: "/verse/a"}) }()
+	s.until("the stream runs", func() bool { return s.runs("stream") == 1 })
+	begun := time.Now()
+	r.stop()
+	s.until("the entry isn't ready", func() bool { return !r.ready() })
+	s.until("callers aren't told of it", func() bool {
+		return slices.Equal(other.addresses(), []string{other.settings.Callers.Listen})
+	})
+	is.True(time.Since(begun) < time.Second)
+	// Requests that still come are answered, on connections that close.
+	for range 20 {
+		got := r.do(context.Background(), ask{id: fmt.Sprint("late", time.Now().UnixNano()), path: "/once/a"})
+		if got.err != nil || got.status != 200 || !got.closes {
+			failed.Add(1)
+		}
+	}
+	is.Equal(failed.Load(), int64(0))
+	got := <-streamed
+	is.NoErr(got.err)
+	is.Equal(got.body, events(30))
+	err := <-r.done
+	r.done <- err
+	is.NoErr(err)
+	is.True(time.Since(begun) < time.Duration(r.settings.Fleet.Grace)*time.Millisecond)
+	s.until("its row is gone", func() bool { return len(s.store.Keys(entriesTable)) == 1 })
+}
+
+func TestMetrics(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	r := s.started()
+	each(s.desks, stand.Shed, 9)
+	is.Equal(r.do(context.Background(), ask{id: "id-1", path: "/once/a"}).status, 503)
+	a, err := http.Get("http://" + r.settings.Fleet.Metrics + "/metrics")
+	is.NoErr(err)
+	defer a.Body.Close()
+	body := make([]byte, 1<<16)
+	n := 0
+	for err == nil && n < len(body) {
+		var m int
+		m, err = a.Body.Read(body[n:])
+		n += m
+	}
+	for _, want := range []string{`lacewinghook_retries_total{reason="refused"}`, `lacewinghook_refused_total{code="upstream_refused"} 1`, `lacewinghook_latency_seconds_bucket`} {
+		is.True(strings.Contains(string(body[:n]), want))
+	}
+}
--- a/pool/seen.go
+++ b/pool/seen.go
@@ -45,6 +45,14 @@
 	return p.Time / p.Amount, true
 }
 
+// Expect returns the time that one unit takes, as a mean of what was seen and
+// one unit of the prior. What was seen fades, so that one that was slow is
+// tried again.
+func (p Pace) Expect(now clock.Millis, prior float64) float64 {
+	f := p.faded(now)
+	return (f.Time + prior) / (f.Amount + 1)
+}
+
 // slower returns how many times slower than base the work is. prior is the
 // expected time of work as usual that is added on both sides, so that a few
 // short observations weigh little.
--- a/relay/call.go
+++ b/relay/call.go
@@ -101,7 +101,7 @@
 
 // Weights of the choice of a replica, in milliseconds.
 const (
-	// usualCall stands for a replica's time while nothing is known.
+	// usualCall stands for a replica's time while little is known.
 	usualCall = 60.0
 	// farCall is the way to another data centre and back, and what the bytes
 	// between data centres cost.
@@ -111,10 +111,7 @@
 )
 
 func (l *life) callCost(s *pool.State) float64 {
-	mean, ok := s.Seen.First.Mean()
-	if !ok {
-		mean = usualCall
-	}
+	mean := s.Seen.First.Expect(l.relay.Clock.Now(), usualCall)
 	cost := mean * float64(1+s.Own.Requests+s.Others.Requests)
 	if s.Upstream.Centre != l.relay.Centre {
 		cost += farCall
