--- a/edge/state.go
+++ b/edge/state.go
@@ -184,7 +184,7 @@
 // is in flight.
 func (e *Edge) stop(ctx context.Context, servers []*server) {
 	grace := e.Settings.Fleet.Grace
-	linger := min(keptTwiceMore*e.Settings.Fleet.Keep, grace-endTime-killMargin)
+	linger := min(keptTwiceMore*e.Settings.Fleet.Keep+askTime, grace/2)
 	e.leaving.Store(true)
 	e.gossip.Changed()
 	e.Log.Info("edge: leaving", zap.Int64("linger", int64(linger)), zap.Int64("grace", int64(grace)))
@@ -197,7 +197,7 @@
 	}()
 	// An ended context ends the linger early.
 	_ = e.Clock.Sleep(ctx, linger)
-	end, cancel := context.WithTimeout(ctx, endTime.Std())
+	end, cancel := context.WithTimeout(ctx, (grace - linger - killMargin).Std())
 	defer cancel()
 	for _, s := range servers {
 		if s.http == nil {
@@ -212,10 +212,9 @@
 // Times of a stop.
 const (
 	// keptTwiceMore is how many times the life of an answer some callers keep
-	// it for.
-	keptTwiceMore = 3
-	// endTime is left for what is in flight once the listeners are closed,
-	// and killMargin before the kill.
-	endTime    = clock.Millis(1200)
-	killMargin = clock.Millis(400)
+	// it for, and askTime the way of an answer that was just given.
+	keptTwiceMore              = 3
+	askTime       clock.Millis = 200
+	// killMargin is left before the kill for the end of the process.
+	killMargin clock.Millis = 500
 )
--- a/limit/line.go
+++ b/limit/line.go
@@ -41,6 +41,9 @@
 	// predicted first token. They are there for comparison.
 	Unfair  bool
 	Hopeful bool
+	// Strict serves those that can't make their targets only while no other
+	// waits, in place of every tardyTurn-th time.
+	Strict bool
 
 	mu     sync.Mutex
 	spaces map[string]*space
@@ -317,7 +320,7 @@
 		timely = earlier(timely, s.timely.head(), s.timely.until)
 		tardy = earlier(tardy, s.tardy.head(), s.tardy.until)
 	}
-	if timely == nil || tardy != nil && l.turns%tardyTurn == tardyTurn-1 {
+	if timely == nil || tardy != nil && !l.Strict && l.turns%tardyTurn == tardyTurn-1 {
 		return tardy
 	}
 	return timely
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -275,6 +275,7 @@
 	start := watch.began
 	arrived := func(p []byte) {
 		watch.sign()
+		l.heard()
 		first := a.events == 0
 		a.grow(p)
 		if !first {
@@ -286,7 +287,6 @@
 		} else {
 			l.relay.Pool.First(a.decode.Name, took)
 		}
-		l.relay.Meter.Took("first", l.opaque.Route.Name, l.relay.Clock.Now()-l.request.Arrived)
 	}
 	if l.opaque.Route.Resumable {
 		return tail.stream(l, a.decode, answer.Body, arrived)
--- a/relay/life.go
+++ b/relay/life.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/go-faster/errors"
@@ -31,6 +32,9 @@
 	begun bool
 	// gone says that the sink takes no more.
 	gone bool
+	// first is how long the first event took, and pause the longest time
+	// between two parts of the stream; at is the instant of the last part.
+	first, pause, at clock.Millis
 	// fallback is a whole failure answer of an upstream, kept while another
 	// one is tried.
 	fallback *whole
@@ -147,6 +151,18 @@
 	return nil
 }
 
+// heard takes the times of the parts of a stream.
+func (l *life) heard() {
+	now := l.relay.Clock.Now()
+	if l.at == 0 {
+		l.first = now - l.request.Arrived
+		l.relay.Meter.Took("first", l.opaque.Route.Name, l.first)
+	} else {
+		l.pause = max(l.pause, now-l.at)
+	}
+	l.at = now
+}
+
 func (l *life) callerGone(err error) error {
 	l.gone = true
 	return codes.Wrap(codes.CallerGone, err, "request %s", l.opaque.ID)
@@ -212,16 +228,21 @@
 const (
 	retrySoon  clock.Millis = 200
 	retryLater clock.Millis = 800
+	// crestPause and crestSpread are the time after which a caller that found
+	// no room comes back: about as long as a surge lasts, and spread out so
+	// that those that were refused together don't come back together.
+	crestPause  clock.Millis = 1500
+	crestSpread clock.Millis = 2500
 )
 
 func (l *life) retryHint(e *codes.Error) clock.Millis {
-	if e.Retry != 0 {
-		return e.Retry
-	}
-	if e.Code == codes.NoUpstream {
+	switch e.Code {
+	case codes.DeadlineUnmet, codes.QueueFull:
+		return crestPause + rand.N(crestSpread)
+	case codes.NoUpstream:
 		return retryLater
 	}
-	return retrySoon
+	return max(e.Retry, retrySoon)
 }
 
 // ended logs how the request ended, and returns err.
@@ -231,6 +252,9 @@
 		zap.String("request", l.opaque.ID), zap.String("route", l.opaque.Route.Name),
 		zap.Int64("manifest", l.opaque.Version), zap.Int("sends", l.sends), zap.Int64("took", int64(took)),
 	}
+	if l.opaque.Route.Stream {
+		fields = append(fields, zap.Int64("first", int64(l.first)), zap.Int64("pause", int64(l.pause)))
+	}
 	l.relay.Meter.Took("request", l.opaque.Route.Name, took)
 	if e == nil {
 		l.log.Info("relay: answered", fields...)
--- a/relay/place.go
+++ b/relay/place.go
@@ -41,10 +41,6 @@
 	return max(1, (tokens+core.PieceTokens/2)/core.PieceTokens)
 }
 
-// firstLimit is how many times its first token's target a completion may take
-// to its first event. Callers give up at about four times the target.
-const firstLimit = 3
-
 // place waits until there is room for the request and takes it. moved, if not
 // nil, is an attempt whose computed prompt goes to another decode engine.
 func (l *life) place(ctx context.Context, moved *attempt) (*attempt, error) {
@@ -55,7 +51,8 @@
 		return a != nil, err
 	}
 	target := l.request.Arrived + l.request.Profile.FirstToken
-	latest := l.request.Arrived + firstLimit*l.request.Profile.FirstToken
+	// One that can't make its target would take the memory of one that can.
+	latest := target + l.request.Profile.Patience
 	if l.begun || l.request.Profile.FirstToken == 0 {
 		latest = l.request.Deadline
 	}
@@ -82,13 +79,18 @@
 	}
 }
 
-// usualSpeed is the prompt tokens that a prefill engine computes in a
-// millisecond while nothing is known.
-const usualSpeed = 30
+// The time from the choice of the engines to the first event: the prompt at
+// the usual speed of an engine, in tokens a millisecond, another prompt as long
+// ahead of it, and the calls and the transfer.
+const (
+	usualSpeed                = 30
+	promptsAhead              = 2
+	callsNeed    clock.Millis = 100
+)
 
-// need is the time to the first event at idle engines.
+// need is the time that the first event takes once the engines are chosen.
 func (l *life) need() clock.Millis {
-	return clock.Millis(l.opaque.PromptTokens/usualSpeed) + leastLeft
+	return clock.Millis(promptsAhead*l.opaque.PromptTokens/usualSpeed) + callsNeed
 }
 
 // line returns the line of requests that wait for engines of a service.
@@ -96,7 +98,7 @@
 	var l *limit.Line
 	f.lines.Update(service, func(old *limit.Line, ok bool) (*limit.Line, bool) {
 		if !ok {
-			old = &limit.Line{Clock: f.Clock}
+			old = &limit.Line{Clock: f.Clock, Strict: true}
 		}
 		l = old
 		return old, true
