--- /dev/null
+++ b/gossip/table_test.go
@@ -0,0 +1,141 @@
+package gossip_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/gossip"
+)
+
+// net connects tables by address. A cut address can't be sent to.
+type net struct {
+	mu     sync.Mutex
+	tables map[string]*gossip.Table
+	cut    map[string]bool
+	sent   map[string]int
+}
+
+func (n *net) Hello(_ context.Context, addr string, h gossip.Hello) error {
+	n.mu.Lock()
+	n.sent[addr]++
+	to, cut := n.tables[addr], n.cut[addr] || n.cut[h.Instance.Peer]
+	n.mu.Unlock()
+	if to == nil || cut {
+		return errors.New("cut")
+	}
+	to.Heard(h)
+	return nil
+}
+
+func (n *net) set(addr string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[addr] = cut
+}
+
+func instance(name string) core.Instance {
+	return core.Instance{Name: name, Peer: name, State: core.Live}
+}
+
+// start runs tables that know only the first.
+func start(t *testing.T, loads map[string][]gossip.Load, names ...string) (*net, map[string]*gossip.Table) {
+	n := &net{tables: map[string]*gossip.Table{}, cut: map[string]bool{}, sent: map[string]int{}}
+	ctx, stop := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	t.Cleanup(func() { stop(); wait.Wait() })
+	for i, name := range names {
+		boot := uint64(i + 1)
+		table := &gossip.Table{Sender: n, Self: name, Hello: func() gossip.Hello {
+			return gossip.Hello{Instance: instance(name), Boot: boot, Ready: true, Loads: loads[name]}
+		}}
+		n.mu.Lock()
+		n.tables[name] = table
+		n.mu.Unlock()
+		table.Seed(names[:1])
+		wait.Go(func() { table.Run(ctx) })
+	}
+	return n, n.tables
+}
+
+func until(t *testing.T, f func() bool) {
+	t.Helper()
+	c := clock.Clock{}
+	for end := c.Now() + 10*clock.Second; !f(); {
+		if c.Now() > end {
+			t.Fatal("the condition did not come about")
+		}
+		_ = c.Sleep(context.Background(), 2)
+	}
+}
+
+func TestPeersAreHeardAndForgotten(t *testing.T) {
+	is := is.New(t)
+	n, tables := start(t, nil, "a", "b")
+	until(t, func() bool { return len(tables["a"].Live()) == 1 && len(tables["b"].Live()) == 1 })
+	is.Equal(tables["a"].Count(), 2)
+	n.set("b", true)
+	begun := clock.Clock{}.Now()
+	until(t, func() bool { return len(tables["a"].Live()) == 0 })
+	is.True(clock.Clock{}.Now()-begun <= gossip.LiveFor+100)
+	n.set("b", false)
+	until(t, func() bool { return len(tables["a"].Live()) == 1 })
+}
+
+func TestWorkOfOthers(t *testing.T) {
+	is := is.New(t)
+	loads := map[string][]gossip.Load{
+		"a": {{Upstream: "g", Tokens: 1}},
+		"b": {{Upstream: "g", Requests: 2, Tokens: 300, Pieces: 7}},
+		"c": {{Upstream: "g", Requests: 1, Pieces: 1}, {Upstream: "p", Tokens: 5}},
+	}
+	n, tables := start(t, loads, "a", "b", "c")
+	until(t, func() bool { return len(tables["a"].Live()) == 2 })
+	g := tables["a"].Others()["g"]
+	is.Equal(g.Requests, 3)
+	is.Equal(g.Tokens, 300)
+	is.Equal(g.Held, 8)
+	is.Equal(tables["a"].Others()["p"].Tokens, 5)
+	n.set("b", true)
+	until(t, func() bool { return tables["a"].Others()["g"].Requests == 1 })
+}
+
+func TestLateAndOwnMessagesAreIgnored(t *testing.T) {
+	is := is.New(t)
+	table := &gossip.Table{Self: "a"}
+	hello := func(boot, seq uint64, requests int) gossip.Hello {
+		return gossip.Hello{Instance: instance("b"), Boot: boot, Seq: seq, Loads: []gossip.Load{{Upstream: "g", Requests: requests}}}
+	}
+	table.Heard(hello(1, 5, 5))
+	table.Heard(hello(1, 4, 4))
+	is.Equal(table.Others()["g"].Requests, 5)
+	table.Heard(hello(2, 1, 1)) // a new run of the entry
+	is.Equal(table.Others()["g"].Requests, 1)
+	table.Heard(gossip.Hello{Instance: instance("a"), Boot: 9, Seq: 1})
+	table.Heard(gossip.Hello{Seq: 1})
+	is.Equal(len(table.Live()), 1)
+}
+
+// TestChangesAreTold sends few messages for many changes.
+func TestChangesAreTold(t *testing.T) {
+	is := is.New(t)
+	n, tables := start(t, nil, "a", "b")
+	until(t, func() bool { return len(tables["b"].Live()) == 1 })
+	n.mu.Lock()
+	before := n.sent["b"]
+	n.mu.Unlock()
+	c := clock.Clock{}
+	for end := c.Now() + 200; c.Now() < end; {
+		tables["a"].Changed()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sent := n.sent["b"] - before
+	is.True(sent >= 5)
+	is.True(sent <= 25)
+}
--- /dev/null
+++ b/limit/window_test.go
@@ -0,0 +1,69 @@
+package limit_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/limit"
+)
+
+func TestWindow(t *testing.T) {
+	q := limit.Quota{Span: 10 * clock.Second, Ratio: 0.2, Allowance: 3}
+	cases := map[string]struct {
+		first int
+		at    clock.Millis
+		want  int
+	}{
+		"the allowance alone":           {0, 0, 3},
+		"a share of the requests":       {50, 0, 13},
+		"requests at the other end":     {50, 9900, 13},
+		"requests that are out of it":   {50, 21000, 3},
+		"requests that are long out":    {50, 10_000_000, 3},
+		"a request is not a whole send": {4, 0, 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var w limit.Window
+			for range c.first {
+				w.First(1000, q)
+			}
+			spent := 0
+			for w.Spend(1000+c.at, q) {
+				spent++
+			}
+			is.Equal(spent, c.want)
+		})
+	}
+}
+
+// TestWindowSlides spends as much as it can all the time: no span of the
+// window's length may hold more than the quota.
+func TestWindowSlides(t *testing.T) {
+	is := is.New(t)
+	q := limit.Quota{Span: 10 * clock.Second, Ratio: 0.2, Allowance: 10}
+	var w limit.Window
+	var spent []clock.Millis
+	for now := clock.Millis(0); now < 60*clock.Second; now += 37 {
+		for w.Spend(now, q) {
+			spent = append(spent, now)
+		}
+	}
+	for i := range spent {
+		n := 0
+		for _, at := range spent[i:] {
+			if at < spent[i]+q.Span {
+				n++
+			}
+		}
+		is.True(n <= 10)
+	}
+	is.True(len(spent) >= 50)
+}
+
+func TestZeroWindowAllowsNothing(t *testing.T) {
+	var w limit.Window
+	is.New(t).True(!w.Spend(0, limit.Quota{}))
+}
--- /dev/null
+++ b/logs/logs_test.go
@@ -0,0 +1,82 @@
+package logs_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/logs"
+)
+
+// slow is a writer that may block.
+type slow struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+	gate chan struct{}
+}
+
+func (s *slow) Write(p []byte) (int, error) {
+	if s.gate != nil {
+		<-s.gate
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(p)
+}
+
+func TestLinesAreWritten(t *testing.T) {
+	is := is.New(t)
+	var out slow
+	l, err := logs.New(&out, "")
+	is.NoErr(err)
+	l.Logger.Debug("not this")
+	l.Logger.Info("edge: started", zap.String("instance", "a"))
+	l.Close()
+	is.Equal(strings.Count(out.text.String(), "\n"), 1)
+	is.True(strings.Contains(out.text.String(), `"msg":"edge: started","instance":"a"`))
+	l.Logger.Info("after the end") // doesn't panic
+}
+
+func TestBadLevel(t *testing.T) {
+	_, err := logs.New(&slow{}, "loud")
+	is.New(t).True(err != nil)
+}
+
+// TestWritingNeverBlocks fills the log of a writer that takes nothing.
+func TestWritingNeverBlocks(t *testing.T) {
+	is := is.New(t)
+	out := &slow{gate: make(chan struct{})}
+	l, err := logs.New(out, "")
+	is.NoErr(err)
+	long := strings.Repeat("x", 10_000)
+	begun := time.Now()
+	for i := range 250 {
+		l.Logger.Info("line", zap.String("text", long), zap.Int("n", i))
+	}
+	is.True(time.Since(begun) < 5*time.Second)
+	is.True(l.Dropped() > 0)
+	close(out.gate)
+	l.Close()
+}
+
+func TestAFloodIsSampledAndCounted(t *testing.T) {
+	is := is.New(t)
+	var out slow
+	l, err := logs.New(&out, "")
+	is.NoErr(err)
+	const lines = 20_000
+	for range lines {
+		l.Logger.Info("the same")
+	}
+	l.Logger.Info("another")
+	l.Close()
+	written := strings.Count(out.text.String(), "the same")
+	is.True(written < lines/5)
+	is.Equal(int64(lines-written), l.Dropped())
+	is.True(strings.Contains(out.text.String(), "another"))
+}
--- /dev/null
+++ b/vhost/table_test.go
@@ -0,0 +1,56 @@
+package vhost_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/vhost"
+)
+
+func manifest(version int64, routes ...core.HostRoute) *core.Manifest {
+	return &core.Manifest{Version: version, Routes: routes}
+}
+
+func TestMatch(t *testing.T) {
+	var table vhost.Table
+	is := is.New(t)
+	_, _, err := table.Match("a.example", "/x/")
+	is.True(codes.Has(err, codes.NoDocument))
+	table.Apply(manifest(3,
+		core.HostRoute{Name: "short", Host: "a.example", Prefix: "/x/"},
+		core.HostRoute{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		core.HostRoute{Name: "other", Host: "b.example", Prefix: "/x/"},
+	))
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"a.example", "/x/y", "short"},
+		{"A.Example:8080", "/x/", "short"},
+		{"a.example.", "/x/", "short"},
+		{"b.example", "/x/y/1", "other"},
+		{"a.example", "/x", ""},
+		{"a.example", "/z/", ""},
+		{"c.example", "/x/", ""},
+		{"", "", ""},
+	} {
+		r, version, err := table.Match(c.host, c.path)
+		is.Equal(version, int64(3))
+		is.Equal(r.Name, c.want)
+		is.Equal(err != nil, c.want == "")
+		is.True(err == nil || codes.Has(err, codes.UnknownService))
+	}
+}
+
+func TestVersionsNeverGoBack(t *testing.T) {
+	is := is.New(t)
+	var table vhost.Table
+	is.True(table.Apply(manifest(5)))
+	is.True(!table.Apply(manifest(5)))
+	is.True(!table.Apply(manifest(4, core.HostRoute{Host: "a", Prefix: "/"})))
+	is.Equal(table.Version(), int64(5))
+	is.True(table.Apply(manifest(9)))
+	is.Equal(table.Version(), int64(9))
+}
