--- a/edge/edge.go
+++ b/edge/edge.go
@@ -117,7 +117,7 @@
 		Engines: &e.replicas, Boots: e, Clock: e.Clock, Meter: &e.meter, Log: e.Log, OnNews: e.gossip.Changed, Self: s.Instance,
 	}
 	e.relay = relay.Relay{
-		Upstreams: &e.replicas, Pool: &counted{Table: &e.pool, edge: e}, Budget: e, Suspects: suspects{e}, Specs: e.spec,
+		Upstreams: &e.replicas, Pool: &counted{Table: &e.pool, edge: e}, Budget: e, Suspects: suspects{e}, Specs: e.spec, Fleet: e.follower.Age,
 		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre,
 	}
 }
--- /dev/null
+++ b/follow/follow_test.go
@@ -0,0 +1,286 @@
+package follow_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/follow"
+)
+
+// source is a store whose answers a test sets.
+type source struct {
+	mu       sync.Mutex
+	err      error
+	manifest *core.Manifest
+	fleet    core.Fleet
+	entries  []core.Instance
+	changed  chan struct{}
+	lost     bool
+	reads    map[string]int
+	last     clock.Millis
+	longest  clock.Millis
+}
+
+func newSource() *source {
+	return &source{changed: make(chan struct{}), reads: map[string]int{}, fleet: fleet(1, "a")}
+}
+
+func fleet(revision int64, names ...string) core.Fleet {
+	f := core.Fleet{Revision: revision}
+	for _, name := range names {
+		f.Replicas = append(f.Replicas, core.Replica{Upstream: core.Upstream{Name: name}})
+	}
+	return f
+}
+
+func (s *source) edit(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *source) read(what string) error {
+	s.reads[what]++
+	return s.err
+}
+
+func (s *source) Manifest(context.Context) (*core.Manifest, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := s.read("manifest")
+	return s.manifest, 1, err
+}
+
+func (s *source) ManifestAfter(ctx context.Context, _ int64, wait clock.Millis) (*core.Manifest, int64, error) {
+	s.mu.Lock()
+	before, changed := s.manifest, s.changed
+	err, lost := s.read("changes"), s.lost
+	s.lost = false
+	s.mu.Unlock()
+	if lost {
+		return nil, 0, codes.New(codes.HistoryLost, "")
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait.Std())
+	defer cancel()
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.manifest == before {
+		return nil, 1, s.err
+	}
+	return s.manifest, 1, s.err
+}
+
+func (s *source) Fleet(context.Context) (core.Fleet, int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Clock{}.Now()
+	if s.last != 0 {
+		s.longest = max(s.longest, now-s.last)
+	}
+	s.last = now
+	err := s.read("fleet")
+	return s.fleet, 0, err
+}
+
+func (s *source) Entries(context.Context) ([]core.Instance, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := s.read("entries")
+	return s.entries, 1, err
+}
+
+func (s *source) EntriesChanged(ctx context.Context, _ int64, _ clock.Millis) (bool, int64, error) {
+	s.mu.Lock()
+	changed := s.changed
+	err := s.err
+	s.mu.Unlock()
+	if err != nil {
+		return false, 0, err
+	}
+	select {
+	case <-changed:
+		return true, 1, nil
+	case <-ctx.Done():
+		return false, 0, ctx.Err()
+	}
+}
+
+func (s *source) Register(_ context.Context, in core.Instance) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.read("register"); err != nil {
+		return err
+	}
+	s.entries = append(s.entries, in)
+	return nil
+}
+
+func (s *source) Withdraw(context.Context, string) error { return nil }
+
+// peers answers with what a test sets.
+type peers struct {
+	mu   sync.Mutex
+	view *follow.View
+}
+
+func (p *peers) set(v follow.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view = &v
+}
+
+func (p *peers) View(context.Context, int64, int64) (follow.View, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.view == nil {
+		return follow.View{}, false
+	}
+	return *p.view, true
+}
+
+// seen is what the follower has told.
+type seen struct {
+	mu       sync.Mutex
+	manifest []int64
+	fleet    core.Fleet
+	entries  int
+}
+
+func (s *seen) version() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.manifest) == 0 {
+		return 0
+	}
+	return s.manifest[len(s.manifest)-1]
+}
+
+func (s *seen) names() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text := ""
+	for _, r := range s.fleet.Replicas {
+		text += r.Name
+	}
+	return text
+}
+
+func start(t *testing.T, s *source, p *peers) (*follow.Follower, *seen) {
+	got := &seen{}
+	f := &follow.Follower{
+		Source: s, Peers: p, Self: core.Instance{Name: "self"},
+		OnManifest: func(m *core.Manifest) { got.mu.Lock(); got.manifest = append(got.manifest, m.Version); got.mu.Unlock() },
+		OnFleet:    func(f core.Fleet) { got.mu.Lock(); got.fleet = f; got.mu.Unlock() },
+		OnEntries:  func(l []core.Instance) { got.mu.Lock(); got.entries = len(l); got.mu.Unlock() },
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	t.Cleanup(func() { stop(); <-done })
+	return f, got
+}
+
+func until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	c := clock.Clock{}
+	for end := c.Now() + 10*clock.Second; !f(); {
+		if c.Now() > end {
+			t.Fatal(what)
+		}
+		_ = c.Sleep(context.Background(), 2)
+	}
+}
+
+func TestManifestsNeverGoBack(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s, p := newSource(), &peers{}
+	f, got := start(t, s, p)
+	for _, version := range []int64{3, 9, 4, 9, 11, 2} {
+		s.edit(func() { s.manifest = &core.Manifest{Version: version} })
+		_ = clock.Clock{}.Sleep(context.Background(), 50)
+	}
+	until(t, "the newest", func() bool { return got.version() == 11 })
+	got.mu.Lock()
+	is.Equal(got.manifest, []int64{3, 9, 11})
+	got.mu.Unlock()
+	s.edit(func() { s.lost, s.manifest = true, &core.Manifest{Version: 12} })
+	until(t, "after the history is lost", func() bool { return got.version() == 12 })
+	p.set(follow.View{Manifest: &core.Manifest{Version: 20}})
+	f.News(20)
+	until(t, "a peer's", func() bool { return got.version() == 20 })
+}
+
+func TestPeersHelpWhileTheStoreIsAway(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s, p := newSource(), &peers{}
+	s.edit(func() { s.err = codes.New(codes.PlatformDown, "") })
+	p.set(follow.View{Manifest: &core.Manifest{Version: 5}, Fleet: fleet(7, "x", "y"), Entries: []core.Instance{{Name: "other"}}})
+	_, got := start(t, s, p)
+	until(t, "the peer's state", func() bool { return got.version() == 5 && got.names() == "xy" })
+	s.mu.Lock()
+	is.Equal(s.reads["entries"], 0)
+	s.mu.Unlock()
+	s.edit(func() { s.err, s.manifest, s.fleet = nil, &core.Manifest{Version: 6}, fleet(8, "z") })
+	until(t, "the store's state", func() bool { return got.version() == 6 && got.names() == "z" })
+}
+
+// TestFailuresBackOff counts the calls to a store that is down.
+func TestFailuresBackOff(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSource()
+	s.err = codes.New(codes.PlatformDown, "")
+	start(t, s, &peers{})
+	_ = clock.Clock{}.Sleep(context.Background(), 3000)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, what := range []string{"fleet", "manifest", "register"} {
+		is.True(s.reads[what] >= 3)
+		is.True(s.reads[what] <= 12)
+	}
+}
+
+func TestTheListIsReadInTime(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSource()
+	_, got := start(t, s, &peers{})
+	until(t, "the first list", func() bool { return got.names() == "a" })
+	_ = clock.Clock{}.Sleep(context.Background(), 4500)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A leaving replica must get nothing after two seconds.
+	is.True(s.longest <= 1500)
+}
+
+// TestAnOlderListIsIgnored hands out a stale copy.
+func TestAnOlderListIsIgnored(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSource()
+	s.fleet = fleet(9, "a", "b")
+	_, got := start(t, s, &peers{})
+	until(t, "the first list", func() bool { return got.names() == "ab" })
+	s.edit(func() { s.fleet = fleet(4, "a") })
+	_ = clock.Clock{}.Sleep(context.Background(), 1500)
+	is.Equal(got.names(), "ab")
+	s.edit(func() { s.fleet = fleet(10, "b") })
+	until(t, "the next list", func() bool { return got.names() == "b" })
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 
+	"go.uber.org/zap"
+
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/pool"
@@ -32,13 +34,16 @@
 // callOnce sends the call to one replica and delivers its answer. An error
 // without a begun answer leaves it open whether another replica is tried.
 func (l *life) callOnce(ctx context.Context) error {
-	up, ok := l.replica()
+	up, cost, ok := l.replica()
 	if !ok {
 		return codes.New(codes.NoUpstream, "service %q", l.opaque.Service)
 	}
 	if err := l.spend(); err != nil {
 		return codes.Wrap(codes.BudgetSpent, err, "service %q", l.opaque.Service).WithRun(codes.NotRun)
 	}
+	l.log.Info("relay: replica chosen", append(l.relay.fleet(), zap.String("request", l.opaque.ID),
+		zap.String("service", l.opaque.Service), zap.String("upstream", up.Name), zap.String("addr", up.Addr),
+		zap.Float64("expected", cost), zap.Int("sends", l.sends))...)
 	w := pool.Work{Requests: 1}
 	l.relay.Pool.Begin(up.Name, w)
 	defer l.relay.Pool.End(up.Name, w)
@@ -87,17 +92,16 @@
 const failedFrom = 500
 
 // replica chooses a replica of the service: the one with the least work by
-// its usual time, in this data centre where others are no better.
-func (l *life) replica() (core.Upstream, bool) {
-	var best core.Upstream
-	least, found := 0.0, false
+// its usual time, in this data centre where others are no better. least is the
+// weight by which it was chosen.
+func (l *life) replica() (best core.Upstream, least float64, found bool) {
 	for _, s := range l.relay.Pool.Replicas(l.opaque.Service) {
 		cost := l.callCost(&s)
 		if !found || cost < least {
 			best, least, found = s.Upstream, cost, true
 		}
 	}
-	return best, found
+	return best, least, found
 }
 
 // Weights of the choice of a replica, in milliseconds.
--- a/relay/place.go
+++ b/relay/place.go
@@ -66,6 +66,7 @@
 	start := l.relay.Clock.Now()
 	for {
 		if err := l.relay.line(l.opaque.Service).Wait(ctx, t); err != nil {
+			l.noRoom(l.relay.Clock.Now()-start, err)
 			return nil, codes.From(err)
 		}
 		if a.reserve(ctx) {
@@ -208,11 +209,24 @@
 	})
 }
 
+// noRoom tells why no engine was chosen.
+func (l *life) noRoom(waited clock.Millis, err error) {
+	most := 0
+	decodes := l.relay.Pool.Candidates(core.Decode, l.opaque.Service, nil, nil)
+	for i := range decodes {
+		most = max(most, decodes[i].Free)
+	}
+	l.log.Info("relay: no engine has room", append(l.relay.fleet(), zap.String("request", l.opaque.ID),
+		zap.Int("pieces", pieces(l.opaque.PromptTokens+l.expectedOutput())), zap.Int("free", most),
+		zap.Int("engines", len(decodes)), zap.Int("waiting", l.relay.line(l.opaque.Service).Len()),
+		zap.Int64("waited", int64(waited)), zap.Error(err))...)
+}
+
 // log tells which engines were chosen.
 func (a *attempt) log(waited clock.Millis) {
 	l := a.life
-	l.log.Info("relay: upstreams chosen", zap.String("request", l.opaque.ID), zap.String("service", l.opaque.Service),
+	l.log.Info("relay: engines chosen", append(l.relay.fleet(), zap.String("request", l.opaque.ID), zap.String("service", l.opaque.Service),
 		zap.String("prefill", a.prefill.Name), zap.String("decode", a.decode.Name), zap.Bool("direct", a.choice.Direct),
 		zap.Int("tokens", l.opaque.PromptTokens), zap.Int("pieces", a.held.Pieces), zap.Int64("waited", int64(waited)),
-		zap.Int64("predicted", int64(a.choice.Wait)), zap.Int("sends", l.sends))
+		zap.Float64("fill", a.choice.Fill), zap.Int64("predicted", int64(a.choice.Wait)), zap.Int("sends", l.sends))...)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -101,6 +101,9 @@
 	Suspects Suspects
 	// Specs finds what was published of a service; nil knows none.
 	Specs func(service string) (core.ServiceSpec, bool)
+	// Fleet tells the revision of the list of replicas and its age, for the
+	// log; nil tells neither.
+	Fleet func() (revision int64, age clock.Millis)
 	Clock clock.Clock
 	Meter *meter.Set
 	Log   *zap.Logger
@@ -131,6 +134,15 @@
 	return l.ended(l.outcome(ctx, err))
 }
 
+// fleet returns the log's fields for the list of replicas that decided.
+func (f *Relay) fleet() []zap.Field {
+	if f.Fleet == nil {
+		return nil
+	}
+	revision, age := f.Fleet()
+	return []zap.Field{zap.Int64("fleet", revision), zap.Int64("age", int64(age))}
+}
+
 func (f *Relay) log() *zap.Logger {
 	if f.Log == nil {
 		return zap.NewNop()
