--- a/follow/follow.go
+++ b/follow/follow.go
@@ -249,9 +249,9 @@
 			f.Meter.Add("manifests_unread_total", 1)
 		}
 		if err != nil {
-			if codes.Has(err, codes.HistoryLost) || codes.Has(err, codes.BadDocument) {
-				revision = 0
-			}
+			// The table is read anew: that answers at once, and tells what was
+			// missed.
+			revision = 0
 			b.failed(ctx, err)
 			continue
 		}
--- a/relay/place.go
+++ b/relay/place.go
@@ -65,6 +65,11 @@
 	}
 	start := l.relay.Clock.Now()
 	for {
+		if late := l.relay.Clock.Now() + t.Need - t.Latest; late > 0 && !t.Urgent {
+			err := codes.New(codes.DeadlineUnmet, "first event predicted %d ms too late", late)
+			l.noRoom(l.relay.Clock.Now()-start, err)
+			return nil, err
+		}
 		if err := l.relay.line(l.opaque.Service).Wait(ctx, t); err != nil {
 			l.noRoom(l.relay.Clock.Now()-start, err)
 			return nil, codes.From(err)
@@ -128,7 +133,7 @@
 		Bytes: int64(tokens) * l.spec().TokenBytes, Centre: f.Centre, Draw: rand.Uint64(), Export: moved != nil,
 	}
 	prefills := l.without(f.Pool.Candidates(core.Prefill, service, nil, nil))
-	decodes := l.without(f.Pool.Candidates(core.Decode, service, nil, nil))
+	decodes := f.notFull(l.without(f.Pool.Candidates(core.Decode, service, nil, nil)))
 	if len(decodes) == 0 {
 		return nil, codes.New(codes.NoUpstream, "service %q: %d prefill and no decode upstreams", service, len(prefills))
 	}
@@ -168,7 +173,10 @@
 	holdSpare clock.Millis = 600
 	// fullPause is the pause after an engine had no memory although the
 	// entries' counts said so.
-	fullPause clock.Millis = 30
+	fullPause clock.Millis = 15
+	// fullTime is how long no memory is asked for at such an engine: about the
+	// time between two ends of its streams.
+	fullTime clock.Millis = 80
 )
 
 // reserve sets memory aside at a decode engine that is fairly full, so that no
@@ -190,6 +198,8 @@
 	l.log.Info("relay: no memory was set aside", zap.String("request", l.opaque.ID), zap.String("upstream", a.decode.Name),
 		zap.Float64("fill", a.choice.Fill), zap.Error(err))
 	if codes.Has(err, codes.NoMemory) {
+		l.relay.full.Set(a.decode.Name, l.relay.Clock.Now()+fullTime)
+		l.relay.Clock.AfterFunc(fullTime+1, l.relay.Wake)
 		return false
 	}
 	l.failed = append(l.failed, a.decode.Name)
@@ -209,6 +219,17 @@
 	})
 }
 
+// notFull leaves no room at engines that had none a moment ago.
+func (f *Relay) notFull(decodes []route.Candidate) []route.Candidate {
+	now := f.Clock.Now()
+	for i := range decodes {
+		if until, ok := f.full.Get(decodes[i].Name); ok && now < until {
+			decodes[i].Free = 0
+		}
+	}
+	return decodes
+}
+
 // noRoom tells why no engine was chosen.
 func (l *life) noRoom(waited clock.Millis, err error) {
 	most := 0
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -112,6 +112,8 @@
 
 	lines shard.Map[string, *limit.Line]
 	away  shard.Map[string, shunned]
+	// full holds until when an engine counts as full after it said so.
+	full shard.Map[string, clock.Millis]
 }
 
 // Run carries out one request and hands its answer to sink.
