follow: an entry that the store turns away alone learns from its peers what leaves

Seen with logs: the store answers 503 to edge-weyburn-1 alone from 16.5 s to 23.5 s; a replica's row is removed at 23.607; the entry reads the store again at 24.8 s, takes its own outage for one of all and keeps the replica for 2.3 s more; a request goes there at 26.544 s, 2.9 s after the removal. Change: entries tell how long ago they read the store; missing replicas are kept only if none could. Peers tell at once when members change, and an entry asks for the list where it has another one. Tests: TestAnEntryThatIsTurnedAway, TestOnlyAnOutageForAllKeepsReplicas (red with the confirmation left out, green after).

--- a/core/routing.go
+++ b/core/routing.go
@@ -1,8 +1,11 @@
 package core
 
 import (
+	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lacewinghook.example/lacewinghook/clock"
 )
 
@@ -108,6 +111,18 @@
 	Replicas []Replica
 }
 
+// Members identifies which replicas the list has and whether they take work,
+// whatever its revision.
+func (f *Fleet) Members() uint64 {
+	var sum uint64
+	for i := range f.Replicas {
+		r := &f.Replicas[i]
+		// A sum doesn't depend on the order.
+		sum += xxhash.Sum64String(fmt.Sprint(r.Name, " ", r.Addr, " ", r.Role, " ", r.Leaving, " ", r.Born))
+	}
+	return sum
+}
+
 // Replica is one run of an upstream as it registered itself.
 type Replica struct {
 	Upstream
--- a/edge/state.go
+++ b/edge/state.go
@@ -25,8 +25,11 @@
 // takeFleet puts a list of replicas in force.
 func (e *Edge) takeFleet(fleet core.Fleet) {
 	old := e.fleet.Swap(&fleet)
-	e.logChanges(old, &fleet)
+	changed := e.logChanges(old, &fleet)
 	e.applyPool()
+	if changed {
+		e.gossip.Changed()
+	}
 	e.replicas.Retain(fleet.Replicas)
 }
 
@@ -61,8 +64,9 @@
 	e.applied.Store(true)
 }
 
-// logChanges logs which replicas came, left or began to leave.
-func (e *Edge) logChanges(old, fleet *core.Fleet) {
+// logChanges logs which replicas came, left or began to leave, and reports
+// whether any did.
+func (e *Edge) logChanges(old, fleet *core.Fleet) (changed bool) {
 	before := make(map[string]core.Replica)
 	if old != nil {
 		for _, r := range old.Replicas {
@@ -73,6 +77,7 @@
 		was, ok := before[r.Name]
 		delete(before, r.Name)
 		if !ok || was.Leaving != r.Leaving || was.Born != r.Born || was.Role != r.Role {
+			changed = true
 			e.Log.Info("edge: a replica has changed", zap.String("replica", r.Name), zap.String("addr", r.Addr),
 				zap.String("service", r.Service), zap.String("role", string(r.Role)), zap.Bool("leaving", r.Leaving),
 				zap.Bool("new", !ok), zap.Int64("revision", fleet.Revision))
@@ -82,6 +87,7 @@
 		e.Log.Info("edge: a replica is gone", zap.String("replica", name), zap.String("addr", r.Addr),
 			zap.String("service", r.Service), zap.Int64("revision", fleet.Revision))
 	}
+	return changed || len(before) > 0
 }
 
 func (e *Edge) spec(service string) (core.ServiceSpec, bool) {
@@ -99,10 +105,10 @@
 	if e.leaving.Load() {
 		state = core.Leaving
 	}
-	revision, _ := e.follower.Age()
+	revision, age := e.follower.Age()
 	h := gossip.Hello{
 		Instance: core.Instance{Name: s.Instance, Addr: s.Callers.Listen, Peer: s.Peers.Listen, Centre: s.Centre, State: state},
-		Boot:     e.boot, Ready: e.Ready(), Manifest: e.routes.Version(), Fleet: revision,
+		Boot:     e.boot, Ready: e.Ready(), Manifest: e.routes.Version(), Fleet: revision, Members: e.follower.Members(), Age: age,
 	}
 	h.Marks = e.suspects.Unkept()
 	for _, l := range e.pool.Loads() {
@@ -118,20 +124,26 @@
 	e.suspects.Merge(h.Marks)
 	e.stale.Store(true)
 	e.relay.Wake()
-	if h.Manifest > e.routes.Version() {
-		e.follower.News(h.Manifest)
-	}
+	e.follower.Confirmed(h.Age)
+	e.follower.News(h.Manifest, h.Fleet, h.Members)
 }
 
-// view answers a peer that can't read the store.
-func (e *Edge) view(context.Context, struct{}) (wire.View, error) {
+// view answers a peer that knows less.
+func (e *Edge) view(_ context.Context, have wire.Have) (wire.View, error) {
 	fleet, entries := e.follower.View()
-	return wire.View{Manifest: e.routes.Manifest(), Fleet: fleet, Entries: entries}, nil
+	v := wire.View{Fleet: fleet}
+	if have.Entries {
+		v.Entries = entries
+	}
+	if m := e.routes.Manifest(); m != nil && m.Version > have.Manifest {
+		v.Manifest = m
+	}
+	return v, nil
 }
 
 // View implements [follow.Peers]. It asks the peer with the newest state, and
 // a seed where no peer is heard yet.
-func (e *Edge) View(ctx context.Context, manifest, fleet int64) (follow.View, bool) {
+func (e *Edge) View(ctx context.Context, manifest, fleet int64, entries bool) (follow.View, bool) {
 	addr := ""
 	best := int64(0)
 	for _, p := range e.gossip.Live() {
@@ -143,7 +155,7 @@
 	if addr == "" {
 		return follow.View{}, false
 	}
-	v, err := e.peers.View(ctx, addr)
+	v, err := e.peers.View(ctx, addr, wire.Have{Manifest: manifest, Entries: entries})
 	if err != nil {
 		e.Log.Warn("edge: a peer did not tell what it has", zap.String("addr", addr), zap.Error(err))
 		return follow.View{}, false
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -41,9 +41,9 @@
 // Peers asks the other entries.
 type Peers interface {
 	// View returns what a peer has that has a manifest above the version or
-	// a list of replicas above the revision. It returns false if there is no
-	// such peer.
-	View(ctx context.Context, manifest, fleet int64) (View, bool)
+	// a list of replicas above the revision; entries says that the table of
+	// entries is wanted too. It returns false if there is no such peer.
+	View(ctx context.Context, manifest, fleet int64, entries bool) (View, bool)
 }
 
 // Times of the follower.
@@ -59,16 +59,16 @@
 	// entries share the store's rate.
 	retryLeast clock.Millis = 150
 	retryMost  clock.Millis = 1200
-	// outageLeast is how long the list must not have been read for the store
-	// to count as having been away: replicas write their rows about as often.
+	// outageLeast is how long no entry must have read the list, beyond the
+	// pause between two readings, for the store to count as having been away: replicas write their rows about as often.
 	outageLeast clock.Millis = 1800
 	// settleTime is how long a replica that is missing from the list is kept
 	// after the store was away. Replicas write their rows again within two
 	// seconds.
 	settleTime clock.Millis = 2300
-	// newsDelay is how long the store may take to tell of a manifest that a
-	// peer has already, before the peer is asked.
-	newsDelay clock.Millis = 150
+	// newsDelay is how long what a peer has already may take to come from the
+	// store, before the peer is asked.
+	newsDelay clock.Millis = 100
 )
 
 // Follower follows the store. Source and Self are needed.
@@ -88,14 +88,18 @@
 
 	// manifest is the version in force, newest the highest that a peer has.
 	manifest, newest atomic.Int64
-	news             notify.Signal
+	// told is the highest revision at which a peer has another list.
+	told atomic.Int64
+	news notify.Signal
 
-	mu    sync.Mutex
-	fleet core.Fleet
-	// read is the instant of the last reading, and settled the one up to which
+	mu      sync.Mutex
+	fleet   core.Fleet
+	members uint64
+	// read is the instant of the last reading, confirmed the last one at which
+	// this entry or a peer read the store, and settled the one up to which
 	// missing replicas are kept.
-	read, settled clock.Millis
-	entries       []core.Instance
+	read, confirmed, settled clock.Millis
+	entries                  []core.Instance
 }
 
 // Run follows until ctx ends.
@@ -109,16 +113,27 @@
 	_ = g.Wait()
 }
 
-// News says that a peer has a manifest of that version.
-func (f *Follower) News(version int64) {
+// News says that a peer has a manifest of that version, and at the revision a
+// list of replicas with those members.
+func (f *Follower) News(version, revision int64, members uint64) {
+	raised := version > f.manifest.Load() && raise(&f.newest, version)
+	f.mu.Lock()
+	other := revision > f.fleet.Revision && members != f.members
+	f.mu.Unlock()
+	if other && raise(&f.told, revision) || raised {
+		f.news.Send()
+	}
+}
+
+// raise sets a value to a higher one and reports whether it was lower.
+func raise(v *atomic.Int64, to int64) bool {
 	for {
-		old := f.newest.Load()
-		if version <= old {
-			return
+		old := v.Load()
+		if to <= old {
+			return false
 		}
-		if f.newest.CompareAndSwap(old, version) {
-			f.news.Send()
-			return
+		if v.CompareAndSwap(old, to) {
+			return true
 		}
 	}
 }
@@ -130,6 +145,13 @@
 	return f.fleet, f.entries
 }
 
+// Members returns the members of the list of replicas in force.
+func (f *Follower) Members() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members
+}
+
 // Age returns the revision of the list of replicas and how long ago it was
 // read.
 func (f *Follower) Age() (revision int64, age clock.Millis) {
@@ -205,19 +227,34 @@
 			zap.Int64("revision", fleet.Revision), zap.Int64("have", have))
 		return
 	}
-	if f.read != 0 && now-f.read > outageLeast+fleetEvery {
-		f.settled = now + settleTime
-		f.log().Info("follow: missing replicas are kept for a while", zap.Int64("away", int64(now-f.read)))
-	}
+	f.confirm(now)
 	f.read = now
 	if now < f.settled {
 		fleet.Replicas = withMissing(fleet.Replicas, f.fleet.Replicas)
 	}
-	f.fleet = fleet
+	f.fleet, f.members = fleet, fleet.Members()
 	f.mu.Unlock()
 	f.OnFleet(fleet)
 }
 
+// Confirmed says that a peer has read the store so long ago. An entry that
+// alone is turned away by the store knows by it that the store isn't away.
+func (f *Follower) Confirmed(age clock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.confirm(f.Clock.Now() - age)
+}
+
+// confirm takes note of a reading of the store by any entry. After a gap
+// replicas that are missing are kept for a while. The caller holds the lock.
+func (f *Follower) confirm(at clock.Millis) {
+	if away := at - f.confirmed; f.confirmed != 0 && away > outageLeast+fleetEvery {
+		f.settled = f.Clock.Now() + settleTime
+		f.log().Info("follow: missing replicas are kept for a while", zap.Int64("away", int64(away)))
+	}
+	f.confirmed = max(f.confirmed, at)
+}
+
 // withMissing adds the replicas of the earlier list that a list lacks.
 func withMissing(list, earlier []core.Replica) []core.Replica {
 	have := make(map[string]bool, len(list))
@@ -321,8 +358,9 @@
 	f.OnEntries(list)
 }
 
-// followPeers asks a peer that has a newer manifest, where the store doesn't
-// tell of it soon.
+// followPeers asks a peer that has a newer manifest or list, where the store
+// doesn't tell of it soon. An entry that the store turns away learns in time
+// of replicas that leave.
 func (f *Follower) followPeers(ctx context.Context) {
 	for {
 		select {
@@ -333,7 +371,8 @@
 		if f.Clock.Sleep(ctx, newsDelay) != nil {
 			return
 		}
-		if f.newest.Load() > f.manifest.Load() {
+		revision, _ := f.Age()
+		if f.newest.Load() > f.manifest.Load() || f.told.Load() > revision {
 			f.askPeers(ctx)
 		}
 	}
@@ -345,19 +384,21 @@
 		return
 	}
 	f.mu.Lock()
-	revision := f.fleet.Revision
+	revision, first := f.fleet.Revision, len(f.entries) == 0
 	f.mu.Unlock()
-	v, ok := f.Peers.View(ctx, f.manifest.Load(), revision)
+	v, ok := f.Peers.View(ctx, f.manifest.Load(), revision, first)
 	if !ok {
 		return
 	}
 	f.takeManifest(v.Manifest, "peer")
 	f.mu.Lock()
+	if f.Clock.Now() < f.settled {
+		v.Fleet.Replicas = withMissing(v.Fleet.Replicas, f.fleet.Replicas)
+	}
 	newer := v.Fleet.Revision > f.fleet.Revision
 	if newer {
-		f.fleet, f.read = v.Fleet, f.Clock.Now()
+		f.fleet, f.members = v.Fleet, v.Fleet.Members()
 	}
-	first := len(f.entries) == 0
 	f.mu.Unlock()
 	if newer {
 		f.OnFleet(v.Fleet)
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -144,7 +144,7 @@
 	p.view = &v
 }
 
-func (p *peers) View(context.Context, int64, int64) (follow.View, bool) {
+func (p *peers) View(context.Context, int64, int64, bool) (follow.View, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.view == nil {
@@ -222,7 +222,7 @@
 	s.edit(func() { s.lost, s.manifest = true, &core.Manifest{Version: 12} })
 	until(t, "after the history is lost", func() bool { return got.version() == 12 })
 	p.set(follow.View{Manifest: &core.Manifest{Version: 20}})
-	f.News(20)
+	f.News(20, 0, 0)
 	until(t, "a peer's", func() bool { return got.version() == 20 })
 }
 
@@ -284,3 +284,55 @@
 	s.edit(func() { s.fleet = fleet(10, "b") })
 	until(t, "the next list", func() bool { return got.names() == "b" })
 }
+
+// TestAnEntryThatIsTurnedAway learns from a peer that a replica leaves, in
+// time for the bound of two seconds. It was red when only a failed reading made
+// an entry ask its peers, after a backoff of up to 2.4 s.
+func TestAnEntryThatIsTurnedAway(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s, p := newSource(), &peers{}
+	s.fleet = fleet(5, "a", "b")
+	f, got := start(t, s, p)
+	until(t, "the first list", func() bool { return got.names() == "ab" })
+	s.edit(func() { s.err = codes.New(codes.PlatformDown, "") })
+	// The backoff is at its longest by then.
+	_ = clock.Clock{}.Sleep(context.Background(), 6000)
+	next := fleet(9, "b")
+	p.set(follow.View{Fleet: next})
+	told := clock.Clock{}.Now()
+	f.News(0, 9, next.Members())
+	until(t, "the peer's list", func() bool { return got.names() == "b" })
+	is.True(clock.Clock{}.Now()-told < 300)
+}
+
+// TestOnlyAnOutageForAllKeepsReplicas drops a replica while the store turns
+// this entry away. It was red, and a rule on leaving replicas broken, when an
+// entry took its own outage for one of all.
+func TestOnlyAnOutageForAllKeepsReplicas(t *testing.T) {
+	for name, alone := range map[string]bool{"this entry alone": true, "all entries": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSource()
+			s.fleet = fleet(5, "a", "b")
+			f, got := start(t, s, &peers{})
+			until(t, "the first list", func() bool { return got.names() == "ab" })
+			s.edit(func() { s.err = codes.New(codes.PlatformDown, "") })
+			c := clock.Clock{}
+			for end := c.Now() + 4000; c.Now() < end; {
+				if alone {
+					f.Confirmed(100)
+				}
+				_ = c.Sleep(context.Background(), 500)
+			}
+			s.edit(func() { s.err, s.fleet = nil, fleet(6, "b") })
+			reads := func() int { s.mu.Lock(); defer s.mu.Unlock(); return s.reads["fleet"] }
+			before := reads()
+			until(t, "a reading", func() bool { return reads() > before })
+			_ = c.Sleep(context.Background(), 50)
+			is.Equal(got.names() == "b", alone)
+			until(t, "the list without it", func() bool { return got.names() == "b" })
+		})
+	}
+}
--- a/wire/gossip.go
+++ b/wire/gossip.go
@@ -14,8 +14,13 @@
 	MethodView  Method = "view"
 )
 
-// View is what an entry that can't read the platform's store takes from a
-// peer.
+// Have is what the asking entry has already, which is left out of the answer.
+type Have struct {
+	Manifest int64 `json:"manifest,omitempty"`
+	Entries  bool  `json:"entries,omitempty"`
+}
+
+// View is what an entry takes from a peer that knows more.
 type View struct {
 	Manifest *core.Manifest  `json:"manifest,omitempty"`
 	Fleet    core.Fleet      `json:"fleet"`
@@ -40,8 +45,8 @@
 }
 
 // View returns what the peer has.
-func (c *Client) View(ctx context.Context, addr string) (View, error) {
+func (c *Client) View(ctx context.Context, addr string, have Have) (View, error) {
 	var v View
-	err := c.timed(ctx, bulkTimeout, addr, MethodView, struct{}{}, &v)
+	err := c.timed(ctx, bulkTimeout, addr, MethodView, have, &v)
 	return v, err
 }
