--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -293,6 +293,9 @@
 			prepare: func(s *site) { s.desks[0].Fail(stand.LoseAnswer, 1); s.desks[1].Fail(stand.LoseAnswer, 1) },
 			ask:     ask{method: "GET", path: "/safe/a"}, status: 502, runs: 2,
 		},
+		"safe, one replica is silent": {
+			prepare: func(s *site) { s.desks[0].Fail(stand.Mute, 1) }, ask: ask{method: "GET", path: "/safe/a"}, status: 200,
+		},
 		"safe, the first replica fails": {
 			prepare: func(s *site) { s.desks[0].Fail(stand.Fails, 1) }, ask: ask{method: "GET", path: "/safe/a"}, status: 200,
 		},
--- a/edge/state.go
+++ b/edge/state.go
@@ -33,11 +33,6 @@
 	e.replicas.Retain(fleet.Replicas)
 }
 
-// memoryUsed is the part of an engine's memory that requests are placed in. The
-// rest covers answers that get longer than expected, which would have others
-// preempted and their prompts computed again.
-const memoryUsed = 0.95
-
 // applyPool lets the pool have the replicas as the manifest and the list say.
 func (e *Edge) applyPool() {
 	// Manifest and list come in threads of their own: the later call must see
@@ -52,7 +47,7 @@
 	for _, r := range fleet.Replicas {
 		up := r.Upstream
 		if s, ok := m.Service(up.Service); ok && s.Engines != nil && up.Role == core.Decode {
-			up.Pieces = int(float64(s.Engines.Tokens) * memoryUsed / core.PieceTokens)
+			up.Pieces = s.Engines.Tokens / core.PieceTokens
 		}
 		doc.Upstreams = append(doc.Upstreams, up)
 	}
--- a/relay/call.go
+++ b/relay/call.go
@@ -4,8 +4,10 @@
 	"context"
 	"io"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/pool"
@@ -48,12 +50,17 @@
 	l.relay.Pool.Begin(up.Name, w)
 	defer l.relay.Pool.End(up.Name, w)
 	start := l.relay.Clock.Now()
-	a, err := l.relay.Upstreams.Send(ctx, up, Send{Request: l.request})
+	call, cancel := l.patience(ctx, up)
+	defer cancel()
+	a, err := l.relay.Upstreams.Send(call, up, Send{Request: l.request})
 	if err == nil {
 		defer a.Body.Close()
 		l.relay.reached(up)
 		l.relay.Pool.First(up.Name, l.relay.Clock.Now()-start)
-		err = l.answer(ctx, up, a)
+		err = l.answer(call, up, a)
+	}
+	if err != nil && errors.Is(context.Cause(call), errSilent) && ctx.Err() == nil {
+		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errSilent, err), "%s after %d ms", up.Name, l.relay.Clock.Now()-start)
 	}
 	if err != nil && !l.begun && !l.gone {
 		l.lost(ctx, up, start, err)
@@ -61,6 +68,27 @@
 	return err
 }
 
+// Bounds of the wait for a replica's answer to a call that may be sent to
+// another one: several times what is usual there, and longer than the target,
+// so that a slow answer is not given up for one that comes no earlier.
+const (
+	patienceFactor               = 6
+	patienceTargets              = 2
+	patienceLeast   clock.Millis = 400
+)
+
+// patience bounds the wait for one replica, where another may be tried after
+// it.
+func (l *life) patience(ctx context.Context, up core.Upstream) (context.Context, context.CancelFunc) {
+	if !l.repeatable() || l.runs >= l.opaque.Route.Profile.Retries {
+		return context.WithCancel(ctx)
+	}
+	s, _ := l.relay.Pool.Get(up.Name)
+	usual := clock.Millis(s.Seen.First.Expect(l.relay.Clock.Now(), usualCall))
+	limit := max(usual*patienceFactor, l.request.Profile.FirstToken*patienceTargets, patienceLeast)
+	return context.WithTimeoutCause(ctx, limit.Std(), errSilent)
+}
+
 // answer delivers the answer of a replica. A short one is read whole first.
 func (l *life) answer(ctx context.Context, up core.Upstream, a Answer) error {
 	head, err := io.ReadAll(io.LimitReader(a.Body, maxHeld+1))
--- a/relay/place.go
+++ b/relay/place.go
@@ -23,16 +23,19 @@
 	hintWeight = 0.6
 	// usualShare is the usual length of an answer as a share of its bound.
 	usualShare = 0.4
+	// reservedShare is the part of the expected answer that is reserved: an
+	// answer takes its memory as it grows, and others end meanwhile.
+	reservedShare = 0.85
 )
 
-// expectedOutput returns the length that is expected of the answer.
+// expectedOutput returns the length of the answer that memory is reserved for.
 func (l *life) expectedOutput() int {
 	bound := float64(l.request.MaxTokens)
 	output := bound * usualShare
 	if hint := float64(l.opaque.OutputHint); hint > 0 && bound > 0 {
 		output = min(bound, math.Pow(hint, hintWeight)*math.Pow(output, 1-hintWeight))
 	}
-	return int(output)
+	return int(output * reservedShare)
 }
 
 // pieces returns the nearest number of pieces, since the errors of many
@@ -166,7 +169,7 @@
 const (
 	// holdFrom is the share of an engine's memory from which its own word is
 	// asked for. Below, the entries' counts are right enough.
-	holdFrom = 0.45
+	holdFrom = 0.2
 	// holdTime bounds the call, and holdSpare what the hold lasts beyond the
 	// predicted first event.
 	holdTime  clock.Millis = 300
