gossip, follow, edge: rows of entries that are gone are removed

The row of an entry that ended without a stop stayed for good and took its part of the retry budget. The first live entry removes it after a minute of silence; an entry whose row is missing writes it again, unless it is leaving (TestStop was red without that).

--- a/core/routing.go
+++ b/core/routing.go
@@ -81,10 +81,8 @@
 
 // InputLimits bound what callers may send.
 type InputLimits struct {
-	Header     int
-	Body       int64
-	HeaderTime clock.Millis
-	IdleTime   clock.Millis
+	// Body is the greatest body, in bytes.
+	Body int64
 }
 
 // Manifest is the routing that operators publish. It is replaced as a whole,
@@ -128,8 +126,6 @@
 	Upstream
 	// Leaving says that it takes no new work.
 	Leaving bool
-	// Slots is how many requests it runs at the same time.
-	Slots int
 	// Born identifies this run of the replica; it is no time to compare with.
 	Born int64
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -74,6 +74,7 @@
 	}
 	g.Go(func() error { e.gossip.Run(work); return nil })
 	g.Go(func() error { e.follower.Run(work); return nil })
+	g.Go(func() error { e.Clock.Every(work, goneEvery, e.removeGone); return nil })
 	g.Go(func() error {
 		defer end()
 		select {
--- a/edge/state.go
+++ b/edge/state.go
@@ -159,6 +159,27 @@
 	return follow.View{Manifest: v.Manifest, Fleet: v.Fleet, Entries: v.Entries}, true
 }
 
+// Times of removing the rows of entries that are gone.
+const (
+	// goneAfter is how long an entry must not have been heard: a restart takes
+	// seconds, and one that is only cut off writes its row again.
+	goneAfter = 1 * clock.Minute
+	// goneEvery is the pause between two looks.
+	goneEvery = 20 * clock.Second
+)
+
+// removeGone removes the rows of entries that ended without a stop. The live
+// entry with the first name does it for all.
+func (e *Edge) removeGone(ctx context.Context) {
+	if live := e.gossip.Live(); len(live) == 0 || live[0].Name < e.Settings.Instance {
+		return
+	}
+	for _, in := range e.gossip.Silent(goneAfter) {
+		err := e.store.Withdraw(ctx, in.Name)
+		e.Log.Info("edge: the row of an entry that is gone is removed", zap.String("entry", in.Name), zap.Error(err))
+	}
+}
+
 // Ready implements [platform.Directory].
 func (e *Edge) Ready() bool {
 	return !e.leaving.Load() && e.applied.Load()
@@ -200,7 +221,7 @@
 	withdraw, cancel := context.WithTimeout(ctx, linger.Std())
 	defer cancel()
 	go func() {
-		if err := e.store.Withdraw(withdraw, e.Settings.Instance); err != nil {
+		if err := e.follower.Leave(withdraw); err != nil {
 			e.Log.Warn("edge: the entry's row was not removed", zap.Error(err))
 		}
 	}()
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -91,6 +92,8 @@
 	// told is the highest revision at which a peer has another list.
 	told atomic.Int64
 	news notify.Signal
+	// leaving says that this entry's row is not to be written any more.
+	leaving atomic.Bool
 
 	mu      sync.Mutex
 	fleet   core.Fleet
@@ -113,6 +116,12 @@
 	_ = g.Wait()
 }
 
+// Leave removes this entry's row for good.
+func (f *Follower) Leave(ctx context.Context) error {
+	f.leaving.Store(true)
+	return f.Source.Withdraw(ctx, f.Self.Name)
+}
+
 // News says that a peer has a manifest of that version, and at the revision a
 // list of replicas with those members.
 func (f *Follower) News(version, revision int64, members uint64) {
@@ -320,7 +329,7 @@
 	registered := false
 	revision := int64(0)
 	for ctx.Err() == nil {
-		if !registered {
+		if !registered && !f.leaving.Load() {
 			if err := f.Source.Register(ctx, f.Self); err != nil {
 				b.failed(ctx, err)
 				continue
@@ -336,6 +345,12 @@
 			b.worked()
 			revision = max(now, 1)
 			f.takeEntries(list)
+			registered = slices.ContainsFunc(list, func(in core.Instance) bool { return in.Name == f.Self.Name })
+			if !registered && !f.leaving.Load() {
+				// Another entry took this one for gone.
+				f.log().Warn("follow: this entry's row is missing and is written again")
+				continue
+			}
 		}
 		changed, now, err := f.Source.EntriesChanged(ctx, revision, 2*waitFor)
 		switch {
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -336,3 +336,14 @@
 		})
 	}
 }
+
+// TestARowThatIsMissingIsWrittenAgain removes the entry's own row.
+func TestARowThatIsMissingIsWrittenAgain(t *testing.T) {
+	t.Parallel()
+	s := newSource()
+	start(t, s, &peers{})
+	listed := func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.entries) == 1 }
+	until(t, "the row", listed)
+	s.edit(func() { s.entries = nil })
+	until(t, "the row again", listed)
+}
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -227,6 +227,23 @@
 	return n
 }
 
+// Silent returns the entries that the platform's table names and that were not
+// heard for the time, by name.
+func (t *Table) Silent(d clock.Millis) []core.Instance {
+	now := t.Clock.Now()
+	var silent []core.Instance
+	t.peers.Each(func(_ string, p *peer) bool {
+		p.mu.Lock()
+		if p.Listed && now-max(p.At, p.known) > d {
+			silent = append(silent, p.Instance)
+		}
+		p.mu.Unlock()
+		return true
+	})
+	slices.SortFunc(silent, func(a, b core.Instance) int { return cmp.Compare(a.Name, b.Name) })
+	return silent
+}
+
 // Others returns the work that the live peers have at each upstream.
 func (t *Table) Others() map[string]pool.Work {
 	sum := make(map[string]pool.Work)
--- a/gossip/table_test.go
+++ b/gossip/table_test.go
@@ -139,3 +139,21 @@
 	is.True(sent >= 5)
 	is.True(sent <= 25)
 }
+
+func TestSilentEntries(t *testing.T) {
+	is := is.New(t)
+	m := &clock.Manual{}
+	table := &gossip.Table{Self: "a", Clock: clock.Clock{Manual: m}}
+	table.Know([]core.Instance{instance("a"), instance("b"), instance("c")})
+	is.Equal(len(table.Silent(clock.Minute)), 0)
+	m.Advance(clock.Minute + 1)
+	table.Heard(gossip.Hello{Instance: instance("b"), Boot: 1, Seq: 1})
+	table.Heard(gossip.Hello{Instance: instance("d"), Boot: 1, Seq: 1}) // not listed
+	silent := table.Silent(clock.Minute)
+	is.Equal(len(silent), 1)
+	is.Equal(silent[0].Name, "c")
+	m.Advance(clock.Minute + 1)
+	is.Equal(len(table.Silent(clock.Minute)), 2)
+	table.Know([]core.Instance{instance("b")})
+	is.Equal(len(table.Silent(clock.Minute)), 1)
+}
