gossip, edge: messages between entries are coalesced by their number

What an entry sends at the most no longer grows with the square of the entries, and waiting requests look at most every 10 ms.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -20,6 +20,7 @@
 	"lacewinghook.example/lacewinghook/gossip"
 	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/notify"
 	"lacewinghook.example/lacewinghook/platform"
 	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/pool"
@@ -39,8 +40,10 @@
 	// the settings are opened by Run.
 	Open []net.Listener
 
-	boot     uint64
-	leaving  atomic.Bool
+	boot    uint64
+	leaving atomic.Bool
+	// told wakes the lines after peers have told of their work.
+	told     notify.Signal
 	applying sync.Mutex
 	// applied says that a manifest and a list of replicas are in force.
 	applied  atomic.Bool
@@ -74,6 +77,7 @@
 	}
 	g.Go(func() error { e.gossip.Run(work); return nil })
 	g.Go(func() error { e.follower.Run(work); return nil })
+	g.Go(func() error { e.wakeLines(work); return nil })
 	g.Go(func() error { e.Clock.Every(work, goneEvery, e.removeGone); return nil })
 	g.Go(func() error {
 		defer end()
--- a/edge/state.go
+++ b/edge/state.go
@@ -118,11 +118,31 @@
 func (e *Edge) heard(h gossip.Hello) {
 	e.suspects.Merge(h.Marks)
 	e.stale.Store(true)
-	e.relay.Wake()
+	e.told.Send()
 	e.follower.Confirmed(h.Age)
 	e.follower.News(h.Manifest, h.Fleet, h.Members)
 }
 
+// wakeEvery is the least pause between two looks of waiting requests at what
+// peers have told. A stream ends about this often at the peak of a small site.
+const wakeEvery clock.Millis = 10
+
+// wakeLines lets waiting requests look for room after peers have told of their
+// work.
+func (e *Edge) wakeLines(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.told.C():
+		}
+		e.relay.Wake()
+		if e.Clock.Sleep(ctx, wakeEvery) != nil {
+			return
+		}
+	}
+}
+
 // view answers a peer that knows less.
 func (e *Edge) view(_ context.Context, have wire.Have) (wire.View, error) {
 	fleet, entries := e.follower.View()
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -65,8 +65,11 @@
 const (
 	// beatEvery is the pause between messages while nothing changes.
 	beatEvery clock.Millis = 600
-	// gapLeast is the least pause between two messages to a peer.
+	// gapLeast is the least pause between two messages to a peer, for up to
+	// gapPeers of them. Beyond, it grows with their number, so that what an
+	// entry sends at the most does not.
 	gapLeast clock.Millis = 10
+	gapPeers              = 8
 	// LiveFor is how long a peer counts as live after a message: three that
 	// are missing and the way.
 	LiveFor clock.Millis = 2100
@@ -295,7 +298,7 @@
 		call, cancel := context.WithTimeout(ctx, sendTime.Std())
 		err := t.Sender.Hello(call, p.addr, h)
 		cancel()
-		pause := gapLeast
+		pause := gapLeast * clock.Millis(max(1, t.peers.Len()/gapPeers))
 		if err != nil {
 			pause = failedPause
 		}
