--- a/gossip/table.go
+++ b/gossip/table.go
@@ -69,7 +69,7 @@
 	// gapPeers of them. Beyond, it grows with their number, so that what an
 	// entry sends at the most does not.
 	gapLeast clock.Millis = 10
-	gapPeers              = 8
+	gapPeers int          = 8
 	// LiveFor is how long a peer counts as live after a message: three that
 	// are missing and the way.
 	LiveFor clock.Millis = 2100
