--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -413,6 +413,44 @@
 	}
 }
 
+// TestKeptConnectionsThatAreDead sends calls that may not be repeated after
+// the replicas have closed the connections that the entry keeps.
+func TestKeptConnectionsThatAreDead(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	r := s.started()
+	for i := range 10 {
+		id := fmt.Sprint("id-", i)
+		got := r.do(context.Background(), ask{id: id, path: "/once/a"})
+		is.NoErr(got.err)
+		is.Equal(got.status, 200)
+		is.Equal(s.runs(id), 1)
+		for _, d := range s.desks {
+			d.HangUp()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestAnAddressThatAnotherReplicaHas names a replica at the address of another
+// one, as a list does that lags behind the use of an address again.
+func TestAnAddressThatAnotherReplicaHas(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.store.Remove("servers", "d-0")
+	s.store.Put("servers", "d-00", s.desks[0].Row("ready"))
+	r := s.started()
+	for i := range 10 {
+		id := fmt.Sprint("id-", i)
+		got := r.do(context.Background(), ask{id: id, path: "/once/a"})
+		is.NoErr(got.err)
+		is.Equal(got.status, 200)
+		is.Equal(s.desks[0].Runs(id), 0)
+		is.Equal(s.desks[1].Runs(id), 1)
+	}
+	is.True(len(s.desks[0].Seen()) > 0) // it was asked, and refused
+}
+
 func TestACallerThatLeavesEndsTheRun(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t)
--- a/stand/replica.go
+++ b/stand/replica.go
@@ -95,6 +95,9 @@
 	r.server.Close()
 }
 
+// HangUp closes all connections, as an idle timeout does.
+func (r *Replica) HangUp() { r.server.CloseClientConnections() }
+
 // Row returns what the replica writes of itself.
 func (r *Replica) Row(state string) string {
 	phase := ""
