flow, stand: two tests that failed once beside load

TestHedge/prefill_at_a_straggler: the timer of the hedge was set after the first leg was launched, so that a manual clock could be moved before it; it is set before. TestCrashingRequests/a_call: the stand-in broke its streams before it closed its listener, so that a crash could be judged as none; a process that ends refuses connections first.

--- a/flow/hedge.go
+++ b/flow/hedge.go
@@ -17,10 +17,10 @@
 func (l *life) hedged(ctx context.Context) error {
 	ends := make(chan ending, 2)
 	first := l.begin()
-	l.launch(ctx, first, ends)
 	late := make(chan struct{})
 	disarm := l.flow.Clock.AfterFunc(l.hedgeAfter(), func() { close(late) })
 	defer disarm()
+	l.launch(ctx, first, ends)
 	select {
 	case e := <-ends:
 		return e.err
--- a/stand/replica.go
+++ b/stand/replica.go
@@ -89,6 +89,9 @@
 		return
 	default:
 	}
+	// A process that ends takes no connection any more by the time its callers
+	// see theirs break.
+	_ = r.server.Listener.Close()
 	close(r.quit)
 	r.mu.Unlock()
 	r.server.CloseClientConnections()
