--- a/edge/budget.go
+++ b/edge/budget.go
@@ -24,15 +24,7 @@
 }
 
 func (e *Edge) budget(service string) *limit.Window {
-	var w *limit.Window
-	e.budgets.Update(service, func(old *limit.Window, ok bool) (*limit.Window, bool) {
-		if !ok {
-			old = &limit.Window{}
-		}
-		w = old
-		return old, true
-	})
-	return w
+	return e.budgets.Ensure(service, func() *limit.Window { return &limit.Window{} })
 }
 
 // First implements [relay.Budget].
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -205,8 +205,8 @@
 
 // Times of the servers' connections.
 const (
-	// headTime bounds the arrival of a request's head, and inputTime that of
-	// the whole request.
+	// headTime bounds the arrival of a request's head: longer than any
+	// manifest that was seen allows.
 	headTime = 5 * clock.Second
 	// idleTime is longer than callers keep idle connections, by any manifest
 	// that was seen.
--- a/edge/state.go
+++ b/edge/state.go
@@ -234,7 +234,7 @@
 // is in flight.
 func (e *Edge) stop(ctx context.Context, servers []*server) {
 	grace := e.Settings.Fleet.Grace
-	linger := min(keptTwiceMore*e.Settings.Fleet.Keep+askTime, grace/2)
+	linger := min(keepTimes*e.Settings.Fleet.Keep+askTime, grace/2)
 	e.leaving.Store(true)
 	e.gossip.Changed()
 	e.Log.Info("edge: leaving", zap.Int64("linger", int64(linger)), zap.Int64("grace", int64(grace)))
@@ -261,10 +261,10 @@
 
 // Times of a stop.
 const (
-	// keptTwiceMore is how many times the life of an answer some callers keep
+	// keepTimes is how many times the life of an answer some callers keep
 	// it for, and askTime the way of an answer that was just given.
-	keptTwiceMore              = 3
-	askTime       clock.Millis = 200
+	keepTimes              = 3
+	askTime   clock.Millis = 200
 	// killMargin is left before the kill for the end of the process.
 	killMargin clock.Millis = 500
 )
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -265,15 +265,7 @@
 }
 
 func (t *Table) peer(addr string) *peer {
-	var p *peer
-	t.peers.Update(addr, func(old *peer, ok bool) (*peer, bool) {
-		if !ok {
-			old = &peer{addr: addr, known: t.Clock.Now()}
-		}
-		p = old
-		return old, true
-	})
-	return p
+	return t.peers.Ensure(addr, func() *peer { return &peer{addr: addr, known: t.Clock.Now()} })
 }
 
 // launch starts the sender of a peer, unless it runs.
--- a/place/place.go
+++ b/place/place.go
@@ -206,15 +206,9 @@
 
 // line returns the line of requests for a model.
 func (d *Desk) line(model string) *limit.Line {
-	var l *limit.Line
-	d.lines.Update(model, func(old *limit.Line, ok bool) (*limit.Line, bool) {
-		if !ok {
-			old = &limit.Line{Clock: d.Clock, Unfair: d.Unfair, Hopeful: d.Hopeful}
-		}
-		l = old
-		return old, true
+	return d.lines.Ensure(model, func() *limit.Line {
+		return &limit.Line{Clock: d.Clock, Unfair: d.Unfair, Hopeful: d.Hopeful}
 	})
-	return l
 }
 
 // Wake serves the requests for which there is room now. It is called when
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -26,7 +26,7 @@
 	// takes the request.
 	hold string
 	// prompt is the work of computing the prompt, counted at one engine under
-	// the number flight until computed is called.
+	// the number flight until promptDone is called.
 	prompt   pool.Work
 	at       string
 	flight   uint64
--- a/relay/place.go
+++ b/relay/place.go
@@ -104,15 +104,7 @@
 
 // line returns the line of requests that wait for engines of a service.
 func (f *Relay) line(service string) *limit.Line {
-	var l *limit.Line
-	f.lines.Update(service, func(old *limit.Line, ok bool) (*limit.Line, bool) {
-		if !ok {
-			old = &limit.Line{Clock: f.Clock, Strict: true}
-		}
-		l = old
-		return old, true
-	})
-	return l
+	return f.lines.Ensure(service, func() *limit.Line { return &limit.Line{Clock: f.Clock, Strict: true} })
 }
 
 // Wake serves the requests for which there is room now. It is called when
--- a/shard/map.go
+++ b/shard/map.go
@@ -73,6 +73,20 @@
 	p.m[k] = v
 }
 
+// Ensure returns the value under k. Where there is none, it puts what f
+// returns, which is called under the shard's lock.
+func (m *Map[K, V]) Ensure(k K, f func() V) V {
+	var got V
+	m.Update(k, func(v V, ok bool) (V, bool) {
+		if !ok {
+			v = f()
+		}
+		got = v
+		return v, true
+	})
+	return got
+}
+
 // Each calls f for every entry, one shard at a time under its lock, and
 // removes those for which f returns false.
 func (m *Map[K, V]) Each(f func(k K, v V) (keep bool)) {
--- a/shard/map_test.go
+++ b/shard/map_test.go
@@ -28,6 +28,26 @@
 	is.Equal(m.Len(), 0) // every count is even and was removed
 }
 
+func TestEnsureMakesOne(t *testing.T) {
+	is := is.New(t)
+	const readers = 8
+	var m shard.Map[string, *int]
+	var made int
+	got := make([]*int, readers)
+	var wg sync.WaitGroup
+	for i := range readers {
+		wg.Go(func() {
+			// The key's lock guards the count.
+			got[i] = m.Ensure("k", func() *int { made++; return new(int) })
+		})
+	}
+	wg.Wait()
+	is.Equal(made, 1)
+	for _, p := range got {
+		is.True(p == got[0])
+	}
+}
+
 func BenchmarkUpdate(b *testing.B) {
 	var m shard.Map[int, int]
 	b.RunParallel(func(pb *testing.PB) {
--- a/wire/client.go
+++ b/wire/client.go
@@ -146,15 +146,7 @@
 	if c.links.Len() > maxLinks {
 		c.links.Each(func(_ string, l *link) bool { return l.used() })
 	}
-	var l *link
-	c.links.Update(addr, func(old *link, ok bool) (*link, bool) {
-		if !ok {
-			old = &link{}
-		}
-		l = old
-		return old, true
-	})
-	return l
+	return c.links.Ensure(addr, func() *link { return &link{} })
 }
 
 // open returns the link's connection, or a new one. Two callers at once may
