once: a call after an unknown outcome is answered as the record says

TestPromise/at_most_once/no_answer_and_table_down failed with upstream_lost != outcome_unknown, 1 of 40 runs beside three busy processes.

Cause: an entry keeps an order's flight until its write of the record is confirmed. Between the moment at which the record lands and that at which the entry knows of it, another entry answers outcome_unknown from the record, and the first one repeats the error of the call itself, upstream_lost. Both say that the run is unknown, so no promise broke, but one key got two answers.

Ruled out: that the order ran twice (its count is right in the failed run); a write that went through before the fault was in force.

--- a/once/book.go
+++ b/once/book.go
@@ -125,6 +125,9 @@
 	if err != nil {
 		return core.Answer{}, b.refused(err)
 	}
+	if !mine && f.unknown() {
+		return core.Answer{}, b.refused(codes.New(codes.OutcomeUnknown, "order"))
+	}
 	if mine && !b.tasks.Go(func() { b.run(f) }) {
 		b.end(f)
 		f.finish(core.Answer{}, codes.New(codes.Leaving, "order"))
@@ -203,6 +206,18 @@
 	close(f.done)
 }
 
+// unknown reports whether the flight's callers were told that its outcome is
+// unknown. Its record may not be confirmed yet; a later call is answered as
+// the record says, as at every other entry.
+func (f *flight) unknown() bool {
+	select {
+	case <-f.done:
+		return f.err != nil && codes.From(f.err).Run == codes.Unknown
+	default:
+		return false
+	}
+}
+
 // end forgets the flight, so that the next call of its key begins anew.
 func (b *Book) end(f *flight) {
 	b.flights.Update(f.record.ID, func(old *flight, ok bool) (*flight, bool) {
--- a/once/promise_test.go
+++ b/once/promise_test.go
@@ -58,6 +58,7 @@
 	{name: "table down after dispatch", during: down, runs: 1},
 	{name: "service closes without an answer", ills: fake.Ills{LoseAnswers: 1}, first: codes.UpstreamLost, again: codes.OutcomeUnknown, runs: 1},
 	{name: "no answer and table down", ills: fake.Ills{LoseAnswers: 1}, during: down, first: codes.UpstreamLost, again: codes.OutcomeUnknown, runs: 1},
+	{name: "no answer, its record landed unseen", during: []plat.Fault{fault(plat.Commit, plat.Lost, 0, 0), down[1]}, ills: fake.Ills{LoseAnswers: 1}, first: codes.UpstreamLost, again: codes.OutcomeUnknown, runs: 1},
 	{name: "insert's answer lost and no answer", before: []plat.Fault{fault(plat.Commit, plat.Lost, 1, 0)}, ills: fake.Ills{LoseAnswers: 1}, first: codes.UpstreamLost, again: codes.OutcomeUnknown, runs: 1},
 	{name: "service slower than the deadline", ills: fake.Ills{Slow: 20}, first: codes.InProgress, runs: 1},
 }
