poison: a probe that breaks is repeated

Cause of the known red flow TestPromise/poison (crashes_decode_upstreams, table_is_down): after an upstream broke under a request it is asked whether it still stands, to tell a crash from a cut. A question that the dying process had accepted ended with EOF, and that was taken for 'can't tell': the crash was not counted, the request ran on a third upstream (3 != 2), or an innocent request, which was not marked, ran beside the poison one again and was quarantined.

Ruled out: a crash judged after the engine's restart (the report's boot tells it); two crashes taken for one by an old boot (the later send still condemns).

Conclusion: the fault was the judgement's, not the test's.

--- a/poison/judge.go
+++ b/poison/judge.go
@@ -21,8 +21,11 @@
 
 // Times of judging a break.
 const (
-	// probeTimeout bounds the question whether an upstream still stands.
-	probeTimeout = 1 * clock.Second
+	// probeTimeout bounds the question whether an upstream still stands, and
+	// probePause lies between two probes: a process that dies closes its
+	// sockets within milliseconds.
+	probeTimeout              = 1 * clock.Second
+	probePause   clock.Millis = 20
 	// spreadTime is how long the caller of a condemned request waits for its
 	// refusal: until every entry that reads the table, or hears the beats of
 	// this one, knows of it.
@@ -63,15 +66,23 @@
 
 // crashed reports whether the upstream refuses connections or has started
 // again. One that can't be reached in another way may be cut off, which says
-// nothing of what it runs.
+// nothing of what it runs. A probe that breaks is repeated: its connection may
+// have been accepted by the process that was about to die.
 func (b *Book) crashed(ctx context.Context, up core.Upstream, boot string) bool {
 	ctx, done := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout.Std())
 	defer done()
-	r, err := b.Engines.Load(ctx, up)
-	if err != nil {
-		return codes.Has(err, codes.UpstreamRefused) && codes.From(err).Run == codes.NotRun
+	for {
+		r, err := b.Engines.Load(ctx, up)
+		switch {
+		case err == nil:
+			return boot != "" && r.Boot != "" && r.Boot != boot
+		case !codes.Has(err, codes.UpstreamLost):
+			return codes.Has(err, codes.UpstreamRefused) && codes.From(err).Run == codes.NotRun
+		}
+		if b.Clock.Sleep(ctx, probePause) != nil {
+			return false
+		}
 	}
-	return boot != "" && r.Boot != "" && r.Boot != boot
 }
 
 func (b *Book) tell(m Mark, up core.Upstream) {
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -60,6 +60,21 @@
 	return core.Report{}, codes.New(codes.UpstreamRefused, "refused")
 }
 
+// dying is an engine whose first probes break: it accepted them before its
+// process died. Its next process refuses connections, or answers.
+type dying struct {
+	breaks int
+	then   func() (core.Report, error)
+}
+
+func (d *dying) Load(context.Context, core.Upstream) (core.Report, error) {
+	if d.breaks > 0 {
+		d.breaks--
+		return core.Report{}, codes.New(codes.UpstreamLost, "connection reset")
+	}
+	return d.then()
+}
+
 func book(t *table) *poison.Book {
 	return &poison.Book{Engines: crashed{}, Table: t}
 }
@@ -106,6 +121,29 @@
 	}
 }
 
+func TestProbeThatBreaksIsRepeated(t *testing.T) {
+	refuses := func() (core.Report, error) { return crashed{}.Load(t.Context(), core.Upstream{}) }
+	runs := func(boot string) func() (core.Report, error) {
+		return func() (core.Report, error) { return core.Report{Boot: boot}, nil }
+	}
+	for _, c := range []struct {
+		name   string
+		engine dying
+		want   bool
+	}{
+		{"then refused", dying{breaks: 2, then: refuses}, true},
+		{"then another run", dying{breaks: 2, then: runs("d1-1")}, true},
+		{"then the same run", dying{breaks: 2, then: runs("d1-0")}, false},
+		{"breaks for good", dying{breaks: 1 << 20}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := &poison.Book{Engines: &c.engine, Table: &table{}}
+			broke(t, b, "d1", clock.Clock{}.Now())
+			is.New(t).Equal(b.Suspect(digest), c.want)
+		})
+	}
+}
+
 func TestMarksAreSharedThroughTheTable(t *testing.T) {
 	is := is.New(t)
 	tab := &table{}
