procs: ranges of ports are reserved

Cause, from the code: a range was taken if nobody listened in it, before its processes listened. Bases come from the process id modulo 38, so two test programs could take one range, and the look itself, which listens on each port for a moment, could make a starting process of another set fail.

Before: two calls in a row returned one base.

--- a/procs/procs.go
+++ b/procs/procs.go
@@ -13,7 +13,6 @@
 
 	"github.com/go-faster/errors"
 
-	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/trial"
 )
@@ -26,6 +25,7 @@
 	Base    int
 	Entries []*Proc
 	others  []*Proc
+	guard   net.Listener
 }
 
 // Proc is one running process.
@@ -46,6 +46,8 @@
 	entryPorts    = 400
 	portsPerEntry = 10
 	portsInAll    = 500
+	// guardPort is listened on for as long as a set uses its range.
+	guardPort = portsInAll - 1
 )
 
 // Build builds the programs into dir. Extra flags go to the compiler.
@@ -63,7 +65,8 @@
 // platform and n entries, from programs that stand in dir, and returns once
 // every entry takes work. Setup, if not nil, changes each entry's settings.
 func Start(ctx context.Context, dir string, n int, setup func(*config.Settings)) (*Set, error) {
-	p := &Set{Dir: dir, Base: freeBase()}
+	guard, base := reserve()
+	p := &Set{Dir: dir, Base: base, guard: guard}
 	err := p.start(ctx, n, setup)
 	if err != nil {
 		p.Stop()
@@ -224,6 +227,7 @@
 		_ = proc.cmd.Process.Kill()
 		<-proc.done
 	}
+	_ = p.guard.Close()
 }
 
 // The ports that trial runs of processes may use lie below those that the
@@ -233,18 +237,28 @@
 	lastBase  = 31000
 )
 
-// freeBase returns the first port of a range that nobody listens in.
-func freeBase() int {
-	at := clock.Millis(os.Getpid()) * portsInAll
+// reserve returns the first port of a range that nobody listens in, and the
+// listener that keeps it from other sets, of this process and of others, also
+// before the processes of this one listen.
+func reserve() (guard net.Listener, base int) {
+	at := os.Getpid() * portsInAll
 	for {
-		base := firstBase + int(at)%(lastBase-firstBase)
-		if isFree(base) {
-			return base
+		base := firstBase + at%(lastBase-firstBase)
+		guard, err := listen(base + guardPort)
+		if err == nil {
+			if isFree(base) {
+				return guard, base
+			}
+			_ = guard.Close()
 		}
 		at += portsInAll
 	}
 }
 
+func listen(port int) (net.Listener, error) {
+	return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+}
+
 func isFree(base int) bool {
 	ports := []int{0, prefillPorts, decodePorts, servicePorts}
 	for port := entryPorts; port < portsInAll; port += portsPerEntry {
@@ -252,7 +266,7 @@
 		ports = append(ports, port, port+1, port+2)
 	}
 	for _, port := range ports {
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base+port))
+		ln, err := listen(base + port)
 		if err != nil {
 			return false
 		}
