clock, poison: marks are stamped with a clock that does not step

Cause, from the code: whether a digest is condemned rests on the order of two instants, the sending of one crash and the sight of another, and both were read from the wall clock at different times.

Before: no test. After: clock.Anchored reads the wall clock once and goes on with the steady clock (TestAnAnchoredClockDoesNotStep). What is left: an instance that starts while its clock is wrong is wrong until it ends.

--- a/clock/wall.go
+++ b/clock/wall.go
@@ -1,6 +1,9 @@
 package clock
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // Wall returns the milliseconds since 1970 by the machine's wall clock. It
 // is for times that other instances or operators read, such as the age of a
@@ -12,3 +15,26 @@
 	}
 	return Millis(time.Now().UnixMilli())
 }
+
+// Anchored tells the time of a wall clock that was read once and goes on with
+// the steady clock: it does not step. The zero value is ready.
+type Anchored struct {
+	Clock Clock
+	// Read reads the wall clock; nil is [Clock.Wall].
+	Read func() Millis
+
+	once   sync.Once
+	offset Millis
+}
+
+// Wall returns the milliseconds since 1970.
+func (a *Anchored) Wall() Millis {
+	a.once.Do(func() {
+		read := a.Read
+		if read == nil {
+			read = a.Clock.Wall
+		}
+		a.offset = read() - a.Clock.Now()
+	})
+	return a.Clock.Now() + a.offset
+}
--- a/poison/alone.go
+++ b/poison/alone.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	now := b.Clock.Wall()
+	now := b.wall()
 	// The type's fields always encode.
 	value, _ := json.Marshal(room{Entry: b.Self, Until: now + roomLife})
 	for _, key := range keys {
--- a/poison/book.go
+++ b/poison/book.go
@@ -86,6 +86,11 @@
 	// Self names this entry in the table.
 	Self string
 
+	// times are what marks are stamped with: the order of two crashes must
+	// not turn when the wall clock steps.
+	start sync.Once
+	times clock.Anchored
+
 	marks shard.Map[uint64, Mark]
 	// heard holds what peers told, for a while. It is neither told on nor
 	// written to the table, so that a lifted mark doesn't come back.
@@ -98,6 +103,11 @@
 	freed chan struct{}
 }
 
+func (b *Book) wall() clock.Millis {
+	b.start.Do(func() { b.times.Clock = b.Clock })
+	return b.times.Wall()
+}
+
 // Refused reports whether the digest is in quarantine.
 func (b *Book) Refused(digest uint64) bool {
 	m, ok := b.mark(digest)
@@ -112,7 +122,7 @@
 
 // mark returns what is known of the digest and still stands.
 func (b *Book) mark(digest uint64) (Mark, bool) {
-	now := b.Clock.Wall()
+	now := b.wall()
 	own, _ := b.marks.Get(digest)
 	told, _ := b.heard.Get(digest)
 	if own.Until <= now {
@@ -128,7 +138,7 @@
 // Snapshot returns the entry's own marks that stand.
 func (b *Book) Snapshot() []Mark {
 	var all []Mark
-	now := b.Clock.Wall()
+	now := b.wall()
 	b.marks.Each(func(_ uint64, m Mark) bool {
 		if m.Until > now {
 			all = append(all, m)
@@ -160,7 +170,7 @@
 	if len(marks) == 0 {
 		return
 	}
-	until := b.Clock.Wall() + heardLife
+	until := b.wall() + heardLife
 	b.heard.Each(func(_ uint64, m Mark) bool { return m.Until > until-heardLife })
 	for _, m := range marks[:min(len(marks), maxTold)] {
 		m.Kept = false
--- a/poison/judge.go
+++ b/poison/judge.go
@@ -48,7 +48,7 @@
 	if !b.crashed(ctx, up, boot) {
 		return false
 	}
-	at := b.Clock.Wall()
+	at := b.wall()
 	crash := Crash{Upstream: up.Name, Boot: boot, Began: at - (b.Clock.Now() - began), At: at}
 	m := b.add(Mark{Digest: digest, Crashes: []Crash{crash}, Until: at + markLife})
 	b.Meter.Add("suspects_total", 1, "upstream", up.Name)
--- a/poison/share.go
+++ b/poison/share.go
@@ -60,7 +60,7 @@
 			after = row.Key
 			m, ok := decode(row)
 			switch {
-			case ok && m.Until > b.Clock.Wall():
+			case ok && m.Until > b.wall():
 				held[m.Digest] = m
 			default:
 				_, _ = b.Table.Commit(ctx, core.Write{Key: row.Key, Expect: row.Revision, Delete: true})
