follow: entries share the readings of the list of replicas

At the start each entry also read the table of entries again for each one that registered.

Change: an entry whose peer read the same list does not read it. Readings go by the entries' names: the first live one reads when the last reading is 1 s old, the next ones 150 ms later each, 450 ms at the most, so that all together read about once a second, and an entry that is cut off from its peers reads by itself after 1.45 s. A list that differs is read at once, and asked from the peer where the store does not answer within 150 ms. The age that is told on is that of an entry's own reading. While missing replicas are kept, a list can't be compared. The table of entries is read 1.5 s after a change.

Ruled out: the long poll of the list's table, which ends with each heartbeat of a replica; the list from a peer in place of the store for all (30 KB for each of 88 entries at 10 Mbit/s from the same peer).

--- a/edge/state.go
+++ b/edge/state.go
@@ -25,11 +25,12 @@
 // takeFleet puts a list of replicas in force.
 func (e *Edge) takeFleet(fleet core.Fleet) {
 	old := e.fleet.Swap(&fleet)
-	changed := e.logChanges(old, &fleet)
-	e.applyPool()
-	if changed {
-		e.gossip.Changed()
+	if old == nil || old.Members() != fleet.Members() {
+		e.logChanges(old, &fleet)
+		e.applyPool()
 	}
+	// The peers need not read what this entry has just read.
+	e.gossip.Changed()
 	e.replicas.Retain(fleet.Replicas)
 }
 
@@ -59,9 +60,8 @@
 	e.applied.Store(true)
 }
 
-// logChanges logs which replicas came, left or began to leave, and reports
-// whether any did.
-func (e *Edge) logChanges(old, fleet *core.Fleet) (changed bool) {
+// logChanges logs which replicas came, left or began to leave.
+func (e *Edge) logChanges(old, fleet *core.Fleet) {
 	before := make(map[string]core.Replica)
 	if old != nil {
 		for _, r := range old.Replicas {
@@ -72,7 +72,6 @@
 		was, ok := before[r.Name]
 		delete(before, r.Name)
 		if !ok || was.Leaving != r.Leaving || was.Born != r.Born || was.Role != r.Role {
-			changed = true
 			e.Log.Info("edge: a replica has changed", zap.String("replica", r.Name), zap.String("addr", r.Addr),
 				zap.String("service", r.Service), zap.String("role", string(r.Role)), zap.Bool("leaving", r.Leaving),
 				zap.Bool("new", !ok), zap.Int64("revision", fleet.Revision))
@@ -82,7 +81,6 @@
 		e.Log.Info("edge: a replica is gone", zap.String("replica", name), zap.String("addr", r.Addr),
 			zap.String("service", r.Service), zap.Int64("revision", fleet.Revision))
 	}
-	return changed || len(before) > 0
 }
 
 func (e *Edge) spec(service string) (core.ServiceSpec, bool) {
@@ -100,10 +98,10 @@
 	if e.leaving.Load() {
 		state = core.Leaving
 	}
-	revision, age := e.follower.Age()
+	told := e.follower.Told()
 	h := gossip.Hello{
 		Instance: core.Instance{Name: s.Instance, Addr: s.Callers.Listen, Peer: s.Peers.Listen, Centre: s.Centre, State: state},
-		Boot:     e.boot, Ready: e.Ready(), Manifest: e.routes.Version(), Fleet: revision, Members: e.follower.Members(), Age: age,
+		Boot:     e.boot, Ready: e.Ready(), Manifest: told.Manifest, Fleet: told.Fleet, Members: told.Members, Age: told.Age,
 	}
 	h.Marks = e.suspects.Unkept()
 	for _, l := range e.pool.Loads() {
@@ -119,8 +117,7 @@
 	e.suspects.Merge(h.Marks)
 	e.stale.Store(true)
 	e.told.Send()
-	e.follower.Confirmed(h.Age)
-	e.follower.News(h.Manifest, h.Fleet, h.Members)
+	e.follower.Heard(follow.News{Manifest: h.Manifest, Fleet: h.Fleet, Members: h.Members, Age: h.Age})
 }
 
 // wakeEvery is the least pause between two looks of waiting requests at what
@@ -179,6 +176,17 @@
 	return follow.View{Manifest: v.Manifest, Fleet: v.Fleet, Entries: v.Entries}, true
 }
 
+// Ahead implements [follow.Peers]: the live entries go by their names.
+func (e *Edge) Ahead() int {
+	n := 0
+	for _, p := range e.gossip.Live() {
+		if p.Name < e.Settings.Instance {
+			n++
+		}
+	}
+	return n
+}
+
 // Times of removing the rows of entries that are gone.
 const (
 	// goneAfter is how long an entry must not have been heard: a restart takes
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -45,14 +45,33 @@
 	// a list of replicas above the revision; entries says that the table of
 	// entries is wanted too. It returns false if there is no such peer.
 	View(ctx context.Context, manifest, fleet int64, entries bool) (View, bool)
+	// Ahead returns how many live entries read the list of replicas before
+	// this one if they can.
+	Ahead() int
+}
+
+// News is what a peer tells of the store.
+type News struct {
+	// Manifest is the version that it has in force.
+	Manifest int64
+	// Fleet is the revision of its list of replicas, and Members what the list
+	// comes to; zero says that it can't be compared.
+	Fleet   int64
+	Members uint64
+	// Age is how long ago the peer itself read the list.
+	Age clock.Millis
 }
 
 // Times of the follower.
 const (
-	// fleetEvery is the pause between two readings of the list of replicas.
-	// With the reading itself it stays well under the time within which a
+	// fleetEvery is how old the last reading of the list of replicas, by any
+	// entry that has the same list, may become. Each entry that is ahead of
+	// this one adds turnStep, up to turnMost, for its reading to be heard of.
+	// With the reading itself the sum stays well under the 2 s within which a
 	// leaving replica must get nothing new.
-	fleetEvery clock.Millis = 1200
+	fleetEvery clock.Millis = 1000
+	turnStep   clock.Millis = 150
+	turnMost   clock.Millis = 450
 	// waitFor is how long the store is asked to wait for a change. Peers that
 	// hear of one earlier tell.
 	waitFor = 10 * clock.Second
@@ -61,15 +80,20 @@
 	retryLeast clock.Millis = 150
 	retryMost  clock.Millis = 1200
 	// outageLeast is how long no entry must have read the list, beyond the
-	// pause between two readings, for the store to count as having been away: replicas write their rows about as often.
+	// pause between two readings, for the store to count as having been away:
+	// replicas write their rows about as often.
 	outageLeast clock.Millis = 1800
 	// settleTime is how long a replica that is missing from the list is kept
 	// after the store was away. Replicas write their rows again within two
 	// seconds.
 	settleTime clock.Millis = 2300
+	// entriesPause lies between a change of the table of entries and the next
+	// reading of it: entries that start at once are read at once. A new one
+	// makes itself known to those that it finds there.
+	entriesPause clock.Millis = 1500
 	// newsDelay is how long what a peer has already may take to come from the
-	// store, before the peer is asked.
-	newsDelay clock.Millis = 100
+	// store, before the peer is asked: some answers of the store.
+	newsDelay clock.Millis = 150
 )
 
 // Follower follows the store. Source and Self are needed.
@@ -89,20 +113,23 @@
 
 	// manifest is the version in force, newest the highest that a peer has.
 	manifest, newest atomic.Int64
-	// told is the highest revision at which a peer has another list.
-	told atomic.Int64
-	news notify.Signal
+	// told is the highest revision at which a peer has another list, and
+	// wanted says that the list is to be read for it.
+	told   atomic.Int64
+	wanted atomic.Bool
+	// news wakes what asks the peers, and due what reads the list.
+	news, due notify.Signal
 	// leaving says that this entry's row is not to be written any more.
 	leaving atomic.Bool
 
 	mu      sync.Mutex
 	fleet   core.Fleet
 	members uint64
-	// read is the instant of the last reading, confirmed the last one at which
-	// this entry or a peer read the store, and settled the one up to which
-	// missing replicas are kept.
-	read, confirmed, settled clock.Millis
-	entries                  []core.Instance
+	// read is the instant of this entry's last reading, shared that of the last
+	// one by a peer with the same members, confirmed the last one by any entry,
+	// and settled the one up to which missing replicas are kept.
+	read, shared, confirmed, settled clock.Millis
+	entries                          []core.Instance
 }
 
 // Run follows until ctx ends.
@@ -122,14 +149,25 @@
 	return f.Source.Withdraw(ctx, f.Self.Name)
 }
 
-// News says that a peer has a manifest of that version, and at the revision a
-// list of replicas with those members.
-func (f *Follower) News(version, revision int64, members uint64) {
-	raised := version > f.manifest.Load() && raise(&f.newest, version)
+// Heard takes note of what a peer tells. A list with the same members spares
+// this entry a reading of its own.
+func (f *Follower) Heard(n News) {
+	raised := n.Manifest > f.manifest.Load() && raise(&f.newest, n.Manifest)
 	f.mu.Lock()
-	other := revision > f.fleet.Revision && members != f.members
+	at := f.Clock.Now() - n.Age
+	f.confirm(at)
+	same := n.Members == f.members
+	if same && n.Members != 0 {
+		f.shared = max(f.shared, at)
+	}
+	other := n.Fleet > f.fleet.Revision && !same && n.Members != 0
 	f.mu.Unlock()
-	if other && raise(&f.told, revision) || raised {
+	other = other && raise(&f.told, n.Fleet)
+	if other {
+		f.wanted.Store(true)
+		f.due.Send()
+	}
+	if other || raised {
 		f.news.Send()
 	}
 }
@@ -154,19 +192,26 @@
 	return f.fleet, f.entries
 }
 
-// Members returns the members of the list of replicas in force.
-func (f *Follower) Members() uint64 {
+// Told returns what this entry tells its peers. A list in which missing
+// replicas are kept is not to be compared. The age is that of the entry's own
+// reading: one that is passed on would look newer at each step.
+func (f *Follower) Told() News {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.members
+	now := f.Clock.Now()
+	n := News{Manifest: f.manifest.Load(), Fleet: f.fleet.Revision, Members: f.members, Age: now - f.read}
+	if now < f.settled {
+		n.Members = 0
+	}
+	return n
 }
 
-// Age returns the revision of the list of replicas and how long ago it was
-// read.
+// Age returns the revision of the list of replicas and how long ago it held,
+// by this entry's reading or by a peer's.
 func (f *Follower) Age() (revision int64, age clock.Millis) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.fleet.Revision, f.Clock.Now() - f.read
+	return f.fleet.Revision, f.Clock.Now() - max(f.read, f.shared)
 }
 
 // backoff counts the failures of one loop in a row, and logs the first and
@@ -204,10 +249,15 @@
 	b.failures = 0
 }
 
-// followFleet reads the list of replicas again and again.
+// followFleet reads the list of replicas whenever no entry has read it for a
+// while, and when a peer has another one.
 func (f *Follower) followFleet(ctx context.Context) {
 	b := backoff{follower: f, what: "replicas"}
 	for ctx.Err() == nil {
+		if pause := f.pause(); pause > 0 {
+			f.due.Wait(ctx, f.Clock, pause)
+			continue
+		}
 		fleet, unread, err := f.Source.Fleet(ctx)
 		if err != nil {
 			f.askPeers(ctx)
@@ -219,12 +269,26 @@
 			f.Meter.Add("rows_unread_total", unread)
 		}
 		f.takeFleet(fleet)
-		if f.Clock.Sleep(ctx, fleetEvery) != nil {
-			return
-		}
 	}
 }
 
+// pause returns how long the list need not be read.
+func (f *Follower) pause() clock.Millis {
+	if f.wanted.Swap(false) {
+		return 0
+	}
+	turn := clock.Millis(0)
+	if f.Peers != nil {
+		turn = min(turnStep*clock.Millis(f.Peers.Ahead()), turnMost)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.read == 0 {
+		return 0
+	}
+	return max(f.read, f.shared) + fleetEvery + turn - f.Clock.Now()
+}
+
 // takeFleet takes over a list that was read from the store.
 func (f *Follower) takeFleet(fleet core.Fleet) {
 	now := f.Clock.Now()
@@ -246,15 +310,8 @@
 	f.OnFleet(fleet)
 }
 
-// Confirmed says that a peer has read the store so long ago. An entry that
-// alone is turned away by the store knows by it that the store isn't away.
-func (f *Follower) Confirmed(age clock.Millis) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.confirm(f.Clock.Now() - age)
-}
-
-// confirm takes note of a reading of the store by any entry. After a gap
+// confirm takes note of a reading of the store by any entry: one that alone is
+// turned away learns from the others' that the store isn't away. After a gap
 // replicas that are missing are kept for a while. The caller holds the lock.
 func (f *Follower) confirm(at clock.Millis) {
 	if away := at - f.confirmed; f.confirmed != 0 && away > outageLeast+fleetEvery {
@@ -359,6 +416,8 @@
 		case err != nil:
 			b.failed(ctx, err)
 		case changed:
+			// The loop looks at ctx itself.
+			_ = f.Clock.Sleep(ctx, entriesPause)
 			revision = 0
 		default:
 			revision = max(now, 1)
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -127,6 +127,8 @@
 		return err
 	}
 	s.entries = append(s.entries, in)
+	close(s.changed)
+	s.changed = make(chan struct{})
 	return nil
 }
 
@@ -134,8 +136,15 @@
 
 // peers answers with what a test sets.
 type peers struct {
-	mu   sync.Mutex
-	view *follow.View
+	mu    sync.Mutex
+	view  *follow.View
+	ahead int
+}
+
+func (p *peers) Ahead() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ahead
 }
 
 func (p *peers) set(v follow.View) {
@@ -222,7 +231,7 @@
 	s.edit(func() { s.lost, s.manifest = true, &core.Manifest{Version: 12} })
 	until(t, "after the history is lost", func() bool { return got.version() == 12 })
 	p.set(follow.View{Manifest: &core.Manifest{Version: 20}})
-	f.News(20, 0, 0)
+	f.Heard(follow.News{Manifest: 20})
 	until(t, "a peer's", func() bool { return got.version() == 20 })
 }
 
@@ -270,6 +279,41 @@
 	is.True(s.longest <= 1500)
 }
 
+// TestPeersSpareReadings counts the readings of an entry whose peer reads the
+// same list.
+func TestPeersSpareReadings(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSource()
+	f, got := start(t, s, &peers{ahead: 1})
+	until(t, "the first list", func() bool { return got.names() == "a" })
+	reads := func() int { s.mu.Lock(); defer s.mu.Unlock(); return s.reads["fleet"] }
+	c := clock.Clock{}
+	same := f.Told()
+	tell := func(n follow.News, d clock.Millis) {
+		for end := c.Now() + d; c.Now() < end; {
+			f.Heard(n)
+			_ = c.Sleep(t.Context(), 100)
+		}
+	}
+	tell(follow.News{Fleet: same.Fleet, Members: same.Members, Age: 50}, 3000)
+	is.Equal(reads(), 1) // the peer's readings will do
+	revision, age := f.Age()
+	is.Equal(revision, same.Fleet)
+	is.True(age < 300)
+	is.True(f.Told().Age >= 3000) // what a peer read is not told on
+	tell(follow.News{Fleet: same.Fleet, Members: same.Members, Age: 5000}, 1500)
+	is.Equal(reads(), 2) // the peer does not read any more
+	tell(follow.News{Fleet: same.Fleet}, 3000)
+	is.True(reads() >= 4) // its list can't be compared
+	s.edit(func() { s.fleet = fleet(9, "b") })
+	next := fleet(9, "b")
+	told := c.Now()
+	f.Heard(follow.News{Fleet: 9, Members: next.Members()})
+	until(t, "the peer's list", func() bool { return got.names() == "b" })
+	is.True(c.Now()-told < 100)
+}
+
 // TestAnOlderListIsIgnored hands out a stale copy.
 func TestAnOlderListIsIgnored(t *testing.T) {
 	t.Parallel()
@@ -296,12 +340,15 @@
 	f, got := start(t, s, p)
 	until(t, "the first list", func() bool { return got.names() == "ab" })
 	s.edit(func() { s.err = codes.New(codes.PlatformDown, "") })
-	// The backoff is at its longest by then.
-	_ = clock.Clock{}.Sleep(context.Background(), 6000)
+	// The backoff is at its longest by then. A peer reads the store meanwhile.
+	for range 12 {
+		f.Heard(follow.News{Age: 100})
+		_ = clock.Clock{}.Sleep(context.Background(), 500)
+	}
 	next := fleet(9, "b")
 	p.set(follow.View{Fleet: next})
 	told := clock.Clock{}.Now()
-	f.News(0, 9, next.Members())
+	f.Heard(follow.News{Fleet: 9, Members: next.Members(), Age: 50})
 	until(t, "the peer's list", func() bool { return got.names() == "b" })
 	is.True(clock.Clock{}.Now()-told < 300)
 }
@@ -322,7 +369,7 @@
 			c := clock.Clock{}
 			for end := c.Now() + 4000; c.Now() < end; {
 				if alone {
-					f.Confirmed(100)
+					f.Heard(follow.News{Age: 100})
 				}
 				_ = c.Sleep(context.Background(), 500)
 			}
