edge, config: a restarted entry has no allowance of retries for one span

Cause: the window of extra sends is the process's own. When all entries are killed or restarted, each begins with its whole allowance again while the platform still counts what was sent before.

On the first start of the whole system ('fresh' in the settings, the platform's bootstrap) the allowance holds at once.

Grace and the window's span come from the platform as seconds, which may be fractions; the template made 7.5 s into 7.5000 ms, which is refused.

Ruled out: a ramp over the span (the last sends of the old process are still in the window at its end, so that the sum is up to twice the allowance).

--- a/config/fleet.go
+++ b/config/fleet.go
@@ -24,20 +24,29 @@
 	Memory int `json:"memory,omitempty"`
 	Cores  int `json:"cores,omitempty"`
 	// Grace is the time from a stop signal to the kill.
-	Grace clock.Millis `json:"grace"`
+	Grace Seconds `json:"grace_s"`
 	// Keep is how long callers may keep an answer of addresses.
 	Keep clock.Millis `json:"keep"`
 	// Retries bound the extra sends of all entries together.
 	Retries Retries `json:"retries"`
+	// Fresh says that the whole system starts for the first time: no entry
+	// that ended a moment ago has sent anything.
+	Fresh bool `json:"fresh,omitempty"`
 }
 
+// Seconds is a time as the platform gives it, which may be a fraction.
+type Seconds float64
+
+// Millis returns the time in milliseconds.
+func (s Seconds) Millis() clock.Millis { return clock.Millis(float64(s) * float64(clock.Second)) }
+
 // Retries bound the extra sends to one service over all entries.
 type Retries struct {
 	// Ratio is the extra sends for each request, and Slack those that are
 	// allowed beside, within a window of the length Span.
-	Ratio float64      `json:"ratio"`
-	Slack float64      `json:"slack"`
-	Span  clock.Millis `json:"span"`
+	Ratio float64 `json:"ratio"`
+	Slack float64 `json:"slack"`
+	Span  Seconds `json:"span_s"`
 }
 
 // Bounds of the settings of a fleet.
@@ -73,9 +82,9 @@
 	c.seeds(s.Seeds)
 	c.oneOf("log", s.Log, levels)
 	c.limits(s.Limits)
-	c.needed("fleet.grace", int64(f.Grace), int64(minGrace), int64(maxGrace), "ms")
+	c.needed("fleet.grace_s", int64(f.Grace.Millis()), int64(minGrace), int64(maxGrace), "ms")
 	c.needed("fleet.keep", int64(f.Keep), int64(minKeep), int64(maxKeep), "ms")
-	c.needed("fleet.retries.span", int64(f.Retries.Span), int64(minSpan), int64(maxSpan), "ms")
+	c.needed("fleet.retries.span_s", int64(f.Retries.Span.Millis()), int64(minSpan), int64(maxSpan), "ms")
 	c.within("fleet.memory", int64(f.Memory), 1, maxMemory, "MiB")
 	c.within("fleet.cores", int64(f.Cores), 1, maxCores, "cores")
 	if f.Retries.Ratio < 0 || f.Retries.Slack < 0 {
--- a/edge/budget.go
+++ b/edge/budget.go
@@ -17,10 +17,17 @@
 // least, since an entry that has just started may know of too few.
 const leastEntries = 3
 
+// quota returns what this entry may send again. What it sent before a restart
+// is not known and counts as its whole allowance for one span.
 func (e *Edge) quota() limit.Quota {
-	r := e.Settings.Fleet.Retries
-	n := max(e.gossip.Count(), leastEntries)
-	return limit.Quota{Span: r.Span, Ratio: r.Ratio * budgetMargin, Allowance: r.Slack * budgetMargin / float64(n)}
+	f := e.Settings.Fleet
+	span := f.Retries.Span.Millis()
+	q := limit.Quota{Span: span, Ratio: f.Retries.Ratio * budgetMargin}
+	if f.Fresh || e.Clock.Now()-e.since >= span {
+		n := max(e.gossip.Count(), leastEntries)
+		q.Allowance = f.Retries.Slack * budgetMargin / float64(n)
+	}
+	return q
 }
 
 func (e *Edge) budget(service string) *limit.Window {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -40,7 +40,9 @@
 	// the settings are opened by Run.
 	Open []net.Listener
 
-	boot    uint64
+	boot uint64
+	// since is the instant of the start.
+	since   clock.Millis
 	leaving atomic.Bool
 	// told wakes the lines after peers have told of their work.
 	told     notify.Signal
@@ -89,7 +91,7 @@
 		return nil
 	})
 	e.Log.Info("edge: started", zap.String("instance", e.Settings.Instance), zap.String("callers", e.Settings.Callers.Listen),
-		zap.Uint64("boot", e.boot), zap.String("store", e.Settings.Fleet.Store))
+		zap.Uint64("boot", e.boot), zap.Bool("fresh", e.Settings.Fleet.Fresh), zap.String("store", e.Settings.Fleet.Store))
 	err = g.Wait()
 	e.peers.Close()
 	e.Log.Info("edge: stopped", zap.Error(err))
@@ -104,6 +106,7 @@
 	e.limitRuntime()
 	s := e.Settings
 	e.boot = core.NewBoot()
+	e.since = e.Clock.Now()
 	e.pool.Clock = e.Clock
 	e.store = platform.Store{Addr: s.Fleet.Store, Clock: e.Clock}
 	e.replicas.Clock = e.Clock
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -41,6 +41,8 @@
 	decode  []*stand.Replica
 	entries []*running
 	n       int
+	// restarted says that entries start with the platform at work already.
+	restarted bool
 }
 
 // running is one entry that serves.
@@ -91,7 +93,7 @@
 		Callers: config.Listener{Listen: port()}, Peers: config.Listener{Listen: port()},
 		Fleet: &config.Fleet{
 			Store: s.store.Addr, Directory: port(), Readiness: port(), Metrics: port(),
-			Grace: 4000, Keep: 500, Retries: config.Retries{Ratio: 0.2, Slack: 58, Span: 10000},
+			Grace: 4, Keep: 500, Retries: config.Retries{Ratio: 0.2, Slack: 58, Span: 10}, Fresh: !s.restarted,
 		},
 	}
 	for _, r := range seeds {
@@ -413,6 +415,33 @@
 	}
 }
 
+// TestAnswersBeforeTheBody has replicas that answer long requests at once and
+// read them later: nothing else may come where the rest of the body is due.
+func TestAnswersBeforeTheBody(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	r := s.started()
+	long := strings.Repeat("x", 90_000)
+	each(s.desks, stand.Early, 1<<20)
+	for i := range 20 {
+		id := fmt.Sprintf("id-%d", i)
+		got := r.do(context.Background(), ask{id: id, path: "/once/a", body: long})
+		is.NoErr(got.err)
+		is.Equal(got.status, 200)
+		is.Equal(got.header.Get("Lacewinghook-Replica-Signature"), "sig."+id)
+	}
+	s.until("all bodies are read", func() bool { return s.desks[0].Counts().Runs+s.desks[1].Counts().Runs == 20 })
+	each(s.desks, stand.Early, 0)
+	for i := range 20 {
+		id := fmt.Sprintf("next-%d", i)
+		got := r.do(context.Background(), ask{id: id, path: "/once/a", body: long})
+		is.Equal(got.status, 200)
+		is.Equal(got.header.Get("Seen-Body"), long)
+		is.Equal(s.runs(id), 1)
+	}
+	is.Equal(s.desks[0].Counts().Strange+s.desks[1].Counts().Strange, 0)
+}
+
 // TestKeptConnectionsThatAreDead sends calls that may not be repeated after
 // the replicas have closed the connections that the entry keeps.
 func TestKeptConnectionsThatAreDead(t *testing.T) {
--- a/edge/state.go
+++ b/edge/state.go
@@ -241,7 +241,7 @@
 // stop leaves, lingers while callers may still hold the address, and ends what
 // is in flight.
 func (e *Edge) stop(ctx context.Context, servers []*server) {
-	grace := e.Settings.Fleet.Grace
+	grace := e.Settings.Fleet.Grace.Millis()
 	linger := min(keepTimes*e.Settings.Fleet.Keep+askTime, grace/2)
 	e.leaving.Store(true)
 	e.gossip.Changed()
--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -249,7 +249,7 @@
 	err := <-r.done
 	r.done <- err
 	is.NoErr(err)
-	is.True(time.Since(begun) < time.Duration(r.settings.Fleet.Grace)*time.Millisecond)
+	is.True(time.Since(begun) < r.settings.Fleet.Grace.Millis().Std())
 	s.until("its row is gone", func() bool { return len(s.store.Keys(entriesTable)) == 1 })
 }
 
@@ -313,3 +313,78 @@
 		})
 	}
 }
+
+// TestManyRoutes publishes a manifest as large as a row may be, and then
+// smaller ones again.
+func TestManyRoutes(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	r := s.started()
+	const routes = 250
+	var more strings.Builder
+	for i := range routes {
+		fmt.Fprintf(&more, `,{"name":"r%d","host":"h.example","prefix":"/many/%d/","route_kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"desk","max_attempts":2}`, i, i)
+	}
+	s.publish(2, 1000, more.String())
+	get := func(path string) int {
+		return r.do(context.Background(), ask{id: "id-" + path, method: "GET", path: path}).status
+	}
+	s.until("the manifest is in force", func() bool { return get("/many/0/a") == http.StatusOK })
+	for i := range routes {
+		is.Equal(get(fmt.Sprintf("/many/%d/a", i)), http.StatusOK)
+	}
+	is.Equal(get("/many/250/a"), http.StatusNotFound)
+	is.Equal(get("/once/a"), http.StatusOK)
+	s.publish(9, 1000, "")
+	s.until("the routes are gone", func() bool { return get("/many/0/b") == http.StatusNotFound })
+	is.Equal(get("/once/b"), http.StatusOK)
+}
+
+// TestRetriesOfAllEntries counts what several entries send again while every
+// replica fails, also when all of them are restarted: within one span the sum
+// stays under the platform's bound.
+func TestRetriesOfAllEntries(t *testing.T) {
+	for name, restart := range map[string]bool{"entries stay": false, "all are restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			each(s.desks, stand.Fails, 1<<20)
+			const round = 100
+			sent := 0
+			callAll := func(entries []*running) {
+				var wg sync.WaitGroup
+				for i := range round {
+					id := fmt.Sprint("id-", sent+i)
+					wg.Go(func() { entries[i%len(entries)].do(context.Background(), ask{id: id, method: "GET", path: "/safe/a"}) })
+				}
+				wg.Wait()
+				sent += round
+			}
+			start := func() []*running {
+				var all []*running
+				for range 3 {
+					all = append(all, s.started(all...))
+				}
+				return all
+			}
+			begun := time.Now()
+			entries := start()
+			callAll(entries)
+			if restart {
+				for _, r := range entries {
+					r.stop()
+				}
+				s.restarted = true
+				entries = start()
+			}
+			callAll(entries)
+			r := entries[0].settings.Fleet.Retries
+			is.True(time.Since(begun).Seconds() < float64(r.Span))
+			again := s.desks[0].Counts().Runs + s.desks[1].Counts().Runs - sent
+			is.True(again > 0)
+			is.True(float64(again) <= r.Ratio*float64(sent)+r.Slack)
+			t.Logf("%d requests were sent %d times more; allowed are %.0f", sent, again, r.Ratio*float64(sent)+r.Slack)
+		})
+	}
+}
