--- a/stand/replica.go
+++ b/stand/replica.go
@@ -38,6 +38,8 @@
 	Unsigned Fault = "unsigned"
 	// Crash ends the replica while it runs the request.
 	Crash Fault = "crash"
+	// Early answers before the body has come, and reads it later.
+	Early Fault = "early"
 	// NoHandle refuses a handle as gone.
 	NoHandle Fault = "nohandle"
 )
@@ -62,6 +64,7 @@
 	holds   int
 	dropped int
 	ended   int
+	strange int
 	handles map[string]bool
 	seen    []http.Header
 	quit    chan struct{}
@@ -130,13 +133,15 @@
 	// Runs counts the requests that ran, Reads the prompts read apart, Freed
 	// the handles that were freed, Ended the runs whose caller went.
 	Runs, Reads, Freed, Holds, Dropped, Ended int
+	// Strange counts the bodies in whose place something else came.
+	Strange int
 }
 
 // Counts returns what the replica has seen.
 func (r *Replica) Counts() Counts {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Counts{Runs: len(r.ran), Reads: r.reads, Freed: len(r.freed), Holds: r.holds, Dropped: r.dropped, Ended: r.ended}
+	return Counts{Runs: len(r.ran), Reads: r.reads, Freed: len(r.freed), Holds: r.holds, Dropped: r.dropped, Ended: r.ended, Strange: r.strange}
 }
 
 // Seen returns the headers of the requests that reached the replica.
@@ -159,6 +164,10 @@
 
 // ServeHTTP implements [http.Handler].
 func (r *Replica) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	if r.take(Early) {
+		r.early(w, hr)
+		return
+	}
 	body, _ := io.ReadAll(hr.Body)
 	id := hr.Header.Get("Lacewinghook-Request-Id")
 	r.mu.Lock()
@@ -306,6 +315,31 @@
 	time.AfterFunc(time.Second, func() { _ = c.Close() })
 }
 
+// earlyPause is how long the body is left unread after an early answer.
+const earlyPause = 50 * time.Millisecond
+
+// early answers at once and then reads the body, which is made of one letter.
+func (r *Replica) early(w http.ResponseWriter, hr *http.Request) {
+	id := hr.Header.Get("Lacewinghook-Request-Id")
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	w.Header().Set("Lacewinghook-Request-Id", id)
+	w.Header().Set("Lacewinghook-Replica-Signature", "sig."+id)
+	w.Header().Set("Content-Length", fmt.Sprint(len(r.Body)))
+	_, _ = io.WriteString(w, r.Body)
+	_ = control.Flush()
+	time.Sleep(earlyPause)
+	// An end before all has come is no other body.
+	got, _ := io.ReadAll(hr.Body)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[id]++
+	r.ran = append(r.ran, id)
+	if strings.Trim(string(got), "x") != "" {
+		r.strange++
+	}
+}
+
 // stream sends the events after the one that the caller has.
 func (r *Replica) stream(w http.ResponseWriter, hr *http.Request, id string) {
 	from := 0
