edge, stand: tests of callers that leave in each phase, and of deadlines

A caller leaves while its prompt is read, before the first event, between two events and while a service works; the replica's work ends within half a second. The deadline told to a second replica is what is left after the first one was silent; a route's timeout is answered on time.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -480,19 +481,108 @@
 	is.True(len(s.desks[0].Seen()) > 0) // it was asked, and refused
 }
 
-func TestACallerThatLeavesEndsTheRun(t *testing.T) {
-	is := is.New(t)
-	s := newSite(t)
+// busy has streams run at all decode engines until the test ends.
+func (s *site) busy() {
+	s.t.Helper()
 	for _, d := range s.decode {
 		d.Events, d.Pause = 1000, 20*time.Millisecond
 	}
+	ctx, end := context.WithCancel(context.Background())
+	var streams sync.WaitGroup
+	s.t.Cleanup(func() { end(); streams.Wait() })
+	for i := range 4 {
+		streams.Go(func() { s.entries[0].do(ctx, ask{id: fmt.Sprint("busy-", i), path: "/verse/b"}) })
+	}
+	s.until("the streams run", func() bool { return s.decode[0].Counts().Runs+s.decode[1].Counts().Runs == 4 })
+}
+
+// TestACallerThatLeaves has callers that leave in each phase: within half a
+// second nothing works for them any more.
+func TestACallerThatLeaves(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(s *site)
+		path    string
+		at      func(s *site) []*stand.Replica
+		runs    int
+	}{
+		"while its prompt is read": {
+			// A decode engine that is at work doesn't read prompts itself.
+			prepare: func(s *site) { s.busy(); each(s.prefill, stand.Mute, 1) }, path: "/long/a",
+			at: func(s *site) []*stand.Replica { return s.prefill },
+		},
+		"before the first event": {
+			prepare: func(s *site) { each(s.decode, stand.Mute, 1) }, path: "/verse/a",
+			at: func(s *site) []*stand.Replica { return s.decode }, runs: 1,
+		},
+		"between two events": {
+			prepare: func(s *site) {
+				for _, d := range s.decode {
+					d.Events, d.Pause = 1000, 20*time.Millisecond
+				}
+			}, path: "/long/a",
+			at: func(s *site) []*stand.Replica { return s.decode }, runs: 1,
+		},
+		"while a service works": {
+			prepare: func(s *site) { each(s.desks, stand.Mute, 1) }, path: "/safe/a",
+			at: func(s *site) []*stand.Replica { return s.desks }, runs: 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			r := s.started()
+			c.prepare(s)
+			ctx, leave := context.WithCancel(context.Background())
+			time.AfterFunc(150*time.Millisecond, leave)
+			got := r.do(ctx, ask{id: "id-1", path: c.path})
+			is.True(got.err != nil)
+			left := time.Now()
+			ended := func() bool {
+				n := 0
+				for _, replica := range c.at(s) {
+					n += replica.Counts().Ended
+				}
+				return n == 1
+			}
+			s.until("the run has ended", ended)
+			is.True(time.Since(left) < 500*time.Millisecond)
+			is.Equal(s.runs("id-1"), c.runs)
+		})
+	}
+}
+
+// TestDeadlinesOfLaterSends looks at what a second replica is told after the
+// first one was silent for a while.
+func TestDeadlinesOfLaterSends(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
 	r := s.started()
-	ctx, leave := context.WithCancel(context.Background())
-	time.AfterFunc(300*time.Millisecond, leave)
-	got := r.do(ctx, ask{id: "id-1", path: "/long/a"})
-	is.True(got.err != nil)
-	left := time.Now()
-	s.until("the run has ended", func() bool { return s.decode[0].Counts().Ended+s.decode[1].Counts().Ended == 1 })
-	is.True(time.Since(left) < 500*time.Millisecond)
-	is.Equal(s.runs("id-1"), 1)
+	told := func(d *stand.Replica, id string) (left int) {
+		for _, h := range d.Seen() {
+			if h.Get("Lacewinghook-Request-Id") == id {
+				_, err := fmt.Sscan(h.Get("Lacewinghook-Deadline-Ms"), &left)
+				is.NoErr(err)
+			}
+		}
+		return left
+	}
+	for i := 0; ; i++ {
+		id := fmt.Sprint("id-", i)
+		s.desks[0].Fail(stand.Mute, 1)
+		got := r.do(context.Background(), ask{id: id, method: "GET", path: "/safe/a"})
+		is.Equal(got.status, 200)
+		if first := told(s.desks[0], id); first > 0 {
+			second := told(s.desks[1], id)
+			const slack = 100
+			is.True(second <= first-int(got.took.Milliseconds())+slack)
+			is.True(second < first-200)
+			break
+		}
+	}
+	each(s.desks, stand.Mute, 1)
+	got := r.do(context.Background(), ask{id: "late", path: "/once/a"})
+	is.Equal(got.status, http.StatusGatewayTimeout)
+	// The route's timeout is a second.
+	is.True(got.took > 900*time.Millisecond && got.took < 1250*time.Millisecond)
 }
--- a/stand/replica.go
+++ b/stand/replica.go
@@ -188,7 +188,7 @@
 		return
 	}
 	if hr.Header.Get("Lacewinghook-Phase") == "prefill" {
-		r.prefill(w, id)
+		r.prefill(w, hr, id)
 		return
 	}
 	if from := hr.Header.Get("Lacewinghook-Kv-Source"); from != "" && r.take(NoHandle) {
@@ -234,14 +234,25 @@
 	return true
 }
 
-func (r *Replica) prefill(w http.ResponseWriter, id string) {
+// mute waits until the caller goes or the replica ends, and breaks off.
+func (r *Replica) mute(hr *http.Request) {
+	select {
+	case <-r.quit:
+	case <-hr.Context().Done():
+		r.mu.Lock()
+		r.ended++
+		r.mu.Unlock()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (r *Replica) prefill(w http.ResponseWriter, hr *http.Request, id string) {
 	if r.Phase != "prefill" {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if r.take(Mute) {
-		<-r.quit
-		panic(http.ErrAbortHandler)
+		r.mute(hr)
 	}
 	r.mu.Lock()
 	r.reads++
@@ -263,8 +274,7 @@
 	case r.take(LoseAnswer):
 		panic(http.ErrAbortHandler)
 	case r.take(Mute):
-		<-r.quit
-		panic(http.ErrAbortHandler)
+		r.mute(hr)
 	case r.take(Fails):
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(w, "failed")
