follow: a wait for the first manifest, longer waits, turns further apart

Own stand-in, 9, 27 and 90 entries that start within 300 ms: all have the list after some 300 ms, 8 calls of the store for each in the first 3 s; without the wait the bound of 10 is broken at each size.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -70,11 +70,11 @@
 	// With the reading itself the sum stays well under the 2 s within which a
 	// leaving replica must get nothing new.
 	fleetEvery clock.Millis = 1000
-	turnStep   clock.Millis = 150
-	turnMost   clock.Millis = 450
-	// waitFor is how long the store is asked to wait for a change. Peers that
-	// hear of one earlier tell.
-	waitFor = 10 * clock.Second
+	turnStep   clock.Millis = 250
+	turnMost   clock.Millis = 500
+	// waitFor is how long the store is asked to wait for a change, under the 30 s
+	// that it allows. Peers that hear of one earlier tell.
+	waitFor = 25 * clock.Second
 	// retryLeast and retryMost bound the backoff after a failed call. All
 	// entries share the store's rate.
 	retryLeast clock.Millis = 150
@@ -90,7 +90,7 @@
 	// entriesPause lies between a change of the table of entries and the next
 	// reading of it: entries that start at once are read at once. A new one
 	// makes itself known to those that it finds there.
-	entriesPause clock.Millis = 1500
+	entriesPause clock.Millis = 3000
 	// newsDelay is how long what a peer has already may take to come from the
 	// store, before the peer is asked: some answers of the store.
 	newsDelay clock.Millis = 150
@@ -359,12 +359,10 @@
 			continue
 		}
 		b.worked()
-		first := revision == 0
-		revision = max(now, 1)
 		f.takeManifest(m, "store")
-		if first && m == nil {
-			// No operator has written one yet.
-			revision = 0
+		if revision = now; now == 0 {
+			// Nothing was written yet, which a wait would not know from a
+			// reading without it.
 			_ = f.Clock.Sleep(ctx, retryLeast)
 		}
 	}
@@ -409,7 +407,7 @@
 				continue
 			}
 		}
-		changed, now, err := f.Source.EntriesChanged(ctx, revision, 2*waitFor)
+		changed, now, err := f.Source.EntriesChanged(ctx, revision, waitFor)
 		switch {
 		case codes.Has(err, codes.HistoryLost):
 			revision = 0
