gossip: messages are spread out beyond 32 peers

Cause: each entry tells all others, at least every 600 ms: 1.7 messages a second for each peer, and up to 800 a second while its work changes, whatever their number.

Change: beyond 32 peers the pauses, and the time for which a peer counts as live, grow with their number. The number is an atomic count: taking the locks of all shards for each message made the test of 90 entries under -race starve for ten minutes.

--- a/gossip/table.go
+++ b/gossip/table.go
@@ -63,8 +63,11 @@
 
 // Times of the messages.
 const (
-	// beatEvery is the pause between messages while nothing changes.
+	// beatEvery is the pause between messages while nothing changes, for up to
+	// fullPeers of them. Beyond, the pauses and the life of what was heard grow
+	// with their number, so that what an entry sends and hears does not.
 	beatEvery clock.Millis = 600
+	fullPeers int          = 32
 	// gapLeast is the least pause between two messages to a peer, for up to
 	// gapPeers of them. Beyond, it grows with their number, so that what an
 	// entry sends at the most does not.
@@ -94,6 +97,8 @@
 	Log     *zap.Logger
 
 	peers shard.Map[string, *peer]
+	// known counts them, to be read with each message.
+	known atomic.Int64
 	seq   atomic.Uint64
 	ctx   atomic.Pointer[context.Context]
 	wg    sync.WaitGroup
@@ -198,11 +203,11 @@
 
 // Live returns the peers that were heard lately, by name.
 func (t *Table) Live() []Peer {
-	now := t.Clock.Now()
+	since := t.heardSince()
 	var live []Peer
 	t.peers.Each(func(_ string, p *peer) bool {
 		p.mu.Lock()
-		if p.alive(now) {
+		if p.alive(since) {
 			live = append(live, p.Peer)
 		}
 		p.mu.Unlock()
@@ -212,16 +217,27 @@
 	return live
 }
 
-func (p *peer) alive(now clock.Millis) bool { return p.Hello.Seq > 0 && now-p.At <= LiveFor }
+// stretched returns a time of the messages for as many peers as there are.
+func (t *Table) stretched(d clock.Millis) clock.Millis {
+	return d * clock.Millis(max(fullPeers, t.size())) / clock.Millis(fullPeers)
+}
+
+// size returns the number of peers.
+func (t *Table) size() int { return int(t.known.Load()) }
+
+// heardSince returns the instant since which a live peer was heard.
+func (t *Table) heardSince() clock.Millis { return t.Clock.Now() - t.stretched(LiveFor) }
+
+func (p *peer) alive(since clock.Millis) bool { return p.Hello.Seq > 0 && p.At >= since }
 
 // Count returns the number of entries that there may be, with this one: those
 // that are listed or live.
 func (t *Table) Count() int {
-	now := t.Clock.Now()
+	since := t.heardSince()
 	n := 1
 	t.peers.Each(func(_ string, p *peer) bool {
 		p.mu.Lock()
-		if p.Listed || p.alive(now) {
+		if p.Listed || p.alive(since) {
 			n++
 		}
 		p.mu.Unlock()
@@ -250,10 +266,10 @@
 // Others returns the work that the live peers have at each upstream.
 func (t *Table) Others() map[string]pool.Work {
 	sum := make(map[string]pool.Work)
-	now := t.Clock.Now()
+	since := t.heardSince()
 	t.peers.Each(func(_ string, p *peer) bool {
 		p.mu.Lock()
-		if p.alive(now) {
+		if p.alive(since) {
 			for _, l := range p.Hello.Loads {
 				sum[l.Upstream] = sum[l.Upstream].Add(pool.Work{Requests: l.Requests, Tokens: l.Tokens, Held: l.Pieces})
 			}
@@ -265,7 +281,10 @@
 }
 
 func (t *Table) peer(addr string) *peer {
-	return t.peers.Ensure(addr, func() *peer { return &peer{addr: addr, known: t.Clock.Now()} })
+	return t.peers.Ensure(addr, func() *peer {
+		t.known.Add(1)
+		return &peer{addr: addr, known: t.Clock.Now()}
+	})
 }
 
 // launch starts the sender of a peer, unless it runs.
@@ -290,7 +309,7 @@
 		call, cancel := context.WithTimeout(ctx, sendTime.Std())
 		err := t.Sender.Hello(call, p.addr, h)
 		cancel()
-		pause := gapLeast * clock.Millis(max(1, t.peers.Len()/gapPeers))
+		pause := t.stretched(gapLeast * clock.Millis(max(1, t.size()/gapPeers)))
 		if err != nil {
 			pause = failedPause
 		}
@@ -298,14 +317,14 @@
 		if t.Clock.Sleep(ctx, pause) != nil {
 			return
 		}
-		p.changed.Wait(ctx, t.Clock, beatEvery)
+		p.changed.Wait(ctx, t.Clock, t.stretched(beatEvery))
 	}
 }
 
 // silent notes when a peer is no longer heard.
 func (t *Table) silent(p *peer) {
 	p.mu.Lock()
-	gone := p.live && !p.alive(t.Clock.Now())
+	gone := p.live && !p.alive(t.heardSince())
 	if gone {
 		p.live = false
 	}
@@ -333,6 +352,7 @@
 	})
 	for _, addr := range gone {
 		t.peers.Delete(addr)
+		t.known.Add(-1)
 	}
 }
 
--- a/gossip/table_test.go
+++ b/gossip/table_test.go
@@ -19,11 +19,20 @@
 	tables map[string]*gossip.Table
 	cut    map[string]bool
 	sent   map[string]int
+	from   map[string]int
+}
+
+// by returns how many messages an entry has sent.
+func (n *net) by(addr string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.from[addr]
 }
 
 func (n *net) Hello(_ context.Context, addr string, h gossip.Hello) error {
 	n.mu.Lock()
 	n.sent[addr]++
+	n.from[h.Instance.Peer]++
 	to, cut := n.tables[addr], n.cut[addr] || n.cut[h.Instance.Peer]
 	n.mu.Unlock()
 	if to == nil || cut {
@@ -45,7 +54,7 @@
 
 // start runs tables that know only the first.
 func start(t *testing.T, loads map[string][]gossip.Load, names ...string) (*net, map[string]*gossip.Table) {
-	n := &net{tables: map[string]*gossip.Table{}, cut: map[string]bool{}, sent: map[string]int{}}
+	n := &net{tables: map[string]*gossip.Table{}, cut: map[string]bool{}, sent: map[string]int{}, from: map[string]int{}}
 	ctx, stop := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
 	t.Cleanup(func() { stop(); wait.Wait() })
