plain, prompt, proxy: packages of their own, out of flow, front and trial

Calls of plain services shared nothing with completions but the package; the bodies of calls are decoded by prompt; the proxy that cuts connections serves tests beside trial's sets, and has a test now. front.message was also prompt's type.

--- a/entry/guard.go
+++ b/entry/guard.go
@@ -30,7 +30,7 @@
 	return g.Client.Decode(ctx, up, try, x, arrived, each)
 }
 
-// Call implements [flow.Services].
+// Call implements [plain.Services].
 func (g guarded) Call(ctx context.Context, up core.Upstream, call core.Call, attempt core.Attempt) (core.Answer, error) {
 	if err := g.gate.Open(ctx, up.Name); err != nil {
 		return core.Answer{}, err
--- a/entry/once.go
+++ b/entry/once.go
@@ -6,7 +6,7 @@
 	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/clock"
-	"lacewinghook.example/lacewinghook/flow"
+	"lacewinghook.example/lacewinghook/plain"
 	"lacewinghook.example/lacewinghook/record"
 )
 
@@ -15,8 +15,8 @@
 const closeWait = 30 * clock.Second
 
 // plain connects the calls of plain services with the book of orders.
-func (e *Entry) plain() *flow.Plain {
-	p := &flow.Plain{
+func (e *Entry) plain() *plain.Caller {
+	p := &plain.Caller{
 		Services: guarded{&e.engines, &e.gate}, Replicas: &e.pool, Orders: &e.orders,
 		Clock: e.Clock, Meter: &e.meter,
 	}
--- a/front/complete.go
+++ b/front/complete.go
@@ -8,19 +8,20 @@
 
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/prompt"
 )
 
 func (s *Server) completions(w http.ResponseWriter, r *http.Request) {
-	s.complete(w, r, readCompletion)
+	s.complete(w, r, prompt.Completion)
 }
 
 func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
-	s.complete(w, r, readChat)
+	s.complete(w, r, prompt.Chat)
 }
 
 // complete reads a call, carries it out and answers. Who calls is settled
 // before the body is read.
-func (s *Server) complete(w http.ResponseWriter, r *http.Request, read func([]byte) (prompt, error)) {
+func (s *Server) complete(w http.ResponseWriter, r *http.Request, read func([]byte) (prompt.Prompt, error)) {
 	req, stream, err := s.request(w, r, read)
 	switch {
 	case err != nil:
@@ -32,7 +33,7 @@
 	}
 }
 
-func (s *Server) request(w http.ResponseWriter, r *http.Request, read func([]byte) (prompt, error)) (req *core.Request, stream bool, err error) {
+func (s *Server) request(w http.ResponseWriter, r *http.Request, read func([]byte) (prompt.Prompt, error)) (req *core.Request, stream bool, err error) {
 	c, err := s.identify(r)
 	if err != nil {
 		return nil, false, err
--- a/front/input.go
+++ b/front/input.go
@@ -6,7 +6,6 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/input"
-	"lacewinghook.example/lacewinghook/strict"
 )
 
 // inputRetry is the hint given when too many bodies arrive at once.
@@ -21,8 +20,3 @@
 	}
 	return input.Read(w, r, limits.Body)
 }
-
-// badFields returns the error that names every field at fault.
-func badFields(faults strict.Faults) error {
-	return codes.New(codes.BadRequest, "body: %v", faults)
-}
--- a/front/sink.go
+++ b/front/sink.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/prompt"
 )
 
 // usage counts the tokens of an answer.
@@ -15,11 +16,11 @@
 
 // choice is the answer, in the completions form or the chat form.
 type choice struct {
-	Index   int      `json:"index"`
-	Text    *string  `json:"text,omitempty"`
-	Message *message `json:"message,omitempty"`
-	Delta   *message `json:"delta,omitempty"`
-	Finish  *string  `json:"finish_reason"`
+	Index   int             `json:"index"`
+	Text    *string         `json:"text,omitempty"`
+	Message *prompt.Message `json:"message,omitempty"`
+	Delta   *prompt.Message `json:"delta,omitempty"`
+	Finish  *string         `json:"finish_reason"`
 }
 
 // answer is a whole answer, or one event of a stream.
@@ -56,7 +57,7 @@
 	object := "text_completion"
 	if r.Chat {
 		object = "chat.completion"
-		c.Message = &message{Role: "assistant", Content: text}
+		c.Message = &prompt.Message{Role: "assistant", Content: text}
 	} else {
 		c.Text = &text
 	}
--- a/front/stream.go
+++ b/front/stream.go
@@ -1,12 +1,15 @@
 package front
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"time"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/prompt"
+	"lacewinghook.example/lacewinghook/reply"
 	"lacewinghook.example/lacewinghook/token"
 )
 
@@ -67,7 +70,7 @@
 	c := choice{}
 	if s.resume.Chat {
 		a.Object = "chat.completion.chunk"
-		c.Delta = &message{Role: "assistant", Content: t.Text}
+		c.Delta = &prompt.Message{Role: "assistant", Content: t.Text}
 	} else {
 		c.Text = &t.Text
 	}
@@ -86,7 +89,7 @@
 		s.frame()
 	}
 	s.buf = append(s.buf[:0], s.head...)
-	s.buf = appendQuoted(s.buf, text)
+	s.buf = reply.AppendQuoted(s.buf, text)
 	s.buf = append(s.buf, s.tail...)
 	_, err := s.w.Write(s.buf)
 	return err
@@ -102,7 +105,7 @@
 	data, _ := json.Marshal(s.answer(core.Token{Text: mark}))
 	line := append([]byte("data: "), data...)
 	line = append(line, "\n\n"...)
-	at := lastIndex(line, `"\n"`)
+	at := bytes.LastIndex(line, []byte(`"\n"`))
 	s.head, s.tail = line[:at:at], line[at+len(`"\n"`):]
 }
 
--- a/flow/plain.go
+++ b/plain/plain.go
@@ -1,4 +1,4 @@
-package flow
+package plain
 
 import (
 	"context"
@@ -28,9 +28,9 @@
 	Do(ctx context.Context, call core.Call) (core.Answer, error)
 }
 
-// Plain makes calls of plain services. Services and Replicas are needed, and
+// Caller makes calls of plain services. Services and Replicas are needed, and
 // Orders where there are calls with a key.
-type Plain struct {
+type Caller struct {
 	Services Services
 	Replicas Replicas
 	Orders   Orders
@@ -38,61 +38,61 @@
 	Meter    *meter.Set
 }
 
-// plainTries bounds the replicas that one call is tried at.
-const plainTries = 3
+// maxTries bounds the replicas that one call is tried at.
+const maxTries = 3
 
 // Call makes the call. One with a key may not be repeated and goes to Orders;
 // any other is tried at one replica after another until one answers.
-func (p *Plain) Call(ctx context.Context, call core.Call) (core.Answer, error) {
+func (c *Caller) Call(ctx context.Context, call core.Call) (core.Answer, error) {
 	if call.Key != "" {
-		return p.Orders.Do(ctx, call)
+		return c.Orders.Do(ctx, call)
 	}
-	ctx, cancel := p.until(ctx, call.Deadline)
+	ctx, cancel := c.until(ctx, call.Deadline)
 	defer cancel()
-	return p.try(ctx, call, retryable)
+	return c.try(ctx, call, retryable)
 }
 
 // Send sends a call that may not be repeated, at most once. Another replica
 // is tried only on proof that the call did not reach the one before. The wait
 // for the answer is bounded by ctx and not by the call's deadline.
-func (p *Plain) Send(ctx context.Context, call core.Call) (core.Answer, error) {
-	return p.try(ctx, call, notRun)
+func (c *Caller) Send(ctx context.Context, call core.Call) (core.Answer, error) {
+	return c.try(ctx, call, notRun)
 }
 
 // try makes the call at one replica after another, each at most once, as long
 // as again allows it and the deadline has not passed.
-func (p *Plain) try(ctx context.Context, call core.Call, again func(*codes.Error) bool) (core.Answer, error) {
-	ups := p.Replicas.Services(call.Service)
-	ups = ups[:min(len(ups), plainTries)]
+func (c *Caller) try(ctx context.Context, call core.Call, again func(*codes.Error) bool) (core.Answer, error) {
+	ups := c.Replicas.Services(call.Service)
+	ups = ups[:min(len(ups), maxTries)]
 	if len(ups) == 0 {
 		return core.Answer{}, codes.New(codes.NoUpstream, "service %q", call.Service)
 	}
 	run := codes.NotRun
 	for i, up := range ups {
-		a, err := p.at(ctx, up, call, core.Attempt(i+1))
+		a, err := c.at(ctx, up, call, core.Attempt(i+1))
 		if err == nil {
 			return a, nil
 		}
 		e := codes.From(err)
 		run = worse(run, e.Run)
-		if i == len(ups)-1 || ctx.Err() != nil || p.past(call) || !again(e) {
+		if i == len(ups)-1 || ctx.Err() != nil || c.past(call) || !again(e) {
 			return core.Answer{}, e.WithRun(run)
 		}
-		p.Meter.Retried(reasonOf(e.Code))
+		c.Meter.Retried(reasonOf(e.Code))
 	}
 	return core.Answer{}, codes.New(codes.NoUpstream, "service %q", call.Service)
 }
 
-func (p *Plain) past(call core.Call) bool {
-	return call.Deadline != 0 && p.Clock.Now() >= call.Deadline
+func (c *Caller) past(call core.Call) bool {
+	return call.Deadline != 0 && c.Clock.Now() >= call.Deadline
 }
 
 // until returns a context that ends at the instant; zero is none.
-func (p *Plain) until(ctx context.Context, instant clock.Millis) (context.Context, context.CancelFunc) {
+func (c *Caller) until(ctx context.Context, instant clock.Millis) (context.Context, context.CancelFunc) {
 	if instant == 0 {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, (instant - p.Clock.Now()).Std())
+	return context.WithTimeout(ctx, (instant - c.Clock.Now()).Std())
 }
 
 // notRun allows another try only on proof that nothing ran.
@@ -125,9 +125,9 @@
 	return meter.Lost
 }
 
-func (p *Plain) at(ctx context.Context, up core.Upstream, call core.Call, attempt core.Attempt) (core.Answer, error) {
+func (c *Caller) at(ctx context.Context, up core.Upstream, call core.Call, attempt core.Attempt) (core.Answer, error) {
 	w := pool.Work{Requests: 1}
-	p.Replicas.Begin(up.Name, w)
-	defer p.Replicas.End(up.Name, w)
-	return p.Services.Call(ctx, up, call, attempt)
+	c.Replicas.Begin(up.Name, w)
+	defer c.Replicas.End(up.Name, w)
+	return c.Services.Call(ctx, up, call, attempt)
 }
--- a/flow/plain_test.go
+++ b/plain/plain_test.go
@@ -1,4 +1,4 @@
-package flow_test
+package plain_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
-	"lacewinghook.example/lacewinghook/flow"
+	"lacewinghook.example/lacewinghook/plain"
 	"lacewinghook.example/lacewinghook/pool"
 )
 
@@ -31,7 +31,7 @@
 	return core.Answer{Status: 200}, r.errs[attempt-1]
 }
 
-func TestPlainTries(t *testing.T) {
+func TestTries(t *testing.T) {
 	refused := codes.New(codes.UpstreamRefused, "replica")
 	lost := codes.New(codes.UpstreamLost, "replica")
 	unsure := refused.WithRun(codes.Unknown)
@@ -59,7 +59,7 @@
 			is := is.New(t)
 			r := &replicas{errs: tc.errs, hands: &clock.Manual{}, takes: tc.takes}
 			r.hands.Advance(clock.Second)
-			p := &flow.Plain{Services: r, Replicas: r, Clock: clock.Clock{Manual: r.hands}}
+			p := &plain.Caller{Services: r, Replicas: r, Clock: clock.Clock{Manual: r.hands}}
 			call, do := core.Call{Deadline: r.hands.Now() + 100}, p.Call
 			if tc.order {
 				do = p.Send
--- a/front/prompt.go
+++ b/prompt/prompt.go
@@ -1,10 +1,11 @@
-package front
+package prompt
 
 import (
 	"slices"
 	"strconv"
 	"strings"
 
+	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/strict"
 )
 
@@ -26,8 +27,8 @@
 	Prompt string `json:"prompt"`
 }
 
-// message is one message of a chat.
-type message struct {
+// Message is one message of a chat.
+type Message struct {
 	Role    string `json:"role"`
 	Content string `json:"content"`
 }
@@ -35,7 +36,7 @@
 // chatCall is the body of a chat completions call.
 type chatCall struct {
 	options
-	Messages []message `json:"messages"`
+	Messages []Message `json:"messages"`
 	// MaxCompletionTokens is the newer name of max_tokens.
 	MaxCompletionTokens *int `json:"max_completion_tokens"`
 }
@@ -51,8 +52,8 @@
 // roles are those that a message may have.
 var roles = []string{"system", "developer", "user", "assistant"}
 
-// prompt is a call in either form, decoded and checked.
-type prompt struct {
+// Prompt is a call in either form, decoded and checked.
+type Prompt struct {
 	Model     string
 	Text      string
 	MaxTokens int
@@ -60,8 +61,8 @@
 	Chat      bool
 }
 
-// readCompletion decodes and checks the body of a completions call.
-func readCompletion(data []byte) (prompt, error) {
+// Completion decodes and checks the body of a completions call.
+func Completion(data []byte) (Prompt, error) {
 	var call completionCall
 	faults := strict.Decode(data, &call)
 	if len(faults) == 0 {
@@ -71,20 +72,20 @@
 		call.options.check(&faults, "max_tokens")
 	}
 	if len(faults) > 0 {
-		return prompt{}, badFields(faults)
+		return Prompt{}, bad(faults)
 	}
 	return call.options.prompt(call.Prompt, false), nil
 }
 
-// readChat decodes and checks the body of a chat completions call.
-func readChat(data []byte) (prompt, error) {
+// Chat decodes and checks the body of a chat completions call.
+func Chat(data []byte) (Prompt, error) {
 	var call chatCall
 	faults := strict.Decode(data, &call)
 	if len(faults) == 0 {
 		call.check(&faults)
 	}
 	if len(faults) > 0 {
-		return prompt{}, badFields(faults)
+		return Prompt{}, bad(faults)
 	}
 	return call.options.prompt(call.text(), true), nil
 }
@@ -104,8 +105,8 @@
 	}
 }
 
-func (o *options) prompt(text string, chat bool) prompt {
-	p := prompt{Model: o.Model, Text: text, MaxTokens: defaultMaxTokens, Stream: o.Stream, Chat: chat}
+func (o *options) prompt(text string, chat bool) Prompt {
+	p := Prompt{Model: o.Model, Text: text, MaxTokens: defaultMaxTokens, Stream: o.Stream, Chat: chat}
 	if o.MaxTokens != nil {
 		p.MaxTokens = *o.MaxTokens
 	}
@@ -142,3 +143,8 @@
 	b.WriteString("assistant: ")
 	return b.String()
 }
+
+// bad returns the error that names every field at fault.
+func bad(faults strict.Faults) error {
+	return codes.New(codes.BadRequest, "body: %v", faults)
+}
--- a/front/prompt_test.go
+++ b/prompt/prompt_test.go
@@ -1,4 +1,4 @@
-package front
+package prompt
 
 import (
 	"testing"
@@ -6,29 +6,29 @@
 	"github.com/matryer/is"
 )
 
-func TestReadChatHonoursWhatItTakes(t *testing.T) {
+func TestChatHonoursWhatItTakes(t *testing.T) {
 	is := is.New(t)
-	p, err := readChat([]byte(`{"model":"verse","messages":[{"role":"user","content":"hi"}],"max_completion_tokens":7,"n":1,"user":"u","stream":true}`))
+	p, err := Chat([]byte(`{"model":"verse","messages":[{"role":"user","content":"hi"}],"max_completion_tokens":7,"n":1,"user":"u","stream":true}`))
 	is.NoErr(err)
-	is.Equal(p, prompt{Model: "verse", Text: "user: hi\nassistant: ", MaxTokens: 7, Stream: true, Chat: true})
+	is.Equal(p, Prompt{Model: "verse", Text: "user: hi\nassistant: ", MaxTokens: 7, Stream: true, Chat: true})
 }
 
-func FuzzReadCompletion(f *testing.F) {
+func FuzzCompletion(f *testing.F) {
 	for _, s := range []string{`{"model":"verse","prompt":"x"}`, `{"model":"verse","prompt":"x","max_tokens":0}`, `{"n":2}`, `[]`, `{"prompt":["x"]}`} {
 		f.Add([]byte(s))
 	}
-	f.Fuzz(func(t *testing.T, data []byte) { checkPrompt(t, data, readCompletion) })
+	f.Fuzz(func(t *testing.T, data []byte) { checkPrompt(t, data, Completion) })
 }
 
-func FuzzReadChat(f *testing.F) {
+func FuzzChat(f *testing.F) {
 	for _, s := range []string{`{"model":"v","messages":[{"role":"user","content":"x"}]}`, `{"messages":[null]}`, `{"max_tokens":1,"max_completion_tokens":1}`} {
 		f.Add([]byte(s))
 	}
-	f.Fuzz(func(t *testing.T, data []byte) { checkPrompt(t, data, readChat) })
+	f.Fuzz(func(t *testing.T, data []byte) { checkPrompt(t, data, Chat) })
 }
 
 // checkPrompt checks that a call which is accepted is within its bounds.
-func checkPrompt(t *testing.T, data []byte, read func([]byte) (prompt, error)) {
+func checkPrompt(t *testing.T, data []byte, read func([]byte) (Prompt, error)) {
 	p, err := read(data)
 	if err == nil && (p.Model == "" || p.Text == "" || p.MaxTokens < 1 || p.MaxTokens > limitMaxTokens) {
 		t.Errorf("accepted %+v", p)
--- /dev/null
+++ b/proxy/proxy_test.go
@@ -0,0 +1,61 @@
+package proxy_test
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/proxy"
+)
+
+// echo answers with what it reads.
+func echo(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func TestCutAndHeal(t *testing.T) {
+	is := is.New(t)
+	p := &proxy.Proxy{Target: echo(t)}
+	addr, err := p.Listen()
+	is.NoErr(err)
+	defer p.Close()
+	// ask reports whether a word comes back.
+	ask := func(c net.Conn) bool {
+		if _, err := c.Write([]byte("word")); err != nil {
+			return false
+		}
+		got := make([]byte, 4)
+		_, err := io.ReadFull(c, got)
+		return err == nil && string(got) == "word"
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", addr)
+		is.NoErr(err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	open := dial()
+	is.True(ask(open))
+	p.Cut()
+	is.True(!ask(open))
+	is.True(!ask(dial()))
+	p.Heal()
+	is.True(ask(dial()))
+}
--- a/front/quote.go
+++ b/reply/quote.go
@@ -1,12 +1,9 @@
-package front
+package reply
 
-import (
-	"bytes"
-	"encoding/json"
-)
+import "encoding/json"
 
-// appendQuoted appends the text as a JSON string.
-func appendQuoted(buf []byte, text string) []byte {
+// AppendQuoted appends the text as a JSON string.
+func AppendQuoted(buf []byte, text string) []byte {
 	for i := range len(text) {
 		if c := text[i]; c < ' ' || c > '~' || c == '"' || c == '\\' || c == '<' || c == '>' || c == '&' {
 			// A string always encodes.
@@ -18,8 +15,3 @@
 	buf = append(buf, text...)
 	return append(buf, '"')
 }
-
-// lastIndex returns the last place of sep in data.
-func lastIndex(data []byte, sep string) int {
-	return bytes.LastIndex(data, []byte(sep))
-}
--- a/trial/set.go
+++ b/trial/set.go
@@ -18,6 +18,7 @@
 	"lacewinghook.example/lacewinghook/fake"
 	"lacewinghook.example/lacewinghook/plat"
 	"lacewinghook.example/lacewinghook/prof"
+	"lacewinghook.example/lacewinghook/proxy"
 )
 
 // Plan says what a [Set] consists of. Zero counts are none.
@@ -33,7 +34,7 @@
 	Life   clock.Millis
 	// Limits are the rates that the platform keeps to.
 	Limits plat.Limits
-	// Relays puts a [Relay] between each entry and the platform, and between
+	// Relays puts a [proxy.Proxy] between each entry and the platform, and between
 	// each entry and those that beat it.
 	Relays bool
 	// Log is the entries' log; nil is none.
@@ -75,8 +76,8 @@
 	Peer string
 	// Platform and Peers are the relays to the platform and to the entry's
 	// listener for peers, if the plan has relays.
-	Platform *Relay
-	Peers    *Relay
+	Platform *proxy.Proxy
+	Peers    *proxy.Proxy
 	stop     context.CancelFunc
 	done     chan struct{}
 	err      error
@@ -261,7 +262,7 @@
 	if !s.plan.Relays {
 		return nil
 	}
-	n.Platform = &Relay{Target: strings.TrimPrefix(s.Base, "http://")}
+	n.Platform = &proxy.Proxy{Target: strings.TrimPrefix(s.Base, "http://")}
 	addr, err := n.Platform.Listen()
 	if err != nil {
 		return err
@@ -294,7 +295,7 @@
 		Entry: e, Addr: settings.Callers.Listen, Admin: settings.Operators.Listen, Peer: settings.Peers.Listen,
 	}
 	if p.Relays {
-		n.Peers = &Relay{Target: n.Peer}
+		n.Peers = &proxy.Proxy{Target: n.Peer}
 		addr, err := n.Peers.Listen()
 		if err != nil {
 			return nil, err
