--- a/relay/place.go
+++ b/relay/place.go
@@ -110,12 +110,17 @@
 // Wake serves the requests for which there is room now. It is called when
 // another entry has told of its work.
 func (f *Relay) Wake() {
+	// A line takes its own lock, which must not be taken under a shard's.
+	var all []*limit.Line
 	f.lines.Each(func(_ string, l *limit.Line) bool {
+		all = append(all, l)
+		return true
+	})
+	for _, l := range all {
 		if l.Len() > 0 {
 			l.Wake()
 		}
-		return true
-	})
+	}
 }
 
 // choose decides which engines the next attempt goes to and counts its work
