place, prof, flight, follow, notify: customary names

place.Desk is place.Placer, prof.Desk prof.Publisher, flight.Book flight.Tracker, notify.News notify.Latest, follow.News follow.PeerState; 'news' in names and comments became updates, reports or changes.

--- a/admin/promises.go
+++ b/admin/promises.go
@@ -72,7 +72,7 @@
 		[]string{"orders", "order", "once"},
 	},
 	meter.LeavingIdle: {
-		"Drains are rows that every entry follows, with news in the heartbeats; a drained upstream is no candidate.",
+		"Drains are rows that every entry follows, with changes in the heartbeats; a drained upstream is no candidate.",
 		[]string{"drains"},
 	},
 	meter.StopCutsNone: {
--- a/cmd/lacewinghook/process_test.go
+++ b/cmd/lacewinghook/process_test.go
@@ -112,7 +112,7 @@
 	p := startProcs(t, ctx, 2)
 	is.NoErr(p.Entries[0].Signal(syscall.SIGSTOP))
 	frozen := clock.Clock{}.Now()
-	desk := &prof.Desk{Table: &store.Client{Base: p.Platform()}}
+	desk := &prof.Publisher{Table: &store.Client{Base: p.Platform()}}
 	doc, err := desk.Current(ctx)
 	is.NoErr(err)
 	doc.Workspaces = []core.Workspace{{Name: trial.Workspace, Profile: "exact", Keys: []string{prof.Digest("another key")}}}
--- a/cost/slope.go
+++ b/cost/slope.go
@@ -37,7 +37,7 @@
 	Bytes float64
 }
 
-// The time that a set gets to calm down, which is longer than the news of a
+// The time that a set gets to calm down, which is longer than the report of a
 // start is passed on, and the time it is measured for.
 const (
 	calmTime    = 25 * clock.Second
--- a/drain/book.go
+++ b/drain/book.go
@@ -81,9 +81,9 @@
 	// once, and never with an older state after a newer one.
 	OnChange func(*Set)
 
-	state atomic.Pointer[Set]
-	apply applier
-	news  notify.News
+	state   atomic.Pointer[Set]
+	apply   applier
+	updates notify.Latest
 }
 
 // State returns the drains in force. It is never nil and must not be changed.
--- a/drain/doc.go
+++ b/drain/doc.go
@@ -12,5 +12,5 @@
 //	go b.Run(ctx)
 //	err := b.Drain(ctx, drain.Drain{Kind: drain.Upstream, Name: "decode-1"})
 //	all := b.List()
-//	b.News(version, peer)    // a peer's heartbeat shows a newer state
+//	b.Newer(version, peer)    // a peer's heartbeat shows a newer state
 package drain
--- a/drain/follow.go
+++ b/drain/follow.go
@@ -24,11 +24,11 @@
 	mu sync.Mutex
 }
 
-// Run follows the table and the news of peers until ctx ends.
+// Run follows the table and what peers report until ctx ends.
 func (b *Book) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		b.once(ctx)
-		b.news.Wait(ctx, b.Clock, pollEvery)
+		b.updates.Wait(ctx, b.Clock, pollEvery)
 	}
 }
 
@@ -38,7 +38,7 @@
 	if err := b.Refresh(ctx); err != nil && ctx.Err() == nil && b.Log != nil {
 		b.Log.Warn("drain: the drains can't be read", zap.Error(err))
 	}
-	version, peer := b.news.Get()
+	version, peer := b.updates.Get()
 	if b.Peers == nil || version <= b.Version() {
 		return
 	}
@@ -55,9 +55,9 @@
 }
 
 // News says that the entry at the peer address has drains of that version.
-func (b *Book) News(version int64, peer string) {
+func (b *Book) Newer(version int64, peer string) {
 	if version > b.Version() {
-		b.news.Put(version, peer)
+		b.updates.Put(version, peer)
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -122,7 +122,7 @@
 		OnManifest: e.takeManifest, OnFleet: e.takeFleet, OnEntries: e.gossip.Know,
 	}
 	e.suspects = poison.Book{
-		Engines: &e.replicas, Boots: e, Clock: e.Clock, Meter: &e.meter, Log: e.Log, OnNews: e.gossip.Changed, Self: s.Instance,
+		Engines: &e.replicas, Boots: e, Clock: e.Clock, Meter: &e.meter, Log: e.Log, OnChange: e.gossip.Changed, Self: s.Instance,
 	}
 	e.relay = relay.Relay{
 		Upstreams: &e.replicas, Pool: &counted{Table: &e.pool, edge: e}, Budget: e, Suspects: suspects{e}, Specs: e.spec, Fleet: e.follower.Age,
--- a/edge/state.go
+++ b/edge/state.go
@@ -117,7 +117,7 @@
 	e.suspects.Merge(h.Marks)
 	e.stale.Store(true)
 	e.told.Send()
-	e.follower.Heard(follow.News{Manifest: h.Manifest, Fleet: h.Fleet, Members: h.Members, Age: h.Age})
+	e.follower.Heard(follow.PeerState{Manifest: h.Manifest, Fleet: h.Fleet, Members: h.Members, Age: h.Age})
 }
 
 // wakeEvery is the least pause between two looks of waiting requests at what
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -98,7 +98,7 @@
 }
 
 // BenchmarkControl measures what the heartbeats cost one entry, and how long a
-// piece of news takes to reach all.
+// change takes to reach all.
 func BenchmarkControl(b *testing.B) {
 	for _, n := range []int{9, 27, 81, 330} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,11 +63,11 @@
 	owner    core.Owner
 	leaving  atomic.Bool
 	self     atomic.Pointer[standing]
-	flights  flight.Book
+	flights  flight.Tracker
 	meter    meter.Set
 	book     prof.Book
 	follower prof.Follower
-	desk     prof.Desk
+	desk     prof.Publisher
 	drains   drain.Book
 	draining sync.Mutex
 	gate     drain.Gate
@@ -79,19 +79,19 @@
 	cancels  abort.Book
 	suspects poison.Book
 	budget   limit.Budget
-	places   place.Desk
+	places   place.Placer
 	ledger   grant.Ledger
 	shared   grant.Shared
 	sweeper  sweep.Sweeper
 	orders   once.Book
 	keeper   lease.Keeper
 	reports  share.Reader
-	// news wakes the heartbeats, listed does so with the first list, and met
+	// updates wakes the heartbeats, listed does so with the first list, and met
 	// closes metAll once all partners were asked.
-	news   notify.Signal
-	listed sync.Once
-	met    sync.Once
-	metAll chan struct{}
+	updates notify.Signal
+	listed  sync.Once
+	met     sync.Once
+	metAll  chan struct{}
 
 	deathInit, kill sync.Once
 	death           chan struct{}
@@ -228,7 +228,7 @@
 	e.members.Boot = e.owner.Boot
 	e.members.State = e.state
 	e.members.Load = e.flights.Len
-	e.members.OnNews = e.news.Send
+	e.members.OnChange = e.updates.Send
 	e.peers.Names = &e.members
 	e.peers.Log = e.Log
 	e.prepareNews()
--- a/entry/member.go
+++ b/entry/member.go
@@ -38,7 +38,7 @@
 			next.Turn = max(next.Turn, old.Turn+1)
 		}
 		if e.self.CompareAndSwap(old, next) {
-			e.news.Send()
+			e.updates.Send()
 			return
 		}
 	}
@@ -52,7 +52,7 @@
 		switch {
 		case err == nil:
 			e.members.List(l)
-			e.listed.Do(e.news.Send)
+			e.listed.Do(e.updates.Send)
 		case ctx.Err() == nil:
 			e.Log.Warn("entry: the instance list can't be read", zap.Error(err))
 		}
@@ -64,7 +64,7 @@
 const beatGap = 50 * clock.Millis(1)
 
 // sendBeats beats the partners at the pace of the set, and at once when there
-// is news.
+// is a change.
 func (e *Entry) sendBeats(ctx context.Context) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
@@ -76,7 +76,7 @@
 }
 
 // round starts a beat to each partner that has none under way, and doesn't
-// wait: a partner that is slow must not keep the news from the others.
+// wait: a partner that is slow must not keep a change from the others.
 func (e *Entry) round(ctx context.Context, wait *sync.WaitGroup, busy *shard.Map[string, bool]) {
 	var answers sync.WaitGroup
 	partners := e.partners()
@@ -116,7 +116,7 @@
 
 func (e *Entry) pause(ctx context.Context) {
 	_ = e.Clock.Sleep(ctx, beatGap)
-	e.news.Wait(ctx, e.Clock, e.members.Pace().Beat-beatGap)
+	e.updates.Wait(ctx, e.Clock, e.members.Pace().Beat-beatGap)
 }
 
 // beatOne beats one entry and takes its answer over.
@@ -142,8 +142,8 @@
 
 // take passes on what a beat says of documents, drains and crashes.
 func (e *Entry) take(b member.Beat) {
-	e.follower.News(b.Version, b.Instance.Peer)
-	e.drains.News(b.Drains, b.Instance.Peer)
+	e.follower.Newer(b.Version, b.Instance.Peer)
+	e.drains.Newer(b.Drains, b.Instance.Peer)
 	e.suspects.Merge(b.Marks)
 }
 
--- a/entry/poison.go
+++ b/entry/poison.go
@@ -20,7 +20,7 @@
 	e.suspects.Clock = e.Clock
 	e.suspects.Meter = &e.meter
 	e.suspects.Log = e.Log
-	e.suspects.OnNews = e.news.Send
+	e.suspects.OnChange = e.updates.Send
 	e.suspects.Self = e.owner.String()
 	e.meter.Gauge("quarantine_size", func() float64 { return float64(len(condemned(&e.suspects))) })
 }
--- a/entry/policy.go
+++ b/entry/policy.go
@@ -7,7 +7,7 @@
 )
 
 // placer puts together what decides where and when an attempt runs.
-func (e *Entry) placer() *place.Desk {
+func (e *Entry) placer() *place.Placer {
 	s, o := e.Settings, e.Settings.PolicyOptions
 	e.pool.NoHints = !s.On(o.Hints)
 	e.pool.NoScores = !s.On(o.Scores)
--- a/entry/prof.go
+++ b/entry/prof.go
@@ -18,7 +18,7 @@
 	e.book.OnChange = func(v *prof.View) {
 		e.pool.Apply(v.Doc)
 		e.applyDrains()
-		e.news.Send()
+		e.updates.Send()
 	}
 	e.follower = prof.Follower{
 		Book: &e.book, Table: &e.store, Peers: &e.peers, Freshness: &e.members.Document,
@@ -30,12 +30,12 @@
 		OnChange: func(*drain.Set) {
 			e.applyDrains()
 			e.announce()
-			e.news.Send()
+			e.updates.Send()
 		},
 	}
 	e.gate.Book, e.gate.Stale = &e.drains, e.members.CutOff
 	e.gate.Clock, e.gate.Log, e.gate.Meter = e.Clock, e.Log, &e.meter
-	e.desk = prof.Desk{Table: &e.store, Clock: e.Clock, Book: &e.book}
+	e.desk = prof.Publisher{Table: &e.store, Clock: e.Clock, Book: &e.book}
 }
 
 // applyDrains keeps new work from every drained upstream. The lock orders a
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -15,7 +15,7 @@
 	"lacewinghook.example/lacewinghook/meter"
 )
 
-// spreadTime is how long the news of a leaving entry takes to reach the others
+// spreadTime is how long the state of a leaving entry takes to reach the others
 // at most, as long as they can be reached.
 const spreadTime = 3 * clock.Second
 
--- a/flight/doc.go
+++ b/flight/doc.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	var b flight.Book
+//	var b flight.Tracker
 //	srv := &http.Server{Handler: b.Count(handler, leaving), ConnState: b.ConnState}
 //	b.Quiet(ctx, grace)
 package flight
--- a/flight/book.go
+++ b/flight/tracker.go
@@ -11,9 +11,9 @@
 	"lacewinghook.example/lacewinghook/shard"
 )
 
-// Book holds the requests in flight and the open connections. The zero value
+// Tracker holds the requests in flight and the open connections. The zero value
 // is empty and ready.
-type Book struct {
+type Tracker struct {
 	Clock clock.Clock
 
 	running shard.Map[uint64, Request]
@@ -38,10 +38,10 @@
 }
 
 // Len returns the number of requests in flight.
-func (b *Book) Len() int { return int(b.n.Load()) }
+func (b *Tracker) Len() int { return int(b.n.Load()) }
 
 // Each calls f for each request in flight. It must not block.
-func (b *Book) Each(f func(Request)) {
+func (b *Tracker) Each(f func(Request)) {
 	b.running.Each(func(_ uint64, r Request) bool {
 		f(r)
 		return true
@@ -50,7 +50,7 @@
 
 // Count returns h with its requests counted. While leaving is true, callers
 // are asked to close their connections.
-func (b *Book) Count(h http.Handler, leaving func() bool) http.Handler {
+func (b *Tracker) Count(h http.Handler, leaving func() bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		key := b.last.Add(1)
 		b.running.Set(key, Request{Path: r.URL.Path, Since: b.Clock.Now()})
@@ -63,7 +63,7 @@
 	})
 }
 
-func (b *Book) end(key uint64) {
+func (b *Tracker) end(key uint64) {
 	b.running.Delete(key)
 	b.n.Add(-1)
 	b.changed.Send()
@@ -71,7 +71,7 @@
 
 // ConnState takes note of what a caller's connection does. One that was
 // accepted and has sent nothing yet counts as idle.
-func (b *Book) ConnState(c net.Conn, state http.ConnState) {
+func (b *Tracker) ConnState(c net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew, http.StateIdle:
 		b.conns.Set(c, conn{since: b.Clock.Now()})
@@ -86,7 +86,7 @@
 // Quiet waits until no request is in flight and every connection has been
 // idle for the grace, from now on, or until ctx ends. A request that still
 // comes in on a kept connection is answered, and told to close it.
-func (b *Book) Quiet(ctx context.Context, grace clock.Millis) {
+func (b *Tracker) Quiet(ctx context.Context, grace clock.Millis) {
 	from := b.Clock.Now()
 	for ctx.Err() == nil {
 		busy, left := b.look(from, grace)
@@ -99,7 +99,7 @@
 
 // wait ends with a change, or after d if nothing is busy: whatever is busy
 // signals its end, and there is nothing else to wait for.
-func (b *Book) wait(ctx context.Context, busy bool, d clock.Millis) {
+func (b *Tracker) wait(ctx context.Context, busy bool, d clock.Millis) {
 	if !busy {
 		b.changed.Wait(ctx, b.Clock, d)
 		return
@@ -113,7 +113,7 @@
 // look reports whether a request is in flight, and how long it takes until
 // all idle connections have been so for the grace. A connection is busy before
 // its request is counted, since the count begins with the handler.
-func (b *Book) look(from, grace clock.Millis) (busy bool, left clock.Millis) {
+func (b *Tracker) look(from, grace clock.Millis) (busy bool, left clock.Millis) {
 	now := b.Clock.Now()
 	busy = b.Len() > 0
 	b.conns.Each(func(_ net.Conn, c conn) bool {
--- a/flight/book_test.go
+++ b/flight/tracker_test.go
@@ -16,7 +16,7 @@
 func TestQuietWaitsForARequestThatHasBegunToArrive(t *testing.T) {
 	is := is.New(t)
 	m := &clock.Manual{}
-	b := &Book{Clock: clock.Clock{Manual: m}}
+	b := &Tracker{Clock: clock.Clock{Manual: m}}
 	c, other := net.Pipe()
 	defer c.Close()
 	defer other.Close()
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -50,8 +50,8 @@
 	Ahead() int
 }
 
-// News is what a peer tells of the store.
-type News struct {
+// PeerState is what a peer tells of the store.
+type PeerState struct {
 	// Manifest is the version that it has in force.
 	Manifest int64
 	// Fleet is the revision of its list of replicas, and Members what the list
@@ -91,9 +91,9 @@
 	// reading of it: entries that start at once are read at once. A new one
 	// makes itself known to those that it finds there.
 	entriesPause clock.Millis = 3000
-	// newsDelay is how long what a peer has already may take to come from the
+	// updateDelay is how long what a peer has already may take to come from the
 	// store, before the peer is asked: some answers of the store.
-	newsDelay clock.Millis = 150
+	updateDelay clock.Millis = 150
 )
 
 // Follower follows the store. Source and Self are needed.
@@ -117,8 +117,8 @@
 	// wanted says that the list is to be read for it.
 	told   atomic.Int64
 	wanted atomic.Bool
-	// news wakes what asks the peers, and due what reads the list.
-	news, due notify.Signal
+	// updates wakes what asks the peers, and due what reads the list.
+	updates, due notify.Signal
 	// leaving says that this entry's row is not to be written any more.
 	leaving atomic.Bool
 
@@ -151,7 +151,7 @@
 
 // Heard takes note of what a peer tells. A list with the same members spares
 // this entry a reading of its own.
-func (f *Follower) Heard(n News) {
+func (f *Follower) Heard(n PeerState) {
 	raised := n.Manifest > f.manifest.Load() && raise(&f.newest, n.Manifest)
 	f.mu.Lock()
 	at := f.Clock.Now() - n.Age
@@ -168,7 +168,7 @@
 		f.due.Send()
 	}
 	if other || raised {
-		f.news.Send()
+		f.updates.Send()
 	}
 }
 
@@ -195,11 +195,11 @@
 // Told returns what this entry tells its peers. A list in which missing
 // replicas are kept is not to be compared. The age is that of the entry's own
 // reading: one that is passed on would look newer at each step.
-func (f *Follower) Told() News {
+func (f *Follower) Told() PeerState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
-	n := News{Manifest: f.manifest.Load(), Fleet: f.fleet.Revision, Members: f.members, Age: now - f.read}
+	n := PeerState{Manifest: f.manifest.Load(), Fleet: f.fleet.Revision, Members: f.members, Age: now - f.read}
 	if now < f.settled {
 		n.Members = 0
 	}
@@ -438,9 +438,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.news.C():
+		case <-f.updates.C():
 		}
-		if f.Clock.Sleep(ctx, newsDelay) != nil {
+		if f.Clock.Sleep(ctx, updateDelay) != nil {
 			return
 		}
 		revision, _ := f.Age()
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -250,7 +250,7 @@
 	s.edit(func() { s.lost, s.manifest = true, &core.Manifest{Version: 12} })
 	until(t, "after the history is lost", func() bool { return got.version() == 12 })
 	p.set(follow.View{Manifest: &core.Manifest{Version: 20}})
-	f.Heard(follow.News{Manifest: 20})
+	f.Heard(follow.PeerState{Manifest: 20})
 	until(t, "a peer's", func() bool { return got.version() == 20 })
 }
 
@@ -309,26 +309,26 @@
 	reads := func() int { s.mu.Lock(); defer s.mu.Unlock(); return s.reads["fleet"] }
 	c := clock.Clock{}
 	same := f.Told()
-	tell := func(n follow.News, d clock.Millis) {
+	tell := func(n follow.PeerState, d clock.Millis) {
 		for end := c.Now() + d; c.Now() < end; {
 			f.Heard(n)
 			_ = c.Sleep(t.Context(), 100)
 		}
 	}
-	tell(follow.News{Fleet: same.Fleet, Members: same.Members, Age: 50}, 3000)
+	tell(follow.PeerState{Fleet: same.Fleet, Members: same.Members, Age: 50}, 3000)
 	is.Equal(reads(), 1) // the peer's readings will do
 	revision, age := f.Age()
 	is.Equal(revision, same.Fleet)
 	is.True(age < 300)
 	is.True(f.Told().Age >= 3000) // what a peer read is not told on
-	tell(follow.News{Fleet: same.Fleet, Members: same.Members, Age: 5000}, 1500)
+	tell(follow.PeerState{Fleet: same.Fleet, Members: same.Members, Age: 5000}, 1500)
 	is.Equal(reads(), 2) // the peer does not read any more
-	tell(follow.News{Fleet: same.Fleet}, 3000)
+	tell(follow.PeerState{Fleet: same.Fleet}, 3000)
 	is.True(reads() >= 4) // its list can't be compared
 	s.edit(func() { s.fleet = fleet(9, "b") })
 	next := fleet(9, "b")
 	told := c.Now()
-	f.Heard(follow.News{Fleet: 9, Members: next.Members()})
+	f.Heard(follow.PeerState{Fleet: 9, Members: next.Members()})
 	until(t, "the peer's list", func() bool { return got.names() == "b" })
 	is.True(c.Now()-told < 100)
 }
@@ -361,13 +361,13 @@
 	s.edit(func() { s.err = codes.New(codes.PlatformDown, "") })
 	// The backoff is at its longest by then. A peer reads the store meanwhile.
 	for range 12 {
-		f.Heard(follow.News{Age: 100})
+		f.Heard(follow.PeerState{Age: 100})
 		_ = clock.Clock{}.Sleep(context.Background(), 500)
 	}
 	next := fleet(9, "b")
 	p.set(follow.View{Fleet: next})
 	told := clock.Clock{}.Now()
-	f.Heard(follow.News{Fleet: 9, Members: next.Members(), Age: 50})
+	f.Heard(follow.PeerState{Fleet: 9, Members: next.Members(), Age: 50})
 	until(t, "the peer's list", func() bool { return got.names() == "b" })
 	is.True(clock.Clock{}.Now()-told < 300)
 }
@@ -388,7 +388,7 @@
 			c := clock.Clock{}
 			for end := c.Now() + 4000; c.Now() < end; {
 				if alone {
-					f.Heard(follow.News{Age: 100})
+					f.Heard(follow.PeerState{Age: 100})
 				}
 				_ = c.Sleep(context.Background(), 500)
 			}
--- a/follow/share_test.go
+++ b/follow/share_test.go
@@ -58,10 +58,10 @@
 				if ctx.Err() != nil {
 					return
 				}
-				news := f.Told()
+				updates := f.Told()
 				for j, other := range c.followers {
 					if j != i {
-						other.Heard(news)
+						other.Heard(updates)
 					}
 				}
 			}
--- a/grant/shared.go
+++ b/grant/shared.go
@@ -48,7 +48,7 @@
 	wanted int
 	demand int
 	// count is what the upstream's own count left free, free what its home
-	// did, and freeUntil how long that is taken for news.
+	// did, and freeUntil how long that counts as current.
 	count     int
 	free      int
 	freeUntil clock.Millis
--- a/member/doc.go
+++ b/member/doc.go
@@ -2,9 +2,9 @@
 // which addresses are given to callers.
 //
 // The platform's list gives the candidates; it lags. Heartbeats between the
-// entries give freshness, and carry news: versions of what is published and
-// drained, and which entries have begun to leave. Up to nine entries beat
-// each other all; in a larger set each beats a few fixed partners, and news
+// entries give freshness, and carry what has changed: the versions of what is
+// published and drained, and which entries have begun to leave. Up to nine
+// entries beat each other all; in a larger set each beats a few fixed partners, and changes
 // pass from partner to partner at once.
 //
 // Nothing here is agreed upon: a table that is wrong costs work, and breaks
--- a/member/owner_test.go
+++ b/member/owner_test.go
@@ -215,7 +215,7 @@
 	left := l.Instances[0]
 	left.State = core.Leaving
 	beat(left, 0, 2)
-	beat(l.Instances[0], 0, 1) // late news of the former state
+	beat(l.Instances[0], 0, 1) // a late beat of the former state
 	is.Equal(len(table.Addresses()), 2)
 	table.Failed("c", m.Now())
 	table.Failed("c", m.Now())
--- a/member/table.go
+++ b/member/table.go
@@ -56,8 +56,8 @@
 	// and the requests it has in flight.
 	State func() core.State
 	Load  func() int
-	// OnNews, if not nil, is called when there is something to pass on.
-	OnNews func()
+	// OnChange, if not nil, is called when there is something to pass on.
+	OnChange func()
 
 	// Document and Drains are when those were last known to be up to date.
 	Document Mark
@@ -161,7 +161,7 @@
 	if b.Instance.Name == "" || b.Instance.Name == t.Self.Name {
 		return
 	}
-	news := false
+	changed := false
 	t.peers.Update(b.Instance.Name, func(p Peer, ok bool) (Peer, bool) {
 		if !ok {
 			p.Instance = b.Instance
@@ -169,32 +169,32 @@
 		and(&p)
 		p.Beat, p.Heard = b, t.Clock.Now()
 		p.Beat.Rumours = nil
-		news = p.turn(b.rumour(), t.Clock.Now())
+		changed = p.turn(b.rumour(), t.Clock.Now())
 		return p, true
 	})
 	for _, r := range b.Rumours {
 		t.peers.Update(r.Instance, func(p Peer, ok bool) (Peer, bool) {
 			if ok && p.turn(r, t.Clock.Now()) {
-				news = true
+				changed = true
 			}
 			return p, ok
 		})
 	}
-	if news && t.OnNews != nil {
-		t.OnNews()
+	if changed && t.OnChange != nil {
+		t.OnChange()
 	}
 }
 
 // turn takes over a state if its turn is later than the one known, and
-// reports whether that is news: another state, or another run.
+// reports whether that is a change: another state, or another run.
 func (p *Peer) turn(r Rumour, now clock.Millis) bool {
 	if r.Turn <= p.Turn {
 		return false
 	}
-	news := p.Instance.State != r.State || p.Said != r.Boot
+	changed := p.Instance.State != r.State || p.Said != r.Boot
 	p.Turn, p.TurnAt, p.Said = r.Turn, now, r.Boot
 	p.Instance.State = r.State
-	return news
+	return changed
 }
 
 // Rumours returns the latest changes of other entries' states, to pass on.
--- a/notify/signal.go
+++ b/notify/signal.go
@@ -42,9 +42,9 @@
 	return false
 }
 
-// News is the highest version of something that a peer was heard to have,
+// Latest is the highest version of something that a peer was heard to have,
 // with a signal whenever one is heard. The zero value is ready.
-type News struct {
+type Latest struct {
 	Signal
 
 	mu      sync.Mutex
@@ -53,7 +53,7 @@
 }
 
 // Put takes over that the peer has the version, and signals.
-func (n *News) Put(version int64, peer string) {
+func (n *Latest) Put(version int64, peer string) {
 	n.mu.Lock()
 	if version > n.version {
 		n.version, n.peer = version, peer
@@ -63,7 +63,7 @@
 }
 
 // Get returns the highest version heard, and who has it.
-func (n *News) Get() (version int64, peer string) {
+func (n *Latest) Get() (version int64, peer string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.version, n.peer
--- a/notify/signal_test.go
+++ b/notify/signal_test.go
@@ -24,7 +24,7 @@
 
 func TestNewsKeepsTheHighest(t *testing.T) {
 	is := is.New(t)
-	var n notify.News
+	var n notify.Latest
 	n.Put(3, "a")
 	n.Put(2, "b")
 	version, peer := n.Get()
--- a/place/doc.go
+++ b/place/doc.go
@@ -8,13 +8,13 @@
 //
 // # Usage
 //
-//	d := &place.Desk{Upstreams: table, Chooser: route.Cost{}}
+//	d := &place.Placer{Upstreams: table, Chooser: route.Cost{}}
 //	p, err := d.Place(ctx, place.Query{Try: try})
 //	d.Prefilled(p, took, err)     // the prefill has answered
 //	d.FirstToken(p, took)         // the decode has given its first token
 //	d.Release(p, err)             // the attempt has ended
 //
-// An error of [Desk.Place] says that this attempt did not run. For a
+// An error of [Placer.Place] says that this attempt did not run. For a
 // request's first attempt its Run is [codes.NotRun]; for a later one it is
 // [codes.Unknown], since an earlier one may have run.
 package place
--- a/place/held.go
+++ b/place/held.go
@@ -9,7 +9,7 @@
 )
 
 // Placement is where one attempt runs. Everything that it stands for is held
-// until [Desk.Release].
+// until [Placer.Release].
 type Placement struct {
 	Prefill core.Upstream
 	Decode  core.Upstream
@@ -35,7 +35,7 @@
 }
 
 // take reserves the memory and counts the work of a choice.
-func (d *Desk) take(a *ask, c route.Choice, b *buffer) error {
+func (d *Placer) take(a *ask, c route.Choice, b *buffer) error {
 	name := b.decodes[c.Decode].Name
 	p := &Placement{
 		Tokens: a.route.Tokens, Pieces: a.route.Pieces, most: a.route.Output,
@@ -70,14 +70,14 @@
 	return nil
 }
 
-func (d *Desk) upstream(name string) core.Upstream {
+func (d *Placer) upstream(name string) core.Upstream {
 	s, _ := d.Upstreams.Get(name)
 	return s.Upstream
 }
 
 // move counts the decode call, by which the engine knows of the memory and
 // the KV cache is on its way.
-func (d *Desk) move(p *Placement) {
+func (d *Placer) move(p *Placement) {
 	p.moving = pool.Work{Bytes: p.bytes, Held: p.Pieces}
 	d.Upstreams.Begin(p.Decode.Name, p.moving)
 	if p.Prefill.Name != "" {
@@ -86,7 +86,7 @@
 }
 
 // moved ends the count of bytes on their way.
-func (d *Desk) moved(p *Placement) {
+func (d *Placer) moved(p *Placement) {
 	if p.moving.Bytes == 0 {
 		return
 	}
@@ -100,7 +100,7 @@
 
 // Prefilled says that the placement's prefill has ended, and how long it
 // took. The prefill's queue is free of it from here on.
-func (d *Desk) Prefilled(p *Placement, took clock.Millis, err error) {
+func (d *Placer) Prefilled(p *Placement, took clock.Millis, err error) {
 	if p.prefilling == (pool.Work{}) {
 		return
 	}
@@ -122,7 +122,7 @@
 
 // FirstToken says that the decode upstream gave its first token so long after
 // it was called.
-func (d *Desk) FirstToken(p *Placement, took clock.Millis) {
+func (d *Placer) FirstToken(p *Placement, took clock.Millis) {
 	if p.firstAt != 0 {
 		return
 	}
@@ -132,14 +132,14 @@
 }
 
 // giveTurn lets another prefill go ahead at the upstream.
-func (d *Desk) giveTurn(p *Placement) {
+func (d *Placer) giveTurn(p *Placement) {
 	if p.turn {
 		p.turn = false
 		d.Turns.Give(p.Prefill.Name, 1)
 	}
 }
 
-func (d *Desk) giveMemory(p *Placement, name string) {
+func (d *Placer) giveMemory(p *Placement, name string) {
 	if p.leased {
 		p.leased = false
 		d.Memory.Give(name, p.Pieces)
@@ -147,7 +147,7 @@
 }
 
 // Release gives back what the placement holds. err is how the attempt ended.
-func (d *Desk) Release(p *Placement, err error) {
+func (d *Placer) Release(p *Placement, err error) {
 	if p.decoding == (pool.Work{}) {
 		return
 	}
@@ -166,7 +166,7 @@
 }
 
 // observe tells how fast the answer came.
-func (d *Desk) observe(p *Placement, err error) {
+func (d *Placer) observe(p *Placement, err error) {
 	tokens := p.Output
 	if tokens == 0 && err == nil {
 		tokens = p.most
@@ -176,7 +176,7 @@
 	}
 }
 
-func (d *Desk) wake(p *Placement) {
+func (d *Placer) wake(p *Placement) {
 	if !d.Early {
 		d.line(p.model).Wake()
 	}
--- a/place/place.go
+++ b/place/place.go
@@ -48,8 +48,8 @@
 	Short(decodes []route.Candidate, pieces int)
 }
 
-// Desk places attempts. Upstreams and Chooser are needed.
-type Desk struct {
+// Placer places attempts. Upstreams and Chooser are needed.
+type Placer struct {
 	Upstreams Upstreams
 	Chooser   Chooser
 	// Memory, if nil, leaves decode memory unreserved.
@@ -77,7 +77,7 @@
 	lines shard.Map[string, *limit.Line]
 }
 
-// The defaults of a [Desk].
+// The defaults of a [Placer].
 const (
 	defaultTokenBytes              = 1024
 	defaultAhead      clock.Millis = 60
@@ -96,7 +96,7 @@
 
 // Place returns a placement, or an error that says that the attempt did not
 // run.
-func (d *Desk) Place(ctx context.Context, q Query) (*Placement, error) {
+func (d *Placer) Place(ctx context.Context, q Query) (*Placement, error) {
 	a := d.prepare(q)
 	err := d.check(a)
 	if err == nil && d.Early {
@@ -124,7 +124,7 @@
 	placement *Placement
 }
 
-func (d *Desk) prepare(q Query) *ask {
+func (d *Placer) prepare(q Query) *ask {
 	r := q.Try.Request
 	tokens := core.TokenEstimate(r.Prompt) + core.TokenEstimate(q.Try.Prior)
 	output := r.MaxTokens - q.Try.Sent
@@ -157,7 +157,7 @@
 const noTarget = clock.Minute
 
 // check refuses what no upstream could ever take, or not any more.
-func (d *Desk) check(a *ask) error {
+func (d *Placer) check(a *ask) error {
 	r := a.query.Try.Request
 	now := d.Clock.Now()
 	switch largest := d.Upstreams.Largest(core.Decode, r.Model); {
@@ -169,7 +169,7 @@
 	return nil
 }
 
-func (d *Desk) ticket(a *ask) limit.Ticket {
+func (d *Placer) ticket(a *ask) limit.Ticket {
 	r := a.query.Try.Request
 	return limit.Ticket{
 		Workspace: r.Workspace, Weight: r.Weight, Cost: a.route.Tokens,
@@ -187,7 +187,7 @@
 
 // need is the time to the first token at the best pair there is, were it
 // idle.
-func (d *Desk) need(a *ask) clock.Millis {
+func (d *Placer) need(a *ask) clock.Millis {
 	b := d.look(a)
 	defer buffers.Put(b)
 	for i := range b.prefills {
@@ -205,15 +205,15 @@
 }
 
 // line returns the line of requests for a model.
-func (d *Desk) line(model string) *limit.Line {
+func (d *Placer) line(model string) *limit.Line {
 	return d.lines.Ensure(model, func() *limit.Line {
 		return &limit.Line{Clock: d.Clock, Unfair: d.Unfair, Hopeful: d.Hopeful}
 	})
 }
 
 // Wake serves the requests for which there is room now. It is called when
-// capacity may have become free that this desk didn't release itself.
-func (d *Desk) Wake() {
+// capacity may have become free that this placer didn't release itself.
+func (d *Placer) Wake() {
 	var all []*limit.Line
 	d.lines.Each(func(_ string, l *limit.Line) bool {
 		all = append(all, l)
@@ -225,7 +225,7 @@
 }
 
 // Waiting returns the number of requests that wait for their turn.
-func (d *Desk) Waiting() int {
+func (d *Placer) Waiting() int {
 	n := 0
 	d.lines.Each(func(_ string, l *limit.Line) bool {
 		n += l.Len()
@@ -242,7 +242,7 @@
 var buffers = sync.Pool{New: func() any { return &buffer{} }}
 
 // look fills a buffer with the candidates for a query.
-func (d *Desk) look(a *ask) *buffer {
+func (d *Placer) look(a *ask) *buffer {
 	b := buffers.Get().(*buffer)
 	model, failed := a.query.Try.Request.Model, a.query.Failed
 	b.prefills = b.prefills[:0]
@@ -292,7 +292,7 @@
 
 // at chooses the pair and takes what it needs there. Its error is NoMemory
 // where that may change by waiting.
-func (d *Desk) at(a *ask) error {
+func (d *Placer) at(a *ask) error {
 	b := d.look(a)
 	defer buffers.Put(b)
 	model := a.query.Try.Request.Model
@@ -346,7 +346,7 @@
 const staleQueue = 10
 
 // maxQueue bounds the wait before the prefill of a choice; zero is no bound.
-func (d *Desk) maxQueue() clock.Millis {
+func (d *Placer) maxQueue() clock.Millis {
 	switch {
 	case d.Early:
 		return 0
@@ -358,7 +358,7 @@
 
 // worthwhile refuses a request whose predicted first token is later than its
 // profile allows, before anything runs.
-func (d *Desk) worthwhile(a *ask, c route.Choice) error {
+func (d *Placer) worthwhile(a *ask, c route.Choice) error {
 	late := d.Clock.Now() + c.Wait - a.latest
 	if d.Hopeful || late <= 0 || a.query.Try.Attempt > 1 || a.route.Export {
 		return nil
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -23,7 +23,7 @@
 const now clock.Millis = 1000
 
 // desk stands before one prefill and two decode upstreams of 4 pieces.
-func desk() (*place.Desk, *pool.Table, *clock.Manual) {
+func placer() (*place.Placer, *pool.Table, *clock.Manual) {
 	m := &clock.Manual{}
 	m.Advance(now)
 	c := clock.Clock{Manual: m}
@@ -33,7 +33,7 @@
 		{Name: "d1", Role: core.Decode, Models: []string{"verse"}, Pieces: 4},
 		{Name: "d2", Role: core.Decode, Models: []string{"verse"}, Pieces: 4},
 	}})
-	return &place.Desk{Upstreams: tab, Chooser: route.Cost{}, Memory: &grant.Alone{Counts: tab}, Clock: c}, tab, m
+	return &place.Placer{Upstreams: tab, Chooser: route.Cost{}, Memory: &grant.Alone{Counts: tab}, Clock: c}, tab, m
 }
 
 // request needs so many pieces and has its first token's target in a second.
@@ -72,7 +72,7 @@
 		} {
 			t.Run(name, func(t *testing.T) {
 				is := is.New(t)
-				d, tab, m := desk()
+				d, tab, m := placer()
 				r := request(1)
 				tc.edit(r, tab, m)
 				_, err := d.Place(t.Context(), query(r))
@@ -89,7 +89,7 @@
 		}
 		t.Run("no memory in time", func(t *testing.T) {
 			is := is.New(t)
-			d, tab, m := desk()
+			d, tab, m := placer()
 			full := fill(t, d)
 			got := make(chan error)
 			go func() {
@@ -110,7 +110,7 @@
 }
 
 // fill takes all decode memory.
-func fill(t *testing.T, d *place.Desk) (all []*place.Placement) {
+func fill(t *testing.T, d *place.Placer) (all []*place.Placement) {
 	for range 2 {
 		p, err := d.Place(t.Context(), query(request(4)))
 		is.New(t).NoErr(err)
@@ -122,7 +122,7 @@
 }
 
 // waitFor returns once n requests wait in the line.
-func waitFor(d *place.Desk, n int) {
+func waitFor(d *place.Placer, n int) {
 	ctx, done := context.WithTimeout(context.Background(), (10 * clock.Second).Std())
 	defer done()
 	for d.Waiting() != n && (clock.Clock{}).Sleep(ctx, 1) == nil {
@@ -131,7 +131,7 @@
 
 func TestReleaseWakesTheLine(t *testing.T) {
 	is := is.New(t)
-	d, tab, _ := desk()
+	d, tab, _ := placer()
 	full := fill(t, d)
 	var wait sync.WaitGroup
 	var second *place.Placement
@@ -150,7 +150,7 @@
 
 func TestExportGoesToAnotherDecode(t *testing.T) {
 	is := is.New(t)
-	d, tab, _ := desk()
+	d, tab, _ := placer()
 	q := query(request(1))
 	q.Try.Attempt = 2
 	q.Failed = []string{"d1"}
--- a/poison/book.go
+++ b/poison/book.go
@@ -80,9 +80,9 @@
 	Meter   *meter.Set
 	// Log, if not nil, is told of crashes and quarantines.
 	Log *zap.Logger
-	// OnNews, if not nil, is called when [Book.Unkept] has something new. It
+	// OnChange, if not nil, is called when [Book.Unkept] has something new. It
 	// must not block.
-	OnNews func()
+	OnChange func()
 	// Self names this entry in the table.
 	Self string
 
--- a/poison/judge.go
+++ b/poison/judge.go
@@ -52,8 +52,8 @@
 	crash := Crash{Upstream: up.Name, Boot: boot, Began: at - (b.Clock.Now() - began), At: at}
 	m := b.add(Mark{Digest: digest, Crashes: []Crash{crash}, Until: at + markLife})
 	b.Meter.Add("suspects_total", 1, "upstream", up.Name)
-	if b.OnNews != nil {
-		b.OnNews()
+	if b.OnChange != nil {
+		b.OnChange()
 	}
 	b.keep(ctx, m)
 	m, _ = b.mark(digest)
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -157,7 +157,7 @@
 	told := a.Snapshot()
 	is.NoErr(b.Lift(t.Context(), digest))
 	follow(t, a, func() bool { return !a.Suspect(digest) })
-	b.Merge(told) // news that was under way
+	b.Merge(told) // a message that was under way
 	follow(t, a, func() bool { return !a.Suspect(digest) })
 	is.Equal(len(b.Snapshot()), 0) // a lifted mark isn't told on
 }
--- a/pool/table_test.go
+++ b/pool/table_test.go
@@ -55,7 +55,7 @@
 	prefill(tab, m, "prefill-00", 1000, 600)
 	is.True(find(tab, core.Prefill, "prefill-00").Slow > 2.5)
 	is.True(find(tab, core.Prefill, "prefill-01").Slow < 1.2)
-	// Without news it is worth a trial again.
+	// Without a report it is worth a trial again.
 	m.Advance(20 * clock.Second)
 	is.True(find(tab, core.Prefill, "prefill-00").Slow < 1.1)
 }
--- a/prof/follow.go
+++ b/prof/follow.go
@@ -25,7 +25,7 @@
 	Fresh(asked clock.Millis)
 }
 
-// Follower keeps a [Book] up to date from the table and from the news of
+// Follower keeps a [Book] up to date from the table and from the reports of
 // peers. Book and Table are needed.
 type Follower struct {
 	Book  *Book
@@ -44,23 +44,23 @@
 	Log    *zap.Logger
 	Meter  *meter.Set
 
-	news   notify.News
-	warned int64
+	updates notify.Latest
+	warned  int64
 }
 
 // News says that the entry at the peer address has that version in force.
-func (f *Follower) News(version int64, peer string) {
+func (f *Follower) Newer(version int64, peer string) {
 	if version <= f.Book.Version() {
 		return
 	}
-	f.news.Put(version, peer)
+	f.updates.Put(version, peer)
 }
 
 // pollEvery is the time between two reads of the stamp. News of peers come
 // sooner; the poll is for entries that none of them reaches.
 const pollEvery = 3 * clock.Second
 
-// Run follows the table and the news until ctx ends.
+// Run follows the table and the reports until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.Once(ctx)
@@ -68,9 +68,9 @@
 	}
 }
 
-// wait ends when the next read is due, or with news and a part of the spread.
+// wait ends when the next read is due, or with a report and a part of the spread.
 func (f *Follower) wait(ctx context.Context) {
-	if f.news.Wait(ctx, f.Clock, pollEvery) && f.Spread != nil && f.Book.Version() > 0 {
+	if f.updates.Wait(ctx, f.Clock, pollEvery) && f.Spread != nil && f.Book.Version() > 0 {
 		_ = f.Clock.Sleep(ctx, rand.N(f.Spread()+1))
 	}
 }
@@ -82,7 +82,7 @@
 		f.log("prof: the table can't be read", zap.Error(err))
 	}
 	f.meet(ctx)
-	version, peer := f.news.Get()
+	version, peer := f.updates.Get()
 	if f.Peers == nil || version <= f.Book.Version() {
 		return
 	}
--- a/prof/promise_test.go
+++ b/prof/promise_test.go
@@ -49,18 +49,18 @@
 	return doc
 }
 
-func platform(t *testing.T) (*plat.Platform, *prof.Desk) {
+func platform(t *testing.T) (*plat.Platform, *prof.Publisher) {
 	p := &plat.Platform{}
 	srv := httptest.NewServer(p.Handler())
 	t.Cleanup(srv.Close)
-	return p, &prof.Desk{Table: &store.Client{Base: srv.URL, HTTP: srv.Client()}}
+	return p, &prof.Publisher{Table: &store.Client{Base: srv.URL, HTTP: srv.Client()}}
 }
 
 // operatorsRace lets operators publish on the same version: one wins each
 // time, the others learn the present version, and the history is whole.
 func operatorsRace(t *testing.T) {
 	is := is.New(t)
-	_, desk := platform(t)
+	_, pub := platform(t)
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	defer cancel()
 	const operators, rounds = 4, 55
@@ -69,7 +69,7 @@
 		errs := make([]error, operators)
 		for i := range operators {
 			wait.Go(func() {
-				_, errs[i] = desk.Publish(ctx, prof.Order{Expected: version, Doc: document(fmt.Sprintf("by-%d", i))})
+				_, errs[i] = pub.Publish(ctx, prof.Order{Expected: version, Doc: document(fmt.Sprintf("by-%d", i))})
 			})
 		}
 		wait.Wait()
@@ -83,12 +83,12 @@
 			is.True(codes.Has(err, codes.Conflict))
 			is.Equal(codes.From(err).Message, fmt.Sprintf("version %d is published", version+1))
 		}
-		now, err := desk.Current(ctx)
+		now, err := pub.Current(ctx)
 		is.NoErr(err)
 		is.Equal(now.Version, version+1)
 		is.Equal(now.Profiles[0].Name, fmt.Sprintf("by-%d", won))
 	}
-	past, err := desk.History(ctx, 0)
+	past, err := pub.History(ctx, 0)
 	is.NoErr(err)
 	is.Equal(len(past), 50)
 	for i, p := range past {
@@ -118,20 +118,20 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p, desk := platform(t)
+			p, pub := platform(t)
 			ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 			defer cancel()
 			for _, f := range tc.faults {
 				p.Faults.Add(f)
 			}
-			_, err := desk.Publish(ctx, prof.Order{Doc: document("first")})
+			_, err := pub.Publish(ctx, prof.Order{Doc: document("first")})
 			p.Faults.Clear()
 			if tc.code == 0 {
 				is.NoErr(err)
 			} else {
 				is.True(codes.Has(err, tc.code))
 			}
-			now, err := desk.Current(ctx)
+			now, err := pub.Current(ctx)
 			is.NoErr(err)
 			is.Equal(now != nil, tc.landed)
 			// Whatever happened, the next version builds on what stands.
@@ -139,9 +139,9 @@
 			if now != nil {
 				version = now.Version
 			}
-			version, err = desk.Publish(ctx, prof.Order{Expected: version, Doc: document("second")})
+			version, err = pub.Publish(ctx, prof.Order{Expected: version, Doc: document("second")})
 			is.NoErr(err)
-			now, err = desk.Current(ctx)
+			now, err = pub.Current(ctx)
 			is.NoErr(err)
 			is.Equal(now.Version, version)
 			is.Equal(now.Profiles[0].Name, "second")
@@ -176,12 +176,12 @@
 // rekey publishes the set's document with another key of the workspace.
 func rekey(ctx context.Context, t *testing.T, set *trial.Set, key string) {
 	t.Helper()
-	desk := &prof.Desk{Table: &store.Client{Base: set.Base}}
+	pub := &prof.Publisher{Table: &store.Client{Base: set.Base}}
 	doc := set.Doc
 	doc.Workspaces = []core.Workspace{{Name: trial.Workspace, Profile: "exact", Keys: []string{prof.Digest(key)}}}
-	now, err := desk.Current(ctx)
+	now, err := pub.Current(ctx)
 	is.New(t).NoErr(err)
-	_, err = desk.Publish(ctx, prof.Order{Expected: now.Version, Doc: doc})
+	_, err = pub.Publish(ctx, prof.Order{Expected: now.Version, Doc: doc})
 	is.New(t).NoErr(err)
 }
 
@@ -288,13 +288,13 @@
 // the violation is counted.
 func tableReverts(t *testing.T) {
 	is := is.New(t)
-	p, desk := platform(t)
+	p, pub := platform(t)
 	ctx := context.Background()
 	for v := range int64(3) {
-		_, err := desk.Publish(ctx, prof.Order{Expected: v, Doc: document("exact")})
+		_, err := pub.Publish(ctx, prof.Order{Expected: v, Doc: document("exact")})
 		is.NoErr(err)
 	}
-	f := &prof.Follower{Book: &prof.Book{}, Table: desk.Table, Meter: &meter.Set{}}
+	f := &prof.Follower{Book: &prof.Book{}, Table: pub.Table, Meter: &meter.Set{}}
 	f.Once(ctx)
 	is.Equal(f.Book.Version(), int64(3))
 	low := document("exact")
--- a/prof/publish.go
+++ b/prof/publish.go
@@ -15,8 +15,8 @@
 	"lacewinghook.example/lacewinghook/core"
 )
 
-// Desk publishes documents and reads the former ones. Table is needed.
-type Desk struct {
+// Publisher publishes documents and reads the former ones. Table is needed.
+type Publisher struct {
 	Table Table
 	Clock clock.Clock
 	// Book, if not nil, takes over what this desk publishes at once.
@@ -48,7 +48,7 @@
 // A transaction whose answer was lost is sent again as it was: it holds only
 // on the expected version, so it can't take effect twice, and once the table
 // answers it is known whether one of them did.
-func (d *Desk) Publish(ctx context.Context, o Order) (int64, error) {
+func (d *Publisher) Publish(ctx context.Context, o Order) (int64, error) {
 	if err := check.Document(&o.Doc); err != nil {
 		return 0, err
 	}
@@ -76,12 +76,12 @@
 }
 
 // rows reads all rows that publishing the version touches.
-func (d *Desk) rows(ctx context.Context, version int64) ([]core.Row, error) {
+func (d *Publisher) rows(ctx context.Context, version int64) ([]core.Row, error) {
 	return d.Table.Read(ctx, Key, StampKey, historyKey(version), historyKey(version-maxHistory))
 }
 
 // expect compares the version that stands with the expected one.
-func (d *Desk) expect(rows []core.Row, expected int64) error {
+func (d *Publisher) expect(rows []core.Row, expected int64) error {
 	var now core.Document
 	if err := decode(find(rows, Key), &now); err != nil {
 		return err
@@ -97,7 +97,7 @@
 }
 
 // send makes the transaction until its outcome is known.
-func (d *Desk) send(ctx context.Context, all []core.Write, stamp Stamp) error {
+func (d *Publisher) send(ctx context.Context, all []core.Write, stamp Stamp) error {
 	var lost error
 	for range sends {
 		done, err := d.Table.Commit(ctx, all...)
@@ -120,7 +120,7 @@
 
 // settle finds out whose version stands after a conflict: an earlier send of
 // this order, whose answer was lost, or another operator's.
-func (d *Desk) settle(ctx context.Context, stamp Stamp, lost error) error {
+func (d *Publisher) settle(ctx context.Context, stamp Stamp, lost error) error {
 	for range sends {
 		rows, err := d.Table.Read(ctx, Key, historyKey(stamp.Version))
 		if err == nil {
@@ -134,7 +134,7 @@
 	return codes.Wrap(codes.PublishUnsure, lost, "version %d", stamp.Version)
 }
 
-func (d *Desk) whose(rows []core.Row, stamp Stamp) error {
+func (d *Publisher) whose(rows []core.Row, stamp Stamp) error {
 	var past Past
 	if err := decode(find(rows, historyKey(stamp.Version)), &past); err != nil {
 		return err
@@ -151,13 +151,13 @@
 
 // Current reads the document that stands in the table; nil means that there
 // is none.
-func (d *Desk) Current(ctx context.Context) (*core.Document, error) {
+func (d *Publisher) Current(ctx context.Context) (*core.Document, error) {
 	return Fetch(ctx, d.Table)
 }
 
 // History reads up to limit former versions, the newest first. The version in
 // force is the first of them.
-func (d *Desk) History(ctx context.Context, limit int) ([]Past, error) {
+func (d *Publisher) History(ctx context.Context, limit int) ([]Past, error) {
 	if limit <= 0 || limit > maxHistory {
 		limit = maxHistory
 	}
--- a/share/reader.go
+++ b/share/reader.go
@@ -45,8 +45,8 @@
 	Clock     clock.Clock
 	// Every is the time between two readings; zero is a second.
 	Every clock.Millis
-	// OnNews, if not nil, is called after reports were taken over.
-	OnNews func()
+	// OnChange, if not nil, is called after reports were taken over.
+	OnChange func()
 }
 
 const (
@@ -72,14 +72,14 @@
 	live := r.Members.Live()
 	reports := r.read(ctx, r.own(live))
 	if len(reports) > 0 {
-		r.news()
+		r.updates()
 		r.pass(ctx, live, reports)
 	}
 }
 
-func (r *Reader) news() {
-	if r.OnNews != nil {
-		r.OnNews()
+func (r *Reader) updates() {
+	if r.OnChange != nil {
+		r.OnChange()
 	}
 }
 
@@ -147,5 +147,5 @@
 	for _, report := range reports {
 		r.Upstreams.Report(report)
 	}
-	r.news()
+	r.updates()
 }
