flow, procs: waits of the process tests have bounds

The entry of TestPromise/memory_freed/engine_frozen,_then_woken was still running after 8 minutes; the platform's stand-in had answered it all the time, so that the set had started. Questions to processes, the wait for the caller and the start of a set had no bound of their own, so that nothing said where it hung.

Ruled out by its log: an entry without its platform; a range of ports that two sets use (the platform was reached).

--- a/flow/sweep_test.go
+++ b/flow/sweep_test.go
@@ -106,7 +106,14 @@
 	engine := p.Other("decode-1")
 	is.NoErr(engine.Signal(syscall.SIGSTOP))
 	cut()
-	<-ended
+	within(t, freeWithin, "the caller has left", func() bool {
+		select {
+		case <-ended:
+			return true
+		default:
+			return false
+		}
+	})
 	within(t, sweepWithin, "a try of the cancel has failed", func() bool {
 		return strings.Contains(metrics(t.Context(), p.Admin(0)), "lacewinghook_cancel_retries_total")
 	})
@@ -117,8 +124,13 @@
 // pieces is the memory that one long answer holds.
 const pieces = 4
 
+// askTime bounds one question of a test to a process.
+const askTime = 2 * clock.Second
+
 // metrics reads an entry's counters.
 func metrics(ctx context.Context, admin string) string {
+	ctx, done := context.WithTimeout(ctx, askTime.Std())
+	defer done()
 	c := trial.Client{Addr: admin, Key: trial.Token}
 	resp, err := c.Do(ctx, http.MethodGet, "/metrics", nil, nil)
 	if err != nil {
@@ -131,6 +143,8 @@
 
 // tally reads the decode engine's counters.
 func tally(ctx context.Context, p *procs.Set) fake.Tally {
+	ctx, done := context.WithTimeout(ctx, askTime.Std())
+	defer done()
 	var n fake.Tally
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Decode()+"/fake/count", nil)
 	if err != nil {
--- a/procs/procs.go
+++ b/procs/procs.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/trial"
 )
@@ -50,6 +51,10 @@
 	guardPort = portsInAll - 1
 )
 
+// startTime bounds the start of a set: it takes a second, and several on a busy
+// machine.
+const startTime = 30 * clock.Second
+
 // Build builds the programs into dir. Extra flags go to the compiler.
 func Build(ctx context.Context, dir string, flags ...string) error {
 	args := append([]string{"build", "-o", dir + "/"}, flags...)
@@ -104,6 +109,8 @@
 			return err
 		}
 	}
+	ctx, done := context.WithTimeout(ctx, startTime.Std())
+	defer done()
 	for _, e := range p.Entries {
 		if err := trial.Until(ctx, func() bool { return trial.IsReady(ctx, e.Addr) }); err != nil {
 			return errors.Wrapf(err, "procs: %s", e.Name)
