--- a/clock/wall.go
+++ b/clock/wall.go
@@ -19,7 +19,6 @@
 // Anchored tells the time of a wall clock that was read once and goes on with
 // the steady clock: it does not step. The zero value is ready.
 type Anchored struct {
-	Clock Clock
 	// Read reads the wall clock; nil is [Clock.Wall].
 	Read func() Millis
 
@@ -27,14 +26,15 @@
 	offset Millis
 }
 
-// Wall returns the milliseconds since 1970.
-func (a *Anchored) Wall() Millis {
+// Wall returns the milliseconds since 1970. All calls must be given the same
+// clock.
+func (a *Anchored) Wall(c Clock) Millis {
 	a.once.Do(func() {
 		read := a.Read
 		if read == nil {
-			read = a.Clock.Wall
+			read = c.Wall
 		}
-		a.offset = read() - a.Clock.Now()
+		a.offset = read() - c.Now()
 	})
-	return a.Clock.Now() + a.offset
+	return c.Now() + a.offset
 }
--- a/clock/wall_test.go
+++ b/clock/wall_test.go
@@ -12,12 +12,13 @@
 	is := is.New(t)
 	m := &clock.Manual{}
 	wall := clock.Millis(1_700_000_000_000)
-	a := clock.Anchored{Clock: clock.Clock{Manual: m}, Read: func() clock.Millis { return wall }}
-	is.Equal(a.Wall(), wall)
+	c := clock.Clock{Manual: m}
+	a := clock.Anchored{Read: func() clock.Millis { return wall }}
+	is.Equal(a.Wall(c), wall)
 	wall += 2000
 	m.Advance(100)
-	is.Equal(a.Wall(), clock.Millis(1_700_000_000_100))
+	is.Equal(a.Wall(c), clock.Millis(1_700_000_000_100))
 	wall -= 9000
 	m.Advance(100)
-	is.Equal(a.Wall(), clock.Millis(1_700_000_000_200))
+	is.Equal(a.Wall(c), clock.Millis(1_700_000_000_200))
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -111,7 +111,7 @@
 	e.store = platform.Store{Addr: s.Fleet.Store, Clock: e.Clock}
 	e.replicas.Clock = e.Clock
 	e.peers.Log = e.Log
-	self := core.Instance{Name: s.Instance, Addr: s.Callers.Listen, Peer: s.Peers.Listen, Centre: s.Centre, State: core.Live}
+	self := e.self()
 	e.gossip = gossip.Table{
 		Sender: &e.peers, Self: self.Peer, Clock: e.Clock, Log: e.Log,
 		Hello: e.hello, OnHeard: e.heard,
--- a/edge/state.go
+++ b/edge/state.go
@@ -91,18 +91,19 @@
 	return m.Service(service)
 }
 
-// hello is what this entry tells its peers.
-func (e *Edge) hello() gossip.Hello {
+// self describes this entry.
+func (e *Edge) self() core.Instance {
 	s := e.Settings
-	state := core.Live
+	in := core.Instance{Name: s.Instance, Addr: s.Callers.Listen, Peer: s.Peers.Listen, Centre: s.Centre, State: core.Live}
 	if e.leaving.Load() {
-		state = core.Leaving
-	}
-	told := e.follower.Told()
-	h := gossip.Hello{
-		Instance: core.Instance{Name: s.Instance, Addr: s.Callers.Listen, Peer: s.Peers.Listen, Centre: s.Centre, State: state},
-		Boot:     e.boot, Ready: e.Ready(), Manifest: told.Manifest, Fleet: told.Fleet, Members: told.Members, Age: told.Age,
+		in.State = core.Leaving
 	}
+	return in
+}
+
+// hello is what this entry tells its peers.
+func (e *Edge) hello() gossip.Hello {
+	h := gossip.Hello{Instance: e.self(), Boot: e.boot, Ready: e.Ready(), PeerState: e.follower.Told()}
 	h.Marks = e.suspects.Unkept()
 	for _, l := range e.pool.Loads() {
 		if l.Work.Tokens != 0 || l.Work.Pieces != 0 {
@@ -117,7 +118,7 @@
 	e.suspects.Merge(h.Marks)
 	e.stale.Store(true)
 	e.told.Send()
-	e.follower.Heard(follow.PeerState{Manifest: h.Manifest, Fleet: h.Fleet, Members: h.Members, Age: h.Age})
+	e.follower.Heard(h.PeerState)
 }
 
 // wakeEvery is the least pause between two looks of waiting requests at what
--- a/fake/crash.go
+++ b/fake/crash.go
@@ -48,24 +48,14 @@
 func (e *Engine) Crash() {
 	e.Count.Crashes.Add(1)
 	e.power.fail()
-	var seqs []*sequence
-	e.seqs.Each(func(_ string, s *sequence) bool {
-		seqs = append(seqs, s)
-		return true
-	})
-	for _, s := range seqs {
+	for _, s := range e.seqs.Values() {
 		e.stop(s)
 	}
 	e.prompts.Each(func(_ string, p *prompt) bool {
 		p.cancel()
 		return true
 	})
-	var exports []*export
-	e.exports.Each(func(_ string, x *export) bool {
-		exports = append(exports, x)
-		return true
-	})
-	for _, x := range exports {
+	for _, x := range e.exports.Values() {
 		e.drop(x)
 	}
 }
--- a/flow/decode.go
+++ b/flow/decode.go
@@ -8,6 +8,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/place"
 )
 
@@ -81,7 +82,7 @@
 	l := g.life
 	for idle := 0; g.resumable(ctx, err) && idle < rejoinTries; idle++ {
 		had := l.had()
-		l.flow.Meter.Retried(reason(err))
+		l.flow.Meter.Retried(meter.ReasonOf(codes.From(err).Code))
 		if pause := l.flow.pause(ctx, idle); pause != nil {
 			return err
 		}
--- a/flow/leg.go
+++ b/flow/leg.go
@@ -130,7 +130,7 @@
 		if g.moved || !l.movable(ctx, err, x) {
 			return g.discard(ctx, from, x, err)
 		}
-		l.flow.Meter.Retried(reason(err))
+		l.flow.Meter.Retried(meter.ReasonOf(codes.From(err).Code))
 		next := g.try
 		next.Attempt = l.next()
 		var refused error
@@ -166,5 +166,5 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return meter.CallerGone
 	}
-	return reason(err)
+	return meter.ReasonOf(codes.From(err).Code)
 }
--- a/flow/life.go
+++ b/flow/life.go
@@ -74,7 +74,7 @@
 	if !l.flow.spend() {
 		return codes.Wrap(codes.BudgetSpent, errors.Join(errBudget, err), "request %s", l.request.ID)
 	}
-	l.flow.Meter.Retried(reason(err))
+	l.flow.Meter.Retried(meter.ReasonOf(codes.From(err).Code))
 	return l.flow.pause(ctx, n)
 }
 
@@ -88,29 +88,6 @@
 	return false
 }
 
-// reason names an error's cause for the counters.
-func reason(err error) meter.Reason {
-	switch codes.From(err).Code {
-	case codes.UpstreamRefused:
-		return meter.Refused
-	case codes.UpstreamTimeout, codes.DeadlinePast:
-		return meter.TimedOut
-	case codes.TransferFailed:
-		return meter.TransferStalled
-	case codes.ExportExpired:
-		return meter.ExportExpired
-	case codes.WrongAnswer:
-		return meter.WrongID
-	case codes.NoMemory:
-		return meter.NoMemory
-	case codes.CallerGone:
-		return meter.CallerGone
-	case codes.UpstreamLost, codes.NotFound:
-		return meter.Lost
-	}
-	return meter.Failed
-}
-
 // pause waits before the attempt after the n-th, counted from zero.
 func (f *Flow) pause(ctx context.Context, n int) error {
 	return f.Clock.Sleep(ctx, limit.Backoff{}.Delay(n+1, rand.Uint64()))
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -53,13 +53,13 @@
 // PeerState is what a peer tells of the store.
 type PeerState struct {
 	// Manifest is the version that it has in force.
-	Manifest int64
+	Manifest int64 `json:"manifest,omitempty"`
 	// Fleet is the revision of its list of replicas, and Members what the list
 	// comes to; zero says that it can't be compared.
-	Fleet   int64
-	Members uint64
+	Fleet   int64  `json:"fleet,omitempty"`
+	Members uint64 `json:"members,omitempty"`
 	// Age is how long ago the peer itself read the list.
-	Age clock.Millis
+	Age clock.Millis `json:"age,omitempty"`
 }
 
 // Times of the follower.
@@ -302,12 +302,19 @@
 	}
 	f.confirm(now)
 	f.read = now
-	if now < f.settled {
+	fleet = f.replace(fleet)
+	f.mu.Unlock()
+	f.OnFleet(fleet)
+}
+
+// replace puts a list in force and returns it with the replicas that are kept.
+// The caller holds the lock.
+func (f *Follower) replace(fleet core.Fleet) core.Fleet {
+	if f.Clock.Now() < f.settled {
 		fleet.Replicas = withMissing(fleet.Replicas, f.fleet.Replicas)
 	}
 	f.fleet, f.members = fleet, fleet.Members()
-	f.mu.Unlock()
-	f.OnFleet(fleet)
+	return fleet
 }
 
 // confirm takes note of a reading of the store by any entry: one that alone is
@@ -464,12 +471,9 @@
 	}
 	f.takeManifest(v.Manifest, "peer")
 	f.mu.Lock()
-	if f.Clock.Now() < f.settled {
-		v.Fleet.Replicas = withMissing(v.Fleet.Replicas, f.fleet.Replicas)
-	}
 	newer := v.Fleet.Revision > f.fleet.Revision
 	if newer {
-		f.fleet, f.members = v.Fleet, v.Fleet.Members()
+		v.Fleet = f.replace(v.Fleet)
 	}
 	f.mu.Unlock()
 	if newer {
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -11,6 +11,7 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/follow"
 	"lacewinghook.example/lacewinghook/notify"
 	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/pool"
@@ -25,13 +26,8 @@
 	Seq  uint64 `json:"seq"`
 	// Ready says that it takes new work.
 	Ready bool `json:"ready,omitempty"`
-	// Manifest is the version in force, Fleet the revision of the list of
-	// replicas, and Members its content.
-	Manifest int64  `json:"manifest,omitempty"`
-	Fleet    int64  `json:"fleet,omitempty"`
-	Members  uint64 `json:"members,omitempty"`
-	// Age is how long ago the entry has read the list from the store.
-	Age clock.Millis `json:"age,omitempty"`
+	// PeerState is what the entry has of the store.
+	follow.PeerState
 	// Loads is the work that the entry has at the upstreams.
 	Loads []Load `json:"loads,omitempty"`
 	// Marks are those of requests that were at an upstream when it crashed.
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -254,12 +254,7 @@
 
 // Release gives up every lease that is held.
 func (k *Keeper) Release(ctx context.Context) {
-	var held []*Holder
-	k.holders.Each(func(_ string, h *Holder) bool {
-		held = append(held, h)
-		return true
-	})
-	for _, h := range held {
+	for _, h := range k.holders.Values() {
 		if err := h.Release(ctx); err != nil {
 			k.log().Warn("lease: a lease was not given up", zap.String("lease", h.Group), zap.Error(err))
 		}
--- a/member/table.go
+++ b/member/table.go
@@ -219,11 +219,7 @@
 
 // Peers returns all other entries, by name.
 func (t *Table) Peers() []Peer {
-	var all []Peer
-	t.peers.Each(func(_ string, p Peer) bool {
-		all = append(all, p)
-		return true
-	})
+	all := t.peers.Values()
 	sort.Slice(all, func(i, j int) bool { return all[i].Instance.Name < all[j].Instance.Name })
 	return all
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -29,6 +29,29 @@
 	Failed          Reason = "failed"
 )
 
+// ReasonOf returns the reason that a code stands for.
+func ReasonOf(c codes.Code) Reason {
+	switch c {
+	case codes.UpstreamRefused, codes.UpstreamDown:
+		return Refused
+	case codes.UpstreamTimeout, codes.DeadlinePast:
+		return TimedOut
+	case codes.TransferFailed:
+		return TransferStalled
+	case codes.ExportExpired:
+		return ExportExpired
+	case codes.WrongAnswer:
+		return WrongID
+	case codes.NoMemory:
+		return NoMemory
+	case codes.CallerGone:
+		return CallerGone
+	case codes.UpstreamLost, codes.NotFound:
+		return Lost
+	}
+	return Failed
+}
+
 // Set holds the counters of one entry. The zero value is ready.
 type Set struct {
 	once sync.Once
--- a/place/place.go
+++ b/place/place.go
@@ -214,12 +214,7 @@
 // Wake serves the requests for which there is room now. It is called when
 // capacity may have become free that this placer didn't release itself.
 func (d *Placer) Wake() {
-	var all []*limit.Line
-	d.lines.Each(func(_ string, l *limit.Line) bool {
-		all = append(all, l)
-		return true
-	})
-	for _, l := range all {
+	for _, l := range d.lines.Values() {
 		l.Wake()
 	}
 }
--- a/poison/book.go
+++ b/poison/book.go
@@ -88,7 +88,6 @@
 
 	// times are what marks are stamped with: the order of two crashes must
 	// not turn when the wall clock steps.
-	start sync.Once
 	times clock.Anchored
 
 	marks shard.Map[uint64, Mark]
@@ -103,10 +102,7 @@
 	freed chan struct{}
 }
 
-func (b *Book) wall() clock.Millis {
-	b.start.Do(func() { b.times.Clock = b.Clock })
-	return b.times.Wall()
-}
+func (b *Book) wall() clock.Millis { return b.times.Wall(b.Clock) }
 
 // Refused reports whether the digest is in quarantine.
 func (b *Book) Refused(digest uint64) bool {
--- a/relay/events.go
+++ b/relay/events.go
@@ -28,27 +28,21 @@
 // stream passes the whole events of a body on as they arrive.
 func (t *events) stream(l *life, up core.Upstream, body io.Reader, arrived func([]byte)) error {
 	t.part = t.part[:0]
-	buf := make([]byte, copyBuffer)
-	for {
-		n, err := body.Read(buf)
-		if n > 0 {
-			arrived(buf[:n])
-			t.part = append(t.part, buf[:n]...)
-			if err := t.pass(l); err != nil {
-				return err
-			}
+	err := read(up, body, func(p []byte) error {
+		arrived(p)
+		t.part = append(t.part, p...)
+		if err := t.pass(l); err != nil {
+			return err
 		}
-		switch {
-		case len(t.part) > maxEvent:
+		if len(t.part) > maxEvent {
 			return codes.Wrap(codes.UpstreamLost, errEvent, "%s", up.Name).WithRun(codes.Ran)
-		case errors.Is(err, io.EOF) && len(t.part) > 0:
-			return codes.Wrap(codes.UpstreamLost, errTorn, "%s", up.Name).WithRun(codes.Ran)
-		case errors.Is(err, io.EOF):
-			return nil
-		case err != nil:
-			return codes.Wrap(codes.UpstreamLost, err, "%s, in the middle of the stream", up.Name).WithRun(codes.Ran)
 		}
+		return nil
+	})
+	if err == nil && len(t.part) > 0 {
+		return codes.Wrap(codes.UpstreamLost, errTorn, "%s", up.Name).WithRun(codes.Ran)
 	}
+	return err
 }
 
 // pass forwards the whole events among what has arrived.
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -10,6 +10,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/route"
 )
@@ -175,7 +176,7 @@
 		l.relay.Budget.First(l.opaque.Service)
 		l.sends++
 	}
-	l.relay.Meter.Wasted(reason(codes.From(err).Code), a.prompt.Tokens)
+	l.relay.Meter.Wasted(meter.ReasonOf(codes.From(err).Code), a.prompt.Tokens)
 	err = codes.From(err).WithRun(codes.NotRun)
 	if ctx.Err() == nil {
 		l.lost(ctx, a.prefill, l.relay.Clock.Now()-took, err)
@@ -260,7 +261,7 @@
 	}
 	l, x := a.life, *a.export
 	a.export = nil
-	l.relay.Meter.Wasted(reason(codes.ExportExpired), a.prompt.Tokens)
+	l.relay.Meter.Wasted(meter.ExportExpired, a.prompt.Tokens)
 	if l.relay.Clock.Now() >= x.Expires {
 		return
 	}
--- a/relay/life.go
+++ b/relay/life.go
@@ -122,7 +122,7 @@
 	if e.Run != codes.NotRun {
 		l.runs++
 	}
-	l.relay.Meter.Retried(reason(e.Code))
+	l.relay.Meter.Retried(meter.ReasonOf(e.Code))
 	l.log.Info("relay: an upstream failed the request",
 		zap.String("request", l.opaque.ID), zap.String("upstream", up.Name), zap.String("addr", up.Addr),
 		zap.Stringer("code", e.Code), zap.String("run", string(e.Run)), zap.Int("sends", l.sends),
@@ -132,22 +132,6 @@
 	}
 }
 
-func reason(c codes.Code) meter.Reason {
-	switch c {
-	case codes.UpstreamRefused, codes.UpstreamDown:
-		return meter.Refused
-	case codes.UpstreamLost:
-		return meter.Lost
-	case codes.UpstreamTimeout:
-		return meter.TimedOut
-	case codes.ExportExpired:
-		return meter.ExportExpired
-	case codes.WrongAnswer:
-		return meter.WrongID
-	}
-	return meter.Failed
-}
-
 // avoid reports whether the upstream has failed this request, or could not be
 // reached lately.
 func (l *life) avoid(name string) bool {
@@ -204,12 +188,19 @@
 // stream passes a body on as it arrives. arrived is called with each part
 // before.
 func (l *life) stream(up core.Upstream, body io.Reader, arrived func([]byte)) error {
+	return read(up, body, func(p []byte) error {
+		arrived(p)
+		return l.forward(p)
+	})
+}
+
+// read reads a body to its end and hands on each part.
+func read(up core.Upstream, body io.Reader, part func([]byte) error) error {
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			arrived(buf[:n])
-			if err := l.forward(buf[:n]); err != nil {
+			if err := part(buf[:n]); err != nil {
 				return err
 			}
 		}
--- a/relay/place.go
+++ b/relay/place.go
@@ -111,12 +111,7 @@
 // another entry has told of its work.
 func (f *Relay) Wake() {
 	// A line takes its own lock, which must not be taken under a shard's.
-	var all []*limit.Line
-	f.lines.Each(func(_ string, l *limit.Line) bool {
-		all = append(all, l)
-		return true
-	})
-	for _, l := range all {
+	for _, l := range f.lines.Values() {
 		if l.Len() > 0 {
 			l.Wake()
 		}
--- a/shard/map.go
+++ b/shard/map.go
@@ -105,6 +105,17 @@
 	}
 }
 
+// Values returns all values, in no order. What needs locks of its own may be
+// done with them, which [Map.Each] does not allow.
+func (m *Map[K, V]) Values() []V {
+	var all []V
+	m.Each(func(_ K, v V) bool {
+		all = append(all, v)
+		return true
+	})
+	return all
+}
+
 // Len returns the number of entries. With writers about it is a moment's
 // reading.
 func (m *Map[K, V]) Len() int {
--- a/shard/map_test.go
+++ b/shard/map_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"slices"
 	"sync"
 	"testing"
 
@@ -48,6 +49,20 @@
 	}
 }
 
+func TestValues(t *testing.T) {
+	is := is.New(t)
+	var m shard.Map[int, int]
+	is.Equal(len(m.Values()), 0)
+	want := make([]int, 100)
+	for i := range want {
+		want[i] = i
+		m.Ensure(i, func() int { return i })
+	}
+	got := m.Values()
+	slices.Sort(got)
+	is.Equal(got, want)
+}
+
 func BenchmarkUpdate(b *testing.B) {
 	var m shard.Map[int, int]
 	b.RunParallel(func(pb *testing.PB) {
