poison: one crash doesn't quarantine a request

Cause: Suspect.Quarantined compared each crash with itself, and a run that crashes in the millisecond of its send has SentAt == SeenAt. One crash then put a request in quarantine, also an innocent one on the same engine. Between two entries the stamps differ by up to 2 ms from rounding, so that a request sent again after a crash could pass as a concurrent copy. Change: different crashes only, with the rounding allowed for.

--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -119,6 +119,8 @@
 		{"sent again after the first", poison.Crash{Upstream: "d2", Boot: "1", SentAt: 200, SeenAt: 300}, true},
 		{"concurrent copies", poison.Crash{Upstream: "d2", Boot: "1", SentAt: 150, SeenAt: 250}, false},
 		{"the same crash seen twice", poison.Crash{Upstream: "d1", Boot: "1", SentAt: 120, SeenAt: 210}, false},
+		{"sent again, one millisecond early by rounding", poison.Crash{Upstream: "d2", Boot: "1", SentAt: 199, SeenAt: 300}, true},
+		{"concurrent, crashed in the millisecond of its send", poison.Crash{Upstream: "d2", Boot: "1", SentAt: 150, SeenAt: 150}, false},
 		{"the same upstream's next run", poison.Crash{Upstream: "d1", Boot: "2", SentAt: 220, SeenAt: 310}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/poison/quarantine.go
+++ b/poison/quarantine.go
@@ -60,9 +60,11 @@
 // several upstreams at the same time, as those of a popular prompt do, count as
 // one crash: at most one of them ran isolated from other suspects.
 func (s Suspect) Quarantined() bool {
-	for _, first := range s.Crashes {
-		for _, second := range s.Crashes {
-			if second.SentAt >= first.SeenAt {
+	for i, first := range s.Crashes {
+		for j, second := range s.Crashes {
+			// A run that crashes in the millisecond of its send has SentAt ==
+			// SeenAt, and must not count as a second crash.
+			if i != j && second.SentAt+maxRounding >= first.SeenAt {
 				return true
 			}
 		}
@@ -70,6 +72,11 @@
 	return false
 }
 
+// maxRounding is the largest error between two stamps of different entries that
+// comes from rounding to milliseconds: each derives a stamp from two rounded
+// readings.
+const maxRounding clock.Millis = 2
+
 // suspectTTL is how long a digest stays a suspect after its last crash.
 const suspectTTL = 60 * clock.Minute
 
