route: the choice of a replica is a decision of its own

Change: route.LeastTime chooses among plain values; a replica without samples counts as fast as the measured ones, at most 60 ms.

--- a/pool/observations.go
+++ b/pool/observations.go
@@ -48,12 +48,13 @@
 	return m.Time / m.Amount, true
 }
 
-// Estimate returns the expected time per unit: the mean of the observations
-// at now and of one unit that takes the prior. Because the observations
-// decay, an upstream that was slow is tried again.
-func (m DecayingMean) Estimate(now clock.Millis, prior float64) float64 {
+// Recent returns the mean at now in milliseconds and the weight of its
+// observations. Because the observations decay, an upstream that was slow is tried
+// again. Both are zero if nothing was observed.
+func (m DecayingMean) Recent(now clock.Millis) (mean, weight float64) {
 	f := m.decayed(now)
-	return (f.Time + prior) / (f.Amount + 1)
+	mean, _ = f.Mean()
+	return mean, f.Amount
 }
 
 // slowdown returns the ratio of the observed time to the time at the
--- a/relay/call.go
+++ b/relay/call.go
@@ -11,6 +11,7 @@
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/pool"
+	"lacewinghook.example/lacewinghook/route"
 )
 
 // maxBufferedBytes is the largest answer that is read completely before the
@@ -84,8 +85,13 @@
 	if !x.repeatable() || x.possibleRuns >= x.opaque.Route.Profile.Retries {
 		return context.WithCancel(ctx)
 	}
-	s, _ := x.relay.Pool.Get(up.Name)
-	usual := clock.Millis(s.Observed.FirstToken.Estimate(x.relay.Clock.Now(), defaultCallMillis))
+	usual := clock.Millis(0)
+	_, replicas := x.replicas()
+	for i := range replicas {
+		if replicas[i].Name == up.Name {
+			usual = clock.Millis(replicas[i].Expected(route.PriorTime(replicas)))
+		}
+	}
 	limit := max(usual*sendTimeoutFactor, x.request.Profile.FirstToken*sendTimeoutTargets, minSendTimeout)
 	return context.WithTimeoutCause(ctx, limit.Duration(), errUpstreamIdle)
 }
@@ -123,40 +129,30 @@
 // upstream.
 const minFailureStatus = 500
 
-// selectReplica returns the replica with the lowest cost and that cost. The cost
-// is the in-flight work times the usual answer time; replicas in this data
-// centre are preferred unless another is clearly better.
-func (x *exchange) selectReplica() (best core.Upstream, lowest float64, found bool) {
-	for _, s := range x.relay.Pool.Replicas(x.opaque.Service) {
-		cost := x.callCost(&s)
-		if !found || cost < lowest {
-			best, lowest, found = s.Upstream, cost, true
-		}
+// selectReplica selects the replica for the next send. cost is its expected answer
+// time in milliseconds, and ok is false if the service has no replica.
+func (x *exchange) selectReplica() (up core.Upstream, cost float64, ok bool) {
+	states, replicas := x.replicas()
+	i, cost := route.LeastTime{Centre: x.relay.Centre}.Choose(replicas)
+	if i < 0 {
+		return core.Upstream{}, 0, false
 	}
-	return best, lowest, found
+	return states[i].Upstream, cost, true
 }
 
-// Constants of the replica cost, in milliseconds.
-const (
-	// defaultCallMillis is the assumed answer time of a replica with few
-	// measurements.
-	defaultCallMillis = 60.0
-	// remoteCentreMillis covers the round trip to another data centre and the cost
-	// of traffic between data centres.
-	remoteCentreMillis = 15.0
-	// excludedMillis ranks an excluded replica behind all others.
-	excludedMillis = 1e6
-)
-
-// callCost returns the cost of sending a call to the replica, in milliseconds.
-func (x *exchange) callCost(s *pool.UpstreamState) float64 {
-	mean := s.Observed.FirstToken.Estimate(x.relay.Clock.Now(), defaultCallMillis)
-	cost := mean * float64(1+s.Own.Requests+s.Others.Requests)
-	if s.Upstream.Centre != x.relay.Centre {
-		cost += remoteCentreMillis
-	}
-	if x.excluded(s.Upstream.Name) {
-		cost += excludedMillis
+// replicas returns the replicas of the request's service, as the pool has them and
+// as the inputs of the choice.
+func (x *exchange) replicas() ([]pool.UpstreamState, []route.Replica) {
+	now := x.relay.Clock.Now()
+	states := x.relay.Pool.Replicas(x.opaque.Service)
+	replicas := make([]route.Replica, len(states))
+	for i := range states {
+		s := &states[i]
+		mean, weight := s.Observed.FirstToken.Recent(now)
+		replicas[i] = route.Replica{
+			Name: s.Upstream.Name, Centre: s.Upstream.Centre, MeanTime: mean, Samples: weight,
+			InFlight: s.Own.Requests + s.Others.Requests, Excluded: x.excluded(s.Upstream.Name),
+		}
 	}
-	return cost
+	return states, replicas
 }
