alloc: owners of engine groups place completions for all entries

Cause: each entry placed its own requests by what the others had told it. Telling all sooner costs messages in proportion to the entries. Change: engines are divided into groups of about 12. The owner of a group, an entry by rendezvous hashing, queues and places the requests of all entries and counts their work, which each reports to it; two groups are asked for each request. All state is soft: reports replace each other and expire, so that a new owner knows the work in flight within a second. Weighed: cells of entries with engines of their own (messages to each peer of the cell on each change, some 68 for a request, against 7 here), and holds at the engines alone (no one knows who is next when memory is short).

--- /dev/null
+++ b/alloc/client.go
@@ -0,0 +1,287 @@
+package alloc
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/assign"
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/notify"
+	"lacewinghook.example/lacewinghook/pool"
+	"lacewinghook.example/lacewinghook/shard"
+)
+
+// Peers calls other entries.
+type Peers interface {
+	// Place asks the owner at addr to place a request.
+	Place(ctx context.Context, addr string, c Call) (Result, error)
+	// Report sends a report to the owner at addr.
+	Report(ctx context.Context, addr string, r Report) error
+}
+
+// Client places requests through the owners of the groups, and reports this entry's
+// work to them. All fields but Log are required.
+type Client struct {
+	// Desk places requests for the groups that this entry owns, and for all while
+	// the entries are few.
+	Desk  *Desk
+	Peers Peers
+	// Ledger receives the work of other entries at this entry's groups.
+	Ledger *Ledger
+	// Self is this entry, and Boot its run.
+	Self core.Instance
+	Boot uint64
+	// Entries returns the entries that may be owners, this one included. It returns
+	// none while the entries are few enough to tell each other their work.
+	Entries func() []core.Instance
+	// Groups returns the groups of a service's engines, and GroupOf the service and
+	// the group of an engine.
+	Groups  func(service string) Groups
+	GroupOf func(engine string) (service string, group int, ok bool)
+	// Loads returns this entry's work.
+	Loads func() []pool.Load
+	// Observed receives the measurements of other entries. OnWork is called after
+	// the ledger has changed. Neither may block.
+	Observed func(Observation)
+	OnWork   func()
+	Clock    clock.Clock
+	Log      *zap.Logger
+
+	// silent holds, by name, until when an entry that didn't answer is passed over.
+	silent shard.Map[string, clock.Millis]
+	// changed wakes Run.
+	changed notify.Signal
+
+	// mu guards the fields below. grants lists, by owner, the placements to
+	// acknowledge in the next report.
+	mu     sync.Mutex
+	grants map[string][]uint64
+	seen   []Observation
+}
+
+// Timing of the calls to owners.
+const (
+	// maxWait is how long an owner keeps a call. The request is then asked for again,
+	// so that an owner that has died is noticed.
+	maxWait clock.Millis = 400
+	// answerTimeout bounds the answer beyond the wait, and silentFor is how long an
+	// owner that failed to answer is passed over.
+	answerTimeout clock.Millis = 150
+	silentFor                  = 2 * clock.Second
+	// maxOwners is the number of owners asked for one group.
+	maxOwners = 3
+	// reportInterval is the interval of reports while nothing changes, and
+	// minReportGap the least pause between two.
+	reportInterval              = 1 * clock.Second
+	minReportGap   clock.Millis = 10
+	// reportTimeout bounds the sending of one report.
+	reportTimeout clock.Millis = 300
+	// maxSeen bounds the measurements between two reports.
+	maxSeen = 64
+)
+
+// Place is [Desk.Place] at the owners: it asks those of two groups for engines that
+// are free now, and then waits at the one with fewer waiting requests for each
+// engine.
+func (c *Client) Place(ctx context.Context, r Request, commit func(Choice)) error {
+	groups := c.Groups(r.Service)
+	entries := c.Entries()
+	first, second, ok := groups.Pick(rand.Float64(), rand.Float64())
+	if len(entries) == 0 || !ok {
+		return c.Desk.Place(ctx, r, commit)
+	}
+	best, fewest := first, -1.0
+	for _, g := range []int{first, second} {
+		res, err := c.ask(ctx, entries, g, r, 0, commit)
+		if err == nil && res.Choice != nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return codes.From(ctx.Err()).WithRun(codes.NotRun)
+		}
+		if waiting := float64(res.Waiting) / float64(max(1, groups.Decodes[g])); err == nil && (fewest < 0 || waiting < fewest) {
+			best, fewest = g, waiting
+		}
+		// The engine that was full belongs to one group.
+		r.Full = ""
+		if first == second {
+			break
+		}
+	}
+	for {
+		res, err := c.ask(ctx, entries, best, r, maxWait, commit)
+		switch {
+		case ctx.Err() != nil && (err != nil || res.Choice == nil):
+			return codes.From(ctx.Err()).WithRun(codes.NotRun)
+		case err != nil:
+			return err
+		case res.Choice != nil:
+			return nil
+		}
+	}
+}
+
+// ask asks the owner of a group to place a request, and passes over owners that
+// don't answer. The error is one with which the owner rejected the request.
+func (c *Client) ask(ctx context.Context, entries []core.Instance, group int, r Request, wait clock.Millis, commit func(Choice)) (Result, error) {
+	r.Group = group + 1
+	for range maxOwners {
+		owner := c.owner(entries, r.Service, group)
+		if owner.Name == c.Self.Name {
+			break
+		}
+		call, cancel := context.WithTimeout(ctx, (wait + answerTimeout).Duration())
+		res, err := c.Peers.Place(call, owner.Peer, c.call(r, wait))
+		cancel()
+		switch {
+		case err != nil && ctx.Err() != nil:
+			return Result{}, err
+		case err != nil:
+			c.passOver(owner, err)
+			continue
+		case res.Choice != nil:
+			commit(*res.Choice)
+			c.acknowledge(owner.Name, res.Grant)
+		}
+		return res, res.err()
+	}
+	return c.place(ctx, r, wait, func(ch Choice) uint64 { commit(ch); return 0 })
+}
+
+// err returns the error of a rejected request, or nil.
+func (r Result) err() error {
+	if r.Code == 0 {
+		return nil
+	}
+	return codes.New(r.Code, "%s", r.Message).WithRun(codes.NotRun).WithRetryAfter(r.Retry)
+}
+
+// place places a request of a group that this entry owns. grant returns the ID of
+// the placement.
+func (c *Client) place(ctx context.Context, r Request, wait clock.Millis, grant func(Choice) uint64) (Result, error) {
+	var res Result
+	commit := func(ch Choice) { res.Choice, res.Grant = &ch, grant(ch) }
+	if wait == 0 {
+		ok, err := c.Desk.TryPlace(r, commit)
+		if err == nil && !ok {
+			res.Busy, res.Waiting = true, c.Desk.Waiting(r)
+		}
+		return res, err
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, wait.Duration())
+	defer cancel()
+	err := c.Desk.Place(waitCtx, r, commit)
+	if err != nil && waitCtx.Err() != nil && ctx.Err() == nil {
+		return Result{Busy: true}, nil
+	}
+	return res, err
+}
+
+// Serve answers another entry's [Call].
+func (c *Client) Serve(ctx context.Context, call Call) Result {
+	res, err := c.place(ctx, call.request(c.Clock.Now()), min(call.Wait, maxWait), func(ch Choice) uint64 {
+		defer c.OnWork()
+		return c.Ledger.Grant(call.Entry, call.Boot, ch, call.Pieces)
+	})
+	if err != nil {
+		e := codes.From(err)
+		return Result{Code: e.Code, Message: e.Message, Retry: e.RetryAfter}
+	}
+	return res
+}
+
+// HandleReport processes another entry's report.
+func (c *Client) HandleReport(r Report) {
+	c.Ledger.Report(r)
+	for _, o := range r.Seen[:min(len(r.Seen), maxSeen)] {
+		c.Observed(o)
+	}
+	c.OnWork()
+}
+
+// call returns the request as a call.
+func (c *Client) call(r Request, wait clock.Millis) Call {
+	now := c.Clock.Now()
+	return Call{
+		Entry: c.Self.Name, Boot: c.Boot, ID: r.ID, Service: r.Service, Group: r.Group - 1, Centre: r.Centre,
+		Tokens: r.Tokens, Output: r.Output, Pieces: r.Pieces, Bytes: r.Bytes, Urgent: r.Urgent, Exported: r.Exported,
+		Exclude: r.Exclude, Full: r.Full, Target: r.Target - now, Latest: r.Latest - now, First: r.TimeToFirstToken, Wait: wait,
+	}
+}
+
+// request returns the call as a request that was received now.
+func (c Call) request(now clock.Millis) Request {
+	return Request{
+		ID: c.ID, Service: c.Service, Centre: c.Centre, Tokens: c.Tokens, Output: c.Output, Pieces: c.Pieces, Bytes: c.Bytes,
+		Target: now + c.Target, Latest: now + c.Latest, TimeToFirstToken: c.First, Urgent: c.Urgent, Exported: c.Exported,
+		Exclude: c.Exclude, Full: c.Full, Group: c.Group + 1,
+	}
+}
+
+// owner returns the owner of a group: the entry with the highest rendezvous hash of
+// those not passed over, or this entry if there is none.
+func (c *Client) owner(entries []core.Instance, service string, group int) core.Instance {
+	now := c.Clock.Now()
+	usable := entries
+	if c.silent.Len() > 0 {
+		usable = slices.DeleteFunc(slices.Clone(entries), func(in core.Instance) bool {
+			until, ok := c.silent.Get(in.Name)
+			return ok && now < until
+		})
+	}
+	name := assign.Owner(ownerKey(service, group), usable)
+	for _, in := range usable {
+		if in.Name == name {
+			return in
+		}
+	}
+	return c.Self
+}
+
+// passOver passes over an entry that failed to answer for silentFor.
+func (c *Client) passOver(owner core.Instance, err error) {
+	c.silent.Set(owner.Name, c.Clock.Now()+silentFor)
+	c.log().Warn("alloc: an owner did not answer", zap.String("entry", owner.Name), zap.Int64("for", int64(silentFor)), zap.Error(err))
+}
+
+// acknowledge adds a placement to the next report to its owner.
+func (c *Client) acknowledge(owner string, grant uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.grants == nil {
+		c.grants = make(map[string][]uint64)
+	}
+	c.grants[owner] = append(c.grants[owner], grant)
+}
+
+// Observe adds a measurement to the next report.
+func (c *Client) Observe(o Observation) {
+	if len(c.Entries()) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.seen) < maxSeen {
+		c.seen = append(c.seen, o)
+	}
+}
+
+// Trigger reports this entry's work without waiting for the interval.
+func (c *Client) Trigger() { c.changed.Send() }
+
+// Wake places the requests that wait at this entry.
+func (c *Client) Wake() { c.Desk.Wake() }
+
+// log returns Log, or a logger that discards everything.
+func (c *Client) log() *zap.Logger {
+	if c.Log == nil {
+		return zap.NewNop()
+	}
+	return c.Log
+}
--- /dev/null
+++ b/alloc/desk.go
@@ -0,0 +1,163 @@
+package alloc
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/limit"
+	"lacewinghook.example/lacewinghook/route"
+	"lacewinghook.example/lacewinghook/shard"
+)
+
+// Candidates returns the engines of a role that serve a service and aren't draining,
+// with their work. [pool.Table] documents it.
+type Candidates interface {
+	Candidates(role core.Role, service string, blocks []uint64, buf []route.Candidate) []route.Candidate
+}
+
+// Desk places requests on engines, and holds those that wait for them. Pool is
+// required.
+type Desk struct {
+	Pool  Candidates
+	Clock clock.Clock
+	// GroupOf returns the group of an engine. If nil, requests are not limited to a
+	// group.
+	GroupOf func(service, engine string) (group int, ok bool)
+
+	// queues holds one wait queue per service and group.
+	queues shard.Map[string, *limit.Queue]
+	// fullUntil holds, per decode engine, until when its memory counts as full after
+	// it refused a request.
+	fullUntil shard.Map[string, clock.Millis]
+}
+
+// noMemoryBackoff is how long an engine that refused a request for lack of memory
+// counts as full: about the time between the ends of two of its streams.
+const noMemoryBackoff clock.Millis = 80
+
+// Place waits until engines have capacity for the request. It calls commit with the
+// choice before any other choice is made, so that commit can count the work. commit
+// must not block. After an error nothing is placed.
+func (d *Desk) Place(ctx context.Context, r Request, commit func(Choice)) error {
+	d.markFull(r.Full)
+	return d.queue(r).Wait(ctx, d.ticket(r, commit))
+}
+
+// TryPlace is [Desk.Place] without waiting. It reports whether the request was
+// placed, which it isn't if others wait.
+func (d *Desk) TryPlace(r Request, commit func(Choice)) (bool, error) {
+	d.markFull(r.Full)
+	return d.queue(r).TryNow(d.ticket(r, commit))
+}
+
+// ticket returns the request's ticket in the wait queue.
+func (d *Desk) ticket(r Request, commit func(Choice)) limit.Ticket {
+	return limit.Ticket{
+		Cost: r.Tokens, Target: r.Target, Latest: r.Latest, TimeToFirstToken: r.TimeToFirstToken, Urgent: r.Urgent,
+		Try: func() (bool, error) {
+			c, ok, err := d.choose(r)
+			if ok {
+				commit(c)
+			}
+			return ok, err
+		},
+	}
+}
+
+// queue returns the wait queue for the engines that the request may use.
+func (d *Desk) queue(r Request) *limit.Queue {
+	return d.queues.Ensure(r.Service+"/"+strconv.Itoa(r.Group), func() *limit.Queue {
+		return &limit.Queue{Clock: d.Clock, TardyLast: true}
+	})
+}
+
+// Waiting returns the number of requests that wait for the same engines as r.
+func (d *Desk) Waiting(r Request) int { return d.queue(r).Len() }
+
+// Wake places the waiting requests for which capacity has become available. It is
+// called when work has ended.
+func (d *Desk) Wake() {
+	// Wake takes the queue's lock, which must not be acquired while a shard's
+	// lock is held. Values returns a copy.
+	for _, q := range d.queues.Values() {
+		if q.Len() > 0 {
+			q.Wake()
+		}
+	}
+}
+
+// Observe ignores a measurement, since the pool already has those of this entry.
+func (d *Desk) Observe(Observation) {}
+
+// markFull counts an engine as full for noMemoryBackoff.
+func (d *Desk) markFull(engine string) {
+	if engine != "" {
+		d.fullUntil.Set(engine, d.Clock.Now()+noMemoryBackoff)
+		d.Clock.AfterFunc(noMemoryBackoff+1, d.Wake)
+	}
+}
+
+// choose selects the engines for a request. ok is false if it must wait, since no
+// decode engine has enough free memory.
+func (d *Desk) choose(r Request) (c Choice, ok bool, err error) {
+	prefills := d.usable(core.Prefill, r)
+	decodes := d.usable(core.Decode, r)
+	if len(decodes) == 0 {
+		return Choice{}, false, codes.New(codes.NoUpstream, "service %q: %d prefill and no decode upstreams", r.Service, len(prefills))
+	}
+	now := d.Clock.Now()
+	for i := range decodes {
+		if until, marked := d.fullUntil.Get(decodes[i].Name); marked && now < until {
+			decodes[i].Free = 0
+		}
+	}
+	q := route.Query{
+		Tokens: r.Tokens, Output: r.Output, Pieces: r.Pieces, Bytes: r.Bytes, Centre: r.Centre,
+		Seed: rand.Uint64(), Exported: r.Exported,
+	}
+	best, ok := route.Direct{}.Choose(q, prefills, decodes)
+	if !ok {
+		return Choice{}, false, nil
+	}
+	c = Choice{
+		Decode: decodes[best.Decode].Name, Direct: best.Direct, FirstToken: best.FirstToken, Tokens: best.Tokens, Fill: best.Fill,
+	}
+	switch {
+	case best.Direct:
+		c.Ahead = decodes[best.Decode].QueuedTokens
+	case !r.Exported:
+		c.Prefill = prefills[best.Prefill].Name
+		c.Ahead = prefills[best.Prefill].QueuedTokens
+	}
+	return c, true, nil
+}
+
+// usable returns the engines of a role in the request's group without the excluded
+// ones, or with them if none would remain.
+func (d *Desk) usable(role core.Role, r Request) []route.Candidate {
+	all := d.Pool.Candidates(role, r.Service, nil, nil)
+	if r.Group > 0 && d.GroupOf != nil {
+		all = slices.DeleteFunc(all, func(c route.Candidate) bool {
+			g, ok := d.GroupOf(r.Service, c.Name)
+			return !ok || g != r.Group-1
+		})
+	}
+	if len(r.Exclude) == 0 {
+		return all
+	}
+	var rest []route.Candidate
+	for _, c := range all {
+		if !slices.Contains(r.Exclude, c.Name) {
+			rest = append(rest, c)
+		}
+	}
+	if len(rest) == 0 {
+		return all
+	}
+	return rest
+}
--- a/limit/waitqueue.go
+++ b/limit/waitqueue.go
@@ -97,6 +97,17 @@
 	return <-w.result
 }
 
+// TryNow serves the request if its Try succeeds now and no other request waits, or
+// if it is urgent. It reports whether the request was served.
+func (q *Queue) TryNow(t Ticket) (bool, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.waiting > 0 && !t.Urgent {
+		return false, nil
+	}
+	return t.Try()
+}
+
 // Wake serves the waiting requests for which capacity has become free. It doesn't
 // block.
 func (q *Queue) Wake() {
--- a/pool/table.go
+++ b/pool/table.go
@@ -246,6 +246,13 @@
 	}
 }
 
+// ObservePrefill records how long another entry's prefill call took. tokens counts
+// those of the prompt and of the prompts queued ahead.
+func (t *Table) ObservePrefill(name string, took clock.Millis, tokens int) {
+	now := t.Clock.Now()
+	t.update(name, func(s *slot) { s.observePrefill(now, took, float64(tokens+callOverheadTokens)) })
+}
+
 // ObserveFirstToken records how long a decode upstream took to its first
 // token.
 func (t *Table) ObserveFirstToken(name string, took clock.Millis) {
--- a/wire/client.go
+++ b/wire/client.go
@@ -121,7 +121,8 @@
 }
 
 // withConn calls f with the connection to the peer at addr. It closes the
-// connection if f fails, unless the error is the peer's response.
+// connection if f fails, unless the error is the peer's response or ctx was
+// cancelled.
 func (c *Client) withConn(ctx context.Context, addr string, f func(*jsonrpc2.Conn) error) error {
 	l := c.link(addr)
 	conn, err := c.open(ctx, l, addr)
@@ -135,6 +136,9 @@
 		return nil
 	case errors.As(err, &rpcErr):
 		return fromRPC(rpcErr)
+	case errors.Is(err, context.Canceled):
+		// The caller has given up, which says nothing about the connection.
+		return codes.Wrap(codes.CutOff, err, "peer %s", addr)
 	}
 	l.drop(conn)
 	return codes.Wrap(codes.CutOff, err, "peer %s", addr)
--- a/wire/server.go
+++ b/wire/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -52,6 +53,9 @@
 	Handler Handler
 	// Methods adds methods, and overrides those of Handler.
 	Methods map[Method]MethodHandler
+	// Blocking lists the methods whose calls may wait. They are handled beside the
+	// other calls on their connection, which are handled in order.
+	Blocking []Method
 	// Certs, if not nil, enables TLS and requires a certificate of every peer.
 	Certs *cert.Source
 	// Log may be nil.
@@ -101,10 +105,26 @@
 	h := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		return dispatch(ctx, methods, r)
 	}).SuppressErrClosed()
-	rpc := jsonrpc2.NewConn(ctx, newStream(conn, maxRequestBytes), h, jsonrpc2.SetLogger(logger{s.Log}))
+	rpc := jsonrpc2.NewConn(ctx, newStream(conn, maxRequestBytes), orderedHandler{h, s.Blocking}, jsonrpc2.SetLogger(logger{s.Log}))
 	<-rpc.DisconnectNotify()
 }
 
+// orderedHandler handles the calls of a connection in order, but for those of the
+// blocking methods, which get a goroutine each.
+type orderedHandler struct {
+	jsonrpc2.Handler
+	blocking []Method
+}
+
+// Handle implements [jsonrpc2.Handler].
+func (h orderedHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if slices.Contains(h.blocking, Method(r.Method)) {
+		go h.Handler.Handle(ctx, conn, r)
+		return
+	}
+	h.Handler.Handle(ctx, conn, r)
+}
+
 // handshake performs the TLS handshake, if TLS is enabled, and returns the
 // identity of the caller and the connection to use.
 func (s *Server) handshake(ctx context.Context, raw net.Conn) (Caller, net.Conn, error) {
