relay: engines are chosen through an interface

Cause: the wait queue and the choice of engines were part of the relay, which does the calls. Change: both moved to alloc.Desk; relay declares Placer and counts the work of what was chosen.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -3,16 +3,15 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
+	"slices"
 
 	"go.uber.org/zap"
 
+	"lacewinghook.example/lacewinghook/alloc"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
-	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/pool"
-	"lacewinghook.example/lacewinghook/route"
 )
 
 // Parameters of the estimate of a completion's memory.
@@ -44,52 +43,96 @@
 	return max(1, (tokens+core.PieceTokens/2)/core.PieceTokens)
 }
 
-// admit waits in the service's queue until engines are available and reserves
-// capacity there. prior, if not nil, is a failed attempt whose prefill result the
-// new attempt reuses.
+// admit waits until engines are available and reserves capacity there. prior, if not
+// nil, is a failed attempt whose prefill result the new attempt reuses.
 func (x *exchange) admit(ctx context.Context, prior *attempt) (*attempt, error) {
-	var a *attempt
-	tryChoose := func() (bool, error) {
-		var err error
-		a, err = x.chooseEngines(prior)
-		return a != nil, err
-	}
-	target := x.request.Arrived + x.request.Profile.FirstToken
-	// A request that will miss its target by more than Patience is rejected: it
-	// would take memory from one that can still meet its target.
-	latest := target + x.request.Profile.Patience
-	if x.headSent || x.request.Profile.FirstToken == 0 {
-		latest = x.request.Deadline
-	}
-	if prior != nil {
-		latest = prior.export.Expires
-	}
-	ticket := limit.Ticket{
-		Cost: x.opaque.PromptTokens, Target: target, Latest: min(latest, x.request.Deadline),
-		TimeToFirstToken: x.timeToFirstEvent(), Urgent: prior != nil || x.headSent, Try: tryChoose,
-	}
 	start := x.relay.Clock.Now()
+	r := x.placement(prior)
 	for {
-		if late := x.relay.Clock.Now() + ticket.TimeToFirstToken - ticket.Latest; late > 0 && !ticket.Urgent {
+		if late := x.relay.Clock.Now() + r.TimeToFirstToken - r.Latest; late > 0 && !r.Urgent {
 			err := codes.New(codes.DeadlineUnmet, "predicted first event %d ms too late", late)
 			x.logNotAdmitted(x.relay.Clock.Now()-start, err)
 			return nil, err
 		}
-		if err := x.relay.waitQueue(x.opaque.Service).Wait(ctx, ticket); err != nil {
+		r.Exclude = x.excludedEngines()
+		var a *attempt
+		if err := x.relay.placer().Place(ctx, r, func(c alloc.Choice) { a = x.beginAttempt(prior, r, c) }); err != nil {
 			x.logNotAdmitted(x.relay.Clock.Now()-start, err)
 			return nil, codes.From(err)
 		}
-		if a.acquireHold(ctx) {
+		held, full := a.acquireHold(ctx)
+		if held {
 			a.logChoice(x.relay.Clock.Now() - start)
 			return a, nil
 		}
 		a.release()
+		r.Full = ""
+		if full {
+			r.Full = a.decode.Name
+		}
 		if err := x.relay.Clock.Sleep(ctx, noMemoryPause); err != nil {
 			return nil, codes.From(err)
 		}
 	}
 }
 
+// placement returns the request for engines of the next attempt.
+func (x *exchange) placement(prior *attempt) alloc.Request {
+	target := x.request.Arrived + x.request.Profile.FirstToken
+	// A request that will miss its target by more than Patience is rejected: it
+	// would take memory from one that can still meet its target.
+	latest := target + x.request.Profile.Patience
+	if x.headSent || x.request.Profile.FirstToken == 0 {
+		latest = x.request.Deadline
+	}
+	centre := x.relay.Centre
+	if prior != nil {
+		latest, centre = prior.export.Expires, prior.prefill.Centre
+	}
+	tokens := x.opaque.PromptTokens
+	return alloc.Request{
+		ID: x.opaque.ID, Service: x.opaque.Service, Centre: centre,
+		Tokens: tokens, Output: x.request.MaxTokens, Pieces: roundToPieces(tokens + x.reservedOutput()),
+		Bytes: int64(tokens) * x.engineSpec().TokenBytes, Exported: prior != nil,
+		Target: target, Latest: min(latest, x.request.Deadline), TimeToFirstToken: x.timeToFirstEvent(),
+		Urgent: prior != nil || x.headSent,
+	}
+}
+
+// beginAttempt counts the work of an attempt at the chosen engines.
+func (x *exchange) beginAttempt(prior *attempt, r alloc.Request, c alloc.Choice) *attempt {
+	p := x.relay.Pool
+	a := &attempt{exchange: x, choice: c, decodeWork: pool.Work{Requests: 1, Pieces: r.Pieces}, reservedTokens: x.reservedOutput()}
+	a.decode = x.upstream(c.Decode)
+	p.Begin(c.Decode, a.decodeWork)
+	if prior != nil {
+		a.prefill, a.export, a.promptWork, a.promptFinished = prior.prefill, prior.export, prior.promptWork, true
+		return a
+	}
+	a.promptWork = pool.Work{Tokens: c.Tokens, Prompt: r.Tokens}
+	a.promptEngine = c.Decode
+	if !c.Direct {
+		a.prefill = x.upstream(c.Prefill)
+		a.promptEngine = c.Prefill
+	}
+	a.prefillID = p.StartPrefill(a.promptEngine, a.promptWork)
+	return a
+}
+
+// excludedEngines returns the engines that have failed this request or are
+// unreachable.
+func (x *exchange) excludedEngines() []string {
+	names := slices.Clone(x.failed)
+	now := x.relay.Clock.Now()
+	x.relay.unreachable.Each(func(name string, e exclusion) bool {
+		if now < e.until && !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+		return true
+	})
+	return names
+}
+
 // Parameters of timeToFirstEvent.
 const (
 	// defaultPrefillSpeed is in tokens per millisecond.
@@ -107,61 +150,18 @@
 	return clock.Millis(promptsAhead*x.opaque.PromptTokens/defaultPrefillSpeed) + callOverhead
 }
 
-// waitQueue returns the queue of requests that wait for engines of a service.
-func (r *Relay) waitQueue(service string) *limit.Queue {
-	return r.waitQueues.Ensure(service, func() *limit.Queue { return &limit.Queue{Clock: r.Clock, TardyLast: true} })
+// placer returns Placer, or a desk of this relay's own.
+func (r *Relay) placer() Placer {
+	if r.Placer != nil {
+		return r.Placer
+	}
+	r.setUp.Do(func() { r.desk = alloc.Desk{Pool: r.Pool, Clock: r.Clock} })
+	return &r.desk
 }
 
 // Wake admits the waiting requests for which capacity has become available. It is
 // called when another entry has reported its work.
-func (r *Relay) Wake() {
-	// Wake takes the queue's lock, which must not be acquired while a shard's
-	// lock is held. Values returns a copy.
-	for _, q := range r.waitQueues.Values() {
-		if q.Len() > 0 {
-			q.Wake()
-		}
-	}
-}
-
-// chooseEngines selects the engines of the next attempt and counts its work there.
-// It returns nil, nil if the request must wait, since no decode engine has enough
-// free memory.
-func (x *exchange) chooseEngines(prior *attempt) (*attempt, error) {
-	r, service := x.relay, x.opaque.Service
-	tokens := x.opaque.PromptTokens
-	q := route.Query{
-		Tokens: tokens, Output: x.request.MaxTokens, Pieces: roundToPieces(tokens + x.reservedOutput()),
-		Bytes: int64(tokens) * x.engineSpec().TokenBytes, Centre: r.Centre, Seed: rand.Uint64(), Exported: prior != nil,
-	}
-	prefills := x.excludeFailed(r.Pool.Candidates(core.Prefill, service, nil, nil))
-	decodes := r.clearFullEngines(x.excludeFailed(r.Pool.Candidates(core.Decode, service, nil, nil)))
-	if len(decodes) == 0 {
-		return nil, codes.New(codes.NoUpstream, "service %q: %d prefill and no decode upstreams", service, len(prefills))
-	}
-	if prior != nil {
-		q.Centre = prior.prefill.Centre
-	}
-	c, ok := route.Direct{}.Choose(q, prefills, decodes)
-	if !ok {
-		return nil, nil
-	}
-	a := &attempt{exchange: x, choice: c, decodeWork: pool.Work{Requests: 1, Pieces: q.Pieces}, reservedTokens: x.reservedOutput()}
-	a.decode = x.upstream(decodes[c.Decode].Name)
-	r.Pool.Begin(a.decode.Name, a.decodeWork)
-	if prior != nil {
-		a.prefill, a.export, a.promptWork, a.promptFinished = prior.prefill, prior.export, prior.promptWork, true
-		return a, nil
-	}
-	a.promptWork = pool.Work{Tokens: c.Tokens, Prompt: tokens}
-	a.promptEngine = a.decode.Name
-	if !c.Direct {
-		a.prefill = x.upstream(prefills[c.Prefill].Name)
-		a.promptEngine = a.prefill.Name
-	}
-	a.prefillID = r.Pool.StartPrefill(a.promptEngine, a.promptWork)
-	return a, nil
-}
+func (r *Relay) Wake() { r.placer().Wake() }
 
 // Parameters of holds, the memory reserved at a decode engine before the prompt
 // is computed.
@@ -176,38 +176,34 @@
 	// noMemoryPause is the delay before another selection after an engine refused
 	// a hold that the entries' counts had allowed.
 	noMemoryPause clock.Millis = 15
-	// noMemoryBackoff is how long such an engine counts as full: about the time
-	// between the ends of two of its streams.
-	noMemoryBackoff clock.Millis = 80
 )
 
 // acquireHold reserves memory at a decode engine that is at least minHoldFill full,
-// so that no prompt is computed for an engine that can't store its cache. It
-// returns false if other engines must be selected.
-func (a *attempt) acquireHold(ctx context.Context) bool {
+// so that no prompt is computed for an engine that can't store its cache. If it
+// returns false, other engines must be selected; full reports whether this one has
+// no memory.
+func (a *attempt) acquireHold(ctx context.Context) (held, full bool) {
 	x := a.exchange
 	maxHold := x.engineSpec().MaxHold
 	if maxHold == 0 || a.choice.Direct || a.choice.Fill < minHoldFill {
-		return true
+		return true, false
 	}
 	call, cancel := context.WithTimeout(ctx, holdTimeout.Duration())
 	defer cancel()
 	hold, err := x.relay.Upstreams.Hold(call, a.decode, x.opaque.PromptTokens+x.reservedOutput(), min(maxHold, 2*a.choice.FirstToken+holdMargin))
 	if err == nil {
 		a.hold = hold
-		return true
+		return true, false
 	}
 	x.relay.Meter.Add("holds_refused_total", 1)
 	x.log.Info("relay: engine refused a hold", zap.String("request", x.opaque.ID), zap.String("upstream", a.decode.Name),
 		zap.Float64("fill", a.choice.Fill), zap.Error(err))
 	if codes.Has(err, codes.NoMemory) {
-		x.relay.fullUntil.Set(a.decode.Name, x.relay.Clock.Now()+noMemoryBackoff)
-		x.relay.Clock.AfterFunc(noMemoryBackoff+1, x.relay.Wake)
-		return false
+		return false, true
 	}
 	x.failed = append(x.failed, a.decode.Name)
 	x.relay.markUnreachable(a.decode, err)
-	return false
+	return false, false
 }
 
 // dropHold releases an unused hold.
@@ -222,20 +218,8 @@
 	})
 }
 
-// clearFullEngines sets the free memory to zero for engines that recently refused a
-// hold for lack of memory.
-func (r *Relay) clearFullEngines(decodes []route.Candidate) []route.Candidate {
-	now := r.Clock.Now()
-	for i := range decodes {
-		if until, ok := r.fullUntil.Get(decodes[i].Name); ok && now < until {
-			decodes[i].Free = 0
-		}
-	}
-	return decodes
-}
-
-// logNotAdmitted logs that the request was rejected, and the free memory and the
-// queue length at that time.
+// logNotAdmitted logs that the request was rejected, and the free memory that
+// this entry knew of.
 func (x *exchange) logNotAdmitted(waited clock.Millis, err error) {
 	maxFree := 0
 	decodes := x.relay.Pool.Candidates(core.Decode, x.opaque.Service, nil, nil)
@@ -244,7 +228,7 @@
 	}
 	x.log.Info("relay: request not admitted", append(x.relay.replicaListFields(), zap.String("request", x.opaque.ID),
 		zap.Int("pieces", roundToPieces(x.opaque.PromptTokens+x.reservedOutput())), zap.Int("free", maxFree),
-		zap.Int("engines", len(decodes)), zap.Int("waiting", x.relay.waitQueue(x.opaque.Service).Len()),
+		zap.Int("engines", len(decodes)),
 		zap.Int64("waited", int64(waited)), zap.Error(err))...)
 }
 
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -7,19 +7,19 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"lacewinghook.example/lacewinghook/alloc"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/pool"
-	"lacewinghook.example/lacewinghook/route"
 )
 
 // attempt is one try of a completion at a prefill and a decode engine, or at a
 // decode engine alone.
 type attempt struct {
 	exchange *exchange
-	choice   route.Choice
+	choice   alloc.Choice
 	// prefill is empty where the decode engine computes the prompt itself.
 	prefill core.Upstream
 	decode  core.Upstream
@@ -93,21 +93,6 @@
 		a.exchange.canRetry(ctx, err)
 }
 
-// excludeFailed removes the excluded upstreams from the candidates. It returns all
-// of them if none would remain.
-func (x *exchange) excludeFailed(candidates []route.Candidate) []route.Candidate {
-	var usable []route.Candidate
-	for _, c := range candidates {
-		if !x.excluded(c.Name) {
-			usable = append(usable, c)
-		}
-	}
-	if len(usable) == 0 {
-		return candidates
-	}
-	return usable
-}
-
 // upstream returns the upstream with the given name.
 func (x *exchange) upstream(name string) core.Upstream {
 	s, _ := x.relay.Pool.Get(name)
@@ -202,6 +187,9 @@
 	if !a.promptFinished {
 		a.promptFinished = true
 		a.exchange.relay.Pool.FinishPrefill(a.promptEngine, a.prefillID, a.promptWork, took, nil)
+		if took > 0 {
+			a.exchange.relay.placer().Observe(alloc.Observation{Engine: a.promptEngine, Took: took, Tokens: a.choice.Tokens + a.choice.Ahead})
+		}
 	}
 }
 
@@ -211,7 +199,7 @@
 	a.dropHold()
 	a.finishPrompt(0)
 	a.exchange.relay.Pool.End(a.decode.Name, a.decodeWork)
-	a.exchange.relay.waitQueue(a.exchange.opaque.Service).Wake()
+	a.exchange.relay.placer().Wake()
 }
 
 // runDecode sends the request to the decode engine and forwards its answer. A failed
@@ -310,6 +298,7 @@
 			a.finishPrompt(took)
 		} else {
 			x.relay.Pool.ObserveFirstToken(a.decode.Name, took)
+			x.relay.placer().Observe(alloc.Observation{Engine: a.decode.Name, Took: took})
 		}
 	}
 	if x.opaque.Route.Resumable {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"io"
+	"sync"
 
 	"go.uber.org/zap"
 
+	"lacewinghook.example/lacewinghook/alloc"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
-	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/route"
@@ -69,6 +70,14 @@
 	Replicas(service string) []pool.UpstreamState
 }
 
+// Placer chooses the engines of completions. [alloc.Desk] and [alloc.Client] document
+// the methods.
+type Placer interface {
+	Place(ctx context.Context, r alloc.Request, commit func(alloc.Choice)) error
+	Observe(o alloc.Observation)
+	Wake()
+}
+
 // Budget limits the retries of all requests to a service.
 type Budget interface {
 	// CountFirst counts the first send of a request.
@@ -100,6 +109,8 @@
 	Upstreams Upstreams
 	Pool      Pool
 	Budget    Budget
+	// Placer, if nil, is a desk that places completions by the counts of Pool.
+	Placer Placer
 	// Quarantine, if nil, blocks no request.
 	Quarantine Quarantine
 	// Specs returns the published specification of a service. If nil, no service
@@ -114,13 +125,11 @@
 	// Centre is the data centre of this entry.
 	Centre string
 
-	// waitQueues holds one wait queue per service.
-	waitQueues shard.Map[string, *limit.Queue]
 	// unreachable holds the upstreams whose last connection attempts failed.
 	unreachable shard.Map[string, exclusion]
-	// fullUntil holds, per decode engine, until when its memory counts as full
-	// after it refused a hold.
-	fullUntil shard.Map[string, clock.Millis]
+	// desk places completions if Placer is nil; setUp initializes it.
+	setUp sync.Once
+	desk  alloc.Desk
 }
 
 // Run executes one request and passes its answer to sink.
