gossip: among more than 12 entries, heartbeats go to neighbours only

Cause: the messages of an entry grow with the number of entries, or become rare: at 295, one in 5.5 s to each peer, and 16 s until a dead one isn't offered. Change: each entry selects 4 in its data centre and 2 in others by rendezvous hashing; two are neighbours if either selects the other. Callers get the addresses of neighbours. Heartbeats are 1 s apart, and the pause after changes grows with each peer and not with each eighth.

--- a/gossip/table.go
+++ b/gossip/table.go
@@ -65,11 +65,8 @@
 // Intervals and timeouts of the heartbeats.
 const (
 	// heartbeatInterval is the interval between heartbeats to a peer while
-	// nothing changes, for up to fullRatePeers peers. With more peers, the
-	// interval and LiveTimeout grow in proportion to their number, so that the
-	// rate at which an entry sends and receives heartbeats stays constant.
+	// nothing changes.
 	heartbeatInterval clock.Millis = 600
-	fullRatePeers     int          = 32
 	// minSendGap is the minimum pause between two heartbeats to a peer, for up
 	// to minGapPeers peers. With more peers it grows with their number, so
 	// that the maximum rate at which an entry sends stays constant.
@@ -78,6 +75,8 @@
 	// LiveTimeout is how long a peer counts as live after a heartbeat: three
 	// missing heartbeats and the network delay.
 	LiveTimeout clock.Millis = 2100
+	// sparseFactor multiplies both between neighbours.
+	sparseFactor = 1.6
 	// staleTimeout is how long a peer is kept that is not listed and sends no
 	// heartbeats.
 	staleTimeout = 30 * clock.Second
@@ -106,6 +105,8 @@
 	// peerCount is the number of peers, kept here because each heartbeat reads
 	// it.
 	peerCount atomic.Int64
+	// roster holds the listed entries and this entry's neighbours.
+	roster atomic.Pointer[roster]
 	// seq is the sequence number of the last heartbeat sent, and ctx the context
 	// of Run.
 	seq atomic.Uint64
@@ -137,15 +138,20 @@
 	t.wg.Wait()
 }
 
-// Merge adds the entries listed in the platform's table. A peer that is no
-// longer listed is kept until its heartbeats stop.
+// Merge adds the entries listed in the platform's table, or the neighbours among
+// them. A peer that is no longer listed is kept until its heartbeats stop.
 func (t *Table) Merge(list []core.Instance) {
 	listed := make(map[string]bool, len(list))
+	r := newRoster(t.Self, list)
+	t.roster.Store(r)
 	for _, in := range list {
 		if in.Peer == t.Self || in.Peer == "" {
 			continue
 		}
 		listed[in.Peer] = true
+		if !r.neighbour(in.Peer) && !t.known(in.Peer) {
+			continue
+		}
 		p := t.peer(in.Peer)
 		p.mu.Lock()
 		p.Listed = true
@@ -227,10 +233,13 @@
 	return live
 }
 
-// scaled returns d, multiplied by size/fullRatePeers if the table has more than
-// fullRatePeers peers.
+// scaled returns d, or a multiple if this entry exchanges heartbeats only with its
+// neighbours.
 func (t *Table) scaled(d clock.Millis) clock.Millis {
-	return d * clock.Millis(max(fullRatePeers, t.size())) / clock.Millis(fullRatePeers)
+	if t.Sparse() {
+		return clock.Millis(float64(d) * sparseFactor)
+	}
+	return d
 }
 
 // size returns the number of peers.
@@ -249,10 +258,11 @@
 // and the peers that are listed or live.
 func (t *Table) MaxEntries() int {
 	since := t.liveCutoff()
-	n := 1
+	r := t.roster.Load()
+	n := 1 + r.others()
 	t.peers.Each(func(_ string, p *peer) bool {
 		p.mu.Lock()
-		if p.Listed || p.liveSince(since) {
+		if !p.Listed && p.liveSince(since) {
 			n++
 		}
 		p.mu.Unlock()
@@ -262,13 +272,14 @@
 }
 
 // WithoutHeartbeat returns the listed entries that have sent no heartbeat for
-// longer than d, sorted by name.
+// longer than d, sorted by name. Of many entries only neighbours are watched.
 func (t *Table) WithoutHeartbeat(d clock.Millis) []core.Instance {
 	now := t.Clock.Now()
+	r := t.roster.Load()
 	var missing []core.Instance
 	t.peers.Each(func(_ string, p *peer) bool {
 		p.mu.Lock()
-		if p.Listed && now-max(p.HeartbeatAt, p.addedAt) > d {
+		if p.Listed && r.neighbour(p.addr) && now-max(p.HeartbeatAt, p.addedAt) > d {
 			missing = append(missing, p.Instance)
 		}
 		p.mu.Unlock()
@@ -303,13 +314,27 @@
 	})
 }
 
-// startSender starts the peer's sender unless it runs or [Table.Run] hasn't
-// been called yet.
+// known reports whether there is a peer at that address.
+func (t *Table) known(addr string) bool {
+	_, ok := t.peers.Get(addr)
+	return ok
+}
+
+// wanted reports whether this entry sends heartbeats to the peer: to neighbours, to
+// entries that aren't listed yet, and to those that aren't ready, which need the
+// state of others. The caller holds p.mu.
+func (t *Table) wanted(p *peer) bool {
+	r := t.roster.Load()
+	return r.neighbour(p.addr) || !r.listed(p.addr) || p.Heartbeat.Seq > 0 && !p.Heartbeat.Ready
+}
+
+// startSender starts the peer's sender unless it runs, the peer gets no heartbeats or
+// [Table.Run] hasn't been called yet.
 func (t *Table) startSender(p *peer) {
 	ctx := t.ctx.Load()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if ctx == nil || p.sending {
+	if ctx == nil || p.sending || !t.wanted(p) {
 		return
 	}
 	p.sending = true
@@ -319,15 +344,18 @@
 }
 
 // sendLoop sends heartbeats to one peer, at each interval and after each
-// [Table.Trigger], until ctx ends.
+// [Table.Trigger], until ctx ends or the peer gets none any more.
 func (t *Table) sendLoop(ctx context.Context, p *peer) {
 	for ctx.Err() == nil {
+		if t.stopUnwanted(p) {
+			return
+		}
 		h := t.Heartbeat()
 		h.Seq = t.seq.Add(1)
 		call, cancel := context.WithTimeout(ctx, sendTimeout.Duration())
 		err := t.Sender.SendHeartbeat(call, p.addr, h)
 		cancel()
-		pause := t.scaled(minSendGap * clock.Millis(max(1, t.size()/minGapPeers)))
+		pause := t.scaled(minSendGap * clock.Millis(max(minGapPeers, t.size())) / clock.Millis(minGapPeers))
 		if err != nil {
 			pause = retryPause
 		}
@@ -339,6 +367,18 @@
 	}
 }
 
+// stopUnwanted marks the peer's sender as stopped if the peer gets no heartbeats, and
+// reports whether it did.
+func (t *Table) stopUnwanted(p *peer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t.wanted(p) {
+		return false
+	}
+	p.sending = false
+	return true
+}
+
 // checkLiveness marks a peer whose heartbeats have stopped as not live, and logs
 // it.
 func (t *Table) checkLiveness(p *peer) {
@@ -360,7 +400,7 @@
 	var removed []string
 	t.peers.Each(func(addr string, p *peer) bool {
 		p.mu.Lock()
-		if !p.Listed && now-max(p.HeartbeatAt, p.addedAt) > staleTimeout {
+		if (!p.Listed || !t.wanted(p)) && now-max(p.HeartbeatAt, p.addedAt) > staleTimeout {
 			removed = append(removed, addr)
 			if p.cancel != nil {
 				p.cancel()
