watch, edge: a few entries read the store for all

Change: where heartbeats go to neighbours, entries relay the age of the last read, three of them read in turns, and the others take changes of the list and of the table of entries from a neighbour. They read by themselves 1 s before the time in which a leaving replica must get nothing new (setting drain), if they hear of no read. The entry's parts are connected: alloc.Client places, neighbours gossip.

--- a/config/fleet.go
+++ b/config/fleet.go
@@ -27,6 +27,9 @@
 	Grace Seconds `json:"grace_s"`
 	// Keep is how long callers may cache the addresses of entries.
 	Keep clock.Millis `json:"keep"`
+	// Drain is how long after the store has accepted that a replica leaves a request
+	// may still be sent there; zero means the shortest time that is known.
+	Drain clock.Millis `json:"drain,omitempty"`
 	// Retries is the retry budget of all entries together.
 	Retries Retries `json:"retries"`
 	// Fresh means that the whole system starts for the first time, so that no
@@ -59,6 +62,8 @@
 	maxKeep      = 1 * clock.Minute
 	minSpan      = clock.Millis(100)
 	maxSpan      = 10 * clock.Minute
+	minDrain     = clock.Millis(100)
+	maxDrain     = 1 * clock.Minute
 	maxMemoryMiB = 1 << 20
 	maxCores     = 1024
 )
@@ -89,6 +94,7 @@
 	c.requiredRange("fleet.grace_s", int64(f.Grace.Millis()), int64(minGrace), int64(maxGrace), "ms")
 	c.requiredRange("fleet.keep", int64(f.Keep), int64(minKeep), int64(maxKeep), "ms")
 	c.requiredRange("fleet.retries.span_s", int64(f.Retries.Span.Millis()), int64(minSpan), int64(maxSpan), "ms")
+	c.optionalRange("fleet.drain", int64(f.Drain), int64(minDrain), int64(maxDrain), "ms")
 	c.optionalRange("fleet.memory", int64(f.Memory), 1, maxMemoryMiB, "MiB")
 	c.optionalRange("fleet.cores", int64(f.Cores), 1, maxCores, "cores")
 	if f.Retries.Ratio < 0 || f.Retries.Slack < 0 {
--- a/edge/budget.go
+++ b/edge/budget.go
@@ -1,11 +1,7 @@
 package edge
 
 import (
-	"lacewinghook.example/lacewinghook/clock"
-	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/limit"
-	"lacewinghook.example/lacewinghook/pool"
-	"lacewinghook.example/lacewinghook/route"
 )
 
 // budgetMargin is the fraction of the platform's retry budget that the
@@ -43,52 +39,3 @@
 func (e *Edge) TakeRetry(service string) bool {
 	return e.budget(service).Spend(e.Clock.Now(), e.quota())
 }
-
-// announcingPool implements [relay.Pool] with the pool table. It adds the work of
-// the peers to the table and announces changes of this entry's own work to them.
-type announcingPool struct {
-	*pool.Table
-	edge *Edge
-}
-
-// Candidates implements [relay.Pool]. It first updates the work of the peers if
-// that has changed.
-func (p *announcingPool) Candidates(role core.Role, model string, blocks []uint64, buf []route.Candidate) []route.Candidate {
-	if p.edge.peerWorkStale.CompareAndSwap(true, false) {
-		p.Table.SetOthers(p.edge.gossip.PeerWork())
-	}
-	return p.Table.Candidates(role, model, blocks, buf)
-}
-
-// Begin implements [relay.Pool].
-func (p *announcingPool) Begin(name string, w pool.Work) {
-	p.Table.Begin(name, w)
-	p.announce(w)
-}
-
-// End implements [relay.Pool].
-func (p *announcingPool) End(name string, w pool.Work) {
-	p.Table.End(name, w)
-	p.announce(w)
-}
-
-// StartPrefill implements [relay.Pool].
-func (p *announcingPool) StartPrefill(name string, w pool.Work) uint64 {
-	defer p.announce(w)
-	return p.Table.StartPrefill(name, w)
-}
-
-// FinishPrefill implements [relay.Pool].
-func (p *announcingPool) FinishPrefill(name string, id uint64, w pool.Work, took clock.Millis, blocks []uint64) {
-	p.Table.FinishPrefill(name, id, w, took, blocks)
-	p.announce(w)
-}
-
-// announce sends a heartbeat to the peers soon if the work changes tokens or
-// pieces. Only these matter to the peers' choices: engines are few and
-// prefills take long, whereas calls of plain services are short.
-func (p *announcingPool) announce(w pool.Work) {
-	if w.Tokens != 0 || w.Pieces != 0 {
-		p.edge.gossip.Trigger()
-	}
-}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"lacewinghook.example/lacewinghook/alloc"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
@@ -68,7 +69,14 @@
 	relay      relay.Relay
 	peers      wire.Client
 	quarantine poison.Quarantine
-	budgets    shard.Map[string, *limit.Window]
+	// desk, ledger and placer place completions. groups divides the engines among
+	// owners, and readRank is this entry's place in the order of reads.
+	desk     alloc.Desk
+	ledger   alloc.Ledger
+	placer   alloc.Client
+	groups   atomic.Pointer[groups]
+	readRank atomic.Int64
+	budgets  shard.Map[string, *limit.Window]
 }
 
 // Run serves until ctx ends, then drains the requests in flight and stops.
@@ -86,6 +94,7 @@
 	}
 	g.Go(func() error { e.gossip.Run(runCtx); return nil })
 	g.Go(func() error { e.watcher.Run(runCtx); return nil })
+	g.Go(func() error { e.placer.Run(runCtx); return nil })
 	g.Go(func() error { e.wakeQueues(runCtx); return nil })
 	g.Go(func() error { e.Clock.Every(runCtx, deadCheckInterval, e.removeDeadEntries); return nil })
 	g.Go(func() error {
@@ -126,13 +135,15 @@
 	e.gossip.AddAddresses(s.Seeds)
 	e.watcher = watch.Watcher{
 		Source: &e.store, Peers: e, Self: self, Clock: e.Clock, Log: e.Log, Meter: &e.meter,
-		OnManifest: e.applyManifest, OnFleet: e.applyFleet, OnEntries: e.gossip.Merge,
+		OnManifest: e.applyManifest, OnFleet: e.applyFleet, OnEntries: e.applyEntries,
 	}
 	e.quarantine = poison.Quarantine{
 		Engines: &e.replicas, Boots: e, Clock: e.Clock, Meter: &e.meter, Log: e.Log, OnChange: e.gossip.Trigger, Self: s.Instance,
 	}
+	table := &announcingPool{Table: &e.pool, edge: e}
+	e.preparePlacer(table, self)
 	e.relay = relay.Relay{
-		Upstreams: &e.replicas, Pool: &announcingPool{Table: &e.pool, edge: e}, Budget: e, Quarantine: crashDetector{e}, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
+		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Budget: e, Quarantine: crashDetector{e}, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
 		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre,
 	}
 }
@@ -188,7 +199,9 @@
 		{s.Peers.Listen, server{rpc: &wire.Server{Log: e.Log, Methods: map[wire.Method]wire.MethodHandler{
 			wire.MethodHello:    wire.OnHeartbeat(e.gossip.HandleHeartbeat),
 			wire.MethodSnapshot: wire.TypedHandler(e.serveSnapshot),
-		}}}},
+			wire.MethodPlace:    wire.OnPlace(e.placer.Serve),
+			wire.MethodWork:     wire.OnWork(e.placer.HandleReport),
+		}, Blocking: []wire.Method{wire.MethodPlace}}}},
 		{s.Fleet.Metrics, server{http: e.server(http.HandlerFunc(e.metrics))}},
 	}
 	var all []*server
--- a/edge/state.go
+++ b/edge/state.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/clock"
@@ -53,6 +54,7 @@
 		doc.Upstreams = append(doc.Upstreams, up)
 	}
 	e.pool.Apply(doc)
+	e.groups.Store(newGroups(doc.Upstreams))
 	for _, r := range fleet.Replicas {
 		e.pool.Drain(r.Name, r.Leaving)
 	}
@@ -107,6 +109,10 @@
 func (e *Edge) heartbeat() gossip.Heartbeat {
 	h := gossip.Heartbeat{Instance: e.self(), Boot: e.boot, Ready: e.Ready(), PeerState: e.watcher.PeerState()}
 	h.Suspects = e.quarantine.Unsaved()
+	if e.gossip.Sparse() {
+		// Only the owners of the engines need it ([alloc.Client]).
+		return h
+	}
 	for _, l := range e.pool.Loads() {
 		if l.Work.Tokens != 0 || l.Work.Pieces != 0 {
 			h.Loads = append(h.Loads, gossip.Load{Upstream: l.Upstream, Requests: l.Work.Requests, Tokens: l.Work.Tokens, Pieces: l.Work.Pieces})
@@ -118,9 +124,16 @@
 // onHeartbeat handles a peer's heartbeat.
 func (e *Edge) onHeartbeat(heartbeat gossip.Heartbeat) {
 	e.quarantine.Merge(heartbeat.Suspects)
+	if !e.gossip.Sparse() {
+		e.onWork()
+	}
+	e.watcher.HandlePeerState(heartbeat.PeerState)
+}
+
+// onWork marks the known work of other entries as changed.
+func (e *Edge) onWork() {
 	e.peerWorkStale.Store(true)
 	e.peerWork.Send()
-	e.watcher.HandlePeerState(heartbeat.PeerState)
 }
 
 // wakeInterval is the least pause between two wake-ups of the wait queues. It is
@@ -146,10 +159,10 @@
 // serveSnapshot returns this entry's state to a peer whose state is older. It
 // includes the manifest only if it is newer than the peer's.
 func (e *Edge) serveSnapshot(_ context.Context, req wire.SnapshotRequest) (wire.Snapshot, error) {
-	fleet, entries := e.watcher.Snapshot()
+	fleet, entries, table := e.watcher.Snapshot()
 	v := wire.Snapshot{Fleet: fleet}
 	if req.Entries {
-		v.Entries = entries
+		v.Entries, v.Table = entries, table
 	}
 	if m := e.routes.Manifest(); m != nil && m.Version > req.Manifest {
 		v.Manifest = m
@@ -158,13 +171,13 @@
 }
 
 // Snapshot implements [watch.Peers]. It reads the state of the live peer with the
-// newest state: the one whose manifest and list of replicas are ahead of the given
-// ones by the most versions.
-func (e *Edge) Snapshot(ctx context.Context, manifest, fleet int64, entries bool) (watch.Snapshot, bool) {
+// newest state: the one that is ahead of have by the most versions.
+func (e *Edge) Snapshot(ctx context.Context, have watch.PeerState, entries bool) (watch.Snapshot, bool) {
 	addr := ""
 	best := int64(0)
 	for _, p := range e.gossip.Live() {
-		newer := max(0, p.Heartbeat.Manifest-manifest) + max(0, p.Heartbeat.Fleet-fleet)
+		h := &p.Heartbeat
+		newer := max(0, h.Manifest-have.Manifest) + max(0, h.Fleet-have.Fleet) + max(0, h.Table-have.Table)
 		if newer > best {
 			best, addr = newer, p.Peer
 		}
@@ -172,25 +185,42 @@
 	if addr == "" {
 		return watch.Snapshot{}, false
 	}
-	v, err := e.peers.Snapshot(ctx, addr, wire.SnapshotRequest{Manifest: manifest, Entries: entries})
+	v, err := e.peers.Snapshot(ctx, addr, wire.SnapshotRequest{Manifest: have.Manifest, Entries: entries})
 	if err != nil {
 		e.Log.Warn("edge: reading state from a peer failed", zap.String("addr", addr), zap.Error(err))
 		return watch.Snapshot{}, false
 	}
 	e.Log.Info("edge: read state from a peer", zap.String("addr", addr), zap.Int64("fleet", v.Fleet.Revision))
-	return watch.Snapshot{Manifest: v.Manifest, Fleet: v.Fleet, Entries: v.Entries}, true
+	return watch.Snapshot{Manifest: v.Manifest, Fleet: v.Fleet, Entries: v.Entries, Table: v.Table}, true
 }
 
-// EntriesAhead implements [watch.Peers]. It counts the live entries whose names
-// sort before this one.
-func (e *Edge) EntriesAhead() int {
-	n := 0
+// Turn implements [watch.Peers]. A few entries follow each other in the order of
+// their names. Many follow a pseudo-random order, which needs no heartbeats.
+func (e *Edge) Turn() watch.Turn {
+	t := watch.Turn{Relayed: e.gossip.Sparse(), Drain: e.Settings.Fleet.Drain}
+	if t.Relayed {
+		t.Ahead = int(e.readRank.Load())
+		return t
+	}
 	for _, p := range e.gossip.Live() {
 		if p.Name < e.Settings.Instance {
-			n++
+			t.Ahead++
+		}
+	}
+	return t
+}
+
+// applyEntries applies the table of entries.
+func (e *Edge) applyEntries(list []core.Instance) {
+	e.gossip.Merge(list)
+	rank := int64(0)
+	own := xxhash.Sum64String(e.Settings.Instance)
+	for _, in := range list {
+		if xxhash.Sum64String(in.Name) < own {
+			rank++
 		}
 	}
-	return n
+	e.readRank.Store(rank)
 }
 
 // Intervals for removing the rows of dead entries.
--- a/watch/scale_test.go
+++ b/watch/scale_test.go
@@ -29,8 +29,8 @@
 	ahead int
 }
 
-// EntriesAhead returns the entry's position.
-func (p *peersAhead) EntriesAhead() int { return p.ahead }
+// Turn returns the entry's position.
+func (p *peersAhead) Turn() watch.Turn { return watch.Turn{Ahead: p.ahead} }
 
 // startCluster starts n entries that report to each other after each change
 // and every 500 ms. A report takes 5 ms.
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -44,19 +44,19 @@
 type Snapshot struct {
 	Manifest *core.Manifest
 	Fleet    core.Fleet
-	Entries  []core.Instance
+	// Entries is the table of entries, of the revision Table.
+	Entries []core.Instance
+	Table   int64
 }
 
 // Peers requests state from the other entries.
 type Peers interface {
-	// Snapshot returns the copy of a peer that has a manifest above the version
-	// manifest or a list of replicas above the revision fleet. If entries is
-	// set, it includes the table of entries. It returns false if no live peer
-	// has reported newer state, or if the request fails.
-	Snapshot(ctx context.Context, manifest, fleet int64, entries bool) (Snapshot, bool)
-	// EntriesAhead returns the number of live entries that precede this one in
-	// the order in which they read the list of replicas.
-	EntriesAhead() int
+	// Snapshot returns the copy of a peer whose versions are above those of have. If
+	// entries is set, it includes the table of entries. It returns false if no live
+	// peer has reported newer state, or if the request fails.
+	Snapshot(ctx context.Context, have PeerState, entries bool) (Snapshot, bool)
+	// Turn returns this entry's place in the order in which they read the store.
+	Turn() Turn
 }
 
 // PeerState summarizes an entry's copy of the store, so that peers can compare
@@ -68,21 +68,19 @@
 	// members; zero means that the list can't be compared.
 	Fleet   int64  `json:"fleet,omitempty"`
 	Members uint64 `json:"members,omitempty"`
-	// Age is the time since the peer itself read the list.
+	// Age is the time since the peer itself read the list, or since any entry did if
+	// entries relay the reads of others ([Turn]).
 	Age clock.Millis `json:"age,omitempty"`
+	// Table is the revision of the table of entries.
+	Table int64 `json:"table,omitempty"`
 }
 
 // Intervals and timeouts of a [Watcher].
 const (
 	// maxFleetAge is the age of the last read of the list of replicas, by any
-	// entry with the same list, after which it is read again. Each entry that
-	// precedes this one adds delayPerEntryAhead, up to maxReadDelay, so that
-	// its read is reported first. The sum, with the read itself, stays well
-	// below the 2 s within which a leaving replica must stop receiving new
-	// requests.
-	maxFleetAge        clock.Millis = 1000
-	delayPerEntryAhead clock.Millis = 250
-	maxReadDelay       clock.Millis = 500
+	// entry with the same list, after which it is read again. Entries that come
+	// later in the order wait longer ([Turn.Delay]).
+	maxFleetAge clock.Millis = 1000
 	// watchTimeout is how long one call waits for a change in the store, which
 	// allows 30 s at most. Peers report a change that they see earlier.
 	watchTimeout = 25 * clock.Second
@@ -103,10 +101,15 @@
 	// single read. A new entry sends its heartbeats to those already listed,
 	// so they don't depend on this read.
 	entriesReadDelay clock.Millis = 3000
+	// maxTableAge is how long an entry that isn't a reader ([Turn]) relies on others
+	// for the table of entries.
+	maxTableAge = 1 * clock.Minute
 	// peerRequestDelay is how long an update that a peer already has may take
 	// to arrive from the store before it is requested from the peer: the time
-	// of a few store responses.
-	peerRequestDelay clock.Millis = 150
+	// of a few store responses. If reads are relayed, this entry doesn't read by
+	// itself, and only updates of several peers are combined.
+	peerRequestDelay    clock.Millis = 150
+	relayedRequestDelay clock.Millis = 20
 )
 
 // Watcher keeps a copy of the store up to date. Source, Self, OnManifest,
@@ -136,6 +139,10 @@
 	// peerUpdate wakes [Watcher.watchPeers], and fleetDue wakes
 	// [Watcher.watchFleet].
 	peerUpdate, fleetDue notify.Signal
+	// peerTable is the highest revision of the table of entries that a peer has
+	// reported, and tableDue wakes [Watcher.watchEntries] because of it.
+	peerTable atomic.Int64
+	tableDue  notify.Signal
 	// leaving stops this entry from writing its row again.
 	leaving atomic.Bool
 
@@ -149,6 +156,8 @@
 	// replicas are kept.
 	readAt, peerReadAt, confirmedAt, keepMissingUntil clock.Millis
 	entries                                           []core.Instance
+	// table is the revision of entries.
+	table int64
 }
 
 // Run keeps the copy up to date until ctx ends.
@@ -172,8 +181,15 @@
 // list with the same members, this entry's own next read is postponed.
 func (w *Watcher) HandlePeerState(s PeerState) {
 	newerManifest := s.Manifest > w.manifestVersion.Load() && storeMax(&w.newestManifest, s.Manifest)
+	if storeMax(&w.peerTable, s.Table) {
+		w.tableDue.Send()
+	}
+	relayed := w.turn().Relayed
 	w.mu.Lock()
 	at := w.Clock.Now() - s.Age
+	if relayed {
+		at -= hopDelay
+	}
 	w.recordRead(at)
 	same := s.Members == w.membersHash
 	if same && s.Members != 0 {
@@ -182,7 +198,7 @@
 	newerFleet := s.Fleet > w.fleet.Revision && !same && s.Members != 0
 	w.mu.Unlock()
 	newerFleet = newerFleet && storeMax(&w.peerRevision, s.Fleet)
-	if newerFleet {
+	if newerFleet && !relayed {
 		w.readNow.Store(true)
 		w.fleetDue.Send()
 	}
@@ -205,22 +221,28 @@
 	}
 }
 
-// Snapshot returns this entry's replicas and entries, to answer a peer.
-func (w *Watcher) Snapshot() (core.Fleet, []core.Instance) {
+// Snapshot returns this entry's replicas and its table of entries with its revision,
+// to answer a peer.
+func (w *Watcher) Snapshot() (fleet core.Fleet, entries []core.Instance, table int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.fleet, w.entries
+	return w.fleet, w.entries, w.table
 }
 
 // PeerState returns the state to report to the peers. A list with replicas that
-// are kept although the store lacks them is marked as not comparable. The age is
-// that of the entry's own read: a relayed read of a peer would look more recent
-// with each hop.
+// are kept although the store lacks them is marked as not comparable. Unless reads are
+// relayed, the age is that of the entry's own read.
 func (w *Watcher) PeerState() PeerState {
+	relayed := w.turn().Relayed
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.Clock.Now()
-	s := PeerState{Manifest: w.manifestVersion.Load(), Fleet: w.fleet.Revision, Members: w.membersHash, Age: now - w.readAt}
+	s := PeerState{
+		Manifest: w.manifestVersion.Load(), Fleet: w.fleet.Revision, Members: w.membersHash, Age: now - w.readAt, Table: w.table,
+	}
+	if relayed {
+		s.Age = now - max(w.readAt, w.peerReadAt)
+	}
 	if now < w.keepMissingUntil {
 		s.Members = 0
 	}
@@ -283,7 +305,7 @@
 		}
 		fleet, unread, err := w.Source.Fleet(ctx)
 		if err != nil {
-			w.requestSnapshot(ctx)
+			w.requestSnapshot(ctx, false)
 			b.failed(ctx, err)
 			continue
 		}
@@ -301,10 +323,7 @@
 	if w.readNow.Swap(false) {
 		return 0
 	}
-	delay := clock.Millis(0)
-	if w.Peers != nil {
-		delay = min(delayPerEntryAhead*clock.Millis(w.Peers.EntriesAhead()), maxReadDelay)
-	}
+	delay := w.turn().Delay()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.readAt == 0 {
@@ -418,7 +437,7 @@
 func (w *Watcher) watchEntries(ctx context.Context) {
 	b := backoff{watcher: w, table: "entries"}
 	registered := false
-	revision := int64(0)
+	revision, readAt := int64(0), clock.Millis(0)
 	for ctx.Err() == nil {
 		if !registered && !w.leaving.Load() {
 			if err := w.Source.Register(ctx, w.Self); err != nil {
@@ -434,8 +453,8 @@
 				continue
 			}
 			b.succeeded()
-			revision = max(now, 1)
-			w.applyEntries(list)
+			revision, readAt = max(now, 1), w.Clock.Now()
+			w.applyEntries(list, revision)
 			registered = slices.ContainsFunc(list, func(in core.Instance) bool { return in.Name == w.Self.Name })
 			if !registered && !w.leaving.Load() {
 				// Another entry has removed this entry's row, since it seemed
@@ -444,6 +463,17 @@
 				continue
 			}
 		}
+		if !w.turn().reader() {
+			w.tableDue.Wait(ctx, w.Clock, maxTableAge)
+			_ = w.Clock.Sleep(ctx, entriesReadDelay)
+			if w.peerTable.Load() > revision {
+				revision = w.tableFromPeer(ctx)
+			} else if w.Clock.Now()-readAt > maxTableAge {
+				// The entries that read it for the others may be gone.
+				revision = 0
+			}
+			continue
+		}
 		changed, now, err := w.Source.EntriesChanged(ctx, revision, watchTimeout)
 		switch {
 		case codes.Has(err, codes.HistoryLost):
@@ -460,10 +490,22 @@
 	}
 }
 
+// tableFromPeer requests the table of entries from a peer and returns its revision,
+// or zero if the table must be read from the store.
+func (w *Watcher) tableFromPeer(ctx context.Context) int64 {
+	w.requestSnapshot(ctx, true)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.table < w.peerTable.Load() || !slices.ContainsFunc(w.entries, func(in core.Instance) bool { return in.Name == w.Self.Name }) {
+		return 0
+	}
+	return w.table
+}
+
 // applyEntries installs the table of entries.
-func (w *Watcher) applyEntries(list []core.Instance) {
+func (w *Watcher) applyEntries(list []core.Instance, table int64) {
 	w.mu.Lock()
-	w.entries = list
+	w.entries, w.table = list, table
 	w.mu.Unlock()
 	w.OnEntries(list)
 }
@@ -478,25 +520,46 @@
 			return
 		case <-w.peerUpdate.C():
 		}
-		if w.Clock.Sleep(ctx, peerRequestDelay) != nil {
+		relayed := w.turn().Relayed
+		delay := peerRequestDelay
+		if relayed {
+			delay = relayedRequestDelay
+		}
+		if w.Clock.Sleep(ctx, delay) != nil {
 			return
 		}
-		revision, _ := w.FleetAge()
-		if w.newestManifest.Load() > w.manifestVersion.Load() || w.peerRevision.Load() > revision {
-			w.requestSnapshot(ctx)
+		if !w.behind() {
+			continue
+		}
+		w.requestSnapshot(ctx, false)
+		if relayed && w.behind() {
+			w.readNow.Store(true)
+			w.fleetDue.Send()
 		}
 	}
 }
 
-// requestSnapshot requests newer state from a peer and installs it.
-func (w *Watcher) requestSnapshot(ctx context.Context) {
+// behind reports whether a peer has reported a newer manifest or list of replicas.
+func (w *Watcher) behind() bool {
+	revision, _ := w.FleetAge()
+	return w.newestManifest.Load() > w.manifestVersion.Load() || w.peerRevision.Load() > revision
+}
+
+// requestSnapshot requests newer state from a peer and installs it. It includes the
+// table of entries if entries is set or there is none.
+func (w *Watcher) requestSnapshot(ctx context.Context, entries bool) {
 	if w.Peers == nil {
 		return
 	}
+	have := w.PeerState()
 	w.mu.Lock()
-	revision, noEntries := w.fleet.Revision, len(w.entries) == 0
+	entries = entries || len(w.entries) == 0
 	w.mu.Unlock()
-	s, ok := w.Peers.Snapshot(ctx, w.manifestVersion.Load(), revision, noEntries)
+	if !entries {
+		// A newer table alone is no reason to ask a peer.
+		have.Table = w.peerTable.Load()
+	}
+	s, ok := w.Peers.Snapshot(ctx, have, entries)
 	if !ok {
 		return
 	}
@@ -506,12 +569,13 @@
 	if newer {
 		s.Fleet = w.setFleet(s.Fleet)
 	}
+	newerTable := entries && len(s.Entries) > 0 && (s.Table > w.table || len(w.entries) == 0)
 	w.mu.Unlock()
 	if newer {
 		w.OnFleet(s.Fleet)
 	}
-	if noEntries && len(s.Entries) > 0 {
-		w.applyEntries(s.Entries)
+	if newerTable {
+		w.applyEntries(s.Entries, s.Table)
 	}
 }
 
--- a/watch/watcher_test.go
+++ b/watch/watcher_test.go
@@ -171,11 +171,11 @@
 	ahead    int
 }
 
-// EntriesAhead returns the position that a test sets.
-func (p *peers) EntriesAhead() int {
+// Turn returns the position that a test sets.
+func (p *peers) Turn() watch.Turn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.ahead
+	return watch.Turn{Ahead: p.ahead}
 }
 
 // set sets the snapshot that the peers return.
@@ -186,7 +186,7 @@
 }
 
 // Snapshot returns the snapshot, or false if none is set.
-func (p *peers) Snapshot(context.Context, int64, int64, bool) (watch.Snapshot, bool) {
+func (p *peers) Snapshot(context.Context, watch.PeerState, bool) (watch.Snapshot, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.snapshot == nil {
--- a/wire/gossip.go
+++ b/wire/gossip.go
@@ -15,11 +15,12 @@
 	MethodSnapshot Method = "view"
 )
 
-// SnapshotRequest states what the caller already has. The response omits it.
+// SnapshotRequest states what the caller has and wants.
 type SnapshotRequest struct {
-	// Manifest is the version of the caller's manifest.
+	// Manifest is the version of the caller's manifest. The response omits it if it
+	// isn't newer.
 	Manifest int64 `json:"manifest,omitempty"`
-	// Entries is set if the caller has the list of entries.
+	// Entries asks for the table of entries.
 	Entries bool `json:"entries,omitempty"`
 }
 
@@ -28,7 +29,9 @@
 type Snapshot struct {
 	Manifest *core.Manifest  `json:"manifest,omitempty"`
 	Fleet    core.Fleet      `json:"fleet"`
-	Entries  []core.Instance `json:"entries,omitempty"`
+	// Entries is the table of entries, of the revision Table.
+	Entries []core.Instance `json:"entries,omitempty"`
+	Table   int64           `json:"table,omitempty"`
 }
 
 // SendHeartbeat sends a heartbeat as a notification. It implements
