--- /dev/null
+++ b/watch/turn_test.go
@@ -0,0 +1,174 @@
+package watch_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/notify"
+	"lacewinghook.example/lacewinghook/watch"
+)
+
+// member is an entry that exchanges its state with a few neighbours.
+type member struct {
+	*watch.Watcher
+	turn       watch.Turn
+	neighbours []*member
+	changed    notify.Signal
+	got        *applied
+	stop       context.CancelFunc
+
+	mu sync.Mutex
+	// heard holds the last state of each neighbour.
+	heard map[*member]watch.PeerState
+}
+
+// Turn implements [watch.Peers].
+func (m *member) Turn() watch.Turn { return m.turn }
+
+// Snapshot implements [watch.Peers]. It returns the copy of a neighbour with a newer
+// list or table.
+func (m *member) Snapshot(_ context.Context, have watch.PeerState, entries bool) (watch.Snapshot, bool) {
+	m.mu.Lock()
+	var from *member
+	for n, s := range m.heard {
+		if s.Fleet > have.Fleet || s.Table > have.Table {
+			from = n
+		}
+	}
+	m.mu.Unlock()
+	if from == nil {
+		return watch.Snapshot{}, false
+	}
+	var s watch.Snapshot
+	s.Fleet, s.Entries, s.Table = from.Watcher.Snapshot()
+	if !entries {
+		s.Entries = nil
+	}
+	return s, true
+}
+
+// tell reports the member's state to its neighbours, after 5 ms.
+func (m *member) tell(ctx context.Context) {
+	_ = clock.Clock{}.Sleep(ctx, 5)
+	state := m.PeerState()
+	for _, n := range m.neighbours {
+		n.mu.Lock()
+		n.heard[m] = state
+		n.mu.Unlock()
+		n.HandlePeerState(state)
+	}
+}
+
+// startMembers starts n entries, each with some eight neighbours, that report once a
+// second and after each change.
+func startMembers(t *testing.T, s *source, n int, drain clock.Millis) []*member {
+	var all []*member
+	for i := range n {
+		m := &member{turn: watch.Turn{Ahead: i, Relayed: true, Drain: drain}, got: &applied{}, heard: make(map[*member]watch.PeerState)}
+		m.Watcher = &watch.Watcher{
+			Source: s, Peers: m, Self: core.Instance{Name: fmt.Sprintf("entry-%03d", i)},
+			OnManifest: func(*core.Manifest) {},
+			OnFleet:    func(fleet core.Fleet) { m.got.mu.Lock(); m.got.fleet = fleet; m.got.mu.Unlock(); m.changed.Send() },
+			OnEntries:  func([]core.Instance) {},
+		}
+		all = append(all, m)
+	}
+	for i, m := range all {
+		for range 4 {
+			if o := all[rand.IntN(n)]; o != m {
+				m.neighbours, o.neighbours = append(m.neighbours, o), append(o.neighbours, m)
+			}
+		}
+		next := all[(i+1)%n]
+		m.neighbours, next.neighbours = append(m.neighbours, next), append(next.neighbours, m)
+	}
+	var wg sync.WaitGroup
+	for i, m := range all {
+		ctx, stop := context.WithCancel(context.Background())
+		m.stop = stop
+		wg.Go(func() { m.Run(ctx) })
+		wg.Go(func() {
+			_ = clock.Clock{}.Sleep(ctx, clock.Millis(i*1000/n))
+			for ctx.Err() == nil {
+				m.tell(ctx)
+				m.changed.Wait(ctx, clock.Clock{}, 1000)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		for _, m := range all {
+			m.stop()
+		}
+		wg.Wait()
+	})
+	return all
+}
+
+// TestRelayedReads has 120 entries relay what a few of them read. Reads must not grow
+// with the entries, and a leaving replica must be known to all before the end of the
+// time in which it may still get requests, also if the entries that read are gone.
+func TestRelayedReads(t *testing.T) {
+	is := is.New(t)
+	const drain = 3 * clock.Second
+	s := newSource()
+	s.fleet = fleet(1, "a", "b", "c")
+	all := startMembers(t, s, 120, drain)
+	have := func(from int, names string) bool {
+		for _, m := range all[from:] {
+			if m.got.names() != names {
+				return false
+			}
+		}
+		return true
+	}
+	c := clock.Clock{}
+	until(t, "the first list", func() bool { return have(0, "abc") })
+	_ = c.Sleep(t.Context(), 4000)
+	reads := func() int { s.mu.Lock(); defer s.mu.Unlock(); return s.reads["fleet"] }
+	const span = 5
+	before := reads()
+	_ = c.Sleep(t.Context(), span*clock.Second)
+	perSecond := float64(reads()-before) / span
+	change := func(from int, revision int64, names ...string) clock.Millis {
+		text := ""
+		for _, name := range names {
+			text += name
+		}
+		at := c.Now()
+		s.edit(func() { s.fleet = fleet(revision, names...) })
+		until(t, "a change of the list", func() bool { return have(from, text) })
+		return c.Now() - at
+	}
+	first := change(0, 2, "b", "c")
+	for _, m := range all[:3] {
+		m.stop()
+	}
+	second := change(3, 3, "c")
+	t.Logf("%.1f reads of the list a second; a change reaches all within %d ms, and %d ms without those that read", perSecond, first, second)
+	is.True(perSecond <= 3)
+	is.True(first <= drain-500)
+	is.True(second <= drain-500)
+}
+
+// TestTurnDelay checks the order of reads.
+func TestTurnDelay(t *testing.T) {
+	is := is.New(t)
+	is.Equal(watch.Turn{}.Delay(), clock.Millis(0))
+	is.Equal(watch.Turn{Ahead: 1}.Delay(), clock.Millis(250))
+	is.Equal(watch.Turn{Ahead: 9}.Delay(), clock.Millis(500))
+	for _, drain := range []clock.Millis{0, 2000, 3000, 4000, 60000} {
+		relayed := func(ahead int) clock.Millis { return watch.Turn{Ahead: ahead, Relayed: true, Drain: drain}.Delay() }
+		is.Equal(relayed(0), clock.Millis(0))
+		is.True(relayed(1) < relayed(2))
+		is.True(relayed(3) < relayed(300))
+		// A read takes some milliseconds, and a change is passed on at once.
+		is.True(1000+relayed(100) < max(drain, 2000))
+	}
+}
