watch: entries that start together read the store in turns from the start

Cause: at a first start each entry read the table of entries before the others had registered, took itself for one of a few, and read the list of replicas each second until it had read the table again 3 s later. Change: at a first start (setting fresh) the table is read 1 s after registering, and the list of replicas after the table, in turns. Test with 120 entries until all have the list: 1 read of the list and 120 of the table.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -135,7 +135,7 @@
 	e.gossip.AddAddresses(s.Seeds)
 	e.watcher = watch.Watcher{
 		Source: &e.store, Peers: e, Self: self, Clock: e.Clock, Log: e.Log, Meter: &e.meter,
-		OnManifest: e.applyManifest, OnFleet: e.applyFleet, OnEntries: e.applyEntries,
+		OnManifest: e.applyManifest, OnFleet: e.applyFleet, OnEntries: e.applyEntries, Fresh: s.Fleet.Fresh,
 	}
 	e.quarantine = poison.Quarantine{
 		Engines: &e.replicas, Boots: e, Clock: e.Clock, Meter: &e.meter, Log: e.Log, OnChange: e.gossip.Trigger, Self: s.Instance,
--- a/watch/turn_test.go
+++ b/watch/turn_test.go
@@ -69,11 +69,21 @@
 // startMembers starts n entries, each with some eight neighbours, that report once a
 // second and after each change.
 func startMembers(t *testing.T, s *source, n int, drain clock.Millis) []*member {
+	return startAll(t, s, n, drain, false)
+}
+
+// startFresh starts n entries as at the first start of the whole system.
+func startFresh(t *testing.T, s *source, n int) []*member {
+	return startAll(t, s, n, 3*clock.Second, true)
+}
+
+// startAll starts n entries.
+func startAll(t *testing.T, s *source, n int, drain clock.Millis, fresh bool) []*member {
 	var all []*member
 	for i := range n {
 		m := &member{turn: watch.Turn{Ahead: i, Relayed: true, Drain: drain}, got: &applied{}, heard: make(map[*member]watch.PeerState)}
 		m.Watcher = &watch.Watcher{
-			Source: s, Peers: m, Self: core.Instance{Name: fmt.Sprintf("entry-%03d", i)},
+			Source: s, Peers: m, Self: core.Instance{Name: fmt.Sprintf("entry-%03d", i)}, Fresh: fresh,
 			OnManifest: func(*core.Manifest) {},
 			OnFleet:    func(fleet core.Fleet) { m.got.mu.Lock(); m.got.fleet = fleet; m.got.mu.Unlock(); m.changed.Send() },
 			OnEntries:  func([]core.Instance) {},
@@ -157,6 +167,30 @@
 	is.True(second <= drain-500)
 }
 
+// TestFreshStart starts 120 entries together and counts their calls of the store until
+// all have the list: each registers and reads the table of entries and the manifest,
+// and few read the list.
+func TestFreshStart(t *testing.T) {
+	is := is.New(t)
+	const n = 120
+	s := newSource()
+	s.fleet, s.manifest = fleet(1, "a", "b", "c"), &core.Manifest{Version: 3}
+	all := startFresh(t, s, n)
+	until(t, "the first list", func() bool {
+		for _, m := range all {
+			if m.got.names() != "abc" {
+				return false
+			}
+		}
+		return true
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.Logf("calls of the store: %v", s.reads)
+	is.True(s.reads["fleet"] <= n/10)
+	is.True(s.reads["entries"] <= n+n/10)
+}
+
 // TestTurnDelay checks the order of reads.
 func TestTurnDelay(t *testing.T) {
 	is := is.New(t)
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -101,6 +101,11 @@
 	// single read. A new entry sends its heartbeats to those already listed,
 	// so they don't depend on this read.
 	entriesReadDelay clock.Millis = 3000
+	// joinDelay is how long an entry that starts together with all others waits after
+	// it has registered: a few hundred write their rows within it. maxJoinTime is how
+	// long it waits for the table before it reads the list of replicas.
+	joinDelay   = 1 * clock.Second
+	maxJoinTime = 4 * clock.Second
 	// maxTableAge is how long an entry that isn't a reader ([Turn]) relies on others
 	// for the table of entries.
 	maxTableAge = 1 * clock.Minute
@@ -124,9 +129,12 @@
 	OnManifest func(*core.Manifest)
 	OnFleet    func(core.Fleet)
 	OnEntries  func([]core.Instance)
-	Clock      clock.Clock
-	Log        *zap.Logger
-	Meter      *meter.Registry
+	// Fresh is set if all entries start together. They then let the table of entries
+	// fill before they read it, and read the list of replicas in turns from the start.
+	Fresh bool
+	Clock clock.Clock
+	Log   *zap.Logger
+	Meter *meter.Registry
 
 	// manifestVersion is the active version, newestManifest the highest one
 	// that a peer has reported.
@@ -156,12 +164,17 @@
 	// replicas are kept.
 	readAt, peerReadAt, confirmedAt, keepMissingUntil clock.Millis
 	entries                                           []core.Instance
-	// table is the revision of entries.
-	table int64
+	// table is the revision of entries. startedAt is the instant at which Run began,
+	// and joinedAt that of the first reading of the table.
+	table               int64
+	startedAt, joinedAt clock.Millis
 }
 
 // Run keeps the copy up to date until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
+	w.mu.Lock()
+	w.startedAt = w.Clock.Now()
+	w.mu.Unlock()
 	var g errgroup.Group
 	g.Go(func() error { w.watchFleet(ctx); return nil })
 	g.Go(func() error { w.watchManifest(ctx); return nil })
@@ -318,7 +331,8 @@
 }
 
 // untilNextRead returns the time until the list must be read. It is zero
-// before the first read and after a peer has reported a different list.
+// before the first read, unless all entries start together, and after a peer has
+// reported a different list.
 func (w *Watcher) untilNextRead() clock.Millis {
 	if w.readNow.Swap(false) {
 		return 0
@@ -326,10 +340,16 @@
 	delay := w.turn().Delay()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.readAt == 0 {
+	now := w.Clock.Now()
+	switch last := max(w.readAt, w.peerReadAt); {
+	case last > 0 && (w.Fresh || w.readAt > 0):
+		return last + maxFleetAge + delay - now
+	case !w.Fresh:
 		return 0
+	case w.joinedAt == 0:
+		return w.startedAt + maxJoinTime - now
 	}
-	return max(w.readAt, w.peerReadAt) + maxFleetAge + delay - w.Clock.Now()
+	return w.joinedAt + delay - now
 }
 
 // applyFleet installs a list that was read from the store. A list older than
@@ -445,6 +465,9 @@
 				continue
 			}
 			registered = true
+			if w.Fresh && revision == 0 && readAt == 0 {
+				_ = w.Clock.Sleep(ctx, joinDelay)
+			}
 		}
 		if revision == 0 {
 			list, now, err := w.Source.Entries(ctx)
@@ -506,8 +529,15 @@
 func (w *Watcher) applyEntries(list []core.Instance, table int64) {
 	w.mu.Lock()
 	w.entries, w.table = list, table
+	joined := w.joinedAt == 0
+	if joined {
+		w.joinedAt = w.Clock.Now()
+	}
 	w.mu.Unlock()
 	w.OnEntries(list)
+	if joined {
+		w.fleetDue.Send()
+	}
 }
 
 // watchPeers requests newer state from a peer after one has reported it, unless
