poison, edge: neighbours forward suspects

Cause: found by reading what relied on heartbeats from all: a suspect reached only the neighbours of the entry that saw the crash, so that a request that crashes engines would have crashed one for each neighbourhood. Change: where heartbeats go to neighbours, suspects of peers are forwarded, at once if they are new. One ends everywhere 10 s after its finder no longer reports it. Test: a chain of four entries; the last has the quarantine, and drops it. Also: the log names the owner that chose the engines or rejected the request.

--- a/alloc/client.go
+++ b/alloc/client.go
@@ -146,20 +146,21 @@
 			c.passOver(owner, err)
 			continue
 		case res.Choice != nil:
+			res.Choice.Owner = owner.Name
 			commit(*res.Choice)
 			c.acknowledge(owner.Name, res.Grant)
 		}
-		return res, res.err()
+		return res, res.err(owner.Name, group)
 	}
 	return c.place(ctx, r, wait, func(ch Choice) uint64 { commit(ch); return 0 })
 }
 
-// err returns the error of a rejected request, or nil.
-func (r Result) err() error {
+// err returns the error of a request that the owner has rejected, or nil.
+func (r Result) err(owner string, group int) error {
 	if r.Code == 0 {
 		return nil
 	}
-	return codes.New(r.Code, "%s", r.Message).WithRun(codes.NotRun).WithRetryAfter(r.Retry)
+	return codes.New(r.Code, "%s (group %d at %s)", r.Message, group, owner).WithRun(codes.NotRun).WithRetryAfter(r.Retry)
 }
 
 // place places a request of a group that this entry owns. grant returns the ID of
--- a/alloc/types.go
+++ b/alloc/types.go
@@ -50,6 +50,8 @@
 	Ahead      int          `json:"ahead,omitempty"`
 	// Fill is the used share of the decode engine's memory.
 	Fill float64 `json:"fill"`
+	// Owner is the entry that placed the request, empty for this one. It is not sent.
+	Owner string `json:"-"`
 }
 
 // Call asks the owner of a group to place a request. Times are relative, in
--- a/edge/state.go
+++ b/edge/state.go
@@ -110,7 +110,8 @@
 	h := gossip.Heartbeat{Instance: e.self(), Boot: e.boot, Ready: e.Ready(), PeerState: e.watcher.PeerState()}
 	h.Suspects = e.quarantine.Unsaved()
 	if e.gossip.Sparse() {
-		// Only the owners of the engines need it ([alloc.Client]).
+		// Only the owners of the engines need the work ([alloc.Client]).
+		h.Suspects = e.quarantine.Forwarded()
 		return h
 	}
 	for _, l := range e.pool.Loads() {
@@ -123,9 +124,12 @@
 
 // onHeartbeat handles a peer's heartbeat.
 func (e *Edge) onHeartbeat(heartbeat gossip.Heartbeat) {
-	e.quarantine.Merge(heartbeat.Suspects)
-	if !e.gossip.Sparse() {
+	news := e.quarantine.Merge(heartbeat.Suspects)
+	switch {
+	case !e.gossip.Sparse():
 		e.onWork()
+	case news:
+		e.gossip.Trigger()
 	}
 	e.watcher.HandlePeerState(heartbeat.PeerState)
 }
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -228,3 +228,42 @@
 	is.NoErr(err)
 	free()
 }
+
+// TestSuspectsAreForwarded passes a suspect along a chain of entries that report to
+// neighbours only, and checks that the last one has the quarantine, and that all drop
+// it once the first one no longer reports it.
+func TestSuspectsAreForwarded(t *testing.T) {
+	is := is.New(t)
+	m := &clock.Manual{}
+	c := clock.Clock{Manual: m}
+	chain := make([]*poison.Quarantine, 4)
+	for i := range chain {
+		chain[i] = &poison.Quarantine{Engines: crashed{}, Clock: c}
+	}
+	first, last := chain[0], chain[len(chain)-1]
+	m.Advance(1000)
+	is.True(!first.CheckCrash(t.Context(), core.Upstream{Name: "d1"}, "1", c.Now()-10, digest))
+	m.Advance(100)
+	is.True(first.CheckCrash(t.Context(), core.Upstream{Name: "d2"}, "1", c.Now(), digest))
+	// tell has each entry but the first report to both of its neighbours.
+	tell := func(from int) (news bool) {
+		for i := from; i < len(chain); i++ {
+			if i > 0 {
+				news = chain[i-1].Merge(chain[i].Forwarded()) || news
+			}
+			if i+1 < len(chain) {
+				news = chain[i+1].Merge(chain[i].Forwarded()) || news
+			}
+		}
+		return news
+	}
+	is.True(tell(0))
+	is.True(last.Quarantined(digest))
+	is.True(!tell(1)) // nothing new is told any more
+	for range 12 {
+		m.Advance(1000)
+		tell(1)
+	}
+	is.True(!last.Suspect(digest))
+	is.True(!chain[1].Suspect(digest))
+}
--- a/poison/quarantine.go
+++ b/poison/quarantine.go
@@ -104,8 +104,8 @@
 	// local holds the suspects found by this entry or read from the table.
 	local shard.Map[uint64, Suspect]
 	// fromPeers holds suspects reported by peers, for peerTTL after the last
-	// report. They are neither forwarded nor written to the table, so that a
-	// lifted quarantine does not come back.
+	// report. They are not written to the table, so that a lifted quarantine does
+	// not come back.
 	fromPeers shard.Map[uint64, Suspect]
 
 	mu sync.Mutex
@@ -175,22 +175,45 @@
 	return all
 }
 
+// Forwarded returns up to maxPeerSuspects suspects, those of [Quarantine.Unsaved] and
+// those reported by peers, to send to peers that the entries that found them don't
+// send to. A peer keeps one no longer than this entry does, so that it ends everywhere
+// peerTTL after its finder has stopped reporting it.
+func (q *Quarantine) Forwarded() []Suspect {
+	all := q.Unsaved()
+	now := q.wall()
+	q.fromPeers.Each(func(digest uint64, s Suspect) bool {
+		own := slices.ContainsFunc(all, func(o Suspect) bool { return o.Digest == digest })
+		if s.Until > now && !own && len(all) < maxPeerSuspects {
+			all = append(all, s)
+		}
+		return true
+	})
+	return all
+}
+
 // peerTTL is how long a suspect reported by a peer is kept without a new
 // report.
 const peerTTL = 10 * clock.Second
 
-// Merge adds suspects reported by a peer.
-func (q *Quarantine) Merge(suspects []Suspect) {
+// Merge adds suspects reported by a peer. It reports whether one of them, or one of
+// its crashes, was not known.
+func (q *Quarantine) Merge(suspects []Suspect) (news bool) {
 	if len(suspects) == 0 {
-		return
+		return false
 	}
 	until := q.wall() + peerTTL
 	q.fromPeers.Each(func(_ uint64, s Suspect) bool { return s.Until > until-peerTTL })
 	for _, s := range suspects[:min(len(suspects), maxPeerSuspects)] {
 		s.Saved = false
 		s.Until = min(s.Until, until)
-		q.fromPeers.Update(s.Digest, func(known Suspect, _ bool) (Suspect, bool) { return union(known, s), true })
+		q.fromPeers.Update(s.Digest, func(known Suspect, _ bool) (Suspect, bool) {
+			all := union(known, s)
+			news = news || len(all.Crashes) > len(known.Crashes)
+			return all, true
+		})
 	}
+	return news
 }
 
 // addLocal merges s into the local suspect with the same digest and returns the
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -237,6 +237,7 @@
 	x := a.exchange
 	x.log.Info("relay: engines chosen", append(x.relay.replicaListFields(), zap.String("request", x.opaque.ID), zap.String("service", x.opaque.Service),
 		zap.String("prefill", a.prefill.Name), zap.String("decode", a.decode.Name), zap.Bool("direct", a.choice.Direct),
+		zap.String("owner", a.choice.Owner), zap.Int("ahead", a.choice.Ahead),
 		zap.Int("tokens", x.opaque.PromptTokens), zap.Int("pieces", a.decodeWork.Pieces), zap.Int64("waited", int64(waited)),
 		zap.Float64("fill", a.choice.Fill), zap.Int64("predicted", int64(a.choice.FirstToken)), zap.Int("sends", x.sends))...)
 }
