--- a/edge/state.go
+++ b/edge/state.go
@@ -163,10 +163,10 @@
 // serveSnapshot returns this entry's state to a peer whose state is older. It
 // includes the manifest only if it is newer than the peer's.
 func (e *Edge) serveSnapshot(_ context.Context, req wire.SnapshotRequest) (wire.Snapshot, error) {
-	fleet, entries, table := e.watcher.Snapshot()
-	v := wire.Snapshot{Fleet: fleet}
+	s := e.watcher.Snapshot()
+	v := wire.Snapshot{Fleet: s.Fleet, Age: s.Age}
 	if req.Entries {
-		v.Entries, v.Table = entries, table
+		v.Entries, v.Table = s.Entries, s.Table
 	}
 	if m := e.routes.Manifest(); m != nil && m.Version > req.Manifest {
 		v.Manifest = m
@@ -195,7 +195,7 @@
 		return watch.Snapshot{}, false
 	}
 	e.Log.Info("edge: read state from a peer", zap.String("addr", addr), zap.Int64("fleet", v.Fleet.Revision))
-	return watch.Snapshot{Manifest: v.Manifest, Fleet: v.Fleet, Entries: v.Entries, Table: v.Table}, true
+	return watch.Snapshot{Manifest: v.Manifest, Fleet: v.Fleet, Age: v.Age, Entries: v.Entries, Table: v.Table}, true
 }
 
 // Turn implements [watch.Peers]. A few entries follow each other in the order of
--- a/watch/turn_test.go
+++ b/watch/turn_test.go
@@ -46,8 +46,7 @@
 	if from == nil {
 		return watch.Snapshot{}, false
 	}
-	var s watch.Snapshot
-	s.Fleet, s.Entries, s.Table = from.Watcher.Snapshot()
+	s := from.Watcher.Snapshot()
 	if !entries {
 		s.Entries = nil
 	}
@@ -167,18 +166,31 @@
 	is.True(second <= drain-500)
 }
 
-// TestFreshStart starts 120 entries together and counts their calls of the store until
-// all have the list: each registers and reads the table of entries and the manifest,
-// and few read the list.
+// TestFreshStart starts 120 entries together, and has replicas join meanwhile. It
+// counts the calls of the store until all have the list: each registers and reads the
+// table of entries and the manifest, and few read the list.
 func TestFreshStart(t *testing.T) {
 	is := is.New(t)
 	const n = 120
 	s := newSource()
 	s.fleet, s.manifest = fleet(1, "a", "b", "c"), &core.Manifest{Version: 3}
 	all := startFresh(t, s, n)
-	until(t, "the first list", func() bool {
+	c := clock.Clock{}
+	names := []string{"a", "b", "c"}
+	for i, begun := 0, c.Now(); c.Now()-begun < 4*clock.Second; i++ {
+		_ = c.Sleep(t.Context(), 100)
+		names = append(names, string(rune('d'+i%20)))
+		s.edit(func() { s.fleet = fleet(int64(2+i), names...) })
+	}
+	until(t, "the last list", func() bool {
+		s.mu.Lock()
+		last := s.fleet.Revision
+		s.mu.Unlock()
 		for _, m := range all {
-			if m.got.names() != "abc" {
+			m.got.mu.Lock()
+			got := m.got.fleet.Revision
+			m.got.mu.Unlock()
+			if got != last {
 				return false
 			}
 		}
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -44,6 +44,8 @@
 type Snapshot struct {
 	Manifest *core.Manifest
 	Fleet    core.Fleet
+	// Age is the time since the list of replicas was read.
+	Age clock.Millis
 	// Entries is the table of entries, of the revision Table.
 	Entries []core.Instance
 	Table   int64
@@ -115,6 +117,10 @@
 	// itself, and only updates of several peers are combined.
 	peerRequestDelay    clock.Millis = 150
 	relayedRequestDelay clock.Millis = 20
+	// If reads are relayed, a peer that has failed to answer is asked again up to
+	// maxPeerRetries times.
+	maxPeerRetries              = 3
+	peerRetryPause clock.Millis = 200
 )
 
 // Watcher keeps a copy of the store up to date. Source, Self, OnManifest,
@@ -234,12 +240,11 @@
 	}
 }
 
-// Snapshot returns this entry's replicas and its table of entries with its revision,
-// to answer a peer.
-func (w *Watcher) Snapshot() (fleet core.Fleet, entries []core.Instance, table int64) {
+// Snapshot returns this entry's replicas and its table of entries, to answer a peer.
+func (w *Watcher) Snapshot() Snapshot {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.fleet, w.entries, w.table
+	return Snapshot{Fleet: w.fleet, Age: w.Clock.Now() - max(w.readAt, w.peerReadAt), Entries: w.entries, Table: w.table}
 }
 
 // PeerState returns the state to report to the peers. A list with replicas that
@@ -562,9 +567,11 @@
 			continue
 		}
 		w.requestSnapshot(ctx, false)
-		if relayed && w.behind() {
-			w.readNow.Store(true)
-			w.fleetDue.Send()
+		// A read of this entry's own would have a newer revision than those of its
+		// peers, and make them ask in turn. It reads once the list is too old.
+		for try := 0; relayed && try < maxPeerRetries && w.behind() && ctx.Err() == nil; try++ {
+			_ = w.Clock.Sleep(ctx, peerRetryPause)
+			w.requestSnapshot(ctx, false)
 		}
 	}
 }
@@ -598,6 +605,7 @@
 	newer := s.Fleet.Revision > w.fleet.Revision
 	if newer {
 		s.Fleet = w.setFleet(s.Fleet)
+		w.peerReadAt = max(w.peerReadAt, w.Clock.Now()-s.Age-hopDelay)
 	}
 	newerTable := entries && len(s.Entries) > 0 && (s.Table > w.table || len(w.entries) == 0)
 	w.mu.Unlock()
--- a/wire/gossip.go
+++ b/wire/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/gossip"
 )
@@ -27,8 +28,10 @@
 // Snapshot is the copy of the platform's data that an entry fetches from a peer
 // with a newer one.
 type Snapshot struct {
-	Manifest *core.Manifest  `json:"manifest,omitempty"`
-	Fleet    core.Fleet      `json:"fleet"`
+	Manifest *core.Manifest `json:"manifest,omitempty"`
+	Fleet    core.Fleet     `json:"fleet"`
+	// Age is the time since the list of replicas was read.
+	Age clock.Millis `json:"age,omitempty"`
 	// Entries is the table of entries, of the revision Table.
 	Entries []core.Instance `json:"entries,omitempty"`
 	Table   int64           `json:"table,omitempty"`
