alloc: a placement that ends before its report is acknowledged

Cause: found by reading: grants were sent only to owners with work of this entry, so that one that had ended counted at its owner for a second more; and an engine that had refused a hold was named to the first group asked in place of its own. A sender that is no longer wanted ends its context.

--- a/alloc/alloc_test.go
+++ b/alloc/alloc_test.go
@@ -324,3 +324,21 @@
 	is.True(waited <= 200)
 	wg.Wait()
 }
+
+// TestEndedPlacementIsReported checks that the owner soon forgets a placement that has
+// ended before it was reported.
+func TestEndedPlacementIsReported(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 20, engines(1, 1))
+	c := clock.Clock{}
+	for i := range 10 {
+		_, err := s.run(t.Context(), s.entries[s.list[i].Name], 0, 500)
+		is.NoErr(err)
+	}
+	_ = c.Sleep(t.Context(), 300)
+	for _, e := range s.entries {
+		for _, w := range e.Ledger.Work() {
+			is.Equal(w, pool.Work{})
+		}
+	}
+}
--- a/alloc/client.go
+++ b/alloc/client.go
@@ -108,8 +108,6 @@
 		if waiting := float64(res.Waiting) / float64(max(1, groups.Decodes[g])); err == nil && (fewest < 0 || waiting < fewest) {
 			best, fewest = g, waiting
 		}
-		// The engine that was full belongs to one group.
-		r.Full = ""
 		if first == second {
 			break
 		}
@@ -131,6 +129,9 @@
 // don't answer. The error is one with which the owner rejected the request.
 func (c *Client) ask(ctx context.Context, entries []core.Instance, group int, r Request, wait clock.Millis, commit func(Choice)) (Result, error) {
 	r.Group = group + 1
+	if _, g, ok := c.GroupOf(r.Full); !ok || g != group {
+		r.Full = ""
+	}
 	for range maxOwners {
 		owner := c.owner(entries, r.Service, group)
 		if owner.Name == c.Self.Name {
--- a/alloc/report.go
+++ b/alloc/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 
@@ -66,7 +67,7 @@
 }
 
 // due returns the reports whose content has changed, and those last sent
-// reportInterval ago. An owner without work of this entry gets one last report.
+// reportInterval ago.
 func (r *reporter) due() []outgoing {
 	c := r.client
 	entries := c.Entries()
@@ -108,16 +109,15 @@
 			rep.Seen = append(rep.Seen, o)
 		}
 	}
-	for name := range r.sent {
-		if reports[name] != nil {
-			continue
-		}
-		if i := slices.IndexFunc(entries, func(in core.Instance) bool { return in.Name == name }); i >= 0 {
-			owners[name], reports[name] = entries[i], &Report{}
-		} else {
-			delete(r.sent, name)
+	// Owners that no longer have work of this entry, or whose placement has ended
+	// already, get one report without it.
+	for _, in := range entries {
+		_, told := r.sent[in.Name]
+		if (told || len(grants[in.Name]) > 0) && reports[in.Name] == nil {
+			owners[in.Name], reports[in.Name] = in, &Report{}
 		}
 	}
+	maps.DeleteFunc(r.sent, func(name string, _ sentReport) bool { return reports[name] == nil })
 	return r.changed(owners, reports, grants)
 }
 
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -376,6 +376,7 @@
 		return false
 	}
 	p.sending = false
+	p.cancel()
 	return true
 }
 
