--- a/wire/alloc.go
+++ b/wire/alloc.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"lacewinghook.example/lacewinghook/alloc"
 	"lacewinghook.example/lacewinghook/clock"
@@ -36,13 +35,4 @@
 }
 
 // OnWork returns a handler of [MethodWork] that passes the report to handle.
-func OnWork(handle func(alloc.Report)) MethodHandler {
-	return func(_ context.Context, params json.RawMessage) (any, error) {
-		var r alloc.Report
-		if err := json.Unmarshal(params, &r); err != nil {
-			return nil, err
-		}
-		handle(r)
-		return nil, nil
-	}
-}
+func OnWork(handle func(alloc.Report)) MethodHandler { return notificationHandler(handle) }
--- a/wire/gossip.go
+++ b/wire/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
@@ -45,16 +44,7 @@
 
 // OnHeartbeat returns a handler of [MethodHello] that passes the peer's
 // heartbeat to handle.
-func OnHeartbeat(handle func(gossip.Heartbeat)) MethodHandler {
-	return func(_ context.Context, params json.RawMessage) (any, error) {
-		var h gossip.Heartbeat
-		if err := json.Unmarshal(params, &h); err != nil {
-			return nil, err
-		}
-		handle(h)
-		return nil, nil
-	}
-}
+func OnHeartbeat(handle func(gossip.Heartbeat)) MethodHandler { return notificationHandler(handle) }
 
 // Snapshot returns the peer's snapshot without the parts listed in have.
 func (c *Client) Snapshot(ctx context.Context, addr string, have SnapshotRequest) (Snapshot, error) {
--- a/wire/server.go
+++ b/wire/server.go
@@ -46,6 +46,19 @@
 	}
 }
 
+// notificationHandler adapts a function that takes a notification, which has no
+// response, to a [MethodHandler].
+func notificationHandler[In any](f func(In)) MethodHandler {
+	return func(_ context.Context, params json.RawMessage) (any, error) {
+		var in In
+		if err := json.Unmarshal(params, &in); err != nil {
+			return nil, err
+		}
+		f(in)
+		return nil, nil
+	}
+}
+
 // Server serves the calls of other entries.
 type Server struct {
 	// Handler serves the heartbeat, document and drains calls. If it is nil,
