alloc: a request that can't make its target is rejected before it is placed

An owner, and an entry that had passed over silent owners, placed a late request if engines were free, since only the relay looked at the limit, before the first call. Change: desk and client check it at each step. The test allows for the lateness of the process's own timers, which it measures and logs, since it can't time a wait better. Test: TestLateRequests; no call is made for a late request.

--- a/alloc/client.go
+++ b/alloc/client.go
@@ -102,6 +102,9 @@
 		if err == nil && res.Choice != nil {
 			return nil
 		}
+		if codes.Has(err, codes.DeadlineUnmet) {
+			return err
+		}
 		if ctx.Err() != nil {
 			return codes.From(ctx.Err()).WithRun(codes.NotRun)
 		}
@@ -133,6 +136,9 @@
 		r.Full = ""
 	}
 	for range maxOwners {
+		if err := r.late(c.Clock.Now()); err != nil {
+			return Result{}, err
+		}
 		owner := c.owner(entries, r.Service, group)
 		if owner.Name == c.Self.Name {
 			break
--- a/alloc/desk.go
+++ b/alloc/desk.go
@@ -44,6 +44,9 @@
 // choice before any other choice is made, so that commit can count the work. commit
 // must not block. After an error nothing is placed.
 func (d *Desk) Place(ctx context.Context, r Request, commit func(Choice)) error {
+	if err := r.late(d.Clock.Now()); err != nil {
+		return err
+	}
 	d.markFull(r.Full)
 	return d.queue(r).Wait(ctx, d.ticket(r, commit))
 }
@@ -51,6 +54,9 @@
 // TryPlace is [Desk.Place] without waiting. It reports whether the request was
 // placed, which it isn't if others wait.
 func (d *Desk) TryPlace(r Request, commit func(Choice)) (bool, error) {
+	if err := r.late(d.Clock.Now()); err != nil {
+		return false, err
+	}
 	d.markFull(r.Full)
 	return d.queue(r).TryNow(d.ticket(r, commit))
 }
--- a/alloc/types.go
+++ b/alloc/types.go
@@ -36,6 +36,15 @@
 	Group int
 }
 
+// late returns the error of a request that can't have its first token by Latest any
+// more, even if it is placed now, or nil.
+func (r Request) late(now clock.Millis) error {
+	if late := now + r.TimeToFirstToken - r.Latest; late > 0 && !r.Urgent {
+		return codes.New(codes.DeadlineUnmet, "predicted first event %d ms too late", late)
+	}
+	return nil
+}
+
 // Choice is the result of a placement. Engines are given by name.
 type Choice struct {
 	// Prefill is empty if the decode engine computes the prompt itself, or if it is
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -49,11 +49,6 @@
 	start := x.relay.Clock.Now()
 	r := x.placement(prior)
 	for {
-		if late := x.relay.Clock.Now() + r.TimeToFirstToken - r.Latest; late > 0 && !r.Urgent {
-			err := codes.New(codes.DeadlineUnmet, "predicted first event %d ms too late", late)
-			x.logNotAdmitted(x.relay.Clock.Now()-start, err)
-			return nil, err
-		}
 		r.Exclude = x.excludedEngines()
 		var a *attempt
 		if err := x.relay.placer().Place(ctx, r, func(c alloc.Choice) { a = x.beginAttempt(prior, r, c) }); err != nil {
