--- a/relay/call.go
+++ b/relay/call.go
@@ -37,7 +37,7 @@
 // callOnce sends the call to one replica and delivers its answer. If it returns
 // an error before the head of the answer was sent, the caller may retry.
 func (x *exchange) callOnce(ctx context.Context) error {
-	up, cost, ok := x.selectReplica()
+	up, usual, cost, ok := x.selectReplica()
 	if !ok {
 		return codes.New(codes.NoUpstream, "service %q", x.opaque.Service)
 	}
@@ -51,7 +51,7 @@
 	x.relay.Pool.Begin(up.Name, w)
 	defer x.relay.Pool.End(up.Name, w)
 	start := x.relay.Clock.Now()
-	call, cancel := x.withSendTimeout(ctx, up)
+	call, cancel := x.withSendTimeout(ctx, usual)
 	defer cancel()
 	a, err := x.relay.Upstreams.Send(call, up, SendRequest{Request: x.request})
 	if err == nil {
@@ -80,18 +80,12 @@
 )
 
 // withSendTimeout limits the time for an answer from one replica if the call can
-// be retried at another. Otherwise only the request's deadline applies.
-func (x *exchange) withSendTimeout(ctx context.Context, up core.Upstream) (context.Context, context.CancelFunc) {
+// be retried at another. Otherwise only the request's deadline applies. usual is the
+// replica's usual answer time.
+func (x *exchange) withSendTimeout(ctx context.Context, usual clock.Millis) (context.Context, context.CancelFunc) {
 	if !x.repeatable() || x.possibleRuns >= x.opaque.Route.Profile.Retries {
 		return context.WithCancel(ctx)
 	}
-	usual := clock.Millis(0)
-	_, replicas := x.replicas()
-	for i := range replicas {
-		if replicas[i].Name == up.Name {
-			usual = clock.Millis(replicas[i].Expected(route.PriorTime(replicas)))
-		}
-	}
 	limit := max(usual*sendTimeoutFactor, x.request.Profile.FirstToken*sendTimeoutTargets, minSendTimeout)
 	return context.WithTimeoutCause(ctx, limit.Duration(), errUpstreamIdle)
 }
@@ -129,15 +123,15 @@
 // upstream.
 const minFailureStatus = 500
 
-// selectReplica selects the replica for the next send. cost is its expected answer
-// time in milliseconds, and ok is false if the service has no replica.
-func (x *exchange) selectReplica() (up core.Upstream, cost float64, ok bool) {
+// selectReplica selects the replica for the next send. usual is its usual answer time,
+// cost the expected one in milliseconds, and ok is false if the service has no replica.
+func (x *exchange) selectReplica() (up core.Upstream, usual clock.Millis, cost float64, ok bool) {
 	states, replicas := x.replicas()
 	i, cost := route.LeastTime{Centre: x.relay.Centre}.Choose(replicas)
 	if i < 0 {
-		return core.Upstream{}, 0, false
+		return core.Upstream{}, 0, 0, false
 	}
-	return states[i].Upstream, cost, true
+	return states[i].Upstream, clock.Millis(replicas[i].Expected(route.PriorTime(replicas))), cost, true
 }
 
 // replicas returns the replicas of the request's service, as the pool has them and
