alloc: one function for the group of an engine

Desk and Client took the same mapping in two forms, with an adapter and an unused argument between them. Result.Busy was set and never read: a result without a choice and a code says the same.

--- a/alloc/alloc_test.go
+++ b/alloc/alloc_test.go
@@ -70,12 +70,13 @@
 		e := &entry{table: &pool.Table{}}
 		e.table.Apply(&core.Document{Upstreams: ups})
 		ledger := &alloc.Ledger{}
-		desk := &alloc.Desk{Pool: candidates{e.table, ledger}, GroupOf: func(_, engine string) (int, bool) { g, ok := s.groups.Of[engine]; return g, ok }}
+		groupOf := func(engine string) (string, int, bool) { g, ok := s.groups.Of[engine]; return service, g, ok }
+		desk := &alloc.Desk{Pool: candidates{e.table, ledger}, GroupOf: groupOf}
 		e.Client = alloc.Client{
 			Desk: desk, Peers: s, Ledger: ledger, Self: in, Boot: uint64(i + 1),
 			Entries: func() []core.Instance { return s.list },
 			Groups:  func(string) alloc.Groups { return s.groups },
-			GroupOf: func(engine string) (string, int, bool) { g, ok := s.groups.Of[engine]; return service, g, ok },
+			GroupOf: groupOf,
 			Loads:   e.table.Loads, Observed: func(alloc.Observation) {},
 			OnWork: func() { go desk.Wake() },
 		}
--- a/alloc/client.go
+++ b/alloc/client.go
@@ -178,7 +178,7 @@
 	if wait == 0 {
 		ok, err := c.Desk.TryPlace(r, commit)
 		if err == nil && !ok {
-			res.Busy, res.Waiting = true, c.Desk.Waiting(r)
+			res.Waiting = c.Desk.Waiting(r)
 		}
 		return res, err
 	}
@@ -186,7 +186,7 @@
 	defer cancel()
 	err := c.Desk.Place(waitCtx, r, commit)
 	if err != nil && waitCtx.Err() != nil && ctx.Err() == nil {
-		return Result{Busy: true}, nil
+		return Result{}, nil
 	}
 	return res, err
 }
--- a/alloc/desk.go
+++ b/alloc/desk.go
@@ -25,9 +25,9 @@
 type Desk struct {
 	Pool  Candidates
 	Clock clock.Clock
-	// GroupOf returns the group of an engine. If nil, requests are not limited to a
-	// group.
-	GroupOf func(service, engine string) (group int, ok bool)
+	// GroupOf returns the service and the group of an engine. If nil, requests are not
+	// limited to a group.
+	GroupOf func(engine string) (service string, group int, ok bool)
 
 	// queues holds one wait queue per service and group.
 	queues shard.Map[string, *limit.Queue]
@@ -149,7 +149,7 @@
 	all := d.Pool.Candidates(role, r.Service, nil, nil)
 	if r.Group > 0 && d.GroupOf != nil {
 		all = slices.DeleteFunc(all, func(c route.Candidate) bool {
-			g, ok := d.GroupOf(r.Service, c.Name)
+			_, g, ok := d.GroupOf(c.Name)
 			return !ok || g != r.Group-1
 		})
 	}
--- a/alloc/types.go
+++ b/alloc/types.go
@@ -89,15 +89,14 @@
 	Wait clock.Millis `json:"wait,omitempty"`
 }
 
-// Result answers a [Call]. Either Choice is set, or Busy, or Code.
+// Result answers a [Call]. Without Choice and Code, no engine became free in time.
 type Result struct {
 	Choice *Choice `json:"choice,omitempty"`
 	// Grant identifies the placement at the owner until it is reported.
 	Grant uint64 `json:"grant,omitempty"`
-	// Busy is set if no engine became free in time, and Waiting is then the number
-	// of requests that wait for the group.
-	Busy    bool `json:"busy,omitempty"`
-	Waiting int  `json:"waiting,omitempty"`
+	// Waiting is the number of requests that wait for the group, if none was free at
+	// once.
+	Waiting int `json:"waiting,omitempty"`
 	// Code and Message state why the request is rejected.
 	Code    codes.Code   `json:"code,omitempty"`
 	Message string       `json:"message,omitempty"`
--- a/edge/placing.go
+++ b/edge/placing.go
@@ -58,10 +58,7 @@
 
 // preparePlacer initializes the components that place completions.
 func (e *Edge) preparePlacer(table alloc.Candidates, self core.Instance) {
-	e.desk = alloc.Desk{Pool: table, Clock: e.Clock, GroupOf: func(_, engine string) (int, bool) {
-		_, group, ok := e.groupOf(engine)
-		return group, ok
-	}}
+	e.desk = alloc.Desk{Pool: table, Clock: e.Clock, GroupOf: e.groupOf}
 	e.ledger.Clock = e.Clock
 	e.placer = alloc.Client{
 		Desk: &e.desk, Peers: &e.peers, Ledger: &e.ledger, Self: self, Boot: e.boot, Entries: e.owners, Groups: e.service,
