watch: the order of reads is asked for only where it decides

Each heartbeat sent or received asked for the entry's turn, which copies and sorts the live peers of a small site, to learn only whether reads are relayed. Relayed tells that alone.

--- a/edge/state.go
+++ b/edge/state.go
@@ -198,10 +198,13 @@
 	return watch.Snapshot{Manifest: v.Manifest, Fleet: v.Fleet, Age: v.Age, Entries: v.Entries, Table: v.Table}, true
 }
 
+// Relayed implements [watch.Peers].
+func (e *Edge) Relayed() bool { return e.gossip.Sparse() }
+
 // Turn implements [watch.Peers]. A few entries follow each other in the order of
 // their names. Many follow a pseudo-random order, which needs no heartbeats.
 func (e *Edge) Turn() watch.Turn {
-	t := watch.Turn{Relayed: e.gossip.Sparse(), Drain: e.Settings.Fleet.Drain}
+	t := watch.Turn{Relayed: e.Relayed(), Drain: e.Settings.Fleet.Drain}
 	if t.Relayed {
 		t.Ahead = int(e.readRank.Load())
 		return t
--- a/watch/turn.go
+++ b/watch/turn.go
@@ -59,3 +59,6 @@
 	}
 	return w.Peers.Turn()
 }
+
+// relayed reports whether entries report to some others only.
+func (w *Watcher) relayed() bool { return w.Peers != nil && w.Peers.Relayed() }
--- a/watch/turn_test.go
+++ b/watch/turn_test.go
@@ -29,6 +29,9 @@
 	heard map[*member]watch.PeerState
 }
 
+// Relayed implements [watch.Peers].
+func (m *member) Relayed() bool { return m.turn.Relayed }
+
 // Turn implements [watch.Peers].
 func (m *member) Turn() watch.Turn { return m.turn }
 
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -57,6 +57,8 @@
 	// entries is set, it includes the table of entries. It returns false if no live
 	// peer has reported newer state, or if the request fails.
 	Snapshot(ctx context.Context, have PeerState, entries bool) (Snapshot, bool)
+	// Relayed reports whether entries report to some others only ([Turn]).
+	Relayed() bool
 	// Turn returns this entry's place in the order in which they read the store.
 	Turn() Turn
 }
@@ -203,7 +205,7 @@
 	if storeMax(&w.peerTable, s.Table) {
 		w.tableDue.Send()
 	}
-	relayed := w.turn().Relayed
+	relayed := w.relayed()
 	w.mu.Lock()
 	at := w.Clock.Now() - s.Age
 	if relayed {
@@ -251,7 +253,7 @@
 // are kept although the store lacks them is marked as not comparable. Unless reads are
 // relayed, the age is that of the entry's own read.
 func (w *Watcher) PeerState() PeerState {
-	relayed := w.turn().Relayed
+	relayed := w.relayed()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.Clock.Now()
@@ -555,7 +557,7 @@
 			return
 		case <-w.peerUpdate.C():
 		}
-		relayed := w.turn().Relayed
+		relayed := w.relayed()
 		delay := peerRequestDelay
 		if relayed {
 			delay = relayedRequestDelay
--- a/watch/watcher_test.go
+++ b/watch/watcher_test.go
@@ -171,6 +171,9 @@
 	ahead    int
 }
 
+// Relayed implements [watch.Peers].
+func (p *peers) Relayed() bool { return false }
+
 // Turn returns the position that a test sets.
 func (p *peers) Turn() watch.Turn {
 	p.mu.Lock()
