--- a/edge/callers.go
+++ b/edge/callers.go
@@ -22,9 +22,6 @@
 	return c.edge.relay.Run(ctx, r, a)
 }
 
-// Leaving implements [platform.Runner].
-func (c callerRunner) Leaving() bool { return c.edge.leaving.Load() }
-
 // Limits implements [platform.Runner].
 func (c callerRunner) Limits() core.InputLimits {
 	if m := c.edge.routes.Manifest(); m != nil {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -17,6 +17,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/flight"
 	"lacewinghook.example/lacewinghook/gossip"
 	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/meter"
@@ -77,6 +78,8 @@
 	groups   atomic.Pointer[groups]
 	readRank atomic.Int64
 	budgets  shard.Map[string, *limit.Window]
+	// inFlight tracks the requests and connections of callers.
+	inFlight flight.Tracker
 }
 
 // Run serves until ctx ends, then drains the requests in flight and stops.
@@ -187,7 +190,9 @@
 // listen opens all listeners before any server starts.
 func (e *Edge) listen(ctx context.Context) ([]*server, error) {
 	s := e.Settings
-	ingress := e.server(&platform.Ingress{Runner: callerRunner{e}, Clock: e.Clock})
+	e.inFlight = flight.Tracker{Clock: e.Clock, ID: platform.RequestID}
+	ingress := e.server(e.inFlight.Track(&platform.Ingress{Runner: callerRunner{e}, Clock: e.Clock, Meter: &e.meter, Log: e.Log}, e.leaving.Load))
+	ingress.ConnState = e.inFlight.ConnState
 	ingress.MaxHeaderBytes = s.Limits.WithDefaults().Header
 	handlers := []struct {
 		addr string
--- a/edge/state.go
+++ b/edge/state.go
@@ -9,6 +9,7 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/flight"
 	"lacewinghook.example/lacewinghook/gossip"
 	"lacewinghook.example/lacewinghook/watch"
 	"lacewinghook.example/lacewinghook/wire"
@@ -290,6 +291,7 @@
 // continues to serve while callers may still have its address cached. Then it waits
 // for the requests in flight. All of this ends within the grace period.
 func (e *Edge) stop(ctx context.Context, servers []*server) {
+	begun := e.Clock.Now()
 	grace := e.Settings.Fleet.Grace.Millis()
 	linger := min(addressCacheFactor*e.Settings.Fleet.Keep+lookupTime, grace/2)
 	e.leaving.Store(true)
@@ -311,9 +313,15 @@
 			continue
 		}
 		if err := s.http.Shutdown(shutdownCtx); err != nil {
-			e.Log.Warn("edge: requests were cut", zap.Stringer("addr", s.ln.Addr()), zap.Error(err))
+			e.Log.Warn("edge: requests were cut", zap.Stringer("addr", s.ln.Addr()), zap.Int("in_flight", e.inFlight.Len()), zap.Error(err))
 		}
 	}
+	now := e.Clock.Now()
+	e.inFlight.Each(func(r flight.Request) {
+		e.meter.Add("unanswered_total", 1, "begun", "unknown", "by", "stop")
+		e.Log.Warn("edge: request cut by the stop", zap.String("request", r.ID), zap.String("path", r.Path),
+			zap.Int64("age", int64(now-r.Since)), zap.Int64("since_stop", int64(now-begun)))
+	})
 }
 
 // Times of a graceful shutdown.
--- a/flight/tracker.go
+++ b/flight/tracker.go
@@ -15,6 +15,8 @@
 // is ready to use.
 type Tracker struct {
 	Clock clock.Clock
+	// ID returns the ID of a request, for [Request]. If nil, requests have none.
+	ID func(*http.Request) string
 
 	requests shard.Map[uint64, Request]
 	conns    shard.Map[net.Conn, conn]
@@ -25,6 +27,7 @@
 
 // Request is one request in flight.
 type Request struct {
+	ID   string
 	Path string
 	// Since is the time at which its handler started.
 	Since clock.Millis
@@ -53,7 +56,11 @@
 func (t *Tracker) Track(h http.Handler, stopping func() bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		key := t.lastKey.Add(1)
-		t.requests.Set(key, Request{Path: r.URL.Path, Since: t.Clock.Now()})
+		req := Request{Path: r.URL.Path, Since: t.Clock.Now()}
+		if t.ID != nil {
+			req.ID = t.ID(r)
+		}
+		t.requests.Set(key, req)
 		t.inFlight.Add(1)
 		defer t.finish(key)
 		if stopping() {
