--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -47,6 +47,8 @@
 	// restarted is set if entries start on a platform that is already serving,
 	// so that they aren't fresh.
 	restarted bool
+	// retries limits the retries of the entries that start next.
+	retries config.Retries
 }
 
 // runningEntry is an entry that was started in this process.
@@ -59,7 +61,7 @@
 
 // newSite starts a store with a manifest and two replicas of each role.
 func newSite(t *testing.T) *site {
-	s := &site{t: t, store: extsim.NewStore(t)}
+	s := &site{t: t, store: extsim.NewStore(t), retries: config.Retries{Ratio: 0.2, Slack: 58, Span: 10}}
 	s.publish(1, 1000, "")
 	for i := range 2 {
 		s.services = append(s.services, s.replica(fmt.Sprintf("d-%d", i), "desk", ""))
@@ -100,7 +102,7 @@
 		Callers: config.Listener{Listen: port()}, Peers: config.Listener{Listen: port()},
 		Fleet: &config.Fleet{
 			Store: s.store.Addr, Directory: port(), Readiness: port(), Metrics: port(),
-			Grace: 4, Keep: 500, Retries: config.Retries{Ratio: 0.2, Slack: 58, Span: 10}, Fresh: !s.restarted,
+			Grace: 4, Keep: 500, Retries: s.retries, Fresh: !s.restarted,
 		},
 	}
 	for _, r := range seeds {
@@ -508,11 +510,12 @@
 	is.True(len(s.services[0].RequestHeaders()) > 0) // it received the request and refused it
 }
 
-// busy keeps streams running on all decode engines until the test ends.
-func (s *site) busy() {
+// busy keeps streams running on all decode engines until the test ends or the streams
+// have sent the given number of events, one every 20 ms.
+func (s *site) busy(events int) {
 	s.t.Helper()
 	for _, d := range s.decode {
-		d.EventCount, d.EventInterval = 1000, 20*time.Millisecond
+		d.EventCount, d.EventInterval = events, 20*time.Millisecond
 	}
 	ctx, end := context.WithCancel(context.Background())
 	var streams sync.WaitGroup
@@ -534,7 +537,7 @@
 	}{
 		"during prefill": {
 			// A busy decode engine doesn't prefill prompts itself.
-			prepare: func(s *site) { s.busy(); injectFault(s.prefill, extsim.Hang, 1) }, path: "/long/a",
+			prepare: func(s *site) { s.busy(1000); injectFault(s.prefill, extsim.Hang, 1) }, path: "/long/a",
 			at: func(s *site) []*extsim.Replica { return s.prefill },
 		},
 		"before the first event": {
--- /dev/null
+++ b/edge/lost_test.go
@@ -0,0 +1,216 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/extsim"
+)
+
+// TestSilentReplicaLosesNoAnswer guards against an answer that the entry ends because
+// a sound replica was silent for a moment: whether or not another replica can take the
+// request, the caller gets the whole answer, and the request isn't run again for a
+// silence of little more than a second.
+func TestSilentReplicaLosesNoAnswer(t *testing.T) {
+	const short, long = 1200 * time.Millisecond, 2700 * time.Millisecond
+	phases := map[string]struct {
+		fault    extsim.Fault
+		replicas func(s *site) []*extsim.Replica
+		paths    []string
+	}{
+		"hold":    {extsim.SilentHold, func(s *site) []*extsim.Replica { return s.decode }, []string{"/verse/", "/long/"}},
+		"prefill": {extsim.SilentPrefill, func(s *site) []*extsim.Replica { return s.prefill }, []string{"/verse/", "/long/"}},
+		"head": {extsim.SilentHead, func(s *site) []*extsim.Replica { return append(s.services, s.decode...) },
+			[]string{"/verse/", "/long/", "/once/", "/safe/"}},
+		"stream": {extsim.SilentStream, func(s *site) []*extsim.Replica { return s.decode }, []string{"/verse/", "/long/"}},
+	}
+	places := map[string]func(s *site){
+		"place elsewhere": func(*site) {},
+		"no retry budget": func(s *site) { s.retries.Slack, s.retries.Ratio = 0, 0 },
+	}
+	for phase, p := range phases {
+		for _, path := range p.paths {
+			for place, prepare := range places {
+				for _, silence := range []time.Duration{short, long} {
+					if silence == long && (path == "/once/" || path == "/safe/" || phase == "hold" || phase == "prefill") {
+						// The routes of the service end sooner, and a longer silence
+						// of a control call is a failure.
+						continue
+					}
+					t.Run(fmt.Sprint(phase, path, place, "/", silence), func(t *testing.T) {
+						t.Parallel()
+						is := is.New(t)
+						s := newSite(t)
+						prepare(s)
+						s.publish(2, 3000, "")
+						r := s.startReady()
+						if phase == "hold" || phase == "prefill" {
+							// Holds are requested, and prompts computed apart, for engines in use.
+							s.busy(100)
+						}
+						for _, replica := range p.replicas(s) {
+							replica.Silence = silence
+							replica.InjectFault(p.fault, 1)
+						}
+						got := r.do(context.Background(), callerRequest{id: "id-1", path: path + "a", header: map[string]string{"Lacewinghook-Deadline-Ms": "9000"}})
+						is.NoErr(got.err)
+						is.Equal(got.status, http.StatusOK)
+						if path == "/verse/" || path == "/long/" {
+							is.Equal(got.body, streamBody(s.decode[0].EventCount))
+						}
+						if path != "/safe/" && (silence == short || path == "/verse/" || place == "no retry budget") {
+							is.Equal(s.runs("id-1"), 1)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// dial opens a connection to the entry as a caller does.
+func (r *runningEntry) dial(t *testing.T) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", r.settings.Callers.Listen)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c.(*net.TCPConn)
+}
+
+// write writes a whole request for a path to c.
+func write(t *testing.T, c net.Conn, id, path string) {
+	t.Helper()
+	_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h.example\r\nLacewinghook-Request-Id: %s\r\nLacewinghook-Deadline-Ms: 4000\r\n"+
+		"Lacewinghook-Model: m\r\nLacewinghook-Token-Counts: 3000,2720\r\nLacewinghook-Prefix-Hash: 5c1e07a2:200,91bd3f06:2800\r\nContent-Length: 1\r\n\r\np", path, id)
+	is.New(t).NoErr(err)
+}
+
+// readAnswer reads one answer from c.
+func readAnswer(c net.Conn) answer {
+	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodPost})
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err, closes: resp.Close}
+}
+
+// TestHalfClosedCallerIsAnswered guards against a whole request that gets neither an
+// answer nor a rejection because its caller closed the sending side of the connection.
+func TestHalfClosedCallerIsAnswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		path   string
+		status int
+	}{
+		// A call that may not be repeated runs to its end.
+		"once": {"/once/a", 200},
+		// The entry can't tell this caller from one that has left.
+		"safe":   {"/safe/a", 502},
+		"stream": {"/verse/a", 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			r := s.startReady()
+			for _, replica := range append(s.services, s.decode...) {
+				replica.Silence = 300 * time.Millisecond
+				replica.InjectFault(extsim.SilentHead, 1)
+			}
+			conn := r.dial(t)
+			write(t, conn, "id-1", c.path)
+			s.until("the request runs", func() bool { return s.runs("id-1") == 1 })
+			is.NoErr(conn.CloseWrite())
+			got := readAnswer(conn)
+			is.NoErr(got.err)
+			is.Equal(got.status, c.status)
+			is.Equal(s.runs("id-1"), 1)
+		})
+	}
+}
+
+// TestStopAnswersAcceptedConnections guards against a stop that closes a connection on
+// which it has read a whole request: callers that connected before the listener was
+// closed, and those that use a kept connection once more, get answers until the
+// requests in flight have ended.
+func TestStopAnswersAcceptedConnections(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	for _, d := range s.decode {
+		d.EventCount, d.EventInterval = 30, 100*time.Millisecond
+	}
+	r := s.startReady()
+	r.stop()
+	s.until("the entry isn't ready", func() bool { return !r.ready() })
+	stopped := time.Now()
+	// The stream keeps the entry alive while its other connections are in question.
+	streamed := make(chan answer, 1)
+	go func() {
+		streamed <- r.do(context.Background(), callerRequest{id: "stream", path: "/verse/a"})
+	}()
+	s.until("the stream runs", func() bool { return s.runs("stream") == 1 })
+	lookUp := time.Duration(3*r.settings.Fleet.Keep) * time.Millisecond
+	time.Sleep(time.Until(stopped.Add(lookUp)))
+	conn := r.dial(t)
+	s.until("the listener is closed", func() bool {
+		c, err := net.Dial("tcp", r.settings.Callers.Listen)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	})
+	write(t, conn, "id-1", "/once/a")
+	got := readAnswer(conn)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.True(got.closes)
+	is.Equal(s.runs("id-1"), 1)
+	is.NoErr((<-streamed).err)
+}
+
+// TestStopRejectsWhatItCannotFinish guards against a stream that a stopping entry
+// accepts and cuts at the end of its grace period.
+func TestStopRejectsWhatItCannotFinish(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	for _, d := range s.decode {
+		d.EventCount, d.EventInterval = 28, 100*time.Millisecond
+	}
+	r := s.startReady()
+	stream := func(id string) answer { return r.do(context.Background(), callerRequest{id: id, path: "/verse/a"}) }
+	is.Equal(stream("usual").body, streamBody(28)) // streams take 2.8 s
+	r.stop()
+	s.until("the entry isn't ready", func() bool { return !r.ready() })
+	stopped := time.Now()
+	var running sync.WaitGroup
+	var inFlight atomic.Int64
+	for i := 0; time.Since(stopped) < 1500*time.Millisecond; i++ {
+		inFlight.Add(1)
+		running.Go(func() {
+			defer inFlight.Add(-1)
+			got := stream(fmt.Sprint("id-", i))
+			if got.status == http.StatusOK {
+				is.NoErr(got.err)
+				is.Equal(got.body, streamBody(28))
+			}
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.NoErr(<-r.done)
+	is.Equal(inFlight.Load(), int64(0)) // the process ends here, which would cut these
+	running.Wait()
+	r.done <- nil
+}
--- a/extsim/replica.go
+++ b/extsim/replica.go
@@ -46,6 +46,13 @@
 	// HandleGone rejects a request with a KV source, as if its KV handle no
 	// longer existed.
 	HandleGone Fault = "nohandle"
+	// SilentHold, SilentPrefill, SilentHead and SilentStream send nothing for
+	// [Replica.Silence] and then go on: before the answer to a hold, to a prefill
+	// and to a request to execute, and after the second event of a stream.
+	SilentHold    Fault = "silent hold"
+	SilentPrefill Fault = "silent prefill"
+	SilentHead    Fault = "silent head"
+	SilentStream  Fault = "silent stream"
 )
 
 // Replica simulates one replica of the platform.
@@ -56,6 +63,8 @@
 	EventCount int
 	// EventInterval is the time between two events of a stream.
 	EventInterval time.Duration
+	// Silence is how long the faults SilentHold and so on last.
+	Silence time.Duration
 	// Body is the response body of a plain service.
 	Body string
 
@@ -200,6 +209,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if hr.URL.Path == "/hold-take" && !r.fallSilent(hr, SilentHold) {
+		return
+	}
 	if r.serveControl(w, hr, body) {
 		return
 	}
@@ -257,6 +269,24 @@
 	return true
 }
 
+// fallSilent waits for Silence if f applies to this request. It returns false if
+// the caller disconnects or the replica stops meanwhile.
+func (r *Replica) fallSilent(hr *http.Request, f Fault) bool {
+	if !r.consumeFault(f) {
+		return true
+	}
+	select {
+	case <-time.After(r.Silence):
+		return true
+	case <-r.stopped:
+	case <-hr.Context().Done():
+		r.mu.Lock()
+		r.canceledRuns++
+		r.mu.Unlock()
+	}
+	return false
+}
+
 // hang blocks until the caller disconnects or the replica stops, then resets
 // the connection.
 func (r *Replica) hang(hr *http.Request) {
@@ -280,6 +310,9 @@
 	if r.consumeFault(Hang) {
 		r.hang(hr)
 	}
+	if !r.fallSilent(hr, SilentPrefill) {
+		return
+	}
 	r.mu.Lock()
 	r.prefills++
 	handle := fmt.Sprintf("kv%d", r.prefills)
@@ -295,6 +328,9 @@
 func (r *Replica) execute(w http.ResponseWriter, hr *http.Request, id, body string) {
 	h := w.Header()
 	h.Set("Lacewinghook-Replica-Signature", "sig."+id)
+	if !r.fallSilent(hr, SilentHead) {
+		return
+	}
 	switch {
 	case r.consumeFault(Crash):
 		go r.Stop()
@@ -394,6 +430,9 @@
 	_ = controller.Flush()
 	cut := r.consumeFault(CutAnswer)
 	for n := lastID + 1; n <= r.EventCount; n++ {
+		if n == lastID+3 && !r.fallSilent(hr, SilentStream) {
+			return
+		}
 		if cut && n == lastID+3 {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: to", n)
 			_ = controller.Flush()
