platform: a caller that closes its sending side gets a response

Callers saw a connection that ended without a byte, although they had sent a whole request: neither an answer nor a rejection. net/http cancels the context of a request when it reads the end of the caller's stream. The entry took that for a caller that had left, gave the request up and closed the connection. A caller that shuts down only its sending side still reads.

The two can't be told apart before something is written to the caller. So a request that has not begun to be answered always gets a response: 503 where it has not run, else 502 or 504. A call that may not be repeated runs to its end once it is sent, since to cancel it saves nothing that could be done again, and its answer is delivered.

--- a/relay/call.go
+++ b/relay/call.go
@@ -37,6 +37,9 @@
 // callOnce sends the call to one replica and delivers its answer. If it returns
 // an error before the head of the answer was sent, the caller may retry.
 func (x *exchange) callOnce(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return codes.From(ctx.Err()).WithRun(codes.NotRun)
+	}
 	up, usual, cost, ok := x.selectReplica()
 	if !ok {
 		return codes.New(codes.NoUpstream, "service %q", x.opaque.Service)
@@ -83,7 +86,12 @@
 // be retried at another. Otherwise only the request's deadline applies. usual is the
 // replica's usual answer time.
 func (x *exchange) withSendTimeout(ctx context.Context, usual clock.Millis) (context.Context, context.CancelFunc) {
-	if !x.repeatable() || x.possibleRuns >= x.opaque.Route.Profile.Retries {
+	if !x.repeatable() {
+		// A call that may not be repeated runs to its end although the caller may
+		// have left: the caller may also have closed only its sending side.
+		return context.WithTimeout(context.WithoutCancel(ctx), x.timeLeft().Duration())
+	}
+	if x.possibleRuns >= x.opaque.Route.Profile.Retries {
 		return context.WithCancel(ctx)
 	}
 	limit := max(usual*sendTimeoutFactor, x.request.Profile.FirstToken*sendTimeoutTargets, minSendTimeout)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -230,7 +230,7 @@
 	switch {
 	case x.callerGone || errors.Is(ctx.Err(), context.Canceled):
 		e = codes.Wrap(codes.CallerGone, err, "request %s", x.opaque.ID)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) || x.timeLeft() <= 0:
 		e = codes.Wrap(codes.DeadlinePast, err, "request %s", x.opaque.ID)
 	}
 	if x.possibleRuns == 0 && !x.headSent {
