relay: a silent upstream is given up only for a secured place

Callers saw answers that had begun and broke off although their engine was sound: it was silent for a second. The watchdog of resumable streams closed the connection to the engine after 1 s, or 0.8 s before the first event, and only then asked for engines and for two retries of the budget. If either was refused, the caller's connection was closed. A call that may be repeated was given up in the same way after 0.4 s or more, a prefill after 0.3 s, a hold after 0.3 s.

Class of the fault: a timer of the entry was taken as proof of a failure, and the work was given up before its replacement was certain.

The watchdog now first secures what the request needs to go on: engines, the retries of the budget and the prefill. Until then the stream goes on, and data that arrives ends the search. The same watchdog stands before calls and prefills, so that all three give a run up for silence by one rule. A stream isn't watched for less than MaxSilence (2 s, setting fleet.silence). An unanswered hold is tried at one other engine, and then the request goes on without. The body of a long answer is no longer bounded by the time limit for its head.

Ruled out: a longer time limit alone. It moves the fault to longer silences, and leaves callers with the budget's refusals.

--- a/config/fleet.go
+++ b/config/fleet.go
@@ -30,6 +30,9 @@
 	// Drain is how long after the store has accepted that a replica leaves a request
 	// may still be sent there; zero means the shortest time that is known.
 	Drain clock.Millis `json:"drain,omitempty"`
+	// Silence is how long a sound replica may be silent while it works on a request;
+	// zero means 2 s. The request isn't given up there for a shorter silence.
+	Silence clock.Millis `json:"silence,omitempty"`
 	// Retries is the retry budget of all entries together.
 	Retries Retries `json:"retries"`
 	// Fresh means that the whole system starts for the first time, so that no
@@ -64,6 +67,8 @@
 	maxSpan      = 10 * clock.Minute
 	minDrain     = clock.Millis(100)
 	maxDrain     = 1 * clock.Minute
+	minSilence   = clock.Millis(100)
+	maxSilence   = 1 * clock.Minute
 	maxMemoryMiB = 1 << 20
 	maxCores     = 1024
 )
@@ -95,6 +100,7 @@
 	c.requiredRange("fleet.keep", int64(f.Keep), int64(minKeep), int64(maxKeep), "ms")
 	c.requiredRange("fleet.retries.span_s", int64(f.Retries.Span.Millis()), int64(minSpan), int64(maxSpan), "ms")
 	c.optionalRange("fleet.drain", int64(f.Drain), int64(minDrain), int64(maxDrain), "ms")
+	c.optionalRange("fleet.silence", int64(f.Silence), int64(minSilence), int64(maxSilence), "ms")
 	c.optionalRange("fleet.memory", int64(f.Memory), 1, maxMemoryMiB, "MiB")
 	c.optionalRange("fleet.cores", int64(f.Cores), 1, maxCores, "cores")
 	if f.Retries.Ratio < 0 || f.Retries.Slack < 0 {
--- a/edge/budget.go
+++ b/edge/budget.go
@@ -35,7 +35,7 @@
 // CountFirst implements [relay.Budget].
 func (e *Edge) CountFirst(service string) { e.budget(service).CountFirst(e.Clock.Now(), e.quota()) }
 
-// TakeRetry implements [relay.Budget].
-func (e *Edge) TakeRetry(service string) bool {
-	return e.budget(service).Spend(e.Clock.Now(), e.quota())
+// TakeRetries implements [relay.Budget].
+func (e *Edge) TakeRetries(service string, n int) bool {
+	return e.budget(service).Spend(e.Clock.Now(), e.quota(), n)
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -147,7 +147,7 @@
 	e.preparePlacer(table, self)
 	e.relay = relay.Relay{
 		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Budget: e, Quarantine: crashDetector{e}, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
-		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre,
+		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre, MaxSilence: s.Fleet.Silence,
 	}
 }
 
--- a/limit/window.go
+++ b/limit/window.go
@@ -31,19 +31,19 @@
 func (w *Window) CountFirst(now clock.Millis, q Quota) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.first.add(now, q.Span)
+	w.first.add(now, q.Span, 1)
 }
 
-// Spend counts one extra send if the quota allows it, and reports whether it is
-// allowed.
-func (w *Window) Spend(now clock.Millis, q Quota) bool {
+// Spend counts n extra sends if the quota allows all of them, and reports whether it
+// does.
+func (w *Window) Spend(now clock.Millis, q Quota, n int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	allowed := q.Ratio*float64(w.first.sum(now, q.Span)) + q.Allowance
-	if float64(w.extra.sum(now, q.Span)+1) > allowed {
+	if float64(w.extra.sum(now, q.Span)+n) > allowed {
 		return false
 	}
-	w.extra.add(now, q.Span)
+	w.extra.add(now, q.Span, n)
 	return true
 }
 
@@ -58,10 +58,10 @@
 	bucket int64
 }
 
-// add counts an event.
-func (c *slidingCounter) add(now, span clock.Millis) {
+// add counts n events.
+func (c *slidingCounter) add(now, span clock.Millis, n int) {
 	c.advance(now, span)
-	c.counts[c.bucket%int64(len(c.counts))]++
+	c.counts[c.bucket%int64(len(c.counts))] += n
 }
 
 // sum returns the number of events within the window.
--- a/limit/window_test.go
+++ b/limit/window_test.go
@@ -32,7 +32,7 @@
 				w.CountFirst(1000, q)
 			}
 			spent := 0
-			for w.Spend(1000+c.at, q) {
+			for w.Spend(1000+c.at, q, 1) {
 				spent++
 			}
 			is.Equal(spent, c.want)
@@ -48,7 +48,7 @@
 	var w limit.Window
 	var spent []clock.Millis
 	for now := clock.Millis(0); now < 60*clock.Second; now += 37 {
-		for w.Spend(now, q) {
+		for w.Spend(now, q, 1) {
 			spent = append(spent, now)
 		}
 	}
@@ -66,5 +66,5 @@
 
 func TestZeroWindowAllowsNothing(t *testing.T) {
 	var w limit.Window
-	is.New(t).True(!w.Spend(0, limit.Quota{}))
+	is.New(t).True(!w.Spend(0, limit.Quota{}, 1))
 }
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -43,13 +43,26 @@
 	return max(1, (tokens+core.PieceTokens/2)/core.PieceTokens)
 }
 
-// admit waits until engines are available and reserves capacity there. prior, if not
-// nil, is a failed attempt whose prefill result the new attempt reuses.
-func (x *exchange) admit(ctx context.Context, prior *attempt) (*attempt, error) {
+// admission is what an attempt needs.
+type admission struct {
+	// prior, if not nil, is a failed attempt whose prefill result is used again.
+	prior *attempt
+	// urgent means that the caller has waited for engines before.
+	urgent bool
+	// exclude is an engine that isn't chosen while there is another one.
+	exclude string
+}
+
+// admit waits until engines are available and reserves capacity there.
+func (x *exchange) admit(ctx context.Context, ad admission) (*attempt, error) {
 	start := x.relay.Clock.Now()
-	r := x.placement(prior)
+	prior := ad.prior
+	r := x.placement(ad)
 	for {
 		r.Exclude = x.excludedEngines()
+		if ad.exclude != "" {
+			r.Exclude = append(r.Exclude, ad.exclude)
+		}
 		var a *attempt
 		if err := x.relay.placer().Place(ctx, r, func(c alloc.Choice) { a = x.beginAttempt(prior, r, c) }); err != nil {
 			x.logNotAdmitted(x.relay.Clock.Now()-start, err)
@@ -72,12 +85,13 @@
 }
 
 // placement returns the request for engines of the next attempt.
-func (x *exchange) placement(prior *attempt) alloc.Request {
+func (x *exchange) placement(ad admission) alloc.Request {
+	prior := ad.prior
 	target := x.request.Arrived + x.request.Profile.FirstToken
 	// A request that will miss its target by more than Patience is rejected: it
 	// would take memory from one that can still meet its target.
 	latest := target + x.request.Profile.Patience
-	if x.headSent || x.request.Profile.FirstToken == 0 {
+	if ad.urgent || x.request.Profile.FirstToken == 0 {
 		latest = x.request.Deadline
 	}
 	centre := x.relay.Centre
@@ -90,7 +104,7 @@
 		Tokens: tokens, Output: x.request.MaxTokens, Pieces: roundToPieces(tokens + x.reservedOutput()),
 		Bytes: int64(tokens) * x.engineSpec().TokenBytes, Exported: prior != nil,
 		Target: target, Latest: min(latest, x.request.Deadline), TimeToFirstToken: x.timeToFirstEvent(),
-		Urgent: prior != nil || x.headSent,
+		Urgent: ad.urgent,
 	}
 }
 
@@ -114,10 +128,10 @@
 	return a
 }
 
-// excludedEngines returns the engines that have failed this request or are
-// unreachable.
+// excludedEngines returns the engines that have failed this request, left a hold
+// unanswered or are unreachable.
 func (x *exchange) excludedEngines() []string {
-	names := slices.Clone(x.failed)
+	names := slices.Concat(x.failed, x.noHold)
 	now := x.relay.Clock.Now()
 	x.relay.unreachable.Each(func(name string, e exclusion) bool {
 		if now < e.until && !slices.Contains(names, name) {
@@ -180,7 +194,7 @@
 func (a *attempt) acquireHold(ctx context.Context) (held, full bool) {
 	x := a.exchange
 	maxHold := x.engineSpec().MaxHold
-	if maxHold == 0 || a.choice.Direct || a.choice.Fill < minHoldFill {
+	if maxHold == 0 || a.choice.Direct || a.choice.Fill < minHoldFill || slices.Contains(x.noHold, a.decode.Name) {
 		return true, false
 	}
 	call, cancel := context.WithTimeout(ctx, holdTimeout.Duration())
@@ -196,8 +210,14 @@
 	if codes.Has(err, codes.NoMemory) {
 		return false, true
 	}
-	x.failed = append(x.failed, a.decode.Name)
 	x.relay.markUnreachable(a.decode, err)
+	if call.Err() != nil {
+		// The engine may just be silent for a moment. Another one is tried once, and
+		// then the request goes on without a hold.
+		x.noHold = append(x.noHold, a.decode.Name)
+		return len(x.noHold) > 1, false
+	}
+	x.failed = append(x.failed, a.decode.Name)
 	return false, false
 }
 
--- a/relay/call.go
+++ b/relay/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -54,15 +55,16 @@
 	x.relay.Pool.Begin(up.Name, w)
 	defer x.relay.Pool.End(up.Name, w)
 	start := x.relay.Clock.Now()
-	call, cancel := x.withSendTimeout(ctx, usual)
-	defer cancel()
+	call, wd := x.watchCall(ctx, up, usual)
+	defer wd.cancel(nil)
 	a, err := x.relay.Upstreams.Send(call, up, SendRequest{Request: x.request})
 	if err == nil {
 		defer a.Body.Close()
 		x.relay.markReachable(up)
 		x.relay.Pool.ObserveFirstToken(up.Name, x.relay.Clock.Now()-start)
-		err = x.deliverAnswer(call, up, a)
+		err = x.deliverAnswer(up, a, wd)
 	}
+	wd.stop()
 	if err != nil && errors.Is(context.Cause(call), errUpstreamIdle) && ctx.Err() == nil {
 		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errUpstreamIdle, err), "%s after %d ms", up.Name, x.relay.Clock.Now()-start)
 	}
@@ -72,37 +74,53 @@
 	return err
 }
 
-// Parameters of the timeout for a call that can be retried at another replica. The
-// timeout is the largest of sendTimeoutFactor times the replica's usual answer
-// time, sendTimeoutTargets times the latency target, and minSendTimeout. A shorter
-// one would abandon a slow answer for a retry that arrives no earlier.
+// Parameters of the silence after which a call may be sent to another replica: the
+// largest of sendTimeoutFactor times the replica's usual answer time, sendTimeoutTargets
+// times the latency target, and minSendTimeout. A shorter one would abandon a slow
+// answer for a retry that arrives no earlier.
 const (
 	sendTimeoutFactor               = 6
 	sendTimeoutTargets              = 2
 	minSendTimeout     clock.Millis = 400
 )
 
-// withSendTimeout limits the time for an answer from one replica if the call can
-// be retried at another. Otherwise only the request's deadline applies. usual is the
-// replica's usual answer time.
-func (x *exchange) withSendTimeout(ctx context.Context, usual clock.Millis) (context.Context, context.CancelFunc) {
+// watchCall returns a context for one send, and its watchdog, which abandons the replica
+// once another one is available and the retry budget allows a send. A call that may not
+// be sent again isn't watched. usual is the replica's usual answer time.
+func (x *exchange) watchCall(ctx context.Context, up core.Upstream, usual clock.Millis) (context.Context, *watchdog) {
 	if !x.repeatable() {
 		// A call that may not be repeated runs to its end although the caller may
 		// have left: the caller may also have closed only its sending side.
-		return context.WithTimeout(context.WithoutCancel(ctx), x.timeLeft().Duration())
+		deadline, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.timeLeft().Duration())
+		return deadline, unwatched(func(error) { cancel() })
 	}
+	call, cancel := context.WithCancelCause(ctx)
 	if x.possibleRuns >= x.opaque.Route.Profile.Retries {
-		return context.WithCancel(ctx)
+		return call, unwatched(cancel)
 	}
-	limit := max(usual*sendTimeoutFactor, x.request.Profile.FirstToken*sendTimeoutTargets, minSendTimeout)
-	return context.WithTimeoutCause(ctx, limit.Duration(), errUpstreamIdle)
+	w := &watchdog{
+		clock: x.relay.Clock, limit: max(usual*sendTimeoutFactor, x.request.Profile.FirstToken*sendTimeoutTargets, minSendTimeout),
+		secure: func(context.Context) bool {
+			return x.timeLeft() >= minTimeLeft && x.hasOther(up) && x.payRetries(1)
+		},
+		unsecure: func() {}, cancel: cancel,
+	}
+	w.start(ctx)
+	return call, w
+}
+
+// hasOther reports whether a replica other than up is available for the call.
+func (x *exchange) hasOther(up core.Upstream) bool {
+	_, replicas := x.replicas()
+	return slices.ContainsFunc(replicas, func(r route.Replica) bool { return r.Name != up.Name && !r.Excluded })
 }
 
 // deliverAnswer delivers a replica's answer. An answer of at most
 // maxBufferedBytes is read completely first. If its status reports a failure and
 // the call may be repeated, it is stored as the fallback and an error is returned.
-func (x *exchange) deliverAnswer(ctx context.Context, up core.Upstream, a Answer) error {
+func (x *exchange) deliverAnswer(up core.Upstream, a Answer, wd *watchdog) error {
 	head, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes+1))
+	wd.stop()
 	if err != nil {
 		return codes.Wrap(codes.UpstreamLost, err, "%s: connection lost while reading the answer", up.Name)
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -27,8 +27,13 @@
 	// sends counts the sends to upstreams, except an accepted first prefill.
 	// possibleRuns counts those that an upstream may have run.
 	sends, possibleRuns int
-	// failed lists the upstreams that failed this request.
-	failed []string
+	// paidRetries counts the retries already taken from the budget.
+	paidRetries int
+	// failed lists the upstreams that failed this request, and noHold the engines
+	// that left a hold unanswered.
+	failed, noHold []string
+	// next is an attempt that is ready to take over from a silent engine.
+	next *attempt
 	// headSent is set once the sink has received the head of the answer.
 	headSent bool
 	// callerGone is set once the sink has returned an error.
@@ -68,14 +73,30 @@
 func (x *exchange) chargeBudget() error {
 	if x.sends == 0 {
 		x.relay.Budget.CountFirst(x.opaque.Service)
-	} else if !x.relay.Budget.TakeRetry(x.opaque.Service) {
-		x.relay.Meter.Add("budget_refused_total", 1)
+	} else if !x.payRetries(1) {
 		return errBudgetSpent
+	} else {
+		x.paidRetries--
 	}
 	x.sends++
 	return nil
 }
 
+// payRetries takes retries from the budget for the next n sends. It returns false if
+// the budget is exhausted.
+func (x *exchange) payRetries(n int) bool {
+	missing := n - x.paidRetries
+	if missing <= 0 {
+		return true
+	}
+	if !x.relay.Budget.TakeRetries(x.opaque.Service, missing) {
+		x.relay.Meter.Add("budget_refused_total", 1)
+		return false
+	}
+	x.paidRetries = n
+	return true
+}
+
 // canRetry reports whether the request may be sent again after err.
 func (x *exchange) canRetry(ctx context.Context, err error) bool {
 	if ctx.Err() != nil || x.callerGone || x.timeLeft() < minTimeLeft {
@@ -90,12 +111,19 @@
 		// This entry itself rejected the request, so another attempt would fail too.
 		return false
 	case e.Run == codes.NotRun:
-		return x.sends < attempts+maxRefusals && x.possibleRuns < attempts
+		return x.refusalsLeft(x.sends)
 	default:
 		return x.repeatable() && x.possibleRuns < attempts
 	}
 }
 
+// refusalsLeft reports whether the request may be sent again after the given number of
+// sends if the last one was not run.
+func (x *exchange) refusalsLeft(sends int) bool {
+	attempts := 1 + x.opaque.Route.Profile.Retries
+	return sends < attempts+maxRefusals && x.possibleRuns < attempts
+}
+
 // repeatable reports whether the request may run more than once.
 func (x *exchange) repeatable() bool {
 	route := &x.opaque.Route
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -46,36 +46,76 @@
 // generate forwards a completion and retries it where that is allowed.
 func (x *exchange) generate(ctx context.Context) error {
 	var buf eventBuffer
+	defer x.discardNext()
 	for {
 		err := x.generateOnce(ctx, &buf)
 		if err == nil {
 			return nil
 		}
+		if x.next != nil && ctx.Err() == nil && !x.callerGone {
+			continue
+		}
 		if x.headSent && !x.opaque.Route.Resumable || !x.canRetry(ctx, err) {
 			return err
 		}
 	}
 }
 
+// discardNext releases the attempt that was to take over from a silent engine.
+func (x *exchange) discardNext() {
+	if a := x.next; a != nil {
+		x.next = nil
+		a.release()
+		a.freeExport()
+	}
+}
+
+// secureNext prepares an attempt at engines other than that of a. It returns false if
+// no engine, retry or time is left, or when ctx ends.
+func (a *attempt) secureNext(ctx context.Context) bool {
+	x := a.exchange
+	if x.timeLeft() < minTimeLeft || x.relay.Quarantine != nil && x.relay.Quarantine.Quarantined(x.request.Digest) {
+		return false
+	}
+	next, err := x.admit(ctx, admission{urgent: true, exclude: a.decode.Name})
+	if err != nil {
+		return false
+	}
+	x.next = next
+	sends := 2 // a prefill and a decode
+	if next.choice.Direct {
+		sends = 1
+	}
+	if next.decode.Name == a.decode.Name || !x.payRetries(sends) || next.computePrompt(ctx) != nil || ctx.Err() != nil {
+		x.discardNext()
+		return false
+	}
+	return true
+}
+
 // generateOnce admits the request, computes its prompt and forwards the answer. If
 // a decode engine refuses the prefill result, others are tried until it expires.
 func (x *exchange) generateOnce(ctx context.Context, buf *eventBuffer) error {
-	a, err := x.admit(ctx, nil)
-	if err != nil {
-		return err
-	}
-	if err := a.computePrompt(ctx); err != nil {
-		a.release()
-		return err
+	a := x.next
+	x.next = nil
+	if a == nil {
+		var err error
+		if a, err = x.admit(ctx, admission{urgent: x.headSent}); err != nil {
+			return err
+		}
+		if err := a.computePrompt(ctx); err != nil {
+			a.release()
+			return err
+		}
 	}
 	for {
 		err := a.runDecode(ctx, buf)
 		a.release()
-		if !a.canReuseExport(ctx, err) {
+		if x.next != nil || !a.canReuseExport(ctx, err) {
 			a.freeExport()
 			return err
 		}
-		next, refused := x.admit(ctx, a)
+		next, refused := x.admit(ctx, admission{prior: a, urgent: true})
 		if refused != nil {
 			a.freeExport()
 			return err
@@ -133,16 +173,17 @@
 		return err
 	}
 	timeout := min(max(a.choice.FirstToken*prefillTimeoutFactor, minPrefillTimeout), maxPrefillTimeout)
-	call, cancel := context.WithTimeoutCause(ctx, timeout.Duration(), errUpstreamIdle)
-	defer cancel()
 	if x.sends > 0 {
 		if err := x.chargeBudget(); err != nil {
 			return codes.Wrap(codes.BudgetSpent, err, "service %q", x.opaque.Service)
 		}
 	}
+	call, wd := a.watchPrefill(ctx, timeout)
+	defer wd.cancel(nil)
 	start := x.relay.Clock.Now()
 	export, err := x.relay.Upstreams.Prefill(call, a.prefill, x.request)
 	took := x.relay.Clock.Now() - start
+	wd.stop()
 	if err != nil {
 		return a.prefillFailed(ctx, call, took, err)
 	}
@@ -161,6 +202,26 @@
 	return nil
 }
 
+// watchPrefill returns a context for a prefill, and its watchdog. The prefill is
+// abandoned after timeout if the retry budget allows a prefill and a decode elsewhere,
+// and after the longest silence of a sound engine in any case, since a prefill runs
+// nothing.
+func (a *attempt) watchPrefill(ctx context.Context, timeout clock.Millis) (context.Context, *watchdog) {
+	x := a.exchange
+	call, cancel := context.WithCancelCause(ctx)
+	start := x.relay.Clock.Now()
+	w := &watchdog{
+		clock: x.relay.Clock, limit: timeout,
+		secure: func(context.Context) bool {
+			const sends = 2 // a prefill and a decode
+			return x.refusalsLeft(max(x.sends, 1)) && x.payRetries(sends) || x.relay.Clock.Now()-start >= max(timeout, x.relay.maxSilence())
+		},
+		unsecure: func() {}, cancel: cancel,
+	}
+	w.start(ctx)
+	return call, w
+}
+
 // prefillFailed records a failed prefill and returns its error with Run
 // [codes.NotRun], since a prefill generates no tokens.
 func (a *attempt) prefillFailed(ctx, call context.Context, took clock.Millis, err error) error {
@@ -217,14 +278,16 @@
 	if buf.lastID != "" {
 		s.LastEventID = buf.lastID
 	}
-	call, wd := a.startWatchdog(ctx)
-	defer wd.stop()
+	call, wd := a.watchStream(ctx)
+	defer wd.cancel(nil)
+	start := x.relay.Clock.Now()
 	answer, err := x.relay.Upstreams.Send(call, a.decode, s)
 	if err == nil {
 		defer answer.Body.Close()
 		x.relay.markReachable(a.decode)
-		err = a.forwardAnswer(call, answer, buf, wd)
+		err = a.forwardAnswer(answer, buf, wd, start)
 	}
+	wd.stop()
 	if err == nil {
 		x.possibleRuns++
 		return nil
@@ -233,13 +296,33 @@
 		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errUpstreamIdle, err), "%s", a.decode.Name)
 	}
 	if !x.callerGone && ctx.Err() == nil {
-		x.recordFailure(ctx, a.decode, wd.start, err)
+		x.recordFailure(ctx, a.decode, start, err)
 	} else {
 		x.possibleRuns++
 	}
 	return err
 }
 
+// firstEventFactor times the predicted time to the first event is the longest silence
+// before it, unless a sound engine may be silent for longer.
+const firstEventFactor = 4
+
+// watchStream returns a context for a stream, and its watchdog. A stream that can't
+// continue at another engine isn't watched.
+func (a *attempt) watchStream(ctx context.Context) (context.Context, *watchdog) {
+	x := a.exchange
+	call, cancel := context.WithCancelCause(ctx)
+	if !x.opaque.Route.Resumable || x.possibleRuns >= x.opaque.Route.Profile.Retries {
+		return call, unwatched(cancel)
+	}
+	w := &watchdog{
+		clock: x.relay.Clock, limit: max(a.choice.FirstToken*firstEventFactor, x.relay.maxSilence()),
+		secure: a.secureNext, unsecure: x.discardNext, cancel: cancel,
+	}
+	w.start(ctx)
+	return call, w
+}
+
 // cleanupTimeout bounds a call that releases a resource of an engine.
 const cleanupTimeout = 1 * clock.Second
 
@@ -274,7 +357,8 @@
 }
 
 // forwardAnswer forwards the answer as it arrives and measures its first event.
-func (a *attempt) forwardAnswer(ctx context.Context, answer Answer, buf *eventBuffer, wd *watchdog) error {
+// start is the instant at which the request was sent.
+func (a *attempt) forwardAnswer(answer Answer, buf *eventBuffer, wd *watchdog, start clock.Millis) error {
 	x := a.exchange
 	if !answer.OK() {
 		return a.handleFailure(answer)
@@ -284,9 +368,8 @@
 			return err
 		}
 	}
-	start := wd.start
 	onPart := func(p []byte) {
-		wd.reset()
+		wd.dataReceived(x.relay.maxSilence())
 		x.recordPart()
 		first := a.events == 0
 		a.countEvents(p)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -82,9 +82,9 @@
 type Budget interface {
 	// CountFirst counts the first send of a request.
 	CountFirst(service string)
-	// TakeRetry takes one retry from the budget. It returns false if none is
-	// left.
-	TakeRetry(service string) bool
+	// TakeRetries takes n retries from the budget. It returns false, and takes
+	// none, if fewer are left.
+	TakeRetries(service string, n int) bool
 }
 
 // Quarantine blocks requests suspected of crashing upstreams.
@@ -124,6 +124,9 @@
 	Log         *zap.Logger
 	// Centre is the data centre of this entry.
 	Centre string
+	// MaxSilence is how long a sound upstream may be silent; zero means
+	// [DefaultMaxSilence]. No run is given up for a shorter silence.
+	MaxSilence clock.Millis
 
 	// unreachable holds the upstreams whose last connection attempts failed.
 	unreachable shard.Map[string, exclusion]
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -97,11 +97,14 @@
 	b.firstSends++
 }
 
-func (b *budget) TakeRetry(string) bool {
+func (b *budget) TakeRetries(_ string, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.retriesLeft--
-	return b.retriesLeft >= 0
+	if b.retriesLeft < n {
+		return false
+	}
+	b.retriesLeft -= n
+	return true
 }
 
 // sink implements relay.Sink and records the answer.
--- a/relay/watchdog.go
+++ b/relay/watchdog.go
@@ -2,63 +2,139 @@
 
 import (
 	"context"
+	"sync"
 
 	"lacewinghook.example/lacewinghook/clock"
 )
 
-// watchdog cancels a resumable stream that is idle for too long, so that it can
-// continue at another engine.
+// DefaultMaxSilence is how long a sound upstream may be silent. Callers abandon a
+// stream after 2 s or more without an event.
+const DefaultMaxSilence = 2 * clock.Second
+
+// maxSilence returns MaxSilence, or its default.
+func (r *Relay) maxSilence() clock.Millis {
+	if r.MaxSilence > 0 {
+		return r.MaxSilence
+	}
+	return DefaultMaxSilence
+}
+
+// searchInterval is the pause after a search for another upstream that found none.
+const searchInterval clock.Millis = 200
+
+// watchdog abandons a call to an upstream that is silent, but only once the request can
+// go on elsewhere: until then the upstream may still answer. All fields but mu and those
+// below it are set before start.
 type watchdog struct {
 	clock clock.Clock
-	start clock.Millis
-	// cancel ends the context of the stream.
+	// limit is the silence after which secure is called.
+	limit clock.Millis
+	// secure reserves what the request needs to go on elsewhere. It returns false if
+	// that isn't available, and when ctx ends, which it does if the upstream sends
+	// data meanwhile.
+	secure func(ctx context.Context) bool
+	// unsecure undoes secure, if the upstream has sent data in the meantime.
+	unsecure func()
+	// cancel ends the call.
 	cancel context.CancelCauseFunc
-	// disarm stops the running timer. It returns false if the timer has fired.
-	disarm func() bool
-	// idleLimit is the idle timeout after the first data has arrived.
-	idleLimit clock.Millis
+
+	mu sync.Mutex
+	// last is the instant of the last data, or of the start.
+	last clock.Millis
+	// disarm stops the running timer, and abandon the running search.
+	disarm  func() bool
+	abandon context.CancelFunc
+	stopped bool
+	// searches counts the running search.
+	searches sync.WaitGroup
 }
 
-// Timeouts after which a resumable stream continues at another engine.
-const (
-	// The first event may take this multiple of its predicted time, but at least
-	// minFirstEventTimeout.
-	firstEventFactor                  = 4
-	minFirstEventTimeout clock.Millis = 800
-	// maxEventPause is the longest pause between two parts of the stream.
-	maxEventPause clock.Millis = 1000
-)
+// unwatched returns a watchdog that never abandons the call.
+func unwatched(cancel context.CancelCauseFunc) *watchdog {
+	return &watchdog{cancel: cancel, disarm: func() bool { return true }}
+}
+
+// start starts the timer. The context bounds the search for another upstream.
+func (w *watchdog) start(ctx context.Context) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last = w.clock.Now()
+	w.arm(ctx, w.limit)
+}
+
+// arm starts a timer. w.mu is held.
+func (w *watchdog) arm(ctx context.Context, d clock.Millis) {
+	w.disarm = w.clock.AfterFunc(d, func() { w.check(ctx) })
+}
 
-// startWatchdog returns a context for one stream, and its watchdog. The context is
-// cancelled with the cause errUpstreamIdle when a resumable stream is idle for too
-// long. A stream that can't continue elsewhere is not watched.
-func (a *attempt) startWatchdog(ctx context.Context) (context.Context, *watchdog) {
-	x := a.exchange
-	w := &watchdog{clock: x.relay.Clock, start: x.relay.Clock.Now(), idleLimit: maxEventPause}
-	ctx, w.cancel = context.WithCancelCause(ctx)
-	if x.opaque.Route.Resumable && x.possibleRuns < x.opaque.Route.Profile.Retries {
-		w.arm(max(a.choice.FirstToken*firstEventFactor, minFirstEventTimeout))
+// dataReceived ends the current silence. From now on the limit is max.
+func (w *watchdog) dataReceived(limit clock.Millis) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last, w.limit = w.clock.Now(), limit
+	if w.abandon != nil {
+		w.abandon()
 	}
-	return ctx, w
 }
 
-// arm starts the timer.
-func (w *watchdog) arm(d clock.Millis) {
-	w.disarm = w.clock.AfterFunc(d, func() { w.cancel(errUpstreamIdle) })
+// check runs when the upstream may have been silent for limit. It looks for another
+// upstream if so.
+func (w *watchdog) check(ctx context.Context) {
+	search, ok := w.beginSearch(ctx)
+	if !ok {
+		return
+	}
+	defer w.searches.Done()
+	secured := w.secure(search)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	obsolete := search.Err() != nil
+	w.abandon()
+	w.abandon = nil
+	switch {
+	case secured && !obsolete:
+		w.cancel(errUpstreamIdle)
+		return
+	case secured:
+		w.unsecure()
+	}
+	if !w.stopped && ctx.Err() == nil {
+		w.arm(ctx, searchInterval)
+	}
 }
 
-// reset restarts the timer when data has arrived. It does nothing once the timer
-// has fired.
-func (w *watchdog) reset() {
-	if w.disarm != nil && w.disarm() {
-		w.arm(w.idleLimit)
+// beginSearch returns the context of a search, or false if the upstream has not been
+// silent for limit.
+func (w *watchdog) beginSearch(ctx context.Context) (context.Context, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return nil, false
 	}
+	if rest := w.last + w.limit - w.clock.Now(); rest > 0 {
+		w.arm(ctx, rest)
+		return nil, false
+	}
+	search, abandon := context.WithCancel(ctx)
+	w.abandon = abandon
+	w.searches.Add(1)
+	return search, true
 }
 
-// stop ends the timer and the context.
+// stop ends the timer and waits for a running search. Further calls do nothing.
 func (w *watchdog) stop() {
-	if w.disarm != nil {
-		w.disarm()
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	w.stopped = true
+	w.disarm()
+	if w.abandon != nil {
+		w.abandon()
 	}
-	w.cancel(nil)
+	w.mu.Unlock()
+	w.searches.Wait()
 }
--- /dev/null
+++ b/relay/watchdog_test.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+)
+
+// TestWatchdog checks when a silent upstream is abandoned: only after the limit, only
+// once another one is secured, and not if data has arrived during the search.
+func TestWatchdog(t *testing.T) {
+	const limit = 1000
+	type step struct {
+		// advance is how much time passes, then data arrives if data is set.
+		advance clock.Millis
+		data    bool
+	}
+	for name, c := range map[string]struct {
+		steps []step
+		// secured is the result of each search, in order; false after the last.
+		secured []bool
+		// dataInSearch is set if data arrives during the searches.
+		dataInSearch bool
+		// searches counts the searches, and undone those whose result was dropped.
+		searches, undone int
+		abandoned        bool
+	}{
+		"data in time":                      {steps: []step{{999, true}, {999, true}, {999, false}}},
+		"silence with another upstream":     {steps: []step{{1000, false}}, secured: []bool{true}, searches: 1, abandoned: true},
+		"silence without another upstream":  {steps: []step{{1399, false}}, searches: 2},
+		"another upstream is found later":   {steps: []step{{1400, false}}, secured: []bool{false, false, true}, searches: 3, abandoned: true},
+		"data after a search":               {steps: []step{{1000, true}, {900, false}}, searches: 1},
+		"silence again":                     {steps: []step{{1000, true}, {1100, false}}, secured: []bool{false, true}, searches: 2, abandoned: true},
+		"data during the search":            {steps: []step{{1000, false}}, secured: []bool{true}, dataInSearch: true, searches: 1, undone: 1},
+		"data during a search without find": {steps: []step{{1000, false}}, dataInSearch: true, searches: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := &clock.Manual{}
+			searches, undone, abandoned := 0, 0, false
+			w := &watchdog{
+				clock: clock.Clock{Manual: m}, limit: limit,
+				unsecure: func() { undone++ }, cancel: func(error) { abandoned = true },
+			}
+			w.secure = func(context.Context) bool {
+				searches++
+				if c.dataInSearch {
+					w.dataReceived(limit)
+				}
+				return searches <= len(c.secured) && c.secured[searches-1]
+			}
+			w.start(context.Background())
+			for _, s := range c.steps {
+				for range s.advance {
+					m.Advance(1)
+				}
+				if s.data {
+					w.dataReceived(limit)
+				}
+			}
+			w.stop()
+			m.Advance(10 * limit)
+			is.Equal(searches, c.searches)
+			is.Equal(undone, c.undone)
+			is.Equal(abandoned, c.abandoned)
+		})
+	}
+}
