edge: a stop answers what arrives on connections that it has accepted

A caller that had connected shortly before the listener was closed, and sent its request then, got a closed connection and no byte, although the entry had read the request: http.Server.Shutdown drops each request whose header it reads after it has begun. The requests in flight keep the process in that state for seconds.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -172,6 +172,8 @@
 	ln   net.Listener
 	http *http.Server
 	rpc  *wire.Server
+	// callers is set for the server of the callers' requests.
+	callers bool
 }
 
 // serve runs the server. It returns when ctx ends, or earlier if the server
@@ -180,7 +182,8 @@
 	if s.rpc != nil {
 		return s.rpc.Serve(ctx, s.ln)
 	}
-	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
+	// A stop closes the callers' listener before the server.
+	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	<-ctx.Done()
@@ -198,7 +201,7 @@
 		addr string
 		server
 	}{
-		{s.Callers.Listen, server{http: ingress}},
+		{s.Callers.Listen, server{http: ingress, callers: true}},
 		{s.Fleet.Directory, server{http: e.server(platform.Resolver(e))}},
 		{s.Fleet.Readiness, server{http: e.server(platform.Readiness(e))}},
 		{s.Peers.Listen, server{rpc: &wire.Server{Log: e.Log, Methods: map[wire.Method]wire.MethodHandler{
--- a/edge/state.go
+++ b/edge/state.go
@@ -9,7 +9,6 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
-	"lacewinghook.example/lacewinghook/flight"
 	"lacewinghook.example/lacewinghook/gossip"
 	"lacewinghook.example/lacewinghook/watch"
 	"lacewinghook.example/lacewinghook/wire"
@@ -286,52 +285,3 @@
 	all := slices.Concat(near, far)
 	return all[:min(len(all), maxAddresses)], e.Settings.Fleet.Keep
 }
-
-// stop performs a graceful shutdown. It announces that the entry is leaving and
-// continues to serve while callers may still have its address cached. Then it waits
-// for the requests in flight. All of this ends within the grace period.
-func (e *Edge) stop(ctx context.Context, servers []*server) {
-	begun := e.Clock.Now()
-	grace := e.Settings.Fleet.Grace.Millis()
-	linger := min(addressCacheFactor*e.Settings.Fleet.Keep+lookupTime, grace/2)
-	e.leaving.Store(true)
-	e.gossip.Trigger()
-	e.Log.Info("edge: leaving", zap.Int64("linger", int64(linger)), zap.Int64("grace", int64(grace)))
-	rowCtx, cancel := context.WithTimeout(ctx, linger.Duration())
-	defer cancel()
-	go func() {
-		if err := e.watcher.Deregister(rowCtx); err != nil {
-			e.Log.Warn("edge: removing the entry's own row failed", zap.Error(err))
-		}
-	}()
-	// The error is ignored: a cancelled context just ends the wait early.
-	_ = e.Clock.Sleep(ctx, linger)
-	shutdownCtx, cancel := context.WithTimeout(ctx, (grace - linger - killMargin).Duration())
-	defer cancel()
-	for _, s := range servers {
-		if s.http == nil {
-			continue
-		}
-		if err := s.http.Shutdown(shutdownCtx); err != nil {
-			e.Log.Warn("edge: requests were cut", zap.Stringer("addr", s.ln.Addr()), zap.Int("in_flight", e.inFlight.Len()), zap.Error(err))
-		}
-	}
-	now := e.Clock.Now()
-	e.inFlight.Each(func(r flight.Request) {
-		e.meter.Add("unanswered_total", 1, "begun", "unknown", "by", "stop")
-		e.Log.Warn("edge: request cut by the stop", zap.String("request", r.ID), zap.String("path", r.Path),
-			zap.Int64("age", int64(now-r.Since)), zap.Int64("since_stop", int64(now-begun)))
-	})
-}
-
-// Times of a graceful shutdown.
-const (
-	// Some callers cache an address list for up to addressCacheFactor times
-	// its TTL. lookupTime allows for the delivery of an answer that was just
-	// sent.
-	addressCacheFactor              = 3
-	lookupTime         clock.Millis = 200
-	// killMargin is the time left for the process to exit before the platform
-	// kills it at the end of the grace period.
-	killMargin clock.Millis = 500
-)
