edge: a stopping entry rejects completions that it could not finish

Callers of streams saw their answer cut seconds after it had begun: an entry accepted streams until the end of its linger time, 3.2 s after SIGTERM, and closed all that remained 7.5 s after it. Streams take 3.8 s in the mean and up to 10 s.

The entry now keeps the mean duration of a service's completions. While it stops, it rejects one at once, as not run and with a Retry-After of 50 ms, if twice the mean exceeds what is left of the grace period. Another entry serves it whole.

Streams that were accepted before SIGTERM and outlast the grace period are still cut.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -19,7 +19,11 @@
 
 // Run implements [platform.Runner].
 func (c callerRunner) Run(ctx context.Context, r *core.Request, a *platform.AnswerWriter) error {
-	return c.edge.relay.Run(ctx, r, a)
+	err := c.edge.relay.Run(ctx, r, a)
+	if err == nil && r.Opaque.Route.Generates {
+		c.edge.durations.Observe(r.Opaque.Service, c.edge.Clock.Now()-r.Arrived)
+	}
+	return err
 }
 
 // Limits implements [platform.Runner].
@@ -53,7 +57,7 @@
 	if r.Deadline <= r.Arrived {
 		return codes.New(codes.DeadlinePast, "request %s", o.ID)
 	}
-	return nil
+	return e.checkFinishes(o)
 }
 
 // defaultTimeout applies to routes that set no timeout.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -48,6 +48,8 @@
 	startedAt clock.Millis
 	// leaving is set once the entry has begun to stop.
 	leaving atomic.Bool
+	// stopBy is the instant at which a stop ends; it is set before leaving.
+	stopBy atomic.Int64
 	// peerWork is signalled when a peer has sent its work. It wakes wakeQueues.
 	peerWork notify.Signal
 	// applyMu serializes applyPool.
@@ -80,6 +82,8 @@
 	budgets  shard.Map[string, *limit.Window]
 	// inFlight tracks the requests and connections of callers.
 	inFlight flight.Tracker
+	// durations estimates how long the completions of a service take.
+	durations flight.Durations
 }
 
 // Run serves until ctx ends, then drains the requests in flight and stops.
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -8,6 +8,8 @@
 	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/flight"
 )
 
@@ -20,6 +22,7 @@
 	grace := e.Settings.Fleet.Grace.Millis()
 	linger := min(addressCacheFactor*e.Settings.Fleet.Keep+lookupTime, grace/2)
 	end := begun + grace - min(killMargin, grace/10)
+	e.stopBy.Store(int64(end))
 	e.leaving.Store(true)
 	e.gossip.Trigger()
 	e.Log.Info("edge: leaving", zap.Int64("linger", int64(linger)), zap.Int64("grace", int64(grace)))
@@ -65,6 +68,19 @@
 	})
 }
 
+// checkFinishes returns an error for a completion that a stopping entry could not
+// finish.
+func (e *Edge) checkFinishes(o *core.Opaque) error {
+	if !e.leaving.Load() || !o.Route.Generates {
+		return nil
+	}
+	left := clock.Millis(e.stopBy.Load()) - e.Clock.Now()
+	if usual := e.durations.Usual(o.Service); usual > left {
+		return codes.New(codes.Leaving, "%d ms are left, completions take up to %d ms", left, usual).WithRetryAfter(leavingRetryAfter)
+	}
+	return nil
+}
+
 // Times of a graceful shutdown.
 const (
 	// Some callers cache an address list for up to addressCacheFactor times
@@ -75,6 +91,9 @@
 	// idleTime is how long a connection must be idle before it is closed, so that a
 	// request that is on its way still arrives.
 	idleTime clock.Millis = 200
+	// leavingRetryAfter is the time after which a rejected caller may try another
+	// entry, which can take the request at once.
+	leavingRetryAfter clock.Millis = 50
 	// killMargin is the time left for the process to exit before the platform
 	// kills it at the end of the grace period, at most a tenth of that.
 	killMargin clock.Millis = 500
