platform: read what replicas state about themselves

A replica says in all its answers that it leaves (Server-Leaving), and asks for a pause when it turns a request away (503 with Retry-After). Neither was read: such replicas went on getting requests.

The head of every answer of a replica is decoded into core.ReplicaNotice and passed to an observer: success, failure, 421, handle of a prefill, hold, stream head, and answers whose body breaks. Not read are answers to other requests, a success without a signature, and a 421 that doesn't name who answered. Decisions stay outside: nothing observes yet.

Retry-After takes a fraction and an HTTP date. What can't be read is passed on as such. The stand-in plays both headers and records what it received.

TestNoticesOfAnswers, TestPauseValues and TestNoticeOfAnotherRequest have nothing to observe on the code before.

--- a/core/routing.go
+++ b/core/routing.go
@@ -134,3 +134,19 @@
 	// with times of this process.
 	Incarnation int64 `json:"Born"`
 }
+
+// ReplicaNotice is what an answer of a replica states about the replica itself.
+type ReplicaNotice struct {
+	// Sent is the instant at which the request that was answered was sent.
+	Sent clock.Millis
+	// Leaving means that the replica will stop soon.
+	Leaving bool
+	// Pause is how long the replica wants no requests from this entry; zero means
+	// that it asked for no pause.
+	Pause clock.Millis
+	// Unreadable is the value with which the replica asked for a pause, if it could
+	// not be read.
+	Unreadable string
+	// Other names the replica that answered, if it wasn't the one that was asked.
+	Other string
+}
--- a/extsim/replica.go
+++ b/extsim/replica.go
@@ -81,6 +81,7 @@
 	corruptBodies int
 	handles       map[string]bool
 	headers       []http.Header
+	notices       notices
 	stopped       chan struct{} // closed by Stop
 }
 
@@ -121,14 +122,7 @@
 
 // Row returns the JSON row that the replica publishes about itself in the
 // servers table.
-func (r *Replica) Row(state string) string {
-	phase := ""
-	if r.Phase != "" {
-		phase = fmt.Sprintf(`,"phase":%q,"models":[{"name":"m","version":1,"adapters":[]}]`, r.Phase)
-	}
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"moose-jaw","version":"v1","slots":64,"state":%q,"cold_left_ms":0,"seq_no":4,"born":1700000000000%s}`,
-		r.Service, r.Addr, state, phase)
-}
+func (r *Replica) Row(state string) string { return r.RowOf(state, 1700000000000) }
 
 // InjectFault injects f into the next n requests to which it can apply. It
 // replaces the remaining number of an earlier call.
@@ -204,6 +198,9 @@
 	r.mu.Lock()
 	r.headers = append(r.headers, hr.Header.Clone())
 	r.mu.Unlock()
+	if r.serveNotices(w, hr) {
+		return
+	}
 	if want := hr.Header.Get("Lacewinghook-Expect-Replica"); want != "" && want != r.ID {
 		w.Header().Set("Lacewinghook-Replica-Id", r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -350,10 +347,10 @@
 		r.writeRaw(w, "this is no answer\r\n\r\n", false)
 		return
 	case r.consumeFault(NoContentLength):
-		r.writeRaw(w, fmt.Sprintf("HTTP/1.1 200 OK\r\nLacewinghook-Request-Id: %s\r\nLacewinghook-Replica-Signature: sig.%s\r\n\r\n%s", id, id, r.Body), false)
+		r.writeRaw(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sLacewinghook-Request-Id: %s\r\nLacewinghook-Replica-Signature: sig.%s\r\n\r\n%s", r.leavingLine(), id, id, r.Body), false)
 		return
 	case r.consumeFault(DuplicateAnswer):
-		response := fmt.Sprintf("HTTP/1.1 200 OK\r\nLacewinghook-Request-Id: %s\r\nLacewinghook-Replica-Signature: sig.%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(r.Body), r.Body)
+		response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sLacewinghook-Request-Id: %s\r\nLacewinghook-Replica-Signature: sig.%s\r\nContent-Length: %d\r\n\r\n%s", r.leavingLine(), id, id, len(r.Body), r.Body)
 		r.writeRaw(w, response+response, true)
 		return
 	}
