notice: keep what replicas state about themselves

The table holds, for the listed run of each replica, since when it has stated that it leaves and until when it wants no requests, and what other entries tell.

A peer's word makes a replica the last choice for 30 s after the answer that it rests on, and never bars it. Words keep the source and the age when they are passed on.

--- /dev/null
+++ b/notice/words.go
@@ -0,0 +1,108 @@
+package notice
+
+import (
+	"cmp"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/clock"
+)
+
+// Word is what one entry tells others of a replica that leaves.
+type Word struct {
+	Replica string `json:"r"`
+	// Incarnation is the run of the replica.
+	Incarnation int64 `json:"i,omitempty"`
+	// Source is the entry whose request the replica answered, and Age the time since
+	// the answer.
+	Source string       `json:"s"`
+	Age    clock.Millis `json:"a,omitempty"`
+}
+
+// Bounds on words.
+const (
+	// wordLife is how long after an answer the word of it counts.
+	wordLife = 30 * clock.Second
+	// maxWords bounds the words in one message.
+	maxWords = 32
+	// wordStep is the least difference in time by which a word replaces another. It
+	// exceeds the delay of a message, so that a word doesn't become newer by being
+	// passed on.
+	wordStep = 1 * clock.Second
+)
+
+// heard is a word that was received.
+type heard struct {
+	source      string
+	incarnation int64
+	// at is the instant of the answer.
+	at clock.Millis
+}
+
+// valid reports whether there is a word that counts.
+func (h *heard) valid(now clock.Millis) bool { return h.source != "" && now-h.at < wordLife }
+
+// retained reports whether there is a word that is still compared with others. It
+// outlasts its validity, so that the same word isn't taken for a new one.
+func (h *heard) retained(now clock.Millis) bool { return h.source != "" && now-h.at < 2*wordLife }
+
+// Words returns the newest words of this entry, and with forward also those of other
+// entries, for peers that these don't send to.
+func (t *Table) Words(forward bool) []Word {
+	now := t.Clock.Now()
+	var words []Word
+	t.states.Each(func(name string, s state) bool {
+		switch {
+		case s.leaving && now-s.statedAt < wordLife:
+			words = append(words, Word{Replica: name, Incarnation: s.incarnation, Source: t.Self, Age: now - s.statedAt})
+		case forward && s.heard.valid(now):
+			words = append(words, Word{Replica: name, Incarnation: s.heard.incarnation, Source: s.heard.source, Age: now - s.heard.at})
+		}
+		return true
+	})
+	slices.SortFunc(words, func(a, b Word) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Replica, b.Replica)) })
+	return words[:min(len(words), maxWords)]
+}
+
+// HandleWords processes the words of a peer. It reports whether one of them tells of a
+// replica that wasn't known to leave.
+func (t *Table) HandleWords(words []Word) (news bool) {
+	if len(words) == 0 {
+		return false
+	}
+	now := t.Clock.Now()
+	for _, w := range words[:min(len(words), maxWords)] {
+		h := heard{source: w.Source, incarnation: w.Incarnation, at: now - max(0, w.Age)}
+		if !h.valid(now) {
+			continue
+		}
+		r, listed := t.runs.Get(w.Replica)
+		fresh := false
+		t.states.Update(w.Replica, func(s state, known bool) (state, bool) {
+			switch {
+			case s.heard.retained(now) && s.heard.incarnation == h.incarnation && h.at < s.heard.at+wordStep:
+			case s.heard.valid(now) && listed && s.heard.incarnation == r.incarnation && h.incarnation != r.incarnation:
+				// The peer's list is older, or newer, than this entry's.
+			default:
+				fresh = !(s.heard.valid(now) && s.heard.incarnation == h.incarnation) && !(s.leaving && s.incarnation == h.incarnation)
+				s.heard = h
+			}
+			return s, known || s.heard.source != ""
+		})
+		if fresh {
+			news = true
+			t.log().Info("notice: a peer tells that a replica leaves", zap.String("replica", w.Replica),
+				zap.Int64("run", w.Incarnation), zap.String("source", w.Source), zap.Int64("age", int64(w.Age)))
+		}
+	}
+	t.dropExpired(now)
+	return news
+}
+
+// dropExpired drops the replicas of which nothing is known any more.
+func (t *Table) dropExpired(now clock.Millis) {
+	t.states.Each(func(_ string, s state) bool {
+		return s.leaving || s.unreadable || s.pausedUntil != 0 || s.heard.retained(now)
+	})
+}
