notice: a pause doesn't end up to 1 ms early

A replica got a request in the last millisecond of the pause that it had asked for. Instants are whole milliseconds, rounded down, so that the difference of two may be up to 1 ms more than the time between them. One step is added.

TestPauseEndsNoEarlier fails before. The stand-in no longer rounds the time that it asks for.

--- a/extsim/notice.go
+++ b/extsim/notice.go
@@ -21,6 +21,8 @@
 type Rejection struct {
 	At    time.Time
 	After time.Duration
+	// ID is the request ID, empty for control calls.
+	ID string
 }
 
 // notices holds what a [Replica] states about itself in its answers, and what it
@@ -102,8 +104,8 @@
 	case len(n.retryAfter) > 0:
 		after, n.retryAfter = n.retryAfter[0], n.retryAfter[1:]
 	case left > 0:
-		after = strconv.FormatFloat(left.Seconds(), 'f', 3, 64)
-		n.rejections = append(n.rejections, Rejection{At: now, After: left})
+		after = strconv.FormatFloat(left.Seconds(), 'f', -1, 64)
+		n.rejections = append(n.rejections, Rejection{At: now, After: left, ID: id})
 	default:
 		return false
 	}
--- a/notice/table.go
+++ b/notice/table.go
@@ -38,6 +38,9 @@
 const (
 	// MaxPause bounds a pause. A replica that asks for a longer one is tried then.
 	MaxPause = 5 * clock.Minute
+	// clockStep is added to a pause: instants are rounded down, so that a difference
+	// of two may exceed the time in between by up to this.
+	clockStep clock.Millis = 1
 	// goneLife is how long a replica that isn't listed is remembered: rows that have
 	// expired while the store was unavailable come back.
 	goneLife = 30 * clock.Second
@@ -225,7 +228,7 @@
 	if n.Pause <= 0 {
 		return
 	}
-	until := now + min(n.Pause, MaxPause)
+	until := now + min(n.Pause, MaxPause) + clockStep
 	if now < s.pausedUntil && n.Sent < s.pausedAt {
 		s.pausedUntil = max(s.pausedUntil, until)
 		return
--- a/notice/table_test.go
+++ b/notice/table_test.go
@@ -94,13 +94,14 @@
 				}
 			case 1:
 				d := 300 + draw(4700)
+				end := now + d + 1 // instants are rounded down
 				sent := now - draw(200)
 				event = fmt.Sprint("answer: pause of ", d)
 				if e.listed && sent >= e.since {
 					if now < e.pausedUntil && sent < e.pausedAt {
-						e.pausedUntil = max(e.pausedUntil, now+d)
+						e.pausedUntil = max(e.pausedUntil, end)
 					} else {
-						e.pausedAt, e.pausedUntil = now, now+d
+						e.pausedAt, e.pausedUntil = now, end
 					}
 				}
 				if e.listed {
@@ -223,13 +224,27 @@
 	table.Apply(listed("d-0", 1))
 	table.OnNotice(up("d-0"), core.ReplicaNotice{Sent: m.Now(), Pause: 4 * 24 * 60 * clock.Minute})
 	is.True(table.Status("d-0").Barred)
-	m.Advance(notice.MaxPause - 1)
+	m.Advance(notice.MaxPause)
 	is.True(table.Status("d-0").Barred)
 	m.Advance(1)
 	is.Equal(table.Status("d-0"), notice.Status{})
 	is.Equal(len(table.Names()), 0)
 }
 
+// TestPauseEndsNoEarlier guards against a pause that ends up to 1 ms early, since
+// instants are rounded down to whole milliseconds.
+func TestPauseEndsNoEarlier(t *testing.T) {
+	is := is.New(t)
+	m := &clock.Manual{}
+	table := &notice.Table{Clock: clock.Clock{Manual: m}}
+	table.Apply(listed("d-0", 1))
+	table.OnNotice(up("d-0"), core.ReplicaNotice{Sent: m.Now(), Pause: 300}) // at 0.9 ms
+	m.Advance(300)                                                           // 300.1 ms
+	is.True(table.Status("d-0").Barred)
+	m.Advance(1)
+	is.True(!table.Status("d-0").Barred)
+}
+
 // TestWordsArePassedOn passes a word along a ring of tables that forward what they hear.
 // All must know it, and it must end although they keep telling it each other.
 func TestWordsArePassedOn(t *testing.T) {
