relay: replicas that leave or want a pause are not chosen

Callers' requests went on to replicas that had stated that they leave, and to those that had answered 503 with Retry-After, which rejected them again.

relay and alloc ask a table of notices, each through an interface of its own. A barred replica (paused, or leaving for longer than the drain time) is a hard exclusion for calls, prefills, decodes, holds, retries and continuations, and is looked at again right before each send; one that leaves is the last choice among those that don't fail. The exclusions by failure stay soft, so that they rank behind (route.LeastTime by rank instead of a cost of 1e6, which enough calls in flight could exceed). Nothing is sent to a paused engine to free memory either.

If some aren't barred but the search found none (the groups that were drawn have none), it searches again, three times at most.

The owner of a group of engines gets the asking entry's barred and leaving engines with each call: a pause holds for one entry, and the drain time is counted from that entry's answers.

--- a/alloc/client.go
+++ b/alloc/client.go
@@ -216,10 +216,11 @@
 // call returns the request as a call.
 func (c *Client) call(r Request, wait clock.Millis) Call {
 	now := c.Clock.Now()
+	barred, leaving := c.notices(r)
 	return Call{
 		Entry: c.Self.Name, Boot: c.Boot, ID: r.ID, Service: r.Service, Group: r.Group - 1, Centre: r.Centre,
 		Tokens: r.Tokens, Output: r.Output, Pieces: r.Pieces, Bytes: r.Bytes, Urgent: r.Urgent, Exported: r.Exported,
-		Exclude: r.Exclude, Full: r.Full, Target: r.Target - now, Latest: r.Latest - now, First: r.TimeToFirstToken, Wait: wait,
+		Exclude: r.Exclude, Barred: barred, Leaving: leaving, Full: r.Full, Target: r.Target - now, Latest: r.Latest - now, First: r.TimeToFirstToken, Wait: wait,
 	}
 }
 
@@ -228,10 +229,31 @@
 	return Request{
 		ID: c.ID, Service: c.Service, Centre: c.Centre, Tokens: c.Tokens, Output: c.Output, Pieces: c.Pieces, Bytes: c.Bytes,
 		Target: now + c.Target, Latest: now + c.Latest, TimeToFirstToken: c.First, Urgent: c.Urgent, Exported: c.Exported,
-		Exclude: c.Exclude, Full: c.Full, Group: c.Group + 1,
+		Exclude: c.Exclude, Remote: true, Barred: c.Barred, Leaving: c.Leaving, Full: c.Full, Group: c.Group + 1,
 	}
 }
 
+// notices returns the engines in the request's group that must get nothing from this
+// entry, and those that are known to leave.
+func (c *Client) notices(r Request) (barred, leaving []string) {
+	if c.Desk.Notices == nil {
+		return nil, nil
+	}
+	for _, engine := range c.Desk.Notices.Names() {
+		if service, group, ok := c.GroupOf(engine); !ok || service != r.Service || group != r.Group-1 {
+			continue
+		}
+		s := c.Desk.Notices.Status(engine)
+		if s.Barred {
+			barred = append(barred, engine)
+		}
+		if s.Leaving {
+			leaving = append(leaving, engine)
+		}
+	}
+	return barred, leaving
+}
+
 // owner returns the owner of a group: the entry with the highest rendezvous hash of
 // those not passed over, or this entry if there is none.
 func (c *Client) owner(entries []core.Instance, service string, group int) core.Instance {
--- a/alloc/desk.go
+++ b/alloc/desk.go
@@ -10,6 +10,7 @@
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/limit"
+	"lacewinghook.example/lacewinghook/notice"
 	"lacewinghook.example/lacewinghook/route"
 	"lacewinghook.example/lacewinghook/shard"
 )
@@ -20,11 +21,20 @@
 	Candidates(role core.Role, service string, blocks []uint64, buf []route.Candidate) []route.Candidate
 }
 
+// Notices holds what the engines state about themselves. [notice.Table] documents it.
+type Notices interface {
+	// Status returns what applies to an engine, and Names those with a status.
+	Status(engine string) notice.Status
+	Names() []string
+}
+
 // Desk places requests on engines, and holds those that wait for them. Pool is
 // required.
 type Desk struct {
 	Pool  Candidates
 	Clock clock.Clock
+	// Notices, if not nil, excludes the engines that must get nothing from this entry.
+	Notices Notices
 	// GroupOf returns the service and the group of an engine. If nil, requests are not
 	// limited to a group.
 	GroupOf func(engine string) (service string, group int, ok bool)
@@ -143,8 +153,9 @@
 	return c, true, nil
 }
 
-// usable returns the engines of a role in the request's group without the excluded
-// ones, or with them if none would remain.
+// usable returns the engines of a role in the request's group that aren't barred. If
+// there are others, it leaves out those that leave, and those that are excluded; if
+// there aren't, it prefers the former.
 func (d *Desk) usable(role core.Role, r Request) []route.Candidate {
 	all := d.Pool.Candidates(role, r.Service, nil, nil)
 	if r.Group > 0 && d.GroupOf != nil {
@@ -153,17 +164,42 @@
 			return !ok || g != r.Group-1
 		})
 	}
-	if len(r.Exclude) == 0 {
-		return all
-	}
-	var rest []route.Candidate
+	var best []route.Candidate
+	lowest := 0
 	for _, c := range all {
-		if !slices.Contains(r.Exclude, c.Name) {
-			rest = append(rest, c)
+		rank, barred := d.rank(c.Name, r)
+		if barred || len(best) > 0 && rank > lowest {
+			continue
 		}
+		if len(best) > 0 && rank < lowest {
+			best = best[:0]
+		}
+		best, lowest = append(best, c), rank
+	}
+	return best
+}
+
+// rank returns 0 for an engine that is to be preferred and more for others. barred
+// reports whether the entry of the request may not use it.
+func (d *Desk) rank(engine string, r Request) (rank int, barred bool) {
+	var s notice.Status
+	if d.Notices != nil {
+		s = d.Notices.Status(engine)
+	}
+	leaving := s.Leaving
+	if r.Remote {
+		// A pause applies to the entry that was asked for it, and the time that a
+		// leaving engine may still be used is counted from that entry's answers.
+		barred = slices.Contains(r.Barred, engine)
+		leaving = leaving || slices.Contains(r.Leaving, engine)
+	} else {
+		barred = s.Barred
+	}
+	if leaving {
+		rank++
 	}
-	if len(rest) == 0 {
-		return all
+	if slices.Contains(r.Exclude, engine) {
+		rank += 2
 	}
-	return rest
+	return rank, barred
 }
--- a/alloc/types.go
+++ b/alloc/types.go
@@ -28,6 +28,10 @@
 	Exported bool
 	// Exclude lists engines to use only if there are no others.
 	Exclude []string
+	// Remote marks a request of another entry. Barred lists the engines that must get
+	// nothing from that entry, and Leaving those that it knows to leave.
+	Remote          bool
+	Barred, Leaving []string
 	// Full names an engine that has just refused the request for lack of memory;
 	// empty if none has.
 	Full string
@@ -79,6 +83,8 @@
 	Urgent   bool     `json:"urgent,omitempty"`
 	Exported bool     `json:"exported,omitempty"`
 	Exclude  []string `json:"exclude,omitempty"`
+	Barred   []string `json:"barred,omitempty"`
+	Leaving  []string `json:"leaving,omitempty"`
 	Full     string   `json:"full,omitempty"`
 	// Target and Latest are counted from the time of the call.
 	Target clock.Millis `json:"target"`
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -65,6 +65,9 @@
 		}
 		var a *attempt
 		if err := x.relay.placer().Place(ctx, r, func(c alloc.Choice) { a = x.beginAttempt(prior, r, c) }); err != nil {
+			if err = x.awaitPause(ctx, x.decodeEngines(), err); err == nil {
+				continue
+			}
 			x.logNotAdmitted(x.relay.Clock.Now()-start, err)
 			return nil, codes.From(err)
 		}
@@ -164,7 +167,7 @@
 	if r.Placer != nil {
 		return r.Placer
 	}
-	r.setUp.Do(func() { r.desk = alloc.Desk{Pool: r.Pool, Clock: r.Clock} })
+	r.setUp.Do(func() { r.desk = alloc.Desk{Pool: r.Pool, Clock: r.Clock, Notices: r.Notices} })
 	return &r.desk
 }
 
@@ -197,6 +200,9 @@
 	if maxHold == 0 || a.choice.Direct || a.choice.Fill < minHoldFill || slices.Contains(x.noHold, a.decode.Name) {
 		return true, false
 	}
+	if x.checkUsable(a.decode) != nil {
+		return false, false
+	}
 	call, cancel := context.WithTimeout(ctx, holdTimeout.Duration())
 	defer cancel()
 	hold, err := x.relay.Upstreams.Hold(call, a.decode, x.opaque.PromptTokens+x.reservedOutput(), min(maxHold, 2*a.choice.FirstToken+holdMargin))
--- a/relay/call.go
+++ b/relay/call.go
@@ -42,8 +42,12 @@
 		return codes.From(ctx.Err()).WithRun(codes.NotRun)
 	}
 	up, usual, cost, ok := x.selectReplica()
-	if !ok {
-		return codes.New(codes.NoUpstream, "service %q", x.opaque.Service)
+	for !ok {
+		err := x.awaitPause(ctx, x.serviceReplicas(), codes.New(codes.NoUpstream, "service %q", x.opaque.Service))
+		if err != nil {
+			return err
+		}
+		up, usual, cost, ok = x.selectReplica()
 	}
 	if err := x.chargeBudget(); err != nil {
 		return codes.Wrap(codes.BudgetSpent, err, "service %q", x.opaque.Service).WithRun(codes.NotRun)
@@ -112,7 +116,7 @@
 // hasOther reports whether a replica other than up is available for the call.
 func (x *exchange) hasOther(up core.Upstream) bool {
 	_, replicas := x.replicas()
-	return slices.ContainsFunc(replicas, func(r route.Replica) bool { return r.Name != up.Name && !r.Excluded })
+	return slices.ContainsFunc(replicas, func(r route.Replica) bool { return r.Name != up.Name && !r.Excluded && !r.Leaving })
 }
 
 // deliverAnswer delivers a replica's answer. An answer of at most
@@ -160,19 +164,23 @@
 	return states[i].Upstream, clock.Millis(replicas[i].Expected(route.PriorTime(replicas))), cost, true
 }
 
-// replicas returns the replicas of the request's service, as the pool has them and
-// as the inputs of the choice.
+// replicas returns the replicas of the request's service that aren't barred, as the
+// pool has them and as the inputs of the choice.
 func (x *exchange) replicas() ([]pool.UpstreamState, []route.Replica) {
 	now := x.relay.Clock.Now()
 	states := x.relay.Pool.Replicas(x.opaque.Service)
-	replicas := make([]route.Replica, len(states))
-	for i := range states {
-		s := &states[i]
+	replicas := make([]route.Replica, 0, len(states))
+	states = slices.DeleteFunc(states, func(s pool.UpstreamState) bool {
+		n := x.relay.notice(s.Upstream.Name)
+		if n.Barred {
+			return true
+		}
 		mean, weight := s.Observed.FirstToken.Recent(now)
-		replicas[i] = route.Replica{
+		replicas = append(replicas, route.Replica{
 			Name: s.Upstream.Name, Centre: s.Upstream.Centre, MeanTime: mean, Samples: weight,
-			InFlight: s.Own.Requests + s.Others.Requests, Excluded: x.excluded(s.Upstream.Name),
-		}
-	}
+			InFlight: s.Own.Requests + s.Others.Requests, Leaving: n.Leaving, Excluded: x.excluded(s.Upstream.Name),
+		})
+		return false
+	})
 	return states, replicas
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -45,6 +45,11 @@
 	// fallback is a complete failure answer that is delivered if the retries
 	// fail too.
 	fallback *bufferedAnswer
+	// barred counts the upstreams of the service that were barred when none was left,
+	// and resumeIn is the time after which the first of them could be used.
+	// searches counts the further searches.
+	barred, searches int
+	resumeIn         clock.Millis
 }
 
 // bufferedAnswer is an answer that was read completely.
@@ -133,10 +138,16 @@
 // timeLeft returns the time until the request's deadline.
 func (x *exchange) timeLeft() clock.Millis { return x.request.Deadline - x.relay.Clock.Now() }
 
-// checkDraining returns an error if the upstream is draining or no longer listed,
+// checkUsable returns an error if the upstream is draining, no longer listed or barred,
 // and excludes it for this request. It is called just before a send, since the
 // upstream may have started to drain after it was selected.
-func (x *exchange) checkDraining(up core.Upstream) error {
+func (x *exchange) checkUsable(up core.Upstream) error {
+	if n := x.relay.notice(up.Name); n.Barred {
+		x.failed = append(x.failed, up.Name)
+		x.log.Info("relay: upstream left or paused after it was selected", append(noticeFields(n), zap.String("request", x.opaque.ID),
+			zap.String("upstream", up.Name))...)
+		return codes.New(codes.UpstreamRefused, "%s wants no requests", up.Name)
+	}
 	if s, ok := x.relay.Pool.Get(up.Name); ok && !s.Draining {
 		return nil
 	}
@@ -290,6 +301,9 @@
 	case codes.DeadlineUnmet, codes.QueueFull:
 		return retryAfterOverload + rand.N(overloadJitter)
 	case codes.NoUpstream:
+		if e.RetryAfter > 0 {
+			return e.RetryAfter
+		}
 		return retryAfterNoUpstream
 	}
 	return max(e.RetryAfter, minRetryAfter)
@@ -306,6 +320,9 @@
 	if x.opaque.Route.Stream {
 		fields = append(fields, zap.Int64("first", int64(x.firstPart)), zap.Int64("pause", int64(x.longestPause)))
 	}
+	if x.barred > 0 {
+		fields = append(fields, zap.Int("barred", x.barred), zap.Int64("resume", int64(x.resumeIn)))
+	}
 	x.relay.Meter.ObserveLatency("request", x.opaque.Route.Name, took)
 	if fault == nil {
 		x.log.Info("relay: answered", fields...)
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -169,7 +169,7 @@
 		return nil
 	}
 	x := a.exchange
-	if err := x.checkDraining(a.prefill); err != nil {
+	if err := x.checkUsable(a.prefill); err != nil {
 		return err
 	}
 	timeout := min(max(a.choice.FirstToken*prefillTimeoutFactor, minPrefillTimeout), maxPrefillTimeout)
@@ -267,7 +267,7 @@
 // send is recorded, so that a retry selects another engine.
 func (a *attempt) runDecode(ctx context.Context, buf *eventBuffer) error {
 	x := a.exchange
-	if err := x.checkDraining(a.decode); err != nil {
+	if err := x.checkUsable(a.decode); err != nil {
 		return err
 	}
 	if err := x.chargeBudget(); err != nil {
@@ -329,6 +329,11 @@
 // cleanUpAsync runs a call that releases a resource of an engine. It neither delays
 // the request nor depends on its context, since the caller may have disconnected.
 func (x *exchange) cleanUpAsync(resource string, up core.Upstream, call func(context.Context) error) {
+	if n := x.relay.notice(up.Name); n.PausedUntil > 0 {
+		x.log.Info("relay: resource left to expire at a paused engine", append(noticeFields(n), zap.String("request", x.opaque.ID),
+			zap.String("what", resource), zap.String("upstream", up.Name))...)
+		return
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout.Duration())
 		defer cancel()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/notice"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/route"
 	"lacewinghook.example/lacewinghook/shard"
@@ -97,6 +98,13 @@
 	ReportLost(up core.Upstream, sent clock.Millis, digest uint64)
 }
 
+// Notices holds what the upstreams state about themselves. [notice.Table] documents it.
+type Notices interface {
+	// Status returns what applies to an upstream, and Names those with a status.
+	Status(name string) notice.Status
+	Names() []string
+}
+
 // Sink receives the answer to one request. An error means that the caller has
 // disconnected.
 type Sink interface {
@@ -113,6 +121,8 @@
 	Placer Placer
 	// Quarantine, if nil, blocks no request.
 	Quarantine Quarantine
+	// Notices, if nil, excludes no upstream.
+	Notices Notices
 	// Specs returns the published specification of a service. If nil, no service
 	// has one.
 	Specs func(service string) (core.ServiceSpec, bool)
--- a/route/replica.go
+++ b/route/replica.go
@@ -10,8 +10,20 @@
 	Samples  float64
 	// InFlight counts the calls that all entries have there.
 	InFlight int
-	// Excluded ranks the replica behind all others.
-	Excluded bool
+	// Leaving ranks the replica behind all that aren't, and Excluded behind all others.
+	Leaving, Excluded bool
+}
+
+// rank returns 0 for a replica that is to be preferred, and more for others.
+func (r *Replica) rank() int {
+	rank := 0
+	if r.Leaving {
+		rank++
+	}
+	if r.Excluded {
+		rank += 2
+	}
+	return rank
 }
 
 // LeastTime selects the replica with the least expected answer time: the usual
@@ -30,8 +42,6 @@
 	// remoteReplicaCost covers the round trip to another data centre and the cost
 	// of traffic between data centres.
 	remoteReplicaCost = 15.0
-	// excludedCost ranks an excluded replica behind all others.
-	excludedCost = 1e6
 )
 
 // Choose returns the index of the selected replica and its cost in milliseconds.
@@ -45,10 +55,7 @@
 		if r.Centre != l.Centre {
 			cost += remoteReplicaCost
 		}
-		if r.Excluded {
-			cost += excludedCost
-		}
-		if best < 0 || cost < lowest {
+		if best < 0 || r.rank() < replicas[best].rank() || r.rank() == replicas[best].rank() && cost < lowest {
 			best, lowest = i, cost
 		}
 	}
--- a/route/replica_test.go
+++ b/route/replica_test.go
@@ -23,6 +23,8 @@
 		"an idle fast one beside a new one":         {[]route.Replica{{Name: "new"}, fast(0)}, 1},
 		"a slow one beside a new one":               {[]route.Replica{{MeanTime: 500, Samples: 20}, {Name: "new"}}, 1},
 		"an excluded one":                           {[]route.Replica{{Excluded: true}, {MeanTime: 500, Samples: 20}}, 1},
+		"a leaving one":                             {[]route.Replica{{Leaving: true}, {MeanTime: 500, Samples: 20, InFlight: 5000}}, 1},
+		"a leaving one beside an excluded one":      {[]route.Replica{{Excluded: true}, {Leaving: true, MeanTime: 500, Samples: 20}}, 1},
 		"another data centre":                       {[]route.Replica{{Centre: "far"}, {}}, 1},
 		"another data centre, less load by far":     {[]route.Replica{{InFlight: 3}, {Centre: "far"}}, 1},
 		"a slow one after its samples have decayed": {[]route.Replica{{MeanTime: 500, Samples: 0.01}, fast(90)}, 0},
