edge: what replicas state about themselves is obeyed and shared

The entry joins platform's observer, the table of notices and the choices of relay and alloc. The list of replicas doesn't clear what a replica stated. Heartbeats carry the replicas that leave, with source and age; above 12 entries also those that others told of.

The tests of edge/notice_test.go on the code before, one run, all of them failing: of 200 requests, 94, 50 and 37 reached a replica of one kind (of three: service, decode, prefill) that were sent later than 2 s after the first answer with Server-Leaving; with all replicas leaving none was rejected; 5 to 51 requests reached paused replicas from half a second on; a list that said ready, and a restarted entry, sent requests to a replica that left. Now 0 in each.

A call may still be rejected while a replica is free: three replicas, or two and a repeated prefill, whose pauses aren't known yet use up its sends.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -21,6 +21,7 @@
 	"lacewinghook.example/lacewinghook/gossip"
 	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/notice"
 	"lacewinghook.example/lacewinghook/notify"
 	"lacewinghook.example/lacewinghook/platform"
 	"lacewinghook.example/lacewinghook/poison"
@@ -72,6 +73,8 @@
 	relay      relay.Relay
 	peers      wire.Client
 	quarantine poison.Quarantine
+	// notices holds what replicas state about themselves.
+	notices notice.Table
 	// desk, ledger and placer place completions. groups divides the engines among
 	// owners, and readRank is this entry's place in the order of reads.
 	desk     alloc.Desk
@@ -132,7 +135,11 @@
 	e.startedAt = e.Clock.Now()
 	e.pool.Clock = e.Clock
 	e.store = platform.Store{Addr: s.Fleet.Store, Clock: e.Clock}
-	e.replicas.Clock = e.Clock
+	e.notices = notice.Table{
+		Self: s.Instance, Drain: s.Fleet.Drain, OnLeaving: e.gossip.Trigger, OnResume: e.peerWork.Send,
+		Clock: e.Clock, Meter: &e.meter, Log: e.Log,
+	}
+	e.replicas.Clock, e.replicas.Notices = e.Clock, &e.notices
 	e.peers.Log = e.Log
 	self := e.self()
 	e.gossip = gossip.Table{
@@ -150,7 +157,7 @@
 	table := &announcingPool{Table: &e.pool, edge: e}
 	e.preparePlacer(table, self)
 	e.relay = relay.Relay{
-		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Budget: e, Quarantine: crashDetector{e}, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
+		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Budget: e, Quarantine: crashDetector{e}, Notices: &e.notices, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
 		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre, MaxSilence: s.Fleet.Silence,
 	}
 }
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/edge"
@@ -57,6 +59,7 @@
 	stop     context.CancelFunc
 	done     chan error
 	client   *http.Client
+	logs     *observer.ObservedLogs
 }
 
 // newSite starts a store with a manifest and two replicas of each role.
@@ -109,8 +112,9 @@
 		set.Seeds = append(set.Seeds, r.settings.Peers.Listen)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := &runningEntry{settings: set, stop: stop, done: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
-	go func() { r.done <- (&edge.Edge{Settings: set, Listeners: listeners}).Run(ctx) }()
+	logCore, logs := observer.New(zap.InfoLevel)
+	r := &runningEntry{settings: set, stop: stop, done: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}, logs: logs}
+	go func() { r.done <- (&edge.Edge{Settings: set, Log: zap.New(logCore), Listeners: listeners}).Run(ctx) }()
 	s.entries = append(s.entries, r)
 	s.t.Cleanup(func() {
 		stop()
@@ -182,6 +186,8 @@
 	body   string
 	err    error
 	took   time.Duration
+	// head is the time to the head of the response.
+	head time.Duration
 	// closes is set if the response closes the connection.
 	closes bool
 }
@@ -214,8 +220,9 @@
 		return answer{err: err, took: time.Since(start)}
 	}
 	defer resp.Body.Close()
+	head := time.Since(start)
 	body, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err, took: time.Since(start), closes: resp.Close}
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err, took: time.Since(start), head: head, closes: resp.Close}
 }
 
 // runs returns how many times replicas have run the request.
--- a/edge/placing.go
+++ b/edge/placing.go
@@ -58,7 +58,7 @@
 
 // preparePlacer initializes the components that place completions.
 func (e *Edge) preparePlacer(table alloc.Candidates, self core.Instance) {
-	e.desk = alloc.Desk{Pool: table, Clock: e.Clock, GroupOf: e.groupOf}
+	e.desk = alloc.Desk{Pool: table, Clock: e.Clock, Notices: &e.notices, GroupOf: e.groupOf}
 	e.ledger.Clock = e.Clock
 	e.placer = alloc.Client{
 		Desk: &e.desk, Peers: &e.peers, Ledger: &e.ledger, Self: self, Boot: e.boot, Entries: e.owners, Groups: e.service,
--- a/edge/state.go
+++ b/edge/state.go
@@ -28,6 +28,7 @@
 	old := e.fleet.Swap(&fleet)
 	if old == nil || old.Fingerprint() != fleet.Fingerprint() {
 		e.logChanges(old, &fleet)
+		e.notices.Apply(fleet.Replicas)
 		e.applyPool()
 	}
 	// Announce the new revision, so that peers don't read the same list again.
@@ -109,6 +110,7 @@
 func (e *Edge) heartbeat() gossip.Heartbeat {
 	h := gossip.Heartbeat{Instance: e.self(), Boot: e.boot, Ready: e.Ready(), PeerState: e.watcher.PeerState()}
 	h.Suspects = e.quarantine.Unsaved()
+	h.Leaving = e.notices.Words(e.gossip.Sparse())
 	if e.gossip.Sparse() {
 		// Only the owners of the engines need the work ([alloc.Client]).
 		h.Suspects = e.quarantine.Forwarded()
@@ -125,6 +127,7 @@
 // onHeartbeat handles a peer's heartbeat.
 func (e *Edge) onHeartbeat(heartbeat gossip.Heartbeat) {
 	news := e.quarantine.Merge(heartbeat.Suspects)
+	news = e.notices.HandleWords(heartbeat.Leaving) || news
 	switch {
 	case !e.gossip.Sparse():
 		e.onWork()
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -11,6 +11,7 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/notice"
 	"lacewinghook.example/lacewinghook/notify"
 	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/pool"
@@ -34,6 +35,8 @@
 	// Suspects identify requests that were in flight at an upstream when it
 	// crashed.
 	Suspects []poison.Suspect `json:"marks,omitempty"`
+	// Leaving lists the replicas that have stated that they leave.
+	Leaving []notice.Word `json:"leaving,omitempty"`
 }
 
 // Load is the in-flight work of one entry at one upstream.
