relay: a call is not sent after its caller has left

A call that may not be repeated was detached from its caller before it was sent, so that it could still be sent up to the time limit of a connection after the caller had left. Only a call that has been written runs to its end now; until then the end of the caller's stream withdraws it. Found by reading; TestHalfClosedCallerIsAnswered as before.

--- a/relay/call.go
+++ b/relay/call.go
@@ -57,7 +57,7 @@
 	start := x.relay.Clock.Now()
 	call, wd := x.watchCall(ctx, up, usual)
 	defer wd.cancel(nil)
-	a, err := x.relay.Upstreams.Send(call, up, SendRequest{Request: x.request})
+	a, err := x.relay.Upstreams.Send(call, up, SendRequest{Request: x.request, Finish: !x.repeatable()})
 	if err == nil {
 		defer a.Body.Close()
 		x.relay.markReachable(up)
@@ -88,14 +88,8 @@
 // once another one is available and the retry budget allows a send. A call that may not
 // be sent again isn't watched. usual is the replica's usual answer time.
 func (x *exchange) watchCall(ctx context.Context, up core.Upstream, usual clock.Millis) (context.Context, *watchdog) {
-	if !x.repeatable() {
-		// A call that may not be repeated runs to its end although the caller may
-		// have left: the caller may also have closed only its sending side.
-		deadline, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.timeLeft().Duration())
-		return deadline, unwatched(func(error) { cancel() })
-	}
 	call, cancel := context.WithCancelCause(ctx)
-	if x.possibleRuns >= x.opaque.Route.Profile.Retries {
+	if !x.repeatable() || x.possibleRuns >= x.opaque.Route.Profile.Retries {
 		return call, unwatched(cancel)
 	}
 	w := &watchdog{
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,11 @@
 	LastEventID string
 	// Hold identifies the memory reserved for the request; empty means none.
 	Hold string
+	// Finish means that once the request is sent it runs to its end, or to the
+	// deadline of the context, although the context is cancelled: it can't be run
+	// again, and a caller that seems to have left may have closed only its sending
+	// side.
+	Finish bool
 }
 
 // Answer is an upstream's answer with its body still unread. The receiver must
