pool: work at an upstream that was missing from one list stays counted

An engine whose row expires in a short silence, and is back under the same name, got a new count: the streams that were running there then subtracted from zero. The engine seemed to have more memory than it has for as long as the entry ran, and was given requests that it refused, each for a retry of the budget.

The count of an upstream that leaves the list is kept until its work has ended.

--- a/pool/index.go
+++ b/pool/index.go
@@ -16,6 +16,9 @@
 type index struct {
 	names    []string
 	slots    map[string]*slot
+	// dropped holds the slots of upstreams that are no longer published and at which
+	// this entry still has work, so that the work is counted if they return.
+	dropped map[string]*slot
 	groups   map[groupKey]*group
 	services map[string][]*slot
 }
@@ -53,6 +56,7 @@
 func newIndex(old *index, doc *core.Document) *index {
 	idx := &index{
 		slots:    make(map[string]*slot, len(doc.Upstreams)),
+		dropped:  make(map[string]*slot),
 		groups:   make(map[groupKey]*group),
 		services: make(map[string][]*slot),
 	}
@@ -60,6 +64,9 @@
 	sort.Slice(ups, func(i, j int) bool { return ups[i].Name < ups[j].Name })
 	for _, u := range ups {
 		s := old.slots[u.Name]
+		if s == nil {
+			s = old.dropped[u.Name]
+		}
 		if s == nil {
 			s = &slot{}
 		}
@@ -68,9 +75,23 @@
 		idx.slots[u.Name] = s
 		idx.add(s, u)
 	}
+	for _, m := range []map[string]*slot{old.slots, old.dropped} {
+		for name, s := range m {
+			if idx.slots[name] == nil && s.hasWork() {
+				idx.dropped[name] = s
+			}
+		}
+	}
 	return idx
 }
 
+// hasWork reports whether this entry has work at the upstream.
+func (s *slot) hasWork() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Own != (Work{})
+}
+
 // setUpstream stores the published description. A change of role discards the
 // observations and cache hints, which describe the old role.
 func (s *slot) setUpstream(u core.Upstream) {
--- a/pool/table.go
+++ b/pool/table.go
@@ -60,7 +60,8 @@
 }
 
 // Apply replaces the list of upstreams with the published one. The state of
-// an upstream that is no longer published is dropped.
+// an upstream that is no longer published is dropped, once this entry has no work
+// there.
 func (t *Table) Apply(doc *core.Document) {
 	t.applyMu.Lock()
 	defer t.applyMu.Unlock()
@@ -177,7 +178,20 @@
 // addWork adds sign times w to this entry's work at an upstream.
 func (t *Table) addWork(name string, w Work, sign int) {
 	now := t.Clock.Now()
-	t.update(name, func(s *slot) { s.addWork(now, w, sign) })
+	t.updateAny(name, func(s *slot) { s.addWork(now, w, sign) })
+}
+
+// updateAny is [Table.update], also for upstreams that are no longer published and at
+// which this entry has work.
+func (t *Table) updateAny(name string, f func(*slot)) {
+	if t.update(name, f) {
+		return
+	}
+	if s, ok := t.currentIndex().dropped[name]; ok {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		f(s)
+	}
 }
 
 // addWork adds sign times w to this entry's work. It records the amount before the
@@ -225,7 +239,7 @@
 // call failed.
 func (t *Table) FinishPrefill(name string, id uint64, w Work, took clock.Millis, blocks []uint64) {
 	now := t.Clock.Now()
-	t.update(name, func(s *slot) {
+	t.updateAny(name, func(s *slot) {
 		s.addWork(now, w, -1)
 		for i, call := range s.calls {
 			if call.id == id {
--- a/pool/table_test.go
+++ b/pool/table_test.go
@@ -144,3 +144,33 @@
 		}
 	})
 }
+
+// TestRelistedUpstreamKeepsItsWork guards against a negative count of work at an upstream
+// that was missing from one list, as after a silence of some heartbeats: it would be given
+// more than it can take from then on.
+func TestRelistedUpstreamKeepsItsWork(t *testing.T) {
+	is := is.New(t)
+	doc := &core.Document{Upstreams: []core.Upstream{{Name: "g", Role: core.Decode, Models: []string{"m"}, Pieces: 38}}}
+	var table pool.Table
+	table.Apply(doc)
+	stream, prompt := pool.Work{Pieces: 10, Requests: 1}, pool.Work{Tokens: 100, Prompt: 100}
+	table.Begin("g", stream)
+	id := table.StartPrefill("g", prompt)
+	table.Apply(&core.Document{})
+	_, listed := table.Get("g")
+	is.True(!listed)
+	table.Apply(&core.Document{})
+	table.FinishPrefill("g", id, prompt, 0, nil)
+	table.Apply(doc)
+	s, _ := table.Get("g")
+	is.Equal(s.Own, stream)
+	table.End("g", stream)
+	s, _ = table.Get("g")
+	is.Equal(s.Own, pool.Work{})
+	// An upstream without work is forgotten.
+	table.Apply(&core.Document{})
+	table.Begin("g", stream)
+	table.Apply(doc)
+	s, _ = table.Get("g")
+	is.Equal(s.Own, pool.Work{})
+}
