--- a/pool/index.go
+++ b/pool/index.go
@@ -14,11 +14,11 @@
 // and model, and by service. The slots that it points to are mutable, each
 // under its own lock.
 type index struct {
-	names    []string
-	slots    map[string]*slot
+	names []string
+	slots map[string]*slot
 	// dropped holds the slots of upstreams that are no longer published and at which
 	// this entry still has work, so that the work is counted if they return.
-	dropped map[string]*slot
+	dropped  map[string]*slot
 	groups   map[groupKey]*group
 	services map[string][]*slot
 }
