edge: a stop closes connections on which no request arrives

After the last request had ended, http.Server.Shutdown waited for connections that had been accepted and carried nothing yet, up to the end of the grace period, and dropped the request that arrived on one in that time without an answer. They are closed now, before anything is read from them.

--- a/edge/lost_test.go
+++ b/edge/lost_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -180,6 +182,29 @@
 	is.NoErr((<-streamed).err)
 }
 
+// TestStopEndsWithoutRequests guards against a stop that lasts as long as a connection on
+// which no request arrives, and that reads a request there but doesn't answer it.
+func TestStopEndsWithoutRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	r := s.startReady()
+	r.stop()
+	s.until("the entry isn't ready", func() bool { return !r.ready() })
+	stopped := time.Now()
+	lookUp := time.Duration(3*r.settings.Fleet.Keep) * time.Millisecond
+	time.Sleep(lookUp)
+	conn := r.dial(t)
+	s.until("the connection is closed", func() bool {
+		_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+		_, err := conn.Read(make([]byte, 1))
+		return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	})
+	is.NoErr(<-r.done)
+	is.True(time.Since(stopped) < lookUp+1200*time.Millisecond) // the grace period ends after 3.6 s
+	r.done <- nil
+}
+
 // TestStopRejectsWhatItCannotFinish guards against a stream that a stopping entry
 // accepts and cuts at the end of its grace period.
 func TestStopRejectsWhatItCannotFinish(t *testing.T) {
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -48,11 +48,17 @@
 	e.inFlight.WaitIdle(stopCtx, idleTime)
 	e.logCut(begun)
 	for _, s := range servers {
-		if s.http == nil {
-			continue
+		var err error
+		switch {
+		case s.callers:
+			// Shutdown would wait for connections on which no request has arrived, and
+			// drop the request if one does.
+			err = s.http.Close()
+		case s.http != nil:
+			err = s.http.Shutdown(stopCtx)
 		}
-		if err := s.http.Shutdown(stopCtx); err != nil && !errors.Is(err, net.ErrClosed) {
-			e.Log.Warn("edge: connections were closed", zap.Stringer("addr", s.ln.Addr()), zap.Error(err))
+		if err != nil && !errors.Is(err, net.ErrClosed) {
+			e.Log.Warn("edge: closing a server failed", zap.Stringer("addr", s.ln.Addr()), zap.Error(err))
 		}
 	}
 }
