--- a/extsim/store.go
+++ b/extsim/store.go
@@ -49,8 +49,10 @@
 type storedRow struct {
 	table, key string
 	value      []byte
-	revision   int64
-	deleted    bool
+	// raw, if not empty, is sent as the value in place of the base64 encoding.
+	raw      json.RawMessage
+	revision int64
+	deleted  bool
 }
 
 // NewStore starts a store and stops it at the end of the test.
@@ -85,6 +87,15 @@
 	s.apply(storedRow{table: table, key: key, value: []byte(value), revision: s.revision})
 }
 
+// PutRaw writes a row whose value, encoded in JSON, is sent as it is. It need not be
+// base64.
+func (s *Store) PutRaw(table, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.apply(storedRow{table: table, key: key, raw: json.RawMessage(value), revision: s.revision})
+}
+
 // Remove deletes a row and records the deletion in the change history.
 func (s *Store) Remove(table, key string) {
 	s.mu.Lock()
@@ -289,9 +300,12 @@
 	list := []map[string]any{}
 	for _, r := range rows {
 		row := map[string]any{"table": r.table, "part": "", "key": r.key, "schema_version": r.revision}
-		if r.deleted {
+		switch {
+		case r.deleted:
 			row["deleted"] = true
-		} else {
+		case len(r.raw) > 0:
+			row["value"] = r.raw
+		default:
 			row["value"] = base64.StdEncoding.EncodeToString(r.value)
 		}
 		list = append(list, row)
