--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/edge"
@@ -47,6 +48,8 @@
 	// restarted is set if entries start on a platform that is already serving,
 	// so that they aren't fresh.
 	restarted bool
+	// log, if not nil, receives the logs of the entries.
+	log *zap.Logger
 }
 
 // runningEntry is an entry that was started in this process.
@@ -108,7 +111,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	r := &runningEntry{settings: set, stop: stop, done: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
-	go func() { r.done <- (&edge.Edge{Settings: set, Listeners: listeners}).Run(ctx) }()
+	go func() { r.done <- (&edge.Edge{Settings: set, Listeners: listeners, Log: s.log}).Run(ctx) }()
 	s.entries = append(s.entries, r)
 	s.t.Cleanup(func() {
 		stop()
