edge: test with replicas that send a refusal again

The stand-in replicas can send the last refusal on a connection once more, at once, 5 ms or 50 ms after they began to run the next request, with its ID or without. Callers must not be told that a request hasn't run which a replica runs, and none may run twice.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -441,6 +441,56 @@
 	}
 }
 
+// TestRepeatedRefusal guards against replicas that send an earlier refusal again, on a
+// connection on which they run another request: the caller must not be told that its
+// request hasn't run, and no other replica may run it.
+func TestRepeatedRefusal(t *testing.T) {
+	for _, path := range []string{"/once/a", "/verse/a"} {
+		for _, anonymous := range []bool{false, true} {
+			for _, delay := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s/anonymous %v/after %v", path[1:], anonymous, delay), func(t *testing.T) {
+					t.Parallel()
+					is := is.New(t)
+					s := newSite(t)
+					replicas := s.services
+					if path == "/verse/a" {
+						replicas = s.decode
+					}
+					for _, d := range replicas {
+						d.Anonymous, d.RepeatDelay = anonymous, delay
+					}
+					r := s.startReady()
+					answered := 0
+					for i := range 20 {
+						injectFault(replicas, extsim.RepeatRefusal, 1)
+						// One request is refused at each send, the next isn't refused, and the
+						// third is refused once by each replica.
+						injectFault(replicas, extsim.Reject, []int{3, 0, 1}[i%3])
+						id := fmt.Sprint("id-", i)
+						got := r.do(context.Background(), callerRequest{id: id, path: path})
+						is.NoErr(got.err)
+						runs := s.runs(id)
+						is.True(runs <= 1)
+						switch got.status {
+						case http.StatusOK:
+							answered++
+							is.Equal(got.header.Get("Lacewinghook-Replica-Signature"), "sig."+id)
+						case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+							is.Equal(runs, 0)
+						default:
+							is.True(anonymous) // otherwise the ID identifies the answer
+						}
+						is.True(got.status == http.StatusOK || anonymous || i%3 != 1)
+					}
+					repeats := replicas[0].Counts().Repeats + replicas[1].Counts().Repeats
+					t.Logf("%d of 20 answered with success, %d refusals repeated", answered, repeats)
+					is.True(repeats > 0)
+				})
+			}
+		}
+	}
+}
+
 // TestAnswersBeforeTheBody guards against a desynchronized connection: the replicas
 // answer long requests at once and read the body later. The connection must not be
 // reused until the rest of the body is sent.
--- a/extsim/replica.go
+++ b/extsim/replica.go
@@ -1,6 +1,7 @@
 package extsim
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
@@ -46,6 +47,9 @@
 	// HandleGone rejects a request with a KV source, as if its KV handle no
 	// longer existed.
 	HandleGone Fault = "nohandle"
+	// RepeatRefusal sends the last refusal on the connection once more, RepeatDelay
+	// after the request has arrived and RunAfterRepeat before its run ends.
+	RepeatRefusal Fault = "again"
 )
 
 // Replica simulates one replica of the platform.
@@ -58,6 +62,10 @@
 	EventInterval time.Duration
 	// Body is the response body of a plain service.
 	Body string
+	// RepeatDelay is the delay of the fault RepeatRefusal.
+	RepeatDelay time.Duration
+	// Anonymous is set if refusals have no request ID.
+	Anonymous bool
 
 	mu            sync.Mutex
 	server        *httptest.Server
@@ -70,6 +78,7 @@
 	releasedHolds int
 	canceledRuns  int
 	corruptBodies int
+	repeats       int
 	handles       map[string]bool
 	headers       []http.Header
 	stopped       chan struct{} // closed by Stop
@@ -82,12 +91,61 @@
 		ID: id, Service: service, Phase: phase, EventCount: 4, EventInterval: time.Millisecond, Body: "answer of " + id,
 		faults: make(map[Fault]int), runs: make(map[string]int), handles: make(map[string]bool), stopped: make(chan struct{}),
 	}
-	r.server = httptest.NewServer(r)
+	r.server = httptest.NewUnstartedServer(r)
+	r.server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, &connState{conn: c})
+	}
+	r.server.Start()
 	r.Addr = strings.TrimPrefix(r.server.URL, "http://")
 	t.Cleanup(r.Stop)
 	return r
 }
 
+// connKey is the key of the [connState] in the context of a request.
+type connKey struct{}
+
+// connState is a connection and the last refusal on it.
+type connState struct {
+	conn    net.Conn
+	refusal string
+}
+
+// RunAfterRepeat is the time from a repeated refusal to the end of the run.
+const RunAfterRepeat = 30 * time.Millisecond
+
+// refuse answers a request that isn't run, and records the answer.
+func (r *Replica) refuse(w http.ResponseWriter, hr *http.Request, status int, header http.Header) {
+	if r.Anonymous {
+		w.Header().Del("Lacewinghook-Request-Id")
+	}
+	for name, values := range header {
+		w.Header()[name] = values
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	// Writing to a builder never fails.
+	_ = w.Header().Write(&b)
+	b.WriteString("Content-Length: 0\r\n\r\n")
+	hr.Context().Value(connKey{}).(*connState).refusal = b.String()
+	w.WriteHeader(status)
+}
+
+// repeatRefusal sends the last refusal on the connection of a request again, if there
+// is one, and waits for RunAfterRepeat.
+func (r *Replica) repeatRefusal(hr *http.Request) {
+	state := hr.Context().Value(connKey{}).(*connState)
+	if state.refusal == "" || !r.consumeFault(RepeatRefusal) {
+		return
+	}
+	r.mu.Lock()
+	r.repeats++
+	r.mu.Unlock()
+	time.Sleep(r.RepeatDelay)
+	// The error is ignored: it means that the caller has closed the connection.
+	_, _ = io.WriteString(state.conn, state.refusal)
+	time.Sleep(RunAfterRepeat)
+}
+
 // Stop closes the listener and all connections at once, as when a process exits.
 // Further calls do nothing.
 func (r *Replica) Stop() {
@@ -146,13 +204,15 @@
 	// CorruptBodies counts request bodies with content that the caller didn't
 	// send; only an early answer checks the body.
 	CorruptBodies int
+	// Repeats counts the refusals that were sent once more.
+	Repeats int
 }
 
 // Counts returns the current counters.
 func (r *Replica) Counts() Counts {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Counts{Runs: len(r.executedIDs), Prefills: r.prefills, FreedHandles: len(r.freedHandles), GrantedHolds: r.grantedHolds, ReleasedHolds: r.releasedHolds, CanceledRuns: r.canceledRuns, CorruptBodies: r.corruptBodies}
+	return Counts{Runs: len(r.executedIDs), Prefills: r.prefills, FreedHandles: len(r.freedHandles), GrantedHolds: r.grantedHolds, ReleasedHolds: r.releasedHolds, CanceledRuns: r.canceledRuns, CorruptBodies: r.corruptBodies, Repeats: r.repeats}
 }
 
 // RequestHeaders returns the headers of all requests received so far, except
@@ -181,6 +241,9 @@
 	return fmt.Sprintf("%d %x", len(body), sha256.Sum256([]byte(body)))
 }
 
+// notExecuted is the header of refusals of requests.
+var notExecuted = http.Header{"Lacewinghook-Not-Executed": {"1"}}
+
 // ServeHTTP implements [http.Handler]: it handles control calls, prefill
 // requests and requests to execute, and applies the injected faults. It
 // rejects requests that expect another replica or have no ID without running
@@ -196,8 +259,7 @@
 	r.headers = append(r.headers, hr.Header.Clone())
 	r.mu.Unlock()
 	if want := hr.Header.Get("Lacewinghook-Expect-Replica"); want != "" && want != r.ID {
-		w.Header().Set("Lacewinghook-Replica-Id", r.ID)
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		r.refuse(w, hr, http.StatusMisdirectedRequest, http.Header{"Lacewinghook-Replica-Id": {r.ID}})
 		return
 	}
 	if r.serveControl(w, hr, body) {
@@ -205,8 +267,7 @@
 	}
 	w.Header().Set("Lacewinghook-Request-Id", id)
 	if id == "" || r.consumeFault(Reject) {
-		w.Header().Set("Lacewinghook-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		r.refuse(w, hr, http.StatusServiceUnavailable, notExecuted)
 		return
 	}
 	if hr.Header.Get("Lacewinghook-Phase") == "prefill" {
@@ -214,14 +275,14 @@
 		return
 	}
 	if source := hr.Header.Get("Lacewinghook-Kv-Source"); source != "" && r.consumeFault(HandleGone) {
-		w.Header().Set("Lacewinghook-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		r.refuse(w, hr, http.StatusServiceUnavailable, notExecuted)
 		return
 	}
 	r.mu.Lock()
 	r.runs[id]++
 	r.executedIDs = append(r.executedIDs, id)
 	r.mu.Unlock()
+	r.repeatRefusal(hr)
 	r.execute(w, hr, id, string(body))
 }
 
@@ -244,7 +305,7 @@
 		}
 		if r.faults[Reject] > 0 {
 			r.faults[Reject]--
-			w.WriteHeader(http.StatusServiceUnavailable)
+			r.refuse(w, hr, http.StatusServiceUnavailable, nil)
 			return true
 		}
 		r.grantedHolds++
