extsim, relay, edge: tests of streams that break and get an error from the next engine

Operators of a similar system saw the text or the head of an error in the middle of a stream, and truncated streams that looked complete. The stand-ins can now send an answer byte for byte, from a script that several engines share. The tables break a resumable stream at each kind of place, with LF and CRLF, let the next engine answer with a failure, a refusal or no HTTP at all, and end at a sound engine or at none.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -47,8 +48,13 @@
 	// restarted is set if entries start on a platform that is already serving,
 	// so that they aren't fresh.
 	restarted bool
+	// retries is the fixed part of the retry budget; zero means defaultRetries.
+	retries float64
 }
 
+// defaultRetries is the fixed part of the retry budget of a platform.
+const defaultRetries = 58
+
 // runningEntry is an entry that was started in this process.
 type runningEntry struct {
 	settings *config.Settings
@@ -100,7 +106,7 @@
 		Callers: config.Listener{Listen: port()}, Peers: config.Listener{Listen: port()},
 		Fleet: &config.Fleet{
 			Store: s.store.Addr, Directory: port(), Readiness: port(), Metrics: port(),
-			Grace: 4, Keep: 500, Retries: config.Retries{Ratio: 0.2, Slack: 58, Span: 10}, Fresh: !s.restarted,
+			Grace: 4, Keep: 500, Retries: config.Retries{Ratio: 0.2, Slack: cmp.Or(s.retries, defaultRetries), Span: 10}, Fresh: !s.restarted,
 		},
 	}
 	for _, r := range seeds {
--- /dev/null
+++ b/edge/resume_test.go
@@ -0,0 +1,162 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/extsim"
+)
+
+// resumeRoute is a route for resumable streams that three replicas may run.
+const resumeRoute = `,{"name":"far","host":"h.example","prefix":"/long/far/","route_kind":"streaming","timeout_ms":14000,"target_latency_ms":900,"priority":1,"service":"verse","max_attempts":3,"sticky":true,"resumable":true,"target_itl_ms":300}`
+
+// resumeEvents is the number of events of a whole stream in these tests.
+const resumeEvents = 6
+
+// eventsBetween returns the events first to last with the given line end.
+func eventsBetween(first, last int, eol string) string {
+	text := ""
+	for n := first; n <= last; n++ {
+		text += fmt.Sprintf("id: %d%sdata: token%d%s%s", n, eol, n, eol, eol)
+	}
+	return text
+}
+
+// rawText returns a raw answer that is always the same but for the request's ID.
+func rawText(f func(id string) string) extsim.RawAnswer {
+	return extsim.RawAnswer{Text: func(id string, _ int) string { return f(id) }}
+}
+
+// chunkedStream returns a stream in chunks of the parts. If it is whole, the last
+// chunk follows.
+func chunkedStream(id string, whole bool, parts ...string) string {
+	text := extsim.Head(200, id, extsim.EventStream, extsim.Chunked, "Seen-Engine: first")
+	for _, p := range parts {
+		text += extsim.Chunk(p)
+	}
+	if whole {
+		text += extsim.Chunk("")
+	}
+	return text
+}
+
+// brokenStreams are first answers whose connection breaks, by the place of the break.
+// begun is set if a whole event arrives before it.
+var brokenStreams = map[string]struct {
+	text  func(id string) string
+	begun bool
+	eol   string
+}{
+	"after the head":      {func(id string) string { return chunkedStream(id, false) }, false, "\n"},
+	"in the first event":  {func(id string) string { return chunkedStream(id, false, "id: 1\nda") }, false, "\n"},
+	"after an event":      {func(id string) string { return chunkedStream(id, false, eventsBetween(1, 1, "\n")) }, true, "\n"},
+	"in a chunk's head":   {func(id string) string { return chunkedStream(id, false, eventsBetween(1, 3, "\n")) + "1" }, true, "\n"},
+	"in the fourth event": {func(id string) string { return chunkedStream(id, false, eventsBetween(1, 3, "\n"), "id: 4\nda") }, true, "\n"},
+	"in a chunk": {func(id string) string {
+		return chunkedStream(id, false, eventsBetween(1, 3, "\n")) + "20\r\nid: 4\ndata: token4\n"
+	}, true, "\n"},
+	"in the line end of CRLF": {func(id string) string {
+		return chunkedStream(id, false, eventsBetween(1, 3, "\r\n"), "id: 4\r\ndata: token4\r\n\r")
+	}, true, "\r\n"},
+	"in an event, without a length": {func(id string) string {
+		return extsim.Head(200, id, extsim.EventStream, "Seen-Engine: first") + eventsBetween(1, 3, "\n") + "id: 4\ndata: to"
+	}, true, "\n"},
+}
+
+// badResumes are answers of an engine at which a broken stream doesn't continue.
+// ordered is set if the fault is in the order of events, which only shows after
+// the first one.
+var badResumes = map[string]struct {
+	answer  extsim.RawAnswer
+	ordered bool
+}{
+	"500 with a text": {answer: rawText(func(id string) string {
+		return extsim.Head(500, id, "Content-Length: 8") + "failed\n\n"
+	})},
+	"500 with events": {answer: rawText(func(id string) string {
+		return extsim.Head(500, id, extsim.EventStream, extsim.Chunked) + extsim.Chunk(eventsBetween(1, 6, "\n")) + extsim.Chunk("")
+	})},
+	"503, not run": {answer: extsim.RawAnswer{NotRun: true, Text: func(id string, _ int) string {
+		return extsim.Head(503, id, "Lacewinghook-Not-Executed: 1", "Content-Length: 6") + "full\n\n"
+	}}},
+	"503": {answer: rawText(func(id string) string { return extsim.Head(503, id, "Content-Length: 6") + "full\n\n" })},
+	"421": {answer: extsim.RawAnswer{NotRun: true, Text: func(id string, _ int) string {
+		return extsim.Head(421, id, "Content-Length: 7") + "other\n\n"
+	}}},
+	"an interim answer alone": {answer: rawText(func(id string) string {
+		return extsim.Head(103, id, "Link: x") + "failed\n\n"
+	})},
+	"no signature": {answer: rawText(func(id string) string {
+		return "HTTP/1.1 200 OK\r\nLacewinghook-Request-Id: " + id + "\r\n" + extsim.EventStream + "\r\n\r\n" + eventsBetween(1, 6, "\n")
+	})},
+	"no event and no last chunk": {answer: rawText(func(id string) string { return chunkedStream(id, false) })},
+	"a head that breaks off":     {answer: rawText(func(id string) string { return extsim.Head(200, id, extsim.EventStream)[:60] })},
+	"a head without an end": {answer: rawText(func(id string) string {
+		return strings.TrimSuffix(extsim.Head(200, id, extsim.EventStream), "\r\n") + strings.Repeat("X-Line: failed\r\n", 1<<14)
+	})},
+	"no HTTP": {answer: rawText(func(string) string { return "failed\r\n\r\nid: 4\ndata: failed\n\n" })},
+}
+
+// TestErrorsInsideResumedStreams guards against an error's text or head in the middle
+// of a caller's stream, against events that are missing or come twice, and against a
+// truncated stream that looks complete.
+func TestErrorsInsideResumedStreams(t *testing.T) {
+	for name, bad := range badResumes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			s.retries = 10_000 // the cases share the budget of one site
+			s.publish(2, 1000, resumeRoute)
+			s.decode = append(s.decode, s.replica("g-2", "verse", "decode"))
+			script := &extsim.Script{}
+			for _, d := range s.decode {
+				d.EventCount = resumeEvents
+				d.SetScript(script)
+			}
+			r := s.startReady()
+			n := 0
+			for place, first := range brokenStreams {
+				for _, sound := range []bool{true, false} {
+					if bad.ordered && !first.begun {
+						continue
+					}
+					n++
+					id := fmt.Sprintf("id-%d", n)
+					t.Run(fmt.Sprintf("%s/sound engine %v", place, sound), func(t *testing.T) {
+						answers := []extsim.RawAnswer{rawText(first.text), bad.answer}
+						for !sound && len(answers) < 8 {
+							answers = append(answers, bad.answer)
+						}
+						script.Set(answers...)
+						got := r.do(context.Background(), callerRequest{id: id, path: "/long/far/" + id, body: "p"})
+						script.Set()
+						checkCallersStream(t, got, first.eol, sound)
+					})
+				}
+			}
+		})
+	}
+}
+
+// checkCallersStream checks that the caller's stream has only events of the stream in
+// order, that it isn't complete unless it is whole, and that it is whole if the third
+// engine was sound.
+func checkCallersStream(t *testing.T, got answer, eol string, sound bool) {
+	t.Helper()
+	is := is.New(t)
+	t.Logf("status %d, error %v, body %q", got.status, got.err, got.body)
+	is.Equal(got.status, 200)
+	is.Equal(got.header.Get("Seen-Engine"), "first")
+	whole := eventsBetween(1, resumeEvents, "\n")
+	body := strings.ReplaceAll(got.body, eol, "\n")
+	is.True(strings.HasPrefix(whole, body))
+	is.True(got.err != nil || body == whole)
+	if sound {
+		is.NoErr(got.err)
+		is.Equal(body, whole)
+	}
+}
--- a/extsim/replica.go
+++ b/extsim/replica.go
@@ -72,6 +72,7 @@
 	corruptBodies int
 	handles       map[string]bool
 	headers       []http.Header
+	script        *Script
 	stopped       chan struct{} // closed by Stop
 }
 
@@ -218,11 +219,19 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if r.Phase != "" && r.answerByScript(w, hr, id) {
+		return
+	}
+	r.countRun(id)
+	r.execute(w, hr, id, string(body))
+}
+
+// countRun counts an execution of the request with this ID.
+func (r *Replica) countRun(id string) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.runs[id]++
 	r.executedIDs = append(r.executedIDs, id)
-	r.mu.Unlock()
-	r.execute(w, hr, id, string(body))
 }
 
 // serveControl handles the calls that release a KV handle and that take or
@@ -381,14 +390,20 @@
 	}
 }
 
+// lastEventID returns the number in the request's Last-Event-Id, 0 if it has none.
+func lastEventID(hr *http.Request) int {
+	n := 0
+	if last := hr.Header.Get("Last-Event-Id"); last != "" {
+		_, _ = fmt.Sscanf(last, "%d", &n)
+	}
+	return n
+}
+
 // streamEvents sends the events that follow the caller's Last-Event-Id, up to
 // EventCount. With CutAnswer it resets the connection within the third event
 // that it sends.
 func (r *Replica) streamEvents(w http.ResponseWriter, hr *http.Request, id string) {
-	lastID := 0
-	if last := hr.Header.Get("Last-Event-Id"); last != "" {
-		_, _ = fmt.Sscanf(last, "%d", &lastID)
-	}
+	lastID := lastEventID(hr)
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
 	_ = controller.Flush()
--- /dev/null
+++ b/extsim/script.go
@@ -0,0 +1,91 @@
+package extsim
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// RawAnswer is an answer to a request for a stream, in the bytes that the replica
+// sends before it closes the connection.
+type RawAnswer struct {
+	// Text returns the bytes, for the request's ID and the number in its
+	// Last-Event-Id, which is 0 if it has none.
+	Text func(id string, last int) string
+	// NotRun is set if the replica doesn't run the request.
+	NotRun bool
+}
+
+// Script is a sequence of answers that replicas send to requests for streams, in
+// the order in which the requests arrive at any of them. It must not be copied.
+type Script struct {
+	mu      sync.Mutex
+	answers []RawAnswer
+}
+
+// Set replaces the answers that are left.
+func (s *Script) Set(answers ...RawAnswer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers = answers
+}
+
+// next removes and returns the first answer. ok is false if none is left.
+func (s *Script) next() (a RawAnswer, ok bool) {
+	if s == nil {
+		return a, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.answers) == 0 {
+		return a, false
+	}
+	a, s.answers = s.answers[0], s.answers[1:]
+	return a, true
+}
+
+// SetScript has the replica answer requests for streams by the script while it has
+// answers left. Several replicas may share one.
+func (r *Replica) SetScript(s *Script) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.script = s
+}
+
+// answerByScript sends the next answer of the script. It returns false if there is
+// none.
+func (r *Replica) answerByScript(w http.ResponseWriter, hr *http.Request, id string) bool {
+	r.mu.Lock()
+	script := r.script
+	r.mu.Unlock()
+	a, ok := script.next()
+	if !ok {
+		return false
+	}
+	if !a.NotRun {
+		r.countRun(id)
+	}
+	r.writeRaw(w, a.Text(id, lastEventID(hr)), false)
+	return true
+}
+
+// Head returns the head of an answer to the request with this ID. A success has the
+// replica's signature, and any answer the header lines of fields.
+func Head(status int, id string, fields ...string) string {
+	if status < http.StatusMultipleChoices {
+		fields = append(fields, "Lacewinghook-Replica-Signature: sig."+id)
+	}
+	fields = append([]string{fmt.Sprintf("HTTP/1.1 %d %s", status, http.StatusText(status)), "Lacewinghook-Request-Id: " + id}, fields...)
+	return strings.Join(fields, "\r\n") + "\r\n\r\n"
+}
+
+// The header lines of a stream and of a body in chunks.
+const (
+	EventStream = "Content-Type: text/event-stream"
+	Chunked     = "Transfer-Encoding: chunked"
+)
+
+// Chunk returns the chunk of a body in chunks that holds text. An empty text ends
+// the body.
+func Chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -121,11 +121,17 @@
 
 // newRelay returns a relay with two prefill and two decode engines.
 func newRelay(u *upstreams, b *budget) (*relay.Relay, *pool.Table) {
+	return newRelayOf(u, b, "g-0", "g-1")
+}
+
+// newRelayOf returns a relay with two prefill engines and the decode engines of the
+// given names.
+func newRelayOf(u *upstreams, b *budget, decode ...string) (*relay.Relay, *pool.Table) {
 	doc := &core.Document{}
 	for _, name := range []string{"p-0", "p-1"} {
 		doc.Upstreams = append(doc.Upstreams, core.Upstream{Name: name, Role: core.Prefill, Models: []string{service}})
 	}
-	for _, name := range []string{"g-0", "g-1"} {
+	for _, name := range decode {
 		doc.Upstreams = append(doc.Upstreams, core.Upstream{Name: name, Role: core.Decode, Models: []string{service}, Pieces: 38})
 	}
 	t := &pool.Table{}
