relay: a resumed stream continues with the event after the last one

Callers could get events twice or lose some. After a break, the events of the next engine were forwarded whatever they were: an engine that ignores Last-Event-Id starts from the first event, and one without the events in between skips them. An error sent as an event went into the middle of the stream. Where events had no IDs, the next engine got no Last-Event-Id and all events came twice.

In a resumed answer each event must have the number after the last one; otherwise the engine counts as failed, and the stream continues elsewhere or is truncated. A stream whose own events aren't numbered in order is forwarded as it is, but no longer resumed. A Last-Event-Id that the caller sends is the last event if it is a number. Comments count as no event. Lines may now end with LF and CRLF in one event.

--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -15,7 +15,7 @@
 const resumeRoute = `,{"name":"far","host":"h.example","prefix":"/long/far/","route_kind":"streaming","timeout_ms":14000,"target_latency_ms":900,"priority":1,"service":"verse","max_attempts":3,"sticky":true,"resumable":true,"target_itl_ms":300}`
 
 // resumeEvents is the number of events of a whole stream in these tests.
-const resumeEvents = 6
+const resumeEvents = 12
 
 // eventsBetween returns the events first to last with the given line end.
 func eventsBetween(first, last int, eol string) string {
@@ -78,7 +78,7 @@
 		return extsim.Head(500, id, "Content-Length: 8") + "failed\n\n"
 	})},
 	"500 with events": {answer: rawText(func(id string) string {
-		return extsim.Head(500, id, extsim.EventStream, extsim.Chunked) + extsim.Chunk(eventsBetween(1, 6, "\n")) + extsim.Chunk("")
+		return extsim.Head(500, id, extsim.EventStream, extsim.Chunked) + extsim.Chunk(eventsBetween(1, resumeEvents, "\n")) + extsim.Chunk("")
 	})},
 	"503, not run": {answer: extsim.RawAnswer{NotRun: true, Text: func(id string, _ int) string {
 		return extsim.Head(503, id, "Lacewinghook-Not-Executed: 1", "Content-Length: 6") + "full\n\n"
@@ -91,7 +91,19 @@
 		return extsim.Head(103, id, "Link: x") + "failed\n\n"
 	})},
 	"no signature": {answer: rawText(func(id string) string {
-		return "HTTP/1.1 200 OK\r\nLacewinghook-Request-Id: " + id + "\r\n" + extsim.EventStream + "\r\n\r\n" + eventsBetween(1, 6, "\n")
+		return "HTTP/1.1 200 OK\r\nLacewinghook-Request-Id: " + id + "\r\n" + extsim.EventStream + "\r\n\r\n" + eventsBetween(1, resumeEvents, "\n")
+	})},
+	"events from the first one": {ordered: true, answer: rawText(func(id string) string {
+		return chunkedStream(id, true, eventsBetween(1, resumeEvents, "\n"))
+	})},
+	"events that skip one": {ordered: true, answer: extsim.RawAnswer{Text: func(id string, last int) string {
+		return chunkedStream(id, true, eventsBetween(last+2, resumeEvents, "\n"))
+	}}},
+	"events that go back": {ordered: true, answer: extsim.RawAnswer{Text: func(id string, last int) string {
+		return chunkedStream(id, true, eventsBetween(last+1, last+2, "\n"), eventsBetween(last+1, resumeEvents, "\n"))
+	}}},
+	"events without IDs": {ordered: true, answer: rawText(func(id string) string {
+		return chunkedStream(id, true, "data: token\n\ndata: token\n\n")
 	})},
 	"no event and no last chunk": {answer: rawText(func(id string) string { return chunkedStream(id, false) })},
 	"a head that breaks off":     {answer: rawText(func(id string) string { return extsim.Head(200, id, extsim.EventStream)[:60] })},
--- a/relay/events.go
+++ b/relay/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"strconv"
 
 	"github.com/go-faster/errors"
 
@@ -13,10 +14,17 @@
 // eventBuffer forwards only complete events and records the last event ID, so
 // that a stream can resume at another engine. The zero value is ready to use.
 type eventBuffer struct {
-	// lastID is the ID of the last forwarded event that has one.
+	// lastID is the ID of the last event that the caller has; empty if it has
+	// none.
 	lastID string
 	// partial holds the start of an event that is still incomplete.
 	partial []byte
+	// resumed is set while an answer must continue after lastID.
+	resumed bool
+	// unordered is set once an event was forwarded whose ID isn't the number
+	// after that of the event before it. Such a stream can't resume, since
+	// missing and repeated events would not be noticed.
+	unordered bool
 }
 
 // maxEventBytes bounds the size of one event.
@@ -25,16 +33,18 @@
 var (
 	errEventTooLong = errors.New("an event exceeds 1 MiB")
 	errPartialEvent = errors.New("the stream ended inside an event")
+	errWrongEvent   = errors.New("a resumed stream doesn't continue with the next event")
 )
 
 // streamEvents forwards the complete events of a body as they arrive. onPart is
 // called with each part before it is forwarded.
 func (b *eventBuffer) streamEvents(x *exchange, up core.Upstream, body io.Reader, onPart func([]byte)) error {
 	b.partial = b.partial[:0]
+	_, b.resumed = eventNumber(b.lastID)
 	err := readParts(up, body, func(p []byte) error {
 		onPart(p)
 		b.partial = append(b.partial, p...)
-		if err := b.forwardComplete(x); err != nil {
+		if err := b.forwardComplete(x, up); err != nil {
 			return err
 		}
 		if len(b.partial) > maxEventBytes {
@@ -48,39 +58,94 @@
 	return err
 }
 
-// forwardComplete forwards the complete events at the start of partial and records
-// the ID of the last one.
-func (b *eventBuffer) forwardComplete(x *exchange) error {
-	end := endOfEvents(b.partial)
-	if end == 0 {
+// forwardComplete forwards the complete events at the start of partial, up to one
+// that must not be forwarded.
+func (b *eventBuffer) forwardComplete(x *exchange, up core.Upstream) error {
+	end := 0
+	var wrong error
+	for wrong == nil {
+		n := eventLength(b.partial[end:])
+		if n == 0 {
+			break
+		}
+		if wrong = b.accept(parseEvent(b.partial[end : end+n])); wrong == nil {
+			end += n
+		}
+	}
+	if end > 0 {
+		if err := x.forward(b.partial[:end]); err != nil {
+			return err
+		}
+		b.partial = append(b.partial[:0], b.partial[end:]...)
+	}
+	if wrong != nil {
+		return codes.Wrap(codes.UpstreamFailed, wrong, "%s: after event %q", up.Name, b.lastID)
+	}
+	return nil
+}
+
+// accept records an event that is forwarded, or returns an error if it must not be.
+func (b *eventBuffer) accept(e event) error {
+	if e.id == "" && !e.data {
+		// A comment is no event.
 		return nil
 	}
-	if id := lastID(b.partial[:end]); id != "" {
-		b.lastID = id
+	n, numbered := eventNumber(e.id)
+	last, known := eventNumber(b.lastID)
+	ordered := numbered && (!known || n == last+1)
+	if b.resumed && !ordered {
+		return errWrongEvent
 	}
-	err := x.forward(b.partial[:end])
-	b.partial = append(b.partial[:0], b.partial[end:]...)
-	return err
+	b.unordered = b.unordered || !ordered
+	if e.id != "" {
+		b.lastID = e.id
+	}
+	return nil
 }
 
-// endOfEvents returns the length of the complete events at the start of p.
-func endOfEvents(p []byte) int {
-	end := 0
-	for _, blank := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.LastIndex(p, []byte(blank)); i >= 0 {
-			end = max(end, i+len(blank))
+// eventNumber returns the number that an event ID is. ok is false if it is none.
+func eventNumber(id string) (n uint64, ok bool) {
+	n, err := strconv.ParseUint(id, 10, 64)
+	return n, err == nil
+}
+
+// eventLength returns the length of the first event in p with the blank line that
+// ends it, 0 if it is incomplete. Lines end with LF or CRLF.
+func eventLength(p []byte) int {
+	start := 0
+	for {
+		i := bytes.IndexByte(p[start:], '\n')
+		if i < 0 {
+			return 0
+		}
+		start += i + 1
+		for _, blank := range []string{"\n", "\r\n"} {
+			if bytes.HasPrefix(p[start:], []byte(blank)) {
+				return start + len(blank)
+			}
 		}
 	}
-	return end
 }
 
-// lastID returns the ID of the last event in p that has one.
-func lastID(p []byte) string {
-	id := ""
+// event holds what is known of one event.
+type event struct {
+	// id is empty if the event has none.
+	id string
+	// data is set if the event has a data field.
+	data bool
+}
+
+// parseEvent parses a complete event.
+func parseEvent(p []byte) event {
+	e := event{}
 	for line := range bytes.Lines(p) {
-		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(rest))
+		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch string(name) {
+		case "id":
+			e.id = string(bytes.TrimSpace(value))
+		case "data":
+			e.data = true
 		}
 	}
-	return id
+	return e
 }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -46,12 +46,15 @@
 // generate forwards a completion and retries it where that is allowed.
 func (x *exchange) generate(ctx context.Context) error {
 	var buf eventBuffer
+	if x.opaque.Route.Resumable {
+		buf.lastID = x.opaque.LastEventID
+	}
 	for {
 		err := x.generateOnce(ctx, &buf)
 		if err == nil {
 			return nil
 		}
-		if x.headSent && !x.opaque.Route.Resumable || !x.canRetry(ctx, err) {
+		if x.headSent && (!x.opaque.Route.Resumable || buf.unordered) || !x.canRetry(ctx, err) {
 			return err
 		}
 	}
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -17,7 +17,7 @@
 )
 
 // streamLength is the number of events of a complete stream in these tests.
-const streamLength = 6
+const streamLength = 12
 
 // events returns the events first to last of a stream with the given line end.
 func events(first, last int, eol string) string {
@@ -102,14 +102,41 @@
 	return func(int, string) (relay.Answer, error) { return relay.Answer{}, codes.New(code, "test") }
 }
 
+// withEvents returns a success with the events of ids, which are relative to the
+// last one received.
+func withEvents(ids ...int) badAnswer {
+	return func(last int, eol string) (relay.Answer, error) {
+		text := ""
+		for _, id := range ids {
+			text += events(last+id, last+id, eol)
+		}
+		return streamAnswer("bad", strings.NewReader(text)), nil
+	}
+}
+
+// withBody returns a success with a stream of the given text.
+func withBody(text string) badAnswer {
+	return func(int, string) (relay.Answer, error) { return streamAnswer("bad", strings.NewReader(text)), nil }
+}
+
 // badAnswers are the answers of the engine at which a broken stream continues.
 var badAnswers = map[string]badAnswer{
-	"500 with a text":      withStatus(500, "failed\n\n"),
-	"500 with events":      withStatus(500, events(1, 6, "\n")),
-	"503":                  withStatus(503, "full\n\n"),
-	"302":                  withStatus(302, "moved\n\n"),
-	"refused":              withError(codes.UpstreamRefused),
-	"lost before the head": withError(codes.UpstreamLost),
+	"500 with a text":               withStatus(500, "failed\n\n"),
+	"500 with events":               withStatus(500, events(1, streamLength, "\n")),
+	"503":                           withStatus(503, "full\n\n"),
+	"302":                           withStatus(302, "moved\n\n"),
+	"refused":                       withError(codes.UpstreamRefused),
+	"lost before the head":          withError(codes.UpstreamLost),
+	"an error as an event":          withBody("event: error\ndata: the engine is out of memory\n\n"),
+	"events from the first one":     func(_ int, eol string) (relay.Answer, error) { return soundAnswer("bad", "", eol), nil },
+	"events from the last one":      withEvents(0, 1, 2),
+	"events that skip one":          withEvents(2, 3),
+	"events that skip one later":    withEvents(1, 3),
+	"an event twice":                withEvents(1, 1, 2),
+	"events that go back":           withEvents(1, 2, 1, 2, 3),
+	"events without IDs":            withBody("data: token\n\ndata: token\n\n"),
+	"events with IDs of words":      withBody("id: a\ndata: token\n\nid: b\ndata: token\n\n"),
+	"an ID of another event inside": withBody("id: 1\nid: 99\ndata: token\n\n"),
 }
 
 // TestErrorsInsideResumedStreams guards against the text of an error in the middle of
@@ -173,3 +200,82 @@
 		is.Equal(got, whole)
 	}
 }
+
+// TestStreamsThatCannotResume guards against events that come twice: a stream whose
+// events have no numbers in order breaks, and the next engine starts from the first
+// event, since it got no ID or one that says nothing of the events after it.
+func TestStreamsThatCannotResume(t *testing.T) {
+	for name, c := range map[string]struct {
+		body string
+		// resumes is set if the stream continues at another engine, after the event
+		// with the ID after.
+		resumes bool
+		after   string
+	}{
+		"no IDs":                         {body: "data: a\n\ndata: b\n\n"},
+		"no IDs, broken in an event":     {body: "data: a\n\ndat"},
+		"IDs of words":                   {body: "id: a\ndata: a\n\nid: b\ndata: b\n\n"},
+		"an event without an ID at last": {body: events(1, 2, "\n") + "data: c\n\n"},
+		"an event without an ID before":  {body: "data: c\n\n" + events(1, 2, "\n")},
+		"an ID is missing":               {body: events(1, 2, "\n") + events(4, 4, "\n")},
+		"an ID comes twice":              {body: events(1, 2, "\n") + events(2, 2, "\n")},
+		"no whole event":                 {body: "data: a\n", resumes: true},
+		"a comment at last":              {body: events(1, 2, "\n") + ": idle\n\n", resumes: true, after: "2"},
+		"a comment and other fields":     {body: ": hello\n\nretry: 100\n\nevent: x\nid: 1\ndata: token1\n\n", resumes: true, after: "1"},
+		"the first ID isn't 1":           {body: events(0, 2, "\n"), resumes: true, after: "2"},
+		"other fields in an event":       {body: "weights: 3\nid: 1\ndata: token1\n\n", resumes: true, after: "1"},
+		"mixed line ends":                {body: "id: 1\r\ndata: token1\n\r\nid: 2\ndata: token2\r\n\n", resumes: true, after: "2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := &upstreams{}
+			sends, after := 0, ""
+			u.send = func(_ core.Upstream, s relay.SendRequest) (relay.Answer, error) {
+				if sends++; sends == 1 {
+					return streamAnswer("first", truncated(c.body)), nil
+				}
+				after = s.LastEventID
+				return soundAnswer("second", s.LastEventID, "\n"), nil
+			}
+			r, _ := newRelay(u, &budget{retriesLeft: 9})
+			s := &sink{}
+			err := r.Run(context.Background(), request(r, core.HostRoute{Resumable: true, Profile: core.Profile{Retries: 2}}), s)
+			t.Logf("error %v, body %q", err, s.body.String())
+			is.Equal(err == nil, c.resumes)
+			if !c.resumes {
+				is.Equal(sends, 1)
+				is.True(strings.HasPrefix(c.body, s.body.String()))
+				return
+			}
+			is.Equal(after, c.after)
+			is.True(strings.HasSuffix(s.body.String(), events(streamLength, streamLength, "\n")))
+		})
+	}
+}
+
+// TestCallersLastEventID checks that a stream which a caller resumes starts after the
+// event that the caller names, if that is a number.
+func TestCallersLastEventID(t *testing.T) {
+	for _, c := range []struct{ last, body, want string }{
+		{"3", events(4, streamLength, "\n"), events(4, streamLength, "\n")},
+		{"3", events(1, streamLength, "\n"), ""},
+		{"3", events(5, streamLength, "\n"), ""},
+		{"12", "", ""},
+		{"word", events(1, streamLength, "\n"), events(1, streamLength, "\n")},
+		{"", events(1, streamLength, "\n"), events(1, streamLength, "\n")},
+	} {
+		t.Run(fmt.Sprintf("%s %q", c.last, c.body), func(t *testing.T) {
+			is := is.New(t)
+			u := &upstreams{send: func(core.Upstream, relay.SendRequest) (relay.Answer, error) {
+				return streamAnswer("first", strings.NewReader(c.body)), nil
+			}}
+			r, _ := newRelay(u, &budget{retriesLeft: 9})
+			s := &sink{}
+			req := request(r, core.HostRoute{Resumable: true, Profile: core.Profile{Retries: 2}})
+			req.Opaque.LastEventID = c.last
+			err := r.Run(context.Background(), req, s)
+			is.Equal(err == nil, c.body == c.want)
+			is.Equal(s.body.String(), c.want)
+		})
+	}
+}
