relay: text that is no event isn't forwarded in a resumable stream

Callers could find a page, an error's text or the whole head of a second answer in the middle of their stream. The text of a success was forwarded up to each blank line, whatever it said; an answer without a length has no end but that of its connection, so that a second answer behind it was taken for a part of it.

A block in which a line is no field, or that has unknown fields only, is now an error of the engine. An event with a known field may have others, as the one with the version of the weights has.

--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -65,6 +65,9 @@
 	"in an event, without a length": {func(id string) string {
 		return extsim.Head(200, id, extsim.EventStream, "Seen-Engine: first") + eventsBetween(1, 3, "\n") + "id: 4\ndata: to"
 	}, true, "\n"},
+	"at a second answer, without a length": {func(id string) string {
+		return extsim.Head(200, id, extsim.EventStream, "Seen-Engine: first") + eventsBetween(1, 3, "\n") + extsim.Head(500, id, "Content-Length: 6") + "failed"
+	}, true, "\n"},
 }
 
 // badResumes are answers of an engine at which a broken stream doesn't continue.
@@ -87,6 +90,10 @@
 	"421": {answer: extsim.RawAnswer{NotRun: true, Text: func(id string, _ int) string {
 		return extsim.Head(421, id, "Content-Length: 7") + "other\n\n"
 	}}},
+	"a page": {answer: rawText(func(id string) string {
+		return extsim.Head(200, id, "Content-Type: text/html", extsim.Chunked) + extsim.Chunk("<html>\n\nfailed\n\n</html>\n\n") + extsim.Chunk("")
+	})},
+	"an error's text as a stream": {answer: rawText(func(id string) string { return chunkedStream(id, true, "failed\n\n") })},
 	"an interim answer alone": {answer: rawText(func(id string) string {
 		return extsim.Head(103, id, "Link: x") + "failed\n\n"
 	})},
--- a/relay/events.go
+++ b/relay/events.go
@@ -34,6 +34,7 @@
 	errEventTooLong = errors.New("an event exceeds 1 MiB")
 	errPartialEvent = errors.New("the stream ended inside an event")
 	errWrongEvent   = errors.New("a resumed stream doesn't continue with the next event")
+	errNotAnEvent   = errors.New("the stream holds text that isn't an event")
 )
 
 // streamEvents forwards the complete events of a body as they arrive. onPart is
@@ -86,7 +87,10 @@
 
 // accept records an event that is forwarded, or returns an error if it must not be.
 func (b *eventBuffer) accept(e event) error {
-	if e.id == "" && !e.data {
+	switch {
+	case e.foreign:
+		return errNotAnEvent
+	case e.id == "" && !e.data:
 		// A comment is no event.
 		return nil
 	}
@@ -133,19 +137,29 @@
 	id string
 	// data is set if the event has a data field.
 	data bool
+	// foreign is set if the text can't be an event: it has a line that isn't a
+	// field, or unknown fields only, as the head or the text of an error has.
+	foreign bool
 }
 
 // parseEvent parses a complete event.
 func parseEvent(p []byte) event {
 	e := event{}
+	unknown := false
 	for line := range bytes.Lines(p) {
-		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		name, value, field := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
 		switch string(name) {
 		case "id":
 			e.id = string(bytes.TrimSpace(value))
 		case "data":
 			e.data = true
+		case "", "event", "retry":
+			// An empty name is that of a comment or the blank line.
+		default:
+			unknown = true
+			e.foreign = e.foreign || !field
 		}
 	}
+	e.foreign = e.foreign || unknown && e.id == "" && !e.data
 	return e
 }
