relay: a stream continues only with an answer of its status and content type

Callers got a truncated stream that looked complete: after a break, a 204 or an empty page with the status 200 ended it, since any success without a body counted as the rest of the stream.

The head of the next answer must have the status and the content type of the head that the caller has.

--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -93,6 +93,9 @@
 	"a page": {answer: rawText(func(id string) string {
 		return extsim.Head(200, id, "Content-Type: text/html", extsim.Chunked) + extsim.Chunk("<html>\n\nfailed\n\n</html>\n\n") + extsim.Chunk("")
 	})},
+	"an empty page": {answer: rawText(func(id string) string {
+		return extsim.Head(200, id, "Content-Type: text/html", "Content-Length: 0")
+	})},
 	"an error's text as a stream": {answer: rawText(func(id string) string { return chunkedStream(id, true, "failed\n\n") })},
 	"an interim answer alone": {answer: rawText(func(id string) string {
 		return extsim.Head(103, id, "Link: x") + "failed\n\n"
--- a/relay/events.go
+++ b/relay/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"mime"
 	"strconv"
 
 	"github.com/go-faster/errors"
@@ -17,6 +18,8 @@
 	// lastID is the ID of the last event that the caller has; empty if it has
 	// none.
 	lastID string
+	// head is the head that the caller has, once an answer has begun.
+	head core.Reply
 	// partial holds the start of an event that is still incomplete.
 	partial []byte
 	// resumed is set while an answer must continue after lastID.
@@ -34,6 +37,7 @@
 	errEventTooLong = errors.New("an event exceeds 1 MiB")
 	errPartialEvent = errors.New("the stream ended inside an event")
 	errWrongEvent   = errors.New("a resumed stream doesn't continue with the next event")
+	errOtherHead    = errors.New("the answer's status or content type isn't that of the stream")
 	errNotAnEvent   = errors.New("the stream holds text that isn't an event")
 )
 
@@ -107,6 +111,25 @@
 	return nil
 }
 
+// checkHead returns an error if the answer with the head r can't continue the stream
+// whose head the caller has.
+func (b *eventBuffer) checkHead(up core.Upstream, r core.Reply) error {
+	if r.Status == b.head.Status && contentType(r) == contentType(b.head) {
+		return nil
+	}
+	return codes.Wrap(codes.UpstreamFailed, errOtherHead, "%s: status %d, %q", up.Name, r.Status, contentType(r))
+}
+
+// contentType returns the content type of an answer without its parameters.
+func contentType(r core.Reply) string {
+	text := r.Header.Get("Content-Type")
+	if name, _, err := mime.ParseMediaType(text); err == nil {
+		return name
+	}
+	// An invalid type is compared as it is.
+	return text
+}
+
 // eventNumber returns the number that an event ID is. ok is false if it is none.
 func eventNumber(id string) (n uint64, ok bool) {
 	n, err := strconv.ParseUint(id, 10, 64)
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -282,7 +282,12 @@
 	if !answer.OK() {
 		return a.handleFailure(answer)
 	}
-	if !x.headSent {
+	if x.headSent {
+		if err := buf.checkHead(a.decode, answer.Reply); err != nil {
+			return err
+		}
+	} else {
+		buf.head = answer.Reply
 		if err := x.sendHead(answer.Reply); err != nil {
 			return err
 		}
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -119,6 +119,17 @@
 	return func(int, string) (relay.Answer, error) { return streamAnswer("bad", strings.NewReader(text)), nil }
 }
 
+// withoutEvents returns an answer without a body, with the given status and content
+// type.
+func withoutEvents(status int, contentType string) badAnswer {
+	return func(int, string) (relay.Answer, error) {
+		a := streamAnswer("bad", strings.NewReader(""))
+		a.Status = status
+		a.Header.Set("Content-Type", contentType)
+		return a, nil
+	}
+}
+
 // badAnswers are the answers of the engine at which a broken stream continues.
 var badAnswers = map[string]badAnswer{
 	"500 with a text":               withStatus(500, "failed\n\n"),
@@ -127,6 +138,9 @@
 	"302":                           withStatus(302, "moved\n\n"),
 	"refused":                       withError(codes.UpstreamRefused),
 	"lost before the head":          withError(codes.UpstreamLost),
+	"200 of another type":           withoutEvents(200, "text/html"),
+	"204":                           withoutEvents(204, "text/event-stream"),
+	"200 without a type":            withoutEvents(200, ""),
 	"a page":                        withBody("<html>\n\n<body>failed</body>\n\n</html>\n\n"),
 	"an error as a text":            withBody("internal error\n\nat line 7\n\n"),
 	"an error as a field":           withBody("Error: the engine is out of memory\n\n"),
