relay, platform: the end of a connection doesn't complete a stream without events

Callers got truncated streams that looked complete, where the engine's answer had neither a length nor chunks: such a body ends with its connection, and each end but a reset counted as the whole answer. An engine that broke off after its head completed a stream that had begun elsewhere. On routes that can't be resumed also an end within an event did, and a second answer behind the first was forwarded as a part of it.

An answer now says whether it ends with its connection. If it does, a stream isn't complete without an event, and on all routes only whole events are forwarded.

--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -116,7 +116,10 @@
 		return chunkedStream(id, true, "data: token\n\ndata: token\n\n")
 	})},
 	"no event and no last chunk": {answer: rawText(func(id string) string { return chunkedStream(id, false) })},
-	"a head that breaks off":     {answer: rawText(func(id string) string { return extsim.Head(200, id, extsim.EventStream)[:60] })},
+	"no event and no length": {answer: rawText(func(id string) string {
+		return extsim.Head(200, id, extsim.EventStream)
+	})},
+	"a head that breaks off": {answer: rawText(func(id string) string { return extsim.Head(200, id, extsim.EventStream)[:60] })},
 	"a head without an end": {answer: rawText(func(id string) string {
 		return strings.TrimSuffix(extsim.Head(200, id, extsim.EventStream), "\r\n") + strings.Repeat("X-Line: failed\r\n", 1<<14)
 	})},
@@ -182,3 +185,47 @@
 		is.Equal(body, whole)
 	}
 }
+
+// TestStreamsWithoutLength guards against truncated streams that look complete: the
+// body of the answer ends with its connection. A stream that can't continue elsewhere
+// must be truncated for the caller too.
+func TestStreamsWithoutLength(t *testing.T) {
+	head := func(id string) string { return extsim.Head(200, id, extsim.EventStream, "Seen-Engine: first") }
+	for name, c := range map[string]struct {
+		text  func(id string) string
+		whole bool
+	}{
+		"whole":           {func(id string) string { return head(id) + eventsBetween(1, resumeEvents, "\n") }, true},
+		"whole, CRLF":     {func(id string) string { return head(id) + eventsBetween(1, resumeEvents, "\r\n") }, true},
+		"no event":        {head, false},
+		"in an event":     {func(id string) string { return head(id) + eventsBetween(1, 3, "\n") + "id: 4\ndata: to" }, false},
+		"in a line end":   {func(id string) string { return head(id) + eventsBetween(1, 3, "\r\n") + "id: 4\r\ndata: to\r\n\r" }, false},
+		"a second answer": {func(id string) string { return head(id) + eventsBetween(1, 3, "\n") + extsim.Head(500, id) + "failed" }, false},
+		"a second success": {func(id string) string {
+			return strings.Repeat(head(id)+eventsBetween(1, 3, "\n"), 2)
+		}, false},
+	} {
+		for _, path := range []string{"/verse/a", "/long/a"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				s := newSite(t)
+				script := &extsim.Script{}
+				for _, d := range s.decode {
+					d.EventCount = resumeEvents
+					d.SetScript(script)
+				}
+				r := s.startReady()
+				script.Set(rawText(c.text))
+				got := r.do(context.Background(), callerRequest{id: "id-1", path: path})
+				t.Logf("status %d, error %v, body %q", got.status, got.err, got.body)
+				is.Equal(got.header.Get("Seen-Engine"), "first")
+				body := strings.ReplaceAll(got.body, "\r\n", "\n")
+				whole := eventsBetween(1, resumeEvents, "\n")
+				is.True(strings.HasPrefix(whole, body))
+				is.Equal(got.err == nil, c.whole || path == "/long/a")
+				is.Equal(got.err == nil, body == whole)
+			})
+		}
+	}
+}
--- a/relay/events.go
+++ b/relay/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"mime"
 	"strconv"
 
@@ -22,6 +21,8 @@
 	head core.Reply
 	// partial holds the start of an event that is still incomplete.
 	partial []byte
+	// events counts the events of the current answer.
+	events int
 	// resumed is set while an answer must continue after lastID.
 	resumed bool
 	// unordered is set once an event was forwarded whose ID isn't the number
@@ -36,17 +37,19 @@
 var (
 	errEventTooLong = errors.New("an event exceeds 1 MiB")
 	errPartialEvent = errors.New("the stream ended inside an event")
+	errNoEvent      = errors.New("the connection ended before the first event")
 	errWrongEvent   = errors.New("a resumed stream doesn't continue with the next event")
 	errOtherHead    = errors.New("the answer's status or content type isn't that of the stream")
 	errNotAnEvent   = errors.New("the stream holds text that isn't an event")
 )
 
-// streamEvents forwards the complete events of a body as they arrive. onPart is
+// streamEvents forwards the complete events of an answer as they arrive. onPart is
 // called with each part before it is forwarded.
-func (b *eventBuffer) streamEvents(x *exchange, up core.Upstream, body io.Reader, onPart func([]byte)) error {
+func (b *eventBuffer) streamEvents(x *exchange, up core.Upstream, answer Answer, onPart func([]byte)) error {
 	b.partial = b.partial[:0]
 	_, b.resumed = eventNumber(b.lastID)
-	err := readParts(up, body, func(p []byte) error {
+	b.events = 0
+	err := readParts(up, answer.Body, func(p []byte) error {
 		onPart(p)
 		b.partial = append(b.partial, p...)
 		if err := b.forwardComplete(x, up); err != nil {
@@ -57,10 +60,15 @@
 		}
 		return nil
 	})
-	if err == nil && len(b.partial) > 0 {
+	switch {
+	case err != nil:
+		return err
+	case len(b.partial) > 0:
 		return codes.Wrap(codes.UpstreamLost, errPartialEvent, "%s", up.Name).WithRun(codes.Ran)
+	case answer.UntilClose && b.events == 0:
+		return codes.Wrap(codes.UpstreamLost, errNoEvent, "%s", up.Name).WithRun(codes.Ran)
 	}
-	return err
+	return nil
 }
 
 // forwardComplete forwards the complete events at the start of partial, up to one
@@ -104,6 +112,7 @@
 	if b.resumed && !ordered {
 		return errWrongEvent
 	}
+	b.events++
 	b.unordered = b.unordered || !ordered
 	if e.id != "" {
 		b.lastID = e.id
@@ -120,6 +129,9 @@
 	return codes.Wrap(codes.UpstreamFailed, errOtherHead, "%s: status %d, %q", up.Name, r.Status, contentType(r))
 }
 
+// eventStream is the content type of a stream of events.
+const eventStream = "text/event-stream"
+
 // contentType returns the content type of an answer without its parameters.
 func contentType(r core.Reply) string {
 	text := r.Header.Get("Content-Type")
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -309,8 +309,8 @@
 			x.relay.placer().Observe(alloc.Observation{Engine: a.decode.Name, Took: took})
 		}
 	}
-	if x.opaque.Route.Resumable {
-		return buf.streamEvents(x, a.decode, answer.Body, onPart)
+	if x.opaque.Route.Resumable || answer.UntilClose && contentType(answer.Reply) == eventStream {
+		return buf.streamEvents(x, a.decode, answer, onPart)
 	}
 	return x.streamBody(a.decode, answer.Body, onPart)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -55,6 +55,9 @@
 type Answer struct {
 	core.Reply
 	Body io.ReadCloser
+	// UntilClose is set if the body ends with its connection. Its end then
+	// doesn't prove that it is complete.
+	UntilClose bool
 }
 
 // Pool holds the state and the in-flight work of the upstreams. [pool.Table]
