relay: the head of a resumable stream has no length

Callers got a stream that was whole as truncated, or as complete before its last event, where the first engine's answer had a Content-Length and broke off: the length was forwarded, but the events of the engine at which the stream continued had another one.

A resumable stream is sent in chunks, so that only its end completes it.

--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -68,6 +68,18 @@
 	"at a second answer, without a length": {func(id string) string {
 		return extsim.Head(200, id, extsim.EventStream, "Seen-Engine: first") + eventsBetween(1, 3, "\n") + extsim.Head(500, id, "Content-Length: 6") + "failed"
 	}, true, "\n"},
+	// The engines' events differ in length, as those of two runs do.
+	"with a longer length": {func(id string) string {
+		return streamOfLength(id, len(eventsBetween(1, resumeEvents, "\n"))+20)
+	}, true, "\n"},
+	"with a shorter length": {func(id string) string {
+		return streamOfLength(id, len(eventsBetween(1, resumeEvents-2, "\n")))
+	}, true, "\n"},
+}
+
+// streamOfLength returns the start of a stream with the given Content-Length.
+func streamOfLength(id string, n int) string {
+	return extsim.Head(200, id, extsim.EventStream, fmt.Sprintf("Content-Length: %d", n), "Seen-Engine: first") + eventsBetween(1, 3, "\n")
 }
 
 // badResumes are answers of an engine at which a broken stream doesn't continue.
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -287,6 +287,10 @@
 			return err
 		}
 	} else {
+		if x.opaque.Route.Resumable {
+			// The rest may come from an engine whose events have another length.
+			answer.Length = -1
+		}
 		buf.head = answer.Reply
 		if err := x.sendHead(answer.Reply); err != nil {
 			return err
