relay: events whose lines end with CRLF are counted

A stream with CRLF counted as one event a part, so that the memory of a long answer was not counted at its engine and more requests were sent there than it had memory for.

TestEventsWithCRLFAreCounted failed before: 4 != 5 pieces.

--- a/relay/generate.go
+++ b/relay/generate.go
@@ -319,13 +319,17 @@
 	return x.streamBody(a.decode, answer.Body, onPart)
 }
 
-// eventEnd is the blank line that ends an event.
-var eventEnd = []byte("\n\n")
+// eventEnds are the ends of an event whose lines end with LF or CRLF.
+var eventEnds = [...][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 
 // countEvents counts the events in a part of the answer. When the answer exceeds
 // the reserved length, it counts another piece of memory at the decode engine.
 func (a *attempt) countEvents(p []byte) {
-	a.events += max(1, bytes.Count(p, eventEnd))
+	n := 0
+	for _, end := range eventEnds {
+		n += bytes.Count(p, end)
+	}
+	a.events += max(1, n)
 	over := a.events*a.exchange.engineSpec().EventTokens - a.reservedTokens
 	if over <= 0 {
 		return
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -13,6 +13,7 @@
 
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/relay"
 )
 
@@ -298,3 +299,41 @@
 		})
 	}
 }
+
+// pieceSink records the memory that is counted at the engines when events arrive.
+type pieceSink struct {
+	sink
+	table *pool.Table
+	// least and most are the bounds of the pieces counted.
+	least, most int
+}
+
+func (s *pieceSink) Write(p []byte) error {
+	n := 0
+	for _, l := range s.table.Loads() {
+		n += l.Work.Pieces
+	}
+	if s.least == 0 {
+		s.least = n
+	}
+	s.most = max(s.most, n)
+	return s.sink.Write(p)
+}
+
+// TestEventsWithCRLFAreCounted guards against memory that isn't counted at an engine:
+// the events of a stream whose lines end with CRLF counted as one a part.
+func TestEventsWithCRLFAreCounted(t *testing.T) {
+	for _, eol := range []string{"\n", "\r\n"} {
+		t.Run(fmt.Sprintf("%q", eol), func(t *testing.T) {
+			is := is.New(t)
+			// The request reserves memory for 170 events.
+			u := &upstreams{send: func(core.Upstream, relay.SendRequest) (relay.Answer, error) {
+				return streamAnswer("first", io.MultiReader(strings.NewReader(events(1, 1, eol)), strings.NewReader(events(2, 250, eol)))), nil
+			}}
+			r, table := newRelay(u, &budget{retriesLeft: 9})
+			s := &pieceSink{table: table}
+			is.NoErr(r.Run(context.Background(), request(r, core.HostRoute{Resumable: true}), s))
+			is.Equal(s.most, s.least+1)
+		})
+	}
+}
