--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -241,3 +241,39 @@
 		}
 	}
 }
+
+// TestInterimAnswers guards against a success that no engine sent: an interim answer
+// with the request's ID was forwarded as the answer, and completed as an empty 200.
+func TestInterimAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		text   func(id string) string
+		path   string
+		status int
+		body   string
+	}{
+		"before an answer": {func(id string) string {
+			return extsim.Head(103, id, "Link: x") + extsim.Head(102, id) + chunkedStream(id, true, eventsBetween(1, 4, "\n"))
+		}, "/verse/a", 200, streamBody(4)},
+		"alone":                {func(id string) string { return extsim.Head(103, id, "Link: x") }, "/verse/a", 502, ""},
+		"alone, resumable":     {func(id string) string { return extsim.Head(103, id, "Link: x") }, "/long/a", 200, streamBody(4)},
+		"status 0":             {func(id string) string { return "HTTP/1.1 000 OK\r\nLacewinghook-Request-Id: " + id + "\r\n\r\n" }, "/verse/a", 502, ""},
+		"status 99, resumable": {func(id string) string { return "HTTP/1.1 099 OK\r\nLacewinghook-Request-Id: " + id + "\r\n\r\n" }, "/long/a", 200, streamBody(4)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			script := &extsim.Script{}
+			for _, d := range s.decode {
+				d.SetScript(script)
+			}
+			r := s.startReady()
+			script.Set(rawText(c.text))
+			got := r.do(context.Background(), callerRequest{id: "id-1", path: c.path})
+			t.Logf("status %d, error %v, body %q", got.status, got.err, got.body)
+			is.NoErr(got.err)
+			is.Equal(got.status, c.status)
+			is.True(strings.Contains(got.body, c.body))
+		})
+	}
+}
