--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -112,9 +112,12 @@
 	"an interim answer alone": {answer: rawText(func(id string) string {
 		return extsim.Head(103, id, "Link: x") + "failed\n\n"
 	})},
-	"no signature": {answer: rawText(func(id string) string {
-		return "HTTP/1.1 200 OK\r\nLacewinghook-Request-Id: " + id + "\r\n" + extsim.EventStream + "\r\n\r\n" + eventsBetween(1, resumeEvents, "\n")
-	})},
+	"no signature": {answer: extsim.RawAnswer{Text: func(id string, last int) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nLacewinghook-Request-Id: %s\r\n%s\r\n\r\nid: %d\ndata: failed\n\n", id, extsim.EventStream, last+1)
+	}}},
+	"a reset after the head": {answer: extsim.RawAnswer{Reset: true, Text: func(id string, _ int) string {
+		return extsim.Head(200, id, extsim.EventStream)
+	}}},
 	"events from the first one": {ordered: true, answer: rawText(func(id string) string {
 		return chunkedStream(id, true, eventsBetween(1, resumeEvents, "\n"))
 	})},
@@ -206,16 +209,18 @@
 	for name, c := range map[string]struct {
 		text  func(id string) string
 		whole bool
+		reset bool
 	}{
-		"whole":           {func(id string) string { return head(id) + eventsBetween(1, resumeEvents, "\n") }, true},
-		"whole, CRLF":     {func(id string) string { return head(id) + eventsBetween(1, resumeEvents, "\r\n") }, true},
-		"no event":        {head, false},
-		"in an event":     {func(id string) string { return head(id) + eventsBetween(1, 3, "\n") + "id: 4\ndata: to" }, false},
-		"in a line end":   {func(id string) string { return head(id) + eventsBetween(1, 3, "\r\n") + "id: 4\r\ndata: to\r\n\r" }, false},
-		"a second answer": {func(id string) string { return head(id) + eventsBetween(1, 3, "\n") + extsim.Head(500, id) + "failed" }, false},
-		"a second success": {func(id string) string {
+		"whole":            {text: func(id string) string { return head(id) + eventsBetween(1, resumeEvents, "\n") }, whole: true},
+		"whole, but reset": {text: func(id string) string { return head(id) + eventsBetween(1, resumeEvents, "\n") }, reset: true},
+		"whole, CRLF":      {text: func(id string) string { return head(id) + eventsBetween(1, resumeEvents, "\r\n") }, whole: true},
+		"no event":         {text: head},
+		"in an event":      {text: func(id string) string { return head(id) + eventsBetween(1, 3, "\n") + "id: 4\ndata: to" }},
+		"in a line end":    {text: func(id string) string { return head(id) + eventsBetween(1, 3, "\r\n") + "id: 4\r\ndata: to\r\n\r" }},
+		"a second answer":  {text: func(id string) string { return head(id) + eventsBetween(1, 3, "\n") + extsim.Head(500, id) + "failed" }},
+		"a second success": {text: func(id string) string {
 			return strings.Repeat(head(id)+eventsBetween(1, 3, "\n"), 2)
-		}, false},
+		}},
 	} {
 		for _, path := range []string{"/verse/a", "/long/a"} {
 			t.Run(name+path, func(t *testing.T) {
@@ -228,15 +233,20 @@
 					d.SetScript(script)
 				}
 				r := s.startReady()
-				script.Set(rawText(c.text))
+				answer := rawText(c.text)
+				answer.Reset = c.reset
+				script.Set(answer)
 				got := r.do(context.Background(), callerRequest{id: "id-1", path: path})
 				t.Logf("status %d, error %v, body %q", got.status, got.err, got.body)
-				is.Equal(got.header.Get("Seen-Engine"), "first")
+				if !c.reset {
+					// A reset may arrive before the head is read.
+					is.Equal(got.header.Get("Seen-Engine"), "first")
+				}
 				body := strings.ReplaceAll(got.body, "\r\n", "\n")
 				whole := eventsBetween(1, resumeEvents, "\n")
-				is.True(strings.HasPrefix(whole, body))
-				is.Equal(got.err == nil, c.whole || path == "/long/a")
-				is.Equal(got.err == nil, body == whole)
+				is.True(got.status != 200 || strings.HasPrefix(whole, body))
+				is.Equal(got.err == nil && got.status == 200, c.whole || path == "/long/a")
+				is.True(got.err != nil || got.status != 200 || body == whole)
 			})
 		}
 	}
--- a/extsim/script.go
+++ b/extsim/script.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -15,6 +17,8 @@
 	Text func(id string, last int) string
 	// NotRun is set if the replica doesn't run the request.
 	NotRun bool
+	// Reset is set if the connection is reset at the end of the text.
+	Reset bool
 }
 
 // Script is a sequence of answers that replicas send to requests for streams, in
@@ -66,17 +70,34 @@
 	if !a.NotRun {
 		r.countRun(id)
 	}
-	r.writeRaw(w, a.Text(id, lastEventID(hr)), false)
+	text := a.Text(id, lastEventID(hr))
+	if a.Reset {
+		writeAndReset(w, text)
+	} else {
+		r.writeRaw(w, text, false)
+	}
 	return true
 }
 
+// writeAndReset writes text to the hijacked connection and resets it.
+func writeAndReset(w http.ResponseWriter, text string) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(c, text)
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
 // Head returns the head of an answer to the request with this ID. A success has the
-// replica's signature, and any answer the header lines of fields.
+// replica's signature, and any answer the header lines of fields. It announces that
+// the connection is closed, so that the next request isn't sent on it.
 func Head(status int, id string, fields ...string) string {
 	if status < http.StatusMultipleChoices {
 		fields = append(fields, "Lacewinghook-Replica-Signature: sig."+id)
 	}
-	fields = append([]string{fmt.Sprintf("HTTP/1.1 %d %s", status, http.StatusText(status)), "Lacewinghook-Request-Id: " + id}, fields...)
+	fields = append([]string{fmt.Sprintf("HTTP/1.1 %d %s", status, http.StatusText(status)), "Lacewinghook-Request-Id: " + id, "Connection: close"}, fields...)
 	return strings.Join(fields, "\r\n") + "\r\n\r\n"
 }
 
