--- a/edge/callers.go
+++ b/edge/callers.go
@@ -19,12 +19,13 @@
 
 // Run implements [platform.Runner].
 func (c callerRunner) Run(ctx context.Context, r *core.Request, a *platform.AnswerWriter) error {
-	return c.edge.relay.Run(ctx, r, a)
+	err := c.edge.relay.Run(ctx, r, a)
+	if err == nil && r.Opaque.Route.Generates {
+		c.edge.durations.Observe(r.Opaque.Service, c.edge.Clock.Now()-r.Arrived)
+	}
+	return err
 }
 
-// Leaving implements [platform.Runner].
-func (c callerRunner) Leaving() bool { return c.edge.leaving.Load() }
-
 // Limits implements [platform.Runner].
 func (c callerRunner) Limits() core.InputLimits {
 	if m := c.edge.routes.Manifest(); m != nil {
@@ -56,7 +57,7 @@
 	if r.Deadline <= r.Arrived {
 		return codes.New(codes.DeadlinePast, "request %s", o.ID)
 	}
-	return nil
+	return e.checkFinishes(o)
 }
 
 // defaultTimeout applies to routes that set no timeout.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -17,6 +17,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/flight"
 	"lacewinghook.example/lacewinghook/gossip"
 	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/meter"
@@ -47,6 +48,8 @@
 	startedAt clock.Millis
 	// leaving is set once the entry has begun to stop.
 	leaving atomic.Bool
+	// stopBy is the instant at which a stop ends; it is set before leaving.
+	stopBy atomic.Int64
 	// peerWork is signalled when a peer has sent its work. It wakes wakeQueues.
 	peerWork notify.Signal
 	// applyMu serializes applyPool.
@@ -77,6 +80,10 @@
 	groups   atomic.Pointer[groups]
 	readRank atomic.Int64
 	budgets  shard.Map[string, *limit.Window]
+	// inFlight tracks the requests and connections of callers.
+	inFlight flight.Tracker
+	// durations estimates how long the completions of a service take.
+	durations flight.Durations
 }
 
 // Run serves until ctx ends, then drains the requests in flight and stops.
@@ -144,7 +151,7 @@
 	e.preparePlacer(table, self)
 	e.relay = relay.Relay{
 		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Budget: e, Quarantine: crashDetector{e}, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
-		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre,
+		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre, MaxSilence: s.Fleet.Silence,
 	}
 }
 
@@ -169,6 +176,8 @@
 	ln   net.Listener
 	http *http.Server
 	rpc  *wire.Server
+	// callers is set for the server of the callers' requests.
+	callers bool
 }
 
 // serve runs the server. It returns when ctx ends, or earlier if the server
@@ -177,7 +186,8 @@
 	if s.rpc != nil {
 		return s.rpc.Serve(ctx, s.ln)
 	}
-	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
+	// A stop closes the callers' listener before the server.
+	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	<-ctx.Done()
@@ -187,13 +197,15 @@
 // listen opens all listeners before any server starts.
 func (e *Edge) listen(ctx context.Context) ([]*server, error) {
 	s := e.Settings
-	ingress := e.server(&platform.Ingress{Runner: callerRunner{e}, Clock: e.Clock})
+	e.inFlight = flight.Tracker{Clock: e.Clock, ID: platform.RequestID}
+	ingress := e.server(e.inFlight.Track(&platform.Ingress{Runner: callerRunner{e}, Clock: e.Clock, Meter: &e.meter, Log: e.Log}, e.leaving.Load))
+	ingress.ConnState = e.inFlight.ConnState
 	ingress.MaxHeaderBytes = s.Limits.WithDefaults().Header
 	handlers := []struct {
 		addr string
 		server
 	}{
-		{s.Callers.Listen, server{http: ingress}},
+		{s.Callers.Listen, server{http: ingress, callers: true}},
 		{s.Fleet.Directory, server{http: e.server(platform.Resolver(e))}},
 		{s.Fleet.Readiness, server{http: e.server(platform.Readiness(e))}},
 		{s.Peers.Listen, server{rpc: &wire.Server{Log: e.Log, Methods: map[wire.Method]wire.MethodHandler{
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -1,7 +1,6 @@
 package edge_test
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/edge"
@@ -48,13 +48,12 @@
 	// restarted is set if entries start on a platform that is already serving,
 	// so that they aren't fresh.
 	restarted bool
-	// retries is the fixed part of the retry budget; zero means defaultRetries.
-	retries float64
+	// retries limits the retries of the entries that start next.
+	retries config.Retries
+	// log, if not nil, receives the logs of the entries.
+	log *zap.Logger
 }
 
-// defaultRetries is the fixed part of the retry budget of a platform.
-const defaultRetries = 58
-
 // runningEntry is an entry that was started in this process.
 type runningEntry struct {
 	settings *config.Settings
@@ -65,7 +64,7 @@
 
 // newSite starts a store with a manifest and two replicas of each role.
 func newSite(t *testing.T) *site {
-	s := &site{t: t, store: extsim.NewStore(t)}
+	s := &site{t: t, store: extsim.NewStore(t), retries: config.Retries{Ratio: 0.2, Slack: 58, Span: 10}}
 	s.publish(1, 1000, "")
 	for i := range 2 {
 		s.services = append(s.services, s.replica(fmt.Sprintf("d-%d", i), "desk", ""))
@@ -106,7 +105,7 @@
 		Callers: config.Listener{Listen: port()}, Peers: config.Listener{Listen: port()},
 		Fleet: &config.Fleet{
 			Store: s.store.Addr, Directory: port(), Readiness: port(), Metrics: port(),
-			Grace: 4, Keep: 500, Retries: config.Retries{Ratio: 0.2, Slack: cmp.Or(s.retries, defaultRetries), Span: 10}, Fresh: !s.restarted,
+			Grace: 4, Keep: 500, Retries: s.retries, Fresh: !s.restarted,
 		},
 	}
 	for _, r := range seeds {
@@ -114,7 +113,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	r := &runningEntry{settings: set, stop: stop, done: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
-	go func() { r.done <- (&edge.Edge{Settings: set, Listeners: listeners}).Run(ctx) }()
+	go func() { r.done <- (&edge.Edge{Settings: set, Listeners: listeners, Log: s.log}).Run(ctx) }()
 	s.entries = append(s.entries, r)
 	s.t.Cleanup(func() {
 		stop()
@@ -447,6 +446,57 @@
 	}
 }
 
+// TestRepeatedRefusal guards against replicas that send an earlier refusal again, on a
+// connection on which they run another request: the caller must not be told that its
+// request hasn't run, and no other replica may run it.
+func TestRepeatedRefusal(t *testing.T) {
+	for _, path := range []string{"/once/a", "/verse/a"} {
+		for _, anonymous := range []bool{false, true} {
+			for _, delay := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s/anonymous %v/after %v", path[1:], anonymous, delay), func(t *testing.T) {
+					t.Parallel()
+					is := is.New(t)
+					s := newSite(t)
+					replicas := s.services
+					if path == "/verse/a" {
+						replicas = s.decode
+					}
+					for _, d := range replicas {
+						d.Anonymous, d.RepeatDelay = anonymous, delay
+					}
+					r := s.startReady()
+					answered := 0
+					for i := range 20 {
+						injectFault(replicas, extsim.RepeatRefusal, 1)
+						// One request is refused at each send, the next isn't refused, and the
+						// third is refused once by each replica.
+						injectFault(replicas, extsim.Reject, []int{3, 0, 1}[i%3])
+						id := fmt.Sprint("id-", i)
+						got := r.do(context.Background(), callerRequest{id: id, path: path})
+						is.NoErr(got.err)
+						runs := s.runs(id)
+						is.True(runs <= 1)
+						switch got.status {
+						case http.StatusOK:
+							answered++
+							is.Equal(got.header.Get("Lacewinghook-Replica-Signature"), "sig."+id)
+						case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+							is.Equal(runs, 0)
+						default:
+							is.True(anonymous) // otherwise the ID identifies the answer
+						}
+						is.True(got.status == http.StatusOK || i%3 != 1)
+					}
+					repeats := replicas[0].Counts().Repeats + replicas[1].Counts().Repeats
+					t.Logf("%d of 20 answered with success, %d refusals repeated", answered, repeats)
+					// No request follows an anonymous refusal on its connection.
+					is.Equal(repeats > 0, !anonymous)
+				})
+			}
+		}
+	}
+}
+
 // TestAnswersBeforeTheBody guards against a desynchronized connection: the replicas
 // answer long requests at once and read the body later. The connection must not be
 // reused until the rest of the body is sent.
@@ -514,11 +564,12 @@
 	is.True(len(s.services[0].RequestHeaders()) > 0) // it received the request and refused it
 }
 
-// busy keeps streams running on all decode engines until the test ends.
-func (s *site) busy() {
+// busy keeps streams running on all decode engines until the test ends or the streams
+// have sent the given number of events, one every 20 ms.
+func (s *site) busy(events int) {
 	s.t.Helper()
 	for _, d := range s.decode {
-		d.EventCount, d.EventInterval = 1000, 20*time.Millisecond
+		d.EventCount, d.EventInterval = events, 20*time.Millisecond
 	}
 	ctx, end := context.WithCancel(context.Background())
 	var streams sync.WaitGroup
@@ -540,7 +591,7 @@
 	}{
 		"during prefill": {
 			// A busy decode engine doesn't prefill prompts itself.
-			prepare: func(s *site) { s.busy(); injectFault(s.prefill, extsim.Hang, 1) }, path: "/long/a",
+			prepare: func(s *site) { s.busy(1000); injectFault(s.prefill, extsim.Hang, 1) }, path: "/long/a",
 			at: func(s *site) []*extsim.Replica { return s.prefill },
 		},
 		"before the first event": {
--- a/edge/resume_test.go
+++ b/edge/resume_test.go
@@ -149,7 +149,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newSite(t)
-			s.retries = 10_000 // the cases share the budget of one site
+			s.retries.Slack = 10_000 // the cases share the budget of one site
 			s.publish(2, 1000, resumeRoute)
 			s.decode = append(s.decode, s.replica("g-2", "verse", "decode"))
 			script := &extsim.Script{}
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -43,19 +43,35 @@
 	return max(1, (tokens+core.PieceTokens/2)/core.PieceTokens)
 }
 
-// admit waits until engines are available and reserves capacity there. prior, if not
-// nil, is a failed attempt whose prefill result the new attempt reuses.
-func (x *exchange) admit(ctx context.Context, prior *attempt) (*attempt, error) {
+// admission is what an attempt needs.
+type admission struct {
+	// prior, if not nil, is a failed attempt whose prefill result is used again.
+	prior *attempt
+	// urgent means that the caller has waited for engines before.
+	urgent bool
+	// exclude is an engine that isn't chosen while there is another one.
+	exclude string
+	// hold means that memory is reserved at the decode engine even if it seems to have
+	// enough.
+	hold bool
+}
+
+// admit waits until engines are available and reserves capacity there.
+func (x *exchange) admit(ctx context.Context, ad admission) (*attempt, error) {
 	start := x.relay.Clock.Now()
-	r := x.placement(prior)
+	prior := ad.prior
+	r := x.placement(ad)
 	for {
 		r.Exclude = x.excludedEngines()
+		if ad.exclude != "" {
+			r.Exclude = append(r.Exclude, ad.exclude)
+		}
 		var a *attempt
 		if err := x.relay.placer().Place(ctx, r, func(c alloc.Choice) { a = x.beginAttempt(prior, r, c) }); err != nil {
 			x.logNotAdmitted(x.relay.Clock.Now()-start, err)
 			return nil, codes.From(err)
 		}
-		held, full := a.acquireHold(ctx)
+		held, full := a.acquireHold(ctx, ad.hold)
 		if held {
 			a.logChoice(x.relay.Clock.Now() - start)
 			return a, nil
@@ -72,12 +88,13 @@
 }
 
 // placement returns the request for engines of the next attempt.
-func (x *exchange) placement(prior *attempt) alloc.Request {
+func (x *exchange) placement(ad admission) alloc.Request {
+	prior := ad.prior
 	target := x.request.Arrived + x.request.Profile.FirstToken
 	// A request that will miss its target by more than Patience is rejected: it
 	// would take memory from one that can still meet its target.
 	latest := target + x.request.Profile.Patience
-	if x.headSent || x.request.Profile.FirstToken == 0 {
+	if ad.urgent || x.request.Profile.FirstToken == 0 {
 		latest = x.request.Deadline
 	}
 	centre := x.relay.Centre
@@ -90,7 +107,7 @@
 		Tokens: tokens, Output: x.request.MaxTokens, Pieces: roundToPieces(tokens + x.reservedOutput()),
 		Bytes: int64(tokens) * x.engineSpec().TokenBytes, Exported: prior != nil,
 		Target: target, Latest: min(latest, x.request.Deadline), TimeToFirstToken: x.timeToFirstEvent(),
-		Urgent: prior != nil || x.headSent,
+		Urgent: ad.urgent,
 	}
 }
 
@@ -114,10 +131,10 @@
 	return a
 }
 
-// excludedEngines returns the engines that have failed this request or are
-// unreachable.
+// excludedEngines returns the engines that have failed this request, left a hold
+// unanswered or are unreachable.
 func (x *exchange) excludedEngines() []string {
-	names := slices.Clone(x.failed)
+	names := slices.Concat(x.failed, x.noHold)
 	now := x.relay.Clock.Now()
 	x.relay.unreachable.Each(func(name string, e exclusion) bool {
 		if now < e.until && !slices.Contains(names, name) {
@@ -173,14 +190,14 @@
 	noMemoryPause clock.Millis = 15
 )
 
-// acquireHold reserves memory at a decode engine that is at least minHoldFill full,
-// so that no prompt is computed for an engine that can't store its cache. If it
+// acquireHold reserves memory at a decode engine that is at least minHoldFill full, or
+// always, so that no prompt is computed for an engine that can't store its cache. If it
 // returns false, other engines must be selected; full reports whether this one has
 // no memory.
-func (a *attempt) acquireHold(ctx context.Context) (held, full bool) {
+func (a *attempt) acquireHold(ctx context.Context, always bool) (held, full bool) {
 	x := a.exchange
 	maxHold := x.engineSpec().MaxHold
-	if maxHold == 0 || a.choice.Direct || a.choice.Fill < minHoldFill {
+	if maxHold == 0 || !always && (a.choice.Direct || a.choice.Fill < minHoldFill) || slices.Contains(x.noHold, a.decode.Name) {
 		return true, false
 	}
 	call, cancel := context.WithTimeout(ctx, holdTimeout.Duration())
@@ -196,8 +213,17 @@
 	if codes.Has(err, codes.NoMemory) {
 		return false, true
 	}
-	x.failed = append(x.failed, a.decode.Name)
+	if ctx.Err() != nil {
+		return false, false
+	}
 	x.relay.markUnreachable(a.decode, err)
+	if call.Err() != nil {
+		// The engine may just be silent for a moment. Another one is tried once, and
+		// then the request goes on without a hold.
+		x.noHold = append(x.noHold, a.decode.Name)
+		return len(x.noHold) > 1, false
+	}
+	x.failed = append(x.failed, a.decode.Name)
 	return false, false
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -27,8 +27,19 @@
 	// sends counts the sends to upstreams, except an accepted first prefill.
 	// possibleRuns counts those that an upstream may have run.
 	sends, possibleRuns int
-	// failed lists the upstreams that failed this request.
-	failed []string
+	// paidRetries counts the retries already taken from the budget.
+	paidRetries int
+	// failed lists the upstreams that failed this request, and noHold the engines
+	// that left a hold unanswered.
+	failed, noHold []string
+	// next is an attempt that is ready to take over from a silent engine, and second the
+	// answer of another replica than a silent one.
+	next   *attempt
+	second *openAnswer
+	// failedSearches counts the prefills that failed before an engine took over.
+	failedSearches int
+	// firstCounted is set once the first send is counted in the budget.
+	firstCounted bool
 	// headSent is set once the sink has received the head of the answer.
 	headSent bool
 	// callerGone is set once the sink has returned an error.
@@ -67,15 +78,47 @@
 // budget. It returns errBudgetSpent if the budget is exhausted.
 func (x *exchange) chargeBudget() error {
 	if x.sends == 0 {
-		x.relay.Budget.CountFirst(x.opaque.Service)
-	} else if !x.relay.Budget.TakeRetry(x.opaque.Service) {
-		x.relay.Meter.Add("budget_refused_total", 1)
+		x.countFirst()
+	} else if !x.payRetries(1) {
 		return errBudgetSpent
+	} else {
+		x.paidRetries--
 	}
 	x.sends++
 	return nil
 }
 
+// countFirst counts the first send of the request in the budget.
+func (x *exchange) countFirst() {
+	if !x.firstCounted {
+		x.firstCounted = true
+		x.relay.Budget.CountFirst(x.opaque.Service)
+	}
+}
+
+// returnRetries gives back the retries that were taken and not used.
+func (x *exchange) returnRetries() {
+	if x.paidRetries > 0 {
+		x.relay.Budget.ReturnRetries(x.opaque.Service, x.paidRetries)
+		x.paidRetries = 0
+	}
+}
+
+// payRetries takes retries from the budget for the next n sends. It returns false if
+// the budget is exhausted.
+func (x *exchange) payRetries(n int) bool {
+	missing := n - x.paidRetries
+	if missing <= 0 {
+		return true
+	}
+	if !x.relay.Budget.TakeRetries(x.opaque.Service, missing) {
+		x.relay.Meter.Add("budget_refused_total", 1)
+		return false
+	}
+	x.paidRetries = n
+	return true
+}
+
 // canRetry reports whether the request may be sent again after err.
 func (x *exchange) canRetry(ctx context.Context, err error) bool {
 	if ctx.Err() != nil || x.callerGone || x.timeLeft() < minTimeLeft {
@@ -90,12 +133,19 @@
 		// This entry itself rejected the request, so another attempt would fail too.
 		return false
 	case e.Run == codes.NotRun:
-		return x.sends < attempts+maxRefusals && x.possibleRuns < attempts
+		return x.refusalsLeft(x.sends)
 	default:
 		return x.repeatable() && x.possibleRuns < attempts
 	}
 }
 
+// refusalsLeft reports whether the request may be sent again after the given number of
+// sends if the last one was not run.
+func (x *exchange) refusalsLeft(sends int) bool {
+	attempts := 1 + x.opaque.Route.Profile.Retries
+	return sends < attempts+maxRefusals && x.possibleRuns < attempts
+}
+
 // repeatable reports whether the request may run more than once.
 func (x *exchange) repeatable() bool {
 	route := &x.opaque.Route
@@ -124,7 +174,9 @@
 func (x *exchange) recordFailure(ctx context.Context, up core.Upstream, sent clock.Millis, err error) {
 	e := codes.From(err)
 	x.failed = append(x.failed, up.Name)
-	x.relay.markUnreachable(up, err)
+	if ctx.Err() == nil {
+		x.relay.markUnreachable(up, err)
+	}
 	if e.Run != codes.NotRun {
 		x.possibleRuns++
 	}
@@ -230,7 +282,7 @@
 	switch {
 	case x.callerGone || errors.Is(ctx.Err(), context.Canceled):
 		e = codes.Wrap(codes.CallerGone, err, "request %s", x.opaque.ID)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) || x.timeLeft() <= 0:
 		e = codes.Wrap(codes.DeadlinePast, err, "request %s", x.opaque.ID)
 	}
 	if x.possibleRuns == 0 && !x.headSent {
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -49,36 +49,97 @@
 	if x.opaque.Route.Resumable {
 		buf.lastID = x.opaque.LastEventID
 	}
+	defer x.discardNext()
 	for {
 		err := x.generateOnce(ctx, &buf)
 		if err == nil {
 			return nil
 		}
-		if x.headSent && (!x.opaque.Route.Resumable || buf.unordered) || !x.canRetry(ctx, err) {
+		if x.headSent && (!x.opaque.Route.Resumable || buf.unordered) {
 			return err
 		}
+		if x.next != nil && ctx.Err() == nil && !x.callerGone {
+			continue
+		}
+		if !x.canRetry(ctx, err) {
+			return err
+		}
+	}
+}
+
+// discardNext releases the attempt that was to take over from a silent engine.
+func (x *exchange) discardNext() {
+	if a := x.next; a != nil {
+		x.next = nil
+		a.release()
+		a.freeExport()
 	}
 }
 
+// maxFailedSearches bounds the prefills of one request that fail while its engine is
+// silent, since each takes a retry from the budget.
+const maxFailedSearches = 2
+
+// secureNext prepares an attempt that does without the upstream silent. It returns false
+// if no engine, retry or time is left, or when ctx ends.
+func (x *exchange) secureNext(ctx context.Context, silent core.Upstream) bool {
+	if x.timeLeft() < minTimeLeft || x.failedSearches >= maxFailedSearches ||
+		x.relay.Quarantine != nil && x.relay.Quarantine.Quarantined(x.request.Digest) {
+		return false
+	}
+	next, err := x.admit(ctx, admission{urgent: true, exclude: silent.Name, hold: true})
+	if err != nil {
+		return false
+	}
+	sends := x.sends
+	// The call to the silent upstream counts as a send.
+	x.next, x.sends = next, max(1, sends)
+	if next.decode.Name != silent.Name && next.prefill.Name != silent.Name && x.payAttempt(next) {
+		if next.computePrompt(ctx) == nil && ctx.Err() == nil {
+			return true
+		}
+		if ctx.Err() == nil {
+			x.failedSearches++
+		}
+	}
+	x.discardNext()
+	x.sends = sends
+	return false
+}
+
+// payAttempt takes the retries for an attempt from the budget and, if there is one, one
+// more for the case that the decode engine refuses it.
+func (x *exchange) payAttempt(a *attempt) bool {
+	sends := 2 // a prefill and a decode
+	if a.choice.Direct {
+		sends = 1
+	}
+	return x.payRetries(sends+1) || x.payRetries(sends)
+}
+
 // generateOnce admits the request, computes its prompt and forwards the answer. If
 // a decode engine refuses the prefill result, others are tried until it expires.
 func (x *exchange) generateOnce(ctx context.Context, buf *eventBuffer) error {
-	a, err := x.admit(ctx, nil)
-	if err != nil {
-		return err
-	}
-	if err := a.computePrompt(ctx); err != nil {
-		a.release()
-		return err
+	a := x.next
+	x.next = nil
+	if a == nil {
+		var err error
+		if a, err = x.admit(ctx, admission{urgent: x.headSent}); err != nil {
+			return err
+		}
+		if err := a.computePrompt(ctx); err != nil {
+			a.release()
+			return err
+		}
 	}
 	for {
 		err := a.runDecode(ctx, buf)
 		a.release()
-		if !a.canReuseExport(ctx, err) {
+		if x.next != nil || !a.canReuseExport(ctx, err) {
 			a.freeExport()
 			return err
 		}
-		next, refused := x.admit(ctx, a)
+		next, refused := x.admit(ctx, admission{prior: a, urgent: true})
 		if refused != nil {
 			a.freeExport()
 			return err
@@ -136,16 +197,17 @@
 		return err
 	}
 	timeout := min(max(a.choice.FirstToken*prefillTimeoutFactor, minPrefillTimeout), maxPrefillTimeout)
-	call, cancel := context.WithTimeoutCause(ctx, timeout.Duration(), errUpstreamIdle)
-	defer cancel()
 	if x.sends > 0 {
 		if err := x.chargeBudget(); err != nil {
 			return codes.Wrap(codes.BudgetSpent, err, "service %q", x.opaque.Service)
 		}
 	}
+	call, wd := a.watchPrefill(ctx, timeout)
+	defer wd.cancel(nil)
 	start := x.relay.Clock.Now()
 	export, err := x.relay.Upstreams.Prefill(call, a.prefill, x.request)
 	took := x.relay.Clock.Now() - start
+	wd.stop(err != nil && ctx.Err() == nil)
 	if err != nil {
 		return a.prefillFailed(ctx, call, took, err)
 	}
@@ -164,6 +226,32 @@
 	return nil
 }
 
+// watchPrefill returns a context for a prefill, and its watchdog, which looks for another
+// attempt after timeout. The prefill is given up after the longest silence of a sound
+// engine in any case, since it runs nothing. In a search, which has the attempt as next,
+// it is given up after timeout.
+func (a *attempt) watchPrefill(ctx context.Context, timeout clock.Millis) (context.Context, *watchdog) {
+	x := a.exchange
+	searching := x.next == a
+	limit := timeout
+	if !searching {
+		limit = max(timeout, x.relay.maxSilence())
+	}
+	limited, stopTimer := context.WithTimeoutCause(ctx, limit.Duration(), errUpstreamIdle)
+	call, cancel := context.WithCancelCause(limited)
+	cancelAll := func(err error) { cancel(err); stopTimer() }
+	if searching {
+		return call, unwatched(cancelAll)
+	}
+	w := &watchdog{
+		clock: x.relay.Clock, limit: timeout, log: x.log, cancel: cancelAll,
+		secure:   func(ctx context.Context) bool { return x.secureNext(ctx, a.prefill) },
+		unsecure: x.discardNext,
+	}
+	w.start(ctx)
+	return call, w
+}
+
 // prefillFailed records a failed prefill and returns its error with Run
 // [codes.NotRun], since a prefill generates no tokens.
 func (a *attempt) prefillFailed(ctx, call context.Context, took clock.Millis, err error) error {
@@ -171,11 +259,9 @@
 	if errors.Is(context.Cause(call), errUpstreamIdle) && ctx.Err() == nil {
 		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errUpstreamIdle, err), "%s: prefill unanswered after %d ms", a.prefill.Name, took)
 	}
-	if x.sends == 0 {
-		// A refused or unanswered prefill counts as the request's first send.
-		x.relay.Budget.CountFirst(x.opaque.Service)
-		x.sends++
-	}
+	// A refused or unanswered prefill counts as the request's first send.
+	x.countFirst()
+	x.sends = max(1, x.sends)
 	x.relay.Meter.CountWastedPrefill(meter.ReasonOf(codes.From(err).Code), a.promptWork.Tokens)
 	err = codes.From(err).WithRun(codes.NotRun)
 	if ctx.Err() == nil {
@@ -220,14 +306,16 @@
 	if buf.lastID != "" {
 		s.LastEventID = buf.lastID
 	}
-	call, wd := a.startWatchdog(ctx)
-	defer wd.stop()
+	call, wd := a.watchStream(ctx)
+	defer wd.cancel(nil)
+	start := x.relay.Clock.Now()
 	answer, err := x.relay.Upstreams.Send(call, a.decode, s)
 	if err == nil {
 		defer answer.Body.Close()
 		x.relay.markReachable(a.decode)
-		err = a.forwardAnswer(call, answer, buf, wd)
+		err = a.forwardAnswer(answer, buf, wd, start)
 	}
+	wd.stop(err != nil && ctx.Err() == nil && !x.callerGone)
 	if err == nil {
 		x.possibleRuns++
 		return nil
@@ -236,13 +324,34 @@
 		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errUpstreamIdle, err), "%s", a.decode.Name)
 	}
 	if !x.callerGone && ctx.Err() == nil {
-		x.recordFailure(ctx, a.decode, wd.start, err)
+		x.recordFailure(ctx, a.decode, start, err)
 	} else {
 		x.possibleRuns++
 	}
 	return err
 }
 
+// firstEventFactor times the predicted time to the first event is the longest silence
+// before it, unless a sound engine may be silent for longer.
+const firstEventFactor = 4
+
+// watchStream returns a context for a stream, and its watchdog. A stream that can't
+// continue at another engine isn't watched.
+func (a *attempt) watchStream(ctx context.Context) (context.Context, *watchdog) {
+	x := a.exchange
+	call, cancel := context.WithCancelCause(ctx)
+	if !x.opaque.Route.Resumable || x.possibleRuns >= x.opaque.Route.Profile.Retries {
+		return call, unwatched(cancel)
+	}
+	w := &watchdog{
+		clock: x.relay.Clock, limit: max(a.choice.FirstToken*firstEventFactor, x.relay.maxSilence()),
+		secure:   func(ctx context.Context) bool { return x.secureNext(ctx, a.decode) },
+		unsecure: x.discardNext, cancel: cancel, log: x.log,
+	}
+	w.start(ctx)
+	return call, w
+}
+
 // cleanupTimeout bounds a call that releases a resource of an engine.
 const cleanupTimeout = 1 * clock.Second
 
@@ -277,7 +386,8 @@
 }
 
 // forwardAnswer forwards the answer as it arrives and measures its first event.
-func (a *attempt) forwardAnswer(ctx context.Context, answer Answer, buf *eventBuffer, wd *watchdog) error {
+// start is the instant at which the request was sent.
+func (a *attempt) forwardAnswer(answer Answer, buf *eventBuffer, wd *watchdog, start clock.Millis) error {
 	x := a.exchange
 	if !answer.OK() {
 		return a.handleFailure(answer)
@@ -296,9 +406,8 @@
 			return err
 		}
 	}
-	start := wd.start
 	onPart := func(p []byte) {
-		wd.reset()
+		wd.dataReceived(x.relay.maxSilence())
 		x.recordPart()
 		first := a.events == 0
 		a.countEvents(p)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,11 @@
 	LastEventID string
 	// Hold identifies the memory reserved for the request; empty means none.
 	Hold string
+	// Finish means that once the request is sent it runs to its end, or to the
+	// deadline of the context, although the context is cancelled: it can't be run
+	// again, and a caller that seems to have left may have closed only its sending
+	// side.
+	Finish bool
 }
 
 // Answer is an upstream's answer with its body still unread. The receiver must
@@ -85,9 +90,11 @@
 type Budget interface {
 	// CountFirst counts the first send of a request.
 	CountFirst(service string)
-	// TakeRetry takes one retry from the budget. It returns false if none is
-	// left.
-	TakeRetry(service string) bool
+	// TakeRetries takes n retries from the budget. It returns false, and takes
+	// none, if fewer are left.
+	TakeRetries(service string, n int) bool
+	// ReturnRetries gives back n retries that were taken and not used.
+	ReturnRetries(service string, n int)
 }
 
 // Quarantine blocks requests suspected of crashing upstreams.
@@ -127,6 +134,9 @@
 	Log         *zap.Logger
 	// Centre is the data centre of this entry.
 	Centre string
+	// MaxSilence is how long a sound upstream may be silent; zero means
+	// [DefaultMaxSilence]. No run is given up for a shorter silence.
+	MaxSilence clock.Millis
 
 	// unreachable holds the upstreams whose last connection attempts failed.
 	unreachable shard.Map[string, exclusion]
@@ -143,6 +153,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, (req.Deadline - r.Clock.Now()).Duration())
 	defer cancel()
+	defer x.returnRetries()
 	var err error
 	if req.Opaque.Route.Generates {
 		err = x.generate(ctx)
