relay: a stream that can't resume isn't given up for its silence

A caller got a truncated stream though its engine would have sent it to the end: the engine was silent for the longest silence, another one was secured, and only then the entry saw that a stream without numbered events can't continue there.

The first event that isn't numbered in order ends the watch.

TestUnnumberedStreamIsNotGivenUp failed before; 20 of 20 runs pass with -race.

--- a/relay/events.go
+++ b/relay/events.go
@@ -12,7 +12,7 @@
 )
 
 // eventBuffer forwards only complete events and records the last event ID, so
-// that a stream can resume at another engine. The zero value is ready to use.
+// that a stream can resume at another engine. onUnordered is required.
 type eventBuffer struct {
 	// lastID is the ID of the last event that the caller has; empty if it has
 	// none.
@@ -29,6 +29,8 @@
 	// after that of the event before it. Such a stream can't resume, since
 	// missing and repeated events would not be noticed.
 	unordered bool
+	// onUnordered is called when unordered is set.
+	onUnordered func()
 }
 
 // maxEventBytes bounds the size of one event.
@@ -113,7 +115,10 @@
 		return errWrongEvent
 	}
 	b.events++
-	b.unordered = b.unordered || !ordered
+	if !ordered && !b.unordered {
+		b.unordered = true
+		b.onUnordered()
+	}
 	if e.id != "" {
 		b.lastID = e.id
 	}
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -423,6 +423,8 @@
 		}
 	}
 	if x.opaque.Route.Resumable || answer.UntilClose && contentType(answer.Reply) == eventStream {
+		// A stream that can't continue elsewhere isn't given up for its silence.
+		buf.onUnordered = func() { wd.stop(false) }
 		return buf.streamEvents(x, a.decode, answer, onPart)
 	}
 	return x.streamBody(a.decode, answer.Body, onPart)
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -337,3 +338,31 @@
 		})
 	}
 }
+
+// TestUnnumberedStreamIsNotGivenUp guards against a stream that is truncated though its
+// engine sends it to the end: after a silence it was given up for another engine, at
+// which a stream without numbered events can't continue.
+func TestUnnumberedStreamIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	u := &ctxUpstreams{}
+	sends := 0
+	u.sendCtx = func(ctx context.Context, _ core.Upstream, s relay.SendRequest) (relay.Answer, error) {
+		if sends++; sends > 1 {
+			return soundAnswer("second", s.LastEventID, "\n"), nil
+		}
+		r, w := io.Pipe()
+		context.AfterFunc(ctx, func() { _ = w.CloseWithError(ctx.Err()) })
+		go func() {
+			_, _ = io.WriteString(w, "data: a\n\n")
+			time.Sleep(400 * time.Millisecond) // 4 times the longest silence
+			_, _ = io.WriteString(w, "data: b\n\n")
+			_ = w.Close()
+		}()
+		return streamAnswer("first", r), nil
+	}
+	r, _ := ctxRelay(u, &budget{retriesLeft: 9})
+	s := &sink{}
+	is.NoErr(r.Run(context.Background(), request(r, resumable), s))
+	is.Equal(s.body.String(), "data: a\n\ndata: b\n\n")
+	is.Equal(sends, 1)
+}
