--- a/relay/generate.go
+++ b/relay/generate.go
@@ -46,16 +46,22 @@
 // generate forwards a completion and retries it where that is allowed.
 func (x *exchange) generate(ctx context.Context) error {
 	var buf eventBuffer
+	if x.opaque.Route.Resumable {
+		buf.lastID = x.opaque.LastEventID
+	}
 	defer x.discardNext()
 	for {
 		err := x.generateOnce(ctx, &buf)
 		if err == nil {
 			return nil
 		}
+		if x.headSent && (!x.opaque.Route.Resumable || buf.unordered) {
+			return err
+		}
 		if x.next != nil && ctx.Err() == nil && !x.callerGone {
 			continue
 		}
-		if x.headSent && !x.opaque.Route.Resumable || !x.canRetry(ctx, err) {
+		if !x.canRetry(ctx, err) {
 			return err
 		}
 	}
@@ -386,7 +392,16 @@
 	if !answer.OK() {
 		return a.handleFailure(answer)
 	}
-	if !x.headSent {
+	if x.headSent {
+		if err := buf.checkHead(a.decode, answer.Reply); err != nil {
+			return err
+		}
+	} else {
+		if x.opaque.Route.Resumable {
+			// The rest may come from an engine whose events have another length.
+			answer.Length = -1
+		}
+		buf.head = answer.Reply
 		if err := x.sendHead(answer.Reply); err != nil {
 			return err
 		}
@@ -407,19 +422,25 @@
 			x.relay.placer().Observe(alloc.Observation{Engine: a.decode.Name, Took: took})
 		}
 	}
-	if x.opaque.Route.Resumable {
-		return buf.streamEvents(x, a.decode, answer.Body, onPart)
+	if x.opaque.Route.Resumable || answer.UntilClose && contentType(answer.Reply) == eventStream {
+		// A stream that can't continue elsewhere isn't given up for its silence.
+		buf.onUnordered = func() { wd.stop(false) }
+		return buf.streamEvents(x, a.decode, answer, onPart)
 	}
 	return x.streamBody(a.decode, answer.Body, onPart)
 }
 
-// eventEnd is the blank line that ends an event.
-var eventEnd = []byte("\n\n")
+// eventEnds are the ends of an event whose lines end with LF or CRLF.
+var eventEnds = [...][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 
 // countEvents counts the events in a part of the answer. When the answer exceeds
 // the reserved length, it counts another piece of memory at the decode engine.
 func (a *attempt) countEvents(p []byte) {
-	a.events += max(1, bytes.Count(p, eventEnd))
+	n := 0
+	for _, end := range eventEnds {
+		n += bytes.Count(p, end)
+	}
+	a.events += max(1, n)
 	over := a.events*a.exchange.engineSpec().EventTokens - a.reservedTokens
 	if over <= 0 {
 		return
