--- a/relay/relay.go
+++ b/relay/relay.go
@@ -48,6 +48,11 @@
 	LastEventID string
 	// Hold identifies the memory reserved for the request; empty means none.
 	Hold string
+	// Finish means that once the request is sent it runs to its end, or to the
+	// deadline of the context, although the context is cancelled: it can't be run
+	// again, and a caller that seems to have left may have closed only its sending
+	// side.
+	Finish bool
 }
 
 // Answer is an upstream's answer with its body still unread. The receiver must
@@ -56,6 +61,9 @@
 type Answer struct {
 	core.Reply
 	Body io.ReadCloser
+	// UntilClose is set if the body ends with its connection. Its end then
+	// doesn't prove that it is complete.
+	UntilClose bool
 }
 
 // Pool holds the state and the in-flight work of the upstreams. [pool.Table]
@@ -86,6 +94,8 @@
 	// TakeRetries takes n retries from the budget. It returns false, and takes
 	// none, if fewer are left.
 	TakeRetries(service string, n int) bool
+	// ReturnRetries gives back n retries that were taken and not used.
+	ReturnRetries(service string, n int)
 }
 
 // Quarantine blocks requests suspected of crashing upstreams.
@@ -153,6 +163,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, (req.Deadline - r.Clock.Now()).Duration())
 	defer cancel()
+	defer x.returnRetries()
 	var err error
 	if req.Opaque.Route.Generates {
 		err = x.generate(ctx)
