relay: one place for the runs that are left and for the quarantine

Found on reading the change once more; behaviour is as before.

- The number of upstreams that may still run a request was written in six ways (possibleRuns against Retries, or plus one against attempts).
It is runsLeft now.
- The check of the quarantine stood in three places with its test for nil.
It is quarantined now.
- Each rejected placement listed the decode engines for awaitPause, which needs them only if there was no engine to choose.
The list is made when it is needed.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -68,7 +68,7 @@
 		}
 		var a *attempt
 		if err := x.relay.placer().Place(ctx, r, func(c alloc.Choice) { a = x.beginAttempt(prior, r, c) }); err != nil {
-			if err = x.awaitPause(ctx, x.decodeEngines(), err); err == nil {
+			if err = x.awaitPause(ctx, x.decodeEngines, err); err == nil {
 				continue
 			}
 			x.logNotAdmitted(x.relay.Clock.Now()-start, err)
--- a/relay/call.go
+++ b/relay/call.go
@@ -54,7 +54,7 @@
 	}
 	up, usual, cost, ok := x.selectReplica("")
 	for !ok {
-		err := x.awaitPause(ctx, x.serviceReplicas(), codes.New(codes.NoUpstream, "service %q", x.opaque.Service))
+		err := x.awaitPause(ctx, x.serviceReplicas, codes.New(codes.NoUpstream, "service %q", x.opaque.Service))
 		if err != nil {
 			return err
 		}
@@ -130,10 +130,9 @@
 // secureAnswer sends the call to another replica than the silent one, and returns true if
 // it has answered. ctx is that of the request, search that of the search.
 func (x *exchange) secureAnswer(ctx, search context.Context, silent core.Upstream) bool {
-	attempts := 1 + x.opaque.Route.Profile.Retries
 	up, _, cost, ok := x.selectReplica(silent.Name)
 	if !ok || up.Name == silent.Name || x.excluded(up.Name) || x.timeLeft() < minTimeLeft ||
-		x.possibleRuns+1 >= attempts || !x.refusalsLeft(x.sends) || x.chargeBudget() != nil {
+		x.runsLeft() <= 1 || !x.refusalsLeft(x.sends) || x.chargeBudget() != nil {
 		return false
 	}
 	// The answer outlives the search.
@@ -178,7 +177,7 @@
 // is the replica's usual answer time.
 func (x *exchange) watchCall(ctx context.Context, up core.Upstream, usual clock.Millis) (context.Context, *watchdog) {
 	call, cancel := context.WithCancelCause(ctx)
-	if !x.repeatable() || x.possibleRuns >= x.opaque.Route.Profile.Retries {
+	if !x.repeatable() || x.runsLeft() <= 1 {
 		return call, unwatched(cancel)
 	}
 	w := &watchdog{
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -129,8 +129,7 @@
 	if ctx.Err() != nil || x.callerGone || x.timeLeft() < minTimeLeft {
 		return false
 	}
-	attempts := 1 + x.opaque.Route.Profile.Retries
-	if x.relay.Quarantine != nil && x.relay.Quarantine.Quarantined(x.request.Digest) {
+	if x.quarantined() {
 		return false
 	}
 	switch e := codes.From(err); {
@@ -140,7 +139,7 @@
 	case e.Run == codes.NotRun:
 		return x.refusalsLeft(x.sends)
 	default:
-		return x.repeatable() && x.possibleRuns < attempts
+		return x.repeatable() && x.runsLeft() > 0
 	}
 }
 
@@ -148,7 +147,16 @@
 // sends if the last one was not run.
 func (x *exchange) refusalsLeft(sends int) bool {
 	attempts := 1 + x.opaque.Route.Profile.Retries
-	return sends < attempts+maxRefusals && x.possibleRuns < attempts
+	return sends < attempts+maxRefusals && x.runsLeft() > 0
+}
+
+// runsLeft returns how many more upstreams may run the request. A send in flight isn't
+// deducted.
+func (x *exchange) runsLeft() int { return 1 + x.opaque.Route.Profile.Retries - x.possibleRuns }
+
+// quarantined reports whether requests like this one are blocked.
+func (x *exchange) quarantined() bool {
+	return x.relay.Quarantine != nil && x.relay.Quarantine.Quarantined(x.request.Digest)
 }
 
 // repeatable reports whether the request may run more than once.
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -83,8 +83,7 @@
 // secureNext prepares an attempt that does without the upstream silent. It returns false
 // if no engine, retry or time is left, or when ctx ends.
 func (x *exchange) secureNext(ctx context.Context, silent core.Upstream) bool {
-	if x.timeLeft() < minTimeLeft || x.failedSearches >= maxFailedSearches ||
-		x.relay.Quarantine != nil && x.relay.Quarantine.Quarantined(x.request.Digest) {
+	if x.timeLeft() < minTimeLeft || x.failedSearches >= maxFailedSearches || x.quarantined() {
 		return false
 	}
 	next, err := x.admit(ctx, admission{urgent: true, exclude: silent.Name, hold: true})
@@ -340,7 +339,7 @@
 func (a *attempt) watchStream(ctx context.Context) (context.Context, *watchdog) {
 	x := a.exchange
 	call, cancel := context.WithCancelCause(ctx)
-	if !x.opaque.Route.Resumable || x.possibleRuns >= x.opaque.Route.Profile.Retries {
+	if !x.opaque.Route.Resumable || x.runsLeft() <= 1 {
 		return call, unwatched(cancel)
 	}
 	w := &watchdog{
@@ -460,7 +459,7 @@
 // an error instead.
 func (a *attempt) handleFailure(answer Answer) error {
 	x := a.exchange
-	if x.headSent || x.repeatable() && x.possibleRuns+1 < 1+x.opaque.Route.Profile.Retries {
+	if x.headSent || x.repeatable() && x.runsLeft() > 1 {
 		return codes.New(codes.UpstreamFailed, "%s answered %d", a.decode.Name, answer.Status)
 	}
 	if err := x.sendHead(answer.Reply); err != nil {
--- a/relay/paused.go
+++ b/relay/paused.go
@@ -58,14 +58,15 @@
 // Retry-After header, so that callers rejected together don't return together.
 const resumeJitter clock.Millis = 500
 
-// awaitPause handles err, the failure to find an upstream among those with the given
-// names. If all are barred, and the first pause ends within the request's latency target,
+// awaitPause handles err, the failure to find an upstream among those that list names,
+// which it calls only if there was none to choose. If all are barred, and the first pause ends within the request's latency target,
 // it waits for the end and returns nil. Otherwise it returns an error, with the time to
 // return after if there is a pause.
-func (x *exchange) awaitPause(ctx context.Context, names []string, err error) error {
+func (x *exchange) awaitPause(ctx context.Context, list func() []string, err error) error {
 	if !codes.Has(err, codes.NoUpstream) {
 		return err
 	}
+	names := list()
 	var resume clock.Millis
 	x.barred, x.resumeIn = 0, 0
 	for _, name := range names {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -158,7 +158,7 @@
 // Run executes one request and passes its answer to sink.
 func (r *Relay) Run(ctx context.Context, req *core.Request, sink Sink) error {
 	x := &exchange{relay: r, request: req, opaque: req.Opaque, sink: sink, log: r.logger()}
-	if r.Quarantine != nil && r.Quarantine.Quarantined(req.Digest) {
+	if x.quarantined() {
 		return x.finish(codes.New(codes.Quarantined, "request %s", req.Opaque.ID))
 	}
 	ctx, cancel := context.WithTimeout(ctx, (req.Deadline - r.Clock.Now()).Duration())
