relay, poison, platform: log the parts of prompts, and the digest of a crash

The line of a failed send tells whether the answer had begun and which parts the prompt has; the line that ends a stream has the parts.

--- a/core/opaque.go
+++ b/core/opaque.go
@@ -18,6 +18,9 @@
 	// LastEventID is the ID of the last event that the caller received of a
 	// stream that it resumes; otherwise empty.
 	LastEventID string
+	// Parts are the IDs of the parts of the prompt that other requests may share, in
+	// order and each once.
+	Parts []uint64
 	// PromptTokens is the length of the prompt as counted by the caller.
 	PromptTokens int
 	// OutputHint is the caller's estimate of the answer's length in tokens;
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
@@ -267,3 +269,15 @@
 	is.True(!last.Suspect(digest))
 	is.True(!chain[1].Suspect(digest))
 }
+
+// TestCrashLogNamesDigest guards against log lines of crashes that don't tell which
+// request crashed the upstream.
+func TestCrashLogNamesDigest(t *testing.T) {
+	is := is.New(t)
+	logCore, logs := observer.New(zap.WarnLevel)
+	q := newQuarantine(&table{})
+	q.Log = zap.New(logCore)
+	reportCrash(t, q, "d1", clock.Clock{}.Now())
+	is.Equal(logs.Len(), 1)
+	is.Equal(logs.All()[0].ContextMap()["digest"], poison.FormatDigest(digest))
+}
--- a/poison/quarantine.go
+++ b/poison/quarantine.go
@@ -143,6 +143,7 @@
 		peer = Suspect{}
 	}
 	s := union(own, peer)
+	s.Digest = digest
 	return s, len(s.Crashes) > 0
 }
 
--- a/relay/call.go
+++ b/relay/call.go
@@ -76,7 +76,7 @@
 		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errUpstreamIdle, err), "%s after %d ms", up.Name, x.relay.Clock.Now()-start)
 	}
 	if err != nil && !x.headSent && !x.callerGone {
-		x.recordFailure(ctx, up, start, err)
+		x.recordFailure(ctx, up, start, false, err)
 		if x.second != nil {
 			return x.deliverAnswer(x.second)
 		}
@@ -144,13 +144,13 @@
 	case err != nil:
 		cancel()
 		if search.Err() == nil {
-			x.recordFailure(ctx, up, start, err)
+			x.recordFailure(ctx, up, start, false, err)
 		}
 		return false
 	case x.isFailure(second):
 		cancel()
 		second.close()
-		x.recordFailure(ctx, up, start, x.keepFallback(second))
+		x.recordFailure(ctx, up, start, true, x.keepFallback(second))
 		return false
 	case !keep():
 		second.close()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -5,9 +5,11 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
@@ -189,8 +191,9 @@
 
 // recordFailure records a failed send: it excludes the upstream for this request
 // and, if it is unreachable, for others, updates the metrics and reports a lost
-// connection to the quarantine.
-func (x *exchange) recordFailure(ctx context.Context, up core.Upstream, sent clock.Millis, err error) {
+// connection to the quarantine. begun means that the upstream had begun to write an
+// answer.
+func (x *exchange) recordFailure(ctx context.Context, up core.Upstream, sent clock.Millis, begun bool, err error) {
 	e := codes.From(err)
 	x.failed = append(x.failed, up.Name)
 	if ctx.Err() == nil {
@@ -203,6 +206,7 @@
 	x.log.Info("relay: an upstream failed the request",
 		zap.String("request", x.opaque.ID), zap.String("upstream", up.Name), zap.String("addr", up.Addr),
 		zap.Stringer("code", e.Code), zap.String("run", string(e.Run)), zap.Int("sends", x.sends),
+		zap.Bool("begun", begun), zap.Array("parts", partIDs(x.opaque.Parts)),
 		zap.Int64("left", int64(x.timeLeft())), zap.Error(err))
 	if e.Code == codes.UpstreamLost && ctx.Err() == nil && x.relay.Quarantine != nil {
 		x.relay.Quarantine.ReportLost(up, sent, x.request.Digest)
@@ -350,7 +354,7 @@
 		zap.Int64("manifest", x.opaque.Version), zap.Int("sends", x.sends), zap.Int64("took", int64(took)),
 	}
 	if x.opaque.Route.Stream {
-		fields = append(fields, zap.Int64("first", int64(x.firstPart)), zap.Int64("pause", int64(x.longestPause)))
+		fields = append(fields, zap.Int64("first", int64(x.firstPart)), zap.Int64("pause", int64(x.longestPause)), zap.Array("parts", partIDs(x.opaque.Parts)))
 	}
 	if x.barred > 0 {
 		fields = append(fields, zap.Int("barred", x.barred), zap.Int64("resume", int64(x.resumeIn)))
@@ -365,3 +369,18 @@
 		zap.String("run", string(fault.Run)), zap.Bool("begun", x.headSent), zap.Error(fault))...)
 	return fault
 }
+
+// partIDs encodes the parts of a prompt in a log message, in hexadecimal as in the
+// caller's header.
+type partIDs []uint64
+
+// maxLoggedParts bounds the parts in one log message.
+const maxLoggedParts = 16
+
+// MarshalLogArray implements [zapcore.ArrayMarshaler].
+func (p partIDs) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for _, id := range p[:min(len(p), maxLoggedParts)] {
+		enc.AppendString(strconv.FormatUint(id, 16))
+	}
+	return nil
+}
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -264,7 +264,7 @@
 	x.relay.Meter.CountWastedPrefill(meter.ReasonOf(codes.From(err).Code), a.promptWork.Tokens)
 	err = codes.From(err).WithRun(codes.NotRun)
 	if ctx.Err() == nil {
-		x.recordFailure(ctx, a.prefill, x.relay.Clock.Now()-took, err)
+		x.recordFailure(ctx, a.prefill, x.relay.Clock.Now()-took, false, err)
 	}
 	return err
 }
@@ -323,7 +323,7 @@
 		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errUpstreamIdle, err), "%s", a.decode.Name)
 	}
 	if !x.callerGone && ctx.Err() == nil {
-		x.recordFailure(ctx, a.decode, start, err)
+		x.recordFailure(ctx, a.decode, start, a.events > 0, err)
 	} else {
 		x.possibleRuns++
 	}
