edge: test of a part of prompts that crashes engines, red

Requests with one deadly part in common and nothing else are sent to three entries until five engines have crashed, and 12 more after the stable window of the rule BUDGET.

--- /dev/null
+++ b/edge/tainted_test.go
@@ -0,0 +1,134 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/extsim"
+)
+
+// The bounds of the platform for requests with a part that crashes replicas: at most
+// maxLateSends of them reach replicas later than stableWindow after the crash number
+// countedCrashes.
+const (
+	countedCrashes = 5
+	maxLateSends   = 3
+	stableWindow   = 3 * time.Second
+)
+
+// taintedSite is a site whose decode engines crash on some parts of prompts. A crashed
+// engine is replaced, so that there is always one.
+type taintedSite struct {
+	*site
+	deadly  []string
+	engines []*extsim.Replica
+	sent    atomic.Int64
+}
+
+// newTaintedSite starts engines that crash on the given parts.
+func newTaintedSite(t *testing.T, deadly ...string) *taintedSite {
+	s := &taintedSite{site: newSite(t), deadly: deadly}
+	s.engines = s.decode
+	for _, d := range s.decode {
+		d.DeadlyParts = deadly
+	}
+	s.replace()
+	return s
+}
+
+// replace starts engines until four are running.
+func (s *taintedSite) replace() {
+	running := 0
+	for _, d := range s.engines {
+		if !d.Stopped() {
+			running++
+		}
+	}
+	for ; running < 4; running++ {
+		d := s.replica(fmt.Sprintf("g-%d", len(s.engines)), "verse", "decode")
+		d.DeadlyParts = s.deadly
+		s.engines = append(s.engines, d)
+	}
+}
+
+// crashes returns the number of engines that have crashed.
+func (s *taintedSite) crashes() int {
+	n := 0
+	for _, d := range s.engines {
+		if d.Stopped() {
+			n++
+		}
+	}
+	return n
+}
+
+// ask sends a completion whose prompt has the given parts and one of its own to an
+// entry, waits for the answer, and replaces crashed engines.
+func (s *taintedSite) ask(r *runningEntry, path, parts string) answer {
+	n := s.sent.Add(1)
+	got := r.do(context.Background(), callerRequest{id: fmt.Sprint("id-", n), path: path, body: fmt.Sprint(n),
+		header: map[string]string{"Lacewinghook-Prefix-Hash": fmt.Sprintf("%s,%x:100", parts, 0xabcd000+n)}})
+	s.replace()
+	return got
+}
+
+// reached returns the number of sends to engines of requests with a deadly part.
+func (s *taintedSite) reached() int {
+	n := 0
+	for _, list := range [][]*extsim.Replica{s.prefill, s.engines} {
+		for _, r := range list {
+			for _, h := range r.RequestHeaders() {
+				if extsim.HasPart(h, s.deadly) {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+// TestPartThatCrashesEngines guards against requests that have one part of their prompts
+// in common, and no more, that crash one engine after the other. Requests that share
+// their other parts must be served.
+func TestPartThatCrashesEngines(t *testing.T) {
+	for _, path := range []string{"/verse/a", "/long/a"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newTaintedSite(t, "bad")
+			entries := []*runningEntry{s.startReady()}
+			for range 2 {
+				entries = append(entries, s.startReady(entries[0]))
+			}
+			s.until("all entries know each other", func() bool {
+				for _, r := range entries {
+					if len(r.addresses()) != len(entries) {
+						return false
+					}
+				}
+				return true
+			})
+			const tainted = "5c1e:200,bad:1000,51:100"
+			for i := 0; i < 12 && s.crashes() < countedCrashes; i++ {
+				s.ask(entries[i%len(entries)], path, tainted)
+			}
+			time.Sleep(stableWindow)
+			before := s.reached()
+			for i := range 12 {
+				s.ask(entries[i%len(entries)], path, tainted)
+			}
+			is.True(s.reached()-before <= maxLateSends)
+			for _, r := range entries {
+				got := s.ask(r, path, "5c1e:200,50:1000,51:100")
+				is.NoErr(got.err)
+				is.Equal(got.status, http.StatusOK)
+			}
+		})
+	}
+}
--- a/extsim/replica.go
+++ b/extsim/replica.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -75,6 +76,9 @@
 	RepeatDelay time.Duration
 	// Anonymous is set if refusals have no request ID.
 	Anonymous bool
+	// DeadlyParts crash the replica when it begins to write an answer to a request whose
+	// prompt has one of them before its last part.
+	DeadlyParts []string
 
 	mu            sync.Mutex
 	server        *httptest.Server
@@ -493,6 +497,26 @@
 	return n
 }
 
+// HasPart reports whether the prompt of a request with the header h has one of the parts
+// before its last one.
+func HasPart(h http.Header, parts []string) bool {
+	prompt := strings.Split(h.Get("Lacewinghook-Prefix-Hash"), ",")
+	return slices.ContainsFunc(prompt[:len(prompt)-1], func(p string) bool {
+		id, _, _ := strings.Cut(p, ":")
+		return slices.Contains(parts, id)
+	})
+}
+
+// Stopped reports whether the replica has crashed or was stopped.
+func (r *Replica) Stopped() bool {
+	select {
+	case <-r.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // streamEvents sends the events that follow the caller's Last-Event-Id, up to
 // EventCount. With CutAnswer it resets the connection within the third event
 // that it sends.
@@ -501,6 +525,11 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
 	_ = controller.Flush()
+	if HasPart(hr.Header, r.DeadlyParts) {
+		go r.Stop()
+		<-r.stopped
+		panic(http.ErrAbortHandler)
+	}
 	cut := r.consumeFault(CutAnswer)
 	for n := lastID + 1; n <= r.EventCount; n++ {
 		if n == lastID+3 && !r.fallSilent(hr, SilentStream) {
