taint, edge, relay: quarantine the parts of prompts that crash engines

What callers saw: requests that have one part of their prompts in common, and no more, crashed one engine after the other; each crash cut the streams of all others there.

Cause: the quarantine knows whole requests only. Its digest covers the path, all parts and the body, so that what a crash shows was never applied to the next such request. The class: evidence is kept under an identity that is narrower than the cause.

Evidence: the logs of: at each of 16 engines that ended, the one request without an event had the same two parts, and each had a digest of its own. TestPartThatCrashesEngines, red before.

Change: package taint keeps, for each part of a request that is lost in a crash before it is answered, the crashes, and the entries exchange them. A part is quarantined after three crashes, one after the other, of two requests or more. That an answer clears a part, that crashes which happen together count as one, and that parts which can't be told apart are rejected only together keeps innocent ones out. No clock of another entry is compared: a crash is a round above those that the sender knew of. A request is checked before each send. Quarantines are kept in the store.

--- a/codes/codes.go
+++ b/codes/codes.go
@@ -43,6 +43,7 @@
 	NoUpstream      Code = 1206
 	Quarantined     Code = 1207
 	TooLong         Code = 1208
+	PartQuarantined Code = 1209
 	KeyMissing      Code = 1301
 	KeyReused       Code = 1302
 	InProgress      Code = 1303
@@ -108,6 +109,7 @@
 	RateLimited:     {"rate_limited", http.StatusTooManyRequests, NotRun, "The workspace is over its share."},
 	NoUpstream:      {"no_upstream", http.StatusServiceUnavailable, NotRun, "No upstream that could serve the request takes new work."},
 	Quarantined:     {"quarantined", http.StatusUnprocessableEntity, NotRun, "The request crashed upstreams before and is rejected until an operator lifts its quarantine."},
+	PartQuarantined: {"part_quarantined", http.StatusServiceUnavailable, NotRun, "Requests with the same part of the prompt crash upstreams and are rejected until its quarantine ends."},
 	TooLong:         {"too_long", http.StatusBadRequest, NotRun, "Prompt and answer together exceed the memory of every decode upstream."},
 	KeyMissing:      {"key_missing", http.StatusBadRequest, NotRun, "The call may not be repeated and needs an Idempotency-Key."},
 	KeyReused:       {"key_reused", http.StatusUnprocessableEntity, NotRun, "The Idempotency-Key was used with another body; this body was not run."},
--- a/edge/crash.go
+++ b/edge/crash.go
@@ -5,7 +5,10 @@
 	"strconv"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/relay"
+	"lacewinghook.example/lacewinghook/taint"
 )
 
 // crashDetector implements [relay.Quarantine]. It checks whether an upstream crashed
@@ -23,18 +26,39 @@
 	maxCrashWait      clock.Millis = 20
 )
 
-// Quarantined implements [relay.Quarantine].
-func (d crashDetector) Quarantined(digest uint64) bool { return d.edge.quarantine.Quarantined(digest) }
+// Check implements [relay.Quarantine].
+func (d crashDetector) Check(r *core.Request) error {
+	if d.edge.quarantine.Quarantined(r.Digest) {
+		return codes.New(codes.Quarantined, "request %s", r.Opaque.ID)
+	}
+	if part, left, ok := d.edge.tainted.Quarantined(r.Opaque.Parts); ok {
+		return codes.New(codes.PartQuarantined, "part %s", taint.FormatPart(part)).WithRetryAfter(left)
+	}
+	return nil
+}
+
+// Mark implements [relay.Quarantine].
+func (d crashDetector) Mark() uint64 { return d.edge.tainted.Mark() }
+
+// ReportAnswered implements [relay.Quarantine].
+func (d crashDetector) ReportAnswered(r *core.Request) { d.edge.tainted.Clear(r.Opaque.Parts) }
 
 // ReportLost implements [relay.Quarantine]. It starts the crash check and waits for
 // its end for at most maxCrashWait.
-func (d crashDetector) ReportLost(up core.Upstream, sent clock.Millis, digest uint64) {
+func (d crashDetector) ReportLost(l relay.Loss) {
 	decided := make(chan struct{})
 	go func() {
 		defer close(decided)
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout.Duration())
 		defer cancel()
-		d.edge.quarantine.CheckCrash(ctx, up, d.edge.Boot(up.Name), sent, digest)
+		e, up, boot := d.edge, l.Upstream, d.edge.Boot(l.Upstream.Name)
+		if !e.quarantine.Crashed(ctx, up, boot) {
+			return
+		}
+		if !l.Answered {
+			e.tainted.AddCrash(taint.Loss{Upstream: up.Name, Boot: boot, Digest: l.Request.Digest, Parts: l.Request.Opaque.Parts, Mark: l.Mark})
+		}
+		e.quarantine.AddCrash(ctx, up, boot, l.SentAt, l.Request.Digest)
 	}()
 	timeUp := make(chan struct{})
 	stop := d.edge.Clock.AfterFunc(maxCrashWait, func() { close(timeUp) })
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -29,6 +29,7 @@
 	"lacewinghook.example/lacewinghook/relay"
 	"lacewinghook.example/lacewinghook/shard"
 	"lacewinghook.example/lacewinghook/sock"
+	"lacewinghook.example/lacewinghook/taint"
 	"lacewinghook.example/lacewinghook/vhost"
 	"lacewinghook.example/lacewinghook/watch"
 	"lacewinghook.example/lacewinghook/wire"
@@ -73,6 +74,10 @@
 	relay      relay.Relay
 	peers      wire.Client
 	quarantine poison.Quarantine
+	// tainted holds the parts of prompts that crash upstreams. They are sent to peers
+	// until tellTainted.
+	tainted     taint.Table
+	tellTainted atomic.Int64
 	// notices holds what replicas state about themselves.
 	notices notice.Table
 	// desk, ledger and placer place completions. groups divides the engines among
@@ -105,6 +110,7 @@
 	g.Go(func() error { e.gossip.Run(runCtx); return nil })
 	g.Go(func() error { e.watcher.Run(runCtx); return nil })
 	g.Go(func() error { e.placer.Run(runCtx); return nil })
+	g.Go(func() error { e.tainted.Run(runCtx); return nil })
 	g.Go(func() error { e.wakeQueues(runCtx); return nil })
 	g.Go(func() error { e.Clock.Every(runCtx, deadCheckInterval, e.removeDeadEntries); return nil })
 	g.Go(func() error {
@@ -154,6 +160,9 @@
 	e.quarantine = poison.Quarantine{
 		Engines: &e.replicas, Boots: e, Clock: e.Clock, Meter: &e.meter, Log: e.Log, OnChange: e.gossip.Trigger, Self: s.Instance,
 	}
+	e.tainted = taint.Table{
+		Self: s.Instance, Store: &e.store, Fresh: s.Fleet.Fresh, OnChange: e.announceTainted, Clock: e.Clock, Meter: &e.meter, Log: e.Log,
+	}
 	table := &announcingPool{Table: &e.pool, edge: e}
 	e.preparePlacer(table, self)
 	e.relay = relay.Relay{
--- a/edge/tainted_test.go
+++ b/edge/tainted_test.go
@@ -22,45 +22,33 @@
 	stableWindow   = 3 * time.Second
 )
 
-// taintedSite is a site whose decode engines crash on some parts of prompts. A crashed
-// engine is replaced, so that there is always one.
+// taintedSite is a site whose decode engines crash on some parts of prompts.
 type taintedSite struct {
 	*site
-	deadly  []string
-	engines []*extsim.Replica
-	sent    atomic.Int64
+	deadly []string
+	sent   atomic.Int64
 }
 
+// engineCount is the number of decode engines of a tainted site: enough that some are
+// left after the test.
+const engineCount = 16
+
 // newTaintedSite starts engines that crash on the given parts.
 func newTaintedSite(t *testing.T, deadly ...string) *taintedSite {
 	s := &taintedSite{site: newSite(t), deadly: deadly}
-	s.engines = s.decode
+	for len(s.decode) < engineCount {
+		s.decode = append(s.decode, s.replica(fmt.Sprintf("g-%d", len(s.decode)), "verse", "decode"))
+	}
 	for _, d := range s.decode {
 		d.DeadlyParts = deadly
 	}
-	s.replace()
 	return s
 }
 
-// replace starts engines until four are running.
-func (s *taintedSite) replace() {
-	running := 0
-	for _, d := range s.engines {
-		if !d.Stopped() {
-			running++
-		}
-	}
-	for ; running < 4; running++ {
-		d := s.replica(fmt.Sprintf("g-%d", len(s.engines)), "verse", "decode")
-		d.DeadlyParts = s.deadly
-		s.engines = append(s.engines, d)
-	}
-}
-
 // crashes returns the number of engines that have crashed.
 func (s *taintedSite) crashes() int {
 	n := 0
-	for _, d := range s.engines {
+	for _, d := range s.decode {
 		if d.Stopped() {
 			n++
 		}
@@ -68,20 +56,35 @@
 	return n
 }
 
+// removeCrashed removes the rows of crashed engines and waits until the entries know it.
+func (s *taintedSite) removeCrashed(entries []*runningEntry) {
+	for _, d := range s.decode {
+		if d.Stopped() {
+			s.store.Remove("servers", d.ID)
+		}
+	}
+	s.until("no entry lists a crashed engine", func() bool {
+		for _, r := range entries {
+			if r.logs.FilterMessage("edge: a replica is gone").Len() < s.crashes() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // ask sends a completion whose prompt has the given parts and one of its own to an
-// entry, waits for the answer, and replaces crashed engines.
+// entry and waits for the answer.
 func (s *taintedSite) ask(r *runningEntry, path, parts string) answer {
 	n := s.sent.Add(1)
-	got := r.do(context.Background(), callerRequest{id: fmt.Sprint("id-", n), path: path, body: fmt.Sprint(n),
+	return r.do(context.Background(), callerRequest{id: fmt.Sprint("id-", n), path: path, body: fmt.Sprint(n),
 		header: map[string]string{"Lacewinghook-Prefix-Hash": fmt.Sprintf("%s,%x:100", parts, 0xabcd000+n)}})
-	s.replace()
-	return got
 }
 
 // reached returns the number of sends to engines of requests with a deadly part.
 func (s *taintedSite) reached() int {
 	n := 0
-	for _, list := range [][]*extsim.Replica{s.prefill, s.engines} {
+	for _, list := range [][]*extsim.Replica{s.prefill, s.decode} {
 		for _, r := range list {
 			for _, h := range r.RequestHeaders() {
 				if extsim.HasPart(h, s.deadly) {
@@ -124,6 +127,7 @@
 				s.ask(entries[i%len(entries)], path, tainted)
 			}
 			is.True(s.reached()-before <= maxLateSends)
+			s.removeCrashed(entries)
 			for _, r := range entries {
 				got := s.ask(r, path, "5c1e:200,50:1000,51:100")
 				is.NoErr(got.err)
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -16,6 +16,7 @@
 	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/shard"
+	"lacewinghook.example/lacewinghook/taint"
 	"lacewinghook.example/lacewinghook/watch"
 )
 
@@ -35,6 +36,10 @@
 	// Suspects identify requests that were in flight at an upstream when it
 	// crashed.
 	Suspects []poison.Suspect `json:"marks,omitempty"`
+	// Tainted are the parts of prompts that may crash upstreams, sent only while the
+	// sender and a peer differ. TaintSum identifies what the sender knows of them.
+	Tainted  []taint.Suspect `json:"tainted,omitempty"`
+	TaintSum uint64          `json:"taint_sum,omitempty"`
 	// Leaving lists the replicas that have stated that they leave.
 	Leaving []notice.Word `json:"leaving,omitempty"`
 }
--- a/poison/crash.go
+++ b/poison/crash.go
@@ -47,9 +47,12 @@
 // whether this crash puts or keeps the digest in quarantine. It returns after
 // the crash is saved in the table or the table has failed to respond.
 func (q *Quarantine) CheckCrash(ctx context.Context, up core.Upstream, boot string, began clock.Millis, digest uint64) bool {
-	if !q.crashed(ctx, up, boot) {
-		return false
-	}
+	return q.Crashed(ctx, up, boot) && q.AddCrash(ctx, up, boot, began, digest)
+}
+
+// AddCrash records that the upstream, with the given boot, has crashed while it ran the
+// digest since began. It returns like [Quarantine.CheckCrash].
+func (q *Quarantine) AddCrash(ctx context.Context, up core.Upstream, boot string, began clock.Millis, digest uint64) bool {
 	at := q.wall()
 	crash := Crash{Upstream: up.Name, Boot: boot, SentAt: at - (q.Clock.Now() - began), SeenAt: at}
 	s := q.addLocal(Suspect{Digest: digest, Crashes: []Crash{crash}, Until: at + suspectTTL})
@@ -66,11 +69,11 @@
 	return s.Quarantined()
 }
 
-// crashed reports whether the upstream refuses connections or has restarted. An
+// Crashed reports whether the upstream refuses connections or has restarted. An
 // upstream that is unreachable in another way may only be partitioned from this
 // entry, which does not implicate the request. A probe whose connection breaks
 // is repeated: the dying process may have accepted it.
-func (q *Quarantine) crashed(ctx context.Context, up core.Upstream, boot string) bool {
+func (q *Quarantine) Crashed(ctx context.Context, up core.Upstream, boot string) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout.Duration())
 	defer cancel()
 	for {
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -75,6 +75,10 @@
 			return nil, codes.From(err)
 		}
 		held, full := a.acquireHold(ctx, ad.hold)
+		if err := x.checkQuarantine(); err != nil {
+			a.release()
+			return nil, err
+		}
 		if held {
 			a.logChoice(x.relay.Clock.Now() - start)
 			return a, nil
--- a/relay/call.go
+++ b/relay/call.go
@@ -63,6 +63,7 @@
 	if err := x.chargeBudget(); err != nil {
 		return codes.Wrap(codes.BudgetSpent, err, "service %q", x.opaque.Service).WithRun(codes.NotRun)
 	}
+	mark := x.quarantineMark()
 	start := x.relay.Clock.Now()
 	call, wd := x.watchCall(ctx, up, usual)
 	defer wd.cancel(nil)
@@ -76,7 +77,7 @@
 		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errUpstreamIdle, err), "%s after %d ms", up.Name, x.relay.Clock.Now()-start)
 	}
 	if err != nil && !x.headSent && !x.callerGone {
-		x.recordFailure(ctx, up, start, false, err)
+		x.recordFailure(ctx, sentRequest{up: up, at: start, mark: mark}, err)
 		if x.second != nil {
 			return x.deliverAnswer(x.second)
 		}
@@ -138,19 +139,20 @@
 	// The answer outlives the search.
 	call, cancel := context.WithCancel(ctx)
 	keep := context.AfterFunc(search, cancel)
+	mark := x.quarantineMark()
 	start := x.relay.Clock.Now()
 	second, err := x.send(call, up, cost, func() {})
 	switch {
 	case err != nil:
 		cancel()
 		if search.Err() == nil {
-			x.recordFailure(ctx, up, start, false, err)
+			x.recordFailure(ctx, sentRequest{up: up, at: start, mark: mark}, err)
 		}
 		return false
 	case x.isFailure(second):
 		cancel()
 		second.close()
-		x.recordFailure(ctx, up, start, true, x.keepFallback(second))
+		x.recordFailure(ctx, sentRequest{up: up, at: start, mark: mark, answered: true}, x.keepFallback(second))
 		return false
 	case !keep():
 		second.close()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -131,7 +131,7 @@
 	if ctx.Err() != nil || x.callerGone || x.timeLeft() < minTimeLeft {
 		return false
 	}
-	if x.quarantined() {
+	if x.checkQuarantine() != nil {
 		return false
 	}
 	switch e := codes.From(err); {
@@ -156,9 +156,20 @@
 // deducted.
 func (x *exchange) runsLeft() int { return 1 + x.opaque.Route.Profile.Retries - x.possibleRuns }
 
-// quarantined reports whether requests like this one are blocked.
-func (x *exchange) quarantined() bool {
-	return x.relay.Quarantine != nil && x.relay.Quarantine.Quarantined(x.request.Digest)
+// checkQuarantine returns an error if requests like this one are blocked.
+func (x *exchange) checkQuarantine() error {
+	if x.relay.Quarantine == nil {
+		return nil
+	}
+	return x.relay.Quarantine.Check(x.request)
+}
+
+// quarantineMark returns what is known of crashes before a send.
+func (x *exchange) quarantineMark() uint64 {
+	if x.relay.Quarantine == nil {
+		return 0
+	}
+	return x.relay.Quarantine.Mark()
 }
 
 // repeatable reports whether the request may run more than once.
@@ -171,9 +182,12 @@
 func (x *exchange) timeLeft() clock.Millis { return x.request.Deadline - x.relay.Clock.Now() }
 
 // checkUsable returns an error if the upstream is draining, no longer listed or barred,
-// and excludes it for this request. It is called just before a send, since the
-// upstream may have started to drain after it was selected.
+// and excludes it for this request, or if the request is quarantined. It is called just
+// before a send, since this may have changed after the upstream was selected.
 func (x *exchange) checkUsable(up core.Upstream) error {
+	if err := x.checkQuarantine(); err != nil {
+		return err
+	}
 	if n := x.relay.notice(up.Name); n.Barred {
 		x.failed = append(x.failed, up.Name)
 		x.log.Info("relay: upstream left or paused after it was selected", append(noticeFields(n), zap.String("request", x.opaque.ID),
@@ -189,11 +203,21 @@
 	return codes.New(codes.UpstreamRefused, "%s is draining", up.Name)
 }
 
+// sentRequest is one send to an upstream.
+type sentRequest struct {
+	up core.Upstream
+	// at is the instant of the send, and mark what was known of crashes then.
+	at   clock.Millis
+	mark uint64
+	// answered means that the upstream had begun to answer.
+	answered bool
+}
+
 // recordFailure records a failed send: it excludes the upstream for this request
 // and, if it is unreachable, for others, updates the metrics and reports a lost
-// connection to the quarantine. begun means that the upstream had begun to write an
-// answer.
-func (x *exchange) recordFailure(ctx context.Context, up core.Upstream, sent clock.Millis, begun bool, err error) {
+// connection to the quarantine.
+func (x *exchange) recordFailure(ctx context.Context, s sentRequest, err error) {
+	up := s.up
 	e := codes.From(err)
 	x.failed = append(x.failed, up.Name)
 	if ctx.Err() == nil {
@@ -206,10 +230,10 @@
 	x.log.Info("relay: an upstream failed the request",
 		zap.String("request", x.opaque.ID), zap.String("upstream", up.Name), zap.String("addr", up.Addr),
 		zap.Stringer("code", e.Code), zap.String("run", string(e.Run)), zap.Int("sends", x.sends),
-		zap.Bool("begun", begun), zap.Array("parts", partIDs(x.opaque.Parts)),
+		zap.Bool("answered", s.answered), zap.Array("parts", partIDs(x.opaque.Parts)),
 		zap.Int64("left", int64(x.timeLeft())), zap.Error(err))
 	if e.Code == codes.UpstreamLost && ctx.Err() == nil && x.relay.Quarantine != nil {
-		x.relay.Quarantine.ReportLost(up, sent, x.request.Digest)
+		x.relay.Quarantine.ReportLost(Loss{Request: x.request, Upstream: up, SentAt: s.at, Mark: s.mark, Answered: s.answered})
 	}
 }
 
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -83,7 +83,7 @@
 // secureNext prepares an attempt that does without the upstream silent. It returns false
 // if no engine, retry or time is left, or when ctx ends.
 func (x *exchange) secureNext(ctx context.Context, silent core.Upstream) bool {
-	if x.timeLeft() < minTimeLeft || x.failedSearches >= maxFailedSearches || x.quarantined() {
+	if x.timeLeft() < minTimeLeft || x.failedSearches >= maxFailedSearches || x.checkQuarantine() != nil {
 		return false
 	}
 	next, err := x.admit(ctx, admission{urgent: true, exclude: silent.Name, hold: true})
@@ -203,12 +203,13 @@
 	}
 	call, wd := a.watchPrefill(ctx, timeout)
 	defer wd.cancel(nil)
+	mark := x.quarantineMark()
 	start := x.relay.Clock.Now()
 	export, err := x.relay.Upstreams.Prefill(call, a.prefill, x.request)
 	took := x.relay.Clock.Now() - start
 	wd.stop(err != nil && ctx.Err() == nil)
 	if err != nil {
-		return a.prefillFailed(ctx, call, took, err)
+		return a.prefillFailed(ctx, call, sentRequest{up: a.prefill, at: start, mark: mark}, err)
 	}
 	if export.Expires == 0 {
 		ttl := x.engineSpec().ExportTTL
@@ -253,8 +254,9 @@
 
 // prefillFailed records a failed prefill and returns its error with Run
 // [codes.NotRun], since a prefill generates no tokens.
-func (a *attempt) prefillFailed(ctx, call context.Context, took clock.Millis, err error) error {
+func (a *attempt) prefillFailed(ctx, call context.Context, s sentRequest, err error) error {
 	x := a.exchange
+	took := x.relay.Clock.Now() - s.at
 	if errors.Is(context.Cause(call), errUpstreamIdle) && ctx.Err() == nil {
 		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errUpstreamIdle, err), "%s: prefill unanswered after %d ms", a.prefill.Name, took)
 	}
@@ -264,7 +266,7 @@
 	x.relay.Meter.CountWastedPrefill(meter.ReasonOf(codes.From(err).Code), a.promptWork.Tokens)
 	err = codes.From(err).WithRun(codes.NotRun)
 	if ctx.Err() == nil {
-		x.recordFailure(ctx, a.prefill, x.relay.Clock.Now()-took, false, err)
+		x.recordFailure(ctx, s, err)
 	}
 	return err
 }
@@ -307,6 +309,7 @@
 	}
 	call, wd := a.watchStream(ctx)
 	defer wd.cancel(nil)
+	mark := x.quarantineMark()
 	start := x.relay.Clock.Now()
 	answer, err := x.relay.Upstreams.Send(call, a.decode, s)
 	if err == nil {
@@ -323,7 +326,7 @@
 		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errUpstreamIdle, err), "%s", a.decode.Name)
 	}
 	if !x.callerGone && ctx.Err() == nil {
-		x.recordFailure(ctx, a.decode, start, a.events > 0, err)
+		x.recordFailure(ctx, sentRequest{up: a.decode, at: start, mark: mark, answered: a.events >= provenEvents}, err)
 	} else {
 		x.possibleRuns++
 	}
@@ -415,6 +418,9 @@
 		x.recordPart()
 		first := a.events == 0
 		a.countEvents(p)
+		if a.events >= provenEvents && x.relay.Quarantine != nil {
+			x.relay.Quarantine.ReportAnswered(x.request)
+		}
 		if !first {
 			return
 		}
@@ -434,6 +440,10 @@
 	return x.streamBody(a.decode, answer.Body, onPart)
 }
 
+// provenEvents is the number of events that show that the engine can answer the request:
+// one that crashes it may get the first ones out.
+const provenEvents = 3
+
 // eventEnds are the ends of an event whose lines end with LF or CRLF.
 var eventEnds = [...][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -100,12 +100,27 @@
 
 // Quarantine blocks requests suspected of crashing upstreams.
 type Quarantine interface {
-	// Quarantined reports whether requests with this digest are blocked.
-	Quarantined(digest uint64) bool
-	// ReportLost reports that an upstream broke the connection while it ran the
-	// request with this digest, sent at the given instant. It may wait briefly
-	// for a decision, so that a retry of the request is blocked in time.
-	ReportLost(up core.Upstream, sent clock.Millis, digest uint64)
+	// Check returns an error if requests like r are blocked.
+	Check(r *core.Request) error
+	// Mark returns what is known of crashes now. It is called before each send.
+	Mark() uint64
+	// ReportLost reports a request that was lost with its connection. It may wait
+	// briefly for a decision, so that a retry of the request is blocked in time.
+	ReportLost(l Loss)
+	// ReportAnswered reports that an upstream answers r, and so isn't crashed by it.
+	ReportAnswered(r *core.Request)
+}
+
+// Loss is a request whose connection an upstream broke.
+type Loss struct {
+	Request  *core.Request
+	Upstream core.Upstream
+	// SentAt is the instant at which the request was sent, and Mark the result of
+	// [Quarantine.Mark] before that.
+	SentAt clock.Millis
+	Mark   uint64
+	// Answered means that the upstream had begun to answer.
+	Answered bool
 }
 
 // Notices holds what the upstreams state about themselves. [notice.Table] documents it.
@@ -158,8 +173,8 @@
 // Run executes one request and passes its answer to sink.
 func (r *Relay) Run(ctx context.Context, req *core.Request, sink Sink) error {
 	x := &exchange{relay: r, request: req, opaque: req.Opaque, sink: sink, log: r.logger()}
-	if x.quarantined() {
-		return x.finish(codes.New(codes.Quarantined, "request %s", req.Opaque.ID))
+	if err := x.checkQuarantine(); err != nil {
+		return x.finish(codes.From(err).WithRun(codes.NotRun))
 	}
 	ctx, cancel := context.WithTimeout(ctx, (req.Deadline - r.Clock.Now()).Duration())
 	defer cancel()
--- /dev/null
+++ b/taint/export_test.go
@@ -0,0 +1,7 @@
+package taint
+
+// Knows reports whether anything is known of the part.
+func (t *Table) Knows(part uint64) bool {
+	_, ok := t.suspects.Get(part)
+	return ok
+}
--- /dev/null
+++ b/taint/spread.go
@@ -0,0 +1,91 @@
+package taint
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxSpread bounds the suspects in one message.
+const maxSpread = 64
+
+// summary is the result of Sum after a number of changes.
+type summary struct {
+	changes, sum uint64
+}
+
+// Suspects returns up to maxSpread suspects to send to peers, the heaviest first.
+func (t *Table) Suspects() []Suspect {
+	if t.known.Load() == 0 {
+		return nil
+	}
+	all := t.suspects.Values()
+	slices.SortFunc(all, compareRecords)
+	now := t.Clock.Now()
+	var list []Suspect
+	for _, r := range all[:min(len(all), maxSpread)] {
+		list = append(list, r.Aged(now-r.at))
+	}
+	return list
+}
+
+// Sum returns a hash of [Table.Suspects], 0 if there are none. Two entries with the same
+// sum have nothing to tell each other.
+func (t *Table) Sum() uint64 {
+	changes := t.changes.Load()
+	if s := t.sum.Load(); s != nil && s.changes == changes {
+		return s.sum
+	}
+	d := xxhash.New()
+	write := func(text string) {
+		// Writing to a hash never fails.
+		_, _ = d.WriteString(text)
+		_, _ = d.Write([]byte{0})
+	}
+	list := t.Suspects()
+	for _, s := range list {
+		write(FormatPart(s.Part))
+		write(FormatPart(uint64(s.Epoch)))
+		for _, c := range s.Crashes {
+			write(c.Upstream)
+			write(c.Boot)
+			write(c.Entry)
+			write(FormatPart(c.Request))
+			write(FormatPart(uint64(c.Round)))
+		}
+		for _, p := range s.With {
+			write(FormatPart(p))
+		}
+	}
+	sum := cmp.Or(d.Sum64(), 1)
+	if len(list) == 0 {
+		sum = 0
+	}
+	t.sum.Store(&summary{changes: changes, sum: sum})
+	return sum
+}
+
+// Merge adds the suspects that a peer has sent. It reports whether anything was new.
+func (t *Table) Merge(list []Suspect) (news bool) {
+	for _, s := range list[:min(len(list), maxSpread)] {
+		if !s.valid() {
+			continue
+		}
+		news = t.update(s.Part, func(r *record) { r.merge(s) }) || news
+	}
+	return news
+}
+
+// valid reports whether a suspect from outside is within the bounds.
+func (s *Suspect) valid() bool {
+	if s.Age < 0 || len(s.Crashes) > maxCrashes || len(s.With) > maxWith {
+		return false
+	}
+	for _, c := range s.Crashes {
+		if c.Age < 0 || c.Round < 1 || c.Round > minRounds || len(c.Upstream)+len(c.Boot)+len(c.Entry) > maxNameBytes {
+			return false
+		}
+	}
+	return s.left(s.Round() >= minRounds) > 0
+}
--- /dev/null
+++ b/taint/suspect.go
@@ -0,0 +1,166 @@
+package taint
+
+import (
+	"cmp"
+	"slices"
+
+	"lacewinghook.example/lacewinghook/clock"
+)
+
+// Suspect is what is known of one part of prompts.
+type Suspect struct {
+	// Part is the ID of the part.
+	Part uint64 `json:"part"`
+	// Epoch counts how often the part was cleared. Crashes of earlier epochs don't count.
+	Epoch uint32 `json:"epoch,omitempty"`
+	// Crashes are the crashes of this epoch, at most maxCrashes, with the last round
+	// first. Without any, the part is cleared.
+	Crashes []Crash `json:"crashes,omitempty"`
+	// With are the other parts that were in the prompts of all of these crashes, sorted.
+	With []uint64 `json:"with,omitempty"`
+	// Age is the time in milliseconds since a cleared part was cleared.
+	Age clock.Millis `json:"age,omitempty"`
+}
+
+// Crash is a crash of an upstream, of its run with the given boot, at which a request
+// was lost.
+type Crash struct {
+	Upstream string `json:"upstream"`
+	Boot     string `json:"boot,omitempty"`
+	// Entry is the entry that lost the request, and Request the request's digest.
+	Entry   string `json:"entry"`
+	Request uint64 `json:"request"`
+	// Round is one more than the highest round of which the entry knew when it sent the
+	// request, at most minRounds.
+	Round int `json:"round"`
+	// Age is the time in milliseconds since the crash was noticed.
+	Age clock.Millis `json:"age"`
+}
+
+// Rules of the quarantine.
+const (
+	// minRounds is the number of crashes, one after the other, that quarantine a part.
+	// Two may meet one innocent request that is retried while replicas crash for other
+	// reasons.
+	minRounds = 3
+	// minRequests is the number of different requests among them. One that is repeated
+	// is left to the quarantine of whole requests.
+	minRequests = 2
+	// minEntries is the number of entries that must have seen a crash, unless this entry
+	// is the one.
+	minEntries = 2
+)
+
+// Bounds of a suspect.
+const (
+	maxCrashes = 8
+	maxWith    = 16
+)
+
+// Lifetimes of what is known of a part.
+const (
+	// QuarantineTime is how long a part is quarantined after its last crash.
+	QuarantineTime = 60 * clock.Minute
+	// evidenceTime is how long crashes count if they don't quarantine the part, and how
+	// long it is known that a part was cleared.
+	evidenceTime = 10 * clock.Minute
+)
+
+// Round returns the highest round of the crashes, 0 for a cleared part.
+func (s *Suspect) Round() int {
+	if len(s.Crashes) == 0 {
+		return 0
+	}
+	return s.Crashes[0].Round
+}
+
+// convicted reports whether the crashes suffice for the entry self to quarantine the part.
+func (s *Suspect) convicted(self string) bool {
+	if s.Round() < minRounds {
+		return false
+	}
+	requests, entries := make(map[uint64]bool), make(map[string]bool)
+	for _, c := range s.Crashes {
+		requests[c.Request], entries[c.Entry] = true, true
+	}
+	return len(requests) >= minRequests && (len(entries) >= minEntries || entries[self])
+}
+
+// add adds a crash of a request that also had the parts with. Of two records of one
+// crash, it keeps the one of the lower round, and the greater age.
+func (s *Suspect) add(c Crash, with []uint64) {
+	if len(s.Crashes) == 0 {
+		s.With = with
+	}
+	s.With = slices.DeleteFunc(slices.Clone(s.With), func(p uint64) bool { return !slices.Contains(with, p) })
+	all := slices.Clone(s.Crashes)
+	i := slices.IndexFunc(all, func(known Crash) bool { return known.Upstream == c.Upstream && known.Boot == c.Boot })
+	if i < 0 {
+		all = append(all, c)
+	} else {
+		age := max(all[i].Age, c.Age)
+		if compareWitnesses(c, all[i]) < 0 {
+			all[i] = c
+		}
+		all[i].Age = age
+	}
+	slices.SortFunc(all, compareCrashes)
+	s.Crashes = all[:min(len(all), maxCrashes)]
+}
+
+// compareWitnesses orders two records of one crash, the more cautious one first.
+func compareWitnesses(a, b Crash) int {
+	return cmp.Or(cmp.Compare(a.Round, b.Round), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Entry, b.Entry))
+}
+
+// compareCrashes orders crashes by their rounds, the last one first.
+func compareCrashes(a, b Crash) int {
+	return cmp.Or(cmp.Compare(b.Round, a.Round), cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Boot, b.Boot))
+}
+
+// merge adds what other knows of the same part.
+func (s *Suspect) merge(other Suspect) {
+	switch {
+	case other.Epoch < s.Epoch:
+		return
+	case other.Epoch > s.Epoch:
+		*s = Suspect{Part: s.Part, Epoch: other.Epoch, Age: other.Age}
+	}
+	s.Age = max(s.Age, other.Age)
+	for _, c := range other.Crashes {
+		s.add(c, other.With)
+	}
+}
+
+// equal reports whether both hold the same, apart from ages.
+func (s *Suspect) equal(other *Suspect) bool {
+	return s.Epoch == other.Epoch && slices.Equal(s.With, other.With) &&
+		slices.EqualFunc(s.Crashes, other.Crashes, func(a, b Crash) bool {
+			a.Age, b.Age = 0, 0
+			return a == b
+		})
+}
+
+// Aged returns the suspect with its ages increased by d.
+func (s Suspect) Aged(d clock.Millis) Suspect {
+	s.Age += d
+	s.Crashes = slices.Clone(s.Crashes)
+	for i := range s.Crashes {
+		s.Crashes[i].Age += d
+	}
+	return s
+}
+
+// left returns how long what is known of the part still counts.
+func (s *Suspect) left(quarantined bool) clock.Millis {
+	age, most := s.Age, evidenceTime
+	for i, c := range s.Crashes {
+		if i == 0 || c.Age < age {
+			age = c.Age
+		}
+	}
+	if quarantined {
+		most = QuarantineTime
+	}
+	return most - age
+}
--- /dev/null
+++ b/taint/table.go
@@ -0,0 +1,305 @@
+package taint
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strconv"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/notify"
+	"lacewinghook.example/lacewinghook/shard"
+)
+
+// Table holds the suspects of one entry. Self is required.
+type Table struct {
+	// Self is the name of this entry.
+	Self string
+	// Store, if not nil, keeps the quarantines when all entries restart.
+	Store Store
+	// Fresh means that the store can have no quarantine yet.
+	Fresh bool
+	// OnChange, if not nil, is called after a change, so that the peers are told. It
+	// must not block.
+	OnChange func()
+	Clock    clock.Clock
+	Meter    *meter.Registry
+	Log      *zap.Logger
+
+	suspects shard.Map[uint64, record]
+	// changes counts the changes of suspects, and known and quarantined the entries of
+	// suspects and those in quarantine.
+	changes     atomic.Uint64
+	known       atomic.Int64
+	quarantined atomic.Int64
+	// sum is the last result of Sum.
+	sum atomic.Pointer[summary]
+	// unsaved holds the parts of which the store has to be told.
+	unsaved shard.Map[uint64, bool]
+	saving  notify.Signal
+}
+
+// record is a suspect as this entry knows it.
+type record struct {
+	// Suspect has the ages of the instant at.
+	Suspect
+	at clock.Millis
+	// learned holds, for each round, the number of the change with which it was known.
+	learned []uint64
+	// quarantined is set from the conviction to the end of the epoch.
+	quarantined bool
+}
+
+// Bounds of a table.
+const (
+	// maxSuspects bounds the suspects. Those with the fewest rounds give way.
+	maxSuspects = 512
+	// maxParts bounds the parts of one prompt that become suspects.
+	maxParts = 64
+	// maxNameBytes bounds the names in messages of peers.
+	maxNameBytes = 200
+)
+
+// Loss is a request that was lost in a crash before it was answered.
+type Loss struct {
+	Upstream, Boot string
+	// Digest identifies the request, and Parts are the parts of its prompt that others
+	// may share.
+	Digest uint64
+	Parts  []uint64
+	// Mark is what [Table.Mark] returned before the request was sent.
+	Mark uint64
+}
+
+// Mark returns the state of knowledge of this entry. It is taken before a request is sent.
+func (t *Table) Mark() uint64 { return t.changes.Load() }
+
+// AddCrash records that the request was lost in a crash.
+func (t *Table) AddCrash(l Loss) {
+	parts := l.Parts[:min(len(l.Parts), maxParts)]
+	changed := false
+	for _, part := range parts {
+		with := slices.DeleteFunc(slices.Clone(parts), func(p uint64) bool { return p == part })
+		slices.Sort(with)
+		with = with[:min(len(with), maxWith)]
+		changed = t.update(part, func(r *record) {
+			r.add(Crash{Upstream: l.Upstream, Boot: l.Boot, Entry: t.Self, Request: l.Digest, Round: min(r.knownAt(l.Mark)+1, minRounds)}, with)
+		}) || changed
+	}
+	t.announce(changed)
+}
+
+// Clear records that a request with the parts was answered, so that none of them crashes
+// upstreams. It is cheap while there are no suspects.
+func (t *Table) Clear(parts []uint64) {
+	if t.known.Load() == 0 {
+		return
+	}
+	changed := false
+	for _, part := range parts {
+		if r, ok := t.suspects.Get(part); ok && len(r.Crashes) > 0 {
+			changed = t.update(part, func(r *record) {
+				if len(r.Crashes) > 0 {
+					r.Suspect = Suspect{Part: part, Epoch: r.Epoch + 1}
+				}
+			}) || changed
+		}
+	}
+	t.announce(changed)
+}
+
+// Quarantined returns a part for which a request with the given parts is rejected, and
+// the rest of its quarantine. ok is false if there is none.
+func (t *Table) Quarantined(parts []uint64) (part uint64, left clock.Millis, ok bool) {
+	if t.quarantined.Load() == 0 {
+		return 0, 0, false
+	}
+	for _, part := range parts {
+		r, ok := t.suspects.Get(part)
+		if !ok || !r.quarantined {
+			continue
+		}
+		left := r.leftAt(t.Clock.Now())
+		if left > 0 && !slices.ContainsFunc(r.With, func(p uint64) bool { return !slices.Contains(parts, p) && !t.cleared(p) }) {
+			return part, left, true
+		}
+	}
+	return 0, 0, false
+}
+
+// cleared reports whether the part is known not to crash upstreams.
+func (t *Table) cleared(part uint64) bool {
+	r, ok := t.suspects.Get(part)
+	return ok && r.Epoch > 0 && len(r.Crashes) == 0
+}
+
+// knownAt returns the highest round that was known at the mark.
+func (r *record) knownAt(mark uint64) int {
+	n := 0
+	for n < len(r.learned) && r.learned[n] <= mark {
+		n++
+	}
+	return n
+}
+
+// leftAt returns how long what is known of the part counts from now on.
+func (r *record) leftAt(now clock.Millis) clock.Millis { return r.left(r.quarantined) - (now - r.at) }
+
+// update changes what is known of a part, and reports whether it did change.
+func (t *Table) update(part uint64, change func(r *record)) (changed bool) {
+	t.makeRoom(part)
+	var before, after record
+	t.suspects.Update(part, func(r record, ok bool) (record, bool) {
+		now := t.Clock.Now()
+		if !ok {
+			r = record{Suspect: Suspect{Part: part}, at: now}
+		}
+		before = r
+		r.Suspect = r.Aged(now - r.at)
+		r.at = now
+		change(&r)
+		if changed = !r.equal(&before.Suspect); changed {
+			r.note(t.changes.Add(1), before.Epoch, t.Self)
+		}
+		after = r
+		keep := r.Epoch > 0 || len(r.Crashes) > 0
+		t.count(ok, keep, before.quarantined, r.quarantined)
+		return r, keep
+	})
+	if after.quarantined != before.quarantined {
+		t.logQuarantine(&after)
+	}
+	return changed
+}
+
+// note updates what follows from a change with the given number.
+func (r *record) note(change uint64, epoch uint32, self string) {
+	learned := slices.Clone(r.learned)
+	if r.Epoch != epoch {
+		learned, r.quarantined = nil, false
+	}
+	for len(learned) < r.Round() {
+		learned = append(learned, change)
+	}
+	r.learned = learned
+	r.quarantined = r.quarantined || r.convicted(self)
+}
+
+// count updates the counters after a change of one record.
+func (t *Table) count(had, has, wasQuarantined, isQuarantined bool) {
+	t.known.Add(delta(had, has))
+	t.quarantined.Add(delta(wasQuarantined, isQuarantined && has))
+}
+
+// delta returns the change of a count of which one is counted before and after.
+func delta(before, after bool) int64 {
+	switch {
+	case before == after:
+		return 0
+	case after:
+		return 1
+	}
+	return -1
+}
+
+// makeRoom removes the suspect of the lowest rank if there is no room for another part.
+func (t *Table) makeRoom(part uint64) {
+	if t.known.Load() < maxSuspects {
+		return
+	}
+	if _, ok := t.suspects.Get(part); ok {
+		return
+	}
+	all := t.suspects.Values()
+	if len(all) > 0 {
+		t.remove(slices.MaxFunc(all, compareRecords).Part)
+	}
+}
+
+// remove removes what is known of a part.
+func (t *Table) remove(part uint64) {
+	if r, ok := t.suspects.Delete(part); ok {
+		t.count(true, false, r.quarantined, false)
+		t.changes.Add(1)
+	}
+}
+
+// compareRecords orders suspects by their weight, the heaviest first, in the same way at
+// all entries. Cleared ones come before those with one round, so that they aren't lost
+// among what a large outage leaves.
+func compareRecords(a, b record) int {
+	rank := func(r *record) int {
+		if len(r.Crashes) == 0 {
+			return minRounds - 1
+		}
+		return r.Round()
+	}
+	return cmp.Or(cmp.Compare(rank(&b), rank(&a)), cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.Part, b.Part))
+}
+
+// announce calls OnChange after a change.
+func (t *Table) announce(changed bool) {
+	if changed && t.OnChange != nil {
+		t.OnChange()
+	}
+}
+
+// sweepInterval is the time between two removals of expired suspects.
+const sweepInterval = 1 * clock.Second
+
+// sweep removes expired suspects.
+func (t *Table) sweep(context.Context) {
+	if t.known.Load() == 0 {
+		return
+	}
+	now := t.Clock.Now()
+	for _, r := range t.suspects.Values() {
+		if r.leftAt(now) > 0 {
+			continue
+		}
+		t.remove(r.Part)
+		if r.quarantined {
+			t.log().Info("taint: quarantine of a part has ended", zap.String("part", FormatPart(r.Part)))
+			t.markUnsaved(r.Part)
+		}
+	}
+}
+
+// logQuarantine logs that a part was quarantined or cleared, and has the store told if
+// that is up to this entry.
+func (t *Table) logQuarantine(r *record) {
+	fields := []zap.Field{zap.String("part", FormatPart(r.Part)), zap.Uint32("epoch", r.Epoch)}
+	if !r.quarantined {
+		t.log().Warn("taint: quarantine of a part was lifted, since it was answered or by another entry", fields...)
+		t.markUnsaved(r.Part)
+		return
+	}
+	var upstreams, entries, with []string
+	for _, c := range r.Crashes {
+		upstreams, entries = append(upstreams, c.Upstream), append(entries, c.Entry)
+	}
+	for _, p := range r.With {
+		with = append(with, FormatPart(p))
+	}
+	t.log().Warn("taint: part of prompts quarantined", append(fields, zap.Strings("upstreams", upstreams),
+		zap.Strings("entries", entries), zap.Strings("with", with))...)
+	t.Meter.Add("parts_quarantined_total", 1)
+	if r.Crashes[0].Entry == t.Self {
+		t.markUnsaved(r.Part)
+	}
+}
+
+// log returns Log, or a logger that discards all messages.
+func (t *Table) log() *zap.Logger {
+	if t.Log == nil {
+		return zap.NewNop()
+	}
+	return t.Log
+}
+
+// FormatPart returns the hexadecimal form of a part that operators and callers see.
+func FormatPart(part uint64) string { return strconv.FormatUint(part, 16) }
