taint: two deadly parts don't speak against the part that they have in common

What callers would see: where two deadly parts come with the same first part, and no sound request had that one yet, all its requests were rejected, and as none ran, none could clear it. Found by TestTwoDeadlyParts of edge (503 part_quarantined for a sound request).

Cause: only the parts in common to all crashes of a suspect were kept, so that a second culprit left none, and the suspect alone seemed to be to blame. Each crash now keeps the other parts of its request.

--- a/edge/tainted_test.go
+++ b/edge/tainted_test.go
@@ -96,6 +96,107 @@
 	return n
 }
 
+// startAll starts n entries and waits until they know each other.
+func (s *taintedSite) startAll(n int) []*runningEntry {
+	entries := []*runningEntry{s.startReady()}
+	for len(entries) < n {
+		entries = append(entries, s.startReady(entries[0]))
+	}
+	s.until("all entries know each other", func() bool {
+		for _, r := range entries {
+			if len(r.addresses()) != n {
+				return false
+			}
+		}
+		return true
+	})
+	return entries
+}
+
+// quarantine sends requests with the parts until all entries reject them. Each entry
+// hears of a crash before the next request is sent.
+func (s *taintedSite) quarantine(entries []*runningEntry, parts string) {
+	for i := 0; s.crashes() < 4*len(s.deadly) && !s.allReject(entries, parts); i++ {
+		s.ask(entries[i%len(entries)], "/verse/a", parts)
+		time.Sleep(300 * time.Millisecond)
+	}
+	s.until("all entries reject the parts", func() bool { return s.allReject(entries, parts) })
+}
+
+// quarantines returns how many parts the entry has quarantined.
+func (r *runningEntry) quarantines() int {
+	return r.logs.FilterMessage("taint: part of prompts quarantined").Len()
+}
+
+// allReject reports whether all entries have a quarantine, and reject requests with the
+// parts because of it.
+func (s *taintedSite) allReject(entries []*runningEntry, parts string) bool {
+	for _, r := range entries {
+		if r.quarantines() == 0 || s.ask(r, "/verse/a", parts).body != "part_quarantined\n" {
+			return false
+		}
+	}
+	return true
+}
+
+// taintedTable is the table of the quarantined parts.
+const taintedTable = "lacewinghook-tainted"
+
+// TestQuarantineOutlastsEntries guards against a restart after which a part that is known
+// to crash engines is tried again: of one entry while the store is away, and of all of
+// them.
+func TestQuarantineOutlastsEntries(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newTaintedSite(t, "bad")
+	entries := s.startAll(2)
+	s.quarantine(entries, "bad:1000")
+	s.until("the quarantine is saved", func() bool { return len(s.store.Keys(taintedTable)) == 1 })
+	before := s.reached()
+	s.restarted = true
+
+	s.store.SetMode(extsim.Unavailable)
+	entries[1].stop()
+	is.NoErr(<-entries[1].done)
+	entries[1].done <- nil
+	third := s.startReady(entries[0])
+	s.until("the peer has told of the quarantine", func() bool { return third.quarantines() == 1 })
+	is.Equal(s.ask(third, "/verse/a", "77:50,bad:1000").body, "part_quarantined\n")
+
+	s.store.SetMode(extsim.Up)
+	for _, r := range []*runningEntry{entries[0], third} {
+		r.stop()
+		is.NoErr(<-r.done)
+		r.done <- nil
+	}
+	fourth := s.startReady()
+	s.until("the store has told of the quarantine", func() bool { return fourth.quarantines() == 1 })
+	got := s.ask(fourth, "/verse/a", "78:50,bad:1000")
+	is.Equal(got.body, "part_quarantined\n")
+	is.True(got.header.Get("Retry-After") > "30") // seconds: it doesn't invite the caller back at once
+	is.Equal(s.reached(), before)
+}
+
+// TestTwoDeadlyParts checks that a second deadly part is found beside the first, on
+// another route, while the store is away.
+func TestTwoDeadlyParts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newTaintedSite(t, "bad", "baddad")
+	entries := s.startAll(2)
+	s.store.SetMode(extsim.Unavailable)
+	s.quarantine(entries, "5c1e:200,bad:1000")
+	s.quarantine(entries, "5c1e:200,baddad:1000")
+	is.True(s.crashes() <= 8)
+	s.store.SetMode(extsim.Up)
+	s.until("both quarantines are saved", func() bool { return len(s.store.Keys(taintedTable)) >= 2 })
+	s.removeCrashed(entries)
+	for _, r := range entries {
+		got := s.ask(r, "/long/a", "5c1e:200,1:1000")
+		is.Equal(got.status, http.StatusOK)
+	}
+}
+
 // TestPartThatCrashesEngines guards against requests that have one part of their prompts
 // in common, and no more, that crash one engine after the other. Requests that share
 // their other parts must be served.
@@ -105,18 +206,7 @@
 			t.Parallel()
 			is := is.New(t)
 			s := newTaintedSite(t, "bad")
-			entries := []*runningEntry{s.startReady()}
-			for range 2 {
-				entries = append(entries, s.startReady(entries[0]))
-			}
-			s.until("all entries know each other", func() bool {
-				for _, r := range entries {
-					if len(r.addresses()) != len(entries) {
-						return false
-					}
-				}
-				return true
-			})
+			entries := s.startAll(3)
 			const tainted = "5c1e:200,bad:1000,51:100"
 			for i := 0; i < 12 && s.crashes() < countedCrashes; i++ {
 				s.ask(entries[i%len(entries)], path, tainted)
--- a/taint/doc.go
+++ b/taint/doc.go
@@ -9,9 +9,9 @@
 // one request. Crashes that happen together, as in the loss of a rack, count as one. A
 // request with the part that is answered clears it, before and after that.
 //
-// Parts that were in all of these requests together can't be told apart. A request is
-// rejected only if it has all of them that are not cleared, so that sound requests with
-// one of them are still served, and clear it.
+// Parts that were lost together each time can't be told apart. A request is rejected only
+// if it has all of them that are not cleared, so that sound requests with one of them are
+// still served, and clear it.
 //
 // Entries exchange their suspects in heartbeats. What is known of a part is merged from
 // any order of messages to the same result: clearing a part begins a new epoch, and
--- a/taint/spread.go
+++ b/taint/spread.go
@@ -53,9 +53,9 @@
 			write(c.Entry)
 			write(FormatPart(c.Request))
 			write(FormatPart(uint64(c.Round)))
-		}
-		for _, p := range s.With {
-			write(FormatPart(p))
+			for _, p := range c.With {
+				write(FormatPart(p))
+			}
 		}
 	}
 	sum := cmp.Or(d.Sum64(), 1)
@@ -79,11 +79,11 @@
 
 // valid reports whether a suspect from outside is within the bounds.
 func (s *Suspect) valid() bool {
-	if s.Age < 0 || len(s.Crashes) > maxCrashes || len(s.With) > maxWith {
+	if s.Age < 0 || len(s.Crashes) > maxCrashes {
 		return false
 	}
 	for _, c := range s.Crashes {
-		if c.Age < 0 || c.Round < 1 || c.Round > minRounds || len(c.Upstream)+len(c.Boot)+len(c.Entry) > maxNameBytes {
+		if c.Age < 0 || len(c.With) > maxWith || c.Round < 1 || c.Round > minRounds || len(c.Upstream)+len(c.Boot)+len(c.Entry) > maxNameBytes {
 			return false
 		}
 	}
--- a/taint/suspect.go
+++ b/taint/suspect.go
@@ -16,8 +16,6 @@
 	// Crashes are the crashes of this epoch, at most maxCrashes, with the last round
 	// first. Without any, the part is cleared.
 	Crashes []Crash `json:"crashes,omitempty"`
-	// With are the other parts that were in the prompts of all of these crashes, sorted.
-	With []uint64 `json:"with,omitempty"`
 	// Age is the time in milliseconds since a cleared part was cleared.
 	Age clock.Millis `json:"age,omitempty"`
 }
@@ -33,6 +31,8 @@
 	// Round is one more than the highest round of which the entry knew when it sent the
 	// request, at most minRounds.
 	Round int `json:"round"`
+	// With are the other parts of the request's prompt, at most maxWith, sorted.
+	With []uint64 `json:"with,omitempty"`
 	// Age is the time in milliseconds since the crash was noticed.
 	Age clock.Millis `json:"age"`
 }
@@ -54,7 +54,7 @@
 // Bounds of a suspect.
 const (
 	maxCrashes = 8
-	maxWith    = 16
+	maxWith    = 8
 )
 
 // Lifetimes of what is known of a part.
@@ -86,28 +86,29 @@
 	return len(requests) >= minRequests && (len(entries) >= minEntries || entries[self])
 }
 
-// add adds a crash of a request that also had the parts with. Of two records of one
-// crash, it keeps the one of the lower round, and the greater age.
-func (s *Suspect) add(c Crash, with []uint64) {
-	if len(s.Crashes) == 0 {
-		s.With = with
-	}
-	s.With = slices.DeleteFunc(slices.Clone(s.With), func(p uint64) bool { return !slices.Contains(with, p) })
+// add adds a crash. Of two records of one crash, it keeps the one of the lower round, the
+// parts that are in both, and the greater age.
+func (s *Suspect) add(c Crash) {
 	all := slices.Clone(s.Crashes)
 	i := slices.IndexFunc(all, func(known Crash) bool { return known.Upstream == c.Upstream && known.Boot == c.Boot })
 	if i < 0 {
 		all = append(all, c)
 	} else {
-		age := max(all[i].Age, c.Age)
+		with, age := intersect(all[i].With, c.With), max(all[i].Age, c.Age)
 		if compareWitnesses(c, all[i]) < 0 {
 			all[i] = c
 		}
-		all[i].Age = age
+		all[i].With, all[i].Age = with, age
 	}
 	slices.SortFunc(all, compareCrashes)
 	s.Crashes = all[:min(len(all), maxCrashes)]
 }
 
+// intersect returns the parts that are in both lists.
+func intersect(a, b []uint64) []uint64 {
+	return slices.DeleteFunc(slices.Clone(a), func(p uint64) bool { return !slices.Contains(b, p) })
+}
+
 // compareWitnesses orders two records of one crash, the more cautious one first.
 func compareWitnesses(a, b Crash) int {
 	return cmp.Or(cmp.Compare(a.Round, b.Round), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Entry, b.Entry))
@@ -128,17 +129,15 @@
 	}
 	s.Age = max(s.Age, other.Age)
 	for _, c := range other.Crashes {
-		s.add(c, other.With)
+		s.add(c)
 	}
 }
 
 // equal reports whether both hold the same, apart from ages.
 func (s *Suspect) equal(other *Suspect) bool {
-	return s.Epoch == other.Epoch && slices.Equal(s.With, other.With) &&
-		slices.EqualFunc(s.Crashes, other.Crashes, func(a, b Crash) bool {
-			a.Age, b.Age = 0, 0
-			return a == b
-		})
+	return s.Epoch == other.Epoch && slices.EqualFunc(s.Crashes, other.Crashes, func(a, b Crash) bool {
+		return compareCrashes(a, b) == 0 && compareWitnesses(a, b) == 0 && slices.Equal(a.With, b.With)
+	})
 }
 
 // Aged returns the suspect with its ages increased by d.
--- a/taint/table.go
+++ b/taint/table.go
@@ -87,7 +87,7 @@
 		slices.Sort(with)
 		with = with[:min(len(with), maxWith)]
 		changed = t.update(part, func(r *record) {
-			r.add(Crash{Upstream: l.Upstream, Boot: l.Boot, Entry: t.Self, Request: l.Digest, Round: min(r.knownAt(l.Mark)+1, minRounds)}, with)
+			r.add(Crash{Upstream: l.Upstream, Boot: l.Boot, Entry: t.Self, Request: l.Digest, Round: min(r.knownAt(l.Mark)+1, minRounds), With: with})
 		}) || changed
 	}
 	t.announce(changed)
@@ -124,7 +124,7 @@
 			continue
 		}
 		left := r.leftAt(t.Clock.Now())
-		if left > 0 && !slices.ContainsFunc(r.With, func(p uint64) bool { return !slices.Contains(parts, p) && !t.cleared(p) }) {
+		if left > 0 && r.explains(parts, t.cleared) {
 			return part, left, true
 		}
 	}
@@ -281,9 +281,11 @@
 	var upstreams, entries, with []string
 	for _, c := range r.Crashes {
 		upstreams, entries = append(upstreams, c.Upstream), append(entries, c.Entry)
-	}
-	for _, p := range r.With {
-		with = append(with, FormatPart(p))
+		for _, p := range c.With {
+			if text := FormatPart(p); !slices.Contains(with, text) {
+				with = append(with, text)
+			}
+		}
 	}
 	t.log().Warn("taint: part of prompts quarantined", append(fields, zap.Strings("upstreams", upstreams),
 		zap.Strings("entries", entries), zap.Strings("with", with))...)
--- a/taint/taint_test.go
+++ b/taint/taint_test.go
@@ -104,6 +104,22 @@
 	is.True(!f.rejects(0, house, style))
 }
 
+// TestTwoDeadlyPartsOfOneCaller checks that the part that two deadly parts have in common
+// isn't quarantined for both of them, although nobody uses it without them.
+func TestTwoDeadlyPartsOfOneCaller(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	for i := range 6 {
+		f.crash(i%2, uint64(i), house, uint64(0xbad0+i/3), uint64(0x100+i))
+		f.tell()
+	}
+	for i := range 2 {
+		is.True(f.rejects(i, house, 0xbad0, 0x200))
+		is.True(f.rejects(i, house, 0xbad1, 0x200))
+		is.True(!f.rejects(i, house, 0x200))
+	}
+}
+
 // TestInnocentPartsAreNotQuarantined lists what must not quarantine a part.
 func TestInnocentPartsAreNotQuarantined(t *testing.T) {
 	for name, lose := range map[string]func(f *fleet){
@@ -117,6 +133,12 @@
 				f.crash(0, 1, house)
 			}
 		},
+		"many crashes at once": func(f *fleet) {
+			mark := f.entries[0].Mark()
+			for i := range 10 {
+				f.lose(0, mark, uint64(i), house)
+			}
+		},
 		"many crashes at once, three times": func(f *fleet) {
 			for range 3 {
 				mark := f.entries[0].Mark()
@@ -287,7 +309,9 @@
 	is.True(len(f.entries[0].Suspects()) <= 64)
 	for _, s := range f.entries[0].Suspects() {
 		is.True(len(s.Crashes) <= 8)
-		is.True(len(s.With) <= 16)
+		for _, c := range s.Crashes {
+			is.True(len(c.With) <= 8)
+		}
 	}
 	is.True(allKnown(f.entries[0]) <= 600)
 }
@@ -318,7 +342,7 @@
 		"of a day ago":     change(func(c *taint.Crash) { c.Age = 24 * 60 * clock.Minute }),
 		"a long name":      change(func(c *taint.Crash) { c.Entry = fmt.Sprintf("%1000d", 1) }),
 		"too many crashes": {Part: bad, Crashes: slices.Repeat([]taint.Crash{c}, 9)},
-		"too many parts":   {Part: bad, Crashes: []taint.Crash{c}, With: make([]uint64, 17)},
+		"too many parts":   change(func(c *taint.Crash) { c.With = make([]uint64, 9) }),
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(1)
