edge, extsim: a replica that stops in the middle of its answer's head

It can't happen here: TestAnswerCutInItsHead cuts an answer with a length, in chunks and until the connection ends, on each kind of route, by a close and by a reset, at each byte of the head, and at each byte of a framed body: the caller never gets a success with another body than the whole one. The stand-in now plays scripts for plain services too.

--- a/extsim/replica.go
+++ b/extsim/replica.go
@@ -292,7 +292,7 @@
 		r.refuse(w, hr, http.StatusServiceUnavailable, notExecuted)
 		return
 	}
-	if r.Phase != "" && r.answerByScript(w, hr, id) {
+	if r.answerByScript(w, hr, id) {
 		return
 	}
 	r.countRun(id)
--- a/extsim/script.go
+++ b/extsim/script.go
@@ -9,7 +9,7 @@
 	"sync"
 )
 
-// RawAnswer is an answer to a request for a stream, in the bytes that the replica
+// RawAnswer is an answer to a request to execute, in the bytes that the replica
 // sends before it closes the connection.
 type RawAnswer struct {
 	// Text returns the bytes, for the request's ID and the number in its
@@ -21,7 +21,7 @@
 	Reset bool
 }
 
-// Script is a sequence of answers that replicas send to requests for streams, in
+// Script is a sequence of answers that replicas send to requests to execute, in
 // the order in which the requests arrive at any of them. It must not be copied.
 type Script struct {
 	mu      sync.Mutex
@@ -49,7 +49,7 @@
 	return a, true
 }
 
-// SetScript has the replica answer requests for streams by the script while it has
+// SetScript has the replica answer requests to execute by the script while it has
 // answers left. Several replicas may share one.
 func (r *Replica) SetScript(s *Script) {
 	r.mu.Lock()
