edge: a stopping entry rejects calls that it may not finish

Durations are now estimated for each route. A request whose deadline is before the end of the stop is taken, as it is answered by then in any case. While callers may still have the address, another is rejected if it usually takes longer than what is left; after that also if nothing is known of its route, and a call that may not be repeated needs twice its usual time.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -20,8 +20,8 @@
 // Run implements [platform.Runner].
 func (c callerRunner) Run(ctx context.Context, r *core.Request, a *platform.AnswerWriter) error {
 	err := c.edge.relay.Run(ctx, r, a)
-	if err == nil && r.Opaque.Route.Generates {
-		c.edge.durations.Observe(r.Opaque.Service, c.edge.Clock.Now()-r.Arrived)
+	if err == nil {
+		c.edge.durations.Observe(durationKind(r.Opaque), c.edge.Clock.Now()-r.Arrived)
 	}
 	return err
 }
@@ -57,7 +57,7 @@
 	if r.Deadline <= r.Arrived {
 		return codes.New(codes.DeadlinePast, "request %s", o.ID)
 	}
-	return e.checkFinishes(o)
+	return e.checkFinishes(r)
 }
 
 // defaultTimeout applies to routes that set no timeout.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -50,8 +50,9 @@
 	startedAt clock.Millis
 	// leaving is set once the entry has begun to stop.
 	leaving atomic.Bool
-	// stopBy is the instant at which a stop ends; it is set before leaving.
-	stopBy atomic.Int64
+	// stopBy is the instant at which a stop ends, and lingerUntil that until which
+	// callers may have the address; both are set before leaving.
+	stopBy, lingerUntil atomic.Int64
 	// peerWork is signalled when a peer has sent its work. It wakes wakeQueues.
 	peerWork notify.Signal
 	// applyMu serializes applyPool.
--- a/edge/lost_test.go
+++ b/edge/lost_test.go
@@ -239,3 +239,73 @@
 	running.Wait()
 	r.done <- nil
 }
+
+// TestLateRequestsOfAStopAreAnswered guards against requests that a stopping entry takes
+// late in its grace period, passes on, and cuts at its end. Callers keep connections that
+// they opened before the stop, and use each of them once until the process is gone.
+func TestLateRequestsOfAStopAreAnswered(t *testing.T) {
+	for _, c := range []struct {
+		path string
+		// unused is the number of connections that callers leave unused.
+		unused int
+		took   time.Duration
+	}{
+		{"/once/a", 0, 700 * time.Millisecond}, {"/safe/a", 0, 700 * time.Millisecond}, {"/verse/a", 0, 700 * time.Millisecond},
+		// The entry has answered nothing when the requests come.
+		{"/once/b", 45, 1500 * time.Millisecond}, {"/verse/b", 45, 1500 * time.Millisecond},
+	} {
+		t.Run(c.path, func(t *testing.T) {
+			t.Parallel()
+			path := c.path
+			is := is.New(t)
+			s := newSite(t)
+			s.publish(2, 3000, "")
+			for _, d := range append(s.services, s.decode...) {
+				d.Silence = c.took
+				d.InjectFault(extsim.SilentHead, 1<<20)
+			}
+			r := s.startReady()
+			var conns []*net.TCPConn
+			for range 100 {
+				conns = append(conns, r.dial(t))
+			}
+			r.stop()
+			answers := make([]answer, len(conns))
+			var callers sync.WaitGroup
+			for i, conn := range conns {
+				if i < c.unused {
+					time.Sleep(35 * time.Millisecond)
+					continue
+				}
+				callers.Go(func() {
+					if _, err := io.WriteString(conn, lateRequest(i, path)); err == nil {
+						answers[i] = readAnswer(conn)
+					}
+				})
+				time.Sleep(35 * time.Millisecond)
+			}
+			is.NoErr(<-r.done)
+			r.done <- nil
+			callers.Wait()
+			served := 0
+			for i, got := range answers {
+				ran := s.runs(fmt.Sprint("id-", i))
+				if got.status == http.StatusOK && got.err == nil {
+					served++
+				} else if ran > 0 {
+					is.Equal(fmt.Sprint(i, ": ", got.status, " ", got.err), "an answer") // it was passed on
+				}
+				if got.status == http.StatusServiceUnavailable {
+					is.Equal(ran, 0)
+				}
+			}
+			is.True(c.unused > 0 || served >= 30) // the entry serves while callers may have its address
+		})
+	}
+}
+
+// lateRequest returns a whole request for a path.
+func lateRequest(i int, path string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nLacewinghook-Request-Id: id-%d\r\nLacewinghook-Deadline-Ms: 9000\r\n"+
+		"Lacewinghook-Model: m\r\nLacewinghook-Token-Counts: 3000,2720\r\nLacewinghook-Prefix-Hash: 5c1e07a2:200,91bd3f06:2800\r\nContent-Length: 1\r\n\r\np", path, i)
+}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -23,6 +23,7 @@
 	linger := min(addressCacheFactor*e.Settings.Fleet.Keep+lookupTime, grace/2)
 	end := begun + grace - min(killMargin, grace/10)
 	e.stopBy.Store(int64(end))
+	e.lingerUntil.Store(int64(begun + linger))
 	e.leaving.Store(true)
 	e.gossip.Trigger()
 	e.Log.Info("edge: leaving", zap.Int64("linger", int64(linger)), zap.Int64("grace", int64(grace)))
@@ -74,19 +75,37 @@
 	})
 }
 
-// checkFinishes returns an error for a completion that a stopping entry could not
-// finish.
-func (e *Edge) checkFinishes(o *core.Opaque) error {
-	if !e.leaving.Load() || !o.Route.Generates {
+// checkFinishes returns an error for a request that a stopping entry may not finish: one
+// whose deadline is after the end of the stop and that usually takes longer, or for which
+// that isn't known. While callers may still have the address of the entry, only those are
+// rejected that are known to take too long.
+func (e *Edge) checkFinishes(r *core.Request) error {
+	if !e.leaving.Load() {
 		return nil
 	}
-	left := clock.Millis(e.stopBy.Load()) - e.Clock.Now()
-	if usual := e.durations.Usual(o.Service); usual > left {
-		return codes.New(codes.Leaving, "%d ms are left, completions take up to %d ms", left, usual).WithRetryAfter(leavingRetryAfter)
+	stopBy := clock.Millis(e.stopBy.Load())
+	if r.Deadline <= stopBy {
+		return nil
+	}
+	left := stopBy - e.Clock.Now()
+	usual := e.durations.Usual(durationKind(r.Opaque))
+	late := e.Clock.Now() >= clock.Millis(e.lingerUntil.Load())
+	if late && !r.Opaque.Route.Generates && !r.Opaque.Route.Repeatable {
+		usual *= onceFactor
+	}
+	if late && usual == 0 || usual > left {
+		return codes.New(codes.Leaving, "%d ms are left, the request may take %d ms", left, usual).WithRetryAfter(leavingRetryAfter)
 	}
 	return nil
 }
 
+// onceFactor is the additional margin for a call that may not be repeated: if it is cut,
+// nobody knows whether it ran.
+const onceFactor = 2
+
+// durationKind returns the kind of a request for which durations are estimated.
+func durationKind(o *core.Opaque) string { return o.Service + " " + o.Route.Name }
+
 // Times of a graceful shutdown.
 const (
 	// Some callers cache an address list for up to addressCacheFactor times
