gossip, edge: a newer table of entries is read from a peer that has it

Seen: TestFreshStart of watch, beside load: 137 to 147 readings of the table of entries by 120 entries (bound 132), 3 of 8 runs beside three busy processes. It counts readings, so that load alone doesn't explain it.

Cause: an entry that hears of a newer table asks one peer for it, and reads the store if the answer has none. The peer was the one ahead by the most versions of anything: while replicas join, one with a newer list of replicas, whose table may be as old as the entry's own. Load only makes entries read the table at different times, so that more of them hear of a newer one. A real first start of 300 entries would do so too.

The stand-in of the watch tests, which took any peer with a newer list or table, chooses in the same way.

--- a/edge/state.go
+++ b/edge/state.go
@@ -203,21 +203,14 @@
 	return v, nil
 }
 
-// Snapshot implements [watch.Peers]. It reads the state of the live peer with the
-// newest state: the one that is ahead of have by the most versions.
+// Snapshot implements [watch.Peers]. It reads the state of the live peer that
+// [gossip.Newest] selects.
 func (e *Edge) Snapshot(ctx context.Context, have watch.PeerState, entries bool) (watch.Snapshot, bool) {
-	addr := ""
-	best := int64(0)
-	for _, p := range e.gossip.Live() {
-		h := &p.Heartbeat
-		newer := max(0, h.Manifest-have.Manifest) + max(0, h.Fleet-have.Fleet) + max(0, h.Table-have.Table)
-		if newer > best {
-			best, addr = newer, p.Peer
-		}
-	}
-	if addr == "" {
+	newest, ok := gossip.Newest(e.gossip.Live(), have, entries)
+	if !ok {
 		return watch.Snapshot{}, false
 	}
+	addr := newest.Peer
 	v, err := e.peers.Snapshot(ctx, addr, wire.SnapshotRequest{Manifest: have.Manifest, Entries: entries})
 	if err != nil {
 		e.Log.Warn("edge: reading state from a peer failed", zap.String("addr", addr), zap.Error(err))
--- a/watch/turn_test.go
+++ b/watch/turn_test.go
@@ -35,13 +35,17 @@
 // Turn implements [watch.Peers].
 func (m *member) Turn() watch.Turn { return m.turn }
 
-// Snapshot implements [watch.Peers]. It returns the copy of a neighbour with a newer
-// list or table.
+// Snapshot implements [watch.Peers]. It returns the copy of a neighbour with the newest
+// table, or a newer list, as [gossip.Newest] does.
 func (m *member) Snapshot(_ context.Context, have watch.PeerState, entries bool) (watch.Snapshot, bool) {
 	m.mu.Lock()
 	var from *member
+	table := have.Table
 	for n, s := range m.heard {
-		if s.Fleet > have.Fleet || s.Table > have.Table {
+		switch {
+		case entries && s.Table > table:
+			from, table = n, s.Table
+		case (!entries || table == have.Table) && s.Fleet > have.Fleet:
 			from = n
 		}
 	}
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -56,7 +56,8 @@
 type Peers interface {
 	// Snapshot returns the copy of a peer whose versions are above those of have. If
 	// entries is set, it includes the table of entries. It returns false if no live
-	// peer has reported newer state, or if the request fails.
+	// peer has reported newer state, or if the request fails. With entries, a peer
+	// with the newest table is asked if one is newer than that of have.
 	Snapshot(ctx context.Context, have PeerState, entries bool) (Snapshot, bool)
 	// Relayed reports whether entries report to some others only ([Turn]).
 	Relayed() bool
