notice: a replica at whose address another one answers gets nothing for 5 s

Cause: a crashed engine is back under its address with another name. While the list shows the old name, as it does while the store is away, each request may choose it: it answers 421, which is not run, costs a retry and the prompt that was computed for it. That another replica had answered was read, but only ended what the old one had stated.

It now bars the old one at this entry for 5 s, or until the list shows a new run, and peers are told as of a replica that leaves, so that it is their last choice. TestReplacedReplicaIsNotAskedAgain is red before on a completion's route. The model of TestRandomEvents knows the new rule, and is red without it.

--- a/edge/notice_test.go
+++ b/edge/notice_test.go
@@ -411,3 +411,33 @@
 	})
 	is.True(!strings.Contains(r.metricsPage(), `lacewinghook_replicas_leaving_total`))
 }
+
+// TestReplacedReplicaIsNotAskedAgain guards against requests that go again and again to the
+// address of a replica at which another one answers, for as long as the list shows the old
+// one, as while the store is away.
+func TestReplacedReplicaIsNotAskedAgain(t *testing.T) {
+	for _, path := range []string{"/once/a", "/safe/a", "/verse/a"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			replaced := []*extsim.Replica{s.services[0], s.prefill[0], s.decode[0]}
+			for _, old := range replaced {
+				s.store.Remove("servers", old.ID)
+				s.store.Put("servers", old.ID+"0", old.Row("ready"))
+			}
+			entries := []*runningEntry{s.startReady()}
+			entries = append(entries, s.startReady(entries[0]))
+			s.until("both know each other", func() bool { return len(entries[0].addresses()) == 2 && len(entries[1].addresses()) == 2 })
+			for i := range 30 {
+				got := entries[i%2].do(context.Background(), callerRequest{id: fmt.Sprint("id-", i), path: path})
+				is.NoErr(got.err)
+				is.Equal(got.status, http.StatusOK)
+				time.Sleep(20 * time.Millisecond)
+			}
+			for _, old := range replaced {
+				is.True(len(old.RequestHeaders()) <= 2) // at most once from each entry
+			}
+		})
+	}
+}
--- a/notice/doc.go
+++ b/notice/doc.go
@@ -4,7 +4,7 @@
 // What an answer states is evidence of this entry. It outweighs the list of replicas,
 // which may be older. That a replica leaves holds for one run of it: it ends when the
 // list shows a new run under the same name, when another replica answers at the
-// address, or [goneLife] after the list has ceased to show the replica. A pause ends
+// address, which bars the listed one for [replacedLife], or [goneLife] after the list has ceased to show the replica. A pause ends
 // by itself.
 //
 // Entries tell each other which replicas leave ([Word]), so that one that has started
--- a/notice/table.go
+++ b/notice/table.go
@@ -44,6 +44,9 @@
 	// goneLife is how long a replica that isn't listed is remembered: rows that have
 	// expired while the store was unavailable come back.
 	goneLife = 30 * clock.Second
+	// replacedLife is how long a replica gets nothing after another one has answered at
+	// its address, unless the list shows a new run. Then it is tried again.
+	replacedLife = 5 * clock.Second
 )
 
 // run is one run of a replica.
@@ -64,6 +67,9 @@
 	// pausedAt is the instant of the answer that began the pause, and pausedUntil its
 	// end, zero if there is none.
 	pausedAt, pausedUntil clock.Millis
+	// replacedAt is the instant at which another replica has answered at the address,
+	// zero if none has.
+	replacedAt clock.Millis
 	// unreadable is set once an unreadable pause has been logged.
 	unreadable bool
 	// heard is the newest word of another entry; its Source is empty if there is none.
@@ -99,6 +105,9 @@
 		if s.leaving {
 			out = Status{Leaving: true, Barred: now-s.leavingSince >= t.drain(), Source: t.Self, Age: now - s.statedAt}
 		}
+		if s.replaced(now) {
+			out = Status{Leaving: true, Barred: true, Source: t.Self, Age: now - s.replacedAt}
+		}
 		if now < s.pausedUntil {
 			out.Barred, out.PausedUntil = true, s.pausedUntil
 		}
@@ -194,13 +203,16 @@
 	now := t.Clock.Now()
 	if n.Other != "" {
 		t.forget(core.Replica{Upstream: up, Incarnation: r.incarnation}, now)
-		return
 	}
 	if n.Sent < r.since {
 		// The request was sent before the list showed this run, and the answer may
 		// be of the run before.
 		return
 	}
+	if n.Other != "" {
+		t.markReplaced(up, n.Other, r.incarnation, now)
+		return
+	}
 	var old, changed state
 	t.states.Update(up.Name, func(s state, _ bool) (state, bool) {
 		if s.incarnation != r.incarnation {
@@ -221,6 +233,30 @@
 	t.logChanges(up, n, old, changed)
 }
 
+// markReplaced records that another replica answers at the address of this one.
+func (t *Table) markReplaced(up core.Upstream, other string, incarnation int64, now clock.Millis) {
+	t.states.Update(up.Name, func(s state, _ bool) (state, bool) {
+		return state{incarnation: incarnation, replacedAt: now, heard: s.heard}, true
+	})
+	t.Meter.Add("replicas_replaced_total", 1)
+	t.log().Info("notice: another replica answers at the address", zap.String("replica", up.Name), zap.String("addr", up.Addr),
+		zap.String("other", other), zap.Int64("run", incarnation))
+	if t.OnLeaving != nil {
+		t.OnLeaving()
+	}
+}
+
+// replaced reports whether the replica gets nothing because another one has answered at
+// its address.
+func (s *state) replaced(now clock.Millis) bool {
+	return s.replacedAt != 0 && now-s.replacedAt < replacedLife
+}
+
+// retained reports whether anything is known of the replica.
+func (s *state) retained(now clock.Millis) bool {
+	return s.leaving || s.unreadable || s.pausedUntil != 0 || s.replaced(now) || s.heard.retained(now)
+}
+
 // pause begins a pause, or changes the one that has begun. A request that was sent
 // after the pause had begun gets a newer answer, which replaces it. One that was in
 // flight then may only extend it.
@@ -269,7 +305,7 @@
 		if known && now >= s.pausedUntil {
 			s.pausedAt, s.pausedUntil = 0, 0
 		}
-		return s, known && (s.leaving || s.unreadable || s.pausedUntil != 0 || s.heard.retained(now))
+		return s, known && s.retained(now)
 	})
 	switch {
 	case old.pausedUntil == 0:
--- a/notice/table_test.go
+++ b/notice/table_test.go
@@ -38,6 +38,8 @@
 	stated      clock.Millis
 	pausedAt    clock.Millis
 	pausedUntil clock.Millis
+	// replacedUntil is the end of the time in which another replica bars this one.
+	replacedUntil clock.Millis
 	// words holds the instants of the answers that peers told of, by incarnation.
 	words map[int64][]clock.Millis
 }
@@ -45,13 +47,14 @@
 // startRun begins a run.
 func (e *expected) startRun(now clock.Millis, incarnation int64) {
 	e.listed, e.incarnation, e.since = true, incarnation, now
-	e.stated, e.pausedAt, e.pausedUntil = -1, 0, 0
+	e.stated, e.pausedAt, e.pausedUntil, e.replacedUntil = -1, 0, 0, 0
 }
 
 // TestRandomEvents applies random sequences of answers, lists, words of peers, restarts
 // and removals, and checks what applies to each replica after each event: one that has
 // stated that it leaves is barred from the end of the drain time until a new run of it
-// is listed, whatever the list and the peers say; a pause bars until its end; and nothing
+// is listed, whatever the list and the peers say; a pause bars until its end, another
+// replica at the address for 5 s or until a new run is listed; and nothing
 // else bars a replica, nor makes it one that leaves.
 func TestRandomEvents(t *testing.T) {
 	for seed := range uint64(400) {
@@ -144,6 +147,7 @@
 				event = "another replica answers"
 				if e.listed {
 					e.stated, e.pausedAt, e.pausedUntil = -1, 0, 0
+					e.replacedUntil = now + 5*clock.Second
 					table.OnNotice(up(name), core.ReplicaNotice{Sent: now, Other: "x"})
 				}
 			case 8:
@@ -162,9 +166,10 @@
 					continue // it can't be chosen
 				}
 				got := table.Status(name)
-				leaves := e.stated >= 0
+				replaced := now < e.replacedUntil
+				leaves := e.stated >= 0 || replaced
 				paused := now < e.pausedUntil
-				barred := paused || leaves && now-e.stated >= drain
+				barred := paused || replaced || leaves && now-e.stated >= drain
 				heard, never := false, true
 				for run, times := range e.words {
 					for _, at := range times {
--- a/notice/words.go
+++ b/notice/words.go
@@ -9,7 +9,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 )
 
-// Word is what one entry tells others of a replica that leaves.
+// Word is what one entry tells others of a replica that leaves or was replaced.
 type Word struct {
 	Replica string `json:"r"`
 	// Incarnation is the run of the replica.
@@ -54,6 +54,8 @@
 	var words []Word
 	t.states.Each(func(name string, s state) bool {
 		switch {
+		case s.replaced(now):
+			words = append(words, Word{Replica: name, Incarnation: s.incarnation, Source: t.Self, Age: now - s.replacedAt})
 		case s.leaving && now-s.statedAt < wordLife:
 			words = append(words, Word{Replica: name, Incarnation: s.incarnation, Source: t.Self, Age: now - s.statedAt})
 		case forward && s.heard.valid(now):
@@ -103,6 +105,6 @@
 // dropExpired drops the replicas of which nothing is known any more.
 func (t *Table) dropExpired(now clock.Millis) {
 	t.states.Each(func(_ string, s state) bool {
-		return s.leaving || s.unreadable || s.pausedUntil != 0 || s.heard.retained(now)
+		return s.retained(now)
 	})
 }
