edge, taint: operators see the suspected parts and their evidence

GET /quarantine on the metrics listener gives, for each part, whether it is quarantined, for how long, how often it was cleared, and the crashes with their entries, requests, rounds and the other parts of the prompts. TestQuarantineOutlastsEntries reads it at a restarted entry.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"runtime"
@@ -231,7 +232,7 @@
 			wire.MethodPlace:    wire.OnPlace(e.placer.Serve),
 			wire.MethodWork:     wire.OnWork(e.placer.HandleReport),
 		}, Blocking: []wire.Method{wire.MethodPlace}}}},
-		{s.Fleet.Metrics, server{http: e.server(http.HandlerFunc(e.metrics))}},
+		{s.Fleet.Metrics, server{http: e.server(e.operatorPages())}},
 	}
 	var all []*server
 	for i := range handlers {
@@ -279,5 +280,18 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(), ErrorLog: errs}
 }
 
+// operatorPages serves what operators may read.
+func (e *Edge) operatorPages() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", e.metrics)
+	mux.HandleFunc("GET /quarantine", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(e.tainted.View()); err != nil {
+			e.Log.Info("edge: writing the page of quarantined parts failed", zap.Error(err))
+		}
+	})
+	return mux
+}
+
 // metrics writes the metrics page.
 func (e *Edge) metrics(w http.ResponseWriter, _ *http.Request) { e.meter.Write(w) }
--- a/edge/tainted_test.go
+++ b/edge/tainted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync/atomic"
@@ -10,7 +11,9 @@
 
 	"github.com/matryer/is"
 
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/extsim"
+	"lacewinghook.example/lacewinghook/taint"
 )
 
 // The bounds of the platform for requests with a part that crashes replicas: at most
@@ -162,6 +165,13 @@
 	third := s.startReady(entries[0])
 	s.until("the peer has told of the quarantine", func() bool { return third.quarantines() == 1 })
 	is.Equal(s.ask(third, "/verse/a", "77:50,bad:1000").body, "part_quarantined\n")
+	resp, err := third.client.Get("http://" + third.settings.Fleet.Metrics + "/quarantine")
+	is.NoErr(err)
+	defer resp.Body.Close()
+	var views []taint.View
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&views))
+	is.Equal(views[0].Part, "bad")
+	is.True(views[0].Quarantined && len(views[0].Crashes) >= 3 && views[0].Left > 50*clock.Minute)
 
 	s.store.SetMode(extsim.Up)
 	for _, r := range []*runningEntry{entries[0], third} {
