relay: only whole events count as progress of a stream

Report of an operator: stalled streams that sent a byte now and then never ended. It could happen here up to the deadline: the watchdog of a resumable stream was reset by any bytes, also by a part of an event and by comments. It is now reset by whole events only, so that such a stream goes on elsewhere after the silence that any stream is allowed; events whose bytes come slowly within it keep their engine. For the quarantine of parts only whole events prove an engine sound; parts of them counted as events, too.

--- a/relay/events.go
+++ b/relay/events.go
@@ -12,7 +12,7 @@
 )
 
 // eventBuffer forwards only complete events and records the last event ID, so
-// that a stream can resume at another engine. onUnordered is required.
+// that a stream can resume at another engine. onUnordered and onEvent are required.
 type eventBuffer struct {
 	// lastID is the ID of the last event that the caller has; empty if it has
 	// none.
@@ -29,8 +29,9 @@
 	// after that of the event before it. Such a stream can't resume, since
 	// missing and repeated events would not be noticed.
 	unordered bool
-	// onUnordered is called when unordered is set.
-	onUnordered func()
+	// onUnordered is called when unordered is set, and onEvent for each whole event:
+	// an engine that sends less may have stalled.
+	onUnordered, onEvent func()
 }
 
 // maxEventBytes bounds the size of one event.
@@ -115,6 +116,7 @@
 		return errWrongEvent
 	}
 	b.events++
+	b.onEvent()
 	if !ordered && !b.unordered {
 		b.unordered = true
 		b.onUnordered()
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -37,9 +37,11 @@
 	// decodeWork is the work counted at the decode engine until release is
 	// called.
 	decodeWork pool.Work
-	// events counts the events that the engine has sent. reservedTokens is the
-	// answer length that decodeWork accounts for.
+	// events counts the events that the engine has sent, a part of one as well, and
+	// wholeEvents the ends of events. reservedTokens is the answer length that
+	// decodeWork accounts for.
 	events         int
+	wholeEvents    int
 	reservedTokens int
 }
 
@@ -326,7 +328,7 @@
 		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errUpstreamIdle, err), "%s", a.decode.Name)
 	}
 	if !x.callerGone && ctx.Err() == nil {
-		x.recordFailure(ctx, sentRequest{up: a.decode, at: start, mark: mark, answered: a.events >= provenEvents}, err)
+		x.recordFailure(ctx, sentRequest{up: a.decode, at: start, mark: mark, answered: a.proven()}, err)
 	} else {
 		x.possibleRuns++
 	}
@@ -414,11 +416,10 @@
 		}
 	}
 	onPart := func(p []byte) {
-		wd.dataReceived(x.relay.maxSilence())
 		x.recordPart()
 		first := a.events == 0
 		a.countEvents(p)
-		if a.events >= provenEvents && x.relay.Quarantine != nil {
+		if a.proven() && x.relay.Quarantine != nil {
 			x.relay.Quarantine.ReportAnswered(x.request)
 		}
 		if !first {
@@ -435,6 +436,7 @@
 	if x.opaque.Route.Resumable || answer.UntilClose && contentType(answer.Reply) == eventStream {
 		// A stream that can't continue elsewhere isn't given up for its silence.
 		buf.onUnordered = func() { wd.stop(false) }
+		buf.onEvent = func() { wd.dataReceived(x.relay.maxSilence()) }
 		return buf.streamEvents(x, a.decode, answer, onPart)
 	}
 	return x.streamBody(a.decode, answer.Body, onPart)
@@ -444,6 +446,9 @@
 // one that crashes it may get the first ones out.
 const provenEvents = 3
 
+// proven reports whether the engine has shown that it can answer the request.
+func (a *attempt) proven() bool { return a.wholeEvents >= provenEvents }
+
 // eventEnds are the ends of an event whose lines end with LF or CRLF.
 var eventEnds = [...][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 
@@ -455,6 +460,7 @@
 		n += bytes.Count(p, end)
 	}
 	a.events += max(1, n)
+	a.wholeEvents += n
 	over := a.events*a.exchange.engineSpec().EventTokens - a.reservedTokens
 	if over <= 0 {
 		return
