watch: entries that can't read for the others don't look like an outage of the store

The others read after 3.0 s without news of a reading (1 s and maxRelayedDelay of 2 s); a gap of 2.8 s (minOutage and 1 s) counts as an outage of the store, after which missing replicas are kept for 2.3 s, since their rows come back. So each such gap kept replicas whose rows had been removed: edge-moose-jaw-25 read the list without i-ec3f529627 at 7.14 s, and kept it. The two constants contradicted each other for a drain time of 4 s and more.

maxRelayedDelay is 1.5 s, so that others read within 2.8 s at 290 entries. TestSilentReadersAreNoOutage is red before for 4 s and 8 s (the removal isn't known after 10 s) and passes, TestTurnDelay holds the relation.

--- a/watch/turn.go
+++ b/watch/turn.go
@@ -24,11 +24,12 @@
 	minDrain           clock.Millis = 2000
 	// With relayed reads, maxReaders entries read in turns of relayedTurn. The others
 	// read only if none of these has been heard of until relayedMargin before the
-	// end of Drain, in which they read and tell.
+	// end of Drain, in which they read and tell. maxRelayedDelay is below minOutage:
+	// readers that are cut off from the store must not look like an outage of it.
 	maxReaders                   = 3
 	relayedTurn     clock.Millis = 400
 	relayedMargin   clock.Millis = 1000
-	maxRelayedDelay clock.Millis = 2000
+	maxRelayedDelay clock.Millis = 1500
 	// hopDelay is added to the age of a relayed read for the time of the message. It
 	// exceeds the usual one, so that a read doesn't look more recent with each hop.
 	hopDelay clock.Millis = 100
--- a/watch/turn_test.go
+++ b/watch/turn_test.go
@@ -173,6 +173,41 @@
 	is.True(second <= drain-500)
 }
 
+// TestSilentReadersAreNoOutage guards against a replica that is kept although its row was
+// removed: the entries that read the list for all are cut off from the store, and the gap
+// until others read looked like an outage of the store, after which missing replicas are
+// kept since their rows come back.
+func TestSilentReadersAreNoOutage(t *testing.T) {
+	for _, drain := range []clock.Millis{2000, 3000, 4000, 8000} {
+		t.Run(fmt.Sprint(drain), func(t *testing.T) {
+			t.Parallel()
+			s := newSource()
+			s.fleet = fleet(1, "a", "b", "c")
+			all := startMembers(t, s, 60, drain)
+			have := func(names string) func() bool {
+				return func() bool {
+					for _, m := range all[3:] {
+						if m.got.names() != names {
+							return false
+						}
+					}
+					return true
+				}
+			}
+			c := clock.Clock{}
+			until(t, "the first list", have("abc"))
+			_ = c.Sleep(t.Context(), 2000)
+			for _, m := range all[:3] {
+				m.stop()
+			}
+			at := c.Now()
+			s.edit(func() { s.fleet = fleet(2, "b", "c") })
+			until(t, "the removal", have("bc"))
+			is.New(t).True(c.Now()-at <= max(drain, 4000)-500)
+		})
+	}
+}
+
 // TestFreshStart starts 120 entries together, and has replicas join meanwhile. It
 // counts the calls of the store until all have the list: each registers and reads the
 // table of entries and the manifest, and few read the list.
@@ -223,5 +258,7 @@
 		is.True(relayed(3) < relayed(300))
 		// A read takes some milliseconds, and a change is passed on at once.
 		is.True(1000+relayed(100) < max(drain, 2000))
+		// A gap of 2.8 s looks like an outage of the store.
+		is.True(1000+relayed(290) < 2800)
 	}
 }
