lacectl, notice, client: what an entry on the users' platform knows of parts and replicas

Both read the metrics listener of an entry, which has the pages /quarantine and /replicas and needs no token.

--- a/client/client.go
+++ b/client/client.go
@@ -64,7 +64,9 @@
 	if header != nil {
 		req.Header = header
 	}
-	req.Header.Set("Authorization", "Bearer "+c.Token)
+	if c.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Token)
+	}
 	resp, err := c.client().Do(req)
 	if err != nil {
 		return err
--- a/cmd/lacectl/command.go
+++ b/cmd/lacectl/command.go
@@ -26,6 +26,8 @@
 	call  *args.Call
 	flags *flag.FlagSet
 
+	// open is set if the listener needs no token.
+	open      bool
 	tokenFile string
 	ca        string
 	printJSON bool
@@ -97,15 +99,17 @@
 	if status, ok := c.call.Parse(c.flags, n); !ok {
 		return status, false
 	}
-	if c.tokenFile == "" {
+	if c.tokenFile == "" && !c.open {
 		return c.call.UsageError("flag -token-file: missing"), false
 	}
 	if c.timeout <= 0 {
 		return c.call.UsageError("flag -timeout: want more than zero"), false
 	}
 	var err error
-	if c.Token, err = client.ReadToken(c.tokenFile); err != nil {
-		return c.call.UsageError("flag -token-file: %v", err), false
+	if c.tokenFile != "" {
+		if c.Token, err = client.ReadToken(c.tokenFile); err != nil {
+			return c.call.UsageError("flag -token-file: %v", err), false
+		}
 	}
 	c.HTTP = &http.Client{}
 	if c.ca != "" {
--- a/cmd/lacectl/main.go
+++ b/cmd/lacectl/main.go
@@ -9,6 +9,7 @@
 //	lacectl promises
 //	lacectl orders list|settle
 //	lacectl quarantine list|lift
+//	lacectl fleet parts|replicas
 //
 // Exit codes: 0 for success, 1 for a failure, 2 for an invalid command line, 3
 // for a conflict with another operator's change, 4 if the outcome is unknown or
@@ -31,7 +32,9 @@
 }
 
 // notes is the end of the help text.
-const notes = `Every command takes -admin URL, -token-file F, -ca F, -json and -timeout.
+const notes = `Every command takes -admin URL, -token-file F, -ca F, -json and -timeout. The
+commands of fleet ask the metrics listener of an entry on the users' platform
+(-metrics URL), which needs no token.
 
 Exit codes:
   0  success
@@ -56,6 +59,7 @@
 			statusCommands,
 			orderCommands,
 			quarantineCommands,
+			fleetCommands,
 		),
 	}
 	return p.Run(ctx, os.Args[1:])
--- a/cmd/lacectl/script_test.go
+++ b/cmd/lacectl/script_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"testing"
@@ -12,9 +13,12 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"lacewinghook.example/lacewinghook/client"
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/fake"
+	"lacewinghook.example/lacewinghook/notice"
 	"lacewinghook.example/lacewinghook/pubdoc"
+	"lacewinghook.example/lacewinghook/taint"
 	"lacewinghook.example/lacewinghook/trial"
 )
 
@@ -92,6 +96,32 @@
 	}
 }
 
+// servePages serves what an entry on the users' platform shows operators, and sets PAGES to
+// its URL.
+func servePages(ts *testscript.TestScript, _ bool, _ []string) {
+	mux := http.NewServeMux()
+	for path, page := range map[string]any{
+		"/quarantine": []taint.View{
+			{Part: "bad", Quarantined: true, Left: 58 * clock.Minute, Crashes: []taint.CrashView{
+				{Upstream: "g-1", Entry: "edge-1", Request: "7", Round: 3, With: []string{"40", "57"}, Age: clock.Second},
+			}},
+			{Part: "40", Left: clock.Minute, Cleared: 1},
+		},
+		"/replicas": []notice.View{
+			{Replica: "g-1", Barred: true, Leaving: true, Source: "edge-2", Age: 2 * clock.Second},
+			{Replica: "g-2", Barred: true, PauseLeft: 300},
+			{Replica: "g-3", Leaving: true, Source: "edge-1", Age: clock.Second},
+		},
+	} {
+		data, err := json.Marshal(page)
+		ts.Check(err)
+		mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(data) })
+	}
+	server := httptest.NewServer(mux)
+	ts.Defer(server.Close)
+	ts.Setenv("PAGES", server.URL)
+}
+
 // TestScripts runs each script against its own trial set.
 func TestScripts(t *testing.T) {
 	cmds := map[string]func(*testscript.TestScript, bool, []string){
@@ -99,6 +129,7 @@
 		"lose-answer": loseAnswer,
 
 		"await-violation": awaitViolation,
+		"serve-pages":     servePages,
 		"quarantine":      quarantineRequest,
 	}
 	testscript.Run(t, testscript.Params{Dir: "testdata", Cmds: cmds, Setup: func(env *testscript.Env) error {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -284,14 +284,18 @@
 func (e *Edge) operatorPages() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", e.metrics)
-	mux.HandleFunc("GET /quarantine", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(e.tainted.View()); err != nil {
-			e.Log.Info("edge: writing the page of quarantined parts failed", zap.Error(err))
-		}
-	})
+	mux.HandleFunc("GET /quarantine", func(w http.ResponseWriter, _ *http.Request) { e.writePage(w, e.tainted.View()) })
+	mux.HandleFunc("GET /replicas", func(w http.ResponseWriter, _ *http.Request) { e.writePage(w, e.notices.View()) })
 	return mux
 }
 
+// writePage writes v in JSON.
+func (e *Edge) writePage(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		e.Log.Info("edge: writing a page for operators failed", zap.Error(err))
+	}
+}
+
 // metrics writes the metrics page.
 func (e *Edge) metrics(w http.ResponseWriter, _ *http.Request) { e.meter.Write(w) }
--- a/edge/notice_test.go
+++ b/edge/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -17,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/extsim"
+	"lacewinghook.example/lacewinghook/notice"
 )
 
 // drainTime is how long after a forwarded answer that states that its replica leaves
@@ -438,6 +440,20 @@
 			for _, old := range replaced {
 				is.True(len(old.RequestHeaders()) <= 2) // at most once from each entry
 			}
+			barred := 0
+			for _, r := range entries {
+				resp, err := r.client.Get("http://" + r.settings.Fleet.Metrics + "/replicas")
+				is.NoErr(err)
+				var views []notice.View
+				is.NoErr(json.NewDecoder(resp.Body).Decode(&views))
+				is.NoErr(resp.Body.Close())
+				for _, v := range views {
+					if v.Barred && strings.HasSuffix(v.Replica, "-00") {
+						barred++
+					}
+				}
+			}
+			is.True(barred > 0)
 		})
 	}
 }
