notice, edge, platform: entries tell each other whose address refuses connections

Cause: each entry found out by itself that an engine is gone, and again each time its own exclusion ended: the cost of a crash grows with the number of entries.

A refused connection proves that no process listens. It now makes the replica the last choice of all entries for 1.5 s, by a list of its own in heartbeats; it bars nothing, so that a wrong word does little harm.

--- a/core/routing.go
+++ b/core/routing.go
@@ -156,4 +156,7 @@
 	Unreadable string
 	// Other names the replica that answered, if it wasn't the one that was asked.
 	Other string
+	// Refused means that there was no answer: the address refuses connections, so that
+	// no process listens there.
+	Refused bool
 }
--- a/edge/notice_test.go
+++ b/edge/notice_test.go
@@ -457,3 +457,33 @@
 		})
 	}
 }
+
+// TestCrashIsFoundOutOnce guards against a crashed replica whose refusal to connect each
+// entry, and request by request, finds out by itself, each time at the cost of a retry.
+func TestCrashIsFoundOutOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	for i := range 2 {
+		s.decode = append(s.decode, s.replica(fmt.Sprintf("g-%d", i+2), "verse", "decode"))
+	}
+	entries := []*runningEntry{s.startReady()}
+	for len(entries) < 6 {
+		entries = append(entries, s.startReady(entries[0]))
+	}
+	s.until("all entries know each other", func() bool {
+		return !slices.ContainsFunc(entries, func(r *runningEntry) bool { return len(r.addresses()) != len(entries) })
+	})
+	s.decode[0].Stop()
+	for i := range 60 {
+		got := entries[i%len(entries)].do(context.Background(), callerRequest{id: fmt.Sprint("id-", i), path: "/verse/a"})
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+		time.Sleep(15 * time.Millisecond)
+	}
+	refused := 0
+	for _, r := range entries {
+		refused += r.logs.FilterMessage("relay: an upstream failed the request").Len()
+	}
+	is.True(refused <= 2) // of 60 requests at 6 entries, in less than the time for which one refusal counts
+}
--- a/edge/state.go
+++ b/edge/state.go
@@ -114,7 +114,7 @@
 	if int64(e.Clock.Now()) < e.tellTainted.Load() {
 		h.Tainted = e.tainted.Suspects()
 	}
-	h.Leaving = e.notices.Words(e.gossip.Sparse())
+	h.Leaving, h.Refused = e.notices.Words(e.gossip.Sparse()), e.notices.Refused(e.gossip.Sparse())
 	if e.gossip.Sparse() {
 		// Only the owners of the engines need the work ([alloc.Client]).
 		h.Suspects = e.quarantine.Forwarded()
@@ -133,6 +133,7 @@
 	news := e.quarantine.Merge(heartbeat.Suspects)
 	e.mergeTainted(heartbeat)
 	news = e.notices.HandleWords(heartbeat.Leaving) || news
+	news = e.notices.HandleRefused(heartbeat.Refused) || news
 	switch {
 	case !e.gossip.Sparse():
 		e.onWork()
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -42,6 +42,8 @@
 	TaintSum uint64          `json:"taint_sum,omitempty"`
 	// Leaving lists the replicas that have stated that they leave.
 	Leaving []notice.Word `json:"leaving,omitempty"`
+	// Refused lists the replicas whose addresses have just refused a connection.
+	Refused []notice.Word `json:"refused,omitempty"`
 }
 
 // Load is the in-flight work of one entry at one upstream.
--- a/notice/doc.go
+++ b/notice/doc.go
@@ -7,6 +7,10 @@
 // address, which bars the listed one for [replacedLife], or [goneLife] after the list has ceased to show the replica. A pause ends
 // by itself.
 //
+// An address that refuses connections makes its replica the last choice for
+// [refusedLife], at all entries: they tell each other ([Table.Refused]), so that not each
+// of them has to find out.
+//
 // Entries tell each other which replicas leave ([Word]), so that one that has started
 // knows it too. A word excludes a replica only while there are others, and for at most
 // [wordLife]. Pauses aren't told: a replica wants them of one entry.
--- a/notice/table.go
+++ b/notice/table.go
@@ -74,6 +74,8 @@
 	unreadable bool
 	// heard is the newest word of another entry; its Source is empty if there is none.
 	heard heard
+	// refused is the newest refused connection, of this entry or another one.
+	refused heard
 }
 
 // Status is what applies to a replica now.
@@ -115,6 +117,9 @@
 	if h := &s.heard; !out.Leaving && h.valid(now) && (!known || r.incarnation == h.incarnation) {
 		out.Leaving, out.Source, out.Age = true, h.source, now-h.at
 	}
+	if h := &s.refused; !out.Leaving && s.isRefused(now) && (!known || r.incarnation == h.incarnation) {
+		out.Leaving, out.Source, out.Age = true, h.source, now-h.at
+	}
 	return out
 }
 
@@ -201,6 +206,10 @@
 		return
 	}
 	now := t.Clock.Now()
+	if n.Refused {
+		t.onRefused(up, r.incarnation)
+		return
+	}
 	if n.Other != "" {
 		t.forget(core.Replica{Upstream: up, Incarnation: r.incarnation}, now)
 	}
@@ -216,7 +225,7 @@
 	var old, changed state
 	t.states.Update(up.Name, func(s state, _ bool) (state, bool) {
 		if s.incarnation != r.incarnation {
-			s = state{incarnation: r.incarnation, heard: s.heard}
+			s = state{incarnation: r.incarnation, heard: s.heard, refused: s.refused}
 		}
 		old = s
 		if n.Leaving {
@@ -254,7 +263,7 @@
 
 // retained reports whether anything is known of the replica.
 func (s *state) retained(now clock.Millis) bool {
-	return s.leaving || s.unreadable || s.pausedUntil != 0 || s.replaced(now) || s.heard.retained(now)
+	return s.leaving || s.unreadable || s.pausedUntil != 0 || s.replaced(now) || s.isRefused(now) || s.heard.retained(now)
 }
 
 // pause begins a pause, or changes the one that has begun. A request that was sent
--- a/notice/table_test.go
+++ b/notice/table_test.go
@@ -284,3 +284,51 @@
 	}
 	is.True(ring[0].Status("d-0").Barred)
 }
+
+// TestRefusedConnectionsAreTold checks that a refused connection makes a replica the last
+// choice at all entries, never bars it, and ends by itself although they keep telling each
+// other, or with a new run.
+func TestRefusedConnectionsAreTold(t *testing.T) {
+	is := is.New(t)
+	m := &clock.Manual{}
+	m.Advance(clock.Minute)
+	told := 0
+	var all []*notice.Table
+	for i := range 3 {
+		table := &notice.Table{Self: fmt.Sprint("edge-", i), Clock: clock.Clock{Manual: m}, OnLeaving: func() { told++ }}
+		table.Apply(listed("d-0", 1))
+		all = append(all, table)
+	}
+	pass := func() (news bool) {
+		for i := range all[1:] {
+			news = all[i+1].HandleRefused(all[i].Refused(true)) || news
+			news = all[i].HandleRefused(all[i+1].Refused(true)) || news
+		}
+		return news
+	}
+	for range 5 {
+		all[0].OnNotice(up("d-0"), core.ReplicaNotice{Sent: m.Now(), Refused: true})
+	}
+	is.Equal(told, 1)
+	is.True(pass())
+	is.True(!pass())
+	is.Equal(len(all[1].Refused(false)), 0) // where all tell all, only its own
+	for _, table := range all {
+		s := table.Status("d-0")
+		is.True(s.Leaving && !s.Barred)
+		is.Equal(s.Source, "edge-0")
+	}
+	all[2].Apply(listed("d-0", 2))
+	is.Equal(all[2].Status("d-0"), notice.Status{})
+	for range 15 {
+		m.Advance(100)
+		pass()
+	}
+	for _, table := range all {
+		is.Equal(table.Status("d-0"), notice.Status{})
+		is.Equal(len(table.Refused(true)), 0)
+	}
+	is.True(!all[1].HandleRefused([]notice.Word{{Replica: "d-0", Source: "x", Age: 2000}, {Replica: "d-0"}}))
+	all[1].Apply(listed("d-0", 1))
+	is.Equal(len(all[1].Names()), 0)
+}
