relay: a whole answer clears the parts of its prompt, however short

A request that is answered with one or two events, or without events, left its parts suspects: an engine's crash would count against them although they are served. TestShortAnswerClearsItsParts is red before for both, and holds that a failure clears nothing.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -164,6 +164,13 @@
 	return x.relay.Quarantine.Check(x.request)
 }
 
+// reportAnswered tells the quarantine that the request doesn't crash its upstream.
+func (x *exchange) reportAnswered() {
+	if x.relay.Quarantine != nil {
+		x.relay.Quarantine.ReportAnswered(x.request)
+	}
+}
+
 // quarantineMark returns what is known of crashes before a send.
 func (x *exchange) quarantineMark() uint64 {
 	if x.relay.Quarantine == nil {
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -322,6 +322,9 @@
 	wd.stop(err != nil && ctx.Err() == nil && !x.callerGone)
 	if err == nil {
 		x.possibleRuns++
+		if a.events > 0 {
+			x.reportAnswered()
+		}
 		return nil
 	}
 	if errors.Is(context.Cause(call), errUpstreamIdle) && ctx.Err() == nil {
@@ -419,8 +422,8 @@
 		x.recordPart()
 		first := a.events == 0
 		a.countEvents(p)
-		if a.proven() && x.relay.Quarantine != nil {
-			x.relay.Quarantine.ReportAnswered(x.request)
+		if a.proven() {
+			x.reportAnswered()
 		}
 		if !first {
 			return
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -89,6 +89,29 @@
 	}
 }
 
+// TestShortAnswerClearsItsParts guards against parts that stay suspects although requests
+// with them are answered, since their whole answers are short.
+func TestShortAnswerClearsItsParts(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer relay.Answer
+		clears bool
+	}{
+		"one event": {okAnswer("data: x\n\n"), true},
+		"no events": {okAnswer(`{"text":"x"}`), true},
+		"a failure": {relay.Answer{Reply: core.Reply{Status: 500, Length: 6}, Body: io.NopCloser(strings.NewReader("failed"))}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u, q := &upstreams{}, &quarantine{}
+			r, _ := newRelay(u, &budget{retriesLeft: 99})
+			r.Quarantine = q
+			u.send = func(core.Upstream, relay.SendRequest) (relay.Answer, error) { return c.answer, nil }
+			is.NoErr(r.Run(context.Background(), request(r, core.HostRoute{}), &sink{}))
+			is.Equal(q.answered > 0, c.clears)
+		})
+	}
+}
+
 // TestFirstEventsDoNotProveAnEngineSound checks that only an answer that has got on clears
 // the parts of its prompt: a request that crashes its engine may get an event out first.
 func TestFirstEventsDoNotProveAnEngineSound(t *testing.T) {
