--- a/taint/taint_test.go
+++ b/taint/taint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -352,3 +353,28 @@
 		})
 	}
 }
+
+// FuzzMerge merges what a peer may send, and checks that the table stays within its bounds
+// and can be told to others.
+func FuzzMerge(f *testing.F) {
+	f.Add([]byte(`[{"part":1,"crashes":[{"upstream":"g","entry":"e","request":1,"round":3,"with":[2],"age":5}]}]`))
+	f.Add([]byte(`[{"part":1,"epoch":4294967295,"age":1},{"part":1,"epoch":0}]`))
+	f.Add([]byte(`[{"part":18446744073709551615,"crashes":[{"round":1,"age":9223372036854775807}]}]`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var list []taint.Suspect
+		if json.Unmarshal(data, &list) != nil {
+			return
+		}
+		is := is.New(t)
+		fl := newFleet(2)
+		fl.entries[0].Merge(list)
+		for _, s := range fl.entries[0].Suspects() {
+			is.True(len(s.Crashes) <= 8)
+			fl.rejects(0, s.Part, 1, 2)
+		}
+		fl.entries[1].Merge(fl.entries[0].Suspects())
+		fl.entries[0].Merge(fl.entries[1].Suspects())
+		is.Equal(fl.entries[0].Sum(), fl.entries[1].Sum())
+		is.Equal(len(fl.entries[0].View()), len(fl.entries[1].View()))
+	})
+}
