notice, edge: words of refused connections end

Cause: a word lived until its age was over, and the time on the way didn't count. So it reached entries at which it had just ended, was news there, and was passed on at once to ten neighbours, the more often the later messages were handled. Where incarnations differ between lists, two words could replace each other in turns.

A refused connection is remembered for 10 s, and another one is news only if it is 1 s younger. Words of others are passed on with the next heartbeat only.

--- a/edge/state.go
+++ b/edge/state.go
@@ -133,7 +133,9 @@
 	news := e.quarantine.Merge(heartbeat.Suspects)
 	e.mergeTainted(heartbeat)
 	news = e.notices.HandleWords(heartbeat.Leaving) || news
-	news = e.notices.HandleRefused(heartbeat.Refused) || news
+	// These words are short-lived, and a crash is found by many entries at once, so that
+	// they are passed on only with the next heartbeat.
+	e.notices.HandleRefused(heartbeat.Refused)
 	switch {
 	case !e.gossip.Sparse():
 		e.onWork()
--- a/notice/refused.go
+++ b/notice/refused.go
@@ -15,6 +15,14 @@
 // that a wrong word does little harm.
 const refusedLife = 1500 * clock.Millis(1)
 
+// refusedStep is the least difference in time by which a refused connection is another one
+// than that which is known, and refusedMemory how long one is remembered for that. Words
+// that are late, or that entries tell each other again, aren't news then.
+const (
+	refusedStep   = 1 * clock.Second
+	refusedMemory = 10 * clock.Second
+)
+
 // isRefused reports whether the replica's address has lately refused a connection to this
 // entry or another one.
 func (s *state) isRefused(now clock.Millis) bool {
@@ -24,10 +32,8 @@
 // markRefused records that the address has refused a connection of the entry that h names.
 // It reports whether that wasn't known.
 func (t *Table) markRefused(name string, h heard) (fresh bool) {
-	now := t.Clock.Now()
 	t.states.Update(name, func(s state, _ bool) (state, bool) {
-		fresh = !s.isRefused(now)
-		if fresh || h.at > s.refused.at {
+		if fresh = s.refused.source == "" || h.at >= s.refused.at+refusedStep; fresh {
 			s.refused = h
 		}
 		return s, true
--- a/notice/table.go
+++ b/notice/table.go
@@ -263,7 +263,7 @@
 
 // retained reports whether anything is known of the replica.
 func (s *state) retained(now clock.Millis) bool {
-	return s.leaving || s.unreadable || s.pausedUntil != 0 || s.replaced(now) || s.isRefused(now) || s.heard.retained(now)
+	return s.leaving || s.unreadable || s.pausedUntil != 0 || s.replaced(now) || s.refused.source != "" && now-s.refused.at < refusedMemory || s.heard.retained(now)
 }
 
 // pause begins a pause, or changes the one that has begun. A request that was sent
--- a/notice/table_test.go
+++ b/notice/table_test.go
@@ -329,6 +329,61 @@
 		is.Equal(len(table.Refused(true)), 0)
 	}
 	is.True(!all[1].HandleRefused([]notice.Word{{Replica: "d-0", Source: "x", Age: 2000}, {Replica: "d-0"}}))
-	all[1].Apply(listed("d-0", 1))
+	m.Advance(10 * clock.Second)
+	all[1].HandleRefused(nil)
 	is.Equal(len(all[1].Names()), 0)
 }
+
+// TestRefusedWordsEndWithDelays guards against a storm of messages: words that take some
+// time on their way reached entries at which they had just ended, were taken for news, and
+// were passed on again. Each entry must pass on one refused connection once.
+func TestRefusedWordsEndWithDelays(t *testing.T) {
+	for seed := range uint64(50) {
+		r := rand.New(rand.NewPCG(seed, 31))
+		m := &clock.Manual{}
+		m.Advance(clock.Minute)
+		c := clock.Clock{Manual: m}
+		const n, neighbours = 40, 10
+		var all []*notice.Table
+		for i := range n {
+			table := &notice.Table{Self: fmt.Sprint("edge-", i), Clock: c}
+			table.Apply(listed("d-0", 1))
+			all = append(all, table)
+		}
+		links := make([][]int, n)
+		for i := range links {
+			links[i] = r.Perm(n)[:neighbours]
+		}
+		waves, heartbeats := 0, 0
+		var tell func(i int)
+		tell = func(i int) {
+			words := all[i].Refused(true)
+			for _, to := range links[i] {
+				heartbeats++
+				// Busy entries handle a message late.
+				c.AfterFunc(5+clock.Millis(r.IntN(300)), func() {
+					if all[to].HandleRefused(words) && heartbeats < 50*n*neighbours {
+						waves++
+						tell(to)
+					}
+				})
+			}
+		}
+		all[0].OnNotice(up("d-0"), core.ReplicaNotice{Sent: m.Now(), Refused: true})
+		tell(0)
+		for range 800 {
+			m.Advance(10)
+			if m.Now()%1000 == 0 {
+				for i := range all {
+					tell(i) // the regular heartbeat
+				}
+			}
+		}
+		if waves > n {
+			t.Fatalf("seed %d: one refused connection was passed on %d times by %d entries", seed, waves, n)
+		}
+		for _, table := range all {
+			is.New(t).Equal(table.Status("d-0"), notice.Status{})
+		}
+	}
+}
