notice, taint: one place sorts and bounds words; no shadowed result

Read-through: Words and Refused ended with the same order and bound, which is newestWords now, and Quarantined declared its result left once more. Behaviour is unchanged; tests of notice, taint and alloc pass with the race detector.

--- a/notice/refused.go
+++ b/notice/refused.go
@@ -1,9 +1,6 @@
 package notice
 
 import (
-	"cmp"
-	"slices"
-
 	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/clock"
@@ -63,8 +60,7 @@
 		}
 		return true
 	})
-	slices.SortFunc(words, func(a, b Word) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Replica, b.Replica)) })
-	return words[:min(len(words), maxWords)]
+	return newestWords(words)
 }
 
 // HandleRefused processes the words of a peer of replicas whose addresses refuse
--- a/notice/words.go
+++ b/notice/words.go
@@ -63,6 +63,11 @@
 		}
 		return true
 	})
+	return newestWords(words)
+}
+
+// newestWords sorts words, the newest first, and returns up to maxWords of them.
+func newestWords(words []Word) []Word {
 	slices.SortFunc(words, func(a, b Word) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Replica, b.Replica)) })
 	return words[:min(len(words), maxWords)]
 }
--- a/taint/table.go
+++ b/taint/table.go
@@ -123,8 +123,7 @@
 		if !ok || !r.quarantined {
 			continue
 		}
-		left := r.leftAt(t.Clock.Now())
-		if left > 0 && r.explains(parts, t.cleared) {
+		if left = r.leftAt(t.Clock.Now()); left > 0 && r.explains(parts, t.cleared) {
 			return part, left, true
 		}
 	}
