member, share, entry: a leaving entry still gets the slots it waits for

What callers saw: during a planned stop, a request that waited at the stopping entry for a prefill slot stayed in limit.Queue until its deadline (20 s) while the other entries served a thousand; the stop took as long. In member TestPromise/.../rolling_replacement all callers then ended at the test's 30 s.

Cause: Table.Live() omits entries that leave, and it was used for more than ownership. The owner of an engine looked up the holder's address there, so that an offer to a leaving holder was dropped (its slot then stayed leased to it for 2 s), and reports of engines were forwarded to live entries only, so that nothing woke the queue of the leaving one.

Ruled out: that the other entries take the leases each time because they ask more often. With the fix alone the waiting request is served in turn.

Change: Table.Running() lists live and leaving entries. Offers and reports go to these; owners are still chosen among the live ones.

Tests: the share test skipped tables without any report, since it went over the tables that had some; it now checks each one, and fails for a leaving entry with the old code (0 != 40).

--- a/entry/leases.go
+++ b/entry/leases.go
@@ -108,9 +108,10 @@
 	return o.e.peers.Lease(ctx, addr, req)
 }
 
-// addr returns the peer address of a live entry.
+// addr returns the peer address of a running entry. A leaving one owns no upstreams
+// but holds leases for the requests that it completes.
 func (o leaseOwners) addr(name string) (string, bool) {
-	for _, in := range o.e.members.Live() {
+	for _, in := range o.e.members.Running() {
 		if in.Name == name {
 			return in.Peer, true
 		}
--- a/member/address.go
+++ b/member/address.go
@@ -17,7 +17,12 @@
 // serving reports whether callers may be sent to the entry. An entry with
 // failing heartbeats is excluded before it counts as dead.
 func (t *Table) serving(p Peer) bool {
-	if p.Instance.Addr == "" || p.Failures >= suspectFailures || t.state(p) != core.Live {
+	return t.state(p) == core.Live && t.reachable(p)
+}
+
+// reachable reports whether an entry, which may be leaving, is running and answers.
+func (t *Table) reachable(p Peer) bool {
+	if p.Instance.Addr == "" || p.Failures >= suspectFailures || t.state(p) == core.Dead {
 		return false
 	}
 	recent := p.HeartbeatAt != 0 && t.Clock.Now()-p.HeartbeatAt < DeadAfter
@@ -60,6 +65,19 @@
 	return all
 }
 
+// Running returns the entries of Live and those that are leaving, sorted by name. A
+// leaving entry takes no new work from its peers but still completes its requests.
+func (t *Table) Running() []core.Instance {
+	all := []core.Instance{t.self()}
+	for _, p := range t.Peers() {
+		if t.reachable(p) {
+			all = append(all, p.Instance)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
 // Addresses returns the addresses for callers to use, at most 16. Entries of
 // this data centre come first; dead and leaving ones are omitted. Within a
 // data centre the order is random, and entries with less load are first more
--- a/member/owner_test.go
+++ b/member/owner_test.go
@@ -200,7 +200,8 @@
 }
 
 // TestAddresses checks the order of the addresses by data centre and load, and
-// that leaving, dead and failing entries are omitted.
+// that leaving, dead and failing entries are omitted. Leaving ones still count as
+// running.
 func TestAddresses(t *testing.T) {
 	is := is.New(t)
 	m := &clock.Manual{}
@@ -235,4 +236,13 @@
 	table.RecordFailure("c", m.Now())
 	table.RecordFailure("c", m.Now())
 	is.Equal(table.Addresses(), []string{"a"})
+	var running, live []string
+	for _, in := range table.Running() {
+		running = append(running, in.Name)
+	}
+	for _, in := range table.Live() {
+		live = append(live, in.Name)
+	}
+	is.Equal(running, []string{"a", "b", "d"})
+	is.Equal(live, []string{"a"})
 }
--- a/member/promise_test.go
+++ b/member/promise_test.go
@@ -68,11 +68,14 @@
 		before  []int
 		reached func(*trial.Cluster, int64) bool
 	}{
-		"wait queue":   {before: []int{0, 0}, reached: func(s *trial.Cluster, _ int64) bool { return s.Entries[0].Entry.Waiting() == 1 }},
-		"engine queue": {before: []int{1}, policy: config.PolicyLeast, reached: func(s *trial.Cluster, _ int64) bool { return s.Prefills[0].HeldPieces() == 5 }},
-		"prefill":      {reached: func(s *trial.Cluster, _ int64) bool { return s.Prefills[0].HeldPieces() == 1 }},
-		"transfer":     {ills: fake.Faults{TransferDelay: 400}, reached: func(s *trial.Cluster, _ int64) bool { return s.Prefills[0].Counters.Prefills.Load() == 1 }},
-		"decode":       {reached: func(_ *trial.Cluster, seen int64) bool { return seen > 0 }},
+		"wait queue": {before: []int{0, 0}, reached: func(s *trial.Cluster, _ int64) bool { return s.Entries[0].Entry.Waiting() == 1 }},
+		// Both prefill slots are leased to the other entry, which offers them as
+		// they become free.
+		"wait queue, behind another entry": {before: []int{1, 1}, reached: func(s *trial.Cluster, _ int64) bool { return s.Entries[0].Entry.Waiting() == 1 }},
+		"engine queue":                     {before: []int{1}, policy: config.PolicyLeast, reached: func(s *trial.Cluster, _ int64) bool { return s.Prefills[0].HeldPieces() == 5 }},
+		"prefill":                          {reached: func(s *trial.Cluster, _ int64) bool { return s.Prefills[0].HeldPieces() == 1 }},
+		"transfer":                         {ills: fake.Faults{TransferDelay: 400}, reached: func(s *trial.Cluster, _ int64) bool { return s.Prefills[0].Counters.Prefills.Load() == 1 }},
+		"decode":                           {reached: func(_ *trial.Cluster, seen int64) bool { return seen > 0 }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -85,6 +88,7 @@
 			defer cancel()
 			var wait sync.WaitGroup
 			defer wait.Wait()
+			waitForPeers(ctx, t, set)
 			long := trial.Request{Model: trial.Model, Prompt: strings.Repeat(prompt, 4), MaxTokens: 1}
 			for i, by := range phase.before {
 				wait.Go(func() { _, _ = set.Client(by).Complete(ctx, long, nil) })
@@ -172,6 +176,18 @@
 	}
 }
 
+// waitForPeers waits until each entry knows all others. Before that, entries may
+// disagree on the owner of an engine's prefill slots.
+func waitForPeers(ctx context.Context, t *testing.T, set *trial.Cluster) {
+	t.Helper()
+	for i := range set.Entries {
+		is.New(t).NoErr(trial.WaitUntil(ctx, func() bool {
+			addrs, err := set.Client(i).Addresses(ctx)
+			return err == nil && len(addrs) == len(set.Entries)
+		}))
+	}
+}
+
 // stopUnderLoad stops entries while callers that refresh their addresses send
 // requests one after another. None may fail or receive an incomplete response.
 func stopUnderLoad(t *testing.T, stop func(*testing.T, *trial.Cluster)) {
@@ -182,12 +198,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
-	for i := range set.Entries {
-		is.NoErr(trial.WaitUntil(ctx, func() bool {
-			addrs, err := set.Client(i).Addresses(ctx)
-			return err == nil && len(addrs) == len(set.Entries)
-		}))
-	}
+	waitForPeers(ctx, t, set)
 	const callers = 6
 	var wait sync.WaitGroup
 	var served, failed atomic.Int64
--- a/share/reader.go
+++ b/share/reader.go
@@ -12,9 +12,12 @@
 	"lacewinghook.example/lacewinghook/pool"
 )
 
-// Members returns the live entries, including this one.
+// Members returns the entries, including this one.
 type Members interface {
+	// Live returns those that accept new work. They own the engines.
 	Live() []core.Instance
+	// Running returns also those that are leaving.
+	Running() []core.Instance
 }
 
 // Upstreams returns and updates the state of the upstreams.
@@ -77,7 +80,7 @@
 	reports := r.readReports(ctx, r.ownedEngines(live))
 	if len(reports) > 0 {
 		r.notifyChange()
-		r.forward(ctx, live, reports)
+		r.forward(ctx, reports)
 	}
 }
 
@@ -130,12 +133,13 @@
 	return reports
 }
 
-// forward sends the reports to every other live entry. An entry that can't be
-// reached receives the reports of the next round.
-func (r *Reader) forward(ctx context.Context, live []core.Instance, reports []core.Report) {
+// forward sends the reports to every other entry, also to leaving ones, which place
+// their waiting requests by them. An entry that can't be reached receives the reports
+// of the next round.
+func (r *Reader) forward(ctx context.Context, reports []core.Report) {
 	var g errgroup.Group
 	g.SetLimit(maxConcurrent)
-	for _, in := range live {
+	for _, in := range r.Members.Running() {
 		if in.Name == r.Self {
 			continue
 		}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 
@@ -28,10 +29,12 @@
 // network connects readers that send reports to each other, and serves as the
 // engines that they read.
 type network struct {
-	mu    sync.Mutex
-	live  []core.Instance
-	nodes map[string]*share.Reader
-	reads map[string]int
+	mu   sync.Mutex
+	live []core.Instance
+	// leaving entries own no engines.
+	leaving []core.Instance
+	nodes   map[string]*share.Reader
+	reads   map[string]int
 }
 
 // Live returns all entries that count as live.
@@ -41,6 +44,13 @@
 	return n.live
 }
 
+// Running returns the entries that count as live and the leaving ones.
+func (n *network) Running() []core.Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append(slices.Clone(n.live), n.leaving...)
+}
+
 // Load counts the read and returns a report.
 func (n *network) Load(_ context.Context, up core.Upstream) (core.Report, error) {
 	n.mu.Lock()
@@ -91,21 +101,30 @@
 
 // TestEngineIsReadOnceAndReportReachesAll runs one round at each entry. If one
 // is dead but still counts as live, exactly the engines that it owns are not
-// read.
+// read. A leaving entry owns none and receives all reports.
 func TestEngineIsReadOnceAndReportReachesAll(t *testing.T) {
-	for name, dead := range map[string]int{"all alive": 0, "one dead but still counted as live": 1} {
-		t.Run(name, func(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		dead, leaving int
+	}{
+		{name: "all alive"},
+		{name: "one dead but still counted as live", dead: 1},
+		{name: "one leaving", leaving: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			const upstreams = 40
-			n := &network{live: entries(4), nodes: make(map[string]*share.Reader), reads: make(map[string]int)}
+			all := entries(4)
+			live := len(all) - c.leaving
+			n := &network{live: all[:live], leaving: all[live:], nodes: make(map[string]*share.Reader), reads: make(map[string]int)}
 			doc := &core.Document{}
 			for i := range upstreams {
 				doc.Upstreams = append(doc.Upstreams, core.Upstream{Name: fmt.Sprint("up", i), Role: core.Decode})
 			}
 			tables := make(map[string]*pool.Table)
 			unread := 0
-			for i, in := range n.live {
-				if i < dead {
+			for i, in := range all {
+				if i < c.dead {
 					for _, u := range doc.Upstreams {
 						if assign.Owner(u.Name, n.live) == in.Name {
 							unread++
@@ -117,8 +136,9 @@
 				tables[in.Peer].Apply(doc)
 				n.nodes[in.Peer] = &share.Reader{Self: in.Name, Members: n, Upstreams: tables[in.Peer], Engines: n, Peers: n}
 			}
-			for _, known := range n.round(t, tables) {
-				is.Equal(known, upstreams-unread)
+			known := n.round(t, tables)
+			for addr := range tables {
+				is.Equal(known[addr], upstreams-unread)
 			}
 			for _, reads := range n.reads {
 				is.Equal(reads, 1)
