soak, cmd/lacesoak: run real processes with faults from outside

Entries of the platform front end run as processes on loopback; the store and the replicas are extsim's, each behind a proxy that can delay, hold one way, reset, cut or send bytes without end. Callers use kept connections until the process is gone and send at the instant of each step. The history is checked for LOST, MIXED, ORDER, TWICE, REFUSED, UNASKED, GONE, DRAIN, CONFIG, STOP, FAULT and MEMORY.

extsim: start without a test, tagged answers, a record of runs and grants, a caller on a raw connection, manifests. proxy: flows. osproc: Launch.

--- a/extsim/replica.go
+++ b/extsim/replica.go
@@ -79,12 +79,20 @@
 	// DeadlyParts crash the replica when it begins to write an answer to a request whose
 	// prompt has one of them before its last part.
 	DeadlyParts []string
+	// Tagged is set if the body of an answer and each event of a stream hold the ID
+	// of the request, see [TaggedBody] and [TaggedEvents].
+	Tagged bool
+	// Work is how long a plain service runs a request.
+	Work time.Duration
 
 	mu            sync.Mutex
 	server        *httptest.Server
 	faults        map[Fault]int  // remaining occurrences
 	runs          map[string]int // by request ID
 	executedIDs   []string
+	runLog        []Run
+	grants        []Grant
+	returned      map[string]bool // names of grants that were used or released
 	prefills      int
 	freedHandles  []string
 	grantedHolds  int
@@ -102,9 +110,18 @@
 // NewReplica starts a replica and stops it at the end of the test. phase is
 // empty for a plain service.
 func NewReplica(t *testing.T, id, service, phase string) *Replica {
+	r := StartReplica(id, service, phase)
+	t.Cleanup(r.Stop)
+	return r
+}
+
+// StartReplica starts a replica. phase is empty for a plain service. The fields
+// may be changed before the first request arrives.
+func StartReplica(id, service, phase string) *Replica {
 	r := &Replica{
 		ID: id, Service: service, Phase: phase, EventCount: 4, EventInterval: time.Millisecond, Body: "answer of " + id,
 		faults: make(map[Fault]int), runs: make(map[string]int), handles: make(map[string]bool), stopped: make(chan struct{}),
+		returned: make(map[string]bool),
 	}
 	r.server = httptest.NewUnstartedServer(r)
 	r.server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
@@ -112,7 +129,6 @@
 	}
 	r.server.Start()
 	r.Addr = strings.TrimPrefix(r.server.URL, "http://")
-	t.Cleanup(r.Stop)
 	return r
 }
 
@@ -265,6 +281,7 @@
 	id := hr.Header.Get("Lacewinghook-Request-Id")
 	r.mu.Lock()
 	r.headers = append(r.headers, hr.Header.Clone())
+	r.recordReturns(hr)
 	r.mu.Unlock()
 	if r.serveNotices(w, hr) {
 		return
@@ -295,19 +312,13 @@
 	if r.answerByScript(w, hr, id) {
 		return
 	}
-	r.countRun(id)
+	n := r.countRun(id)
+	defer r.endRun(n)
+	r.describeRun(n, hr.RequestURI, string(body))
 	r.repeatRefusal(hr)
 	r.execute(w, hr, id, string(body))
 }
 
-// countRun counts an execution of the request with this ID.
-func (r *Replica) countRun(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.runs[id]++
-	r.executedIDs = append(r.executedIDs, id)
-}
-
 // serveControl handles the calls that release a KV handle and that take or
 // release a hold. It returns false for any other call.
 func (r *Replica) serveControl(w http.ResponseWriter, hr *http.Request, body []byte) bool {
@@ -331,6 +342,7 @@
 			return true
 		}
 		r.grantedHolds++
+		r.grants = append(r.grants, Grant{Name: r.holdName(fmt.Sprintf("h%d", r.grantedHolds)), At: time.Now()})
 		fmt.Fprintf(w, `{"retain":"h%d"}`, r.grantedHolds)
 	case strings.HasPrefix(path, "DELETE /hold-drop/"):
 		r.releasedHolds++
@@ -388,6 +400,7 @@
 	r.prefills++
 	handle := fmt.Sprintf("kv%d", r.prefills)
 	r.handles[handle] = true
+	r.grants = append(r.grants, Grant{Name: r.Addr + "/" + handle, ID: id, At: time.Now()})
 	r.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	fmt.Fprintf(w, `{"handle":%q,"tokens":100,"version":1}`, handle)
@@ -399,6 +412,10 @@
 func (r *Replica) execute(w http.ResponseWriter, hr *http.Request, id, body string) {
 	h := w.Header()
 	h.Set("Lacewinghook-Replica-Signature", "sig."+id)
+	answer := r.Body
+	if r.Tagged {
+		answer = TaggedBody(id, r.Body)
+	}
 	if !r.fallSilent(hr, SilentHead) {
 		return
 	}
@@ -421,10 +438,10 @@
 		r.writeRaw(w, "this is no answer\r\n\r\n", false)
 		return
 	case r.consumeFault(NoContentLength):
-		r.writeRaw(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sLacewinghook-Request-Id: %s\r\nLacewinghook-Replica-Signature: sig.%s\r\n\r\n%s", r.leavingLine(), id, id, r.Body), false)
+		r.writeRaw(w, fmt.Sprintf("HTTP/1.1 200 OK\r\n%sLacewinghook-Request-Id: %s\r\nLacewinghook-Replica-Signature: sig.%s\r\n\r\n%s", r.leavingLine(), id, id, answer), false)
 		return
 	case r.consumeFault(DuplicateAnswer):
-		response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sLacewinghook-Request-Id: %s\r\nLacewinghook-Replica-Signature: sig.%s\r\nContent-Length: %d\r\n\r\n%s", r.leavingLine(), id, id, len(r.Body), r.Body)
+		response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sLacewinghook-Request-Id: %s\r\nLacewinghook-Replica-Signature: sig.%s\r\nContent-Length: %d\r\n\r\n%s", r.leavingLine(), id, id, len(answer), answer)
 		r.writeRaw(w, response+response, true)
 		return
 	}
@@ -433,13 +450,16 @@
 		return
 	}
 	if r.consumeFault(CutAnswer) {
-		h.Set("Content-Length", fmt.Sprint(len(r.Body)+10))
-		_, _ = io.WriteString(w, r.Body)
+		h.Set("Content-Length", fmt.Sprint(len(answer)+10))
+		_, _ = io.WriteString(w, answer)
 		panic(http.ErrAbortHandler)
 	}
+	if !r.work(hr) {
+		return
+	}
 	h.Set("Seen-Path", hr.RequestURI)
 	h.Set("Seen-Body", BodyDigest(body))
-	_, _ = io.WriteString(w, r.Body)
+	_, _ = io.WriteString(w, answer)
 }
 
 // writeRaw writes text to the hijacked connection in place of an HTTP response.
@@ -540,7 +560,11 @@
 			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: token%d\n\n", n, n)
+		event := fmt.Sprintf("id: %d\ndata: token%d\n\n", n, n)
+		if r.Tagged {
+			event = taggedEvent(id, n)
+		}
+		_, _ = io.WriteString(w, event)
 		_ = controller.Flush()
 		select {
 		case <-time.After(r.EventInterval):
--- a/extsim/script.go
+++ b/extsim/script.go
@@ -68,7 +68,7 @@
 		return false
 	}
 	if !a.NotRun {
-		r.countRun(id)
+		defer r.endRun(r.countRun(id))
 	}
 	text := a.Text(id, lastEventID(hr))
 	if a.Reset {
--- a/extsim/store.go
+++ b/extsim/store.go
@@ -42,7 +42,8 @@
 	compacted int64                // feeds can't start before this revision
 	revision  int64                // of the last change
 	calls     map[string]int       // by path
-	stopped   chan struct{}        // closed at the end of the test
+	stopped   chan struct{}        // closed by Close
+	server    *httptest.Server
 }
 
 // storedRow is a row of a table, or its deletion, at one revision.
@@ -57,20 +58,29 @@
 
 // NewStore starts a store and stops it at the end of the test.
 func NewStore(t *testing.T) *Store {
+	s := StartStore()
+	t.Cleanup(s.Close)
+	return s
+}
+
+// StartStore starts a store. Close must be called once.
+func StartStore() *Store {
 	s := &Store{
 		rows: make(map[string]storedRow), calls: make(map[string]int),
 		changed: make(chan struct{}), stopped: make(chan struct{}),
 	}
-	server := httptest.NewServer(s)
-	t.Cleanup(func() {
-		close(s.stopped)
-		server.CloseClientConnections()
-		server.Close()
-	})
-	s.Addr = strings.TrimPrefix(server.URL, "http://")
+	s.server = httptest.NewServer(s)
+	s.Addr = strings.TrimPrefix(s.server.URL, "http://")
 	return s
 }
 
+// Close stops the store.
+func (s *Store) Close() {
+	close(s.stopped)
+	s.server.CloseClientConnections()
+	s.server.Close()
+}
+
 // SetMode changes how the store answers from now on.
 func (s *Store) SetMode(m Mode) {
 	s.mu.Lock()
--- a/osproc/cluster.go
+++ b/osproc/cluster.go
@@ -162,15 +162,21 @@
 // startProcess starts a program with its output in Dir/name.log. addr is the
 // address on which it will listen.
 func (c *Cluster) startProcess(name, addr, program string, args ...string) (*Process, error) {
-	log, err := os.Create(c.path(name + ".log"))
+	return Launch(name, addr, c.path(name+".log"), c.programPath(program), args...)
+}
+
+// Launch starts a program and appends its output to the file log. addr is the
+// address on which it will listen.
+func Launch(name, addr, logFile, program string, args ...string) (*Process, error) {
+	log, err := os.OpenFile(logFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrapf(err, "osproc: %s", name)
 	}
 	defer log.Close()
-	cmd := exec.Command(c.programPath(program), args...)
+	cmd := exec.Command(program, args...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
-		return nil, err
+		return nil, errors.Wrapf(err, "osproc: %s", name)
 	}
 	proc := &Process{Name: name, Addr: addr, cmd: cmd, done: make(chan struct{})}
 	go func() {
@@ -229,7 +235,13 @@
 	return trial.NewDiscoveryClient(c.Entries[i].Addr)
 }
 
-// Signal sends a signal to the process.
+// PID returns the process ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Done returns a channel that is closed once the process has exited.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Signal sends a signal to the process. It returns an error if the process has exited.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
 // Wait waits for the process to exit. It returns an error if the exit status
--- a/proxy/doc.go
+++ b/proxy/doc.go
@@ -7,5 +7,7 @@
 //	addr, err := p.Listen()
 //	p.Cut()
 //	p.Heal()
+//	p.SetFlows(proxy.Flow{}, proxy.Flow{Hold: true}) // the target's bytes wait
+//	p.SetFlows(proxy.Flow{}, proxy.Flow{})
 //	p.Close()
 package proxy
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"sync"
 
@@ -16,6 +15,8 @@
 	ln    net.Listener
 	mu    sync.Mutex
 	cut   bool
+	up    flow // to the target
+	down  flow // from the target
 	conns map[net.Conn]bool
 	wait  sync.WaitGroup
 }
@@ -40,6 +41,8 @@
 	for c := range p.conns {
 		_ = c.Close()
 	}
+	p.wake(&p.up)
+	p.wake(&p.down)
 }
 
 // Heal ends the partition that [Proxy.Cut] began.
@@ -112,9 +115,9 @@
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	wait.Go(func() {
-		_, _ = io.Copy(out, in)
+		p.copy(out, in, &p.up)
 		_ = out.Close()
 	})
-	_, _ = io.Copy(in, out)
+	p.copy(in, out, &p.down)
 	_ = in.Close()
 }
--- /dev/null
+++ b/soak/inject.go
@@ -0,0 +1,268 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/extsim"
+	"lacewinghook.example/lacewinghook/osproc"
+	"lacewinghook.example/lacewinghook/proxy"
+)
+
+// newRand returns a generator for a seed and a purpose.
+func newRand(seed, purpose uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, purpose)) }
+
+// play runs the steps at their times and waits until all have ended.
+func (g *rig) play(ctx context.Context, steps []Step) {
+	for _, s := range steps {
+		if sleep(ctx, s.At-g.now()) != nil {
+			return
+		}
+		g.steps.Go(func() { g.step(ctx, s) })
+	}
+	g.steps.Wait()
+}
+
+// sleep waits for d, or until ctx ends.
+func sleep(ctx context.Context, d clock.Millis) error { return clock.Clock{}.Sleep(ctx, d) }
+
+// step runs one step.
+func (g *rig) step(ctx context.Context, s Step) {
+	r := newRand(s.Seed, 3)
+	e := g.entries[s.Target%len(g.entries)]
+	// Callers meet the step from a few milliseconds before it to a few after it.
+	g.steps.Go(func() { _ = sleep(ctx, clock.Millis(r.Int64N(20))); g.wakeCallers() })
+	_ = sleep(ctx, clock.Millis(newRand(s.Seed, 4).Int64N(20)))
+	switch s.Kind {
+	case Term:
+		g.restart(ctx, e, s)
+	case Roll:
+		for _, e := range g.entries {
+			g.steps.Go(func() { g.restart(ctx, e, s) })
+			_ = sleep(ctx, s.For/clock.Millis(len(g.entries)))
+		}
+	case Kill:
+		g.restart(ctx, e, s)
+	case Freeze:
+		g.freeze(ctx, e, s.For)
+	case Hup:
+		g.signal(e, Hup, syscall.SIGHUP)
+	case Manifest:
+		defer g.outage(Manifest, -1, -1)()
+		g.publish(r)
+	case Storm:
+		defer g.outage(Storm, -1, -1)()
+		for range 3 + r.IntN(10) {
+			g.publish(r)
+			_ = sleep(ctx, clock.Millis(r.Int64N(150)))
+		}
+	case StoreDown:
+		modes := []extsim.Mode{extsim.Unavailable, extsim.TooManyRequests, extsim.NoResponse, extsim.Reset}
+		defer g.outage(StoreDown, -1, -1)()
+		g.store.SetMode(modes[r.IntN(len(modes))])
+		_ = sleep(ctx, s.For)
+		g.store.SetMode(extsim.Up)
+	case StoreSlow:
+		defer g.outage(StoreSlow, -1, -1)()
+		for _, e := range g.entries {
+			e.store.SetFlows(proxy.Flow{}, proxy.Flow{Delay: 300})
+			defer e.store.SetFlows(proxy.Flow{}, proxy.Flow{})
+		}
+		_ = sleep(ctx, s.For)
+	case StoreLost:
+		defer g.outage(StoreLost, e.n, -1)()
+		e.store.SetFlows(proxy.Flow{}, proxy.Flow{Hold: true})
+		_ = sleep(ctx, s.For)
+		e.store.Reset()
+		e.store.SetFlows(proxy.Flow{}, proxy.Flow{})
+	case StoreCut:
+		defer g.outage(StoreCut, e.n, -1)()
+		e.store.Cut()
+		_ = sleep(ctx, s.For)
+		e.store.Heal()
+	default:
+		g.stepReplica(ctx, s, r)
+	}
+}
+
+// oddFaults are the wrong answers of the step Odd.
+var oddFaults = []extsim.Fault{
+	extsim.Reject, extsim.CutAnswer, extsim.LoseAnswer, extsim.InvalidAnswer, extsim.DuplicateAnswer, extsim.NoContentLength,
+	extsim.ServerError, extsim.Unsigned, extsim.HandleGone, extsim.RepeatRefusal,
+}
+
+// silentFaults are the parts of an exchange before which the step Silent has a replica
+// pause, beside pauses of its whole link.
+var silentFaults = []extsim.Fault{extsim.SilentHold, extsim.SilentPrefill, extsim.SilentHead, extsim.SilentStream}
+
+// stepReplica runs a step on one of the replicas that are registered as ready.
+func (g *rig) stepReplica(ctx context.Context, s Step, r *rand.Rand) {
+	g.mu.Lock()
+	c := g.ready[s.Target%len(g.ready)]
+	g.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer g.outage(s.Kind, -1, c.n)()
+	normal := func() { c.proxy.SetFlows(proxy.Flow{}, proxy.Flow{}) }
+	defer normal()
+	switch s.Kind {
+	case Leave:
+		g.leave(ctx, c, r.IntN(2) == 0)
+	case Crash:
+		if g.retire(c) {
+			c.sim.Stop()
+			c.proxy.Cut()
+			// The platform removes the row after three heartbeats.
+			_ = sleep(ctx, s.For)
+			g.store.Remove(extsim.ReplicaTable, c.sim.ID)
+		}
+	case Silent:
+		if r.IntN(2) == 0 {
+			g.inject(ctx, c, silentFaults, r, s.For)
+			return
+		}
+		c.proxy.SetFlows(proxy.Flow{Hold: true}, proxy.Flow{Hold: true})
+		_ = sleep(ctx, 700+clock.Millis(r.Int64N(500)))
+	case Reset:
+		c.proxy.Reset()
+	case OneWay:
+		up := r.IntN(2) == 0
+		c.proxy.SetFlows(proxy.Flow{Hold: up}, proxy.Flow{Hold: !up})
+		_ = sleep(ctx, s.For)
+	case Slow:
+		d := 10 + clock.Millis(r.Int64N(90))
+		c.proxy.SetFlows(proxy.Flow{Delay: d}, proxy.Flow{Delay: d})
+		_ = sleep(ctx, s.For)
+	case Endless:
+		c.proxy.SetFlows(proxy.Flow{}, proxy.Flow{Endless: true})
+		_ = sleep(ctx, s.For)
+	case Odd:
+		g.inject(ctx, c, oddFaults, r, s.For)
+	}
+}
+
+// inject makes some of the next requests to a replica meet one of the faults.
+func (g *rig) inject(ctx context.Context, c *replica, faults []extsim.Fault, r *rand.Rand, d clock.Millis) {
+	f := faults[r.IntN(len(faults))]
+	c.sim.InjectFault(f, 1+r.IntN(4))
+	_ = sleep(ctx, d)
+	c.sim.InjectFault(f, 0)
+}
+
+// retire takes a replica out of those that are ready and starts another one. It returns
+// false if the replica is not ready.
+func (g *rig) retire(c *replica) bool {
+	g.mu.Lock()
+	found := false
+	for i, r := range g.ready {
+		if r == c {
+			g.ready = append(g.ready[:i:i], g.ready[i+1:]...)
+			found = true
+			break
+		}
+	}
+	g.mu.Unlock()
+	if !found {
+		return false
+	}
+	if err := g.addReplica(c.sim.Service, c.sim.Phase); err != nil {
+		panic(fmt.Sprintf("soak: no listener is left: %v", err))
+	}
+	return true
+}
+
+// leave has a replica drain, or just vanish from the store, and end some time later.
+func (g *rig) leave(ctx context.Context, c *replica, announce bool) {
+	if !g.retire(c) {
+		return
+	}
+	if announce {
+		g.store.Put(extsim.ReplicaTable, c.sim.ID, c.sim.Row("draining"))
+	} else {
+		g.store.Remove(extsim.ReplicaTable, c.sim.ID)
+	}
+	g.mu.Lock()
+	c.left = time.Now()
+	g.mu.Unlock()
+	// A replica serves a little longer than it has to.
+	_ = sleep(ctx, drain+eventsTime)
+	g.store.Remove(extsim.ReplicaTable, c.sim.ID)
+	c.sim.Stop()
+}
+
+// eventsTime is longer than any stream of a stand-in takes.
+const eventsTime = 4 * clock.Second
+
+// signal sends a signal to the current process of an entry. It returns nil if there is
+// none.
+func (g *rig) signal(e *entry, k Kind, s syscall.Signal) *osproc.Process {
+	e.state.Lock()
+	defer e.state.Unlock()
+	now := g.now()
+	if !e.up || e.proc.Signal(s) != nil {
+		return nil
+	}
+	switch {
+	case s == syscall.SIGTERM && e.boot.Term == 0:
+		e.boot.Term = now
+	case s == syscall.SIGKILL && e.boot.Kill == 0:
+		e.boot.Kill = now
+	}
+	if k == Hup {
+		g.outage(Hup, e.n, -1)()
+	}
+	return e.proc
+}
+
+// maxDown is the longest time between the end of a process and the next start.
+const maxDown = 1 * clock.Second
+
+// restart stops an entry and starts it again. A step that meets another one on the same
+// entry sends its signal nonetheless, and leaves the rest to the other.
+func (g *rig) restart(ctx context.Context, e *entry, s Step) {
+	k, sig := Term, syscall.SIGTERM
+	if s.Kind == Kill {
+		k, sig = Kill, syscall.SIGKILL
+	}
+	end := g.outage(k, e.n, -1)
+	defer end()
+	proc := g.signal(e, k, sig)
+	if proc == nil || !e.mu.TryLock() {
+		return
+	}
+	defer e.mu.Unlock()
+	// A stop that a freeze prolongs may last longer than the grace period.
+	select {
+	case <-proc.Done():
+	case <-time.After((grace + longest).Duration()):
+		g.signal(e, Kill, syscall.SIGKILL)
+		<-proc.Done()
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	_ = sleep(ctx, clock.Millis(newRand(s.Seed, 5).Int64N(int64(maxDown))))
+	if err := g.launch(e); err != nil {
+		// The checks report the entry that is missing.
+		g.recorder.boot(Boot{Entry: e.n, From: g.now(), To: g.now(), Err: err.Error()})
+		return
+	}
+	// An error means that another step ends the process meanwhile.
+	_ = g.awaitReady(ctx, e)
+}
+
+// freeze suspends an entry for a time.
+func (g *rig) freeze(ctx context.Context, e *entry, d clock.Millis) {
+	defer g.outage(Freeze, e.n, -1)()
+	proc := g.signal(e, Freeze, syscall.SIGSTOP)
+	if proc == nil {
+		return
+	}
+	_ = sleep(ctx, d)
+	// An error means that the process was killed meanwhile.
+	_ = proc.Signal(syscall.SIGCONT)
+}
