relay: release a hold that is granted while the caller leaves

Cause: the call that takes a hold ended with the caller's context, so the answer that names the hold was lost when the caller left in that instant. The engine kept the memory until the hold lapsed, up to 2 s. Ruled out: a hold that was released and not counted by the stand-in.

A prefill isn't detached: its work has to end with the caller. TestCallerLeavesDuringHold failed before.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -210,12 +210,15 @@
 	if x.checkUsable(a.decode) != nil {
 		return false, false
 	}
-	call, cancel := context.WithTimeout(ctx, holdTimeout.Duration())
+	// The call goes on if the caller leaves: the engine may have granted the hold, which
+	// only this answer names.
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdTimeout.Duration())
 	defer cancel()
 	hold, err := x.relay.Upstreams.Hold(call, a.decode, x.opaque.PromptTokens+x.reservedOutput(), min(maxHold, 2*a.choice.FirstToken+holdMargin))
 	if err == nil {
 		a.hold = hold
-		return true, false
+		// The attempt that doesn't begin releases the hold.
+		return ctx.Err() == nil, false
 	}
 	x.relay.Meter.Add("holds_refused_total", 1)
 	x.log.Info("relay: engine refused a hold", zap.String("request", x.opaque.ID), zap.String("upstream", a.decode.Name),
--- /dev/null
+++ b/relay/lefthold_test.go
@@ -0,0 +1,53 @@
+package relay_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/relay"
+)
+
+// slowHolds is an upstream whose answer to a hold arrives delay after the hold was taken.
+// It is lost if the caller gives up before that.
+type slowHolds struct {
+	upstreams
+	delay time.Duration
+	taken chan struct{} // receives a value when a hold is taken
+}
+
+func (u *slowHolds) Hold(ctx context.Context, up core.Upstream, tokens int, ttl clock.Millis) (string, error) {
+	u.taken <- struct{}{}
+	select {
+	case <-time.After(u.delay):
+		return u.upstreams.Hold(ctx, up, tokens, ttl)
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+// TestCallerLeavesDuringHold guards against a hold that nobody knows of: one that an engine
+// grants while the caller leaves. Found by the soak, seeds 3 to 6.
+func TestCallerLeavesDuringHold(t *testing.T) {
+	is := is.New(t)
+	u := &slowHolds{delay: 20 * time.Millisecond, taken: make(chan struct{}, 1)}
+	r, table := newRelay(&u.upstreams, &budget{retriesLeft: 9})
+	r.Upstreams = u
+	reserveMemory(table, 25)
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx, request(r, core.HostRoute{}), &sink{}) }()
+	<-u.taken
+	leave()
+	is.True(<-done != nil)
+	waitFor(t, func() bool { return strings.Contains(u.callList(), "drop g-") })
+	is.True(!strings.Contains(u.callList(), "send"))
+}
+
+var _ relay.Upstreams = (*slowHolds)(nil)
