lacewinghook: ignore SIGHUP until it is handled

Cause: SIGHUP that arrived while a process was starting ended it, since the handler was installed only once the settings had been read. Ruled out: a handler that is removed at a stop; the process had just been started.

TestEarlyReload failed before. SIGHUP in the first milliseconds, before main runs, still ends the process; nothing has been accepted by then.

--- a/cmd/lacewinghook/serve.go
+++ b/cmd/lacewinghook/serve.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"go.uber.org/zap"
 
@@ -16,6 +18,9 @@
 // runServe runs an entry until a stop signal. Settings with a section fleet run
 // it as an edge.
 func runServe(ctx context.Context, c *args.Call) int {
+	// SIGHUP may come at any time, and ends a process that doesn't handle it. serveEdge
+	// handles it later.
+	signal.Ignore(syscall.SIGHUP)
 	file, status, ok := parseSettingsFlag(c)
 	if !ok {
 		return status
