--- a/soak/check.go
+++ b/soak/check.go
@@ -27,6 +27,8 @@
 	// shown it doesn't go back to an older one after downgradeSlack.
 	applyTime      = 2 * clock.Second
 	downgradeSlack = 250 * clock.Millis(1)
+	// transitTime is how long the answer to a prefill may take to its entry.
+	transitTime = 50 * clock.Millis(1)
 	// stableWindow is how long an outage of the store or a freeze excuses afterwards.
 	stableWindow = 3 * clock.Second
 	// lastSent is the time after SIGTERM up to which a request may still be cut in the
@@ -229,6 +231,12 @@
 		}
 	}
 	for _, g := range x.Outstanding {
+		// The answer to a prefill is lost if the caller leaves while it is on its way.
+		// The work of the prefill has to end with its caller.
+		q := x.requests[g.ID]
+		if q.Left && q.Ended-transitTime <= g.At && g.At <= q.Ended+transitTime || q.HalfClose && g.At <= q.Sent+transitTime {
+			continue
+		}
 		report(Finding{Rule: "GONE", At: g.At, ID: g.ID, Entry: -1, Text: "not given back: " + g.Name})
 	}
 }
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -197,13 +197,18 @@
 // eventsTime is longer than any stream of a stand-in takes.
 const eventsTime = 4 * clock.Second
 
+// startMargin is the time after a start in which a process gets no signal that it has to
+// handle, since its program may not run yet.
+const startMargin = 250 * clock.Millis(1)
+
 // signal sends a signal to the current process of an entry. It returns nil if there is
 // none.
 func (g *rig) signal(e *entry, k Kind, s syscall.Signal) *osproc.Process {
 	e.state.Lock()
 	defer e.state.Unlock()
 	now := g.now()
-	if !e.up || e.proc.Signal(s) != nil {
+	handled := s == syscall.SIGHUP || s == syscall.SIGTERM
+	if !e.up || handled && now < e.boot.From+startMargin || e.proc.Signal(s) != nil {
 		return nil
 	}
 	switch {
