edge, flight, platform: the log tells answers cut by a stop from callers that left

Operators saw each request cut at the end of a grace period twice: as cut by the stop, and as a connection that its caller had closed, in the log and in unanswered_total. So the log couldn't tell a stop that loses answers from callers that leave.

Cause: the connection is closed first, and net/http then cancels the context of the request as if the caller had left. The tracker now cancels the contexts with the cause before the connections are closed.

--- a/edge/lost_test.go
+++ b/edge/lost_test.go
@@ -309,3 +309,23 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nLacewinghook-Request-Id: id-%d\r\nLacewinghook-Deadline-Ms: 9000\r\n"+
 		"Lacewinghook-Model: m\r\nLacewinghook-Token-Counts: 3000,2720\r\nLacewinghook-Prefix-Hash: 5c1e07a2:200,91bd3f06:2800\r\nContent-Length: 1\r\n\r\np", path, i)
 }
+
+// TestStopIsLoggedAsSuch guards against an answer that the end of a stop cuts and the log puts
+// down to the caller.
+func TestStopIsLoggedAsSuch(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	r := s.startReady()
+	s.busy(1000)
+	r.stop()
+	is.NoErr(<-r.done)
+	r.done <- nil
+	is.Equal(r.logs.FilterMessage("edge: request cut by the stop").Len(), 4)
+	s.until("the handlers have ended", func() bool {
+		return r.logs.FilterMessage("ingress: connection closed without a complete answer").Len() == 4
+	})
+	for _, line := range r.logs.FilterMessage("ingress: connection closed without a complete answer").All() {
+		is.Equal(line.ContextMap()["by"], "stop")
+	}
+}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -48,6 +48,7 @@
 	}
 	e.inFlight.WaitIdle(stopCtx, idleTime)
 	e.logCut(begun)
+	e.inFlight.Cancel(codes.New(codes.Leaving, "the grace period has ended"))
 	for _, s := range servers {
 		var err error
 		switch {
@@ -69,7 +70,6 @@
 func (e *Edge) logCut(begun clock.Millis) {
 	now := e.Clock.Now()
 	e.inFlight.Each(func(r flight.Request) {
-		e.meter.Add("unanswered_total", 1, "begun", "unknown", "by", "stop")
 		e.Log.Warn("edge: request cut by the stop", zap.String("request", r.ID), zap.String("path", r.Path),
 			zap.Int64("age", int64(now-r.Since)), zap.Int64("since_stop", int64(now-begun)))
 	})
--- a/flight/tracker.go
+++ b/flight/tracker.go
@@ -18,7 +18,7 @@
 	// ID returns the ID of a request, for [Request]. If nil, requests have none.
 	ID func(*http.Request) string
 
-	requests shard.Map[uint64, Request]
+	requests shard.Map[uint64, running]
 	conns    shard.Map[net.Conn, conn]
 	lastKey  atomic.Uint64
 	inFlight atomic.Int64
@@ -33,6 +33,12 @@
 	Since clock.Millis
 }
 
+// running is a request in flight and the function that cancels its context.
+type running struct {
+	Request
+	cancel context.CancelCauseFunc
+}
+
 // conn is the state of a caller's connection. It is busy from the first byte of a
 // request until the answer is complete, and otherwise idle since the given time.
 type conn struct {
@@ -45,8 +51,16 @@
 
 // Each calls f for each request in flight. f must not block.
 func (t *Tracker) Each(f func(Request)) {
-	t.requests.Each(func(_ uint64, r Request) bool {
-		f(r)
+	t.requests.Each(func(_ uint64, r running) bool {
+		f(r.Request)
+		return true
+	})
+}
+
+// Cancel cancels the contexts of the requests in flight with the given cause.
+func (t *Tracker) Cancel(cause error) {
+	t.requests.Each(func(_ uint64, r running) bool {
+		r.cancel(cause)
 		return true
 	})
 }
@@ -60,13 +74,15 @@
 		if t.ID != nil {
 			req.ID = t.ID(r)
 		}
-		t.requests.Set(key, req)
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		t.requests.Set(key, running{Request: req, cancel: cancel})
 		t.inFlight.Add(1)
 		defer t.finish(key)
 		if stopping() {
 			w.Header().Set("Connection", "close")
 		}
-		h.ServeHTTP(w, r)
+		h.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
