edge, relay, platform: a stop answers the requests that it can't finish

Callers whose request was running, and had got nothing yet, when the grace period of a stop ended got neither an answer nor a rejection: their connection was closed.

Cause: the end of the grace period closed the connections, and net/http then took the requests for those of callers that had left. The contexts are now cancelled with a cause; the relay ends the request with this code, run unknown if a replica may have run it and not_run (503) otherwise, and the stop waits up to 150 ms of the 500 ms that it keeps for the exit. Calls that run to their end for callers that seem to have left are ended too. Answers that had begun are cut as before.

--- a/edge/lost_test.go
+++ b/edge/lost_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -329,3 +330,32 @@
 		is.Equal(line.ContextMap()["by"], "stop")
 	}
 }
+
+// TestStopAnswersUnfinishedRequests guards against requests that get neither an answer nor
+// a rejection because the grace period of a stop ends while they run.
+func TestStopAnswersUnfinishedRequests(t *testing.T) {
+	for _, path := range []string{"/once/a", "/safe/a", "/verse/a", "/long/a"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			text := strings.ReplaceAll(fmt.Sprintf(manifestText, 2, 9000, ""), `"timeout_ms":2000`, `"timeout_ms":9000`)
+			s.store.Put("op", "config", text)
+			r := s.startReady()
+			for _, d := range append(s.services, s.decode...) {
+				d.Silence = 2 * testTimeout
+				d.InjectFault(extsim.SilentHead, 1<<20)
+			}
+			conn := r.dial(t)
+			_, err := io.WriteString(conn, lateRequest(1, path))
+			is.NoErr(err)
+			s.until("the request runs", func() bool { return s.runs("id-1") > 0 })
+			r.stop()
+			got := readAnswer(conn)
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusBadGateway) // nobody knows what the run has done
+			is.NoErr(<-r.done)
+			r.done <- nil
+		})
+	}
+}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -47,8 +47,7 @@
 		}
 	}
 	e.inFlight.WaitIdle(stopCtx, idleTime)
-	e.logCut(begun)
-	e.inFlight.Cancel(codes.New(codes.Leaving, "the grace period has ended"))
+	e.endRequests(ctx, begun)
 	for _, s := range servers {
 		var err error
 		switch {
@@ -65,6 +64,19 @@
 	}
 }
 
+// endRequests ends the requests that are left at the end of the grace period, and waits
+// until those without a response have one. begun is the instant at which the stop began.
+func (e *Edge) endRequests(ctx context.Context, begun clock.Millis) {
+	if e.inFlight.Len() == 0 {
+		return
+	}
+	e.logCut(begun)
+	e.inFlight.Cancel(codes.New(codes.Leaving, "the grace period has ended"))
+	ctx, cancel := context.WithTimeout(ctx, responseTime.Duration())
+	defer cancel()
+	e.inFlight.WaitIdle(ctx, 0)
+}
+
 // logCut logs the requests that have not ended by the end of the grace period. begun is
 // the instant at which the stop began.
 func (e *Edge) logCut(begun clock.Millis) {
@@ -120,6 +132,8 @@
 	// entry, which can take the request at once.
 	leavingRetryAfter clock.Millis = 50
 	// killMargin is the time left for the process to exit before the platform
-	// kills it at the end of the grace period, at most a tenth of that.
-	killMargin clock.Millis = 500
+	// kills it at the end of the grace period, at most a tenth of that. responseTime,
+	// a part of it, is the time in which the requests that are left get a response.
+	killMargin   clock.Millis = 500
+	responseTime clock.Millis = 150
 )
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -333,7 +333,11 @@
 // [codes.NotRun] only if no upstream may have run the request.
 func (x *exchange) finalError(ctx context.Context, err error) *codes.Error {
 	e := codes.From(err)
+	var cause *codes.Error
 	switch {
+	case errors.As(context.Cause(ctx), &cause):
+		// This entry has ended the request.
+		e = codes.Wrap(cause.Code, err, "request %s: %s", x.opaque.ID, cause.Message)
 	case x.callerGone || errors.Is(ctx.Err(), context.Canceled):
 		e = codes.Wrap(codes.CallerGone, err, "request %s", x.opaque.ID)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || x.timeLeft() <= 0:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,9 +49,9 @@
 	// Hold identifies the memory reserved for the request; empty means none.
 	Hold string
 	// Finish means that once the request is sent it runs to its end, or to the
-	// deadline of the context, although the context is cancelled: it can't be run
-	// again, and a caller that seems to have left may have closed only its sending
-	// side.
+	// deadline of the context, although the context is cancelled without a cause of
+	// its own: it can't be run again, and a caller that seems to have left may have
+	// closed only its sending side.
 	Finish bool
 }
 
@@ -170,7 +170,8 @@
 	desk  alloc.Desk
 }
 
-// Run executes one request and passes its answer to sink.
+// Run executes one request and passes its answer to sink. If ctx is cancelled with a
+// [codes.Error] as its cause, the request ends with this code.
 func (r *Relay) Run(ctx context.Context, req *core.Request, sink Sink) error {
 	x := &exchange{relay: r, request: req, opaque: req.Opaque, sink: sink, log: r.logger()}
 	if err := x.checkQuarantine(); err != nil {
