edge, flight: a request that crosses the closing of connections isn't passed on

A stop closes its connections one after the other once none has been busy for 200 ms. A request that arrived on one of the others meanwhile was sent to a replica, and its connection was closed under it: it ran, and its caller got nothing.

Requests that arrive from then on now have a cancelled context, so that they are rejected before anything is sent, and those that came just before are waited for.

--- a/edge/stop.go
+++ b/edge/stop.go
@@ -47,6 +47,10 @@
 		}
 	}
 	e.inFlight.WaitIdle(stopCtx, idleTime)
+	// A request that arrives while the connections are closed is rejected before it is
+	// passed on.
+	e.inFlight.Close(codes.New(codes.Leaving, "the entry closes its connections"))
+	e.inFlight.WaitIdle(stopCtx, 0)
 	e.endRequests(ctx, begun)
 	for _, s := range servers {
 		var err error
--- a/flight/tracker.go
+++ b/flight/tracker.go
@@ -23,6 +23,8 @@
 	lastKey  atomic.Uint64
 	inFlight atomic.Int64
 	changed  notify.Signal
+	// closed is the cause with which the contexts of new requests are cancelled.
+	closed atomic.Pointer[error]
 }
 
 // Request is one request in flight.
@@ -57,6 +59,10 @@
 	})
 }
 
+// Close cancels the contexts of the requests that arrive from now on with the given
+// cause. Those in flight go on.
+func (t *Tracker) Close(cause error) { t.closed.Store(&cause) }
+
 // Cancel cancels the contexts of the requests in flight with the given cause.
 func (t *Tracker) Cancel(cause error) {
 	t.requests.Each(func(_ uint64, r running) bool {
@@ -79,6 +85,9 @@
 		t.requests.Set(key, running{Request: req, cancel: cancel})
 		t.inFlight.Add(1)
 		defer t.finish(key)
+		if cause := t.closed.Load(); cause != nil {
+			cancel(*cause)
+		}
 		if stopping() {
 			w.Header().Set("Connection", "close")
 		}
--- a/flight/tracker_test.go
+++ b/flight/tracker_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"lacewinghook.example/lacewinghook/clock"
@@ -52,3 +54,22 @@
 	m.Advance(grace)
 	<-done
 }
+
+// TestClosedTrackerCancelsNewRequests guards against a request that arrives while a stop
+// closes the connections and is passed on, although its caller can't get the answer.
+func TestClosedTrackerCancelsNewRequests(t *testing.T) {
+	is := is.New(t)
+	tracker := &Tracker{}
+	cause := errors.New("closed")
+	request := func(h func(ctx context.Context)) {
+		handler := tracker.Track(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { h(r.Context()) }), func() bool { return true })
+		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+	}
+	request(func(ctx context.Context) {
+		tracker.Close(cause)
+		is.NoErr(ctx.Err()) // it was in flight
+		tracker.Cancel(cause)
+		is.Equal(context.Cause(ctx), cause)
+	})
+	request(func(ctx context.Context) { is.Equal(context.Cause(ctx), cause) })
+}
