edge, flight: a stop rejects streams that others like it outlast

Cause: twice the mean was taken for the longest duration. Of ten streams of that route the mean was 2.4 s and the longest 5.0 s, and in a process that has just started the short ones end first. The longest of the last 50 to 100 durations counts now, and once callers can't have the address any more at least 10 durations must be known.

What remains are streams that are longer than all that the process has seen.

--- a/edge/lost_test.go
+++ b/edge/lost_test.go
@@ -359,3 +359,30 @@
 		})
 	}
 }
+
+// TestStopRejectsStreamsThatTookLonger guards against a stream that a stopping entry takes
+// because most others are short, and cuts at the end of its grace period.
+func TestStopRejectsStreamsThatTookLonger(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	stream := func(r *runningEntry, id string, events int) answer {
+		for _, d := range s.decode {
+			d.EventCount, d.EventInterval = events, 100*time.Millisecond
+		}
+		return r.do(context.Background(), callerRequest{id: id, path: "/verse/a", header: map[string]string{"Lacewinghook-Deadline-Ms": "9000"}})
+	}
+	r := s.startReady()
+	for i := range 9 {
+		is.Equal(stream(r, fmt.Sprint("short-", i), 2).status, http.StatusOK)
+	}
+	is.Equal(stream(r, "long", 29).body, streamBody(29)) // 2.9 s
+	r.stop()
+	s.until("the entry isn't ready", func() bool { return !r.ready() })
+	// It still serves callers that have its address, and 2.4 s are left.
+	time.Sleep(1200 * time.Millisecond)
+	got := stream(r, "late", 29)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(s.runs("late"), 0)
+}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -92,9 +92,9 @@
 }
 
 // checkFinishes returns an error for a request that a stopping entry may not finish: one
-// whose deadline is after the end of the stop and that usually takes longer, or for which
-// that isn't known. While callers may still have the address of the entry, only those are
-// rejected that are known to take too long.
+// whose deadline is after the end of the stop, if others like it took longer than is left.
+// Once callers have no reason to have the address of the entry, it is also rejected if the
+// durations of too few others are known.
 func (e *Edge) checkFinishes(r *core.Request) error {
 	if !e.leaving.Load() {
 		return nil
@@ -104,17 +104,23 @@
 		return nil
 	}
 	left := stopBy - e.Clock.Now()
-	usual := e.durations.Usual(durationKind(r.Opaque))
+	kind := durationKind(r.Opaque)
+	usual := e.durations.Usual(kind)
+	longest, count := e.durations.Longest(kind)
 	late := e.Clock.Now() >= clock.Millis(e.lingerUntil.Load())
 	if late && !r.Opaque.Route.Generates && !r.Opaque.Route.Repeatable {
 		usual *= onceFactor
 	}
-	if late && usual == 0 || usual > left {
-		return codes.New(codes.Leaving, "%d ms are left, the request may take %d ms", left, usual).WithRetryAfter(leavingRetryAfter)
+	if late && count < minDurations || max(usual, longest) > left {
+		return codes.New(codes.Leaving, "%d ms are left, the request may take %d ms", left, max(usual, longest)).WithRetryAfter(leavingRetryAfter)
 	}
 	return nil
 }
 
+// minDurations is the number of durations from which the longest of them is relied on: of
+// a process that has just started, the short requests end first.
+const minDurations = 10
+
 // onceFactor is the additional margin for a call that may not be repeated: if it is cut,
 // nobody knows whether it ran.
 const onceFactor = 2
--- a/flight/durations.go
+++ b/flight/durations.go
@@ -11,10 +11,14 @@
 	kinds shard.Map[string, duration]
 }
 
-// duration is the moving mean of the durations of one kind, in milliseconds.
+// duration is the moving mean of the durations of one kind, in milliseconds, and the
+// longest of the last ones: of the current window of maxCount and of the one before.
 type duration struct {
-	mean  float64
-	count int
+	mean            float64
+	count           int
+	longest, before clock.Millis
+	// window counts the observations in the current window.
+	window int
 }
 
 const (
@@ -28,11 +32,24 @@
 // Observe records the duration of a request.
 func (d *Durations) Observe(kind string, took clock.Millis) {
 	d.kinds.Update(kind, func(old duration, _ bool) (duration, bool) {
-		n := min(old.count+1, maxCount)
-		return duration{mean: old.mean + (float64(took)-old.mean)/float64(n), count: n}, true
+		if old.window == maxCount {
+			old.before, old.longest, old.window = old.longest, 0, 0
+		}
+		old.window++
+		old.longest = max(old.longest, took)
+		old.count = min(old.count+1, maxCount)
+		old.mean += (float64(took) - old.mean) / float64(old.count)
+		return old, true
 	})
 }
 
+// Longest returns the longest of the last durations of the kind, and how many were
+// observed, at most maxCount.
+func (d *Durations) Longest(kind string) (longest clock.Millis, count int) {
+	k, _ := d.kinds.Get(kind)
+	return max(k.longest, k.before), k.count
+}
+
 // Usual returns a time within which most requests of the kind end. It is zero if none
 // was observed.
 func (d *Durations) Usual(kind string) clock.Millis {
--- a/flight/durations_test.go
+++ b/flight/durations_test.go
@@ -25,3 +25,25 @@
 	}
 	is.True(d.Usual("a") < 250)
 }
+
+// TestLongestDuration checks that the longest of the last durations is known until many
+// shorter ones have followed, and how many there were.
+func TestLongestDuration(t *testing.T) {
+	is := is.New(t)
+	var d Durations
+	longest, count := d.Longest("a")
+	is.Equal(longest, clock.Millis(0))
+	is.Equal(count, 0)
+	d.Observe("a", 5000)
+	for range maxCount {
+		d.Observe("a", 100)
+	}
+	longest, count = d.Longest("a")
+	is.Equal(longest, clock.Millis(5000))
+	is.Equal(count, maxCount)
+	for range 2 * maxCount {
+		d.Observe("a", 100)
+	}
+	longest, _ = d.Longest("a")
+	is.Equal(longest, clock.Millis(100))
+}
