--- a/edge/lost_test.go
+++ b/edge/lost_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -309,3 +310,79 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nLacewinghook-Request-Id: id-%d\r\nLacewinghook-Deadline-Ms: 9000\r\n"+
 		"Lacewinghook-Model: m\r\nLacewinghook-Token-Counts: 3000,2720\r\nLacewinghook-Prefix-Hash: 5c1e07a2:200,91bd3f06:2800\r\nContent-Length: 1\r\n\r\np", path, i)
 }
+
+// TestStopIsLoggedAsSuch guards against an answer that the end of a stop cuts and the log puts
+// down to the caller.
+func TestStopIsLoggedAsSuch(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	r := s.startReady()
+	s.busy(1000)
+	r.stop()
+	is.NoErr(<-r.done)
+	r.done <- nil
+	is.Equal(r.logs.FilterMessage("edge: request cut by the stop").Len(), 4)
+	s.until("the handlers have ended", func() bool {
+		return r.logs.FilterMessage("ingress: connection closed without a complete answer").Len() == 4
+	})
+	for _, line := range r.logs.FilterMessage("ingress: connection closed without a complete answer").All() {
+		is.Equal(line.ContextMap()["by"], "stop")
+	}
+}
+
+// TestStopAnswersUnfinishedRequests guards against requests that get neither an answer nor
+// a rejection because the grace period of a stop ends while they run.
+func TestStopAnswersUnfinishedRequests(t *testing.T) {
+	for _, path := range []string{"/once/a", "/safe/a", "/verse/a", "/long/a"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			text := strings.ReplaceAll(fmt.Sprintf(manifestText, 2, 9000, ""), `"timeout_ms":2000`, `"timeout_ms":9000`)
+			s.store.Put("op", "config", text)
+			r := s.startReady()
+			for _, d := range append(s.services, s.decode...) {
+				d.Silence = 2 * testTimeout
+				d.InjectFault(extsim.SilentHead, 1<<20)
+			}
+			conn := r.dial(t)
+			_, err := io.WriteString(conn, lateRequest(1, path))
+			is.NoErr(err)
+			s.until("the request runs", func() bool { return s.runs("id-1") > 0 })
+			r.stop()
+			got := readAnswer(conn)
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusBadGateway) // nobody knows what the run has done
+			is.NoErr(<-r.done)
+			r.done <- nil
+		})
+	}
+}
+
+// TestStopRejectsStreamsThatTookLonger guards against a stream that a stopping entry takes
+// because most others are short, and cuts at the end of its grace period.
+func TestStopRejectsStreamsThatTookLonger(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	stream := func(r *runningEntry, id string, events int) answer {
+		for _, d := range s.decode {
+			d.EventCount, d.EventInterval = events, 100*time.Millisecond
+		}
+		return r.do(context.Background(), callerRequest{id: id, path: "/verse/a", header: map[string]string{"Lacewinghook-Deadline-Ms": "9000"}})
+	}
+	r := s.startReady()
+	for i := range 9 {
+		is.Equal(stream(r, fmt.Sprint("short-", i), 2).status, http.StatusOK)
+	}
+	is.Equal(stream(r, "long", 29).body, streamBody(29)) // 2.9 s
+	r.stop()
+	s.until("the entry isn't ready", func() bool { return !r.ready() })
+	// It still serves callers that have its address, and 2.4 s are left.
+	time.Sleep(1200 * time.Millisecond)
+	got := stream(r, "late", 29)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(s.runs("late"), 0)
+}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -47,7 +47,11 @@
 		}
 	}
 	e.inFlight.WaitIdle(stopCtx, idleTime)
-	e.logCut(begun)
+	// A request that arrives while the connections are closed is rejected before it is
+	// passed on.
+	e.inFlight.Close(codes.New(codes.Leaving, "the entry closes its connections"))
+	e.inFlight.WaitIdle(stopCtx, 0)
+	e.endRequests(ctx, begun)
 	for _, s := range servers {
 		var err error
 		switch {
@@ -64,21 +68,33 @@
 	}
 }
 
+// endRequests ends the requests that are left at the end of the grace period, and waits
+// until those without a response have one. begun is the instant at which the stop began.
+func (e *Edge) endRequests(ctx context.Context, begun clock.Millis) {
+	if e.inFlight.Len() == 0 {
+		return
+	}
+	e.logCut(begun)
+	e.inFlight.Cancel(codes.New(codes.Leaving, "the grace period has ended"))
+	ctx, cancel := context.WithTimeout(ctx, responseTime.Duration())
+	defer cancel()
+	e.inFlight.WaitIdle(ctx, 0)
+}
+
 // logCut logs the requests that have not ended by the end of the grace period. begun is
 // the instant at which the stop began.
 func (e *Edge) logCut(begun clock.Millis) {
 	now := e.Clock.Now()
 	e.inFlight.Each(func(r flight.Request) {
-		e.meter.Add("unanswered_total", 1, "begun", "unknown", "by", "stop")
 		e.Log.Warn("edge: request cut by the stop", zap.String("request", r.ID), zap.String("path", r.Path),
 			zap.Int64("age", int64(now-r.Since)), zap.Int64("since_stop", int64(now-begun)))
 	})
 }
 
 // checkFinishes returns an error for a request that a stopping entry may not finish: one
-// whose deadline is after the end of the stop and that usually takes longer, or for which
-// that isn't known. While callers may still have the address of the entry, only those are
-// rejected that are known to take too long.
+// whose deadline is after the end of the stop, if others like it took longer than is left.
+// Once callers have no reason to have the address of the entry, it is also rejected if the
+// durations of too few others are known.
 func (e *Edge) checkFinishes(r *core.Request) error {
 	if !e.leaving.Load() {
 		return nil
@@ -88,17 +104,23 @@
 		return nil
 	}
 	left := stopBy - e.Clock.Now()
-	usual := e.durations.Usual(durationKind(r.Opaque))
+	kind := durationKind(r.Opaque)
+	usual := e.durations.Usual(kind)
+	longest, count := e.durations.Longest(kind)
 	late := e.Clock.Now() >= clock.Millis(e.lingerUntil.Load())
 	if late && !r.Opaque.Route.Generates && !r.Opaque.Route.Repeatable {
 		usual *= onceFactor
 	}
-	if late && usual == 0 || usual > left {
-		return codes.New(codes.Leaving, "%d ms are left, the request may take %d ms", left, usual).WithRetryAfter(leavingRetryAfter)
+	if late && count < minDurations || max(usual, longest) > left {
+		return codes.New(codes.Leaving, "%d ms are left, the request may take %d ms", left, max(usual, longest)).WithRetryAfter(leavingRetryAfter)
 	}
 	return nil
 }
 
+// minDurations is the number of durations from which the longest of them is relied on: of
+// a process that has just started, the short requests end first.
+const minDurations = 10
+
 // onceFactor is the additional margin for a call that may not be repeated: if it is cut,
 // nobody knows whether it ran.
 const onceFactor = 2
@@ -120,6 +142,8 @@
 	// entry, which can take the request at once.
 	leavingRetryAfter clock.Millis = 50
 	// killMargin is the time left for the process to exit before the platform
-	// kills it at the end of the grace period, at most a tenth of that.
-	killMargin clock.Millis = 500
+	// kills it at the end of the grace period, at most a tenth of that. responseTime,
+	// a part of it, is the time in which the requests that are left get a response.
+	killMargin   clock.Millis = 500
+	responseTime clock.Millis = 150
 )
