relay: release the hold of a request that isn't sent

Cause: runDecode gave up its hold before the send. If nothing was sent, since the caller left in that instant, or the engine refused the request, nobody released the hold.

The hold is now dropped with the attempt. TestHoldOfRequestThatIsNotSent failed before.

--- a/relay/generate.go
+++ b/relay/generate.go
@@ -318,6 +318,9 @@
 		defer answer.Body.Close()
 		x.relay.markReachable(a.decode)
 		err = a.forwardAnswer(answer, buf, wd, start)
+	} else if codes.From(err).Run == codes.NotRun {
+		// The engine may still have the hold, which release drops.
+		a.hold = s.Hold
 	}
 	wd.stop(err != nil && ctx.Err() == nil && !x.callerGone)
 	if err == nil {
--- a/relay/lefthold_test.go
+++ b/relay/lefthold_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/relay"
 )
@@ -51,3 +52,20 @@
 }
 
 var _ relay.Upstreams = (*slowHolds)(nil)
+
+// TestHoldOfRequestThatIsNotSent guards against a hold that stays at an engine which was not
+// sent the request, or refused it. Found by the soak, seed 21.
+func TestHoldOfRequestThatIsNotSent(t *testing.T) {
+	is := is.New(t)
+	u := &upstreams{}
+	r, table := newRelay(u, &budget{retriesLeft: 9})
+	reserveMemory(table, 25)
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	u.send = func(core.Upstream, relay.SendRequest) (relay.Answer, error) {
+		leave()
+		return relay.Answer{}, codes.New(codes.UpstreamRefused, "nothing was sent")
+	}
+	is.True(r.Run(ctx, request(r, core.HostRoute{}), &sink{}) != nil)
+	waitFor(t, func() bool { return strings.Contains(u.callList(), "drop g-") })
+}
