--- a/cmd/lacesoak/main.go
+++ b/cmd/lacesoak/main.go
@@ -3,7 +3,10 @@
 //
 // # Usage
 //
-//	lacesoak -program ./lacewinghook -seed 1 -seeds 10 -duration 20000 -entries 3
+//	lacesoak -program ./lacewinghook -seed 1 -seeds 10 -jobs 3 -duration 20000 -entries 3
+//	lacesoak -program ./lacewinghook -cases soak/testdata/cases.txt
+//
+// The second form plays the runs in a file, one a line: flags, a bar and a comment.
 //
 // Exit codes: 0 if all promises held, 1 if one was broken, 2 if it could not run.
 package main
@@ -19,6 +22,8 @@
 	"strings"
 	"syscall"
 
+	"golang.org/x/sync/errgroup"
+
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/soak"
 )
@@ -41,7 +46,7 @@
 	os.Exit(status)
 }
 
-// run parses the flags and plays the seeds one after the other.
+// run parses the flags and plays the seeds.
 func run(ctx context.Context, args []string) (status int, err error) {
 	fs := flag.NewFlagSet("lacesoak", flag.ContinueOnError)
 	o := soak.Options{Log: func(format string, a ...any) { fmt.Fprintf(os.Stderr, format+"\n", a...) }}
@@ -53,7 +58,9 @@
 	only := fs.String("only", "", "kinds of steps, comma-separated; all if empty")
 	seed := fs.Uint64("seed", 1, "first seed")
 	seeds := fs.Int("seeds", 1, "number of seeds")
+	jobs := fs.Int("jobs", 1, "number of seeds to play at the same time")
 	file := fs.String("json", "", "file for the results")
+	cases := fs.String("cases", "", "file of runs to play; of the other flags only -program and -dir have an effect")
 	if err := fs.Parse(args); err != nil {
 		return exitError, nil // Parse has printed the error.
 	}
@@ -61,16 +68,25 @@
 	if err := check(&o, fs, *only); err != nil {
 		return exitError, err
 	}
-	var results []*soak.Result
-	for n := range *seeds {
-		r, err := soak.Run(ctx, o, *seed+uint64(n))
-		if err != nil {
-			return exitError, err
-		}
+	if *cases != "" {
+		return runCases(ctx, *cases, o)
+	}
+	results := make([]*soak.Result, *seeds)
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(max(1, *jobs))
+	for n := range results {
+		g.Go(func() (err error) {
+			results[n], err = soak.Run(ctx, o, *seed+uint64(n))
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return exitError, err
+	}
+	for _, r := range results {
 		if len(r.Findings) > 0 {
 			status = exitBroken
 		}
-		results = append(results, r)
 	}
 	if err := soak.WriteTable(os.Stdout, results); err != nil {
 		return exitError, err
@@ -83,6 +99,27 @@
 	return status, nil
 }
 
+// runCases plays the runs in a file. The status is the largest of all.
+func runCases(ctx context.Context, file string, o soak.Options) (status int, err error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return exitError, err
+	}
+	for line := range strings.Lines(string(data)) {
+		flags, comment, ok := strings.Cut(line, "|")
+		if !ok || strings.HasPrefix(line, "#") {
+			continue
+		}
+		fmt.Printf("%s:%s", strings.TrimSpace(flags), comment)
+		s, err := run(ctx, append([]string{"-program", o.Program, "-dir", o.Dir}, strings.Fields(flags)...))
+		if err != nil {
+			return s, err
+		}
+		status = max(status, s)
+	}
+	return status, nil
+}
+
 // minDuration leaves time for some steps beside the calm time at the end.
 const minDuration = 10 * clock.Second
 
--- a/extsim/replica.go
+++ b/extsim/replica.go
@@ -82,8 +82,8 @@
 	// Tagged is set if the body of an answer and each event of a stream hold the ID
 	// of the request, see [TaggedBody] and [TaggedEvents].
 	Tagged bool
-	// Work is how long a plain service runs a request.
-	Work time.Duration
+	// Work, if not nil, returns how long a plain service runs a request with this ID.
+	Work func(id string) time.Duration
 
 	mu            sync.Mutex
 	server        *httptest.Server
@@ -454,7 +454,7 @@
 		_, _ = io.WriteString(w, answer)
 		panic(http.ErrAbortHandler)
 	}
-	if !r.work(hr) {
+	if !r.work(hr, id) {
 		return
 	}
 	h.Set("Seen-Path", hr.RequestURI)
--- a/extsim/run.go
+++ b/extsim/run.go
@@ -56,14 +56,14 @@
 	r.runLog[n].Ended = time.Now()
 }
 
-// work runs a request of a plain service for Work. It returns false if the caller
+// work runs a request of a plain service for the time of Work. It returns false if the caller
 // disconnects or the replica stops meanwhile.
-func (r *Replica) work(hr *http.Request) bool {
-	if r.Work <= 0 {
+func (r *Replica) work(hr *http.Request, id string) bool {
+	if r.Work == nil {
 		return true
 	}
 	select {
-	case <-time.After(r.Work):
+	case <-time.After(r.Work(id)):
 		return true
 	case <-r.stopped:
 		panic(http.ErrAbortHandler)
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -89,15 +89,27 @@
 	}
 }
 
-// oddFaults are the wrong answers of the step Odd.
-var oddFaults = []extsim.Fault{
-	extsim.Reject, extsim.CutAnswer, extsim.LoseAnswer, extsim.InvalidAnswer, extsim.DuplicateAnswer, extsim.NoContentLength,
-	extsim.ServerError, extsim.Unsigned, extsim.HandleGone, extsim.RepeatRefusal,
-}
-
-// silentFaults are the parts of an exchange before which the step Silent has a replica
-// pause, beside pauses of its whole link.
-var silentFaults = []extsim.Fault{extsim.SilentHold, extsim.SilentPrefill, extsim.SilentHead, extsim.SilentStream}
+// oddFaults are the wrong answers of the step Odd, and silentFaults the parts of an
+// exchange before which the step Silent has a replica pause, beside pauses of its whole
+// link; both by the phase of the replica.
+var (
+	oddFaults = map[string][]extsim.Fault{
+		"": {
+			extsim.Reject, extsim.CutAnswer, extsim.LoseAnswer, extsim.InvalidAnswer, extsim.DuplicateAnswer,
+			extsim.NoContentLength, extsim.ServerError, extsim.Unsigned, extsim.RepeatRefusal,
+		},
+		"prefill": {extsim.Reject, extsim.Hang},
+		"decode": {
+			extsim.Reject, extsim.CutAnswer, extsim.LoseAnswer, extsim.InvalidAnswer, extsim.ServerError, extsim.Unsigned,
+			extsim.HandleGone, extsim.Hang,
+		},
+	}
+	silentFaults = map[string][]extsim.Fault{
+		"":        {extsim.SilentHead},
+		"prefill": {extsim.SilentPrefill},
+		"decode":  {extsim.SilentHold, extsim.SilentHead, extsim.SilentStream},
+	}
+)
 
 // stepReplica runs a step on one of the replicas that are registered as ready.
 func (g *rig) stepReplica(ctx context.Context, s Step, r *rand.Rand) {
@@ -122,7 +134,7 @@
 		}
 	case Silent:
 		if r.IntN(2) == 0 {
-			g.inject(ctx, c, silentFaults, r, s.For)
+			g.inject(ctx, c, silentFaults[c.sim.Phase], r, s.For)
 			return
 		}
 		c.proxy.SetFlows(proxy.Flow{Hold: true}, proxy.Flow{Hold: true})
@@ -141,14 +153,17 @@
 		c.proxy.SetFlows(proxy.Flow{}, proxy.Flow{Endless: true})
 		_ = sleep(ctx, s.For)
 	case Odd:
-		g.inject(ctx, c, oddFaults, r, s.For)
+		g.inject(ctx, c, oddFaults[c.sim.Phase], r, s.For)
 	}
 }
 
+// maxFaulty is the largest number of requests that meet an injected fault.
+const maxFaulty = 6
+
 // inject makes some of the next requests to a replica meet one of the faults.
 func (g *rig) inject(ctx context.Context, c *replica, faults []extsim.Fault, r *rand.Rand, d clock.Millis) {
 	f := faults[r.IntN(len(faults))]
-	c.sim.InjectFault(f, 1+r.IntN(4))
+	c.sim.InjectFault(f, 1+r.IntN(maxFaulty))
 	_ = sleep(ctx, d)
 	c.sim.InjectFault(f, 0)
 }
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -37,6 +37,10 @@
 	eventCount   = 40
 )
 
+// longWork is the time that a plain service needs for one request in sixteen: longer than
+// work may go on without its caller.
+const longWork = time.Second
+
 // answerBody is the answer of a plain service, after the ID of the request.
 var answerBody = strings.Repeat("answer ", 110)
 
@@ -164,7 +168,12 @@
 	r.sim = extsim.StartReplica(fmt.Sprintf("i-%04d", r.n), service, phase)
 	r.sim.Tagged, r.sim.Body, r.sim.EventCount = true, answerBody, eventCount
 	// Replicas differ in speed.
-	r.sim.Work = time.Duration(20+r.n%5*25) * time.Millisecond
+	r.sim.Work = func(id string) time.Duration {
+		if strings.HasSuffix(id, "7") {
+			return longWork
+		}
+		return time.Duration(20+r.n%5*25) * time.Millisecond
+	}
 	r.sim.EventInterval = time.Duration(10+r.n%4*20) * time.Millisecond
 	r.sim.Silence = time.Second
 	r.sim.RepeatDelay = 20 * time.Millisecond
--- a/soak/run.go
+++ b/soak/run.go
@@ -56,6 +56,7 @@
 	}
 	g.collect()
 	res := newResult(o, seed, steps, &g.h)
+	o.Log("seed %d: %d requests, %d findings", seed, res.Requests, len(res.Findings))
 	if len(res.Findings) > 0 {
 		if err := writeJSON(filepath.Join(dir, "history.json"), &g.h); err != nil {
 			return nil, err
