edge: accept queued connections before a stop closes the listener

Cause: a stop closed the callers' listener at the end of its linger time. After a machine stood still for a second in that time, all callers that had connected meanwhile were still in the kernel's queue, and closing the listener reset them, whole requests included. Ruled out: requests that the entry had read; no replica saw one, and none is in the log.

The listener now stays open for another 50 ms, which suffices to accept them. TestStopAcceptsQueuedConnections failed before.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -52,6 +52,9 @@
 	restarted bool
 	// retries limits the retries of the entries that start next.
 	retries config.Retries
+	// wrapCallers, if not nil, replaces the callers' listener of the entries that start
+	// next.
+	wrapCallers func(net.Listener) net.Listener
 	// log, if not nil, receives the logs of the entries.
 	log *zap.Logger
 }
@@ -111,6 +114,9 @@
 			Grace: 4, Keep: 500, Retries: s.retries, Fresh: !s.restarted,
 		},
 	}
+	if s.wrapCallers != nil {
+		listeners[0] = s.wrapCallers(listeners[0])
+	}
 	for _, r := range seeds {
 		set.Seeds = append(set.Seeds, r.settings.Peers.Listen)
 	}
--- /dev/null
+++ b/edge/queued_test.go
@@ -0,0 +1,57 @@
+package edge_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// lateListener accepts nothing while late is set.
+type lateListener struct {
+	net.Listener
+	late *atomic.Bool
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	for l.late.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	return l.Listener.Accept()
+}
+
+// TestStopAcceptsQueuedConnections guards against a stop that resets the connections that
+// wait to be accepted. After a machine stood still, the time to close the listener has come
+// before any of them was accepted. Found by the soak, seeds 107 and 115.
+func TestStopAcceptsQueuedConnections(t *testing.T) {
+	is := is.New(t)
+	// linger is the time of the stop until the listener is closed, and late how much
+	// later than that the queued connections are accepted.
+	const (
+		linger = 1700 * time.Millisecond
+		late   = 15 * time.Millisecond
+	)
+	s := newSite(t)
+	var stalled atomic.Bool
+	s.wrapCallers = func(ln net.Listener) net.Listener { return lateListener{ln, &stalled} }
+	r := s.startReady()
+	r.stop()
+	begun := time.Now()
+	time.Sleep(linger / 2)
+	stalled.Store(true)
+	// An Accept that has begun before takes one more connection.
+	first := r.do(context.Background(), callerRequest{id: "aa01", path: "/safe/1"})
+	is.NoErr(first.err)
+	r.client.CloseIdleConnections()
+	answers := make(chan answer)
+	go func() { answers <- r.do(context.Background(), callerRequest{id: "aa02", path: "/safe/2"}) }()
+	time.Sleep(time.Until(begun.Add(linger + late)))
+	stalled.Store(false)
+	a := <-answers
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusOK)
+}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -36,6 +36,9 @@
 	}()
 	// The error is ignored: a cancelled context just ends the wait early.
 	_ = e.Clock.Sleep(ctx, linger)
+	// After a machine stood still, connections may be waiting to be accepted. Closing the
+	// listener would reset them.
+	_ = e.Clock.Sleep(ctx, acceptTime)
 	stopCtx, cancel := context.WithTimeout(ctx, (end - e.Clock.Now()).Duration())
 	defer cancel()
 	for _, s := range servers {
@@ -113,6 +116,8 @@
 	// sent.
 	addressCacheFactor              = 3
 	lookupTime         clock.Millis = 200
+	// acceptTime is long enough to accept all connections that are queued.
+	acceptTime clock.Millis = 50
 	// idleTime is how long a connection must be idle before it is closed, so that a
 	// request that is on its way still arrives.
 	idleTime clock.Millis = 200
