--- a/soak/check.go
+++ b/soak/check.go
@@ -90,6 +90,14 @@
 	})
 }
 
+// stalled returns how long the machine stalled between two instants.
+func (x *index) stalled(from, to clock.Millis) (sum clock.Millis) {
+	for _, s := range x.Stalls {
+		sum += max(0, min(to, s.To)-max(from, s.From))
+	}
+	return sum
+}
+
 // outOfTouch are the outages of an entry without which the bounds of time hold.
 var outOfTouch = []Kind{Kill, Freeze, StoreDown, StoreSlow, StoreLost, StoreCut}
 
@@ -141,11 +149,15 @@
 		return Excused, ""
 	case q.Impatient && x.out(q.Entry, q.Sent, q.Ended, Freeze):
 		return Excused, ""
+	case q.Impatient && x.stalled(q.Sent, q.Ended) > late:
+		return Excused, ""
+	case b.Term > 0 && q.Sent <= b.Term+lastSent && q.Ended >= b.Term+x.Grace*5/6 && len(x.runs[q.ID]) > 0:
+		return Excused, ""
 	case q.Impatient:
 		return Lost, fmt.Sprintf("no whole answer %d ms after it was sent, %d bytes received", q.Ended-q.Sent, q.Received)
 	case q.Received == 0:
 		stopping := b.Term > 0 && q.Ended >= b.Term
-		if stopping && len(x.runs[q.ID]) == 0 && q.Ended-q.Sent <= lossSlack {
+		if stopping && len(x.runs[q.ID]) == 0 && q.Ended-q.Sent-x.stalled(q.Sent, q.Ended) <= lossSlack {
 			return Crossed, ""
 		}
 		return Lost, fmt.Sprintf("closed after %d ms without a byte: %s; runs %d, request %d on the connection, SIGTERM at %d ms", q.Ended-q.Sent, q.Err, len(x.runs[q.ID]), q.Nth, b.Term)
@@ -155,8 +167,6 @@
 		return Excused, ""
 	case q.Ended-q.Sent >= s.Deadline*19/20:
 		return Excused, ""
-	case b.Term > 0 && q.Sent <= b.Term+lastSent && q.Ended >= b.Term+x.Grace*5/6:
-		return Excused, ""
 	case slices.ContainsFunc(x.runs[q.ID], func(r Execution) bool { return x.replicaOut(r.Replica, q.Sent, q.Ended, linkFaults...) }):
 		return Excused, ""
 	}
@@ -217,7 +227,7 @@
 		if !q.Left || (!s.Repeatable && !s.Stream) {
 			continue
 		}
-		until := q.Ended + goneTime
+		until := q.Ended + goneTime + x.stalled(q.Ended, q.Ended+2*goneTime)
 		if x.killed(q) || x.out(q.Entry, q.Ended-goneTime, until, Freeze) {
 			continue
 		}
@@ -245,7 +255,7 @@
 func checkDrain(x *index, report func(Finding)) {
 	for _, a := range x.Arrivals {
 		q, ok := x.requests[a.ID]
-		if !ok || a.Late <= drain {
+		if !ok || a.Late-x.stalled(a.At-a.Late, a.At) <= drain {
 			continue
 		}
 		from := a.At - a.Late - stableWindow
@@ -278,10 +288,10 @@
 			return x.out(q.Entry, since-stableWindow, q.Ended, outOfTouch[1:]...)
 		}
 		switch {
-		case !served && q.Sent > v.At+applyTime && (v.Until == 0 || q.Ended < v.Until) && !touched(v.At):
+		case !served && q.Sent > v.At+applyTime+x.stalled(v.At, q.Sent) && (v.Until == 0 || q.Ended < v.Until) && !touched(v.At):
 			f.Text = fmt.Sprintf("404 for the route of version %d, %d ms after it was acknowledged", v.Number, q.Sent-v.At)
 			report(f)
-		case served && v.Until > 0 && q.Sent > v.Until+applyTime && !touched(v.Until):
+		case served && v.Until > 0 && q.Sent > v.Until+applyTime+x.stalled(v.Until, q.Sent) && !touched(v.Until):
 			f.Text = fmt.Sprintf("runs on the route of version %d, %d ms after it was withdrawn", v.Number, q.Sent-v.Until)
 			report(f)
 		}
@@ -309,7 +319,7 @@
 			f.Rule, f.Text = "FAULT", "the process ended by itself: "+b.Err
 		case b.Term > 0 && b.Kill == 0 && b.Err != "":
 			f.Text = "after SIGTERM: " + b.Err
-		case b.Term > 0 && b.To-b.Term > x.Grace && (b.Kill == 0 || b.Kill-b.Term > x.Grace) && !frozen:
+		case b.Term > 0 && b.To-b.Term > x.Grace+x.stalled(b.Term, b.To) && (b.Kill == 0 || b.Kill-b.Term > x.Grace) && !frozen:
 			f.Text = fmt.Sprintf("the process ran for %d ms after SIGTERM", b.To-b.Term)
 		}
 		if f.Text != "" {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -99,6 +99,8 @@
 		"works on, may not be repeated":       {func(h *History) { leave(h, once) }, ""},
 		"works on, link held":                 {func(h *History) { leave(h, verse); outage(h, OneWay, -1, verse) }, ""},
 		"works on, entry frozen":              {func(h *History) { leave(h, verse); outage(h, Freeze, 0, -1) }, ""},
+		"works on, machine stalled":           {func(h *History) { leave(h, verse); h.Stalls = []Stall{{From: 15100, To: 15600}} }, ""},
+		"works on, stalled too shortly":       {func(h *History) { leave(h, verse); h.Stalls = []Stall{{From: 15100, To: 15400}} }, "GONE"},
 		"hold not given back":                 {func(h *History) { h.Outstanding = []Grant{{Name: "i/h1", At: 45000}} }, "GONE"},
 		"handle not given back":               {func(h *History) { leave(h, long); h.Runs[long].Ended = 15010; grant(h, 14900) }, "GONE"},
 		"handle lost with the caller":         {func(h *History) { leave(h, long); h.Runs[long].Ended = 15010; grant(h, 15010) }, ""},
--- a/soak/history.go
+++ b/soak/history.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	Versions []Version `json:"versions"`
 	// Outstanding is what replicas gave out in calm time and never got back.
 	Outstanding []Grant `json:"outstanding"`
+	// Stalls are the times in which this program itself didn't get to run.
+	Stalls []Stall `json:"stalls"`
 	// CalmFrom is the instant from which on nothing was done, and End that of the last
 	// observation.
 	CalmFrom clock.Millis `json:"calm_from"`
@@ -83,6 +86,34 @@
 	Late    clock.Millis `json:"late"`
 }
 
+// Stall is a time in which the machine let a thread wait that was ready to run.
+type Stall struct {
+	From clock.Millis `json:"from"`
+	To   clock.Millis `json:"to"`
+}
+
+// Parameters of watchStalls.
+const (
+	stallInterval = 10 * clock.Millis(1)
+	// minStall is the shortest lateness that is recorded.
+	minStall = 40 * clock.Millis(1)
+)
+
+// watchStalls records stalls until ctx ends. A bound on time is widened by those that it
+// includes, so that a machine that is too busy isn't taken for a slow system.
+func (r *recorder) watchStalls(ctx context.Context) {
+	last := r.now()
+	for sleep(ctx, stallInterval) == nil {
+		now := r.now()
+		if now-last > stallInterval+minStall {
+			r.mu.Lock()
+			r.h.Stalls = append(r.h.Stalls, Stall{From: last + stallInterval, To: now})
+			r.mu.Unlock()
+		}
+		last = now
+	}
+}
+
 // Grant is a KV handle or a hold.
 type Grant struct {
 	Name string       `json:"name"`
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -238,23 +238,18 @@
 	return e.proc
 }
 
-// maxDown is the longest time between the end of a process and the next start.
-const maxDown = 1 * clock.Second
-
-// restart stops an entry and starts it again. A step that meets another one on the same
-// entry sends its signal nonetheless, and leaves the rest to the other.
+// restart ends the process of an entry, which is started again, and waits until the entry
+// is ready. Further steps may meet it meanwhile.
 func (g *rig) restart(ctx context.Context, e *entry, s Step) {
 	k, sig := Term, syscall.SIGTERM
 	if s.Kind == Kill {
 		k, sig = Kill, syscall.SIGKILL
 	}
-	end := g.outage(k, e.n, -1)
-	defer end()
+	defer g.outage(k, e.n, -1)()
 	proc := g.signal(e, k, sig)
-	if proc == nil || !e.mu.TryLock() {
+	if proc == nil {
 		return
 	}
-	defer e.mu.Unlock()
 	// A stop that a freeze prolongs may last longer than the grace period.
 	select {
 	case <-proc.Done():
@@ -262,16 +257,7 @@
 		g.signal(e, Kill, syscall.SIGKILL)
 		<-proc.Done()
 	}
-	if ctx.Err() != nil {
-		return
-	}
-	_ = sleep(ctx, clock.Millis(newRand(s.Seed, 5).Int64N(int64(maxDown))))
-	if err := g.launch(e); err != nil {
-		// The checks report the entry that is missing.
-		g.recorder.boot(Boot{Entry: e.n, From: g.now(), To: g.now(), Err: err.Error()})
-		return
-	}
-	// An error means that another step ends the process meanwhile.
+	// An error means that the entry has not come back. The checks report why.
 	_ = g.awaitReady(ctx, e)
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -56,6 +56,9 @@
 	}
 	g.collect()
 	res := newResult(o, seed, steps, &g.h)
+	if err := writeJSON(filepath.Join(dir, "result.json"), res); err != nil {
+		return nil, err
+	}
 	o.Log("seed %d: %d requests, %d findings", seed, res.Requests, len(res.Findings))
 	if len(res.Findings) > 0 {
 		if err := writeJSON(filepath.Join(dir, "history.json"), &g.h); err != nil {
@@ -73,6 +76,7 @@
 	callCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	var callers sync.WaitGroup
+	g.wait.Go(func() { g.watchStalls(callCtx) })
 	for n := range min(callersPerEntry*len(g.entries), maxCallers) {
 		c := &caller{g: g, n: n, seed: seed, r: newRand(seed, 1000+uint64(n))}
 		callers.Go(func() { c.run(callCtx) })
@@ -93,19 +97,16 @@
 func (g *rig) awaitCalm(ctx context.Context) {
 	for _, e := range g.entries {
 		// The checks report an entry that is missing.
-		e.mu.Lock()
 		_ = g.awaitReady(ctx, e)
-		e.mu.Unlock()
 	}
 }
 
 // stopAll stops all entries as planned.
 func (g *rig) stopAll() {
+	g.endRun()
 	var wait sync.WaitGroup
 	for _, e := range g.entries {
 		wait.Go(func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
 			proc := g.signal(e, Term, syscall.SIGTERM)
 			if proc == nil {
 				return
