--- /dev/null
+++ b/extsim/run_test.go
@@ -0,0 +1,71 @@
+package extsim_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/extsim"
+)
+
+// ask sends a request to a replica and returns its answer.
+func ask(t *testing.T, r *extsim.Replica, c extsim.Call) extsim.Answer {
+	t.Helper()
+	conn, err := extsim.Dial(context.Background(), r.Addr)
+	is.New(t).NoErr(err)
+	defer conn.Close()
+	return conn.Ask(context.Background(), c)
+}
+
+// TestCaller checks what a caller sees of a whole answer, a cut one, none, and of its own
+// patience.
+func TestCaller(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault    extsim.Fault
+		patience time.Duration
+		want     func(a extsim.Answer) bool
+	}{
+		"whole":     {"", time.Second, func(a extsim.Answer) bool { return a.Complete && a.Status == 200 && a.Body == "x answer" }},
+		"cut":       {extsim.CutAnswer, time.Second, func(a extsim.Answer) bool { return !a.Complete && !a.Impatient && a.Received > 0 && a.Err != nil }},
+		"lost":      {extsim.LoseAnswer, time.Second, func(a extsim.Answer) bool { return !a.Complete && !a.Impatient && a.Received == 0 && a.Err != nil }},
+		"impatient": {extsim.Hang, 20 * time.Millisecond, func(a extsim.Answer) bool { return !a.Complete && a.Impatient }},
+		"extra":     {extsim.DuplicateAnswer, time.Second, func(a extsim.Answer) bool { return a.Complete && a.Stray }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := extsim.NewReplica(t, "i-1", "desk", "")
+			r.Tagged, r.Body = true, "answer"
+			if c.fault != "" {
+				r.InjectFault(c.fault, 1)
+			}
+			if c.fault == extsim.CutAnswer {
+				// A shorter one isn't sent before the cut.
+				r.Body = strings.Repeat("answer", 2000)
+			}
+			a := ask(t, r, extsim.Call{ID: "x", Host: "h", Path: "/once/1", Body: "b", Patience: c.patience})
+			is.True(!a.Sent.IsZero())
+			is.True(c.want(a))
+			runs := r.Runs()
+			is.Equal(len(runs), 1)
+			is.Equal(runs[0].Target, "/once/1")
+			is.Equal(runs[0].Digest, extsim.BodyDigest("b"))
+		})
+	}
+}
+
+// TestOutstanding checks that a hold counts as outstanding until it is released.
+func TestOutstanding(t *testing.T) {
+	is := is.New(t)
+	r := extsim.NewReplica(t, "i-1", "verse", "decode")
+	start := time.Now()
+	a := ask(t, r, extsim.Call{ID: "x", Path: "/hold-take", Body: `{"tokens":1,"ttl_ms":1}`})
+	is.Equal(a.Status, 200)
+	all := []*extsim.Replica{r}
+	is.Equal(len(extsim.Outstanding(all, start, time.Now())), 1)
+	is.Equal(len(extsim.Outstanding(all, time.Now(), time.Now())), 0)
+	ask(t, r, extsim.Call{ID: "x", Method: "DELETE", Path: "/hold-drop/h1"})
+	is.Equal(len(extsim.Outstanding(all, start, time.Now())), 0)
+}
