--- a/soak/inject.go
+++ b/soak/inject.go
@@ -89,15 +89,27 @@
 	}
 }
 
-// oddFaults are the wrong answers of the step Odd.
-var oddFaults = []extsim.Fault{
-	extsim.Reject, extsim.CutAnswer, extsim.LoseAnswer, extsim.InvalidAnswer, extsim.DuplicateAnswer, extsim.NoContentLength,
-	extsim.ServerError, extsim.Unsigned, extsim.HandleGone, extsim.RepeatRefusal,
-}
-
-// silentFaults are the parts of an exchange before which the step Silent has a replica
-// pause, beside pauses of its whole link.
-var silentFaults = []extsim.Fault{extsim.SilentHold, extsim.SilentPrefill, extsim.SilentHead, extsim.SilentStream}
+// oddFaults are the wrong answers of the step Odd, and silentFaults the parts of an
+// exchange before which the step Silent has a replica pause, beside pauses of its whole
+// link; both by the phase of the replica.
+var (
+	oddFaults = map[string][]extsim.Fault{
+		"": {
+			extsim.Reject, extsim.CutAnswer, extsim.LoseAnswer, extsim.InvalidAnswer, extsim.DuplicateAnswer,
+			extsim.NoContentLength, extsim.ServerError, extsim.Unsigned, extsim.RepeatRefusal,
+		},
+		"prefill": {extsim.Reject, extsim.Hang},
+		"decode": {
+			extsim.Reject, extsim.CutAnswer, extsim.LoseAnswer, extsim.InvalidAnswer, extsim.ServerError, extsim.Unsigned,
+			extsim.HandleGone, extsim.Hang,
+		},
+	}
+	silentFaults = map[string][]extsim.Fault{
+		"":        {extsim.SilentHead},
+		"prefill": {extsim.SilentPrefill},
+		"decode":  {extsim.SilentHold, extsim.SilentHead, extsim.SilentStream},
+	}
+)
 
 // stepReplica runs a step on one of the replicas that are registered as ready.
 func (g *rig) stepReplica(ctx context.Context, s Step, r *rand.Rand) {
@@ -122,7 +134,7 @@
 		}
 	case Silent:
 		if r.IntN(2) == 0 {
-			g.inject(ctx, c, silentFaults, r, s.For)
+			g.inject(ctx, c, silentFaults[c.sim.Phase], r, s.For)
 			return
 		}
 		c.proxy.SetFlows(proxy.Flow{Hold: true}, proxy.Flow{Hold: true})
@@ -141,14 +153,17 @@
 		c.proxy.SetFlows(proxy.Flow{}, proxy.Flow{Endless: true})
 		_ = sleep(ctx, s.For)
 	case Odd:
-		g.inject(ctx, c, oddFaults, r, s.For)
+		g.inject(ctx, c, oddFaults[c.sim.Phase], r, s.For)
 	}
 }
 
+// maxFaulty is the largest number of requests that meet an injected fault.
+const maxFaulty = 6
+
 // inject makes some of the next requests to a replica meet one of the faults.
 func (g *rig) inject(ctx context.Context, c *replica, faults []extsim.Fault, r *rand.Rand, d clock.Millis) {
 	f := faults[r.IntN(len(faults))]
-	c.sim.InjectFault(f, 1+r.IntN(4))
+	c.sim.InjectFault(f, 1+r.IntN(maxFaulty))
 	_ = sleep(ctx, d)
 	c.sim.InjectFault(f, 0)
 }
@@ -223,23 +238,18 @@
 	return e.proc
 }
 
-// maxDown is the longest time between the end of a process and the next start.
-const maxDown = 1 * clock.Second
-
-// restart stops an entry and starts it again. A step that meets another one on the same
-// entry sends its signal nonetheless, and leaves the rest to the other.
+// restart ends the process of an entry, which is started again, and waits until the entry
+// is ready. Further steps may meet it meanwhile.
 func (g *rig) restart(ctx context.Context, e *entry, s Step) {
 	k, sig := Term, syscall.SIGTERM
 	if s.Kind == Kill {
 		k, sig = Kill, syscall.SIGKILL
 	}
-	end := g.outage(k, e.n, -1)
-	defer end()
+	defer g.outage(k, e.n, -1)()
 	proc := g.signal(e, k, sig)
-	if proc == nil || !e.mu.TryLock() {
+	if proc == nil {
 		return
 	}
-	defer e.mu.Unlock()
 	// A stop that a freeze prolongs may last longer than the grace period.
 	select {
 	case <-proc.Done():
@@ -247,16 +257,7 @@
 		g.signal(e, Kill, syscall.SIGKILL)
 		<-proc.Done()
 	}
-	if ctx.Err() != nil {
-		return
-	}
-	_ = sleep(ctx, clock.Millis(newRand(s.Seed, 5).Int64N(int64(maxDown))))
-	if err := g.launch(e); err != nil {
-		// The checks report the entry that is missing.
-		g.recorder.boot(Boot{Entry: e.n, From: g.now(), To: g.now(), Err: err.Error()})
-		return
-	}
-	// An error means that another step ends the process meanwhile.
+	// An error means that the entry has not come back. The checks report why.
 	_ = g.awaitReady(ctx, e)
 }
 
