relay, edge: cut answers without end, and bound the bytes held for all

Callers saw: with a hundred answers at once that never end, an entry held more than its machine has, or served others late. Callers of such answers got them to their deadline.

Cause: one event of a stream that may be resumed was bounded (1 MiB), the sum of all was not, and append doubled it; its start was scanned anew for each part. Nothing else in a body had a bound: comments, text that is no event, events beyond the tokens asked for, answers that are no stream.

Now events.Scanner bounds an event and what lies between events, in streams that can't be resumed too; a stream has at most twice the events of its maximum output tokens and 64; an answer that is no stream 16 MiB (the largest body of a request is 4 MiB on every site). The partial events of all requests have one bound, a fifth of the Go heap, and the largest gives way. A cut answer has the new code 1410 upstream_endless, a line, a counter; its connection is closed, the caller's stream is broken off or goes on at another engine, and the upstream is excluded like one that can't be reached, until a stream of it ends whole. It isn't reported as a lost connection, from which crashes are concluded.

extsim: answers may have a rest that never ends. edge_test: entries may have a memory limit.

--- a/codes/codes.go
+++ b/codes/codes.go
@@ -59,6 +59,7 @@
 	UpstreamTimeout Code = 1407
 	UpstreamFailed  Code = 1408
 	UpstreamDown    Code = 1409
+	UpstreamEndless Code = 1410
 	Leaving         Code = 1501
 	NoDocument      Code = 1502
 	CutOff          Code = 1503
@@ -126,6 +127,7 @@
 	UpstreamTimeout: {"upstream_timeout", http.StatusGatewayTimeout, Unknown, "The upstream did not answer within the deadline."},
 	UpstreamFailed:  {"upstream_failed", http.StatusBadGateway, Ran, "The upstream answered with a failure."},
 	UpstreamDown:    {"upstream_down", http.StatusBadGateway, NotRun, "No connection to the upstream could be established."},
+	UpstreamEndless: {"upstream_endless", http.StatusBadGateway, Unknown, "The upstream's answer exceeded a bound on its size and was cut."},
 	Leaving:         {"leaving", http.StatusServiceUnavailable, NotRun, "This entry is stopping; fetch the addresses again."},
 	NoDocument:      {"no_document", http.StatusServiceUnavailable, NotRun, "This entry has no published document yet."},
 	CutOff:          {"cut_off", http.StatusServiceUnavailable, NotRun, "This entry can reach neither the platform nor its peers."},
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -30,6 +30,7 @@
 	"lacewinghook.example/lacewinghook/relay"
 	"lacewinghook.example/lacewinghook/shard"
 	"lacewinghook.example/lacewinghook/sock"
+	"lacewinghook.example/lacewinghook/spool"
 	"lacewinghook.example/lacewinghook/taint"
 	"lacewinghook.example/lacewinghook/vhost"
 	"lacewinghook.example/lacewinghook/watch"
@@ -170,6 +171,7 @@
 	e.relay = relay.Relay{
 		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Budget: e, Quarantine: crashDetector{e}, Notices: &e.notices, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
 		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre, MaxSilence: s.Fleet.Silence,
+		Held: &spool.Pool{Max: int64(float64(s.Fleet.Memory<<20) * memoryShare * heldShare)},
 	}
 }
 
@@ -177,6 +179,10 @@
 // The rest is for stacks, socket buffers and the program itself.
 const memoryShare = 0.6
 
+// heldShare is the fraction of the Go heap that may hold parts of answers. As much again
+// may be in use by answers that were just cut.
+const heldShare = 0.2
+
 // setRuntimeLimits sets the Go runtime's memory and CPU limits to those of
 // the instance.
 func (e *Edge) setRuntimeLimits() {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -52,6 +52,9 @@
 	restarted bool
 	// retries limits the retries of the entries that start next.
 	retries config.Retries
+	// memory is the memory limit of the entries that start next, in MiB; zero means
+	// none.
+	memory int
 	// log, if not nil, receives the logs of the entries.
 	log *zap.Logger
 }
@@ -108,7 +111,7 @@
 		Callers: config.Listener{Listen: port()}, Peers: config.Listener{Listen: port()},
 		Fleet: &config.Fleet{
 			Store: s.store.Addr, Directory: port(), Readiness: port(), Metrics: port(),
-			Grace: 4, Keep: 500, Retries: s.retries, Fresh: !s.restarted,
+			Grace: 4, Keep: 500, Retries: s.retries, Fresh: !s.restarted, Memory: s.memory,
 		},
 	}
 	for _, r := range seeds {
--- a/extsim/replica.go
+++ b/extsim/replica.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -97,6 +98,10 @@
 	notices       notices
 	script        *Script
 	stopped       chan struct{} // closed by Stop
+
+	// endless counts the answers with endless bytes that are being sent, and
+	// endlessBytes the bytes of all so far.
+	endless, endlessBytes atomic.Int64
 }
 
 // NewReplica starts a replica and stops it at the end of the test. phase is
--- a/extsim/script.go
+++ b/extsim/script.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 )
 
 // RawAnswer is an answer to a request to execute, in the bytes that the replica
@@ -19,6 +20,10 @@
 	NotRun bool
 	// Reset is set if the connection is reset at the end of the text.
 	Reset bool
+	// Rest, if not empty, is sent after the text again and again until the caller
+	// closes the connection, RestPause apart.
+	Rest      string
+	RestPause time.Duration
 }
 
 // Script is a sequence of answers that replicas send to requests to execute, in
@@ -71,14 +76,52 @@
 		r.countRun(id)
 	}
 	text := a.Text(id, lastEventID(hr))
-	if a.Reset {
+	switch {
+	case a.Rest != "":
+		r.writeEndless(w, text, a.Rest, a.RestPause)
+	case a.Reset:
 		writeAndReset(w, text)
-	} else {
+	default:
 		r.writeRaw(w, text, false)
 	}
 	return true
 }
 
+// endlessBlockBytes is the least size of a block in which endless bytes are sent.
+const endlessBlockBytes = 16 << 10
+
+// writeEndless writes text to the hijacked connection, and then rest until the caller
+// closes it or the replica stops.
+func (r *Replica) writeEndless(w http.ResponseWriter, text, rest string, pause time.Duration) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	r.endless.Add(1)
+	defer r.endless.Add(-1)
+	go func() {
+		<-r.stopped
+		_ = c.Close()
+	}()
+	block := []byte(rest)
+	if pause == 0 {
+		block = []byte(strings.Repeat(rest, 1+endlessBlockBytes/len(rest)))
+	}
+	for p := []byte(text); ; p = block {
+		n, err := c.Write(p)
+		r.endlessBytes.Add(int64(n))
+		if err != nil {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
+// Endless returns the number of answers with endless bytes that are being sent, and the
+// bytes of all so far.
+func (r *Replica) Endless() (answers, bytes int64) { return r.endless.Load(), r.endlessBytes.Load() }
+
 // writeAndReset writes text to the hijacked connection and resets it.
 func writeAndReset(w http.ResponseWriter, text string) {
 	c, _, err := w.(http.Hijacker).Hijack()
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -143,12 +143,14 @@
 func (x *exchange) excludedEngines() []string {
 	names := slices.Concat(x.failed, x.noHold)
 	now := x.relay.Clock.Now()
-	x.relay.unreachable.Each(func(name string, e exclusion) bool {
+	add := func(name string, e exclusion) bool {
 		if now < e.until && !slices.Contains(names, name) {
 			names = append(names, name)
 		}
 		return true
-	})
+	}
+	x.relay.unreachable.Each(add)
+	x.relay.endless.Each(add)
 	return names
 }
 
--- a/relay/call.go
+++ b/relay/call.go
@@ -222,7 +222,9 @@
 	if err := x.forward(a.head); err != nil {
 		return err
 	}
-	return x.streamBody(a.up, a.answer.Body, func([]byte) {})
+	err := x.streamBody(a.up, a.answer.Body, x.checkLength(a.up, len(a.head)))
+	x.reportEndless(a.up, err)
+	return err
 }
 
 // minFailureStatus is the lowest HTTP status that reports a failure of the
--- a/relay/events.go
+++ b/relay/events.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"mime"
 	"strconv"
 
@@ -9,6 +8,8 @@
 
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/events"
+	"lacewinghook.example/lacewinghook/spool"
 )
 
 // eventBuffer forwards only complete events and records the last event ID, so
@@ -19,8 +20,10 @@
 	lastID string
 	// head is the head that the caller has, once an answer has begun.
 	head core.Reply
-	// partial holds the start of an event that is still incomplete.
-	partial []byte
+	// scan splits the current answer into events, and partial holds the start of an
+	// event that is still incomplete.
+	scan    events.Scanner
+	partial spool.Buffer
 	// events counts the events of the current answer.
 	events int
 	// resumed is set while an answer must continue after lastID.
@@ -34,11 +37,7 @@
 	onUnordered, onEvent func()
 }
 
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
-
 var (
-	errEventTooLong = errors.New("an event exceeds 1 MiB")
 	errPartialEvent = errors.New("the stream ended inside an event")
 	errNoEvent      = errors.New("the connection ended before the first event")
 	errWrongEvent   = errors.New("a resumed stream doesn't continue with the next event")
@@ -47,26 +46,22 @@
 )
 
 // streamEvents forwards the complete events of an answer as they arrive. onPart is
-// called with each part before it is forwarded.
-func (b *eventBuffer) streamEvents(x *exchange, up core.Upstream, answer Answer, onPart func([]byte)) error {
-	b.partial = b.partial[:0]
+// called with each part before it is forwarded, and evict once the entry holds too many
+// bytes and this stream must give way.
+func (b *eventBuffer) streamEvents(x *exchange, up core.Upstream, answer Answer, onPart func([]byte), evict func()) error {
+	b.scan = events.Scanner{}
+	b.partial = spool.Buffer{Pool: x.relay.Held, Evict: evict}
+	defer b.partial.Reset()
 	_, b.resumed = eventNumber(b.lastID)
 	b.events = 0
 	err := readParts(up, answer.Body, func(p []byte) error {
 		onPart(p)
-		b.partial = append(b.partial, p...)
-		if err := b.forwardComplete(x, up); err != nil {
-			return err
-		}
-		if len(b.partial) > maxEventBytes {
-			return codes.Wrap(codes.UpstreamLost, errEventTooLong, "%s", up.Name).WithRun(codes.Ran)
-		}
-		return nil
+		return b.forwardComplete(x, up, p)
 	})
 	switch {
 	case err != nil:
 		return err
-	case len(b.partial) > 0:
+	case b.scan.Partial():
 		return codes.Wrap(codes.UpstreamLost, errPartialEvent, "%s", up.Name).WithRun(codes.Ran)
 	case answer.UntilClose && b.events == 0:
 		return codes.Wrap(codes.UpstreamLost, errNoEvent, "%s", up.Name).WithRun(codes.Ran)
@@ -74,42 +69,76 @@
 	return nil
 }
 
-// forwardComplete forwards the complete events at the start of partial, up to one
-// that must not be forwarded.
-func (b *eventBuffer) forwardComplete(x *exchange, up core.Upstream) error {
-	end := 0
+// forwardComplete forwards the complete events that end in p, up to one that must not be
+// forwarded, and keeps the start of the next one.
+func (b *eventBuffer) forwardComplete(x *exchange, up core.Upstream, p []byte) error {
+	end, next := 0, 0
 	var wrong error
-	for wrong == nil {
-		n := eventLength(b.partial[end:])
-		if n == 0 {
-			break
-		}
-		if wrong = b.accept(parseEvent(b.partial[end : end+n])); wrong == nil {
-			end += n
+	for next < len(p) && wrong == nil {
+		n, e, ok, err := b.scan.Next(p[next:])
+		next += n
+		switch {
+		case err != nil:
+			wrong = endlessAnswer(up, err)
+		case ok:
+			if err := b.accept(x, e); err != nil {
+				wrong = b.wrongEvent(up, err)
+			} else {
+				end = next
+			}
 		}
 	}
 	if end > 0 {
-		if err := x.forward(b.partial[:end]); err != nil {
+		if err := b.forward(x, p[:end]); err != nil {
 			return err
 		}
-		b.partial = append(b.partial[:0], b.partial[end:]...)
 	}
 	if wrong != nil {
-		return codes.Wrap(codes.UpstreamFailed, wrong, "%s: after event %q", up.Name, b.lastID)
+		return wrong
+	}
+	if err := b.partial.Write(p[end:]); err != nil {
+		return endlessAnswer(up, err)
 	}
 	return nil
 }
 
+// wrongEvent returns the error for an event that must not be forwarded.
+func (b *eventBuffer) wrongEvent(up core.Upstream, err error) error {
+	if errors.Is(err, errTooManyEvents) {
+		return endlessAnswer(up, err)
+	}
+	return codes.Wrap(codes.UpstreamFailed, err, "%s: after event %q", up.Name, b.lastID)
+}
+
+// forward forwards what was kept of an event, and p, in which it ends.
+func (b *eventBuffer) forward(x *exchange, p []byte) error {
+	if kept := b.partial.Len(); kept > 0 {
+		if kept <= copyBufferBytes {
+			// One write, so that the event isn't sent in two packets.
+			whole := make([]byte, 0, kept+len(p))
+			_ = b.partial.Each(func(q []byte) error { whole = append(whole, q...); return nil })
+			p = append(whole, p...)
+		} else if err := b.partial.Each(x.forward); err != nil {
+			return err
+		}
+		b.partial.Reset()
+	}
+	return x.forward(p)
+}
+
 // accept records an event that is forwarded, or returns an error if it must not be.
-func (b *eventBuffer) accept(e event) error {
+func (b *eventBuffer) accept(x *exchange, e events.Event) error {
 	switch {
-	case e.foreign:
+	case e.Foreign:
 		return errNotAnEvent
-	case e.id == "" && !e.data:
+	case e.Empty():
 		// A comment is no event.
 		return nil
 	}
-	n, numbered := eventNumber(e.id)
+	if err := x.countEvent(); err != nil {
+		return err
+	}
+	n, numbered := eventNumber(e.ID)
 	last, known := eventNumber(b.lastID)
 	ordered := numbered && (!known || n == last+1)
 	if b.resumed && !ordered {
@@ -121,8 +150,8 @@
 		b.unordered = true
 		b.onUnordered()
 	}
-	if e.id != "" {
-		b.lastID = e.id
+	if e.ID != "" {
+		b.lastID = e.ID
 	}
 	return nil
 }
@@ -154,54 +183,3 @@
 	n, err := strconv.ParseUint(id, 10, 64)
 	return n, err == nil
 }
-
-// eventLength returns the length of the first event in p with the blank line that
-// ends it, 0 if it is incomplete. Lines end with LF or CRLF.
-func eventLength(p []byte) int {
-	start := 0
-	for {
-		i := bytes.IndexByte(p[start:], '\n')
-		if i < 0 {
-			return 0
-		}
-		start += i + 1
-		for _, blank := range []string{"\n", "\r\n"} {
-			if bytes.HasPrefix(p[start:], []byte(blank)) {
-				return start + len(blank)
-			}
-		}
-	}
-}
-
-// event holds what is known of one event.
-type event struct {
-	// id is empty if the event has none.
-	id string
-	// data is set if the event has a data field.
-	data bool
-	// foreign is set if the text can't be an event: it has a line that isn't a
-	// field, or unknown fields only, as the head or the text of an error has.
-	foreign bool
-}
-
-// parseEvent parses a complete event.
-func parseEvent(p []byte) event {
-	e := event{}
-	unknown := false
-	for line := range bytes.Lines(p) {
-		name, value, field := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
-		switch string(name) {
-		case "id":
-			e.id = string(bytes.TrimSpace(value))
-		case "data":
-			e.data = true
-		case "", "event", "retry":
-			// An empty name is that of a comment or the blank line.
-		default:
-			unknown = true
-			e.foreign = e.foreign || !field
-		}
-	}
-	e.foreign = e.foreign || unknown && e.id == "" && !e.data
-	return e
-}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -42,6 +42,8 @@
 	failedSearches int
 	// firstCounted is set once the first send is counted in the budget.
 	firstCounted bool
+	// events counts the events of the stream, from all engines.
+	events int
 	// headSent is set once the sink has received the head of the answer.
 	headSent bool
 	// callerGone is set once the sink has returned an error.
@@ -230,6 +232,7 @@
 	if ctx.Err() == nil {
 		x.relay.markUnreachable(up, err)
 	}
+	x.reportEndless(up, err)
 	if e.Run != codes.NotRun {
 		x.possibleRuns++
 	}
@@ -302,10 +305,12 @@
 const copyBufferBytes = 16 << 10
 
 // streamBody forwards a body as it arrives. onPart is called with each part before
-// it is forwarded.
-func (x *exchange) streamBody(up core.Upstream, body io.Reader, onPart func([]byte)) error {
+// it is forwarded, and its error ends the body.
+func (x *exchange) streamBody(up core.Upstream, body io.Reader, onPart func([]byte) error) error {
 	return readParts(up, body, func(p []byte) error {
-		onPart(p)
+		if err := onPart(p); err != nil {
+			return err
+		}
 		return x.forward(p)
 	})
 }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -13,6 +13,7 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/pool"
+	"lacewinghook.example/lacewinghook/spool"
 )
 
 // attempt is one try of a completion at a prefill and a decode engine, or at a
@@ -322,6 +323,7 @@
 	wd.stop(err != nil && ctx.Err() == nil && !x.callerGone)
 	if err == nil {
 		x.possibleRuns++
+		x.relay.endless.Delete(a.decode.Name)
 		if a.events > 0 {
 			x.reportAnswered()
 		}
@@ -330,6 +332,9 @@
 	if errors.Is(context.Cause(call), errUpstreamIdle) && ctx.Err() == nil {
 		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errUpstreamIdle, err), "%s", a.decode.Name)
 	}
+	if errors.Is(context.Cause(call), spool.ErrFull) && ctx.Err() == nil {
+		err = endlessAnswer(a.decode, spool.ErrFull)
+	}
 	if !x.callerGone && ctx.Err() == nil {
 		x.recordFailure(ctx, sentRequest{up: a.decode, at: start, mark: mark, answered: a.proven()}, err)
 	} else {
@@ -440,9 +445,16 @@
 		// A stream that can't continue elsewhere isn't given up for its silence.
 		buf.onUnordered = func() { wd.stop(false) }
 		buf.onEvent = func() { wd.dataReceived(x.relay.maxSilence()) }
-		return buf.streamEvents(x, a.decode, answer, onPart)
+		return buf.streamEvents(x, a.decode, answer, onPart, func() { wd.cancel(spool.ErrFull) })
+	}
+	check := x.checkLength(a.decode, 0)
+	if contentType(answer.Reply) == eventStream {
+		check = x.checkEvents(a.decode)
 	}
-	return x.streamBody(a.decode, answer.Body, onPart)
+	return x.streamBody(a.decode, answer.Body, func(p []byte) error {
+		onPart(p)
+		return check(p)
+	})
 }
 
 // provenEvents is the number of events that show that the engine can answer the request:
@@ -484,5 +496,5 @@
 	if err := x.sendHead(answer.Reply); err != nil {
 		return err
 	}
-	return x.streamBody(a.decode, answer.Body, func([]byte) {})
+	return x.streamBody(a.decode, answer.Body, x.checkLength(a.decode, 0))
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/route"
 	"lacewinghook.example/lacewinghook/shard"
+	"lacewinghook.example/lacewinghook/spool"
 )
 
 // Upstreams sends requests to upstreams. An error with Run [codes.NotRun]
@@ -162,9 +163,15 @@
 	// MaxSilence is how long a sound upstream may be silent; zero means
 	// [DefaultMaxSilence]. No run is given up for a shorter silence.
 	MaxSilence clock.Millis
-
-	// unreachable holds the upstreams whose last connection attempts failed.
-	unreachable shard.Map[string, exclusion]
+	// MaxAnswer bounds an answer that isn't a stream of events, in bytes; zero means
+	// [DefaultMaxAnswer].
+	MaxAnswer int64
+	// Held, if not nil, bounds the bytes of answers that are held for all requests.
+	Held *spool.Pool
+
+	// unreachable holds the upstreams whose last connection attempts failed, and
+	// endless those whose last complete or cut answer was cut.
+	unreachable, endless shard.Map[string, exclusion]
 	// desk places completions if Placer is nil; setUp initializes it.
 	setUp sync.Once
 	desk  alloc.Desk
--- a/relay/unreachable.go
+++ b/relay/unreachable.go
@@ -6,6 +6,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/shard"
 )
 
 // exclusion excludes an upstream from selection after connection failures.
@@ -30,9 +31,14 @@
 	default:
 		return
 	}
+	r.exclude(up, &r.unreachable)
+}
+
+// exclude excludes up from selection, for longer each time until list forgets it.
+func (r *Relay) exclude(up core.Upstream, list *shard.Map[string, exclusion]) {
 	now := r.Clock.Now()
 	var e exclusion
-	r.unreachable.Update(up.Name, func(old exclusion, _ bool) (exclusion, bool) {
+	list.Update(up.Name, func(old exclusion, _ bool) (exclusion, bool) {
 		e = old
 		if now < old.until {
 			// Concurrent requests that fail at the same upstream count as one
@@ -42,7 +48,7 @@
 		e = exclusion{until: now + min(minExclusion<<min(old.failures, 8), maxExclusion), failures: old.failures + 1}
 		return e, true
 	})
-	r.logger().Info("relay: unreachable upstream excluded", zap.String("upstream", up.Name), zap.Int64("for", int64(e.until-now)),
+	r.logger().Info("relay: upstream excluded", zap.String("upstream", up.Name), zap.Int64("for", int64(e.until-now)),
 		zap.Int("failures", e.failures))
 }
 
@@ -52,6 +58,11 @@
 
 // isUnreachable reports whether the upstream is currently excluded.
 func (r *Relay) isUnreachable(name string) bool {
-	e, ok := r.unreachable.Get(name)
-	return ok && r.Clock.Now() < e.until
+	now := r.Clock.Now()
+	for _, list := range []*shard.Map[string, exclusion]{&r.unreachable, &r.endless} {
+		if e, ok := list.Get(name); ok && now < e.until {
+			return true
+		}
+	}
+	return false
 }
