--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -273,12 +274,26 @@
 // TestEndlessReplicaIsNotPreferred guards against a replica that sends endless answers and
 // is chosen again for the next requests, since it answers fast.
 func TestEndlessReplicaIsNotPreferred(t *testing.T) {
+	for name, answer := range map[string]func() (relay.Answer, error){
+		"body": func() (relay.Answer, error) {
+			return endlessBody("text/event-stream", "id: 1\ndata: a\n\n", "x"), nil
+		},
+		"head": func() (relay.Answer, error) {
+			return relay.Answer{}, codes.Wrap(codes.UpstreamLost, codes.New(codes.UpstreamEndless, "head"), "g-0")
+		},
+	} {
+		t.Run(name, func(t *testing.T) { testNotPreferred(t, answer) })
+	}
+}
+
+// testNotPreferred sends requests while one of two engines gives the answer.
+func testNotPreferred(t *testing.T, answer func() (relay.Answer, error)) {
 	is := is.New(t)
 	u := &upstreams{}
 	r, _ := newRelay(u, &budget{retriesLeft: 100})
 	u.send = func(up core.Upstream, _ relay.SendRequest) (relay.Answer, error) {
 		if up.Name == "g-0" {
-			return endlessBody("text/event-stream", "id: 1\ndata: a\n\n", "x"), nil
+			return answer()
 		}
 		return okAnswer("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), nil
 	}
@@ -288,7 +303,7 @@
 		err := r.Run(context.Background(), request(r, core.HostRoute{}), &counting{})
 		if strings.Count(u.callList(), "send g-0") > before {
 			faulty++
-			is.True(codes.Has(err, codes.UpstreamEndless))
+			is.True(errors.Is(err, codes.New(codes.UpstreamEndless, "")))
 		} else {
 			is.NoErr(err)
 		}
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -222,6 +222,7 @@
 		export.Expires = x.relay.Clock.Now() + ttl
 	}
 	x.relay.markReachable(a.prefill)
+	x.relay.endless.Delete(a.prefill.Name)
 	export.Upstream = a.prefill.Name
 	a.export = &export
 	a.finishPrompt(took)
