edge: answer what a stop can't finish and has not begun

Cause: at the end of the grace period a stop closed the callers' connections. Requests on which an upstream still worked, without a byte of an answer so far, ended without one. Ruled out: the deadline, which was later.

The contexts of the requests now end first, and within 100 ms those that have not begun are answered with 502, which promises nothing. Calls that may not be repeated still wait for their upstream and are cut.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -90,8 +90,10 @@
 	groups   atomic.Pointer[groups]
 	readRank atomic.Int64
 	budgets  shard.Map[string, *limit.Window]
-	// inFlight tracks the requests and connections of callers.
-	inFlight flight.Tracker
+	// inFlight tracks the requests and connections of callers, and endRequests cancels
+	// the requests.
+	inFlight    flight.Tracker
+	endRequests context.CancelCauseFunc
 	// durations estimates how long the completions of a service take.
 	durations flight.Durations
 }
@@ -218,6 +220,9 @@
 	e.inFlight = flight.Tracker{Clock: e.Clock, ID: platform.RequestID}
 	ingress := e.server(e.inFlight.Track(&platform.Ingress{Runner: callerRunner{e}, Clock: e.Clock, Meter: &e.meter, Log: e.Log}, e.leaving.Load))
 	ingress.ConnState = e.inFlight.ConnState
+	var requests context.Context
+	requests, e.endRequests = context.WithCancelCause(context.WithoutCancel(ctx))
+	ingress.BaseContext = func(net.Listener) context.Context { return requests }
 	ingress.MaxHeaderBytes = s.Limits.WithDefaults().Header
 	handlers := []struct {
 		addr string
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -51,6 +51,11 @@
 	}
 	e.inFlight.WaitIdle(stopCtx, idleTime)
 	e.logCut(begun)
+	// A request whose answer has not begun gets one that promises nothing.
+	e.endRequests(codes.New(codes.Leaving, "the grace period ends"))
+	answerCtx, cancel := context.WithTimeout(ctx, answerTime.Duration())
+	defer cancel()
+	e.inFlight.WaitIdle(answerCtx, 0)
 	for _, s := range servers {
 		var err error
 		switch {
@@ -118,6 +123,8 @@
 	lookupTime         clock.Millis = 200
 	// acceptTime is long enough to accept all connections that are queued.
 	acceptTime clock.Millis = 50
+	// answerTime bounds the time to answer the requests that a stop can't finish.
+	answerTime clock.Millis = 100
 	// idleTime is how long a connection must be idle before it is closed, so that a
 	// request that is on its way still arrives.
 	idleTime clock.Millis = 200
