--- a/extsim/replica.go
+++ b/extsim/replica.go
@@ -557,15 +557,16 @@
 		if n == lastID+3 && !r.fallSilent(hr, SilentStream) {
 			return
 		}
-		if cut && n == lastID+3 {
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: to", n)
-			_ = controller.Flush()
-			panic(http.ErrAbortHandler)
-		}
 		event := fmt.Sprintf("id: %d\ndata: token%d\n\n", n, n)
 		if r.Tagged {
 			event = taggedEvent(id, n)
 		}
+		if cut && n == lastID+3 {
+			part, _, _ := strings.Cut(event, "ken")
+			_, _ = io.WriteString(w, part)
+			_ = controller.Flush()
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = io.WriteString(w, event)
 		_ = controller.Flush()
 		select {
--- a/extsim/run_test.go
+++ b/extsim/run_test.go
@@ -69,3 +69,24 @@
 	ask(t, r, extsim.Call{ID: "x", Method: "DELETE", Path: "/hold-drop/h1"})
 	is.Equal(len(extsim.Outstanding(all, start, time.Now())), 0)
 }
+
+// TestCutStream checks that a stream is cut within an event, tagged or not.
+func TestCutStream(t *testing.T) {
+	for name, c := range map[string]struct {
+		tagged bool
+		whole  string
+	}{
+		"plain":  {false, "id: 1\ndata: token1\n\nid: 2\ndata: token2\n\nid: 3\ndata: token3\n\n"},
+		"tagged": {true, extsim.TaggedEvents("x", 0, 3)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := extsim.NewReplica(t, "i-1", "verse", "decode")
+			r.Tagged = c.tagged
+			r.InjectFault(extsim.CutAnswer, 1)
+			a := ask(t, r, extsim.Call{ID: "x", Host: "h", Path: "/verse/1", Generates: true})
+			is.True(!a.Complete)
+			is.Equal(a.Body+"ken3\n\n", c.whole)
+		})
+	}
+}
