--- a/soak/caller.go
+++ b/soak/caller.go
@@ -71,6 +71,11 @@
 	for nth := range 1 + c.r.IntN(maxReuse) {
 		q, call := c.next(e.n, boot, nth)
 		a := conn.Ask(context.WithoutCancel(ctx), call)
+		if a.Impatient {
+			// The caller has left only now.
+			conn.Close()
+			a.Ended = time.Now()
+		}
 		c.g.answered(&q, a)
 		if !a.Complete || a.Closes || call.HalfClose {
 			return
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"syscall"
 	"time"
 
@@ -212,18 +213,30 @@
 // eventsTime is longer than any stream of a stand-in takes.
 const eventsTime = 4 * clock.Second
 
-// startMargin is the time after a start in which a process gets no signal that it has to
-// handle, since its program may not run yet.
-const startMargin = 250 * clock.Millis(1)
+// listens reports whether the process has begun to serve callers. Before that, its program
+// may not run yet, and a signal that it has to handle would end it. The caller holds state.
+func (e *entry) listens() bool {
+	if !e.listening && e.up {
+		conn, err := net.DialTimeout("tcp", e.settings.Callers.Listen, dialTimeout.Duration())
+		if err == nil {
+			_ = conn.Close()
+		}
+		e.listening = err == nil
+	}
+	return e.listening
+}
 
 // signal sends a signal to the current process of an entry. It returns nil if there is
 // none.
 func (g *rig) signal(e *entry, k Kind, s syscall.Signal) *osproc.Process {
 	e.state.Lock()
 	defer e.state.Unlock()
-	now := g.now()
 	handled := s == syscall.SIGHUP || s == syscall.SIGTERM
-	if !e.up || handled && now < e.boot.From+startMargin || e.proc.Signal(s) != nil {
+	if handled && !e.listens() {
+		return nil
+	}
+	now := g.now()
+	if !e.up || e.proc.Signal(s) != nil {
 		return nil
 	}
 	switch {
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -68,6 +68,8 @@
 	proc  *osproc.Process
 	boot  Boot
 	up    bool
+	// listening is set once the process was seen to serve callers.
+	listening bool
 }
 
 // rig is the platform, the replicas and the entries of a run.
@@ -275,7 +277,7 @@
 	// Later starts belong to a system that runs already.
 	e.settings.Fleet.Fresh = false
 	e.state.Lock()
-	e.proc, e.up = proc, true
+	e.proc, e.up, e.listening = proc, true, false
 	e.boot = Boot{Entry: e.n, Boot: e.boot.Boot + 1, From: g.now()}
 	e.state.Unlock()
 	g.wait.Go(func() { g.watch(e, proc) })
