alloc: groups whose engines want nothing from this entry aren't asked

What callers saw: while all decode engines of some groups were paused for an entry, a request for which these groups were drawn was rejected, although engines of another group were free. relay drew again three times, 15 ms apart, and then rejected without a Retry-After.

Cause: Client.Place draws two groups by their numbers of decode engines and doesn't look at what the engines state to this entry.

Change: engines that are barred for this entry don't count when groups are drawn. If none is left no owner is asked, and relay answers with the earliest end of a pause, as it does without groups.

Ruled out: more searches in relay, which ask owners that can only say no.

Evidence: TestPausedGroupsAreNotAsked failed before (no_upstream: 6 prefill and no decode upstreams, group 0), 3 of 3 runs pass with the race detector.

--- a/alloc/client.go
+++ b/alloc/client.go
@@ -90,7 +90,7 @@
 // are free now, and then waits at the one with fewer waiting requests for each
 // engine.
 func (c *Client) Place(ctx context.Context, r Request, commit func(Choice)) error {
-	groups := c.Groups(r.Service)
+	groups := c.usableGroups(r.Service)
 	entries := c.Entries()
 	first, second, ok := groups.Pick(rand.Float64(), rand.Float64())
 	if len(entries) == 0 || !ok {
@@ -254,6 +254,26 @@
 	return barred, leaving
 }
 
+// usableGroups returns the groups of a service. If some engines must get nothing from
+// this entry, it counts the other decode engines only.
+func (c *Client) usableGroups(service string) Groups {
+	groups := c.Groups(service)
+	notices := c.Desk.Notices
+	if notices == nil || !slices.ContainsFunc(notices.Names(), func(engine string) bool {
+		_, ok := groups.Of[engine]
+		return ok && notices.Status(engine).Barred
+	}) {
+		return groups
+	}
+	groups.Decodes = make([]int, groups.N)
+	for _, engine := range c.Desk.Pool.Candidates(core.Decode, service, nil, nil) {
+		if g, ok := groups.Of[engine.Name]; ok && !notices.Status(engine.Name).Barred {
+			groups.Decodes[g]++
+		}
+	}
+	return groups
+}
+
 // owner returns the owner of a group: the entry with the highest rendezvous hash of
 // those not passed over, or this entry if there is none.
 func (c *Client) owner(entries []core.Instance, service string, group int) core.Instance {
--- a/alloc/notice_test.go
+++ b/alloc/notice_test.go
@@ -1,12 +1,15 @@
 package alloc_test
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"lacewinghook.example/lacewinghook/alloc"
 	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/notice"
 )
 
@@ -83,3 +86,47 @@
 		is.NoErr(e.Place(t.Context(), r, func(c alloc.Choice) { is.Equal(c.Decode, decodes[1]) }))
 	}
 }
+
+// countedPeers counts the calls to owners.
+type countedPeers struct {
+	alloc.Peers
+	places atomic.Int64
+}
+
+// Place implements [alloc.Peers].
+func (p *countedPeers) Place(ctx context.Context, addr string, c alloc.Call) (alloc.Result, error) {
+	p.places.Add(1)
+	return p.Peers.Place(ctx, addr, c)
+}
+
+// TestPausedGroupsAreNotAsked guards against a request that is rejected because all engines
+// of the groups that were drawn want nothing from its entry, while those of another group
+// are free.
+func TestPausedGroupsAreNotAsked(t *testing.T) {
+	is := is.New(t)
+	ups := engines(24, 24)
+	s := newSite(t, 14, ups)
+	is.True(s.groups.N > 2)
+	e := s.entries["e003"]
+	paused := notices{}
+	for _, u := range ups {
+		if u.Role == core.Decode && s.groups.Of[u.Name] != 1 {
+			paused[u.Name] = notice.Status{Barred: true, PausedUntil: 1 << 40}
+		}
+	}
+	e.Desk.Notices = paused
+	for engine := range s.place(t, e, 40) {
+		is.True(engine == "" || s.groups.Of[engine] == 1)
+	}
+
+	// No owner is asked if no engine is left.
+	for _, u := range ups {
+		paused[u.Name] = notice.Status{Barred: true, PausedUntil: 1 << 40}
+	}
+	peers := &countedPeers{Peers: s}
+	e.Peers = peers
+	err := e.Place(t.Context(), alloc.Request{ID: "id", Service: service, Tokens: 3000, Pieces: 1, Latest: 1 << 40}, func(alloc.Choice) {})
+	is.True(codes.Has(err, codes.NoUpstream))
+	is.Equal(codes.From(err).Run, codes.NotRun)
+	is.Equal(peers.places.Load(), int64(0))
+}
