flow, poison: a run counts as sent again from its admission

What callers saw: while a poison request crashed decode engines, an innocent request was quarantined (flow TestPromise/poison/crashes_decode_upstreams).

Cause, two parts. Isolation from other suspects is decided when an attempt is admitted, but a crash was stamped with the time of the decode call. A run that was admitted before a copy of it became a suspect, and so ran beside the poison request, counted as sent again after the first crash if its decode call came later. And after a decode engine had failed, the export was sent to a second one without isolation: the poison request went there beside isolated suspects, whose second crash then quarantined them.

Change: a crash is stamped with the admission, and a second decode engine is an admission of its own, with isolation. A stream that is resumed from another call has no admission here, and counts as admitted before all crashes.

Ruled out: the stamp alone.

--- a/flow/branch.go
+++ b/flow/branch.go
@@ -22,6 +22,11 @@
 	placement *sched.Placement
 	// stop cancels the branch with a cause.
 	stop context.CancelCauseFunc
+	// leave lets other suspects run at the upstreams again.
+	leave func()
+	// admittedAt is the time at which the run was admitted to its upstreams, zero
+	// if another call admitted it.
+	admittedAt clock.Millis
 	// decodeStart is the time of the last decode call. transferred is set once
 	// the decode upstream holds the KV cache, and gotToken at its first token.
 	decodeStart           clock.Millis
@@ -64,12 +69,11 @@
 		return err
 	}
 	b.setPlacement(p)
-	leave, err := b.isolateSuspect(ctx, p)
-	if err != nil {
+	if err := b.isolateSuspect(ctx, p.Prefill.Name, p.Decode.Name); err != nil {
 		b.execution.flow.Placer.Release(p, err)
 		return err
 	}
-	defer leave()
+	defer func() { b.leave() }()
 	x, err := b.prefill(ctx, p)
 	if err != nil {
 		b.execution.flow.Placer.Release(p, err)
@@ -85,13 +89,19 @@
 	b.placement = p
 }
 
-// isolateSuspect waits until the request may run at its upstreams without another
-// suspect, if it is a suspect itself. The caller must call leave afterwards.
-func (b *branch) isolateSuspect(ctx context.Context, p *sched.Placement) (leave func(), err error) {
-	if s := b.execution.flow.Quarantine; s != nil {
-		return s.Isolate(ctx, b.execution.request.Digest, p.Prefill.Name, p.Decode.Name)
+// isolateSuspect waits until the request may run at the upstreams without another
+// suspect, if it is a suspect itself. It sets leave, which ends the isolation.
+func (b *branch) isolateSuspect(ctx context.Context, upstreams ...string) error {
+	b.admittedAt, b.leave = b.execution.flow.Clock.Now(), func() {}
+	s := b.execution.flow.Quarantine
+	if s == nil {
+		return nil
+	}
+	leave, err := s.Isolate(ctx, b.execution.request.Digest, upstreams...)
+	if err == nil {
+		b.leave = leave
 	}
-	return func() {}, nil
+	return err
 }
 
 // prefill computes the KV cache. After a failure it cancels the prefill, counts
@@ -114,7 +124,7 @@
 	e.flow.Meter.CountWastedPrefill(wasteReason(ctx, err), p.Tokens)
 	if ctx.Err() == nil {
 		e.addFailed(p.Prefill)
-		e.reportFailure(ctx, p.Prefill, boot, start, err)
+		b.reportFailure(ctx, p.Prefill, boot, err)
 	}
 	return x, err
 }
@@ -147,6 +157,13 @@
 		}
 		b.try, b.redirected = next, true
 		b.setPlacement(p)
+		// The failure may have made the request a suspect. It must not wait for
+		// the new upstream while it holds the old ones.
+		b.leave()
+		if refused = b.isolateSuspect(ctx, p.Decode.Name); refused != nil {
+			e.flow.Placer.Release(p, refused)
+			return b.discardExport(ctx, prefill, x, err)
+		}
 	}
 }
 
--- a/flow/decode.go
+++ b/flow/decode.go
@@ -62,7 +62,7 @@
 	if ctx.Err() == nil {
 		e.addFailed(up)
 		if b.transferred || !provesNotRun(err) {
-			e.reportFailure(ctx, up, boot, b.decodeStart, err)
+			b.reportFailure(ctx, up, boot, err)
 		}
 	}
 }
--- a/flow/execution.go
+++ b/flow/execution.go
@@ -7,7 +7,6 @@
 
 	"github.com/go-faster/errors"
 
-	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/limit"
@@ -187,13 +186,15 @@
 }
 
 // reportFailure reports a failed call to the quarantine if err may come from a crash of
-// the upstream.
-func (e *execution) reportFailure(ctx context.Context, up core.Upstream, boot string, began clock.Millis, err error) {
+// the upstream. The run counts from its admission, not from the call: a run admitted
+// before its digest was a suspect is not isolated from other suspects.
+func (b *branch) reportFailure(ctx context.Context, up core.Upstream, boot string, err error) {
+	e := b.execution
 	if e.flow.Quarantine == nil {
 		return
 	}
 	switch codes.From(err).Code {
 	case codes.UpstreamLost, codes.UpstreamRefused, codes.NotFound:
-		e.flow.Quarantine.CheckCrashAndWait(ctx, up, boot, began, e.request.Digest)
+		e.flow.Quarantine.CheckCrashAndWait(ctx, up, boot, b.admittedAt, e.request.Digest)
 	}
 }
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -68,9 +68,10 @@
 	Boot(upstream string) string
 	// CheckCrashAndWait checks whether the upstream, whose call for the digest
 	// failed, has crashed, and if so records the digest as a suspect. boot is
-	// the upstream's boot ID at began, the time of the call. If the digest
-	// becomes quarantined, it waits until all entries reject it.
-	CheckCrashAndWait(ctx context.Context, up core.Upstream, boot string, began clock.Millis, digest uint64)
+	// the upstream's boot ID at the time of the call, and admitted the time
+	// before Isolate was called for this run. If the digest becomes
+	// quarantined, it waits until all entries reject it.
+	CheckCrashAndWait(ctx context.Context, up core.Upstream, boot string, admitted clock.Millis, digest uint64)
 }
 
 // Sink receives the answer to one request.
--- a/flow/resume.go
+++ b/flow/resume.go
@@ -53,7 +53,6 @@
 	// gotToken is set because the placement was not made by the Placer, which
 	// must not get a first-token report for it.
 	b := &branch{execution: e, transferred: true, gotToken: true, try: core.Try{Request: e.request, Attempt: e.lastAttempt}}
-	b.decodeStart = e.flow.Clock.Now()
 	boot := e.lastBoot(up)
 	err := e.flow.Engines.Resume(ctx, up, e.request.ID, e.lastAttempt, offset, b.tokenHandler(p))
 	err = b.reattach(ctx, p, err)
@@ -62,7 +61,7 @@
 	}
 	e.handOverCancel(up, b.try.Attempt, err)
 	if ctx.Err() == nil {
-		e.reportFailure(ctx, up, boot, b.decodeStart, err)
+		b.reportFailure(ctx, up, boot, err)
 	}
 	if codes.Has(err, codes.NotFound) {
 		return codes.Wrap(codes.UpstreamLost, err, "%s no longer holds the request; it ran there at least to token %d", up.Name, e.tokensSent()).WithRun(codes.Ran)
--- a/poison/crash.go
+++ b/poison/crash.go
@@ -35,26 +35,27 @@
 // CheckCrashAndWait is [Quarantine.CheckCrash]. If the digest is then in
 // quarantine, it also waits until every entry has the quarantine, so that the
 // caller cannot send the request to another entry in the meantime.
-func (q *Quarantine) CheckCrashAndWait(ctx context.Context, up core.Upstream, boot string, began clock.Millis, digest uint64) {
-	if q.CheckCrash(ctx, up, boot, began, digest) {
+func (q *Quarantine) CheckCrashAndWait(ctx context.Context, up core.Upstream, boot string, admitted clock.Millis, digest uint64) {
+	if q.CheckCrash(ctx, up, boot, admitted, digest) {
 		_ = q.Clock.Sleep(ctx, propagationDelay)
 	}
 }
 
 // CheckCrash checks whether the upstream, whose connection broke while it ran
 // the digest, has crashed, and if so makes the digest a suspect. boot is the
-// boot of the upstream at began, the time of the call. CheckCrash reports
-// whether this crash puts or keeps the digest in quarantine. It returns after
-// the crash is saved in the table or the table has failed to respond.
-func (q *Quarantine) CheckCrash(ctx context.Context, up core.Upstream, boot string, began clock.Millis, digest uint64) bool {
-	return q.Crashed(ctx, up, boot) && q.AddCrash(ctx, up, boot, began, digest)
+// boot of the upstream at the time of the call, and admitted the time before
+// [Quarantine.Isolate] was called for this run. CheckCrash reports whether this
+// crash puts or keeps the digest in quarantine. It returns after the crash is
+// saved in the table or the table has failed to respond.
+func (q *Quarantine) CheckCrash(ctx context.Context, up core.Upstream, boot string, admitted clock.Millis, digest uint64) bool {
+	return q.Crashed(ctx, up, boot) && q.AddCrash(ctx, up, boot, admitted, digest)
 }
 
 // AddCrash records that the upstream, with the given boot, has crashed while it ran the
-// digest since began. It returns like [Quarantine.CheckCrash].
-func (q *Quarantine) AddCrash(ctx context.Context, up core.Upstream, boot string, began clock.Millis, digest uint64) bool {
+// digest since admitted. It returns like [Quarantine.CheckCrash].
+func (q *Quarantine) AddCrash(ctx context.Context, up core.Upstream, boot string, admitted clock.Millis, digest uint64) bool {
 	at := q.wall()
-	crash := Crash{Upstream: up.Name, Boot: boot, SentAt: at - (q.Clock.Now() - began), SeenAt: at}
+	crash := Crash{Upstream: up.Name, Boot: boot, SentAt: at - (q.Clock.Now() - admitted), SeenAt: at}
 	s := q.addLocal(Suspect{Digest: digest, Crashes: []Crash{crash}, Until: at + suspectTTL})
 	q.Meter.Add("suspects_total", 1, "upstream", up.Name)
 	if q.OnChange != nil {
--- a/poison/doc.go
+++ b/poison/doc.go
@@ -18,5 +18,5 @@
 //	go q.Run(ctx)
 //	if q.Quarantined(digest) { ... }
 //	leave, err := q.Isolate(ctx, digest, "prefill-1", "decode-2")
-//	q.CheckCrashAndWait(ctx, upstream, boot, began, digest)
+//	q.CheckCrashAndWait(ctx, upstream, boot, admitted, digest)
 package poison
--- a/poison/quarantine.go
+++ b/poison/quarantine.go
@@ -36,7 +36,7 @@
 type Crash struct {
 	Upstream string `json:"upstream"`
 	Boot     string `json:"boot"`
-	// SentAt is the wall time at which the digest was sent to that run, the
+	// SentAt is the wall time at which the digest was admitted to that run, the
 	// latest if it was sent more than once. SeenAt is the wall time at which
 	// the crash was detected.
 	SentAt clock.Millis `json:"began"`
