limit: a request past its latest start isn't served while the timer is late

What callers saw: on a busy machine a request could wait longer than its target and patience allow and then be served, where it should have been rejected as not run (alloc TestManyEntries/twice_as_much: longest wait 335 ms against 300 ms and 27 ms of measured lateness).

Cause: expired requests are rejected by the queue's timer only. If capacity becomes free while the timer is late, dispatch serves them. The lateness of the timer and that of the waiting goroutine then add up, while the bound of the test allows for one of them.

Change: dispatch rejects a request whose latest start has passed.

Evidence: TestLateTimerServesNoExpiredRequest failed before, passes now.

--- a/limit/timer.go
+++ b/limit/timer.go
@@ -64,12 +64,17 @@
 		next = min(next, w.startDeadline())
 	})
 	for _, w := range expired {
-		q.remove(w)
-		w.result <- codes.New(codes.DeadlineUnmet, "no capacity became free in time").WithRetryAfter(minRetryAfter)
+		q.reject(w)
 	}
 	return next
 }
 
+// reject rejects a request that can no longer start in time.
+func (q *Queue) reject(w *waiter) {
+	q.remove(w)
+	w.result <- codes.New(codes.DeadlineUnmet, "no capacity became free in time").WithRetryAfter(minRetryAfter)
+}
+
 // throughput measures the cost served per millisecond while the queue is not
 // empty. The wait of a new request is predicted from it.
 type throughput struct {
--- a/limit/waitqueue.go
+++ b/limit/waitqueue.go
@@ -293,7 +293,8 @@
 
 // dispatch serves requests in order. It ends once maxFailedTries of them found no
 // capacity, or one that maxOvertakes others have overtaken. These return to the
-// queue. The caller holds the lock.
+// queue. It rejects those that can no longer start in time, since the timer may be
+// late. The caller holds the lock.
 func (q *Queue) dispatch() {
 	if q.waiting == 0 {
 		return
@@ -305,6 +306,10 @@
 		if w == nil {
 			break
 		}
+		if w.startDeadline() < now {
+			q.reject(w)
+			continue
+		}
 		s := w.subqueue
 		s.remove(w)
 		if !q.tryStart(w) {
--- a/limit/waitqueue_test.go
+++ b/limit/waitqueue_test.go
@@ -242,3 +242,22 @@
 		}
 	}
 }
+
+// TestLateTimerServesNoExpiredRequest guards against a request that is served after its
+// latest start because capacity becomes free before the queue's timer, which is late on a
+// busy machine.
+func TestLateTimerServesNoExpiredRequest(t *testing.T) {
+	is := is.New(t)
+	q := newTestQueue()
+	// Timers that are due at once run in order, after the clock has advanced.
+	q.Clock.AfterFunc(50, func() { q.release(1) })
+	q.submit(t.Context(), "a1", limit.Ticket{Cost: 1, Target: 100, Latest: 100})
+	q.submit(t.Context(), "a2", limit.Ticket{Cost: 1, Target: 100, Latest: 1000})
+	q.manual.Advance(300)
+	q.release(1)
+	q.wait.Wait()
+	is.True(codes.Has(q.errs["a1"], codes.DeadlineUnmet))
+	is.Equal(codes.From(q.errs["a1"]).Run, codes.NotRun)
+	is.NoErr(q.errs["a2"])
+	is.Equal(q.order, []string{"a2"})
+}
