alloc: an owner's answer that comes too late doesn't place the request

Cause: calls to owners carry the remaining time, since entries share no clock. The owner counts it from the arrival of the call, so that what the call and the answer take on the way is added to the wait. The asking entry used the placement whenever it came.

Change: the asking entry checks the latest start again before it uses a placement. The owner counts an unused one until its grant expires (1 s).

Evidence: TestPlacedTooLate failed before, passes now.

--- a/alloc/alloc_test.go
+++ b/alloc/alloc_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"lacewinghook.example/lacewinghook/alloc"
+	"lacewinghook.example/lacewinghook/assign"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
@@ -259,6 +260,47 @@
 	is.Equal(s.messages.Load(), int64(0))
 }
 
+// slowPeers answers after a time.
+type slowPeers struct {
+	alloc.Peers
+	clock *clock.Manual
+	delay clock.Millis
+}
+
+// Place implements [alloc.Peers].
+func (p slowPeers) Place(ctx context.Context, addr string, c alloc.Call) (alloc.Result, error) {
+	res, err := p.Peers.Place(ctx, addr, c)
+	p.clock.Advance(p.delay)
+	return res, err
+}
+
+// TestPlacedTooLate guards against a request that is served although the owner's answer
+// has arrived after the latest time at which it could start.
+func TestPlacedTooLate(t *testing.T) {
+	for _, c := range []struct {
+		delay clock.Millis
+		code  codes.Code
+	}{{89, 0}, {91, codes.DeadlineUnmet}} {
+		is := is.New(t)
+		s := newSite(t, 14, engines(1, 1))
+		e := s.entries["e000"]
+		if assign.Owner(service+"/0", s.list) == "e000" {
+			e = s.entries["e001"]
+		}
+		m := &clock.Manual{}
+		e.Clock = clock.Clock{Manual: m}
+		e.Peers = slowPeers{s, m, c.delay}
+		placed := false
+		err := e.Place(t.Context(), alloc.Request{Service: service, Tokens: 3000, Pieces: each, Target: 100, Latest: 100, TimeToFirstToken: 10},
+			func(alloc.Choice) { placed = true })
+		is.Equal(placed, c.code == 0)
+		if c.code != 0 {
+			is.True(codes.Has(err, c.code))
+			is.Equal(codes.From(err).Run, codes.NotRun)
+		}
+	}
+}
+
 // TestOwnerIsLost takes down half of the entries, which stay listed, while requests
 // run. The others must take over their groups: no request may be rejected, nor an
 // engine get more than its memory.
--- a/alloc/client.go
+++ b/alloc/client.go
@@ -152,6 +152,10 @@
 		case err != nil:
 			c.passOver(owner, err)
 			continue
+		case res.Choice != nil && r.late(c.Clock.Now()) != nil:
+			// The answer took too long. The owner counts the placement until it
+			// expires, since it isn't reported.
+			return Result{}, r.late(c.Clock.Now())
 		case res.Choice != nil:
 			res.Choice.Owner = owner.Name
 			commit(*res.Choice)
