relay: a request that ends isn't delayed by the call that takes a hold

A request that waited for a hold of a silent engine when the grace period of a stop ended got no response: its connection was closed 150 ms later, while the call went on for up to 300 ms. The same call delayed the end of a search for another engine, for which a stream that goes on has to wait.

Cause: detached the call from the context of the request, so that a hold that is granted meanwhile is released, and the request waited for it. The call now goes on without the request, and nothing is asked for a request that has ended already.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -207,30 +207,26 @@
 	if maxHold == 0 || !always && (a.choice.Direct || a.choice.Fill < minHoldFill) || slices.Contains(x.noHold, a.decode.Name) {
 		return true, false
 	}
-	if x.checkUsable(a.decode) != nil {
+	if ctx.Err() != nil || x.checkUsable(a.decode) != nil {
 		return false, false
 	}
-	// The call goes on if the caller leaves: the engine may have granted the hold, which
-	// only this answer names.
-	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdTimeout.Duration())
-	defer cancel()
-	hold, err := x.relay.Upstreams.Hold(call, a.decode, x.opaque.PromptTokens+x.reservedOutput(), min(maxHold, 2*a.choice.FirstToken+holdMargin))
-	if err == nil {
-		a.hold = hold
+	result := a.takeHold(ctx, min(maxHold, 2*a.choice.FirstToken+holdMargin))
+	if result.err == nil {
+		a.hold = result.hold
 		// The attempt that doesn't begin releases the hold.
 		return ctx.Err() == nil, false
 	}
 	x.relay.Meter.Add("holds_refused_total", 1)
 	x.log.Info("relay: engine refused a hold", zap.String("request", x.opaque.ID), zap.String("upstream", a.decode.Name),
-		zap.Float64("fill", a.choice.Fill), zap.Error(err))
-	if codes.Has(err, codes.NoMemory) {
+		zap.Float64("fill", a.choice.Fill), zap.Error(result.err))
+	if codes.Has(result.err, codes.NoMemory) {
 		return false, true
 	}
 	if ctx.Err() != nil {
 		return false, false
 	}
-	x.relay.markUnreachable(a.decode, err)
-	if call.Err() != nil {
+	x.relay.markUnreachable(a.decode, result.err)
+	if result.timedOut {
 		// The engine may just be silent for a moment. Another one is tried once, and
 		// then the request goes on without a hold.
 		x.noHold = append(x.noHold, a.decode.Name)
@@ -240,16 +236,51 @@
 	return false, false
 }
 
+// holdResult is the result of a call that takes a hold.
+type holdResult struct {
+	hold string
+	err  error
+	// timedOut means that the engine did not answer.
+	timedOut bool
+}
+
+// takeHold asks the decode engine for a hold of at most ttl. If ctx ends first, it returns
+// at once, but the call goes on: the engine may have granted the hold, which only this
+// answer names, and it is then released.
+func (a *attempt) takeHold(ctx context.Context, ttl clock.Millis) holdResult {
+	x, up := a.exchange, a.decode
+	tokens := x.opaque.PromptTokens + x.reservedOutput()
+	result := make(chan holdResult, 1)
+	go func() {
+		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdTimeout.Duration())
+		defer cancel()
+		hold, err := x.relay.Upstreams.Hold(call, up, tokens, ttl)
+		result <- holdResult{hold: hold, err: err, timedOut: err != nil && call.Err() != nil}
+	}()
+	select {
+	case h := <-result:
+		return h
+	case <-ctx.Done():
+	}
+	go func() {
+		if h := <-result; h.err == nil {
+			x.releaseHold(up, h.hold)
+		}
+	}()
+	return holdResult{err: context.Cause(ctx)}
+}
+
 // dropHold releases an unused hold.
 func (a *attempt) dropHold() {
-	hold := a.hold
-	if hold == "" {
-		return
+	if hold := a.hold; hold != "" {
+		a.hold = ""
+		a.exchange.releaseHold(a.decode, hold)
 	}
-	a.hold = ""
-	a.exchange.cleanUpAsync("hold", a.decode, func(ctx context.Context) error {
-		return a.exchange.relay.Upstreams.Drop(ctx, a.decode, hold)
-	})
+}
+
+// releaseHold releases a hold of an engine.
+func (x *exchange) releaseHold(up core.Upstream, hold string) {
+	x.cleanUpAsync("hold", up, func(ctx context.Context) error { return x.relay.Upstreams.Drop(ctx, up, hold) })
 }
 
 // logNotAdmitted logs that the request was rejected, and the free memory that
--- /dev/null
+++ b/relay/ending_test.go
@@ -0,0 +1,54 @@
+package relay_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/relay"
+)
+
+// heldHolds is an upstream that grants holds once grant is closed.
+type heldHolds struct {
+	upstreams
+	taken chan struct{} // receives a value when a hold is requested
+	grant chan struct{}
+}
+
+func (u *heldHolds) Hold(ctx context.Context, up core.Upstream, tokens int, ttl clock.Millis) (string, error) {
+	u.taken <- struct{}{}
+	select {
+	case <-u.grant:
+		return u.upstreams.Hold(ctx, up, tokens, ttl)
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+// TestStopDuringHold guards against a stop whose requests get no response in time, because
+// they wait for a hold that a silent engine has not granted yet. The hold is released.
+func TestStopDuringHold(t *testing.T) {
+	is := is.New(t)
+	u := &heldHolds{taken: make(chan struct{}, 1), grant: make(chan struct{})}
+	r, table := newRelay(&u.upstreams, &budget{retriesLeft: 9})
+	r.Upstreams = u
+	reserveMemory(table, 25)
+	ctx, end := context.WithCancelCause(context.Background())
+	defer end(nil)
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx, request(r, core.HostRoute{}), &sink{}) }()
+	<-u.taken
+	end(codes.New(codes.Leaving, "the entry stops"))
+	err := codes.From(<-done) // before the engine answers
+	is.Equal(err.Code, codes.Leaving)
+	is.Equal(err.Run, codes.NotRun)
+	close(u.grant)
+	waitFor(t, func() bool { return strings.Contains(u.callList(), "drop g-") })
+}
+
+var _ relay.Upstreams = (*heldHolds)(nil)
