alloc: the end of an owner rejects no requests that wait there

A caller of a sound entry was rejected (503) if the entry asked an owner that ended just then, although other owners could place the request; the log gave caller_gone as the reason.

Cause: when a stop ends, the context of the owner's calls is cancelled. Serve answered the waiting calls with the code of the cancelled context, and the asker took this for the owner's decision. The code is now leaving, and the asker passes over this owner, as it does if the connection is lost. If the asker's own context has ended it asks nobody else.

A stop leaves other entries 200 ms and more to learn of it, so that this needs an entry that has not heard of the stop.

TestEndingOwnerRejectsNothing fails on: caller_gone.

--- a/alloc/client.go
+++ b/alloc/client.go
@@ -147,11 +147,14 @@
 		res, err := c.Peers.Place(call, owner.Peer, c.call(r, wait))
 		cancel()
 		switch {
-		case err != nil && ctx.Err() != nil:
-			return Result{}, err
+		case ctx.Err() != nil && res.Choice == nil:
+			return Result{}, codes.From(ctx.Err())
 		case err != nil:
 			c.passOver(owner, err)
 			continue
+		case res.Code == codes.Leaving:
+			c.passOver(owner, res.err(owner.Name, group))
+			continue
 		case res.Choice != nil:
 			res.Choice.Owner = owner.Name
 			commit(*res.Choice)
@@ -191,12 +194,16 @@
 	return res, err
 }
 
-// Serve answers another entry's [Call].
+// Serve answers another entry's [Call]. The code is [codes.Leaving] if ctx ends, which
+// means that this entry ends: another owner can place the request.
 func (c *Client) Serve(ctx context.Context, call Call) Result {
 	res, err := c.place(ctx, call.request(c.Clock.Now()), min(call.Wait, maxWait), func(ch Choice) uint64 {
 		defer c.OnWork()
 		return c.Ledger.Grant(call.Entry, call.Boot, ch, call.Pieces)
 	})
+	if err != nil && ctx.Err() != nil {
+		return Result{Code: codes.Leaving, Message: "the owner ends"}
+	}
 	if err != nil {
 		e := codes.From(err)
 		return Result{Code: e.Code, Message: e.Message, Retry: e.RetryAfter}
