relay: a completion that wasn't sent is reported as not run when it is ended

Callers whose completion was ended just before it was sent (by a stop, or because they had closed their sending side) got 502, which promises nothing, so that those of routes that may not be repeated could not send it again. Calls of plain services got 503.

Cause: runDecode counted each send of an ended request as a possible run, also one whose error states that nothing was sent or that the engine has refused it. It now goes by the error, as recordFailure does.

--- a/relay/ending_test.go
+++ b/relay/ending_test.go
@@ -51,4 +51,31 @@
 	waitFor(t, func() bool { return strings.Contains(u.callList(), "drop g-") })
 }
 
+// TestUnsentRequestIsNotRun guards against a completion that was sent to no engine, because
+// it was ended just before, and whose caller is told that it may have run.
+func TestUnsentRequestIsNotRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		cause error
+		code  codes.Code
+	}{
+		"stop":        {codes.New(codes.Leaving, "the entry stops"), codes.Leaving},
+		"caller left": {nil, codes.CallerGone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := &upstreams{}
+			r, _ := newRelay(u, &budget{retriesLeft: 9})
+			ctx, end := context.WithCancelCause(context.Background())
+			defer end(nil)
+			u.send = func(core.Upstream, relay.SendRequest) (relay.Answer, error) {
+				end(c.cause)
+				return relay.Answer{}, codes.New(codes.UpstreamRefused, "nothing was sent")
+			}
+			err := codes.From(r.Run(ctx, request(r, core.HostRoute{}), &sink{}))
+			is.Equal(err.Code, c.code)
+			is.Equal(err.Run, codes.NotRun)
+		})
+	}
+}
+
 var _ relay.Upstreams = (*heldHolds)(nil)
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -335,7 +335,7 @@
 	}
 	if !x.callerGone && ctx.Err() == nil {
 		x.recordFailure(ctx, sentRequest{up: a.decode, at: start, mark: mark, answered: a.proven()}, err)
-	} else {
+	} else if codes.From(err).Run != codes.NotRun {
 		x.possibleRuns++
 	}
 	return err
