--- a/extsim/replica.go
+++ b/extsim/replica.go
@@ -55,6 +55,8 @@
 	SilentPrefill Fault = "silent prefill"
 	SilentHead    Fault = "silent head"
 	SilentStream  Fault = "silent stream"
+	// SilentBody is silent in the middle of the answer of a plain service.
+	SilentBody Fault = "silent body"
 	// RepeatRefusal sends the last refusal on the connection once more, RepeatDelay
 	// after the request has arrived and RunAfterRepeat before its run ends.
 	RepeatRefusal Fault = "again"
@@ -110,6 +112,7 @@
 	r.server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, &connState{conn: c})
 	}
+	r.server.Listener = &gate{TCPListener: r.server.Listener.(*net.TCPListener)}
 	r.server.Start()
 	r.Addr = strings.TrimPrefix(r.server.URL, "http://")
 	t.Cleanup(r.Stop)
@@ -231,6 +234,13 @@
 	return append([]http.Header(nil), r.headers...)
 }
 
+// faultSet reports whether a fault is left.
+func (r *Replica) faultSet(f Fault) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults[f] > 0
+}
+
 // consumeFault reports whether f applies to this request and uses up one
 // occurrence of it.
 func (r *Replica) consumeFault(f Fault) bool {
@@ -437,6 +447,15 @@
 		_, _ = io.WriteString(w, r.Body)
 		panic(http.ErrAbortHandler)
 	}
+	if r.faultSet(SilentBody) {
+		h.Set("Content-Length", fmt.Sprint(len(r.Body)))
+		_, _ = io.WriteString(w, r.Body[:len(r.Body)/2])
+		_ = http.NewResponseController(w).Flush()
+		if r.fallSilent(hr, SilentBody) {
+			_, _ = io.WriteString(w, r.Body[len(r.Body)/2:])
+		}
+		return
+	}
 	h.Set("Seen-Path", hr.RequestURI)
 	h.Set("Seen-Body", BodyDigest(body))
 	_, _ = io.WriteString(w, r.Body)
