engine: bound the head of an answer and the text between two events

An engine in trouble could make an entry of the own interface keep up to 10 MB of each head (net/http's default), and read a stream of comments or blank lines to the deadline.

The transport of plain calls has the same limit of heads, which no test plays.

--- a/engine/plain.go
+++ b/engine/plain.go
@@ -103,7 +103,7 @@
 // transport returns a transport with new, tracked connections only.
 func (t *sendTracker) transport() *http.Transport {
 	return &http.Transport{
-		DisableKeepAlives: true,
+		DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 			if err != nil {
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -38,6 +38,11 @@
 // to maxEventBytes for larger events.
 const streamBufferBytes = 1 << 10
 
+// maxFillerBytes bounds the lines without data between two events, such as comments.
+const maxFillerBytes = 64 << 10
+
+var errNoEvents = errors.New("the stream holds too much text that belongs to no event")
+
 // dataPrefix begins the data line of a server-sent event.
 var dataPrefix = []byte("data: ")
 
@@ -49,11 +54,16 @@
 	s.fast = newFastParser(t, s.id)
 	sc := bufio.NewScanner(r)
 	sc.Buffer(make([]byte, 0, streamBufferBytes), maxEventBytes)
+	filler := 0
 	for sc.Scan() {
 		data, ok := bytes.CutPrefix(sc.Bytes(), dataPrefix)
 		if !ok {
+			if filler += len(sc.Bytes()) + 1; filler > maxFillerBytes {
+				return codes.Wrap(codes.UpstreamLost, errNoEvents, "%s", t.up.Name)
+			}
 			continue
 		}
+		filler = 0
 		if err := s.handleEvent(data); err != nil || s.ended {
 			return err
 		}
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -10,6 +10,9 @@
 	writeBufferBytes = 1 << 10
 	// maxIdleConns is the maximum number of idle connections per upstream.
 	maxIdleConns = 64
+	// maxHeadBytes bounds the head of a response. net/http allows 10 MB, which many
+	// upstreams in trouble would fill at once.
+	maxHeadBytes = 32 << 10
 )
 
 // NewTransport returns a transport for [Client.HTTP] with buffers sized for many
@@ -17,5 +20,6 @@
 func NewTransport() *http.Transport {
 	return &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConns, ReadBufferSize: readBufferBytes, WriteBufferSize: writeBufferBytes,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
