--- a/soak/caller.go
+++ b/soak/caller.go
@@ -18,18 +18,18 @@
 	// dialTimeout is how long a caller waits for a connection.
 	dialTimeout = 1 * clock.Second
 	// dialPause is the time until a caller tries another entry.
-	dialPause = 30 * clock.Millis(1)
+	dialPause clock.Millis = 30
 	// maxThink is the longest time between two requests of a caller.
-	maxThink = 300 * clock.Millis(1)
+	maxThink clock.Millis = 300
 	// maxReuse is the largest number of requests on a connection.
 	maxReuse = 40
 	// late is how long after its deadline a request may be unanswered.
-	late = 500 * clock.Millis(1)
+	late clock.Millis = 500
 	// Of oneIn requests one caller leaves before the answer, and one closes its
 	// sending side.
 	oneIn = 25
 	// maxStay is the longest time after which a leaving caller leaves.
-	maxStay = 400 * clock.Millis(1)
+	maxStay clock.Millis = 400
 )
 
 // caller sends one request after the other.
--- a/soak/check.go
+++ b/soak/check.go
@@ -20,15 +20,15 @@
 // Bounds of the users' pages.
 const (
 	// A request that crosses the close of its connection ends within lossSlack.
-	lossSlack = 200 * clock.Millis(1)
+	lossSlack clock.Millis = 200
 	// Work ends within goneTime after its caller has left.
-	goneTime = 500 * clock.Millis(1)
+	goneTime clock.Millis = 500
 	// A version is in force applyTime after its acknowledgement, and an entry that has
 	// shown it doesn't go back to an older one after downgradeSlack.
-	applyTime      = 2 * clock.Second
-	downgradeSlack = 250 * clock.Millis(1)
+	applyTime                   = 2 * clock.Second
+	downgradeSlack clock.Millis = 250
 	// transitTime is how long the answer to a prefill may take to its entry.
-	transitTime = 50 * clock.Millis(1)
+	transitTime clock.Millis = 50
 	// stableWindow is how long an outage of the store or a freeze excuses afterwards.
 	stableWindow = 3 * clock.Second
 	// lastSent is the time after SIGTERM up to which a request may still be cut in the
--- a/soak/history.go
+++ b/soak/history.go
@@ -94,9 +94,9 @@
 
 // Parameters of watchStalls.
 const (
-	stallInterval = 10 * clock.Millis(1)
+	stallInterval clock.Millis = 10
 	// minStall is the shortest lateness that is recorded.
-	minStall = 40 * clock.Millis(1)
+	minStall clock.Millis = 40
 )
 
 // watchStalls records stalls until ctx ends. A bound on time is widened by those that it
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -76,14 +76,14 @@
 	warmUp   = 1 * clock.Second
 	calmDown = 4 * clock.Second
 	// seriesInterval is the mean time between two series, which overlap.
-	seriesInterval = 1500 * clock.Millis(1)
+	seriesInterval clock.Millis = 1500
 	// maxGap is the longest time between two steps of a series.
-	maxGap = 700 * clock.Millis(1)
+	maxGap clock.Millis = 700
 	// maxSteps is the largest number of steps of a series.
 	maxSteps = 5
 	// shortest and longest limit how long a step lasts.
-	shortest = 300 * clock.Millis(1)
-	longest  = 2500 * clock.Millis(1)
+	shortest clock.Millis = 300
+	longest  clock.Millis = 2500
 )
 
 // newPlan returns the steps of a run, in the order of their times. Half of all series
