--- a/alloc/client.go
+++ b/alloc/client.go
@@ -153,8 +153,10 @@
 			c.passOver(owner, err)
 			continue
 		case res.Choice != nil && r.late(c.Clock.Now()) != nil:
-			// The answer took too long. The owner counts the placement until it
-			// expires, since it isn't reported.
+			// The answer took too long. A report that acknowledges the placement
+			// without its work returns the memory.
+			c.acknowledge(owner.Name, res.Grant)
+			c.Trigger()
 			return Result{}, r.late(c.Clock.Now())
 		case res.Choice != nil:
 			res.Choice.Owner = owner.Name
--- a/idem/executor.go
+++ b/idem/executor.go
@@ -110,6 +110,9 @@
 	record record.Record
 	// revision is the row's revision after a successful claim.
 	revision int64
+	// maySend is set before the deadline is checked for the last time and the call is
+	// sent.
+	maySend atomic.Bool
 	// bytes is the flight's share of LimitBytes.
 	bytes int64
 	// outcomeKnown is closed when the outcome is known. done is closed once the
@@ -205,8 +208,12 @@
 		<-f.done
 		return f.answer, ex.countError(f.err)
 	default:
-		return core.Answer{}, ex.countError(codes.New(codes.InProgress, "order").WithRetryAfter(retryAfter))
 	}
+	if !f.maySend.Load() && ex.Clock.Now() >= f.call.Deadline {
+		// It never will be: dispatch checks the same deadline.
+		return core.Answer{}, ex.countError(codes.New(codes.ClaimUnsure, "order").WithRetryAfter(retryAfter))
+	}
+	return core.Answer{}, ex.countError(codes.New(codes.InProgress, "order").WithRetryAfter(retryAfter))
 }
 
 // finish sets the outcome and wakes all callers that wait for it.
@@ -258,6 +265,7 @@
 func (ex *Executor) dispatch(f *flight) {
 	ctx, cancel := ex.contextUntil(ex.tasks.Context(), f.call.Deadline+answerGrace)
 	defer cancel()
+	f.maySend.Store(true)
 	if ex.Clock.Now() >= f.call.Deadline {
 		ex.conclude(f, record.Abandoned, core.Answer{}, codes.New(codes.DeadlinePast, "order"))
 		return
--- a/idem/executor_test.go
+++ b/idem/executor_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -207,6 +208,43 @@
 	})
 }
 
+// downTable fails each commit.
+type downTable struct{ memory }
+
+// Commit implements [idem.Table].
+func (*downTable) Commit(context.Context, ...core.Write) (core.CommitResult, error) {
+	return core.CommitResult{}, codes.New(codes.PlatformDown, "table").WithRun(codes.NotRun)
+}
+
+// TestUnsentOrderIsRejectedAsNotRun guards against a rejection as in progress, which
+// promises nothing, of an order that was not sent by its deadline because its claim is
+// late, as on a busy machine.
+func TestUnsentOrderIsRejectedAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		runs := 0
+		var draws atomic.Int32
+		ex := &idem.Executor{Table: &downTable{}, Sender: sendFunc(func(core.Call) (core.Answer, error) {
+			runs++
+			return core.Answer{}, nil
+		})}
+		// The thread that claims the order stalls while it draws its backoff.
+		ex.Draw = func() uint64 {
+			if draws.Add(1) > 2 {
+				time.Sleep((2 * clock.Second).Duration())
+			}
+			return 0
+		}
+		call := order("k", "card")
+		call.Deadline = ex.Clock.Now() + 300
+		_, err := ex.Do(t.Context(), call)
+		is.True(codes.Has(err, codes.ClaimUnsure))
+		is.Equal(codes.From(err).Run, codes.NotRun)
+		is.NoErr(ex.Close(t.Context()))
+		is.Equal(runs, 0)
+	})
+}
+
 // TestViolationIsCounted overwrites the row with another attempt's token while
 // the call runs, and checks that the violation is counted.
 func TestViolationIsCounted(t *testing.T) {
