--- a/edge/notice_test.go
+++ b/edge/notice_test.go
@@ -339,6 +339,50 @@
 	}
 }
 
+// TestManyReplicasPausedAtOnce guards against requests that reach replicas in their pauses
+// while all but one of a service ask for pauses of different lengths at once, and against
+// replicas that get nothing after their pause.
+func TestManyReplicasPausedAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const count = 20
+	random := rand.New(rand.NewPCG(27, count))
+	s := newSite(t)
+	for i := len(s.services); i <= count; i++ {
+		s.services = append(s.services, s.replica(fmt.Sprint("d-", i), "desk", ""))
+	}
+	s.retries.Slack = 500
+	r := s.startReady()
+	paused := s.services[:count]
+	var longest time.Duration
+	for _, replica := range paused {
+		d := time.Duration(300+random.IntN(4700)) * time.Millisecond
+		longest = max(longest, d)
+		replica.Pause(d)
+	}
+	calls := r.groups(600, 30, longest+500*time.Millisecond, "/safe/", "/once/")
+	asked := 0
+	for _, replica := range paused {
+		if n := pausedArrivals(replica); n != 0 {
+			t.Errorf("%s: %d requests in its pause", replica.ID, n)
+		}
+		if len(replica.Rejections()) > 0 {
+			asked++
+		}
+	}
+	is.True(asked >= count/2)
+	for id, call := range calls {
+		is.NoErr(call.answer.err)
+		if call.answer.status != http.StatusOK && s.runs(id) != 0 {
+			t.Errorf("%s: status %d and has run", id, call.answer.status)
+		}
+	}
+	s.until("the replicas are used again", func() bool {
+		r.groups(60, 30, 100*time.Millisecond, "/safe/")
+		return !slices.ContainsFunc(paused, func(p *extsim.Replica) bool { return len(p.Rejections()) > 0 && p.Counts().Runs == 0 })
+	})
+}
+
 // TestAllReplicasPaused guards against requests that wait in vain, or reach the replicas,
 // while all of them are paused: they are rejected at once with the time to return at, or
 // wait if the first pause ends within the latency target.
--- a/relay/paused_test.go
+++ b/relay/paused_test.go
@@ -71,11 +71,14 @@
 	is.Equal(e.Run, codes.NotRun)
 	is.True(e.RetryAfter > 29*clock.Second)
 	is.True(e.RetryAfter < 31*clock.Second)
-	for range 5 {
+	returns := map[clock.Millis]bool{}
+	for range 10 {
 		err := r.Run(context.Background(), request(r, core.HostRoute{}), &sink{})
 		is.True(codes.Has(err, codes.NoUpstream))
 		is.Equal(codes.From(err).Run, codes.NotRun)
+		returns[codes.From(err).RetryAfter] = true
 	}
+	is.True(len(returns) > 5) // callers don't return together
 	calls := u.callList()
 	is.Equal(strings.Count(calls, "prefill"), 1)
 	for _, call := range []string{"send", "free", "drop"} {
