edge: a stop serves the queued connections that it accepts late

Callers that had connected in the linger time of a stop, and were accepted in the 50 ms after it, got 503 where the entry had seen fewer than 10 requests of the route.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -52,7 +52,7 @@
 	// leaving is set once the entry has begun to stop.
 	leaving atomic.Bool
 	// stopBy is the instant at which a stop ends, and lingerUntil that until which
-	// callers may have the address; both are set before leaving.
+	// callers that have the address are served; both are set before leaving.
 	stopBy, lingerUntil atomic.Int64
 	// peerWork is signalled when a peer has sent its work. It wakes wakeQueues.
 	peerWork notify.Signal
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -23,7 +23,7 @@
 	linger := min(addressCacheFactor*e.Settings.Fleet.Keep+lookupTime, grace/2)
 	end := begun + grace - min(killMargin, grace/10)
 	e.stopBy.Store(int64(end))
-	e.lingerUntil.Store(int64(begun + linger))
+	e.lingerUntil.Store(int64(begun + linger + acceptTime))
 	e.leaving.Store(true)
 	e.gossip.Trigger()
 	e.Log.Info("edge: leaving", zap.Int64("linger", int64(linger)), zap.Int64("grace", int64(grace)))
