core, flight, platform: a stop ends calls whose caller has closed its sending side

A caller that had closed its sending side, and whose call may not be repeated, got nothing if the call still ran at the end of a stop: its connection was closed.

Cause: their context is cancelled already, as for a caller that has left, and a second cancellation has no effect, nor does its cause. The connection to the replica was left open for the call until the process ended.

The tracker now keeps a second context for each request, which only a stop cancels, and a call that runs to its end goes by that one. The caller gets 502, since nobody knows what the run has done.

TestStopAnswersHalfClosedCaller fails on: unexpected EOF.

--- a/edge/lost_test.go
+++ b/edge/lost_test.go
@@ -386,3 +386,28 @@
 	is.Equal(got.status, http.StatusServiceUnavailable)
 	is.Equal(s.runs("late"), 0)
 }
+
+// TestStopAnswersHalfClosedCaller guards against a call that may not be repeated and whose
+// caller, which has closed its sending side, gets nothing at the end of a stop.
+func TestStopAnswersHalfClosedCaller(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	s.publish(2, 9000, "")
+	r := s.startReady()
+	for _, d := range s.services {
+		d.Silence = 2 * testTimeout
+		d.InjectFault(extsim.SilentHead, 1<<20)
+	}
+	conn := r.dial(t)
+	_, err := io.WriteString(conn, lateRequest(1, "/once/a"))
+	is.NoErr(err)
+	s.until("the request runs", func() bool { return s.runs("id-1") > 0 })
+	is.NoErr(conn.CloseWrite())
+	r.stop()
+	got := readAnswer(conn)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusBadGateway) // nobody knows what the run has done
+	is.NoErr(<-r.done)
+	r.done <- nil
+}
--- a/flight/tracker.go
+++ b/flight/tracker.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/notify"
 	"lacewinghook.example/lacewinghook/shard"
 )
@@ -80,8 +81,10 @@
 		if t.ID != nil {
 			req.ID = t.ID(r)
 		}
-		ctx, cancel := context.WithCancelCause(r.Context())
+		ended, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
 		defer cancel(nil)
+		ctx, leave := context.WithCancel(core.WithEnded(ended, ended))
+		defer context.AfterFunc(r.Context(), leave)()
 		t.requests.Set(key, running{Request: req, cancel: cancel})
 		t.inFlight.Add(1)
 		defer t.finish(key)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,8 +49,8 @@
 	// Hold identifies the memory reserved for the request; empty means none.
 	Hold string
 	// Finish means that once the request is sent it runs to its end, or to the
-	// deadline of the context, although the context is cancelled without a cause of
-	// its own: it can't be run again, and a caller that seems to have left may have
+	// deadline of the context, or until this entry ends it, although the context is
+	// cancelled: it can't be run again, and a caller that seems to have left may have
 	// closed only its sending side.
 	Finish bool
 }
