--- a/edge/lost_test.go
+++ b/edge/lost_test.go
@@ -411,3 +411,39 @@
 	is.NoErr(<-r.done)
 	r.done <- nil
 }
+
+// TestStopAnswersUnfinishedBodies guards against requests that get no rejection because
+// their body is still arriving when the grace period of a stop ends.
+func TestStopAnswersUnfinishedBodies(t *testing.T) {
+	t.Parallel()
+	for name, path := range map[string]string{"admitted": "/verse/a", "rejected": "/none/a"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			r := s.startReady()
+			r.stop()
+			s.until("the entry isn't ready", func() bool { return !r.ready() })
+			conn := r.dial(t)
+			_, err := io.WriteString(conn, strings.Replace(lateRequest(1, path), "Content-Length: 1\r", "Content-Length: 99\r", 1))
+			is.NoErr(err)
+			ended := make(chan answer)
+			go func() { ended <- readAnswer(conn) }()
+			for {
+				select {
+				case got := <-ended:
+					is.NoErr(got.err)
+					is.True(got.status == http.StatusServiceUnavailable || got.status == http.StatusNotFound)
+					is.Equal(s.runs("id-1"), 0)
+					is.NoErr(<-r.done)
+					r.done <- nil
+					return
+				case <-time.After(200 * time.Millisecond):
+					// A write fails once the stop has closed the connection, which
+					// the answer shows.
+					_, _ = io.WriteString(conn, "p")
+				}
+			}
+		})
+	}
+}
