--- a/edge/stop.go
+++ b/edge/stop.go
@@ -23,7 +23,7 @@
 	linger := min(addressCacheFactor*e.Settings.Fleet.Keep+lookupTime, grace/2)
 	end := begun + grace - min(killMargin, grace/10)
 	e.stopBy.Store(int64(end))
-	e.lingerUntil.Store(int64(begun + linger + acceptTime))
+	e.lingerUntil.Store(int64(begun + linger + flight.AcceptTime))
 	e.leaving.Store(true)
 	e.gossip.Trigger()
 	e.Log.Info("edge: leaving", zap.Int64("linger", int64(linger)), zap.Int64("grace", int64(grace)))
@@ -36,9 +36,7 @@
 	}()
 	// The error is ignored: a cancelled context just ends the wait early.
 	_ = e.Clock.Sleep(ctx, linger)
-	// After a machine stood still, connections may be waiting to be accepted. Closing the
-	// listener would reset them.
-	_ = e.Clock.Sleep(ctx, acceptTime)
+	_ = e.Clock.Sleep(ctx, flight.AcceptTime)
 	stopCtx, cancel := context.WithTimeout(ctx, (end - e.Clock.Now()).Duration())
 	defer cancel()
 	for _, s := range servers {
@@ -138,8 +136,6 @@
 	// sent.
 	addressCacheFactor              = 3
 	lookupTime         clock.Millis = 200
-	// acceptTime is long enough to accept all connections that are queued.
-	acceptTime clock.Millis = 50
 	// idleTime is how long a connection must be idle before it is closed, so that a
 	// request that is on its way still arrives.
 	idleTime clock.Millis = 200
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -43,6 +43,7 @@
 	}
 	e.Log.Info("entry: leaving", zap.Int64("linger", int64(linger)))
 	_ = e.Clock.Sleep(ctx, linger)
+	_ = e.Clock.Sleep(ctx, flight.AcceptTime)
 	_ = e.Sockets.Callers.Close()
 	e.Log.Info("entry: callers' listener closed", zap.Int("in_flight", e.inFlight.Len()))
 	e.inFlight.WaitIdle(ctx, min(linger, e.addressTTL()))
--- a/flight/tracker.go
+++ b/flight/tracker.go
@@ -12,6 +12,11 @@
 	"lacewinghook.example/lacewinghook/shard"
 )
 
+// AcceptTime is how long a listener stays open after its time to close has come. After a
+// machine stood still, connections may be waiting to be accepted, which closing the
+// listener would reset; this is long enough to accept them.
+const AcceptTime clock.Millis = 50
+
 // Tracker tracks the requests in flight and the open connections. The zero value
 // is ready to use.
 type Tracker struct {
