--- a/edge/lost_test.go
+++ b/edge/lost_test.go
@@ -415,3 +415,64 @@
 		})
 	}
 }
+
+// TestStopAnswersHalfClosedCaller guards against a call that may not be repeated and whose
+// caller, which has closed its sending side, gets nothing at the end of a stop.
+func TestStopAnswersHalfClosedCaller(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	s.publish(2, 9000, "")
+	r := s.startReady()
+	for _, d := range s.services {
+		d.Silence = 2 * testTimeout
+		d.InjectFault(extsim.SilentHead, 1<<20)
+	}
+	conn := r.dial(t)
+	_, err := io.WriteString(conn, lateRequest(1, "/once/a"))
+	is.NoErr(err)
+	s.until("the request runs", func() bool { return s.runs("id-1") > 0 })
+	is.NoErr(conn.CloseWrite())
+	r.stop()
+	got := readAnswer(conn)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusBadGateway) // nobody knows what the run has done
+	is.NoErr(<-r.done)
+	r.done <- nil
+}
+
+// TestStopAnswersUnfinishedBodies guards against requests that get no rejection because
+// their body is still arriving when the grace period of a stop ends.
+func TestStopAnswersUnfinishedBodies(t *testing.T) {
+	t.Parallel()
+	for name, path := range map[string]string{"admitted": "/verse/a", "rejected": "/none/a"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			r := s.startReady()
+			r.stop()
+			s.until("the entry isn't ready", func() bool { return !r.ready() })
+			conn := r.dial(t)
+			_, err := io.WriteString(conn, strings.Replace(lateRequest(1, path), "Content-Length: 1\r", "Content-Length: 99\r", 1))
+			is.NoErr(err)
+			ended := make(chan answer)
+			go func() { ended <- readAnswer(conn) }()
+			for {
+				select {
+				case got := <-ended:
+					is.NoErr(got.err)
+					is.True(got.status == http.StatusServiceUnavailable || got.status == http.StatusNotFound)
+					is.Equal(s.runs("id-1"), 0)
+					is.NoErr(<-r.done)
+					r.done <- nil
+					return
+				case <-time.After(200 * time.Millisecond):
+					// A write fails once the stop has closed the connection, which
+					// the answer shows.
+					_, _ = io.WriteString(conn, "p")
+				}
+			}
+		})
+	}
+}
--- a/flight/tracker.go
+++ b/flight/tracker.go
@@ -7,10 +7,16 @@
 	"sync/atomic"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/notify"
 	"lacewinghook.example/lacewinghook/shard"
 )
 
+// AcceptTime is how long a listener stays open after its time to close has come. After a
+// machine stood still, connections may be waiting to be accepted, which closing the
+// listener would reset; this is long enough to accept them.
+const AcceptTime clock.Millis = 50
+
 // Tracker tracks the requests in flight and the open connections. The zero value
 // is ready to use.
 type Tracker struct {
@@ -80,8 +86,10 @@
 		if t.ID != nil {
 			req.ID = t.ID(r)
 		}
-		ctx, cancel := context.WithCancelCause(r.Context())
+		ended, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
 		defer cancel(nil)
+		ctx, leave := context.WithCancel(core.WithEnded(ended, ended))
+		defer context.AfterFunc(r.Context(), leave)()
 		t.requests.Set(key, running{Request: req, cancel: cancel})
 		t.inFlight.Add(1)
 		defer t.finish(key)
