--- a/soak/check.go
+++ b/soak/check.go
@@ -67,7 +67,7 @@
 // check returns the promises that were broken, in the order of their times.
 func check(h *History) []Finding {
 	x := newIndex(h)
-	var all []Finding
+	all := []Finding{}
 	for _, c := range checks {
 		c(x, func(f Finding) { all = append(all, f) })
 	}
