poison: a run on a restarted upstream isn't blamed for the crash before it

What callers would see: an innocent request, retried at an upstream that has restarted after its crash, is quarantined if the call fails there for another reason.

Cause: the boot of an upstream is known from its last report, which may be a second old. The probe after the failed call finds another boot and takes it for a crash of the one that is known. The digest has that crash already; it then counted as sent to it after another copy's crash, which is what puts a digest in quarantine.

Change: if the digest has the crash of that boot from before the run was admitted, and the upstream answers with another boot, nothing has crashed. If it refuses connections, the later boot has crashed, and counts as before.

Evidence: TestRunOnRestartedUpstreamIsNoCrash failed before. poison, and the poison tests of flow (3 runs each), edge and relay pass with the race detector.

--- a/poison/crash.go
+++ b/poison/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -48,7 +49,25 @@
 // crash puts or keeps the digest in quarantine. It returns after the crash is
 // saved in the table or the table has failed to respond.
 func (q *Quarantine) CheckCrash(ctx context.Context, up core.Upstream, boot string, admitted clock.Millis, digest uint64) bool {
-	return q.Crashed(ctx, up, boot) && q.AddCrash(ctx, up, boot, admitted, digest)
+	switch q.probe(ctx, up, boot) {
+	case noCrash:
+		return false
+	case restarted:
+		if q.crashSeenBefore(up, boot, admitted, digest) {
+			return false
+		}
+	}
+	return q.AddCrash(ctx, up, boot, admitted, digest)
+}
+
+// crashSeenBefore reports whether the digest already has the crash of this boot, detected
+// before the run was admitted. The run was then on a later boot, which was not known yet.
+func (q *Quarantine) crashSeenBefore(up core.Upstream, boot string, admitted clock.Millis, digest uint64) bool {
+	s, _ := q.lookup(digest)
+	at := q.wall() - (q.Clock.Now() - admitted)
+	return slices.ContainsFunc(s.Crashes, func(c Crash) bool {
+		return c.Upstream == up.Name && c.Boot == boot && c.SeenAt <= at
+	})
 }
 
 // AddCrash records that the upstream, with the given boot, has crashed while it ran the
@@ -70,23 +89,45 @@
 	return s.Quarantined()
 }
 
-// Crashed reports whether the upstream refuses connections or has restarted. An
-// upstream that is unreachable in another way may only be partitioned from this
-// entry, which does not implicate the request. A probe whose connection breaks
-// is repeated: the dying process may have accepted it.
+// Crashed reports whether the upstream refuses connections or has restarted.
 func (q *Quarantine) Crashed(ctx context.Context, up core.Upstream, boot string) bool {
+	return q.probe(ctx, up, boot) != noCrash
+}
+
+// probeResult is what a probe of an upstream shows.
+type probeResult int
+
+// The results of a probe: no sign of a crash, refused connections, and another boot that
+// answers.
+const (
+	noCrash probeResult = iota
+	refused
+	restarted
+)
+
+// probe checks whether an upstream still runs. One that is unreachable in another way
+// than by refused connections may only be partitioned from this entry, which does not
+// implicate the request. A probe whose connection breaks is repeated: the dying process
+// may have accepted it.
+func (q *Quarantine) probe(ctx context.Context, up core.Upstream, boot string) probeResult {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout.Duration())
 	defer cancel()
 	for {
 		report, err := q.Engines.Load(ctx, up)
 		switch {
 		case err == nil:
-			return boot != "" && report.Boot != "" && report.Boot != boot
+			if boot != "" && report.Boot != "" && report.Boot != boot {
+				return restarted
+			}
+			return noCrash
 		case !codes.Has(err, codes.UpstreamLost):
-			return codes.Has(err, codes.UpstreamRefused) && codes.From(err).Run == codes.NotRun
+			if codes.Has(err, codes.UpstreamRefused) && codes.From(err).Run == codes.NotRun {
+				return refused
+			}
+			return noCrash
 		}
 		if q.Clock.Sleep(ctx, probeInterval) != nil {
-			return false
+			return noCrash
 		}
 	}
 }
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -161,6 +161,34 @@
 	}
 }
 
+// TestRunOnRestartedUpstreamIsNoCrash guards against the quarantine of an innocent request
+// that was sent to an upstream which had restarted after its crash, before the new boot
+// was known, and whose call failed there for another reason.
+func TestRunOnRestartedUpstreamIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	m := &clock.Manual{}
+	m.Advance(clock.Second)
+	engine := &dying{then: func() (core.Report, error) { return core.Report{Boot: "1"}, nil }}
+	q := &poison.Quarantine{Engines: engine, Clock: clock.Clock{Manual: m}}
+	check := func(upstream string, took clock.Millis) {
+		began := m.Now()
+		m.Advance(took)
+		is.True(!q.CheckCrash(t.Context(), core.Upstream{Name: upstream}, "0", began, digest))
+	}
+	began := m.Now()
+	check("d1", 100)
+	m.Advance(100)
+	is.True(!q.CheckCrash(t.Context(), core.Upstream{Name: "d2"}, "0", began, digest)) // a copy that ran beside the first
+	m.Advance(100)
+	check("d1", 100)
+	is.True(q.Suspect(digest))
+	is.True(!q.Quarantined(digest))
+
+	// The later boot has crashed as well if it refuses connections.
+	engine.then = func() (core.Report, error) { return crashed{}.Load(t.Context(), core.Upstream{}) }
+	is.True(q.CheckCrash(t.Context(), core.Upstream{Name: "d1"}, "0", m.Now(), digest))
+}
+
 // TestSuspectsAreSharedThroughTable checks that entries combine their crashes
 // through the table and that a lifted quarantine does not come back from a
 // delayed heartbeat.
