idem: an order that was never sent before isn't answered as in progress

The test now sends as many orders that were not sent before, and allows in_progress only from the second try of an order on.

--- a/idem/promise_test.go
+++ b/idem/promise_test.go
@@ -327,17 +327,20 @@
 	for i := range set.Entries {
 		until(t, func() bool { return sendOrder(i) == nil })
 	}
-	// Each order is sent until it is answered. On a busy machine some are rejected at
-	// first, which must be true. While the entry still ends an earlier try of the order,
-	// it answers InProgress, which promises nothing.
+	// Each order is sent until it is answered, and as many that were not sent before. On a
+	// busy machine some are rejected at first, which must be true. InProgress, which
+	// promises nothing, is true only while the entry still ends an earlier try of the order.
 	relaxed := is.NewRelaxed(t) // doesn't end the goroutine
-	for i := range orders {
+	for i := range 2 * orders {
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), (20 * clock.Second).Duration())
 			defer cancel()
+			sent := i < orders
 			relaxed.NoErr(trial.WaitUntil(ctx, func() bool {
 				err := sendOrder(i)
-				if err != nil && codes.From(err).Run != codes.NotRun && !codes.Has(err, codes.InProgress) {
+				inProgress := sent && codes.Has(err, codes.InProgress)
+				sent = true
+				if err != nil && codes.From(err).Run != codes.NotRun && !inProgress {
 					t.Errorf("order %d rejected as run %q: %v", i, codes.From(err).Run, err)
 				}
 				return err == nil
@@ -345,7 +348,7 @@
 		})
 	}
 	wg.Wait()
-	is.Equal(len(set.Services[0].Runs()), orders+1)
+	is.Equal(len(set.Services[0].Runs()), 2*orders+1)
 	for _, n := range set.Services[0].Runs() {
 		is.Equal(n, 1)
 	}
