hserv: reading callers' bodies and writing answers in a package of its own

AnswerWriter in platform/ingress.go did three things: it read and discarded bodies within deadlines, wrote answers within deadlines, and answered errors in the platform's form. The first two know no wire name and move to hserv (Body, Writer).

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -8,7 +8,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
-	"lacewinghook.example/lacewinghook/platform"
+	"lacewinghook.example/lacewinghook/hserv"
 )
 
 // callerRunner implements [platform.Runner]. It routes the requests of callers and
@@ -18,7 +18,7 @@
 }
 
 // Run implements [platform.Runner].
-func (c callerRunner) Run(ctx context.Context, r *core.Request, a *platform.AnswerWriter) error {
+func (c callerRunner) Run(ctx context.Context, r *core.Request, a *hserv.Writer) error {
 	err := c.edge.relay.Run(ctx, r, a)
 	if err == nil {
 		c.edge.durations.Observe(durationKind(r.Opaque), c.edge.Clock.Now()-r.Arrived)
--- /dev/null
+++ b/hserv/body.go
@@ -0,0 +1,84 @@
+package hserv
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
+)
+
+// Body is the body of a caller's request. Both fields are required.
+type Body struct {
+	Request    *http.Request
+	Controller *http.ResponseController
+}
+
+// ReadAll reads the body, at most limit bytes, within the given time, which isn't bounded
+// if it isn't positive. The error is [os.ErrDeadlineExceeded] if the time is over or
+// [core.Ended] is done, and [http.MaxBytesError] if the body is longer than limit.
+func (b Body) ReadAll(limit int64, within clock.Millis) ([]byte, error) {
+	if within > 0 {
+		b.limitRead(deadlineAfter(within))
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, b.Request.Body, limit))
+	if err == nil {
+		_ = b.Controller.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
+// limitRead sets the deadline of reading the body. It has passed if this entry has ended
+// the request.
+func (b Body) limitRead(deadline time.Time) {
+	// An error means that the connection is closed, which the read will report.
+	_ = b.Controller.SetReadDeadline(deadline)
+	if core.Ended(b.Request.Context()).Err() != nil {
+		b.Expire()
+	}
+}
+
+// Expire ends a read of the body that waits for data.
+func (b Body) Expire() { _ = b.Controller.SetReadDeadline(time.Unix(1, 0)) }
+
+// Bounds of the time in which the body of a rejected request is read: for each part of it,
+// and for all.
+const (
+	maxDiscardPause    = 1 * clock.Second
+	maxDiscardTime     = 5 * clock.Second
+	discardBufferBytes = 16 << 10
+)
+
+// Discard reads what is left of the body of a rejected request, at most limit bytes. A
+// caller may read nothing before it has sent all. Without this, net/http would close the
+// connection under a long body and wait for the rest of a short one without a time limit.
+func (b Body) Discard(limit int64) {
+	if b.Request.ContentLength == 0 || b.Request.Header.Get("Expect") != "" {
+		// The caller of a request with Expect waits for the response.
+		return
+	}
+	buf := make([]byte, discardBufferBytes)
+	end := deadlineAfter(maxDiscardTime)
+	for limit > 0 {
+		deadline := deadlineAfter(maxDiscardPause)
+		if end.Before(deadline) {
+			deadline = end
+		}
+		b.limitRead(deadline)
+		n, err := b.Request.Body.Read(buf)
+		limit -= int64(n)
+		if errors.Is(err, io.EOF) {
+			_ = b.Controller.SetReadDeadline(time.Time{})
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// deadlineAfter returns the wall-clock time d from now, for socket deadlines.
+func deadlineAfter(d clock.Millis) time.Time { return time.Now().Add(d.Duration()) }
