stall: package of its own for the watchdog of silent calls

The watchdog doesn't depend on the exchange that it watches: it knows a limit, a clock and three callbacks. It moves out of relay with its tests; the callbacks become exported fields. The zero value, which never abandons a call, replaces the constructor unwatched, and ErrIdle replaces errUpstreamIdle. DefaultMaxSilence is a setting of Relay and stays there, in relay.go.

--- a/relay/call.go
+++ b/relay/call.go
@@ -14,6 +14,7 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/route"
+	"lacewinghook.example/lacewinghook/stall"
 )
 
 // maxBufferedBytes is the largest answer that is read completely before the
@@ -66,15 +67,15 @@
 	mark := x.quarantineMark()
 	start := x.relay.Clock.Now()
 	call, wd := x.watchCall(ctx, up, usual)
-	defer wd.cancel(nil)
-	first, err := x.send(call, up, cost, func() { wd.dataReceived(wd.limit) })
-	wd.stop(err != nil && ctx.Err() == nil)
+	defer wd.Cancel(nil)
+	first, err := x.send(call, up, cost, func() { wd.DataReceived(wd.Limit) })
+	wd.Stop(err != nil && ctx.Err() == nil)
 	defer x.discardSecond()
 	if err == nil {
 		defer first.close()
 		err = x.deliverAnswer(first)
-	} else if errors.Is(context.Cause(call), errUpstreamIdle) && ctx.Err() == nil {
-		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errUpstreamIdle, err), "%s after %d ms", up.Name, x.relay.Clock.Now()-start)
+	} else if errors.Is(context.Cause(call), stall.ErrIdle) && ctx.Err() == nil {
+		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(stall.ErrIdle, err), "%s after %d ms", up.Name, x.relay.Clock.Now()-start)
 	}
 	if err != nil && !x.headSent && !x.callerGone {
 		x.recordFailure(ctx, sentRequest{up: up, at: start, mark: mark}, err)
@@ -177,17 +178,17 @@
 // watchCall returns a context for one send, and its watchdog, which abandons the replica
 // once another one has answered. A call that may not be sent again isn't watched. usual
 // is the replica's usual answer time.
-func (x *exchange) watchCall(ctx context.Context, up core.Upstream, usual clock.Millis) (context.Context, *watchdog) {
+func (x *exchange) watchCall(ctx context.Context, up core.Upstream, usual clock.Millis) (context.Context, *stall.Watchdog) {
 	call, cancel := context.WithCancelCause(ctx)
 	if !x.repeatable() || x.runsLeft() <= 1 {
-		return call, unwatched(cancel)
+		return call, &stall.Watchdog{Cancel: cancel}
 	}
-	w := &watchdog{
-		clock: x.relay.Clock, limit: max(usual*sendTimeoutFactor, x.request.Profile.FirstToken*sendTimeoutTargets, minSendTimeout),
-		secure:   func(search context.Context) bool { return x.secureAnswer(ctx, search, up) },
-		unsecure: x.discardSecond, cancel: cancel, log: x.log,
+	w := &stall.Watchdog{
+		Clock: x.relay.Clock, Limit: max(usual*sendTimeoutFactor, x.request.Profile.FirstToken*sendTimeoutTargets, minSendTimeout),
+		Secure:   func(search context.Context) bool { return x.secureAnswer(ctx, search, up) },
+		Unsecure: x.discardSecond, Cancel: cancel, Log: x.log,
 	}
-	w.start(ctx)
+	w.Start(ctx)
 	return call, w
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -78,10 +78,7 @@
 	minTimeLeft clock.Millis = 40
 )
 
-var (
-	errUpstreamIdle = errors.New("the upstream sent no data in time")
-	errBudgetSpent  = errors.New("the retry budget is exhausted")
-)
+var errBudgetSpent = errors.New("the retry budget is exhausted")
 
 // chargeBudget counts a send and takes each one after the first from the retry
 // budget. It returns errBudgetSpent if the budget is exhausted.
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -14,6 +14,7 @@
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/spool"
+	"lacewinghook.example/lacewinghook/stall"
 )
 
 // attempt is one try of a completion at a prefill and a decode engine, or at a
@@ -205,12 +206,12 @@
 		}
 	}
 	call, wd := a.watchPrefill(ctx, timeout)
-	defer wd.cancel(nil)
+	defer wd.Cancel(nil)
 	mark := x.quarantineMark()
 	start := x.relay.Clock.Now()
 	export, err := x.relay.Upstreams.Prefill(call, a.prefill, x.request)
 	took := x.relay.Clock.Now() - start
-	wd.stop(err != nil && ctx.Err() == nil)
+	wd.Stop(err != nil && ctx.Err() == nil)
 	if err != nil {
 		return a.prefillFailed(ctx, call, sentRequest{up: a.prefill, at: start, mark: mark}, err)
 	}
@@ -234,25 +235,25 @@
 // attempt after timeout. The prefill is given up after the longest silence of a sound
 // engine in any case, since it runs nothing. In a search, which has the attempt as next,
 // it is given up after timeout.
-func (a *attempt) watchPrefill(ctx context.Context, timeout clock.Millis) (context.Context, *watchdog) {
+func (a *attempt) watchPrefill(ctx context.Context, timeout clock.Millis) (context.Context, *stall.Watchdog) {
 	x := a.exchange
 	searching := x.next == a
 	limit := timeout
 	if !searching {
 		limit = max(timeout, x.relay.maxSilence())
 	}
-	limited, stopTimer := context.WithTimeoutCause(ctx, limit.Duration(), errUpstreamIdle)
+	limited, stopTimer := context.WithTimeoutCause(ctx, limit.Duration(), stall.ErrIdle)
 	call, cancel := context.WithCancelCause(limited)
 	cancelAll := func(err error) { cancel(err); stopTimer() }
 	if searching {
-		return call, unwatched(cancelAll)
+		return call, &stall.Watchdog{Cancel: cancelAll}
 	}
-	w := &watchdog{
-		clock: x.relay.Clock, limit: timeout, log: x.log, cancel: cancelAll,
-		secure:   func(ctx context.Context) bool { return x.secureNext(ctx, a.prefill) },
-		unsecure: x.discardNext,
+	w := &stall.Watchdog{
+		Clock: x.relay.Clock, Limit: timeout, Log: x.log, Cancel: cancelAll,
+		Secure:   func(ctx context.Context) bool { return x.secureNext(ctx, a.prefill) },
+		Unsecure: x.discardNext,
 	}
-	w.start(ctx)
+	w.Start(ctx)
 	return call, w
 }
 
@@ -261,8 +262,8 @@
 func (a *attempt) prefillFailed(ctx, call context.Context, s sentRequest, err error) error {
 	x := a.exchange
 	took := x.relay.Clock.Now() - s.at
-	if errors.Is(context.Cause(call), errUpstreamIdle) && ctx.Err() == nil {
-		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errUpstreamIdle, err), "%s: prefill unanswered after %d ms", a.prefill.Name, took)
+	if errors.Is(context.Cause(call), stall.ErrIdle) && ctx.Err() == nil {
+		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(stall.ErrIdle, err), "%s: prefill unanswered after %d ms", a.prefill.Name, took)
 	}
 	// A refused or unanswered prefill counts as the request's first send.
 	x.countFirst()
@@ -312,7 +313,7 @@
 		s.LastEventID = buf.lastID
 	}
 	call, wd := a.watchStream(ctx)
-	defer wd.cancel(nil)
+	defer wd.Cancel(nil)
 	mark := x.quarantineMark()
 	start := x.relay.Clock.Now()
 	answer, err := x.relay.Upstreams.Send(call, a.decode, s)
@@ -324,7 +325,7 @@
 		// The engine may still have the hold, which release drops.
 		a.hold = s.Hold
 	}
-	wd.stop(err != nil && ctx.Err() == nil && !x.callerGone)
+	wd.Stop(err != nil && ctx.Err() == nil && !x.callerGone)
 	if err == nil {
 		x.possibleRuns++
 		x.relay.endless.Delete(a.decode.Name)
@@ -333,8 +334,8 @@
 		}
 		return nil
 	}
-	if errors.Is(context.Cause(call), errUpstreamIdle) && ctx.Err() == nil {
-		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(errUpstreamIdle, err), "%s", a.decode.Name)
+	if errors.Is(context.Cause(call), stall.ErrIdle) && ctx.Err() == nil {
+		err = codes.Wrap(codes.UpstreamTimeout, errors.Join(stall.ErrIdle, err), "%s", a.decode.Name)
 	}
 	if errors.Is(context.Cause(call), spool.ErrFull) && ctx.Err() == nil {
 		err = endlessAnswer(a.decode, spool.ErrFull)
@@ -353,18 +354,18 @@
 
 // watchStream returns a context for a stream, and its watchdog. A stream that can't
 // continue at another engine isn't watched.
-func (a *attempt) watchStream(ctx context.Context) (context.Context, *watchdog) {
+func (a *attempt) watchStream(ctx context.Context) (context.Context, *stall.Watchdog) {
 	x := a.exchange
 	call, cancel := context.WithCancelCause(ctx)
 	if !x.opaque.Route.Resumable || x.runsLeft() <= 1 {
-		return call, unwatched(cancel)
+		return call, &stall.Watchdog{Cancel: cancel}
 	}
-	w := &watchdog{
-		clock: x.relay.Clock, limit: max(a.choice.FirstToken*firstEventFactor, x.relay.maxSilence()),
-		secure:   func(ctx context.Context) bool { return x.secureNext(ctx, a.decode) },
-		unsecure: x.discardNext, cancel: cancel, log: x.log,
+	w := &stall.Watchdog{
+		Clock: x.relay.Clock, Limit: max(a.choice.FirstToken*firstEventFactor, x.relay.maxSilence()),
+		Secure:   func(ctx context.Context) bool { return x.secureNext(ctx, a.decode) },
+		Unsecure: x.discardNext, Cancel: cancel, Log: x.log,
 	}
-	w.start(ctx)
+	w.Start(ctx)
 	return call, w
 }
 
@@ -408,7 +409,7 @@
 
 // forwardAnswer forwards the answer as it arrives and measures its first event.
 // start is the instant at which the request was sent.
-func (a *attempt) forwardAnswer(answer Answer, buf *eventBuffer, wd *watchdog, start clock.Millis) error {
+func (a *attempt) forwardAnswer(answer Answer, buf *eventBuffer, wd *stall.Watchdog, start clock.Millis) error {
 	x := a.exchange
 	if !answer.OK() {
 		return a.handleFailure(answer)
@@ -447,9 +448,9 @@
 	}
 	if x.opaque.Route.Resumable || answer.UntilClose && contentType(answer.Reply) == eventStream {
 		// A stream that can't continue elsewhere isn't given up for its silence.
-		buf.onUnordered = func() { wd.stop(false) }
-		buf.onEvent = func() { wd.dataReceived(x.relay.maxSilence()) }
-		return buf.streamEvents(x, a.decode, answer, onPart, func() { wd.cancel(spool.ErrFull) })
+		buf.onUnordered = func() { wd.Stop(false) }
+		buf.onEvent = func() { wd.DataReceived(x.relay.maxSilence()) }
+		return buf.streamEvents(x, a.decode, answer, onPart, func() { wd.Cancel(spool.ErrFull) })
 	}
 	check := x.checkLength(a.decode, 0)
 	if contentType(answer.Reply) == eventStream {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -208,6 +208,18 @@
 	return []zap.Field{zap.Int64("fleet", revision), zap.Int64("age", int64(age))}
 }
 
+// DefaultMaxSilence is how long a sound upstream may be silent. Callers abandon a
+// stream after 2 s or more without an event.
+const DefaultMaxSilence = 2 * clock.Second
+
+// maxSilence returns MaxSilence, or its default.
+func (r *Relay) maxSilence() clock.Millis {
+	if r.MaxSilence > 0 {
+		return r.MaxSilence
+	}
+	return DefaultMaxSilence
+}
+
 // logger returns the configured logger, or one that discards all messages.
 func (r *Relay) logger() *zap.Logger {
 	if r.Log == nil {
--- a/relay/watchdog_test.go
+++ b/stall/watchdog_test.go
@@ -1,4 +1,4 @@
-package relay
+package stall_test
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/stall"
 )
 
 // TestWatchdog checks when a silent upstream is abandoned: only after the limit, only
@@ -41,27 +42,27 @@
 			is := is.New(t)
 			m := &clock.Manual{}
 			searches, undone, abandoned := 0, 0, false
-			w := &watchdog{
-				clock: clock.Clock{Manual: m}, limit: limit,
-				unsecure: func() { undone++ }, cancel: func(error) { abandoned = true },
+			w := &stall.Watchdog{
+				Clock: clock.Clock{Manual: m}, Limit: limit,
+				Unsecure: func() { undone++ }, Cancel: func(error) { abandoned = true },
 			}
-			w.secure = func(context.Context) bool {
+			w.Secure = func(context.Context) bool {
 				searches++
 				if c.dataInSearch {
-					w.dataReceived(limit)
+					w.DataReceived(limit)
 				}
 				return searches <= len(c.secured) && c.secured[searches-1]
 			}
-			w.start(context.Background())
+			w.Start(context.Background())
 			for _, s := range c.steps {
 				for range s.advance {
 					m.Advance(1)
 				}
 				if s.data {
-					w.dataReceived(limit)
+					w.DataReceived(limit)
 				}
 			}
-			w.stop(false)
+			w.Stop(false)
 			m.Advance(10 * limit)
 			is.Equal(searches, c.searches)
 			is.Equal(undone, c.undone)
@@ -76,14 +77,14 @@
 	is := is.New(t)
 	m := &clock.Manual{}
 	searches := 0
-	w := &watchdog{clock: clock.Clock{Manual: m}, limit: 12000, cancel: func(error) {}, unsecure: func() {},
-		secure: func(context.Context) bool { searches++; return false }}
-	w.start(context.Background())
+	w := &stall.Watchdog{Clock: clock.Clock{Manual: m}, Limit: 12000, Cancel: func(error) {}, Unsecure: func() {},
+		Secure: func(context.Context) bool { searches++; return false }}
+	w.Start(context.Background())
 	m.Advance(500)
-	w.dataReceived(2000)
+	w.DataReceived(2000)
 	for range 4000 {
 		m.Advance(1)
 	}
-	w.stop(false)
+	w.Stop(false)
 	is.True(searches > 0) // 4 s of silence, limit 2 s
 }
