avoid: package of its own for the exclusion of failed upstreams

The table of exclusions, kept twice by relay (unreachable upstreams, and those whose last answer was cut), doesn't depend on a request. Relay keeps the decision what counts as a failure, and the log line.

Bounds, log message and selection are unchanged.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/alloc"
+	"lacewinghook.example/lacewinghook/avoid"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
@@ -143,14 +144,13 @@
 func (x *exchange) excludedEngines() []string {
 	names := slices.Concat(x.failed, x.noHold)
 	now := x.relay.Clock.Now()
-	add := func(name string, e exclusion) bool {
-		if now < e.until && !slices.Contains(names, name) {
-			names = append(names, name)
+	for _, t := range []*avoid.Table{&x.relay.unreachable, &x.relay.endless} {
+		for _, name := range t.Names(now) {
+			if !slices.Contains(names, name) {
+				names = append(names, name)
+			}
 		}
-		return true
 	}
-	x.relay.unreachable.Each(add)
-	x.relay.endless.Each(add)
 	return names
 }
 
--- a/relay/call.go
+++ b/relay/call.go
@@ -214,7 +214,7 @@
 	}
 	x.possibleRuns++
 	if len(a.head) <= maxBufferedBytes {
-		x.relay.endless.Delete(a.up.Name)
+		x.relay.endless.Forget(a.up.Name)
 		a.answer.Length = int64(len(a.head))
 		return x.deliver(&bufferedAnswer{reply: a.answer.Reply, body: a.head})
 	}
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -223,7 +223,7 @@
 		export.Expires = x.relay.Clock.Now() + ttl
 	}
 	x.relay.markReachable(a.prefill)
-	x.relay.endless.Delete(a.prefill.Name)
+	x.relay.endless.Forget(a.prefill.Name)
 	export.Upstream = a.prefill.Name
 	a.export = &export
 	a.finishPrompt(took)
@@ -328,7 +328,7 @@
 	wd.Stop(err != nil && ctx.Err() == nil && !x.callerGone)
 	if err == nil {
 		x.possibleRuns++
-		x.relay.endless.Delete(a.decode.Name)
+		x.relay.endless.Forget(a.decode.Name)
 		if a.events > 0 {
 			x.reportAnswered()
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/alloc"
+	"lacewinghook.example/lacewinghook/avoid"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
@@ -15,7 +16,6 @@
 	"lacewinghook.example/lacewinghook/notice"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/route"
-	"lacewinghook.example/lacewinghook/shard"
 	"lacewinghook.example/lacewinghook/spool"
 )
 
@@ -171,7 +171,7 @@
 
 	// unreachable holds the upstreams whose last connection attempts failed, and
 	// endless those whose last complete or cut answer was cut.
-	unreachable, endless shard.Map[string, exclusion]
+	unreachable, endless avoid.Table
 	// desk places completions if Placer is nil; setUp initializes it.
 	setUp sync.Once
 	desk  alloc.Desk
