--- a/stall/watchdog_test.go
+++ b/stall/watchdog_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/stall"
@@ -88,3 +89,40 @@
 	w.Stop(false)
 	is.True(searches > 0) // 4 s of silence, limit 2 s
 }
+
+// TestZeroWatchdog checks that a watchdog that isn't started never abandons the call.
+func TestZeroWatchdog(t *testing.T) {
+	is := is.New(t)
+	m := &clock.Manual{}
+	w := &stall.Watchdog{Clock: clock.Clock{Manual: m}, Cancel: func(error) { t.Error("abandoned") },
+		Secure: func(context.Context) bool { t.Error("searched"); return true }}
+	w.DataReceived(1000)
+	m.Advance(10000)
+	w.Stop(true)
+	w.DataReceived(2000)
+	m.Advance(10000)
+	var zero stall.Watchdog
+	zero.DataReceived(1000)
+	zero.Stop(false)
+	is.Equal(zero.Limit, clock.Millis(0)) // only a started watchdog takes a limit
+}
+
+// TestPanicInSearch checks that a panic in a search counts as one without a find, with
+// and without a log.
+func TestPanicInSearch(t *testing.T) {
+	for name, log := range map[string]*zap.Logger{"no log": nil, "log": zap.NewNop()} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := &clock.Manual{}
+			searches := 0
+			w := &stall.Watchdog{Clock: clock.Clock{Manual: m}, Limit: 1000, Log: log,
+				Cancel: func(error) { t.Error("abandoned") }, Unsecure: func() { t.Error("nothing was secured") },
+				Secure: func(context.Context) bool { searches++; panic("fault of the test") }}
+			w.Start(context.Background())
+			m.Advance(1000)
+			m.Advance(200)
+			w.Stop(false)
+			is.Equal(searches, 2)
+		})
+	}
+}
