resume: package of its own for the place in a stream that may resume

Which events a caller may get, and whether its stream can continue at another engine, is decided by event IDs alone. That part of the event buffer moves out of relay into resume.Place, a plain value; the buffer keeps the forwarding, the bounds and the callbacks. The error and its text are unchanged.

--- a/relay/events.go
+++ b/relay/events.go
@@ -2,45 +2,35 @@
 
 import (
 	"mime"
-	"strconv"
 
 	"github.com/go-faster/errors"
 
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/events"
+	"lacewinghook.example/lacewinghook/resume"
 	"lacewinghook.example/lacewinghook/spool"
 )
 
 // eventBuffer forwards only complete events and records the last event ID, so
 // that a stream can resume at another engine. onUnordered and onEvent are required.
 type eventBuffer struct {
-	// lastID is the ID of the last event that the caller has; empty if it has
-	// none.
-	lastID string
+	// place is how far the caller is in the stream.
+	place resume.Place
 	// head is the head that the caller has, once an answer has begun.
 	head core.Reply
 	// scan splits the current answer into events, and partial holds the start of an
 	// event that is still incomplete.
 	scan    events.Scanner
 	partial spool.Buffer
-	// events counts the events of the current answer.
-	events int
-	// resumed is set while an answer must continue after lastID.
-	resumed bool
-	// unordered is set once an event was forwarded whose ID isn't the number
-	// after that of the event before it. Such a stream can't resume, since
-	// missing and repeated events would not be noticed.
-	unordered bool
-	// onUnordered is called when unordered is set, and onEvent for each whole event:
-	// an engine that sends less may have stalled.
+	// onUnordered is called when the stream becomes unordered, and onEvent for each
+	// whole event: an engine that sends less may have stalled.
 	onUnordered, onEvent func()
 }
 
 var (
 	errPartialEvent = errors.New("the stream ended inside an event")
 	errNoEvent      = errors.New("the connection ended before the first event")
-	errWrongEvent   = errors.New("a resumed stream doesn't continue with the next event")
 	errOtherHead    = errors.New("the answer's status or content type isn't that of the stream")
 	errNotAnEvent   = errors.New("the stream holds text that isn't an event")
 )
@@ -52,8 +42,7 @@
 	b.scan = events.Scanner{}
 	b.partial = spool.Buffer{Pool: x.relay.Held, Evict: evict}
 	defer b.partial.Reset()
-	_, b.resumed = eventNumber(b.lastID)
-	b.events = 0
+	b.place.Begin()
 	err := readParts(up, answer.Body, func(p []byte) error {
 		onPart(p)
 		return b.forwardComplete(x, up, p)
@@ -63,7 +52,7 @@
 		return err
 	case b.scan.Partial():
 		return codes.Wrap(codes.UpstreamLost, errPartialEvent, "%s", up.Name).WithRun(codes.Ran)
-	case answer.UntilClose && b.events == 0:
+	case answer.UntilClose && b.place.Events == 0:
 		return codes.Wrap(codes.UpstreamLost, errNoEvent, "%s", up.Name).WithRun(codes.Ran)
 	}
 	return nil
@@ -107,7 +96,7 @@
 	if errors.Is(err, errTooManyEvents) {
 		return endlessAnswer(up, err)
 	}
-	return codes.Wrap(codes.UpstreamFailed, err, "%s: after event %q", up.Name, b.lastID)
+	return codes.Wrap(codes.UpstreamFailed, err, "%s: after event %q", up.Name, b.place.LastID)
 }
 
 // forward forwards what was kept of an event, and p, in which it ends.
@@ -138,21 +127,14 @@
 	if err := x.countEvent(); err != nil {
 		return err
 	}
-	n, numbered := eventNumber(e.ID)
-	last, known := eventNumber(b.lastID)
-	ordered := numbered && (!known || n == last+1)
-	if b.resumed && !ordered {
-		return errWrongEvent
+	unordered := b.place.Unordered
+	if err := b.place.Accept(e.ID); err != nil {
+		return err
 	}
-	b.events++
 	b.onEvent()
-	if !ordered && !b.unordered {
-		b.unordered = true
+	if b.place.Unordered && !unordered {
 		b.onUnordered()
 	}
-	if e.ID != "" {
-		b.lastID = e.ID
-	}
 	return nil
 }
 
@@ -177,9 +159,3 @@
 	// An invalid type is compared as it is.
 	return text
 }
-
-// eventNumber returns the number that an event ID is. ok is false if it is none.
-func eventNumber(id string) (n uint64, ok bool) {
-	n, err := strconv.ParseUint(id, 10, 64)
-	return n, err == nil
-}
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -51,7 +51,7 @@
 func (x *exchange) generate(ctx context.Context) error {
 	var buf eventBuffer
 	if x.opaque.Route.Resumable {
-		buf.lastID = x.opaque.LastEventID
+		buf.place.LastID = x.opaque.LastEventID
 	}
 	defer x.discardNext()
 	for {
@@ -59,7 +59,7 @@
 		if err == nil {
 			return nil
 		}
-		if x.headSent && (!x.opaque.Route.Resumable || buf.unordered) {
+		if x.headSent && (!x.opaque.Route.Resumable || buf.place.Unordered) {
 			return err
 		}
 		if x.next != nil && ctx.Err() == nil && !x.callerGone {
@@ -309,8 +309,8 @@
 	}
 	s := SendRequest{Request: x.request, Export: a.export, From: a.prefill, LastEventID: x.opaque.LastEventID, Hold: a.hold}
 	a.hold = ""
-	if buf.lastID != "" {
-		s.LastEventID = buf.lastID
+	if buf.place.LastID != "" {
+		s.LastEventID = buf.place.LastID
 	}
 	call, wd := a.watchStream(ctx)
 	defer wd.Cancel(nil)
