resume: test of a last event without an ID

Of eight changed lines of resume and avoid, and two of stall, tried one at a time on a scratch copy, one passed all tests of its package: an empty ID that replaces LastID. The new case turns red with it.

Run: gofmt, go vet, staticcheck; go test -race -count=1 ./relay ./stall ./avoid ./resume, green.

--- a/resume/place_test.go
+++ b/resume/place_test.go
@@ -27,6 +27,7 @@
 		"no IDs":                        {ids: []string{"", ""}, accepted: 2, unordered: true},
 		"an event without ID":           {ids: []string{"1", "", "2"}, accepted: 3, lastID: "2", unordered: true},
 		"IDs that aren't numbers":       {ids: []string{"a", "b"}, accepted: 2, lastID: "b", unordered: true},
+		"last event without ID":         {ids: []string{"1", ""}, accepted: 2, lastID: "1", unordered: true},
 		"negative":                      {ids: []string{"-1"}, accepted: 1, lastID: "-1", unordered: true},
 		"resumed in order":              {last: "7", ids: []string{"8", "9"}, accepted: 2, lastID: "9"},
 		"resumed with a gap":            {last: "7", ids: []string{"9"}, lastID: "7"},
