--- a/relay/watchdog_test.go
+++ b/stall/watchdog_test.go
@@ -1,12 +1,14 @@
-package relay
+package stall_test
 
 import (
 	"context"
 	"testing"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/stall"
 )
 
 // TestWatchdog checks when a silent upstream is abandoned: only after the limit, only
@@ -41,27 +43,27 @@
 			is := is.New(t)
 			m := &clock.Manual{}
 			searches, undone, abandoned := 0, 0, false
-			w := &watchdog{
-				clock: clock.Clock{Manual: m}, limit: limit,
-				unsecure: func() { undone++ }, cancel: func(error) { abandoned = true },
+			w := &stall.Watchdog{
+				Clock: clock.Clock{Manual: m}, Limit: limit,
+				Unsecure: func() { undone++ }, Cancel: func(error) { abandoned = true },
 			}
-			w.secure = func(context.Context) bool {
+			w.Secure = func(context.Context) bool {
 				searches++
 				if c.dataInSearch {
-					w.dataReceived(limit)
+					w.DataReceived(limit)
 				}
 				return searches <= len(c.secured) && c.secured[searches-1]
 			}
-			w.start(context.Background())
+			w.Start(context.Background())
 			for _, s := range c.steps {
 				for range s.advance {
 					m.Advance(1)
 				}
 				if s.data {
-					w.dataReceived(limit)
+					w.DataReceived(limit)
 				}
 			}
-			w.stop(false)
+			w.Stop(false)
 			m.Advance(10 * limit)
 			is.Equal(searches, c.searches)
 			is.Equal(undone, c.undone)
@@ -76,14 +78,51 @@
 	is := is.New(t)
 	m := &clock.Manual{}
 	searches := 0
-	w := &watchdog{clock: clock.Clock{Manual: m}, limit: 12000, cancel: func(error) {}, unsecure: func() {},
-		secure: func(context.Context) bool { searches++; return false }}
-	w.start(context.Background())
+	w := &stall.Watchdog{Clock: clock.Clock{Manual: m}, Limit: 12000, Cancel: func(error) {}, Unsecure: func() {},
+		Secure: func(context.Context) bool { searches++; return false }}
+	w.Start(context.Background())
 	m.Advance(500)
-	w.dataReceived(2000)
+	w.DataReceived(2000)
 	for range 4000 {
 		m.Advance(1)
 	}
-	w.stop(false)
+	w.Stop(false)
 	is.True(searches > 0) // 4 s of silence, limit 2 s
 }
+
+// TestZeroWatchdog checks that a watchdog that isn't started never abandons the call.
+func TestZeroWatchdog(t *testing.T) {
+	is := is.New(t)
+	m := &clock.Manual{}
+	w := &stall.Watchdog{Clock: clock.Clock{Manual: m}, Cancel: func(error) { t.Error("abandoned") },
+		Secure: func(context.Context) bool { t.Error("searched"); return true }}
+	w.DataReceived(1000)
+	m.Advance(10000)
+	w.Stop(true)
+	w.DataReceived(2000)
+	m.Advance(10000)
+	var zero stall.Watchdog
+	zero.DataReceived(1000)
+	zero.Stop(false)
+	is.Equal(zero.Limit, clock.Millis(0)) // only a started watchdog takes a limit
+}
+
+// TestPanicInSearch checks that a panic in a search counts as one without a find, with
+// and without a log.
+func TestPanicInSearch(t *testing.T) {
+	for name, log := range map[string]*zap.Logger{"no log": nil, "log": zap.NewNop()} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := &clock.Manual{}
+			searches := 0
+			w := &stall.Watchdog{Clock: clock.Clock{Manual: m}, Limit: 1000, Log: log,
+				Cancel: func(error) { t.Error("abandoned") }, Unsecure: func() { t.Error("nothing was secured") },
+				Secure: func(context.Context) bool { searches++; panic("fault of the test") }}
+			w.Start(context.Background())
+			m.Advance(1000)
+			m.Advance(200)
+			w.Stop(false)
+			is.Equal(searches, 2)
+		})
+	}
+}
