--- a/review/bed/blame.go
+++ b/review/bed/blame.go
@@ -10,7 +10,9 @@
 // replicas and the others don't. All share the caller's part.
 func playBlame(b *bed) (bool, error) {
 	const (
-		batch       = 4 // requests of each sort
+		// Each batch has so many sound and deadly requests.
+		soundOnes   = 4
+		deadlyOnes  = 6
 		calmBatches = 6
 		batches     = 12
 		batchPause  = 4 * time.Second
@@ -53,7 +55,7 @@
 	}
 	n := 0
 	for ; n < calmBatches; n++ {
-		for i := range batch {
+		for i := range soundOnes {
 			send(soundPart, n, i)
 		}
 		time.Sleep(time.Second)
@@ -61,11 +63,13 @@
 	wait.Wait()
 	begun := time.Now()
 	for ; n < calmBatches+batches; n++ {
-		for i := range batch {
-			if b.trouble {
+		for i := range max(soundOnes, deadlyOnes) {
+			if b.trouble && i < deadlyOnes {
 				send(deadlyPart, n, i)
 			}
-			send(soundPart, n, i+1)
+			if i < soundOnes {
+				send(soundPart, n, i+1)
+			}
 		}
 		time.Sleep(batchPause)
 	}
