review/3: a stopping entry takes a stream that it then cuts (LOST)

Tried: 3 entries are stopped by SIGTERM in turn, 1.3 s apart (roll_term). Callers of the first keep its address for three times its ttl, get 503 from all registries then, and send streams of 170 tokens on their open channels 3.1 s after the SIGTERM, after streams of 20 tokens before.

All 6 streams were passed on and cut 7.5 s after the SIGTERM, 0.9 s before their ends.

--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -125,9 +125,6 @@
 	return slices.Clone(b.replicas)
 }
 
-// sleepUntil waits until an instant after the start of the case.
-func (b *bed) sleepUntil(at time.Duration) { time.Sleep(time.Until(b.start.Add(at))) }
-
 // Ports of the entries lie below the ephemeral ones of the operating system.
 const (
 	firstPort = 13000
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -27,10 +27,10 @@
 
 var scenarios = map[string]scenario{
 	"parts":  playParts,
-	"poison": playPoison,
 	"lookup": playLookup,
 	"blame":  playBlame,
 	"resume": playResume,
+	"stop":   playStop,
 }
 
 // Exit codes.
--- a/review/bed/replica.go
+++ b/review/bed/replica.go
@@ -44,6 +44,9 @@
 	crashes func(hr *http.Request, body []byte) bool
 	// comesBack is set if another replica follows this one after a crash.
 	comesBack bool
+	// pause is the time between two events of one token each; zero means that events have
+	// the usual pause and number of tokens.
+	pause time.Duration
 	// stride is the number of tokens by which the ids of events increase; zero means one.
 	stride int
 	// work is the time of a plain request.
@@ -64,7 +67,7 @@
 	}
 	r := &replica{bed: b, service: service, phase: phase, addr: ln.Addr().String(), ln: ln, stopped: make(chan struct{})}
 	if like != nil {
-		r.crashes, r.work, r.comesBack, r.stride = like.crashes, like.work, like.comesBack, like.stride
+		r.crashes, r.work, r.comesBack, r.stride, r.pause = like.crashes, like.work, like.comesBack, like.stride, like.pause
 	}
 	b.mu.Lock()
 	r.id = fmt.Sprintf("i-%04x", len(b.replicas)+1)
@@ -228,14 +231,19 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	c := http.NewResponseController(w)
 	last, _ := strconv.Atoi(hr.Header.Get("Last-Event-Id"))
-	step := max(1, r.stride)
-	for n := last + step; n <= eventCount*step; n += step {
+	step, count, pause := max(1, r.stride), eventCount, eventTime
+	if r.pause > 0 {
+		_, most, _ := strings.Cut(hr.Header.Get("Lacewinghook-Token-Counts"), ",")
+		count, _ = strconv.Atoi(most)
+		pause = r.pause
+	}
+	for n := last + step; n <= count*step; n += step {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: verse %d\n\n", n, n); err != nil {
 			return
 		}
 		_ = c.Flush()
 		select {
-		case <-time.After(eventTime):
+		case <-time.After(pause):
 		case <-hr.Context().Done():
 			return
 		case <-r.stopped:
