--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -69,8 +69,6 @@
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	done     chan struct{}
-	// since is the start of the process.
-	since time.Time
 }
 
 func newBed(program, record string, trouble bool) (*bed, error) {
@@ -216,7 +214,7 @@
 	defer e.mu.Unlock()
 	// Later starts belong to a system that runs already.
 	e.settings.Fleet.Fresh = false
-	e.cmd, e.done, e.since = cmd, done, time.Now()
+	e.cmd, e.done = cmd, done
 	return nil
 }
 
@@ -255,18 +253,6 @@
 	return err
 }
 
-// inTouch reports whether the entry's process has run for the stable window.
-func (e *entry) inTouch() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	select {
-	case <-e.done:
-		return false
-	default:
-		return time.Since(e.since) > stableWindow
-	}
-}
-
 // awaitReady waits until the entry says that it is ready.
 func (e *entry) awaitReady() error {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
--- a/review/bed/blame.go
+++ b/review/bed/blame.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -49,7 +50,8 @@
 			mu.Lock()
 			defer mu.Unlock()
 			if part == soundPart {
-				sound = append(sound, result{at, a.served()})
+				// A request begins at the first attempt if a replica's success begins.
+				sound = append(sound, result{at, a.signed && a.status == http.StatusOK})
 			}
 		})
 	}
@@ -80,21 +82,21 @@
 	if len(crashed) > 0 {
 		from = crashed[min(4, len(crashed)-1)].Add(2 * stableWindow)
 	}
-	var before, after, servedBefore, servedAfter int
+	var before, after, begunBefore, begunAfter int
 	for _, r := range sound {
 		switch {
 		case r.at.Before(begun):
 			before++
 			if r.good {
-				servedBefore++
+				begunBefore++
 			}
 		case r.at.After(from):
 			after++
 			if r.good {
-				servedAfter++
+				begunAfter++
 			}
 		}
 	}
-	b.log("sound requests: served %d of %d before, %d of %d from 6 s after the fifth crash on", servedBefore, before, servedAfter, after)
-	return before >= minRequests && after >= minRequests && float64(servedAfter)/float64(after) < float64(servedBefore)/float64(before)/2, nil
+	b.log("sound requests: begun %d of %d before, %d of %d from 6 s after the fifth crash on", begunBefore, before, begunAfter, after)
+	return before >= minRequests && after >= minRequests && float64(begunAfter)/float64(after) < float64(begunBefore)/float64(before)/2, nil
 }
--- a/review/bed/lookup.go
+++ b/review/bed/lookup.go
@@ -17,7 +17,8 @@
 		perRoute = 120 * time.Millisecond
 	)
 	var reps []*replica
-	running := make([]chan struct{}, 3)
+	// One of them is a share of 0.17.
+	running := make([]chan struct{}, 6)
 	for i := range running {
 		running[i] = make(chan struct{}, 1)
 		r, err := b.addReplica("desk", "", &replica{comesBack: true, work: func(hr *http.Request) time.Duration {
--- a/review/bed/replica.go
+++ b/review/bed/replica.go
@@ -44,10 +44,10 @@
 	crashes func(hr *http.Request, body []byte) bool
 	// comesBack is set if another replica follows this one after a crash.
 	comesBack bool
-	// pause is the time between two events of one token each; zero means that events have
-	// the usual pause and number of tokens.
-	pause time.Duration
-	// stride is the number of tokens by which the ids of events increase; zero means one.
+	// pause is the time for a token, and stride the number of tokens in an event, by which
+	// the ids of events increase; zero means one. With a zero pause, an answer has the usual
+	// events.
+	pause  time.Duration
 	stride int
 	// work is the time of a plain request.
 	work func(hr *http.Request) time.Duration
@@ -234,8 +234,8 @@
 	step, count, pause := max(1, r.stride), eventCount, eventTime
 	if r.pause > 0 {
 		_, most, _ := strings.Cut(hr.Header.Get("Lacewinghook-Token-Counts"), ",")
-		count, _ = strconv.Atoi(most)
-		pause = r.pause
+		tokens, _ := strconv.Atoi(most)
+		count, pause = (tokens+step-1)/step, r.pause*time.Duration(step)
 	}
 	for n := last + step; n <= count*step; n += step {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: verse %d\n\n", n, n); err != nil {
--- a/review/bed/resume.go
+++ b/review/bed/resume.go
@@ -6,9 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -23,7 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
-	_ = conn.SetDeadline(time.Now().Add(15 * time.Second))
+	_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
 	return &channel{conn: conn, read: bufio.NewReader(conn)}, nil
 }
 
@@ -77,20 +77,30 @@
 	}
 }
 
-// playResume kills an entry in the middle of streams, which their callers then resume at
-// the others. The ids of events increase by the tokens of an event.
+// playResume stops two entries in turn by SIGTERM. Streams that outlast the grace period of
+// the first are cut, which is excused, and their callers resume them at the second.
 func playResume(b *bed) (bool, error) {
 	const (
-		streams    = 12
-		killAfter  = 2
-		maxNothing = 3
+		streams = 6
+		tokens  = 170
+		// tokenTime is the time for a token. The answers then outlast the grace period.
+		tokenTime = 46 * time.Millisecond
+		stride    = 16
+		allEvents = (tokens + stride - 1) / stride
+		rollGap   = 5 * time.Second
+		// sentAfter is the time from the first SIGTERM to the requests.
+		sentAfter = 700 * time.Millisecond
+		// listAge is the time before the second SIGTERM at which callers get their list.
+		// They keep it for three times its ttl_s of 1.
+		listAge = 100 * time.Millisecond
+		keepFor = 3 * time.Second
 	)
 	for i := range 12 {
 		phase := "decode"
 		if i < 4 {
 			phase = "prefill"
 		}
-		if _, err := b.addReplica("writers", phase, &replica{stride: 16}); err != nil {
+		if _, err := b.addReplica("writers", phase, &replica{stride: stride, pause: tokenTime}); err != nil {
 			return false, err
 		}
 	}
@@ -99,82 +109,97 @@
 		return false, err
 	}
 	time.Sleep(stableWindow + time.Second)
+	first, second := b.entries[0], b.entries[1]
+	stopAt := time.Now().Add(200 * time.Millisecond)
+	secondStop := stopAt.Add(rollGap)
 	var wait sync.WaitGroup
 	var mu sync.Mutex
-	var nothing, resumed, whole int
+	var whole, resumed, cut int
 	var failed error
-	var begun sync.WaitGroup
-	begun.Add(streams)
+	fail := func(err error) {
+		mu.Lock()
+		defer mu.Unlock()
+		failed = err
+	}
 	for i := range streams {
 		wait.Go(func() {
 			q := completion(soundPart, fmt.Sprintf("c%07x", i))
-			fail := func(err error) {
-				mu.Lock()
-				failed = err
-				mu.Unlock()
-			}
-			// The second channel is in use before, and kept.
-			other := b.entries[1+i%2]
-			kept, err := openChannel(other)
-			if err != nil {
-				fail(err)
-				begun.Done()
+			q.header["Lacewinghook-Token-Counts"] = fmt.Sprintf("3200,%d", tokens)
+			lists := make(chan []string, 1)
+			var resolved time.Time
+			go func() {
+				time.Sleep(time.Until(secondStop.Add(-listAge)))
+				resolved = time.Now()
+				lists <- resolve(second)
+			}()
+			// It has the address of the first entry from before the SIGTERM, and uses it
+			// within its ttl_s.
+			if list := resolve(first); !slices.Contains(list, first.settings.Callers.Listen) {
+				fail(fmt.Errorf("stream %d: no list with %s", i, first.name))
 				return
 			}
-			defer kept.conn.Close()
-			before := kept.stream(fmt.Sprintf("%016x", 0x1c00+i), "", completion(soundPart, fmt.Sprintf("b%07x", i)), func(int) {})
-			b.log("stream %d: before, at %s: status %d, events %v, complete %v", i, other.name, before.status, before.ids, before.complete)
-			c, err := openChannel(b.entries[0])
+			c, err := openChannel(first)
 			if err != nil {
 				fail(err)
-				begun.Done()
 				return
 			}
 			defer c.conn.Close()
-			var once sync.Once
-			got := c.stream(fmt.Sprintf("%016x", 0x1d00+i), "", q, func(n int) {
-				if n == killAfter {
-					once.Do(begun.Done)
-				}
-			})
-			once.Do(begun.Done)
-			b.log("stream %d: at %s: status %d, events %v, complete %v, %v", i, b.entries[0].name, got.status, got.ids, got.complete, got.err)
+			time.Sleep(time.Until(stopAt.Add(sentAfter)))
+			sent := time.Now()
+			got := c.stream(fmt.Sprintf("%016x", 0x1d00+i), "", q, func(int) {})
+			b.log("stream %d: at %s: status %d, events %v, complete %v, %v", i, first.name, got.status, got.ids, got.complete, got.err)
+			list := <-lists
 			if got.complete {
 				mu.Lock()
 				whole++
 				mu.Unlock()
 				return
 			}
-			if len(got.ids) == 0 {
-				fail(fmt.Errorf("stream %d has no event before the kill", i))
+			if len(got.ids) == 0 || time.Since(resolved) > keepFor || !slices.Contains(list, second.settings.Callers.Listen) {
+				fail(fmt.Errorf("stream %d: no event, or no list with %s", i, second.name))
 				return
 			}
+			// The rest of the deadline is left, and a new channel is used.
+			q.deadline -= time.Since(sent)
+			last := got.ids[len(got.ids)-1]
+			other, err := openChannel(second)
+			if err != nil {
+				fail(err)
+				return
+			}
+			defer other.conn.Close()
 			id := fmt.Sprintf("%016x", 0x1e00+i)
-			rest := kept.stream(id, got.ids[len(got.ids)-1], q, func(int) {})
+			at := time.Now()
+			rest := other.stream(id, last, q, func(int) {})
 			runs := 0
 			for _, a := range b.arrivals() {
 				if a.id == id && !a.prefill {
 					runs++
 				}
 			}
-			b.log("stream %d: resumed after %s at %s, in touch %v: status %d, events %v, complete %v, %v; ran %d times", i, got.ids[len(got.ids)-1], other.name,
-				other.inTouch(), rest.status, rest.ids, rest.complete, rest.err, runs)
+			b.log("stream %d: resumed after %s on a new channel to %s, %.3f s after its SIGTERM: status %d, events %v, complete %v, %v; ran %d times", i, last, second.name,
+				at.Sub(secondStop).Seconds(), rest.status, rest.ids, rest.complete, rest.err, runs)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
-			case rest.complete && len(got.ids)+len(rest.ids) == eventCount:
+			case rest.complete && len(got.ids)+len(rest.ids) == allEvents:
 				resumed++
-			case !rest.complete && runs > 0 && other.inTouch():
-				nothing++
+			case rest.status != 0 && !rest.complete && runs > 0:
+				cut++
 			}
 		})
 	}
-	begun.Wait()
 	if b.trouble {
-		b.log("%s: SIGKILL", b.entries[0].name)
-		b.entries[0].signal(syscall.SIGKILL)
+		for i, e := range []*entry{first, second} {
+			wait.Go(func() {
+				time.Sleep(time.Until(stopAt.Add(time.Duration(i) * rollGap)))
+				if err := b.restart(e); err != nil {
+					fail(err)
+				}
+			})
+		}
 	}
 	wait.Wait()
-	b.log("streams: %d whole, %d resumed to their end, %d passed on and cut without an answer, %d of these may be", whole, resumed, nothing, maxNothing)
-	return nothing > maxNothing, failed
+	b.log("streams: %d whole, %d resumed to their end, %d resumed, passed on and cut; none may be cut", whole, resumed, cut)
+	return cut > 0, failed
 }
--- a/review/bed/stop.go
+++ b/review/bed/stop.go
@@ -68,13 +68,15 @@
 	var mu sync.Mutex
 	var results []result
 	var failed error
-	var wait, ready sync.WaitGroup
+	var wait, ready, listed sync.WaitGroup
 	fail := func(err error) {
 		mu.Lock()
 		defer mu.Unlock()
 		failed = err
 	}
 	ready.Add(callers)
+	listed.Add(callers)
+	resolveNow := make(chan struct{})
 	start := make(chan time.Time)
 	for i := range callers {
 		wait.Go(func() {
@@ -82,6 +84,7 @@
 			if err != nil {
 				fail(err)
 				ready.Done()
+				listed.Done()
 				<-start
 				return
 			}
@@ -92,10 +95,14 @@
 				got := c.stream(fmt.Sprintf("%016x", 0x1c00+n*callers+i), "", q, func(int) {})
 				b.log("caller %d: status %d, %d events, complete %v, %v", i, got.status, len(got.ids), got.complete, got.err)
 			}
-			list := resolve(e)
 			ready.Done()
+			<-resolveNow
+			resolved := time.Now()
+			list := resolve(e)
+			listed.Done()
 			at := <-start
-			time.Sleep(time.Until(at.Add(keepFor)))
+			time.Sleep(time.Until(resolved.Add(keepFor)))
+			b.log("caller %d: its list is %d ms old", i, time.Since(resolved).Milliseconds())
 			for _, other := range b.entries {
 				if l := resolve(other); len(l) > 0 {
 					list = l
@@ -118,6 +125,8 @@
 		})
 	}
 	ready.Wait()
+	close(resolveNow)
+	listed.Wait()
 	at := time.Now()
 	if b.trouble {
 		for i, e := range b.entries {
