review: the resumed streams are taken out; the stop at the sheet's pace; poison again

Tried: the claims of cases 1 and 3 against the sheet. Both needed replicas 10 to 16 times slower than its engines, more than the largest dose of srv_slow. Blame stays case 2, parts is 3, lookup 4, and poison, which had given way, is 5.

Command: review/build.sh, then review/1/run.sh and review/5/run.sh five times each, TROUBLE=0 once each; the others once each on the changed stand-in, and once with TROUBLE=0. No seed: the cases draw nothing but ports.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case "resume" of review/bed. TROUBLE=0 leaves out the disruption.
+# Plays the case "stop" of review/bed. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bed ] || exit 2
-exec target/bed -case resume -program target/lacewinghook -dir review/1
+exec target/bed -case stop -program target/lacewinghook -dir review/1
--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -20,6 +20,9 @@
 	"lacewinghook.example/lacewinghook/extsim"
 )
 
+// restartDelay is the time between the end of a process and its next start.
+const restartDelay = time.Second
+
 // Bounds of the users' sheet.
 const (
 	stableWindow = 3 * time.Second
@@ -69,6 +72,8 @@
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	done     chan struct{}
+	// since is the start of the process.
+	since time.Time
 }
 
 func newBed(program, record string, trouble bool) (*bed, error) {
@@ -123,6 +128,9 @@
 	return slices.Clone(b.replicas)
 }
 
+// sleepUntil waits until an instant after the start of the case.
+func (b *bed) sleepUntil(at time.Duration) { time.Sleep(time.Until(b.start.Add(at))) }
+
 // Ports of the entries lie below the ephemeral ones of the operating system.
 const (
 	firstPort = 13000
@@ -214,7 +222,7 @@
 	defer e.mu.Unlock()
 	// Later starts belong to a system that runs already.
 	e.settings.Fleet.Fresh = false
-	e.cmd, e.done = cmd, done
+	e.cmd, e.done, e.since = cmd, done, time.Now()
 	return nil
 }
 
@@ -244,7 +252,7 @@
 		e.signal(syscall.SIGKILL)
 		<-e.done
 	}
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(restartDelay)
 	if err := b.launch(e); err != nil {
 		return err
 	}
@@ -253,6 +261,18 @@
 	return err
 }
 
+// inTouch reports whether the entry's process has run for the stable window.
+func (e *entry) inTouch() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.done:
+		return false
+	default:
+		return time.Since(e.since) > stableWindow
+	}
+}
+
 // awaitReady waits until the entry says that it is ready.
 func (e *entry) awaitReady() error {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -29,7 +29,7 @@
 	"parts":  playParts,
 	"lookup": playLookup,
 	"blame":  playBlame,
-	"resume": playResume,
+	"poison": playPoison,
 	"stop":   playStop,
 }
 
--- a/review/bed/replica.go
+++ b/review/bed/replica.go
@@ -19,8 +19,12 @@
 	fetchTime      = 4 * time.Millisecond
 	firstTokenTime = 4 * time.Millisecond
 	eventTime      = 60 * time.Millisecond
-	// eventCount is the number of events of 16 tokens in an answer of 70 or so.
-	eventCount = 5
+	// eventTokens is the number of tokens in an event.
+	eventTokens = 16
+	// silence is how long a sound replica may fall silent. Only answers with more than
+	// longAnswer events are interrupted so.
+	silence    = time.Second
+	longAnswer = 5
 	deskTime   = 60 * time.Millisecond
 	// backAfter is how long a replica that has crashed is away.
 	backAfter = 2 * time.Second
@@ -44,11 +48,8 @@
 	crashes func(hr *http.Request, body []byte) bool
 	// comesBack is set if another replica follows this one after a crash.
 	comesBack bool
-	// pause is the time for a token, and stride the number of tokens in an event, by which
-	// the ids of events increase; zero means one. With a zero pause, an answer has the usual
-	// events.
-	pause  time.Duration
-	stride int
+	// silences is how often the replica falls silent in a long answer, for silence each.
+	silences int
 	// work is the time of a plain request.
 	work func(hr *http.Request) time.Duration
 
@@ -67,7 +68,7 @@
 	}
 	r := &replica{bed: b, service: service, phase: phase, addr: ln.Addr().String(), ln: ln, stopped: make(chan struct{})}
 	if like != nil {
-		r.crashes, r.work, r.comesBack, r.stride, r.pause = like.crashes, like.work, like.comesBack, like.stride, like.pause
+		r.crashes, r.work, r.comesBack, r.silences = like.crashes, like.work, like.comesBack, like.silences
 	}
 	b.mu.Lock()
 	r.id = fmt.Sprintf("i-%04x", len(b.replicas)+1)
@@ -231,17 +232,19 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	c := http.NewResponseController(w)
 	last, _ := strconv.Atoi(hr.Header.Get("Last-Event-Id"))
-	step, count, pause := max(1, r.stride), eventCount, eventTime
-	if r.pause > 0 {
-		_, most, _ := strings.Cut(hr.Header.Get("Lacewinghook-Token-Counts"), ",")
-		tokens, _ := strconv.Atoi(most)
-		count, pause = (tokens+step-1)/step, r.pause*time.Duration(step)
-	}
-	for n := last + step; n <= count*step; n += step {
+	_, most, _ := strings.Cut(hr.Header.Get("Lacewinghook-Token-Counts"), ",")
+	tokens, _ := strconv.Atoi(most)
+	count, left := (tokens+eventTokens-1)/eventTokens, r.silences
+	for n := last + 1; n <= count; n++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: verse %d\n\n", n, n); err != nil {
 			return
 		}
 		_ = c.Flush()
+		pause := eventTime
+		if n >= longAnswer && left > 0 {
+			left--
+			pause += silence
+		}
 		select {
 		case <-time.After(pause):
 		case <-hr.Context().Done():
--- a/review/bed/stop.go
+++ b/review/bed/stop.go
@@ -32,25 +32,27 @@
 // send requests on their open channels that ask for longer answers than those before.
 func playStop(b *bed) (bool, error) {
 	const (
-		callers     = 6
-		before      = 3
-		shortEvents = 20
-		longEvents  = 170
-		// eventPause is the time between two events of one token each.
-		eventPause = 30 * time.Millisecond
-		rollGap    = 1300 * time.Millisecond
+		// callers use the first entry, a half of which send at each of the times below.
+		callers     = 12
+		before      = 2
+		shortTokens = 32
+		longTokens  = 170
+		rollGap     = 1300 * time.Millisecond
 		// keepFor is how long some callers keep a list: three times its ttl_s of 1.
 		keepFor = 3 * time.Second
-		// sentAfter is the time from the SIGTERM to the requests. Those of the first 3 s
-		// are excused if the stop cuts them.
-		sentAfter = 3100 * time.Millisecond
+		// askPause is the pause between two tries to get a new one.
+		askPause = 50 * time.Millisecond
+		// The requests are sent so long after the SIGTERM. Those of the first 3 s are
+		// excused if the stop cuts them.
+		firstHalf  = 3100 * time.Millisecond
+		secondHalf = 5200 * time.Millisecond
 	)
 	for i := range 12 {
 		phase := "decode"
 		if i < 4 {
 			phase = "prefill"
 		}
-		if _, err := b.addReplica("writers", phase, &replica{pause: eventPause}); err != nil {
+		if _, err := b.addReplica("writers", phase, &replica{silences: 2}); err != nil {
 			return false, err
 		}
 	}
@@ -91,7 +93,7 @@
 			defer c.conn.Close()
 			for n := range before {
 				q := completion(soundPart, fmt.Sprintf("b%03x%03x", n, i))
-				q.header["Lacewinghook-Token-Counts"] = fmt.Sprintf("3200,%d", shortEvents)
+				q.header["Lacewinghook-Token-Counts"] = fmt.Sprintf("3200,%d", shortTokens)
 				got := c.stream(fmt.Sprintf("%016x", 0x1c00+n*callers+i), "", q, func(int) {})
 				b.log("caller %d: status %d, %d events, complete %v, %v", i, got.status, len(got.ids), got.complete, got.err)
 			}
@@ -103,20 +105,31 @@
 			at := <-start
 			time.Sleep(time.Until(resolved.Add(keepFor)))
 			b.log("caller %d: its list is %d ms old", i, time.Since(resolved).Milliseconds())
-			for _, other := range b.entries {
-				if l := resolve(other); len(l) > 0 {
-					list = l
+			sendAt := at.Add(firstHalf)
+			if i%2 == 1 {
+				sendAt = at.Add(secondHalf)
+			}
+			// It asks for a new list until it sends.
+			for {
+				for _, other := range b.entries {
+					if l := resolve(other); len(l) > 0 {
+						list = l
+						break
+					}
+				}
+				if time.Now().Add(askPause).After(sendAt) {
 					break
 				}
+				time.Sleep(askPause)
 			}
 			uses := slices.Contains(list, e.settings.Callers.Listen)
 			b.log("caller %d: uses the channel to %s further: %v", i, e.name, uses)
 			if !uses {
 				return
 			}
-			time.Sleep(time.Until(at.Add(sentAfter)))
+			time.Sleep(time.Until(sendAt))
 			q := completion(soundPart, fmt.Sprintf("d%07x", i))
-			q.header["Lacewinghook-Token-Counts"] = fmt.Sprintf("3200,%d", longEvents)
+			q.header["Lacewinghook-Token-Counts"] = fmt.Sprintf("3200,%d", longTokens)
 			r := result{id: fmt.Sprintf("%016x", 0x1d00+i), sent: time.Now()}
 			r.got = c.stream(r.id, "", q, func(int) {})
 			mu.Lock()
