edge: a stop rejects requests that may take longer than others did

Cause: the time left was compared with the longest duration seen so far. Neither the length of the answer that the request asks for nor the silence that a sound replica may keep was counted. Ruled out: the timing of the stop itself, since the streams that were sent 2.1 s earlier ended complete.

Fix: durations are kept with the sizes of their requests, and scaled for a larger one; the longest silence of a sound replica is added, a quarter of the grace period at most. Late in a stop a completion without a bound on its answer is rejected. Rejected callers get 503, not run.

Each decision of a stop is logged now with its inputs.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -21,7 +21,7 @@
 func (c callerRunner) Run(ctx context.Context, r *core.Request, a *hserv.Writer) error {
 	err := c.edge.relay.Run(ctx, r, a)
 	if err == nil {
-		c.edge.durations.Observe(durationKind(r.Opaque), c.edge.Clock.Now()-r.Arrived)
+		c.edge.durations.Observe(durationKind(r.Opaque), durationSize(r), c.edge.Clock.Now()-r.Arrived)
 	}
 	return err
 }
--- a/edge/lost_test.go
+++ b/edge/lost_test.go
@@ -387,6 +387,46 @@
 	is.Equal(s.runs("late"), 0)
 }
 
+// TestStopRejectsLongerAnswersThanItHasSeen guards against a stream that a stopping entry
+// takes because others were short, and cuts: it asks for a longer answer than they did, or
+// its sound replica falls silent for a moment.
+func TestStopRejectsLongerAnswersThanItHasSeen(t *testing.T) {
+	for name, longAnswers := range map[string]int{"longer answer": 0, "silent replica": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			stream := func(r *runningEntry, id string, tokens, events int) answer {
+				for _, d := range s.decode {
+					d.EventCount, d.EventInterval = events, 100*time.Millisecond
+				}
+				return r.do(context.Background(), callerRequest{id: id, path: "/verse/a", header: map[string]string{
+					"Lacewinghook-Deadline-Ms": "9000", "Lacewinghook-Token-Counts": fmt.Sprint("3000,", tokens),
+				}})
+			}
+			r := s.startReady()
+			for i := range 12 {
+				is.Equal(stream(r, fmt.Sprint("short-", i), 32, 2).status, http.StatusOK)
+			}
+			for i := range longAnswers {
+				is.Equal(stream(r, fmt.Sprint("long-", i), 176, 11).status, http.StatusOK)
+			}
+			r.stop()
+			s.until("the entry isn't ready", func() bool { return !r.ready() })
+			// It still serves callers that have its address, and 2.0 s are left.
+			time.Sleep(1600 * time.Millisecond)
+			for _, d := range s.decode {
+				d.Silence = 1200 * time.Millisecond
+				d.InjectFault(extsim.SilentStream, 1)
+			}
+			got := stream(r, "late", 176, 11) // 1.1 s and a silence of 1.2 s
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusServiceUnavailable)
+			is.Equal(s.runs("late"), 0)
+		})
+	}
+}
+
 // TestConnectionsLastAsLongAsTheManifestAllows guards against a whole request without an
 // answer because the entry closes its connection: one that the caller has opened earlier
 // than it needs it, and one on which a head arrives slowly, but in time.
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -93,31 +93,48 @@
 }
 
 // checkFinishes returns an error for a request that a stopping entry may not finish: one
-// whose deadline is after the end of the stop, if others like it took longer than is left.
-// Once callers have no reason to have the address of the entry, it is also rejected if the
-// durations of too few others are known.
+// whose deadline is after the end of the stop, if it may take longer than is left. Once
+// callers have no reason to have the address of the entry, it is also rejected if too
+// little is known of how long it may take.
 func (e *Edge) checkFinishes(r *core.Request) error {
 	if !e.leaving.Load() {
 		return nil
 	}
-	stopBy := clock.Millis(e.stopBy.Load())
+	now, stopBy := e.Clock.Now(), clock.Millis(e.stopBy.Load())
 	if r.Deadline <= stopBy {
 		return nil
 	}
-	left := stopBy - e.Clock.Now()
+	left := stopBy - now
+	longest, known := e.longestDuration(r, now >= clock.Millis(e.lingerUntil.Load()))
+	admitted := known && longest <= left
+	e.Log.Info("edge: request during the stop", zap.String("request", r.Opaque.ID), zap.Bool("admitted", admitted),
+		zap.Int64("left", int64(left)), zap.Int64("longest", int64(longest)), zap.Bool("known", known), zap.Int("tokens", r.MaxTokens))
+	if !admitted {
+		return codes.New(codes.Leaving, "%d ms are left, the request may take %d ms", left, longest).WithRetryAfter(leavingRetryAfter)
+	}
+	return nil
+}
+
+// longestDuration returns how long a request may take, by the requests of its kind that
+// have ended and the silence of a sound upstream. known is false if that is not enough to
+// rely on. late means that callers have no reason to have the address of the entry.
+func (e *Edge) longestDuration(r *core.Request, late bool) (longest clock.Millis, known bool) {
 	kind := durationKind(r.Opaque)
 	usual := e.durations.Usual(kind)
-	longest, count := e.durations.Longest(kind)
-	late := e.Clock.Now() >= clock.Millis(e.lingerUntil.Load())
+	longest, count := e.durations.Longest(kind, durationSize(r))
 	if late && !r.Opaque.Route.Generates && !r.Opaque.Route.Repeatable {
 		usual *= onceFactor
 	}
-	if late && count < minDurations || max(usual, longest) > left {
-		return codes.New(codes.Leaving, "%d ms are left, the request may take %d ms", left, max(usual, longest)).WithRetryAfter(leavingRetryAfter)
-	}
-	return nil
+	silence := min(e.relay.LongestSilence(), e.Settings.Fleet.Grace.Millis()/maxSilenceShare)
+	bounded := !r.Opaque.Route.Generates || r.MaxTokens > 0
+	return max(usual, longest+silence), !late || count >= minDurations && bounded
 }
 
+// maxSilenceShare is the share of the grace period that is reserved for the silence of a
+// sound upstream at most, as a divisor: with a short grace period the entry would otherwise
+// reject callers that can't know yet that it is leaving.
+const maxSilenceShare = 4
+
 // minDurations is the number of durations from which the longest of them is relied on: of
 // a process that has just started, the short requests end first.
 const minDurations = 10
@@ -129,6 +146,11 @@
 // durationKind returns the kind of a request for which durations are estimated.
 func durationKind(o *core.Opaque) string { return o.Service + " " + o.Route.Name }
 
+// durationSize returns the size of a request by which its duration is estimated.
+func durationSize(r *core.Request) flight.Size {
+	return flight.Size{Prompt: r.Opaque.PromptTokens, Answer: r.MaxTokens}
+}
+
 // Times of a graceful shutdown.
 const (
 	// Some callers cache an address list for up to addressCacheFactor times
--- a/flight/durations.go
+++ b/flight/durations.go
@@ -11,16 +11,35 @@
 	kinds shard.Map[string, duration]
 }
 
+// Size is the length of a request's prompt and of the longest answer that it asks for, in
+// tokens; zero means unknown.
+type Size struct {
+	Prompt, Answer int
+}
+
 // duration is the moving mean of the durations of one kind, in milliseconds, and the
-// longest of the last ones: of the current window of maxCount and of the one before.
+// extremes of the last ones: of the current window of maxCount and of the one before.
 type duration struct {
 	mean            float64
 	count           int
-	longest, before clock.Millis
+	current, before extremes
 	// window counts the observations in the current window.
 	window int
 }
 
+// extremes are the longest duration and the largest lengths of some requests, not
+// necessarily of the same one.
+type extremes struct {
+	longest clock.Millis
+	size    Size
+}
+
+// include adds a request.
+func (e *extremes) include(other extremes) {
+	e.longest = max(e.longest, other.longest)
+	e.size.Prompt, e.size.Answer = max(e.size.Prompt, other.size.Prompt), max(e.size.Answer, other.size.Answer)
+}
+
 const (
 	// maxCount bounds the weight of old observations in the mean.
 	maxCount = 50
@@ -30,13 +49,13 @@
 )
 
 // Observe records the duration of a request.
-func (d *Durations) Observe(kind string, took clock.Millis) {
+func (d *Durations) Observe(kind string, size Size, took clock.Millis) {
 	d.kinds.Update(kind, func(old duration, _ bool) (duration, bool) {
 		if old.window == maxCount {
-			old.before, old.longest, old.window = old.longest, 0, 0
+			old.before, old.current, old.window = old.current, extremes{}, 0
 		}
 		old.window++
-		old.longest = max(old.longest, took)
+		old.current.include(extremes{longest: took, size: size})
 		old.count = min(old.count+1, maxCount)
 		old.mean += (float64(took) - old.mean) / float64(old.count)
 		return old, true
@@ -44,10 +63,22 @@
 }
 
 // Longest returns the longest of the last durations of the kind, and how many were
-// observed, at most maxCount.
-func (d *Durations) Longest(kind string) (longest clock.Millis, count int) {
+// observed, at most maxCount. If the size is larger than those of the requests that were
+// observed, it returns a proportionally longer duration.
+func (d *Durations) Longest(kind string, size Size) (longest clock.Millis, count int) {
 	k, _ := d.kinds.Get(kind)
-	return max(k.longest, k.before), k.count
+	all := k.current
+	all.include(k.before)
+	scale := max(1, ratio(size.Prompt, all.size.Prompt), ratio(size.Answer, all.size.Answer))
+	return clock.Millis(float64(all.longest) * scale), k.count
+}
+
+// ratio returns n / observed, 0 if observed is unknown.
+func ratio(n, observed int) float64 {
+	if observed == 0 {
+		return 0
+	}
+	return float64(n) / float64(observed)
 }
 
 // Usual returns a time within which most requests of the kind end. It is zero if none
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -240,7 +240,7 @@
 	searching := x.next == a
 	limit := timeout
 	if !searching {
-		limit = max(timeout, x.relay.maxSilence())
+		limit = max(timeout, x.relay.LongestSilence())
 	}
 	limited, stopTimer := context.WithTimeoutCause(ctx, limit.Duration(), stall.ErrIdle)
 	call, cancel := context.WithCancelCause(limited)
@@ -361,7 +361,7 @@
 		return call, &stall.Watchdog{Cancel: cancel}
 	}
 	w := &stall.Watchdog{
-		Clock: x.relay.Clock, Limit: max(a.choice.FirstToken*firstEventFactor, x.relay.maxSilence()),
+		Clock: x.relay.Clock, Limit: max(a.choice.FirstToken*firstEventFactor, x.relay.LongestSilence()),
 		Secure:   func(ctx context.Context) bool { return x.secureNext(ctx, a.decode) },
 		Unsecure: x.discardNext, Cancel: cancel, Log: x.log,
 	}
@@ -449,7 +449,7 @@
 	if x.opaque.Route.Resumable || answer.UntilClose && contentType(answer.Reply) == eventStream {
 		// A stream that can't continue elsewhere isn't given up for its silence.
 		buf.onUnordered = func() { wd.Stop(false) }
-		buf.onEvent = func() { wd.DataReceived(x.relay.maxSilence()) }
+		buf.onEvent = func() { wd.DataReceived(x.relay.LongestSilence()) }
 		return buf.streamEvents(x, a.decode, answer, onPart, func() { wd.Cancel(spool.ErrFull) })
 	}
 	check := x.checkLength(a.decode, 0)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -212,8 +212,8 @@
 // stream after 2 s or more without an event.
 const DefaultMaxSilence = 2 * clock.Second
 
-// maxSilence returns MaxSilence, or its default.
-func (r *Relay) maxSilence() clock.Millis {
+// LongestSilence returns MaxSilence, or its default.
+func (r *Relay) LongestSilence() clock.Millis {
 	if r.MaxSilence > 0 {
 		return r.MaxSilence
 	}
