taint: victims of a crash aren't blamed for it

Cause: of two requests that were lost in one crash only the parts in both were kept, as if both had crashed it. The caller's part was left alone, which counted as proof. That it had been answered just before did not count. Ruled out: missing engines, they were back after 2 s.

Fix: the parts of either request are kept; parts that were answered within the last minute are marked, and a crash that also met a part without the mark doesn't speak against them; a part whose crashes all met another request, with a heavier suspect, isn't quarantined. All suspects are judged after each change.

--- a/taint/save.go
+++ b/taint/save.go
@@ -29,10 +29,16 @@
 		defer close(done)
 		t.Clock.Every(ctx, sweepInterval, t.sweep)
 	}()
+	forgotten := make(chan struct{})
+	go func() {
+		defer close(forgotten)
+		t.Clock.Every(ctx, goodTime/2, t.forgetAnswered)
+	}()
 	if t.Store != nil {
 		t.syncStore(ctx)
 	}
 	<-done
+	<-forgotten
 }
 
 // syncStore loads the saved quarantines and saves new ones until ctx ends.
--- a/taint/spread.go
+++ b/taint/spread.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -47,6 +48,7 @@
 	for _, s := range list {
 		write(FormatPart(s.Part))
 		write(FormatPart(uint64(s.Epoch)))
+		write(strconv.FormatBool(s.Good))
 		for _, c := range s.Crashes {
 			write(c.Upstream)
 			write(c.Boot)
@@ -74,6 +76,9 @@
 		}
 		news = t.update(s.Part, func(r *record) { r.merge(s) }) || news
 	}
+	if news {
+		t.judge()
+	}
 	return news
 }
 
--- a/taint/suspect.go
+++ b/taint/suspect.go
@@ -16,6 +16,8 @@
 	// Crashes are the crashes of this epoch, at most maxCrashes, with the last round
 	// first. Without any, the part is cleared.
 	Crashes []Crash `json:"crashes,omitempty"`
+	// Good means that requests with the part were answered shortly before the crashes.
+	Good bool `json:"good,omitempty"`
 	// Age is the time in milliseconds since a cleared part was cleared.
 	Age clock.Millis `json:"age,omitempty"`
 }
@@ -31,7 +33,8 @@
 	// Round is one more than the highest round of which the entry knew when it sent the
 	// request, at most minRounds.
 	Round int `json:"round"`
-	// With are the other parts of the request's prompt, at most maxWith, sorted.
+	// With are the other parts of the prompts that were lost with the part, at most
+	// maxWith, sorted.
 	With []uint64 `json:"with,omitempty"`
 	// Age is the time in milliseconds since the crash was noticed.
 	Age clock.Millis `json:"age"`
@@ -74,27 +77,16 @@
 	return s.Crashes[0].Round
 }
 
-// convicted reports whether the crashes suffice for the entry self to quarantine the part.
-func (s *Suspect) convicted(self string) bool {
-	if s.Round() < minRounds {
-		return false
-	}
-	requests, entries := make(map[uint64]bool), make(map[string]bool)
-	for _, c := range s.Crashes {
-		requests[c.Request], entries[c.Entry] = true, true
-	}
-	return len(requests) >= minRequests && (len(entries) >= minEntries || entries[self])
-}
-
 // add adds a crash. Of two records of one crash, it keeps the one of the lower round, the
-// parts that are in both, and the greater age.
+// parts that are in either, and the greater age. Each may be of another request, of which
+// just one needs to have crashed the upstream.
 func (s *Suspect) add(c Crash) {
 	all := slices.Clone(s.Crashes)
-	i := slices.IndexFunc(all, func(known Crash) bool { return known.Upstream == c.Upstream && known.Boot == c.Boot })
+	i := slices.IndexFunc(all, func(known Crash) bool { return known.id() == c.id() })
 	if i < 0 {
 		all = append(all, c)
 	} else {
-		with, age := intersect(all[i].With, c.With), max(all[i].Age, c.Age)
+		with, age := join(all[i].With, c.With), max(all[i].Age, c.Age)
 		if compareWitnesses(c, all[i]) < 0 {
 			all[i] = c
 		}
@@ -104,6 +96,22 @@
 	s.Crashes = all[:min(len(all), maxCrashes)]
 }
 
+// crashID identifies a crash: a run of an upstream.
+type crashID struct {
+	upstream, boot string
+}
+
+// id returns the crash's identity.
+func (c *Crash) id() crashID { return crashID{c.Upstream, c.Boot} }
+
+// join returns the parts that are in either list, at most maxWith, sorted.
+func join(a, b []uint64) []uint64 {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	return all[:min(len(all), maxWith)]
+}
+
 // intersect returns the parts that are in both lists.
 func intersect(a, b []uint64) []uint64 {
 	return slices.DeleteFunc(slices.Clone(a), func(p uint64) bool { return !slices.Contains(b, p) })
@@ -128,6 +136,7 @@
 		*s = Suspect{Part: s.Part, Epoch: other.Epoch, Age: other.Age}
 	}
 	s.Age = max(s.Age, other.Age)
+	s.Good = s.Good || other.Good
 	for _, c := range other.Crashes {
 		s.add(c)
 	}
@@ -135,7 +144,7 @@
 
 // equal reports whether both hold the same, apart from ages.
 func (s *Suspect) equal(other *Suspect) bool {
-	return s.Epoch == other.Epoch && slices.EqualFunc(s.Crashes, other.Crashes, func(a, b Crash) bool {
+	return s.Epoch == other.Epoch && s.Good == other.Good && slices.EqualFunc(s.Crashes, other.Crashes, func(a, b Crash) bool {
 		return compareCrashes(a, b) == 0 && compareWitnesses(a, b) == 0 && slices.Equal(a.With, b.With)
 	})
 }
--- a/taint/table.go
+++ b/taint/table.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"go.uber.org/zap"
@@ -31,6 +32,10 @@
 	Log      *zap.Logger
 
 	suspects shard.Map[uint64, record]
+	// answered holds when a request with the part was last answered.
+	answered shard.Map[uint64, clock.Millis]
+	// judging serializes judge.
+	judging sync.Mutex
 	// changes counts the changes of suspects, and known and quarantined the entries of
 	// suspects and those in quarantine.
 	changes     atomic.Uint64
@@ -50,7 +55,7 @@
 	at clock.Millis
 	// learned holds, for each round, the number of the change with which it was known.
 	learned []uint64
-	// quarantined is set from the conviction to the end of the epoch.
+	// quarantined means that requests with the part are rejected.
 	quarantined bool
 }
 
@@ -96,6 +101,7 @@
 // Clear records that a request with the parts was answered, so that none of them crashes
 // upstreams. It is cheap while there are no suspects.
 func (t *Table) Clear(parts []uint64) {
+	t.noteAnswered(parts)
 	if t.known.Load() == 0 {
 		return
 	}
@@ -123,17 +129,17 @@
 		if !ok || !r.quarantined {
 			continue
 		}
-		if left = r.leftAt(t.Clock.Now()); left > 0 && r.explains(parts, t.cleared) {
+		if left = r.leftAt(t.Clock.Now()); left > 0 && r.explains(parts, t.innocent) {
 			return part, left, true
 		}
 	}
 	return 0, 0, false
 }
 
-// cleared reports whether the part is known not to crash upstreams.
-func (t *Table) cleared(part uint64) bool {
+// innocent reports whether the part is known not to crash upstreams.
+func (t *Table) innocent(part uint64) bool {
 	r, ok := t.suspects.Get(part)
-	return ok && r.Epoch > 0 && len(r.Crashes) == 0
+	return ok && (r.Good || r.Epoch > 0 && len(r.Crashes) == 0)
 }
 
 // knownAt returns the highest round that was known at the mark.
@@ -161,8 +167,9 @@
 		r.Suspect = r.Aged(now - r.at)
 		r.at = now
 		change(&r)
+		r.Good = len(r.Crashes) > 0 && (r.Good || t.good(part))
 		if changed = !r.equal(&before.Suspect); changed {
-			r.note(t.changes.Add(1), before.Epoch, t.Self)
+			r.note(t.changes.Add(1), before.Epoch)
 		}
 		after = r
 		keep := r.Epoch > 0 || len(r.Crashes) > 0
@@ -176,7 +183,7 @@
 }
 
 // note updates what follows from a change with the given number.
-func (r *record) note(change uint64, epoch uint32, self string) {
+func (r *record) note(change uint64, epoch uint32) {
 	learned := slices.Clone(r.learned)
 	if r.Epoch != epoch {
 		learned, r.quarantined = nil, false
@@ -185,7 +192,6 @@
 		learned = append(learned, change)
 	}
 	r.learned = learned
-	r.quarantined = r.quarantined || r.convicted(self)
 }
 
 // count updates the counters after a change of one record.
@@ -240,9 +246,13 @@
 	return cmp.Or(cmp.Compare(rank(&b), rank(&a)), cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.Part, b.Part))
 }
 
-// announce calls OnChange after a change.
+// announce judges the suspects after a change and calls OnChange.
 func (t *Table) announce(changed bool) {
-	if changed && t.OnChange != nil {
+	if !changed {
+		return
+	}
+	t.judge()
+	if t.OnChange != nil {
 		t.OnChange()
 	}
 }
--- a/taint/taint_test.go
+++ b/taint/taint_test.go
@@ -121,6 +121,65 @@
 	}
 }
 
+// share has one crash lose several requests, each at another entry.
+func (f *fleet) share(request uint64, prompts ...[]uint64) {
+	f.crashes++
+	for i, parts := range prompts {
+		e := f.entries[(i+f.crashes)%len(f.entries)]
+		e.AddCrash(taint.Loss{Upstream: fmt.Sprint("g-", f.crashes), Boot: "1", Digest: request + uint64(i), Parts: parts, Mark: e.Mark()})
+	}
+	f.manual.Advance(100)
+}
+
+// TestPartsOfVictimsAreNotQuarantined guards against the rejection of sound requests that
+// were lost in the same crashes as deadly ones, and with it all others of their caller.
+func TestPartsOfVictimsAreNotQuarantined(t *testing.T) {
+	sound, deadly := []uint64{house, style}, []uint64{house, bad}
+	for name, prompts := range map[string][][]uint64{
+		"one of each":     {deadly, sound},
+		"the sound first": {sound, deadly, sound},
+		"more victims":    {deadly, sound, {house, 0x58}, {0x59}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(3)
+			for _, e := range f.entries {
+				e.Clear([]uint64{house, style, 0x58, 0x59}) // as outside of trouble
+			}
+			for i := range 3 {
+				f.share(uint64(0x1000*i), prompts...)
+				f.tell()
+			}
+			for i := range f.entries {
+				is.True(f.rejects(i, deadly...))
+				for _, parts := range [][]uint64{sound, {house}, {house, 0x58}, {0x59}} {
+					is.True(!f.rejects(i, parts...))
+				}
+			}
+		})
+	}
+}
+
+// TestVictimsThatNobodyKnows checks that the part of a victim that no entry has seen
+// answered isn't quarantined, as the deadly part met more crashes than it.
+func TestVictimsThatNobodyKnows(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	for i := range 5 {
+		prompts := [][]uint64{{house, bad}, {0x60, style}}
+		if i == 0 {
+			prompts = prompts[:1]
+		}
+		f.share(uint64(0x1000*i), prompts...)
+		f.tell()
+	}
+	for i := range f.entries {
+		is.True(f.rejects(i, house, bad))
+		is.True(!f.rejects(i, 0x60, style))
+		is.True(!f.rejects(i, house, style))
+	}
+}
+
 // TestInnocentPartsAreNotQuarantined lists what must not quarantine a part.
 func TestInnocentPartsAreNotQuarantined(t *testing.T) {
 	for name, lose := range map[string]func(f *fleet){
