taint, edge: an answer clears a request that met crashes

Cause: poison.Quarantine blames a request that was sent again and met a second crash, and no answer clears it. What is always in flight meets each crash. Ruled out: the manifest, the route was in force.

Fix: whole requests are judged by taint, in a table of their own: complete answers clear them at all entries, and rounds take the place of comparing the clocks of two entries. relay reports complete answers, except those that end with their connection. poison keeps the check for crashes and serves the other front end.

Evidence: edge TestPathInUseIsNotQuarantined was red before (503), taint TestRequestsInUseAreNotQuarantined; TestCrashingRequests stays green.

--- a/edge/crash.go
+++ b/edge/crash.go
@@ -4,9 +4,12 @@
 	"context"
 	"strconv"
 
+	"go.uber.org/zap"
+
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/relay"
 	"lacewinghook.example/lacewinghook/taint"
 )
@@ -28,8 +31,8 @@
 
 // Check implements [relay.Quarantine].
 func (d crashDetector) Check(r *core.Request) error {
-	if d.edge.quarantine.Quarantined(r.Digest) {
-		return codes.New(codes.Quarantined, "request %s", r.Opaque.ID)
+	if _, left, ok := d.edge.requests.Quarantined([]uint64{r.Digest}); ok {
+		return codes.New(codes.Quarantined, "request %s", r.Opaque.ID).WithRetryAfter(left)
 	}
 	if part, left, ok := d.edge.tainted.Quarantined(r.Opaque.Parts); ok {
 		return codes.New(codes.PartQuarantined, "part %s", taint.FormatPart(part)).WithRetryAfter(left)
@@ -38,11 +41,16 @@
 }
 
 // Mark implements [relay.Quarantine].
-func (d crashDetector) Mark() uint64 { return d.edge.tainted.Mark() }
+func (d crashDetector) Mark() relay.Mark {
+	return relay.Mark{Parts: d.edge.tainted.Mark(), Request: d.edge.requests.Mark()}
+}
 
 // ReportAnswered implements [relay.Quarantine].
 func (d crashDetector) ReportAnswered(r *core.Request) { d.edge.tainted.Clear(r.Opaque.Parts) }
 
+// ReportCompleted implements [relay.Quarantine].
+func (d crashDetector) ReportCompleted(r *core.Request) { d.edge.requests.Clear([]uint64{r.Digest}) }
+
 // ReportLost implements [relay.Quarantine]. It starts the crash check and waits for
 // its end for at most maxCrashWait.
 func (d crashDetector) ReportLost(l relay.Loss) {
@@ -52,13 +60,19 @@
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout.Duration())
 		defer cancel()
 		e, up, boot := d.edge, l.Upstream, d.edge.Boot(l.Upstream.Name)
-		if !e.quarantine.Crashed(ctx, up, boot) {
+		if !e.crashes.Crashed(ctx, up, boot) {
 			return
 		}
+		e.Log.Warn("edge: upstream crashed while running a request", zap.String("upstream", up.Name), zap.String("boot", boot),
+			zap.String("request", l.Request.Opaque.ID), zap.String("digest", poison.FormatDigest(l.Request.Digest)), zap.Bool("answered", l.Answered))
+		e.meter.Add("suspects_total", 1, "upstream", up.Name)
+		loss := taint.Loss{Upstream: up.Name, Boot: boot, Digest: l.Request.Digest}
 		if !l.Answered {
-			e.tainted.AddCrash(taint.Loss{Upstream: up.Name, Boot: boot, Digest: l.Request.Digest, Parts: l.Request.Opaque.Parts, Mark: l.Mark})
+			loss.Parts, loss.Mark = l.Request.Opaque.Parts, l.Mark.Parts
+			e.tainted.AddCrash(loss)
 		}
-		e.quarantine.AddCrash(ctx, up, boot, l.SentAt, l.Request.Digest)
+		loss.Parts, loss.Mark = []uint64{l.Request.Digest}, l.Mark.Request
+		e.requests.AddCrash(loss)
 	}()
 	timeUp := make(chan struct{})
 	stop := d.edge.Clock.AfterFunc(maxCrashWait, func() { close(timeUp) })
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -31,7 +31,6 @@
 	"lacewinghook.example/lacewinghook/shard"
 	"lacewinghook.example/lacewinghook/sock"
 	"lacewinghook.example/lacewinghook/spool"
-	"lacewinghook.example/lacewinghook/taint"
 	"lacewinghook.example/lacewinghook/vhost"
 	"lacewinghook.example/lacewinghook/watch"
 	"lacewinghook.example/lacewinghook/wire"
@@ -66,21 +65,21 @@
 	// date.
 	peerWorkStale atomic.Bool
 	// fleet is the current list of replicas, nil before the first one.
-	fleet      atomic.Pointer[core.Fleet]
-	meter      meter.Registry
-	routes     vhost.Table
-	pool       pool.Table
-	store      platform.Store
-	replicas   platform.ReplicaClient
-	gossip     gossip.Table
-	watcher    watch.Watcher
-	relay      relay.Relay
-	peers      wire.Client
-	quarantine poison.Quarantine
-	// tainted holds the parts of prompts that crash upstreams. They are sent to peers
-	// until tellTainted.
-	tainted     taint.Table
-	tellTainted atomic.Int64
+	fleet    atomic.Pointer[core.Fleet]
+	meter    meter.Registry
+	routes   vhost.Table
+	pool     pool.Table
+	store    platform.Store
+	replicas platform.ReplicaClient
+	gossip   gossip.Table
+	watcher  watch.Watcher
+	relay    relay.Relay
+	peers    wire.Client
+	// crashes finds out whether upstreams have crashed.
+	crashes poison.Quarantine
+	// tainted holds the parts of prompts that crash upstreams, and requests the digests of
+	// whole requests that do.
+	tainted, requests suspects
 	// notices holds what replicas state about themselves.
 	notices notice.Table
 	// desk, ledger and placer place completions. groups divides the engines among
@@ -114,6 +113,7 @@
 	g.Go(func() error { e.watcher.Run(runCtx); return nil })
 	g.Go(func() error { e.placer.Run(runCtx); return nil })
 	g.Go(func() error { e.tainted.Run(runCtx); return nil })
+	g.Go(func() error { e.requests.Run(runCtx); return nil })
 	g.Go(func() error { e.wakeQueues(runCtx); return nil })
 	g.Go(func() error { e.Clock.Every(runCtx, deadCheckInterval, e.removeDeadEntries); return nil })
 	g.Go(func() error {
@@ -160,12 +160,9 @@
 		Source: &e.store, Peers: e, Self: self, Clock: e.Clock, Log: e.Log, Meter: &e.meter,
 		OnManifest: e.applyManifest, OnFleet: e.applyFleet, OnEntries: e.applyEntries, Fresh: s.Fleet.Fresh,
 	}
-	e.quarantine = poison.Quarantine{
-		Engines: &e.replicas, Boots: e, Clock: e.Clock, Meter: &e.meter, Log: e.Log, OnChange: e.gossip.Trigger, Self: s.Instance,
-	}
-	e.tainted = taint.Table{
-		Self: s.Instance, Store: &e.store, Fresh: s.Fleet.Fresh, OnChange: e.announceTainted, Clock: e.Clock, Meter: &e.meter, Log: e.Log,
-	}
+	e.crashes = poison.Quarantine{Engines: &e.replicas, Boots: e, Clock: e.Clock, Meter: &e.meter, Log: e.Log, Self: s.Instance}
+	e.tainted.init(e, false, &e.store)
+	e.requests.init(e, true, nil)
 	table := &announcingPool{Table: &e.pool, edge: e}
 	e.preparePlacer(table, self)
 	e.relay = relay.Relay{
--- a/edge/state.go
+++ b/edge/state.go
@@ -109,15 +109,11 @@
 // only the work that matters to their choices (see announce).
 func (e *Edge) heartbeat() gossip.Heartbeat {
 	h := gossip.Heartbeat{Instance: e.self(), Boot: e.boot, Ready: e.Ready(), PeerState: e.watcher.PeerState()}
-	h.Suspects = e.quarantine.Unsaved()
-	h.TaintSum = e.tainted.Sum()
-	if int64(e.Clock.Now()) < e.tellTainted.Load() {
-		h.Tainted = e.tainted.Suspects()
-	}
+	h.Tainted, h.TaintSum = e.tainted.news()
+	h.Requests, h.RequestSum = e.requests.news()
 	h.Leaving, h.Refused = e.notices.Words(e.gossip.Sparse()), e.notices.Refused(e.gossip.Sparse())
 	if e.gossip.Sparse() {
 		// Only the owners of the engines need the work ([alloc.Client]).
-		h.Suspects = e.quarantine.Forwarded()
 		return h
 	}
 	for _, l := range e.pool.Loads() {
@@ -130,9 +126,9 @@
 
 // onHeartbeat handles a peer's heartbeat.
 func (e *Edge) onHeartbeat(heartbeat gossip.Heartbeat) {
-	news := e.quarantine.Merge(heartbeat.Suspects)
-	e.mergeTainted(heartbeat)
-	news = e.notices.HandleWords(heartbeat.Leaving) || news
+	e.tainted.handle(heartbeat.Tainted, heartbeat.TaintSum)
+	e.requests.handle(heartbeat.Requests, heartbeat.RequestSum)
+	news := e.notices.HandleWords(heartbeat.Leaving)
 	// These words are short-lived, and a crash is found by many entries at once, so that
 	// they are passed on only with the next heartbeat.
 	e.notices.HandleRefused(heartbeat.Refused)
@@ -145,27 +141,6 @@
 	e.watcher.HandlePeerState(heartbeat.PeerState)
 }
 
-// tellTaintedFor is how long the suspected parts of prompts are part of heartbeats after
-// a change, or after a peer that knows others: for one heartbeat to each peer.
-const tellTaintedFor clock.Millis = 1500
-
-// announceTainted sends the suspected parts of prompts to the peers.
-func (e *Edge) announceTainted() {
-	e.tellTainted.Store(int64(e.Clock.Now() + tellTaintedFor))
-	e.gossip.Trigger()
-}
-
-// mergeTainted adds the suspected parts of prompts that a peer knows, and sends it those
-// that it lacks. Trigger isn't called for a peer that differs: it may be about to learn.
-func (e *Edge) mergeTainted(h gossip.Heartbeat) {
-	if e.tainted.Merge(h.Tainted) {
-		e.announceTainted()
-	}
-	if h.TaintSum != e.tainted.Sum() {
-		e.tellTainted.Store(int64(e.Clock.Now() + tellTaintedFor))
-	}
-}
-
 // onWork marks the known work of other entries as changed.
 func (e *Edge) onWork() {
 	e.peerWorkStale.Store(true)
--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -334,6 +334,37 @@
 	}
 }
 
+// TestPathInUseIsNotQuarantined guards against the rejection of a path that is asked for all
+// the time and so is in flight whenever a replica crashes, whatever the cause.
+func TestPathInUseIsNotQuarantined(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	for i := range 4 {
+		s.services = append(s.services, s.replica(fmt.Sprintf("d-%d", i+2), "desk", ""))
+	}
+	entries := []*runningEntry{s.startReady()}
+	entries = append(entries, s.startReady(entries[0]))
+	s.until("both list each other", func() bool { return len(entries[0].addresses()) == 2 && len(entries[1].addresses()) == 2 })
+	ask := func(n int) answer {
+		return entries[n%2].do(context.Background(), callerRequest{id: fmt.Sprint("id-", n), path: "/safe/board", method: http.MethodGet})
+	}
+	n := 0
+	for i := range 2 {
+		injectFault(s.services[i:i+1], extsim.Crash, 1)
+		s.until("a replica has crashed", func() bool { n++; ask(n); return s.services[i].Stopped() })
+		for range 20 {
+			n++
+			ask(n)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	for range 20 {
+		n++
+		is.Equal(ask(n).status, http.StatusOK)
+	}
+}
+
 // TestManyRoutes publishes a manifest as large as a row may be, then a small one again.
 func TestManyRoutes(t *testing.T) {
 	is := is.New(t)
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -13,7 +13,6 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/notice"
 	"lacewinghook.example/lacewinghook/notify"
-	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/shard"
 	"lacewinghook.example/lacewinghook/taint"
@@ -33,13 +32,13 @@
 	watch.PeerState
 	// Loads is the entry's in-flight work at the upstreams.
 	Loads []Load `json:"loads,omitempty"`
-	// Suspects identify requests that were in flight at an upstream when it
-	// crashed.
-	Suspects []poison.Suspect `json:"marks,omitempty"`
 	// Tainted are the parts of prompts that may crash upstreams, sent only while the
 	// sender and a peer differ. TaintSum identifies what the sender knows of them.
 	Tainted  []taint.Suspect `json:"tainted,omitempty"`
 	TaintSum uint64          `json:"taint_sum,omitempty"`
+	// Requests and RequestSum are the same for whole requests, by their digests.
+	Requests   []taint.Suspect `json:"requests,omitempty"`
+	RequestSum uint64          `json:"request_sum,omitempty"`
 	// Leaving lists the replicas that have stated that they leave.
 	Leaving []notice.Word `json:"leaving,omitempty"`
 	// Refused lists the replicas whose addresses have just refused a connection.
--- a/relay/call.go
+++ b/relay/call.go
@@ -118,6 +118,9 @@
 		return nil, codes.From(err).WithRun(codes.Unknown)
 	}
 	open.head = head.Bytes()
+	if len(open.head) <= maxBufferedBytes && !a.UntilClose {
+		x.reportCompleted()
+	}
 	return open, nil
 }
 
@@ -226,6 +229,9 @@
 	}
 	err := x.streamBody(a.up, a.answer.Body, x.checkLength(a.up, len(a.head)))
 	x.reportEndless(a.up, err)
+	if err == nil && !a.answer.UntilClose {
+		x.reportCompleted()
+	}
 	return err
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -170,10 +170,18 @@
 	}
 }
 
+// reportCompleted tells the quarantine that an upstream has answered the request
+// completely.
+func (x *exchange) reportCompleted() {
+	if x.relay.Quarantine != nil {
+		x.relay.Quarantine.ReportCompleted(x.request)
+	}
+}
+
 // quarantineMark returns what is known of crashes before a send.
-func (x *exchange) quarantineMark() uint64 {
+func (x *exchange) quarantineMark() Mark {
 	if x.relay.Quarantine == nil {
-		return 0
+		return Mark{}
 	}
 	return x.relay.Quarantine.Mark()
 }
@@ -214,7 +222,7 @@
 	up core.Upstream
 	// at is the instant of the send, and mark what was known of crashes then.
 	at   clock.Millis
-	mark uint64
+	mark Mark
 	// answered means that the upstream had begun to answer.
 	answered bool
 }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -331,6 +331,9 @@
 		x.relay.endless.Forget(a.decode.Name)
 		if a.events > 0 {
 			x.reportAnswered()
+			if !answer.UntilClose {
+				x.reportCompleted()
+			}
 		}
 		return nil
 	}
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -20,6 +20,8 @@
 	blocked  atomic.Bool
 	losses   []relay.Loss
 	answered int
+	// completed counts the reports of complete answers.
+	completed int
 }
 
 // Check implements [relay.Quarantine].
@@ -31,7 +33,7 @@
 }
 
 // Mark implements [relay.Quarantine].
-func (q *quarantine) Mark() uint64 { return 7 }
+func (q *quarantine) Mark() relay.Mark { return relay.Mark{Parts: 7, Request: 8} }
 
 // ReportLost implements [relay.Quarantine].
 func (q *quarantine) ReportLost(l relay.Loss) { q.losses = append(q.losses, l) }
@@ -39,6 +41,9 @@
 // ReportAnswered implements [relay.Quarantine].
 func (q *quarantine) ReportAnswered(*core.Request) { q.answered++ }
 
+// ReportCompleted implements [relay.Quarantine].
+func (q *quarantine) ReportCompleted(*core.Request) { q.completed++ }
+
 // TestQuarantineDuringRequest guards against sends of a request whose quarantine begins
 // while it is on its way to an engine.
 func TestQuarantineDuringRequest(t *testing.T) {
@@ -81,7 +86,7 @@
 			} else {
 				is.Equal(strings.Count(u.callList(), "send"), 1)
 				is.Equal(len(q.losses), 1)
-				is.Equal(q.losses[0].Mark, uint64(7))
+				is.Equal(q.losses[0].Mark, relay.Mark{Parts: 7, Request: 8})
 				is.True(!q.losses[0].Answered)
 			}
 			is.Equal(q.answered, 0)
@@ -108,6 +113,7 @@
 			u.send = func(core.Upstream, relay.SendRequest) (relay.Answer, error) { return c.answer, nil }
 			is.NoErr(r.Run(context.Background(), request(r, core.HostRoute{}), &sink{}))
 			is.Equal(q.answered > 0, c.clears)
+			is.Equal(q.completed > 0, c.clears)
 		})
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -104,12 +104,21 @@
 	// Check returns an error if requests like r are blocked.
 	Check(r *core.Request) error
 	// Mark returns what is known of crashes now. It is called before each send.
-	Mark() uint64
+	Mark() Mark
 	// ReportLost reports a request that was lost with its connection. It may wait
 	// briefly for a decision, so that a retry of the request is blocked in time.
 	ReportLost(l Loss)
-	// ReportAnswered reports that an upstream answers r, and so isn't crashed by it.
+	// ReportAnswered reports that an upstream answers r, and so isn't crashed by a part of
+	// its prompt.
 	ReportAnswered(r *core.Request)
+	// ReportCompleted reports that an upstream has answered r completely, and so wasn't
+	// crashed by it.
+	ReportCompleted(r *core.Request)
+}
+
+// Mark is a state of knowledge of crashes, of parts of prompts and of whole requests.
+type Mark struct {
+	Parts, Request uint64
 }
 
 // Loss is a request whose connection an upstream broke.
@@ -119,7 +128,7 @@
 	// SentAt is the instant at which the request was sent, and Mark the result of
 	// [Quarantine.Mark] before that.
 	SentAt clock.Millis
-	Mark   uint64
+	Mark   Mark
 	// Answered means that the upstream had begun to answer.
 	Answered bool
 }
--- a/taint/doc.go
+++ b/taint/doc.go
@@ -4,7 +4,7 @@
 // A request that is lost in a crash before its upstream has answered makes each of its
 // parts a suspect. Most of them are innocent: the request may only have been at the
 // upstream when another one crashed it, and other parts of a deadly prompt are shared
-// with sound requests. So a part is quarantined only after [minRounds] crashes of which
+// with sound requests. So a part is quarantined only after [maxRound] crashes of which
 // each one's request was sent by an entry that knew of the crash before, and by more than
 // one request. Crashes that happen together, as in the loss of a rack, count as one. A
 // request with the part that is answered clears it, before and after that.
--- a/taint/judge.go
+++ b/taint/judge.go
@@ -19,23 +19,23 @@
 		}
 	}
 	for i := range all {
-		if r := &all[i]; met.convicted(r, t.Self) != r.quarantined {
+		if r := &all[i]; met.convicted(r, t.rules(), t.Self) != r.quarantined {
 			t.setQuarantined(r, !r.quarantined)
 		}
 	}
 }
 
 // convicted reports whether the crashes suffice for the entry self to quarantine the part.
-func (d docket) convicted(r *record, self string) bool {
+func (d docket) convicted(r *record, rules rules, self string) bool {
 	crashes := d.unexplained(r)
-	if len(crashes) < minRounds || crashes[0].Round < minRounds || d.doubtful(r) {
+	if len(crashes) < rules.rounds || crashes[0].Round < rules.rounds || d.doubtful(r) {
 		return false
 	}
 	requests, entries := make(map[uint64]bool), make(map[string]bool)
 	for _, c := range crashes {
 		requests[c.Request], entries[c.Entry] = true, true
 	}
-	return len(requests) >= minRequests && (len(entries) >= minEntries || entries[self])
+	return len(requests) >= rules.requests && (len(entries) >= rules.entries || entries[self])
 }
 
 // unexplained returns the crashes that speak against a part. Those of a part that was
--- a/taint/spread.go
+++ b/taint/spread.go
@@ -71,7 +71,7 @@
 // Merge adds the suspects that a peer has sent. It reports whether anything was new.
 func (t *Table) Merge(list []Suspect) (news bool) {
 	for _, s := range list[:min(len(list), maxSpread)] {
-		if !s.valid() {
+		if !s.valid(t.rules()) {
 			continue
 		}
 		news = t.update(s.Part, func(r *record) { r.merge(s) }) || news
@@ -83,14 +83,14 @@
 }
 
 // valid reports whether a suspect from outside is within the bounds.
-func (s *Suspect) valid() bool {
+func (s *Suspect) valid(rules rules) bool {
 	if s.Age < 0 || len(s.Crashes) > maxCrashes {
 		return false
 	}
 	for _, c := range s.Crashes {
-		if c.Age < 0 || len(c.With) > maxWith || c.Round < 1 || c.Round > minRounds || len(c.Upstream)+len(c.Boot)+len(c.Entry) > maxNameBytes {
+		if c.Age < 0 || len(c.With) > maxWith || c.Round < 1 || c.Round > maxRound || len(c.Upstream)+len(c.Boot)+len(c.Entry) > maxNameBytes {
 			return false
 		}
 	}
-	return s.left(s.Round() >= minRounds) > 0
+	return s.left(s.Round() >= rules.rounds) > 0
 }
--- a/taint/suspect.go
+++ b/taint/suspect.go
@@ -31,7 +31,7 @@
 	Entry   string `json:"entry"`
 	Request uint64 `json:"request"`
 	// Round is one more than the highest round of which the entry knew when it sent the
-	// request, at most minRounds.
+	// request, at most maxRound.
 	Round int `json:"round"`
 	// With are the other parts of the prompts that were lost with the part, at most
 	// maxWith, sorted.
@@ -40,20 +40,37 @@
 	Age clock.Millis `json:"age"`
 }
 
-// Rules of the quarantine.
-const (
-	// minRounds is the number of crashes, one after the other, that quarantine a part.
-	// Two may meet one innocent request that is retried while replicas crash for other
-	// reasons.
-	minRounds = 3
-	// minRequests is the number of different requests among them. One that is repeated
-	// is left to the quarantine of whole requests.
-	minRequests = 2
-	// minEntries is the number of entries that must have seen a crash, unless this entry
-	// is the one.
-	minEntries = 2
+// rules are what it takes to quarantine a part.
+type rules struct {
+	// rounds is the number of crashes, one after the other.
+	rounds int
+	// requests is the number of different requests among them.
+	requests int
+	// entries is the number of entries that must have seen a crash, unless this entry is
+	// the one.
+	entries int
+}
+
+var (
+	// partRules need three crashes, since two may meet one innocent request that is retried
+	// while replicas crash for other reasons, and two requests, since one that is repeated
+	// is left to wholeRules.
+	partRules = rules{rounds: 3, requests: 2, entries: 2}
+	// wholeRules apply to a request that comes again and again.
+	wholeRules = rules{rounds: 2, requests: 1, entries: 1}
 )
 
+// rules returns the rules of the table.
+func (t *Table) rules() rules {
+	if t.Whole {
+		return wholeRules
+	}
+	return partRules
+}
+
+// maxRound is the highest round that is counted.
+const maxRound = 3
+
 // Bounds of a suspect.
 const (
 	maxCrashes = 8
--- a/taint/table.go
+++ b/taint/table.go
@@ -20,6 +20,9 @@
 type Table struct {
 	// Self is the name of this entry.
 	Self string
+	// Whole means that the suspects are the digests of whole requests instead of parts of
+	// prompts.
+	Whole bool
 	// Store, if not nil, keeps the quarantines when all entries restart.
 	Store Store
 	// Fresh means that the store can have no quarantine yet.
@@ -92,7 +95,7 @@
 		slices.Sort(with)
 		with = with[:min(len(with), maxWith)]
 		changed = t.update(part, func(r *record) {
-			r.add(Crash{Upstream: l.Upstream, Boot: l.Boot, Entry: t.Self, Request: l.Digest, Round: min(r.knownAt(l.Mark)+1, minRounds), With: with})
+			r.add(Crash{Upstream: l.Upstream, Boot: l.Boot, Entry: t.Self, Request: l.Digest, Round: min(r.knownAt(l.Mark)+1, maxRound), With: with})
 		}) || changed
 	}
 	t.announce(changed)
@@ -101,7 +104,9 @@
 // Clear records that a request with the parts was answered, so that none of them crashes
 // upstreams. It is cheap while there are no suspects.
 func (t *Table) Clear(parts []uint64) {
-	t.noteAnswered(parts)
+	if !t.Whole {
+		t.noteAnswered(parts)
+	}
 	if t.known.Load() == 0 {
 		return
 	}
@@ -239,7 +244,7 @@
 func compareRecords(a, b record) int {
 	rank := func(r *record) int {
 		if len(r.Crashes) == 0 {
-			return minRounds - 1
+			return maxRound - 1
 		}
 		return r.Round()
 	}
@@ -272,7 +277,7 @@
 		}
 		t.remove(r.Part)
 		if r.quarantined {
-			t.log().Info("taint: quarantine of a part has ended", zap.String("part", FormatPart(r.Part)))
+			t.log().Info("taint: quarantine of a "+t.kind()+" has ended", zap.String("part", FormatPart(r.Part)))
 			t.markUnsaved(r.Part)
 		}
 	}
@@ -283,7 +288,7 @@
 func (t *Table) logQuarantine(r *record) {
 	fields := []zap.Field{zap.String("part", FormatPart(r.Part)), zap.Uint32("epoch", r.Epoch)}
 	if !r.quarantined {
-		t.log().Warn("taint: quarantine of a part was lifted, since it was answered or by another entry", fields...)
+		t.log().Warn("taint: quarantine of a "+t.kind()+" was lifted, since it was answered or by another entry", fields...)
 		t.markUnsaved(r.Part)
 		return
 	}
@@ -296,14 +301,26 @@
 			}
 		}
 	}
-	t.log().Warn("taint: part of prompts quarantined", append(fields, zap.Strings("upstreams", upstreams),
+	t.log().Warn("taint: "+t.kind()+" quarantined", append(fields, zap.Strings("upstreams", upstreams),
 		zap.Strings("entries", entries), zap.Strings("with", with))...)
-	t.Meter.Add("parts_quarantined_total", 1)
+	metric := "parts_quarantined_total"
+	if t.Whole {
+		metric = "quarantined_total"
+	}
+	t.Meter.Add(metric, 1)
 	if r.Crashes[0].Entry == t.Self {
 		t.markUnsaved(r.Part)
 	}
 }
 
+// kind returns what the suspects are, for log messages.
+func (t *Table) kind() string {
+	if t.Whole {
+		return "request"
+	}
+	return "part of prompts"
+}
+
 // log returns Log, or a logger that discards all messages.
 func (t *Table) log() *zap.Logger {
 	if t.Log == nil {
--- a/taint/taint_test.go
+++ b/taint/taint_test.go
@@ -349,6 +349,31 @@
 	}
 }
 
+// newWholeFleet returns n entries whose suspects are whole requests.
+func newWholeFleet(n int) *fleet {
+	f := newFleet(n)
+	for _, e := range f.entries {
+		e.Whole = true
+	}
+	return f
+}
+
+// TestRequestsInUseAreNotQuarantined guards against the rejection of a request that is in
+// flight all the time, as that for one path, and so meets each crash of an upstream.
+func TestRequestsInUseAreNotQuarantined(t *testing.T) {
+	is := is.New(t)
+	f := newWholeFleet(3)
+	for i := range 20 {
+		f.crash(i%3, house, house)
+		f.tell()
+		f.entries[(i+1)%3].Clear([]uint64{house}) // the other upstreams answer it
+		f.tell()
+		for i := range 3 {
+			is.True(!f.rejects(i, house))
+		}
+	}
+}
+
 // TestBounds checks that neither long prompts nor many crashes make the table, or a
 // message, grow without bound, and that a deadly part isn't lost among others.
 func TestBounds(t *testing.T) {
