taint, edge, wire: one request with a suspect is sent at a time

Cause: all of a burst are sent before its first crash is known. It counts as one round, three rounds are needed, and nothing limited what was sent until then. Ruled out: slow news, the bursts were 5 s apart.

Fix: after three crashes, also at once, a suspect is on trial: the entry that owns the trials permits one request with it at a time until its outcome is known. A crash in a trial is the next round, an answer clears.

--- a/cmd/lacectl/fleet.go
+++ b/cmd/lacectl/fleet.go
@@ -30,6 +30,8 @@
 			switch {
 			case v.Quarantined:
 				state = "quarantined"
+			case v.Trial:
+				state = "on trial"
 			case len(v.Crashes) == 0:
 				state = "cleared"
 			}
--- a/core/request.go
+++ b/core/request.go
@@ -31,6 +31,14 @@
 	// Opaque is set for a request that is forwarded unchanged. Prompt is then
 	// empty.
 	Opaque *Opaque
+	// Trials tells for what this request was permitted as a trial.
+	Trials Trials
+}
+
+// Trials are the reasons for which a request is sent as a trial: parts of its prompt, or
+// the whole request, that may crash upstreams.
+type Trials struct {
+	Parts, Whole bool
 }
 
 // Try is one attempt to run a request on the upstreams.
--- a/edge/crash.go
+++ b/edge/crash.go
@@ -31,13 +31,10 @@
 
 // Check implements [relay.Quarantine].
 func (d crashDetector) Check(r *core.Request) error {
-	if _, left, ok := d.edge.requests.Quarantined([]uint64{r.Digest}); ok {
-		return codes.New(codes.Quarantined, "request %s", r.Opaque.ID).WithRetryAfter(left)
+	if err := d.edge.requests.check(r.Opaque.ID, []uint64{r.Digest}, codes.Quarantined, &r.Trials.Whole); err != nil {
+		return err
 	}
-	if part, left, ok := d.edge.tainted.Quarantined(r.Opaque.Parts); ok {
-		return codes.New(codes.PartQuarantined, "part %s", taint.FormatPart(part)).WithRetryAfter(left)
-	}
-	return nil
+	return d.edge.tainted.check(r.Opaque.ID, r.Opaque.Parts, codes.PartQuarantined, &r.Trials.Parts)
 }
 
 // Mark implements [relay.Quarantine].
@@ -52,8 +49,9 @@
 func (d crashDetector) ReportCompleted(r *core.Request) { d.edge.requests.Clear([]uint64{r.Digest}) }
 
 // ReportLost implements [relay.Quarantine]. It starts the crash check and waits for
-// its end for at most maxCrashWait.
+// its end for at most maxCrashWait. A retry needs another permit.
 func (d crashDetector) ReportLost(l relay.Loss) {
+	l.Request.Trials = core.Trials{}
 	decided := make(chan struct{})
 	go func() {
 		defer close(decided)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -161,8 +161,8 @@
 		OnManifest: e.applyManifest, OnFleet: e.applyFleet, OnEntries: e.applyEntries, Fresh: s.Fleet.Fresh,
 	}
 	e.crashes = poison.Quarantine{Engines: &e.replicas, Boots: e, Clock: e.Clock, Meter: &e.meter, Log: e.Log, Self: s.Instance}
-	e.tainted.init(e, false, &e.store)
-	e.requests.init(e, true, nil)
+	e.tainted.init(e, nil, &e.store)
+	e.requests.init(e, &e.tainted.Table, nil)
 	table := &announcingPool{Table: &e.pool, edge: e}
 	e.preparePlacer(table, self)
 	e.relay = relay.Relay{
@@ -237,6 +237,7 @@
 			wire.MethodSnapshot: wire.TypedHandler(e.serveSnapshot),
 			wire.MethodPlace:    wire.OnPlace(e.placer.Serve),
 			wire.MethodWork:     wire.OnWork(e.placer.HandleReport),
+			wire.MethodTrial:    wire.OnTrial(e.permitTrial),
 		}, Blocking: []wire.Method{wire.MethodPlace}}}},
 		{s.Fleet.Metrics, server{http: e.server(e.operatorPages())}},
 	}
--- a/edge/tainted_test.go
+++ b/edge/tainted_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -236,3 +237,54 @@
 		})
 	}
 }
+
+// reachedIDs returns the IDs of the requests with a deadly part that were sent to engines.
+func (s *taintedSite) reachedIDs() map[string]bool {
+	ids := make(map[string]bool)
+	for _, list := range [][]*extsim.Replica{s.prefill, s.decode} {
+		for _, r := range list {
+			for _, h := range r.RequestHeaders() {
+				if extsim.HasPart(h, s.deadly) {
+					ids[h.Get("Lacewinghook-Request-Id")] = true
+				}
+			}
+		}
+	}
+	return ids
+}
+
+// TestBurstsOfDeadlyRequests guards against bursts of requests with a deadly part that are
+// sent in full, since all of a burst are sent before the first crash is known. Requests that
+// share the caller's part are served meanwhile.
+func TestBurstsOfDeadlyRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newTaintedSite(t, "bad")
+	entries := s.startAll(3)
+	burst := func() {
+		var callers sync.WaitGroup
+		for i := range 2 * len(entries) {
+			callers.Go(func() { s.ask(entries[i%len(entries)], "/verse/a", "5c1e:200,bad:1000") })
+		}
+		callers.Wait()
+	}
+	for _, r := range entries {
+		is.Equal(s.ask(r, "/verse/a", "5c1e:200,50:1000").status, http.StatusOK)
+	}
+	for s.crashes() < countedCrashes {
+		burst()
+		time.Sleep(300 * time.Millisecond)
+	}
+	s.removeCrashed(entries)
+	time.Sleep(stableWindow)
+	before := len(s.reachedIDs())
+	for range 4 {
+		burst()
+		time.Sleep(time.Second)
+	}
+	is.True(len(s.reachedIDs())-before <= maxLateSends)
+	s.removeCrashed(entries)
+	for _, r := range entries {
+		is.Equal(s.ask(r, "/verse/a", "5c1e:200,50:1000").status, http.StatusOK)
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -101,7 +101,8 @@
 
 // Quarantine blocks requests suspected of crashing upstreams.
 type Quarantine interface {
-	// Check returns an error if requests like r are blocked.
+	// Check returns an error if requests like r are blocked. It sets r.Trials if r is
+	// permitted as a trial.
 	Check(r *core.Request) error
 	// Mark returns what is known of crashes now. It is called before each send.
 	Mark() Mark
--- a/taint/export_test.go
+++ b/taint/export_test.go
@@ -5,3 +5,6 @@
 	_, ok := t.suspects.Get(part)
 	return ok
 }
+
+// Rejudge decides anew on all suspects, as each sweep does.
+func (t *Table) Rejudge() { t.judge() }
--- a/taint/judge.go
+++ b/taint/judge.go
@@ -2,57 +2,102 @@
 
 import "slices"
 
-// docket holds the suspects by the crashes that they met.
-type docket map[crashID][]*record
+// docket holds what the suspects are judged by.
+type docket struct {
+	// suspects are the suspects by the crashes that they met.
+	suspects map[crashID][]*record
+	// explained are crashes of which the cause is known otherwise.
+	explained map[crashID]bool
+}
 
-// judge decides anew which suspects are quarantined. It is called after each change, since
-// what is known of one suspect may exonerate another.
+// judge decides anew on all suspects. It is called after each change, since what is known of
+// one suspect may exonerate another.
 func (t *Table) judge() {
 	t.judging.Lock()
 	defer t.judging.Unlock()
 	all := t.suspects.Values()
-	met := make(docket)
+	met := docket{suspects: make(map[crashID][]*record)}
+	if t.Parts != nil {
+		met.explained = t.Parts.explains()
+	}
 	for i := range all {
 		for j := range all[i].Crashes {
 			id := all[i].Crashes[j].id()
-			met[id] = append(met[id], &all[i])
+			met.suspects[id] = append(met.suspects[id], &all[i])
 		}
 	}
 	for i := range all {
-		if r := &all[i]; met.convicted(r, t.rules(), t.Self) != r.quarantined {
-			t.setQuarantined(r, !r.quarantined)
+		if v := met.judge(&all[i], t.rules(), t.Self); v != all[i].verdict {
+			t.setVerdict(&all[i], v)
 		}
 	}
 }
 
-// convicted reports whether the crashes suffice for the entry self to quarantine the part.
-func (d docket) convicted(r *record, rules rules, self string) bool {
-	crashes := d.unexplained(r)
-	if len(crashes) < rules.rounds || crashes[0].Round < rules.rounds || d.doubtful(r) {
-		return false
-	}
+// goodTrials is the number of further crashes, in trials, after which a suspect is
+// quarantined although it was answered shortly before the first one.
+const goodTrials = 2
+
+// judge returns the verdict of the entry self on a suspect.
+func (d docket) judge(r *record, rules rules, self string) verdict {
+	crashes := d.unexplained(r, rules)
 	requests, entries := make(map[uint64]bool), make(map[string]bool)
 	for _, c := range crashes {
 		requests[c.Request], entries[c.Entry] = true, true
 	}
-	return len(requests) >= rules.requests && (len(entries) >= rules.entries || entries[self])
+	witnessed := len(entries) >= rules.entries || entries[self]
+	needed := rules.rounds
+	if r.Good {
+		needed += goodTrials
+	}
+	switch {
+	case len(requests) < rules.requests:
+		return observed
+	case witnessed && len(crashes) >= needed && crashes[0].Round >= rules.rounds && !d.doubtful(r):
+		return quarantined
+	case len(crashes) >= rules.trialRounds && crashes[0].Round >= rules.trialRounds:
+		return onTrial
+	case len(crashes) >= rules.burst && (!r.Good || crashes[0].Round > 1):
+		// Many requests with a part that is known to be good may meet the loss of a rack.
+		return onTrial
+	}
+	return observed
 }
 
-// unexplained returns the crashes that speak against a part. Those of a part that was
-// answered shortly before don't, if they met another one that wasn't.
-func (d docket) unexplained(r *record) []Crash {
-	if !r.Good {
+// unexplained returns the crashes that speak against a suspect: those without another
+// cause. A part that was answered shortly before isn't blamed for a crash that met another
+// one that wasn't.
+func (d docket) unexplained(r *record, rules rules) []Crash {
+	acquit := r.Good && rules.rivals
+	if !acquit && len(d.explained) == 0 {
 		return r.Crashes
 	}
 	var left []Crash
 	for _, c := range r.Crashes {
-		if !d.met(c, func(rival *record) bool { return rival.Part != r.Part && !rival.Good }) {
+		otherwise := d.explained[c.id()] || acquit && d.met(c, func(rival *record) bool { return rival.Part != r.Part && !rival.Good })
+		if !otherwise {
 			left = append(left, c)
 		}
 	}
 	return left
 }
 
+// explains returns the crashes that the parts on trial or in quarantine explain.
+func (t *Table) explains() map[crashID]bool {
+	crashes := make(map[crashID]bool)
+	if t.affected.Load() == 0 {
+		return crashes
+	}
+	for _, r := range t.suspects.Values() {
+		if r.verdict == observed || r.Good {
+			continue
+		}
+		for _, c := range r.Crashes {
+			crashes[c.id()] = true
+		}
+	}
+	return crashes
+}
+
 // doubtful reports whether each crash of the part met another request with a part that more
 // crashes speak against. Parts of the same requests can't be told apart.
 func (d docket) doubtful(r *record) bool {
@@ -69,7 +114,7 @@
 
 // met reports whether the crash met a suspect for which f returns true.
 func (d docket) met(c Crash, f func(*record) bool) bool {
-	for _, r := range d[c.id()] {
+	for _, r := range d.suspects[c.id()] {
 		if f(r) {
 			return true
 		}
@@ -85,21 +130,19 @@
 	return len(r.Crashes) > len(other.Crashes)
 }
 
-// setQuarantined begins or ends the quarantine of a part, unless the part was cleared in
-// the meantime.
-func (t *Table) setQuarantined(judged *record, quarantined bool) {
-	var after record
-	set := false
+// setVerdict changes the verdict on a suspect, unless it was cleared in the meantime.
+func (t *Table) setVerdict(judged *record, v verdict) {
+	var before, after record
 	t.suspects.Update(judged.Part, func(r record, ok bool) (record, bool) {
-		set = ok && r.Epoch == judged.Epoch && r.quarantined != quarantined
-		if set {
-			t.count(true, true, r.quarantined, quarantined)
-			r.quarantined = quarantined
+		before = r
+		if ok && r.Epoch == judged.Epoch {
+			t.count(true, true, r.verdict, v)
+			r.verdict = v
 		}
 		after = r
 		return r, ok
 	})
-	if set {
-		t.logQuarantine(&after)
+	if after.verdict != before.verdict {
+		t.logVerdict(&after)
 	}
 }
--- a/taint/save.go
+++ b/taint/save.go
@@ -90,7 +90,7 @@
 		// A change from here on is saved again.
 		t.unsaved.Delete(part)
 		var err error
-		if r, ok := t.suspects.Get(part); ok && r.quarantined {
+		if r, ok := t.suspects.Get(part); ok && r.verdict != observed {
 			err = t.Store.SaveTainted(ctx, r.Aged(t.Clock.Now()-r.at))
 		} else {
 			err = t.Store.DeleteTainted(ctx, part)
--- a/taint/spread.go
+++ b/taint/spread.go
@@ -92,5 +92,9 @@
 			return false
 		}
 	}
-	return s.left(s.Round() >= rules.rounds) > 0
+	v := observed
+	if s.Round() >= rules.rounds {
+		v = quarantined
+	}
+	return s.left(v) > 0
 }
--- a/taint/suspect.go
+++ b/taint/suspect.go
@@ -16,7 +16,7 @@
 	// Crashes are the crashes of this epoch, at most maxCrashes, with the last round
 	// first. Without any, the part is cleared.
 	Crashes []Crash `json:"crashes,omitempty"`
-	// Good means that requests with the part were answered shortly before the crashes.
+	// Good means that a request with the part was answered shortly before a crash.
 	Good bool `json:"good,omitempty"`
 	// Age is the time in milliseconds since a cleared part was cleared.
 	Age clock.Millis `json:"age,omitempty"`
@@ -40,24 +40,43 @@
 	Age clock.Millis `json:"age"`
 }
 
-// rules are what it takes to quarantine a part.
+// verdict is what is done about a suspect.
+type verdict int
+
+// The verdicts, in the order of their severity.
+const (
+	// observed requests are sent as all others.
+	observed verdict = iota
+	// onTrial requests are sent one at a time over all entries.
+	onTrial
+	// quarantined requests are rejected.
+	quarantined
+)
+
+// rules are what it takes for a verdict.
 type rules struct {
-	// rounds is the number of crashes, one after the other.
-	rounds int
-	// requests is the number of different requests among them.
+	// requests is the number of different requests that were lost.
 	requests int
-	// entries is the number of entries that must have seen a crash, unless this entry is
-	// the one.
+	// entries is the number of entries that must have seen crashes for a quarantine, unless
+	// this entry has seen one.
 	entries int
+	// burst is the number of crashes, also at the same time, that put a part on trial, and
+	// trialRounds that of crashes one after the other that do.
+	burst, trialRounds int
+	// rounds is the number of crashes, one after the other, that quarantine it.
+	rounds int
+	// From the round pausedRound on, trials are at least trialPause apart.
+	pausedRound int
+	// rivals means that a crash doesn't speak against a good suspect if it met another one.
+	rivals bool
 }
 
 var (
-	// partRules need three crashes, since two may meet one innocent request that is retried
-	// while replicas crash for other reasons, and two requests, since one that is repeated
-	// is left to wholeRules.
-	partRules = rules{rounds: 3, requests: 2, entries: 2}
-	// wholeRules apply to a request that comes again and again.
-	wholeRules = rules{rounds: 2, requests: 1, entries: 1}
+	// partRules need two requests, since one that is repeated is left to wholeRules.
+	partRules = rules{requests: 2, entries: 2, burst: 3, trialRounds: 3, rounds: 3, pausedRound: 3, rivals: true}
+	// wholeRules apply to a request that comes again and again. Two crashes may meet an
+	// innocent one that is repeated while replicas crash for other reasons.
+	wholeRules = rules{requests: 1, entries: 1, burst: 3, trialRounds: 2, rounds: 3, pausedRound: 2}
 )
 
 // rules returns the rules of the table.
@@ -177,14 +196,14 @@
 }
 
 // left returns how long what is known of the part still counts.
-func (s *Suspect) left(quarantined bool) clock.Millis {
+func (s *Suspect) left(v verdict) clock.Millis {
 	age, most := s.Age, evidenceTime
 	for i, c := range s.Crashes {
 		if i == 0 || c.Age < age {
 			age = c.Age
 		}
 	}
-	if quarantined {
+	if v == quarantined {
 		most = QuarantineTime
 	}
 	return most - age
--- a/taint/table.go
+++ b/taint/table.go
@@ -23,6 +23,9 @@
 	// Whole means that the suspects are the digests of whole requests instead of parts of
 	// prompts.
 	Whole bool
+	// Parts, if not nil, is the table of parts of prompts, for a table of whole requests.
+	// Crashes that it explains don't speak against these.
+	Parts *Table
 	// Store, if not nil, keeps the quarantines when all entries restart.
 	Store Store
 	// Fresh means that the store can have no quarantine yet.
@@ -39,11 +42,13 @@
 	answered shard.Map[uint64, clock.Millis]
 	// judging serializes judge.
 	judging sync.Mutex
-	// changes counts the changes of suspects, and known and quarantined the entries of
-	// suspects and those in quarantine.
-	changes     atomic.Uint64
-	known       atomic.Int64
-	quarantined atomic.Int64
+	// changes counts the changes of suspects, and known and affected the entries of
+	// suspects and those on trial or in quarantine.
+	changes  atomic.Uint64
+	known    atomic.Int64
+	affected atomic.Int64
+	// trials are the trials that this entry has permitted.
+	trials trials
 	// sum is the last result of Sum.
 	sum atomic.Pointer[summary]
 	// unsaved holds the parts of which the store has to be told.
@@ -58,8 +63,7 @@
 	at clock.Millis
 	// learned holds, for each round, the number of the change with which it was known.
 	learned []uint64
-	// quarantined means that requests with the part are rejected.
-	quarantined bool
+	verdict verdict
 }
 
 // Bounds of a table.
@@ -104,9 +108,7 @@
 // Clear records that a request with the parts was answered, so that none of them crashes
 // upstreams. It is cheap while there are no suspects.
 func (t *Table) Clear(parts []uint64) {
-	if !t.Whole {
-		t.noteAnswered(parts)
-	}
+	t.noteAnswered(parts)
 	if t.known.Load() == 0 {
 		return
 	}
@@ -126,19 +128,36 @@
 // Quarantined returns a part for which a request with the given parts is rejected, and
 // the rest of its quarantine. ok is false if there is none.
 func (t *Table) Quarantined(parts []uint64) (part uint64, left clock.Millis, ok bool) {
-	if t.quarantined.Load() == 0 {
-		return 0, 0, false
+	for _, r := range t.against(parts, quarantined) {
+		return r.Part, r.leftAt(t.Clock.Now()), true
+	}
+	return 0, 0, false
+}
+
+// OnTrial returns the parts for which a request with the given parts needs a permit (see
+// [Table.Permit]).
+func (t *Table) OnTrial(parts []uint64) []uint64 {
+	var tried []uint64
+	for _, r := range t.against(parts, onTrial) {
+		tried = append(tried, r.Part)
 	}
+	return tried
+}
+
+// against returns the suspects with the verdict that speak against a request with the
+// given parts.
+func (t *Table) against(parts []uint64, v verdict) []record {
+	if t.affected.Load() == 0 {
+		return nil
+	}
+	var found []record
+	now := t.Clock.Now()
 	for _, part := range parts {
-		r, ok := t.suspects.Get(part)
-		if !ok || !r.quarantined {
-			continue
-		}
-		if left = r.leftAt(t.Clock.Now()); left > 0 && r.explains(parts, t.innocent) {
-			return part, left, true
+		if r, ok := t.suspects.Get(part); ok && r.verdict == v && r.leftAt(now) > 0 && r.explains(parts, t.innocent) {
+			found = append(found, r)
 		}
 	}
-	return 0, 0, false
+	return found
 }
 
 // innocent reports whether the part is known not to crash upstreams.
@@ -157,7 +176,7 @@
 }
 
 // leftAt returns how long what is known of the part counts from now on.
-func (r *record) leftAt(now clock.Millis) clock.Millis { return r.left(r.quarantined) - (now - r.at) }
+func (r *record) leftAt(now clock.Millis) clock.Millis { return r.left(r.verdict) - (now - r.at) }
 
 // update changes what is known of a part, and reports whether it did change.
 func (t *Table) update(part uint64, change func(r *record)) (changed bool) {
@@ -178,11 +197,11 @@
 		}
 		after = r
 		keep := r.Epoch > 0 || len(r.Crashes) > 0
-		t.count(ok, keep, before.quarantined, r.quarantined)
+		t.count(ok, keep, before.verdict, r.verdict)
 		return r, keep
 	})
-	if after.quarantined != before.quarantined {
-		t.logQuarantine(&after)
+	if after.verdict != before.verdict {
+		t.logVerdict(&after)
 	}
 	return changed
 }
@@ -191,7 +210,7 @@
 func (r *record) note(change uint64, epoch uint32) {
 	learned := slices.Clone(r.learned)
 	if r.Epoch != epoch {
-		learned, r.quarantined = nil, false
+		learned, r.verdict = nil, observed
 	}
 	for len(learned) < r.Round() {
 		learned = append(learned, change)
@@ -200,9 +219,9 @@
 }
 
 // count updates the counters after a change of one record.
-func (t *Table) count(had, has, wasQuarantined, isQuarantined bool) {
+func (t *Table) count(had, has bool, was, is verdict) {
 	t.known.Add(delta(had, has))
-	t.quarantined.Add(delta(wasQuarantined, isQuarantined && has))
+	t.affected.Add(delta(was != observed, is != observed && has))
 }
 
 // delta returns the change of a count of which one is counted before and after.
@@ -233,7 +252,7 @@
 // remove removes what is known of a part.
 func (t *Table) remove(part uint64) {
 	if r, ok := t.suspects.Delete(part); ok {
-		t.count(true, false, r.quarantined, false)
+		t.count(true, false, r.verdict, observed)
 		t.changes.Add(1)
 	}
 }
@@ -276,19 +295,21 @@
 			continue
 		}
 		t.remove(r.Part)
-		if r.quarantined {
-			t.log().Info("taint: quarantine of a "+t.kind()+" has ended", zap.String("part", FormatPart(r.Part)))
+		if r.verdict != observed {
+			t.log().Info("taint: quarantine or trial of a "+t.kind()+" has ended", zap.String("part", FormatPart(r.Part)))
 			t.markUnsaved(r.Part)
 		}
 	}
+	if t.Parts != nil {
+		t.judge()
+	}
 }
 
-// logQuarantine logs that a part was quarantined or cleared, and has the store told if
-// that is up to this entry.
-func (t *Table) logQuarantine(r *record) {
+// logVerdict logs a new verdict, and has the store told if that is up to this entry.
+func (t *Table) logVerdict(r *record) {
 	fields := []zap.Field{zap.String("part", FormatPart(r.Part)), zap.Uint32("epoch", r.Epoch)}
-	if !r.quarantined {
-		t.log().Warn("taint: quarantine of a "+t.kind()+" was lifted, since it was answered or by another entry", fields...)
+	if r.verdict == observed {
+		t.log().Warn("taint: quarantine or trial of a "+t.kind()+" was lifted, since it was answered or by another entry", fields...)
 		t.markUnsaved(r.Part)
 		return
 	}
@@ -301,18 +322,30 @@
 			}
 		}
 	}
-	t.log().Warn("taint: "+t.kind()+" quarantined", append(fields, zap.Strings("upstreams", upstreams),
-		zap.Strings("entries", entries), zap.Strings("with", with))...)
-	metric := "parts_quarantined_total"
-	if t.Whole {
-		metric = "quarantined_total"
+	change := "quarantined"
+	if r.verdict == onTrial {
+		change = "put on trial"
 	}
-	t.Meter.Add(metric, 1)
+	t.log().Warn("taint: "+t.kind()+" "+change, append(fields, zap.Strings("upstreams", upstreams),
+		zap.Strings("entries", entries), zap.Strings("with", with), zap.Bool("good", r.Good))...)
+	t.countVerdict(r.verdict)
 	if r.Crashes[0].Entry == t.Self {
 		t.markUnsaved(r.Part)
 	}
 }
 
+// countVerdict updates the metrics of verdicts.
+func (t *Table) countVerdict(v verdict) {
+	switch {
+	case v == onTrial:
+		t.Meter.Add("trials_total", 1, "of", t.kind())
+	case t.Whole:
+		t.Meter.Add("quarantined_total", 1)
+	default:
+		t.Meter.Add("parts_quarantined_total", 1)
+	}
+}
+
 // kind returns what the suspects are, for log messages.
 func (t *Table) kind() string {
 	if t.Whole {
--- a/taint/taint_test.go
+++ b/taint/taint_test.go
@@ -374,6 +374,56 @@
 	}
 }
 
+// TestTrialsAreOneAtATime checks that the owner permits one trial until its outcome is known
+// or its time is up, and that a crash in a trial counts as a further round also if the entry
+// that sent it hadn't heard of the last one.
+func TestTrialsAreOneAtATime(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	mark := f.entries[0].Mark()
+	for i := range 3 {
+		f.lose(0, mark, uint64(i), bad)
+	}
+	f.tell()
+	owner, sender := f.entries[0], f.entries[1]
+	is.Equal(sender.OnTrial([]uint64{house, bad}), []uint64{bad})
+	is.Equal(len(sender.OnTrial([]uint64{house})), 0)
+	f.crash(0, 3, bad) // of a request that was sent before; only the owner knows
+	p := owner.Permit([]uint64{bad})
+	is.True(p.Granted)
+	is.True(!owner.Permit([]uint64{bad}).Granted)
+	sender.Merge(p.Known)
+	f.crash(1, 4, bad)
+	is.True(!owner.Permit([]uint64{bad}).Granted) // it doesn't know the outcome
+	f.tell()
+	is.True(f.rejects(0, bad) && f.rejects(1, bad)) // the third round
+
+	p = owner.Permit([]uint64{style})
+	is.True(p.Granted)
+	p = owner.Permit([]uint64{style})
+	is.True(!p.Granted && p.Wait > 0)
+	f.manual.Advance(p.Wait)
+	is.True(owner.Permit([]uint64{style}).Granted) // the trial had no outcome
+}
+
+// TestAnswerInTrialClears checks that an innocent part is served again once its trial has
+// been answered.
+func TestAnswerInTrialClears(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	mark := f.entries[0].Mark()
+	for i := range 5 {
+		f.lose(0, mark, uint64(i), style)
+	}
+	f.tell()
+	is.True(f.entries[0].Permit(f.entries[1].OnTrial([]uint64{style})).Granted)
+	f.entries[1].Clear([]uint64{style})
+	f.tell()
+	for _, e := range f.entries {
+		is.Equal(len(e.OnTrial([]uint64{style})), 0)
+	}
+}
+
 // TestBounds checks that neither long prompts nor many crashes make the table, or a
 // message, grow without bound, and that a deadly part isn't lost among others.
 func TestBounds(t *testing.T) {
--- a/taint/view.go
+++ b/taint/view.go
@@ -10,10 +10,14 @@
 type View struct {
 	// Part is the ID of the part as in the callers' header, in hexadecimal.
 	Part string `json:"part"`
-	// Quarantined tells whether requests with the part are rejected, and Left is the
-	// time in milliseconds for which what is known of the part counts.
+	// Quarantined tells whether requests with the part are rejected, Trial whether they are
+	// sent one at a time, and Left is the time in milliseconds for which what is known of
+	// the part counts.
 	Quarantined bool         `json:"quarantined"`
+	Trial       bool         `json:"trial,omitempty"`
 	Left        clock.Millis `json:"left"`
+	// Good tells whether the part was answered shortly before the crashes.
+	Good bool `json:"good,omitempty"`
 	// Cleared counts how often requests with the part were answered after a crash.
 	Cleared uint32 `json:"cleared,omitempty"`
 	// Crashes is the evidence.
@@ -39,7 +43,7 @@
 	now := t.Clock.Now()
 	views := make([]View, 0, len(all))
 	for _, r := range all {
-		v := View{Part: FormatPart(r.Part), Quarantined: r.quarantined, Left: max(0, r.leftAt(now)), Cleared: r.Epoch}
+		v := View{Part: FormatPart(r.Part), Quarantined: r.verdict == quarantined, Trial: r.verdict == onTrial, Good: r.Good, Left: max(0, r.leftAt(now)), Cleared: r.Epoch}
 		for _, c := range r.Aged(now - r.at).Crashes {
 			view := CrashView{Upstream: c.Upstream, Entry: c.Entry, Request: FormatPart(c.Request), Round: c.Round, Age: c.Age}
 			for _, p := range c.With {
