edge, platform: what is known of requests that crash replicas is saved

Cause: it was known only to the entries that had seen the crashes, and to their peers for 10 s. Unlike parts of prompts it wasn't in the store.

Fix: the table of whole requests has a store of its own. Entries that start later read it.

Evidence: edge TestPoisonOutlastsEntries, red before (more than three replicas crashed).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -161,8 +161,8 @@
 		OnManifest: e.applyManifest, OnFleet: e.applyFleet, OnEntries: e.applyEntries, Fresh: s.Fleet.Fresh,
 	}
 	e.crashes = poison.Quarantine{Engines: &e.replicas, Boots: e, Clock: e.Clock, Meter: &e.meter, Log: e.Log, Self: s.Instance}
-	e.tainted.init(e, nil, &e.store)
-	e.requests.init(e, &e.tainted.Table, nil)
+	e.tainted.init(e, nil, e.store.TaintedParts())
+	e.requests.init(e, &e.tainted.Table, e.store.PoisonRequests())
 	table := &announcingPool{Table: &e.pool, edge: e}
 	e.preparePlacer(table, self)
 	e.relay = relay.Relay{
--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -334,6 +334,39 @@
 	}
 }
 
+// TestPoisonOutlastsEntries guards against a request that is known to crash replicas and is
+// tried again after all entries have been restarted, again and again.
+func TestPoisonOutlastsEntries(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	for i := range 6 {
+		s.services = append(s.services, s.replica(fmt.Sprintf("d-%d", i+2), "desk", ""))
+	}
+	injectFault(s.services, extsim.Crash, 1)
+	crashed := func() int {
+		n := 0
+		for _, r := range s.services {
+			if r.Stopped() {
+				n++
+			}
+		}
+		return n
+	}
+	for range 3 {
+		r := s.startReady()
+		for i := range 4 {
+			r.do(context.Background(), callerRequest{id: fmt.Sprint("id-", s.n, i), path: "/once/a", body: "poison"})
+			time.Sleep(200 * time.Millisecond)
+		}
+		r.stop()
+		is.NoErr(<-r.done)
+		r.done <- nil
+		s.restarted = true
+	}
+	is.True(crashed() <= 3)
+}
+
 // TestPathInUseIsNotQuarantined guards against the rejection of a path that is asked for all
 // the time and so is in flight whenever a replica crashes, whatever the cause.
 func TestPathInUseIsNotQuarantined(t *testing.T) {
