soak: deadly parts of prompts, pauses, and manifests in the moment of a signal

The plans had none of them: bursts of requests with a part that crashes engines, replicas that ask for a pause or state that they leave, and versions published in the same half second as a SIGTERM or SIGHUP.

A replica that ends refuses connections at its proxy at once, as a process does: before, entries took it for alive, and nothing was quarantined.

--- a/extsim/caller.go
+++ b/extsim/caller.go
@@ -22,6 +22,9 @@
 	Deadline time.Duration
 	// Generates is set for a request to a model.
 	Generates bool
+	// Parts are the parts of the prompt between the first and the last one, each followed
+	// by a comma.
+	Parts string
 	// HalfClose closes the sending side once the request is written.
 	HalfClose bool
 	// Patience is how long the caller reads; zero is without a limit.
@@ -138,7 +141,7 @@
 		b.WriteString("Lacewinghook-Deadline-Ms: " + strconv.FormatInt(c.Deadline.Milliseconds(), 10) + "\r\n")
 	}
 	if c.Generates {
-		fmt.Fprintf(&b, "Lacewinghook-Model: m\r\nLacewinghook-Token-Counts: 3000,70\r\nLacewinghook-Prefix-Hash: 5c1e07a2:200,%s:2800\r\n", c.ID)
+		fmt.Fprintf(&b, "Lacewinghook-Model: m\r\nLacewinghook-Token-Counts: 3000,70\r\nLacewinghook-Prefix-Hash: 5c1e07a2:200,%s%s:2800\r\n", c.Parts, c.ID)
 	}
 	return b.String() + "\r\n" + c.Body
 }
--- a/extsim/replica.go
+++ b/extsim/replica.go
@@ -82,6 +82,9 @@
 	// DeadlyParts crash the replica when it begins to write an answer to a request whose
 	// prompt has one of them before its last part.
 	DeadlyParts []string
+	// OnStop, if not nil, is called by Stop once the listener is closed, before the
+	// connections are.
+	OnStop func()
 	// Tagged is set if the body of an answer and each event of a stream hold the ID
 	// of the request, see [TaggedBody] and [TaggedEvents].
 	Tagged bool
@@ -202,6 +205,9 @@
 	_ = r.server.Listener.Close()
 	close(r.stopped)
 	r.mu.Unlock()
+	if r.OnStop != nil {
+		r.OnStop()
+	}
 	r.server.CloseClientConnections()
 	r.server.Close()
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -102,7 +102,7 @@
 var outOfTouch = []Kind{Kill, Freeze, StoreDown, StoreSlow, StoreLost, StoreCut}
 
 // linkFaults are the failures of a replica that may cut an answer.
-var linkFaults = []Kind{Crash, Odd, Reset, OneWay, Endless}
+var linkFaults = []Kind{Crash, Odd, Reset, OneWay, Endless, Deadly}
 
 // boot returns the run of the process to which a request was sent.
 func (x *index) boot(q Request) Boot { return x.boots[[2]int{q.Entry, q.Boot}] }
@@ -232,7 +232,7 @@
 			continue
 		}
 		for _, r := range x.runs[q.ID] {
-			if x.replicaOut(r.Replica, q.Ended-goneTime, until, Silent, Slow, OneWay, Endless, Reset, Crash, Odd) {
+			if x.replicaOut(r.Replica, q.Ended-goneTime, until, Silent, Slow, OneWay, Endless, Reset, Crash, Odd, Deadly) {
 				continue
 			}
 			if r.Begun > until || r.Ended < 0 || r.Ended > until {
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -55,6 +55,10 @@
 	case Manifest:
 		defer g.outage(Manifest, -1, -1)()
 		g.publish(r)
+	case Change:
+		g.change(ctx, e, s, r)
+	case Deadly:
+		g.deadly(ctx, s, r)
 	case Storm:
 		defer g.outage(Storm, -1, -1)()
 		for range 3 + r.IntN(10) {
@@ -124,7 +128,10 @@
 	defer normal()
 	switch s.Kind {
 	case Leave:
-		g.leave(ctx, c, r.IntN(2) == 0)
+		g.leave(ctx, c, r.IntN(2) == 0, r.IntN(2) == 0)
+	case Pause:
+		c.sim.Pause(s.For.Duration())
+		_ = sleep(ctx, s.For)
 	case Crash:
 		if g.retire(c) {
 			c.sim.Stop()
@@ -191,11 +198,13 @@
 	return true
 }
 
-// leave has a replica drain, or just vanish from the store, and end some time later.
-func (g *rig) leave(ctx context.Context, c *replica, announce bool) {
+// leave has a replica drain, or just vanish from the store, and end some time later. It may
+// also state in its answers that it leaves.
+func (g *rig) leave(ctx context.Context, c *replica, announce, state bool) {
 	if !g.retire(c) {
 		return
 	}
+	c.sim.Leave(state)
 	if announce {
 		g.store.Put(extsim.ReplicaTable, c.sim.ID, c.sim.Row("draining"))
 	} else {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -25,6 +25,10 @@
 	Leave Kind = "leave"
 	// Silent holds all bytes to and from a replica for about a second.
 	Silent Kind = "silent"
+	// Pause has a replica reject all requests with 503 and Retry-After for a time.
+	Pause Kind = "pause"
+	// Change publishes a version in the same moment as an entry gets SIGTERM or SIGHUP.
+	Change Kind = "change"
 )
 
 // Failures.
@@ -49,12 +53,15 @@
 	OneWay  Kind = "oneway"
 	Slow    Kind = "slow"
 	Endless Kind = "endless"
+	// Deadly sends bursts of requests with a part of their prompts that crashes the engines
+	// that begin to answer them.
+	Deadly Kind = "deadly"
 )
 
 // Planned and Failures list all kinds.
 var (
-	Planned  = []Kind{Term, Roll, Hup, Manifest, Storm, Leave, Silent}
-	Failures = []Kind{Kill, Freeze, StoreDown, StoreSlow, StoreLost, StoreCut, Crash, Odd, Reset, OneWay, Slow, Endless}
+	Planned  = []Kind{Term, Roll, Hup, Manifest, Storm, Leave, Silent, Pause, Change}
+	Failures = []Kind{Kill, Freeze, StoreDown, StoreSlow, StoreLost, StoreCut, Crash, Odd, Reset, OneWay, Slow, Endless, Deadly}
 )
 
 // Step is one step of a plan.
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -182,6 +182,7 @@
 	r.sim.EventInterval = time.Duration(10+r.n%4*20) * time.Millisecond
 	r.sim.PrefillTime = 20 * time.Millisecond
 	r.sim.Silence = time.Second
+	r.sim.DeadlyParts = []string{deadlyPart}
 	r.sim.RepeatDelay = 20 * time.Millisecond
 	r.proxy = &proxy.Proxy{Target: r.sim.Addr}
 	addr, err := r.proxy.Listen()
@@ -189,6 +190,7 @@
 		return errors.Wrap(err, "soak: replica")
 	}
 	r.sim.Addr = addr
+	r.sim.OnStop = r.proxy.Close
 	g.replicas = append(g.replicas, r)
 	g.ready = append(g.ready, r)
 	g.store.Put(extsim.ReplicaTable, r.sim.ID, r.sim.Row("ready"))
