limit, relay: retries are given back where they were taken

Retries that a request took and gave back some seconds later were deducted in the bucket of the return.

Fix: they are given back in the bucket of the request's arrival, which is never later than that of the payment, and not at all if that has passed.

Evidence: TestReturnedSendsAllowNoMore, red with the deduction as it was.

--- a/edge/budget.go
+++ b/edge/budget.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/limit"
 )
 
@@ -41,6 +42,6 @@
 }
 
 // ReturnRetries implements [relay.Budget].
-func (e *Edge) ReturnRetries(service string, n int) {
-	e.budget(service).Return(e.Clock.Now(), e.quota(), n)
+func (e *Edge) ReturnRetries(service string, since clock.Millis, n int) {
+	e.budget(service).Return(since, e.Clock.Now(), e.quota(), n)
 }
--- a/limit/window.go
+++ b/limit/window.go
@@ -47,11 +47,14 @@
 	return true
 }
 
-// Return takes back n extra sends that were counted and have not been made.
-func (w *Window) Return(now clock.Millis, q Quota, n int) {
+// Return takes back n extra sends that were counted at since or later and have not been
+// made. Those of which since is older than the window are not taken back.
+func (w *Window) Return(since, now clock.Millis, q Quota, n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.extra.add(now, q.Span, -n)
+	// Taken back in a later bucket than they were counted in, they would allow more sends
+	// once the bucket in which they were counted has passed.
+	w.extra.addAt(since, now, q.Span, -n)
 }
 
 // windowBuckets is the number of buckets into which a window is divided.
@@ -71,6 +74,18 @@
 	c.counts[c.bucket%int64(len(c.counts))] += n
 }
 
+// addAt counts n events of an earlier instant, unless that is older than the window.
+func (c *slidingCounter) addAt(at, now, span clock.Millis, n int) {
+	c.advance(now, span)
+	bucket := bucketOf(at, span)
+	if c.bucket-bucket < int64(len(c.counts)) {
+		c.counts[bucket%int64(len(c.counts))] += n
+	}
+}
+
+// bucketOf returns the number of the bucket of an instant.
+func bucketOf(at, span clock.Millis) int64 { return int64(at) / max(1, int64(span)/windowBuckets) }
+
 // sum returns the number of events within the window.
 func (c *slidingCounter) sum(now, span clock.Millis) int {
 	c.advance(now, span)
@@ -83,7 +98,7 @@
 
 // advance clears the buckets that are older than the window.
 func (c *slidingCounter) advance(now, span clock.Millis) {
-	newest := int64(now) / max(1, int64(span)/windowBuckets)
+	newest := bucketOf(now, span)
 	for ; c.bucket < newest; c.bucket++ {
 		if newest-c.bucket > int64(len(c.counts)) {
 			c.bucket = newest - int64(len(c.counts))
--- a/limit/window_test.go
+++ b/limit/window_test.go
@@ -68,3 +68,21 @@
 	var w limit.Window
 	is.New(t).True(!w.Spend(0, limit.Quota{}, 1))
 }
+
+// TestReturnedSendsAllowNoMore guards against retries that are given back some seconds after
+// they were taken and then allow more than the quota within one window.
+func TestReturnedSendsAllowNoMore(t *testing.T) {
+	is := is.New(t)
+	q := limit.Quota{Span: 10 * clock.Second, Allowance: 10}
+	var w limit.Window
+	is.True(w.Spend(1000, q, 10))
+	w.Return(1000, 7000, q, 10) // none of them was made
+	is.True(w.Spend(7000, q, 10))
+	for now := clock.Millis(7000); now < 17_000; now += 100 {
+		is.True(!w.Spend(now, q, 1))
+	}
+	is.True(w.Spend(18_000, q, 10))
+	w.Return(7000, 40_000, q, 10) // too late to matter
+	is.True(w.Spend(40_000, q, 10))
+	is.True(!w.Spend(40_000, q, 1))
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -105,7 +105,7 @@
 // returnRetries gives back the retries that were taken and not used.
 func (x *exchange) returnRetries() {
 	if x.paidRetries > 0 {
-		x.relay.Budget.ReturnRetries(x.opaque.Service, x.paidRetries)
+		x.relay.Budget.ReturnRetries(x.opaque.Service, x.request.Arrived, x.paidRetries)
 		x.paidRetries = 0
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -95,8 +95,8 @@
 	// TakeRetries takes n retries from the budget. It returns false, and takes
 	// none, if fewer are left.
 	TakeRetries(service string, n int) bool
-	// ReturnRetries gives back n retries that were taken and not used.
-	ReturnRetries(service string, n int)
+	// ReturnRetries gives back n retries that were taken at since or later and not used.
+	ReturnRetries(service string, since clock.Millis, n int)
 }
 
 // Quarantine blocks requests suspected of crashing upstreams.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -107,7 +107,7 @@
 	return true
 }
 
-func (b *budget) ReturnRetries(_ string, n int) {
+func (b *budget) ReturnRetries(_ string, _ clock.Millis, n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.retriesLeft += n
