relay: an abandoned second send counts as a run

A call to a silent replica is sent to a second one as well. If the first one then began to answer, the second send was abandoned and not counted, so that after a broken answer a third replica ran the call, where the route allows two (BUDGET, max_attempts).

Fix: a second send that is abandoned counts unless it surely hasn't run, and so does a second answer that isn't delivered.

--- a/relay/call.go
+++ b/relay/call.go
@@ -79,8 +79,10 @@
 	}
 	if err != nil && !x.headSent && !x.callerGone {
 		x.recordFailure(ctx, sentRequest{up: up, at: start, mark: mark}, err)
-		if x.second != nil {
-			return x.deliverAnswer(x.second)
+		if second := x.second; second != nil {
+			x.second = nil
+			defer second.close()
+			return x.deliverAnswer(second)
 		}
 	}
 	return err
@@ -124,11 +126,12 @@
 	return open, nil
 }
 
-// discardSecond closes an answer that isn't delivered.
+// discardSecond closes an answer that isn't delivered. Its replica has run the request.
 func (x *exchange) discardSecond() {
 	if x.second != nil {
 		x.second.close()
 		x.second = nil
+		x.possibleRuns++
 	}
 }
 
@@ -149,8 +152,12 @@
 	switch {
 	case err != nil:
 		cancel()
-		if search.Err() == nil {
+		switch {
+		case search.Err() == nil:
 			x.recordFailure(ctx, sentRequest{up: up, at: start, mark: mark}, err)
+		case codes.From(err).Run != codes.NotRun:
+			// The silent replica has answered meanwhile, but this one may run the request.
+			x.possibleRuns++
 		}
 		return false
 	case x.isFailure(second):
@@ -160,6 +167,7 @@
 		return false
 	case !keep():
 		second.close()
+		x.possibleRuns++
 		return false
 	}
 	closeAnswer := second.close
--- a/relay/search_test.go
+++ b/relay/search_test.go
@@ -342,3 +342,38 @@
 		})
 	}
 }
+
+// TestAbandonedSecondSendCounts guards against a call that runs on more replicas than its
+// route allows: a second send, begun while the first replica was silent, is abandoned once
+// that one answers, and the answer then breaks off.
+func TestAbandonedSecondSendCounts(t *testing.T) {
+	is := is.New(t)
+	u := &ctxUpstreams{}
+	doc := &core.Document{}
+	for _, name := range []string{"s-0", "s-1", "s-2"} {
+		doc.Upstreams = append(doc.Upstreams, core.Upstream{Name: name, Role: core.Service, Service: "calls"})
+	}
+	table := &pool.Table{}
+	table.Apply(doc)
+	r := &relay.Relay{Upstreams: u, Pool: table, Budget: &budget{retriesLeft: 9}}
+	var sends atomic.Int64
+	u.sendCtx = func(ctx context.Context, _ core.Upstream, _ relay.SendRequest) (relay.Answer, error) {
+		if sends.Add(1) > 1 {
+			<-ctx.Done()
+			return relay.Answer{}, codes.Wrap(codes.UpstreamLost, context.Cause(ctx), "closed").WithRun(codes.Unknown)
+		}
+		pr, pw := io.Pipe()
+		go func() {
+			time.Sleep(600 * time.Millisecond) // the second send begins after 400 ms
+			_, _ = pw.Write([]byte("part"))
+			time.Sleep(50 * time.Millisecond)
+			_ = pw.CloseWithError(io.ErrUnexpectedEOF)
+		}()
+		return relay.Answer{Reply: core.Reply{Status: 200, Length: 9}, Body: pr}, nil
+	}
+	now := r.Clock.Now()
+	route := core.HostRoute{Repeatable: true, Profile: core.Profile{Retries: 1, FirstToken: 200}}
+	req := &core.Request{Arrived: now, Deadline: now + 3000, Profile: route.Profile, Opaque: &core.Opaque{ID: "id", Service: "calls", Route: route}}
+	is.True(r.Run(context.Background(), req, &sink{}) != nil)
+	is.Equal(sends.Load(), int64(2)) // max_attempts
+}
