platform, edge: headers may be as large as the manifest allows

Cause: the limit of the manifest wasn't read; the HTTP server's was that of the settings, 32 KiB, from the start of the process.

Fix: the limit is decoded and checked once the headers have been read, where the settings' is larger that one. Headers over the limit are too_large (413, was 431).

Evidence: TestHeadersAsLargeAsTheManifestAllows, red before at the 48 KiB.

--- a/core/routing.go
+++ b/core/routing.go
@@ -84,8 +84,9 @@
 
 // InputLimits limits what callers may send and how long they may take.
 type InputLimits struct {
-	// Body is the maximum size of a body, in bytes.
-	Body int64
+	// Headers is the maximum total size of the headers of a request and Body that of its
+	// body, in bytes; zero means that none is set.
+	Headers, Body int64
 	// Head is the time in which the head of a request must arrive, and Idle how long a
 	// connection may stay unused; zero means that none is set.
 	Head, Idle clock.Millis
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -26,12 +26,14 @@
 	return err
 }
 
-// Limits implements [platform.Runner].
+// Limits implements [platform.Runner]. Headers may always be as large as the settings allow.
 func (c callerRunner) Limits() core.InputLimits {
+	var l core.InputLimits
 	if m := c.edge.routes.Manifest(); m != nil {
-		return m.Limits
+		l = m.Limits
 	}
-	return core.InputLimits{}
+	l.Headers = max(l.Headers, int64(c.edge.Settings.Limits.WithDefaults().Header))
+	return l
 }
 
 // Admit implements [platform.Runner]. It sets the request's route, service
--- a/edge/manifest_test.go
+++ b/edge/manifest_test.go
@@ -192,3 +192,32 @@
 	}
 	injectFault(s.services, extsim.SilentBody, 1)
 }
+
+// TestHeadersAsLargeAsTheManifestAllows guards against requests that are denied for their
+// headers although the manifest in force allows them.
+func TestHeadersAsLargeAsTheManifestAllows(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	r := s.startReady()
+	send := func(id string, headerBytes int) int {
+		got := r.do(context.Background(), callerRequest{id: id, path: "/once/a", header: map[string]string{"Note": strings.Repeat("x", headerBytes)}})
+		is.NoErr(got.err)
+		return got.status
+	}
+	limit := func(version, headerBytes int) {
+		s.store.Put("op", "config", strings.ReplaceAll(fmt.Sprintf(manifestText, version, 1000, fmt.Sprintf(
+			`,{"name":"v","host":"h.example","prefix":"/v%d/","route_kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"desk","max_attempts":2}`, version)),
+			`"max_header_bytes":16384`, fmt.Sprintf(`"max_header_bytes":%d`, headerBytes)))
+		s.until("the manifest is in force", func() bool {
+			return r.do(context.Background(), callerRequest{id: "v", path: fmt.Sprintf("/v%d/a", version)}).status == http.StatusOK
+		})
+	}
+	limit(2, 64<<10)
+	is.Equal(send("id-3", 48<<10), http.StatusOK)
+	is.Equal(send("id-4", 80<<10), http.StatusRequestEntityTooLarge)
+	limit(3, 16<<10)
+	is.Equal(send("id-1", 20<<10), http.StatusOK) // the settings allow more
+	is.Equal(send("id-5", 48<<10), http.StatusRequestEntityTooLarge)
+	is.Equal(s.runs("id-4")+s.runs("id-5"), 0)
+}
