taint, edge: few entries tell the store; a silent owner of trials is passed over

Each entry deleted the row of a part or request that was cleared: as many calls of the store as entries, and trials are cleared more often than quarantines were. A row whose entry had gone stayed for good. And the owner of the trials may be listed for a minute after it has ended, in which every request on trial was rejected.

Fix: the row is deleted by the entry of the last crash and by the one that saw the answer; rows that no longer count are deleted by entries that load them. An owner that doesn't answer is passed over for 10 s.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -80,6 +80,8 @@
 	// tainted holds the parts of prompts that crash upstreams, and requests the digests of
 	// whole requests that do.
 	tainted, requests suspects
+	// silentOwners holds until when owners of trials that did not answer are passed over.
+	silentOwners shard.Map[string, clock.Millis]
 	// notices holds what replicas state about themselves.
 	notices notice.Table
 	// desk, ledger and placer place completions. groups divides the engines among
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 
 	"go.uber.org/zap"
@@ -95,6 +96,9 @@
 	// ownerWait is the time after which to ask again if the owner of the trials is
 	// unreachable.
 	ownerWait = 1 * clock.Second
+	// silentOwnerTime is how long an owner that did not answer is passed over: one that has
+	// ended may be listed for a minute.
+	silentOwnerTime = 10 * clock.Second
 	// trialsKey is what the owner of the trials owns.
 	trialsKey = "trials"
 )
@@ -109,6 +113,7 @@
 	p, err := e.peers.Trial(context.Background(), owner.Peer, wire.TrialRequest{Whole: s.Whole, Parts: parts})
 	if err != nil {
 		s.Log.Warn("edge: the owner of the trials did not answer", zap.String("owner", owner.Name), zap.Error(err))
+		e.silentOwners.Set(owner.Name, s.Clock.Now()+silentOwnerTime)
 		return taint.Permit{Wait: ownerWait}
 	}
 	return p
@@ -124,13 +129,24 @@
 			entries = append(entries, p.Heartbeat.Instance)
 		}
 	}
-	name := assign.Owner(trialsKey, entries)
-	for _, in := range entries {
+	now := e.Clock.Now()
+	return ownerOf(entries, e.self(), func(name string) bool {
+		until, ok := e.silentOwners.Get(name)
+		return ok && now < until
+	})
+}
+
+// ownerOf returns the entry that owns the trials: one that isn't silent, or self if there is
+// none.
+func ownerOf(entries []core.Instance, self core.Instance, silent func(name string) bool) core.Instance {
+	usable := slices.DeleteFunc(slices.Clone(entries), func(in core.Instance) bool { return silent(in.Name) })
+	name := assign.Owner(trialsKey, usable)
+	for _, in := range usable {
 		if in.Name == name {
 			return in
 		}
 	}
-	return e.self()
+	return self
 }
 
 // permitTrial implements [wire.MethodTrial].
--- a/taint/judge.go
+++ b/taint/judge.go
@@ -143,6 +143,6 @@
 		return r, ok
 	})
 	if after.verdict != before.verdict {
-		t.logVerdict(&after)
+		t.logVerdict(&before, &after)
 	}
 }
--- a/taint/save.go
+++ b/taint/save.go
@@ -47,6 +47,7 @@
 		list, err := t.Store.Tainted(ctx)
 		if err == nil {
 			t.announce(t.Merge(list))
+			t.deleteExpired(list)
 			break
 		}
 		t.log().Warn("taint: loading the quarantined parts failed", zap.Error(err))
@@ -71,6 +72,16 @@
 	}
 }
 
+// deleteExpired has the store delete what was saved and no longer counts, since the entry
+// that saved it may have gone.
+func (t *Table) deleteExpired(saved []Suspect) {
+	for _, s := range saved {
+		if !s.valid(t.rules()) {
+			t.markUnsaved(s.Part)
+		}
+	}
+}
+
 // markUnsaved has the store told of a part.
 func (t *Table) markUnsaved(part uint64) {
 	if t.Store != nil {
--- /dev/null
+++ b/taint/save_test.go
@@ -0,0 +1,94 @@
+package taint_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/taint"
+)
+
+// memoryStore implements [taint.Store] and counts its calls.
+type memoryStore struct {
+	mu             sync.Mutex
+	rows           map[uint64]taint.Suspect
+	saves, deletes int
+}
+
+// Tainted implements [taint.Store].
+func (s *memoryStore) Tainted(context.Context) ([]taint.Suspect, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []taint.Suspect
+	for _, row := range s.rows {
+		all = append(all, row)
+	}
+	return all, nil
+}
+
+// SaveTainted implements [taint.Store].
+func (s *memoryStore) SaveTainted(_ context.Context, row taint.Suspect) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saves++
+	s.rows[row.Part] = row
+	return nil
+}
+
+// DeleteTainted implements [taint.Store].
+func (s *memoryStore) DeleteTainted(_ context.Context, part uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deletes++
+	delete(s.rows, part)
+	return nil
+}
+
+// counts returns the number of rows and of calls.
+func (s *memoryStore) counts() (rows, saves, deletes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.rows), s.saves, s.deletes
+}
+
+// TestFewEntriesTellTheStore guards against as many calls of the store as there are entries,
+// when a part is quarantined and when it is cleared, and against rows that stay there for good.
+func TestFewEntriesTellTheStore(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(9)
+	store := &memoryStore{rows: map[uint64]taint.Suspect{style: {Part: style, Crashes: []taint.Crash{{Upstream: "g", Entry: "gone", Round: 3, Age: 2 * 60 * clock.Minute}}}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	for _, e := range f.entries {
+		e.Store = store
+		running.Go(func() { e.Run(ctx) })
+	}
+	await := func(cond func() bool) {
+		for range 2000 {
+			if cond() {
+				return
+			}
+			_ = clock.Clock{}.Sleep(ctx, 1)
+		}
+		is.True(cond())
+	}
+	await(func() bool { n, _, _ := store.counts(); return n == 0 }) // the expired row
+	_, _, expired := store.counts()
+	for i := range 3 {
+		f.crash(i, uint64(i), bad)
+		f.tell()
+	}
+	await(func() bool { n, _, _ := store.counts(); return n == 1 })
+	is.True(f.rejects(8, bad))
+	f.entries[5].Clear([]uint64{bad})
+	f.tell()
+	await(func() bool { n, _, _ := store.counts(); return n == 0 })
+	_, saves, deletes := store.counts()
+	is.True(saves <= 2)
+	is.True(deletes-expired <= 2)
+}
--- a/taint/table.go
+++ b/taint/table.go
@@ -115,6 +115,9 @@
 	changed := false
 	for _, part := range parts {
 		if r, ok := t.suspects.Get(part); ok && len(r.Crashes) > 0 {
+			if r.verdict != observed {
+				t.markUnsaved(part)
+			}
 			changed = t.update(part, func(r *record) {
 				if len(r.Crashes) > 0 {
 					r.Suspect = Suspect{Part: part, Epoch: r.Epoch + 1}
@@ -201,7 +204,7 @@
 		return r, keep
 	})
 	if after.verdict != before.verdict {
-		t.logVerdict(&after)
+		t.logVerdict(&before, &after)
 	}
 	return changed
 }
@@ -297,7 +300,9 @@
 		t.remove(r.Part)
 		if r.verdict != observed {
 			t.log().Info("taint: quarantine or trial of a "+t.kind()+" has ended", zap.String("part", FormatPart(r.Part)))
-			t.markUnsaved(r.Part)
+			if r.Crashes[0].Entry == t.Self {
+				t.markUnsaved(r.Part)
+			}
 		}
 	}
 	if t.Parts != nil {
@@ -305,16 +310,18 @@
 	}
 }
 
-// logVerdict logs a new verdict, and has the store told if that is up to this entry.
-func (t *Table) logVerdict(r *record) {
-	fields := []zap.Field{zap.String("part", FormatPart(r.Part)), zap.Uint32("epoch", r.Epoch)}
-	if r.verdict == observed {
+// logVerdict logs a new verdict. The entry of the last crash tells the store.
+func (t *Table) logVerdict(before, after *record) {
+	fields := []zap.Field{zap.String("part", FormatPart(after.Part)), zap.Uint32("epoch", after.Epoch)}
+	if len(before.Crashes) > 0 && before.Crashes[0].Entry == t.Self || len(after.Crashes) > 0 && after.Crashes[0].Entry == t.Self {
+		t.markUnsaved(after.Part)
+	}
+	if after.verdict == observed {
 		t.log().Warn("taint: quarantine or trial of a "+t.kind()+" was lifted, since it was answered or by another entry", fields...)
-		t.markUnsaved(r.Part)
 		return
 	}
 	var upstreams, entries, with []string
-	for _, c := range r.Crashes {
+	for _, c := range after.Crashes {
 		upstreams, entries = append(upstreams, c.Upstream), append(entries, c.Entry)
 		for _, p := range c.With {
 			if text := FormatPart(p); !slices.Contains(with, text) {
@@ -323,15 +330,12 @@
 		}
 	}
 	change := "quarantined"
-	if r.verdict == onTrial {
+	if after.verdict == onTrial {
 		change = "put on trial"
 	}
 	t.log().Warn("taint: "+t.kind()+" "+change, append(fields, zap.Strings("upstreams", upstreams),
-		zap.Strings("entries", entries), zap.Strings("with", with), zap.Bool("good", r.Good))...)
-	t.countVerdict(r.verdict)
-	if r.Crashes[0].Entry == t.Self {
-		t.markUnsaved(r.Part)
-	}
+		zap.Strings("entries", entries), zap.Strings("with", with), zap.Bool("good", after.Good))...)
+	t.countVerdict(after.verdict)
 }
 
 // countVerdict updates the metrics of verdicts.
