taint, edge: operators see requests on trial; plainer names

The page of suspects and lacectl list whole requests as well. The store is told of a cleared part after the change, so that the row can't be written again by a save under way.

--- a/cmd/lacectl/fleet.go
+++ b/cmd/lacectl/fleet.go
@@ -18,7 +18,7 @@
 	c.open = true
 }
 
-// listParts prints the suspected parts, and the crashes below each.
+// listParts prints the suspected parts and requests, and the crashes below each.
 func listParts(ctx context.Context, c *command) int {
 	all, err := c.Parts(ctx)
 	if err != nil {
@@ -35,6 +35,9 @@
 			case len(v.Crashes) == 0:
 				state = "cleared"
 			}
+			if v.Whole {
+				state = "request " + state
+			}
 			fmt.Fprintf(w, "%s\t%s\tfor %s\n", v.Part, state, v.Left.Duration())
 			for _, crash := range v.Crashes {
 				fmt.Fprintf(w, "  round %d\t%s\tlost by %s\trequest %s\twith %v\t%s ago\n",
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -295,7 +296,9 @@
 func (e *Edge) operatorPages() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", e.metrics)
-	mux.HandleFunc("GET /quarantine", func(w http.ResponseWriter, _ *http.Request) { e.writePage(w, e.tainted.View()) })
+	mux.HandleFunc("GET /quarantine", func(w http.ResponseWriter, _ *http.Request) {
+		e.writePage(w, slices.Concat(e.tainted.View(), e.requests.View()))
+	})
 	mux.HandleFunc("GET /replicas", func(w http.ResponseWriter, _ *http.Request) { e.writePage(w, e.notices.View()) })
 	return mux
 }
--- a/taint/judge.go
+++ b/taint/judge.go
@@ -2,8 +2,8 @@
 
 import "slices"
 
-// docket holds what the suspects are judged by.
-type docket struct {
+// evidence is what the suspects are judged by.
+type evidence struct {
 	// suspects are the suspects by the crashes that they met.
 	suspects map[crashID][]*record
 	// explained are crashes of which the cause is known otherwise.
@@ -11,23 +11,23 @@
 }
 
 // judge decides anew on all suspects. It is called after each change, since what is known of
-// one suspect may exonerate another.
+// one suspect may clear another.
 func (t *Table) judge() {
 	t.judging.Lock()
 	defer t.judging.Unlock()
 	all := t.suspects.Values()
-	met := docket{suspects: make(map[crashID][]*record)}
+	ev := evidence{suspects: make(map[crashID][]*record)}
 	if t.Parts != nil {
-		met.explained = t.Parts.explains()
+		ev.explained = t.Parts.explains()
 	}
 	for i := range all {
 		for j := range all[i].Crashes {
 			id := all[i].Crashes[j].id()
-			met.suspects[id] = append(met.suspects[id], &all[i])
+			ev.suspects[id] = append(ev.suspects[id], &all[i])
 		}
 	}
 	for i := range all {
-		if v := met.judge(&all[i], t.rules(), t.Self); v != all[i].verdict {
+		if v := ev.judge(&all[i], t.rules(), t.Self); v != all[i].verdict {
 			t.setVerdict(&all[i], v)
 		}
 	}
@@ -38,13 +38,13 @@
 const goodTrials = 2
 
 // judge returns the verdict of the entry self on a suspect.
-func (d docket) judge(r *record, rules rules, self string) verdict {
-	crashes := d.unexplained(r, rules)
+func (ev evidence) judge(r *record, rules rules, self string) verdict {
+	crashes := ev.unexplained(r, rules)
 	requests, entries := make(map[uint64]bool), make(map[string]bool)
 	for _, c := range crashes {
 		requests[c.Request], entries[c.Entry] = true, true
 	}
-	witnessed := len(entries) >= rules.entries || entries[self]
+	confirmed := len(entries) >= rules.entries || entries[self]
 	needed := rules.rounds
 	if r.Good {
 		needed += goodTrials
@@ -52,7 +52,7 @@
 	switch {
 	case len(requests) < rules.requests:
 		return observed
-	case witnessed && len(crashes) >= needed && crashes[0].Round >= rules.rounds && !d.doubtful(r):
+	case confirmed && len(crashes) >= needed && crashes[0].Round >= rules.rounds && !ev.doubtful(r):
 		return quarantined
 	case len(crashes) >= rules.trialRounds && crashes[0].Round >= rules.trialRounds:
 		return onTrial
@@ -66,14 +66,14 @@
 // unexplained returns the crashes that speak against a suspect: those without another
 // cause. A part that was answered shortly before isn't blamed for a crash that met another
 // one that wasn't.
-func (d docket) unexplained(r *record, rules rules) []Crash {
-	acquit := r.Good && rules.rivals
-	if !acquit && len(d.explained) == 0 {
+func (ev evidence) unexplained(r *record, rules rules) []Crash {
+	goodExcluded := r.Good && rules.rivals
+	if !goodExcluded && len(ev.explained) == 0 {
 		return r.Crashes
 	}
 	var left []Crash
 	for _, c := range r.Crashes {
-		otherwise := d.explained[c.id()] || acquit && d.met(c, func(rival *record) bool { return rival.Part != r.Part && !rival.Good })
+		otherwise := ev.explained[c.id()] || goodExcluded && ev.met(c, func(rival *record) bool { return rival.Part != r.Part && !rival.Good })
 		if !otherwise {
 			left = append(left, c)
 		}
@@ -100,10 +100,10 @@
 
 // doubtful reports whether each crash of the part met another request with a part that more
 // crashes speak against. Parts of the same requests can't be told apart.
-func (d docket) doubtful(r *record) bool {
+func (ev evidence) doubtful(r *record) bool {
 	for _, c := range r.Crashes {
 		known := len(c.With) < maxWith
-		if !known || !d.met(c, func(rival *record) bool {
+		if !known || !ev.met(c, func(rival *record) bool {
 			return !rival.Good && rival.heavier(r) && !slices.Contains(c.With, rival.Part)
 		}) {
 			return false
@@ -113,8 +113,8 @@
 }
 
 // met reports whether the crash met a suspect for which f returns true.
-func (d docket) met(c Crash, f func(*record) bool) bool {
-	for _, r := range d.suspects[c.id()] {
+func (ev evidence) met(c Crash, f func(*record) bool) bool {
+	for _, r := range ev.suspects[c.id()] {
 		if f(r) {
 			return true
 		}
--- a/taint/suspect.go
+++ b/taint/suspect.go
@@ -7,9 +7,9 @@
 	"lacewinghook.example/lacewinghook/clock"
 )
 
-// Suspect is what is known of one part of prompts.
+// Suspect is what is known of one part of prompts, or of one request.
 type Suspect struct {
-	// Part is the ID of the part.
+	// Part is the ID of the part, or the digest of the request.
 	Part uint64 `json:"part"`
 	// Epoch counts how often the part was cleared. Crashes of earlier epochs don't count.
 	Epoch uint32 `json:"epoch,omitempty"`
--- a/taint/table.go
+++ b/taint/table.go
@@ -79,8 +79,8 @@
 // Loss is a request that was lost in a crash before it was answered.
 type Loss struct {
 	Upstream, Boot string
-	// Digest identifies the request, and Parts are the parts of its prompt that others
-	// may share.
+	// Digest identifies the request, and Parts are the suspects: the parts of its prompt
+	// that others may share or, in a table with Whole set, the digest alone.
 	Digest uint64
 	Parts  []uint64
 	// Mark is what [Table.Mark] returned before the request was sent.
@@ -90,7 +90,8 @@
 // Mark returns the state of knowledge of this entry. It is taken before a request is sent.
 func (t *Table) Mark() uint64 { return t.changes.Load() }
 
-// AddCrash records that the request was lost in a crash.
+// AddCrash records that the request was lost in a crash. In a table with Whole set, its
+// digest takes the place of its parts.
 func (t *Table) AddCrash(l Loss) {
 	parts := l.Parts[:min(len(l.Parts), maxParts)]
 	changed := false
@@ -115,14 +116,14 @@
 	changed := false
 	for _, part := range parts {
 		if r, ok := t.suspects.Get(part); ok && len(r.Crashes) > 0 {
-			if r.verdict != observed {
-				t.markUnsaved(part)
-			}
 			changed = t.update(part, func(r *record) {
 				if len(r.Crashes) > 0 {
 					r.Suspect = Suspect{Part: part, Epoch: r.Epoch + 1}
 				}
 			}) || changed
+			if r.verdict != observed {
+				t.markUnsaved(part)
+			}
 		}
 	}
 	t.announce(changed)
--- a/taint/view.go
+++ b/taint/view.go
@@ -8,8 +8,10 @@
 
 // View is what operators see of a suspect.
 type View struct {
-	// Part is the ID of the part as in the callers' header, in hexadecimal.
-	Part string `json:"part"`
+	// Part is the ID of the part as in the callers' header, in hexadecimal, or the digest of
+	// a request if Whole is set.
+	Part  string `json:"part"`
+	Whole bool   `json:"whole,omitempty"`
 	// Quarantined tells whether requests with the part are rejected, Trial whether they are
 	// sent one at a time, and Left is the time in milliseconds for which what is known of
 	// the part counts.
@@ -43,7 +45,7 @@
 	now := t.Clock.Now()
 	views := make([]View, 0, len(all))
 	for _, r := range all {
-		v := View{Part: FormatPart(r.Part), Quarantined: r.verdict == quarantined, Trial: r.verdict == onTrial, Good: r.Good, Left: max(0, r.leftAt(now)), Cleared: r.Epoch}
+		v := View{Part: FormatPart(r.Part), Whole: t.Whole, Quarantined: r.verdict == quarantined, Trial: r.verdict == onTrial, Good: r.Good, Left: max(0, r.leftAt(now)), Cleared: r.Epoch}
 		for _, c := range r.Aged(now - r.at).Crashes {
 			view := CrashView{Upstream: c.Upstream, Entry: c.Entry, Request: FormatPart(c.Request), Round: c.Round, Age: c.Age}
 			for _, p := range c.With {
