--- a/taint/judge.go
+++ b/taint/judge.go
@@ -67,14 +67,14 @@
 // cause. A part that was answered shortly before isn't blamed for a crash that met another
 // one that wasn't.
 func (ev evidence) unexplained(r *record, rules rules) []Crash {
-	goodExcluded := r.Good && rules.rivals
-	if !goodExcluded && len(ev.explained) == 0 {
+	skipShared := r.Good && rules.rivals
+	if !skipShared && len(ev.explained) == 0 {
 		return r.Crashes
 	}
 	var left []Crash
 	for _, c := range r.Crashes {
-		otherwise := ev.explained[c.id()] || goodExcluded && ev.met(c, func(rival *record) bool { return rival.Part != r.Part && !rival.Good })
-		if !otherwise {
+		elsewhere := ev.explained[c.id()] || skipShared && ev.met(c, func(rival *record) bool { return rival.Part != r.Part && !rival.Good })
+		if !elsewhere {
 			left = append(left, c)
 		}
 	}
--- a/wire/trial.go
+++ b/wire/trial.go
@@ -12,7 +12,7 @@
 const MethodTrial Method = "trial"
 
 // maxTrialTime bounds a call of [MethodTrial], for which a request waits.
-const maxTrialTime = 300 * clock.Millis(1)
+const maxTrialTime clock.Millis = 300
 
 // maxTrialParts bounds the parts in one call.
 const maxTrialParts = 64
