edge, soak: one count of stopped replicas; one unit of time in a step

Read again: the test of whole requests counted stopped replicas as that of parts does, and the step Change converted its offset between two types of time. No check and no draw of a plan differs.

--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -344,15 +344,6 @@
 		s.services = append(s.services, s.replica(fmt.Sprintf("d-%d", i+2), "desk", ""))
 	}
 	injectFault(s.services, extsim.Crash, 1)
-	crashed := func() int {
-		n := 0
-		for _, r := range s.services {
-			if r.Stopped() {
-				n++
-			}
-		}
-		return n
-	}
 	for range 3 {
 		r := s.startReady()
 		for i := range 4 {
@@ -364,7 +355,7 @@
 		r.done <- nil
 		s.restarted = true
 	}
-	is.True(crashed() <= 3)
+	is.True(countStopped(s.services) <= 3)
 }
 
 // TestPathInUseIsNotQuarantined guards against the rejection of a path that is asked for all
--- a/edge/tainted_test.go
+++ b/edge/tainted_test.go
@@ -50,10 +50,13 @@
 }
 
 // crashes returns the number of engines that have crashed.
-func (s *taintedSite) crashes() int {
+func (s *taintedSite) crashes() int { return countStopped(s.decode) }
+
+// countStopped returns how many of the replicas have crashed or were stopped.
+func countStopped(replicas []*extsim.Replica) int {
 	n := 0
-	for _, d := range s.decode {
-		if d.Stopped() {
+	for _, r := range replicas {
+		if r.Stopped() {
 			n++
 		}
 	}
--- a/soak/deadly.go
+++ b/soak/deadly.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"syscall"
-	"time"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/extsim"
@@ -110,10 +109,10 @@
 // read its settings again.
 func (g *rig) change(ctx context.Context, e *entry, s Step, r *rand.Rand) {
 	defer g.outage(Change, -1, -1)()
-	offset := time.Duration(r.IntN(500)) * time.Millisecond
+	offset := clock.Millis(r.IntN(500))
 	hup := r.IntN(2) == 0
 	g.steps.Go(func() {
-		_ = sleep(ctx, clock.Millis(r.IntN(2))*clock.Millis(offset.Milliseconds()))
+		_ = sleep(ctx, clock.Millis(r.IntN(2))*offset)
 		g.wakeCallers()
 		if hup {
 			g.signal(e, Hup, syscall.SIGHUP)
@@ -122,7 +121,7 @@
 		}
 	})
 	g.publish(newRand(s.Seed, 5))
-	_ = sleep(ctx, clock.Millis(offset.Milliseconds()))
+	_ = sleep(ctx, offset)
 	g.publish(newRand(s.Seed, 6))
 	g.wakeCallers()
 }
