edge, platform, sock: the log tells the outcome of each request of a stop

Each request that ends during a stop is logged with the instants of its arrival and its end, its status, the bytes written and whether the entry takes the answer for complete; each connection that is closed with unread or unacknowledged bytes, and the end of the stop with the requests that it leaves, have lines too.

--- a/edge/conns.go
+++ b/edge/conns.go
@@ -15,6 +15,8 @@
 type callerListener struct {
 	net.Listener
 	limits func() core.InputLimits
+	// onClose is called before a connection is closed. It must not block.
+	onClose func(*net.TCPConn)
 }
 
 // Accept implements [net.Listener].
@@ -27,7 +29,7 @@
 	if !ok {
 		return c, nil
 	}
-	return &callerConn{TCPConn: tcp, limits: l.limits, phase: waiting}, nil
+	return &callerConn{TCPConn: tcp, limits: l.limits, onClose: l.onClose, phase: waiting}, nil
 }
 
 // phase is what a connection of a caller is used for.
@@ -46,7 +48,8 @@
 // are constant, and a new connection has the time for a head to send its first byte.
 type callerConn struct {
 	*net.TCPConn
-	limits func() core.InputLimits
+	limits  func() core.InputLimits
+	onClose func(*net.TCPConn)
 
 	mu    sync.Mutex
 	phase phase
@@ -65,6 +68,12 @@
 	return n, err
 }
 
+// Close implements [net.Conn].
+func (c *callerConn) Close() error {
+	c.onClose(c.TCPConn)
+	return c.TCPConn.Close()
+}
+
 // SetReadDeadline implements [net.Conn].
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -52,9 +52,10 @@
 	startedAt clock.Millis
 	// leaving is set once the entry has begun to stop.
 	leaving atomic.Bool
-	// stopBy is the instant at which a stop ends, and lingerUntil that until which
-	// callers that have the address are served; both are set before leaving.
-	stopBy, lingerUntil atomic.Int64
+	// stopBegun and stopBy are the instants at which a stop begins and ends, and
+	// lingerUntil that until which callers that have the address are served; all are set
+	// before leaving.
+	stopBegun, stopBy, lingerUntil atomic.Int64
 	// peerWork is signalled when a peer has sent its work. It wakes wakeQueues.
 	peerWork notify.Signal
 	// applyMu serializes applyPool.
@@ -222,7 +223,9 @@
 func (e *Edge) listen(ctx context.Context) ([]*server, error) {
 	s := e.Settings
 	e.inFlight = flight.Tracker{Clock: e.Clock, ID: platform.RequestID}
-	ingress := e.server(e.inFlight.Track(&platform.Ingress{Runner: callerRunner{e}, Clock: e.Clock, Meter: &e.meter, Log: e.Log}, e.leaving.Load))
+	ingress := e.server(e.inFlight.Track(&platform.Ingress{
+		Runner: callerRunner{e}, Clock: e.Clock, Meter: &e.meter, Log: e.Log, OnEnd: e.logOutcome,
+	}, e.leaving.Load))
 	ingress.ConnState = func(c net.Conn, state http.ConnState) {
 		setPhase(c, state)
 		e.inFlight.ConnState(c, state)
@@ -257,7 +260,7 @@
 		}
 		h.ln = ln
 		if h.callers {
-			h.ln = callerListener{Listener: ln, limits: callerRunner{e}.Limits}
+			h.ln = callerListener{Listener: ln, limits: callerRunner{e}.Limits, onClose: e.logPending}
 		}
 		all = append(all, &h.server)
 	}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -11,6 +11,8 @@
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/flight"
+	"lacewinghook.example/lacewinghook/platform"
+	"lacewinghook.example/lacewinghook/sock"
 )
 
 // stop performs a graceful shutdown. It announces that the entry is leaving and
@@ -22,6 +24,7 @@
 	grace := e.Settings.Fleet.Grace.Millis()
 	linger := min(addressCacheFactor*e.Settings.Fleet.Keep+lookupTime, grace/2)
 	end := begun + grace - min(killMargin, grace/10)
+	e.stopBegun.Store(int64(begun))
 	e.stopBy.Store(int64(end))
 	e.lingerUntil.Store(int64(begun + linger + flight.AcceptTime))
 	e.leaving.Store(true)
@@ -67,6 +70,7 @@
 			e.Log.Warn("edge: closing a server failed", zap.Stringer("addr", s.ln.Addr()), zap.Error(err))
 		}
 	}
+	e.Log.Info("edge: servers closed", zap.Int64("since_stop", int64(e.Clock.Now()-begun)), zap.Int("in_flight", e.inFlight.Len()))
 }
 
 // endRequests ends the requests that are left at the end of the grace period, and waits
@@ -92,6 +96,32 @@
 	})
 }
 
+// logOutcome logs how a request ended that was in flight during a stop, also one that was
+// answered in full: what is lost after that leaves no other line.
+func (e *Edge) logOutcome(o platform.Outcome) {
+	if !e.leaving.Load() {
+		return
+	}
+	begun := clock.Millis(e.stopBegun.Load())
+	e.Log.Info("edge: request ended during the stop", zap.String("request", o.ID), zap.Int64("arrived", int64(o.Arrived-begun)),
+		zap.Int64("ended", int64(e.Clock.Now()-begun)), zap.Int("status", o.Status), zap.Int64("written", o.Written), zap.Bool("complete", o.Complete))
+}
+
+// logPending logs that a connection is closed during a stop while bytes of its caller are
+// unread or bytes sent to it are not acknowledged.
+func (e *Edge) logPending(c *net.TCPConn) {
+	if !e.leaving.Load() {
+		return
+	}
+	unread, unsent, err := sock.Pending(c)
+	if err != nil || unread == 0 && unsent == 0 {
+		// An error means that the connection has failed already.
+		return
+	}
+	e.Log.Info("edge: connection closed during the stop with bytes pending", zap.Stringer("caller", c.RemoteAddr()),
+		zap.Int64("since_stop", int64(e.Clock.Now())-e.stopBegun.Load()), zap.Int("unread", unread), zap.Int("unsent", unsent))
+}
+
 // checkFinishes returns an error for a request that a stopping entry may not finish: one
 // whose deadline is after the end of the stop, if it may take longer than is left. Once
 // callers have no reason to have the address of the entry, it is also rejected if too
--- a/hserv/writer.go
+++ b/hserv/writer.go
@@ -16,6 +16,8 @@
 	Timeout clock.Millis
 	// Started is set once the head of the response may have been written.
 	Started bool
+	// Status is the status of the response, zero before Reply.
+	Status int
 	// Written counts the bytes of the body, and Err is the first error of a write.
 	Written int64
 	Err     error
@@ -31,6 +33,7 @@
 // be short, they are sent together with it.
 func (w *Writer) Reply(r core.Reply) error {
 	w.Started = true
+	w.Status = r.Status
 	w.remaining = r.Length
 	h := w.Response.Header()
 	for name, values := range r.Header {
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -5,6 +5,7 @@
 	"net"
 	"syscall"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
 	"lacewinghook.example/lacewinghook/clock"
@@ -54,3 +55,19 @@
 	}
 	return optErr
 }
+
+// Pending returns how many received bytes of c have not been read, and how many sent bytes
+// have not been acknowledged by the peer. Closing a connection with unread bytes resets
+// it, and the peer may then lose what it has not received.
+func Pending(c syscall.Conn) (unread, unsent int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, 0, err
+	}
+	var inErr, outErr error
+	err = raw.Control(func(fd uintptr) {
+		unread, inErr = unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+		unsent, outErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	return unread, unsent, errors.Join(err, inErr, outErr)
+}
--- a/sock/sock_test.go
+++ b/sock/sock_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"golang.org/x/sys/unix"
@@ -57,3 +58,33 @@
 		})
 	}
 }
+
+// TestPending checks that unread and unacknowledged bytes are counted.
+func TestPending(t *testing.T) {
+	is := is.New(t)
+	ln, err := sock.Listen(t.Context(), "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	dialed, err := sock.Dialer(clock.Second).DialContext(t.Context(), "tcp", ln.Addr().String())
+	is.NoErr(err)
+	defer dialed.Close()
+	accepted, err := ln.Accept()
+	is.NoErr(err)
+	defer accepted.Close()
+	_, err = dialed.Write([]byte("request"))
+	is.NoErr(err)
+	one := make([]byte, 1)
+	_, err = accepted.Read(one)
+	is.NoErr(err)
+	unread, unsent, err := sock.Pending(accepted.(*net.TCPConn))
+	is.NoErr(err)
+	is.Equal(unread, len("request")-1)
+	is.Equal(unsent, 0)
+	// The peer doesn't read, so that some of what is sent stays unacknowledged.
+	is.NoErr(accepted.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)))
+	_, err = accepted.Write(make([]byte, 64<<20))
+	is.True(err != nil)
+	_, unsent, err = sock.Pending(accepted.(*net.TCPConn))
+	is.NoErr(err)
+	is.True(unsent > 0)
+}
