soak, extsim: long answers, slow callers and late requests around stops

Replicas now work for up to 12.5 s on a request, with silent spells in streams; the share of long requests and the speed change during a run. Keepers hold a connection to each entry and send on it at a drawn time after its SIGTERM, most between 2.9 s and 7.5 s. Some callers read slowly with a small receive buffer, some send a part of their next request early. Each run has a roll, and half of the rolls stop the next entry 1 to 3.5 s later.

The excuse is that of LOST: sent no later than 3 s after SIGTERM, and a replica still at work in the last sixth of the grace period. What it excuses is counted in a column of its own. An answer cut before its deadline is not excused by the last twentieth of it any more. The case "stream cut at the end of a stop" of TestChecks had a run that had ended 15 s before; it is replaced by cases for both halves of the rule.

--- a/extsim/caller.go
+++ b/extsim/caller.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Call is a request of a [Caller].
@@ -25,8 +27,16 @@
 	// Parts are the parts of the prompt between the first and the last one, each followed
 	// by a comma.
 	Parts string
+	// Tokens is the largest number of tokens of the answer that the request states, 70 if
+	// zero.
+	Tokens int
 	// HalfClose closes the sending side once the request is written.
 	HalfClose bool
+	// Ahead has the caller send a part of the head of a next request before the answer
+	// arrives. The connection can't be used for another call.
+	Ahead bool
+	// ReadPause is a pause before each read, which then returns at most slowRead bytes.
+	ReadPause time.Duration
 	// Patience is how long the caller reads; zero is without a limit.
 	Patience time.Duration
 }
@@ -58,18 +68,36 @@
 type Caller struct {
 	conn     net.Conn
 	received int64
+	pause    time.Duration
 	r        *bufio.Reader
 }
 
+// slowRead is the largest read of a caller that reads slowly.
+const slowRead = 2 << 10
+
 // Dial connects to an entry.
-func Dial(ctx context.Context, addr string) (*Caller, error) {
-	var d net.Dialer
+func Dial(ctx context.Context, addr string) (*Caller, error) { return DialBuffer(ctx, addr, 0) }
+
+// DialBuffer connects to an entry. The kernel's receive buffer has about the given number
+// of bytes; zero leaves it to the kernel.
+func DialBuffer(ctx context.Context, addr string, buffer int) (*Caller, error) {
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		if buffer == 0 {
+			return nil
+		}
+		cerr := raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, buffer) })
+		return errors.Join(cerr, err)
+	}}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "extsim: caller")
 	}
 	c := &Caller{conn: conn}
 	c.r = bufio.NewReader(readerFunc(func(p []byte) (int, error) {
+		if c.pause > 0 {
+			time.Sleep(c.pause)
+			p = p[:min(len(p), slowRead)]
+		}
 		n, err := conn.Read(p)
 		c.received += int64(n)
 		return n, err
@@ -91,6 +119,7 @@
 	defer func() { a.Ended = time.Now() }()
 	a.Stray = c.r.Buffered() > 0
 	before := c.received
+	c.pause = call.ReadPause
 	defer func() { a.Received = c.received - before }()
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Now()) })
 	defer stop()
@@ -102,6 +131,10 @@
 		return a
 	}
 	a.Sent = time.Now()
+	if call.Ahead {
+		// An error shows in the answer.
+		_, _ = io.WriteString(c.conn, "POST /ahead HTTP/1.1\r\nHost: ")
+	}
 	if tcp, ok := c.conn.(*net.TCPConn); ok && call.HalfClose {
 		_ = tcp.CloseWrite()
 	}
@@ -141,7 +174,11 @@
 		b.WriteString("Lacewinghook-Deadline-Ms: " + strconv.FormatInt(c.Deadline.Milliseconds(), 10) + "\r\n")
 	}
 	if c.Generates {
-		fmt.Fprintf(&b, "Lacewinghook-Model: m\r\nLacewinghook-Token-Counts: 3000,70\r\nLacewinghook-Prefix-Hash: 5c1e07a2:200,%s%s:2800\r\n", c.Parts, c.ID)
+		tokens := c.Tokens
+		if tokens == 0 {
+			tokens = 70
+		}
+		fmt.Fprintf(&b, "Lacewinghook-Model: m\r\nLacewinghook-Token-Counts: 3000,%d\r\nLacewinghook-Prefix-Hash: 5c1e07a2:200,%s%s:2800\r\n", tokens, c.Parts, c.ID)
 	}
 	return b.String() + "\r\n" + c.Body
 }
--- a/extsim/replica.go
+++ b/extsim/replica.go
@@ -92,6 +92,8 @@
 	PrefillTime time.Duration
 	// Work, if not nil, returns how long a plain service runs a request with this ID.
 	Work func(id string) time.Duration
+	// Pace, if not nil, returns how the answer to the request with this ID is made.
+	Pace func(id string) Pace
 
 	mu            sync.Mutex
 	server        *httptest.Server
@@ -436,8 +438,11 @@
 	h := w.Header()
 	h.Set("Lacewinghook-Replica-Signature", "sig."+id)
 	answer := r.Body
+	if r.Pace != nil {
+		answer = strings.Repeat(r.Body, max(1, r.Pace(id).Parts))
+	}
 	if r.Tagged {
-		answer = TaggedBody(id, r.Body)
+		answer = TaggedBody(id, answer)
 	}
 	if !r.fallSilent(hr, SilentHead) {
 		return
@@ -583,7 +588,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	cut := r.consumeFault(CutAnswer)
-	for n := lastID + 1; n <= r.EventCount; n++ {
+	pace := r.paceOf(id)
+	for n := lastID + 1; n <= pace.Events; n++ {
 		if n == lastID+3 && !r.fallSilent(hr, SilentStream) {
 			return
 		}
@@ -599,12 +605,11 @@
 		}
 		_, _ = io.WriteString(w, event)
 		_ = controller.Flush()
-		select {
-		case <-time.After(r.EventInterval):
-		case <-hr.Context().Done():
-			r.mu.Lock()
-			r.canceledRuns++
-			r.mu.Unlock()
+		pause := pace.Interval
+		if slices.Contains(pace.Silent, n) {
+			pause += r.Silence
+		}
+		if pause > 0 && !r.work(hr, pause) {
 			return
 		}
 	}
--- a/extsim/run.go
+++ b/extsim/run.go
@@ -18,6 +18,45 @@
 	Ended time.Time
 }
 
+// Pace is how the answer to one request is made. Zero fields mean those of the [Replica].
+type Pace struct {
+	// Events is the number of events of a stream, and Interval the time between two.
+	Events   int           `json:"events,omitempty"`
+	Interval time.Duration `json:"interval,omitempty"`
+	// Silent lists the events after which the replica is silent for [Replica.Silence].
+	Silent []int `json:"silent,omitempty"`
+	// Parts is how often the answer of a plain service repeats [Replica.Body].
+	Parts int `json:"parts,omitempty"`
+}
+
+// paceOf returns how the stream of the request with this ID is made.
+func (r *Replica) paceOf(id string) Pace {
+	var p Pace
+	if r.Pace != nil {
+		p = r.Pace(id)
+	}
+	if p.Events == 0 {
+		p.Events = r.EventCount
+	}
+	if p.Interval == 0 {
+		p.Interval = r.EventInterval
+	}
+	return p
+}
+
+// Running returns the number of executions that have not ended.
+func (r *Replica) Running() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, run := range r.runLog {
+		if run.Ended.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // Grant is a KV handle or a hold that a [Replica] has given out.
 type Grant struct {
 	// Name is the address and handle or the replica and hold, ID the request of a handle.
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -25,9 +25,11 @@
 	maxReuse = 40
 	// late is how long after its deadline a request may be unanswered.
 	late clock.Millis = 500
-	// Of oneIn requests one caller leaves before the answer, and one closes its
-	// sending side.
+	// Of oneIn requests one caller leaves before the answer, one closes its sending side,
+	// and one sends a part of the next request too early.
 	oneIn = 25
+	// One connection in slowIn is read slowly.
+	slowIn = 3
 	// maxStay is the longest time after which a leaving caller leaves.
 	maxStay clock.Millis = 400
 )
@@ -46,38 +48,60 @@
 func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		e := c.g.entries[c.r.IntN(len(c.g.entries))]
-		dialCtx, cancel := context.WithTimeout(ctx, dialTimeout.Duration())
-		boot := e.currentBoot()
-		conn, err := extsim.Dial(dialCtx, e.settings.Callers.Listen)
-		cancel()
-		if err == nil && boot != e.currentBoot() {
-			// It isn't certain to which process the connection belongs.
-			conn.Close()
-			continue
-		}
-		if err != nil {
+		conn, boot, slow := c.dial(ctx, e)
+		if conn == nil {
 			// The entry is down, or has stopped to listen: the caller takes another one.
 			_ = sleep(ctx, dialPause)
 			continue
 		}
-		c.use(ctx, e, boot, conn)
+		c.use(ctx, e, boot, conn, slow)
+		conn.Close()
+	}
+}
+
+// dial connects to an entry. It returns nil if that fails, or if it isn't certain to which
+// process the connection belongs. slow tells that it is to be read slowly.
+func (c *caller) dial(ctx context.Context, e *entry) (conn *extsim.Caller, boot int, slow bool) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout.Duration())
+	defer cancel()
+	buffer := 0
+	if slow = c.r.IntN(slowIn) == 0; slow {
+		buffer = slowBuffer
+	}
+	boot = e.currentBoot()
+	conn, err := extsim.DialBuffer(ctx, e.settings.Callers.Listen, buffer)
+	if err != nil {
+		return nil, 0, false
+	}
+	if boot != e.currentBoot() {
 		conn.Close()
+		return nil, 0, false
 	}
+	return conn, boot, slow
+}
+
+// ask sends a request and records its answer. It returns false if the connection can't be
+// used for another one.
+func (c *caller) ask(ctx context.Context, conn *extsim.Caller, q *Request, call extsim.Call, slow bool) bool {
+	if q.Slow = slow; slow {
+		call.ReadPause = time.Duration(c.r.Int64N(int64(maxReadPause)))
+	}
+	a := conn.Ask(context.WithoutCancel(ctx), call)
+	if a.Impatient {
+		// The caller has left only now.
+		conn.Close()
+		a.Ended = time.Now()
+	}
+	c.g.answered(q, a)
+	return a.Complete && !a.Closes && !call.HalfClose && !call.Ahead
 }
 
 // use sends requests on a connection while it can be used, whatever the entry says of
 // its readiness.
-func (c *caller) use(ctx context.Context, e *entry, boot int, conn *extsim.Caller) {
+func (c *caller) use(ctx context.Context, e *entry, boot int, conn *extsim.Caller, slow bool) {
 	for nth := range 1 + c.r.IntN(maxReuse) {
-		q, call := c.next(e.n, boot, nth)
-		a := conn.Ask(context.WithoutCancel(ctx), call)
-		if a.Impatient {
-			// The caller has left only now.
-			conn.Close()
-			a.Ended = time.Now()
-		}
-		c.g.answered(&q, a)
-		if !a.Complete || a.Closes || call.HalfClose {
+		q, call := c.next(e.n, boot, nth, c.g.moodAt(c.g.now()))
+		if !c.ask(ctx, conn, &q, call, slow) {
 			return
 		}
 		select {
@@ -89,8 +113,8 @@
 	}
 }
 
-// next returns the next request to an entry.
-func (c *caller) next(entry, boot, nth int) (Request, extsim.Call) {
+// next returns the next request to an entry. Its answer is one that m may ask for.
+func (c *caller) next(entry, boot, nth int, m mood) (Request, extsim.Call) {
 	c.sent++
 	s := shapes[c.r.IntN(len(shapes))]
 	id := fmt.Sprintf("%04x%04x%08x", c.seed&0xffff, c.n, c.sent)
@@ -104,9 +128,15 @@
 	q.Target = prefix + id
 	body := strings.Repeat(id, 1+c.r.IntN(60))
 	q.Digest = extsim.BodyDigest(body)
+	pace, time := m.draw(c.r, s)
+	q.Pace, q.Deadline = pace, s.Deadline
+	if !s.Stream && time == 0 {
+		q.Deadline = shortDeadline
+	}
+	c.g.paces.Store(id, work{pace, time})
 	call := extsim.Call{
-		ID: id, Host: host, Path: q.Target, Body: body, Deadline: s.Deadline.Duration(), Generates: s.Stream,
-		Patience: (s.Deadline + late).Duration(),
+		ID: id, Host: host, Path: q.Target, Body: body, Deadline: q.Deadline.Duration(), Generates: s.Stream,
+		Patience: (q.Deadline + late).Duration(), Tokens: c.g.tokens(c.r, pace),
 	}
 	switch c.r.IntN(oneIn) {
 	case 0:
@@ -114,6 +144,8 @@
 		call.Patience = clock.Millis(1 + c.r.Int64N(int64(maxStay))).Duration()
 	case 1:
 		q.HalfClose, call.HalfClose = true, true
+	case 2:
+		q.Ahead, call.Ahead = true, true
 	}
 	return q, call
 }
@@ -141,10 +173,7 @@
 // checkAnswer returns what is wrong with an answer itself, empty if nothing is.
 func checkAnswer(q *Request, a extsim.Answer) string {
 	s := shapeOf(q.Shape)
-	want := extsim.TaggedBody(q.ID, answerBody)
-	if s.Stream {
-		want = extsim.TaggedEvents(q.ID, 0, eventCount)
-	}
+	want := wantBody(q)
 	ok := a.Status >= 200 && a.Status < 300
 	switch {
 	case a.Stray:
--- a/soak/check.go
+++ b/soak/check.go
@@ -31,6 +31,8 @@
 	transitTime clock.Millis = 50
 	// stableWindow is how long an outage of the store or a freeze excuses afterwards.
 	stableWindow = 3 * clock.Second
+	// deadlineSlack is how much earlier than a caller an entry takes a deadline for reached.
+	deadlineSlack clock.Millis = 100
 	// lastSent is the time after SIGTERM up to which a request may still be cut in the
 	// last sixth of the grace period.
 	lastSent = 3 * clock.Second
@@ -125,6 +127,7 @@
 	NotWhole  Outcome = "not whole"
 	Crossed   Outcome = "crossed"
 	Excused   Outcome = "excused"
+	StopCut   Outcome = "cut by stop" // excused by [index.cutAtEnd]
 	Lost      Outcome = "lost"
 )
 
@@ -133,7 +136,7 @@
 
 // outcome tells how a request ended and, for one that was lost, what was seen.
 func (x *index) outcome(q Request) (Outcome, string) {
-	s, b := shapeOf(q.Shape), x.boot(q)
+	b := x.boot(q)
 	switch {
 	case q.Left:
 		return LeftEarly, ""
@@ -151,8 +154,8 @@
 		return Excused, ""
 	case q.Impatient && x.stalled(q.Sent, q.Ended) > late:
 		return Excused, ""
-	case b.Term > 0 && q.Sent <= b.Term+lastSent && q.Ended >= b.Term+x.Grace*5/6 && len(x.runs[q.ID]) > 0:
-		return Excused, ""
+	case x.cutAtEnd(q):
+		return StopCut, ""
 	case q.Impatient:
 		return Lost, fmt.Sprintf("no whole answer %d ms after it was sent, %d bytes received", q.Ended-q.Sent, q.Received)
 	case q.Received == 0:
@@ -165,12 +168,21 @@
 		// A caller that closes its sending side looks like one that leaves, whose work
 		// has to end. It gets an answer only as long as none has begun.
 		return Excused, ""
-	case q.Ended-q.Sent >= s.Deadline*19/20:
+	case q.Ended-q.Sent >= q.Deadline-deadlineSlack:
 		return Excused, ""
 	case slices.ContainsFunc(x.runs[q.ID], func(r Execution) bool { return x.replicaOut(r.Replica, q.Sent, q.Ended, linkFaults...) }):
 		return Excused, ""
 	}
-	return Lost, fmt.Sprintf("cut after %d ms and %d bytes: %s; SIGTERM at %d ms", q.Ended-q.Sent, q.Received, q.Err, b.Term)
+	return Lost, fmt.Sprintf("cut after %d ms and %d bytes: %s; SIGTERM at %d ms; next request begun %v, read slowly %v", q.Ended-q.Sent, q.Received, q.Err, b.Term, q.Ahead, q.Slow)
+}
+
+// cutAtEnd reports whether a request was sent no later than lastSent after SIGTERM, and
+// ended in the last sixth of the grace period, in which a replica was still at work on it.
+func (x *index) cutAtEnd(q Request) bool {
+	b := x.boot(q)
+	from := b.Term + x.Grace*5/6
+	return b.Term > 0 && q.Sent <= b.Term+lastSent && q.Ended >= from &&
+		slices.ContainsFunc(x.runs[q.ID], func(r Execution) bool { return r.Ended < 0 || r.Ended >= from })
 }
 
 // checkAnswered reports requests that ended without an answer.
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -18,7 +18,7 @@
 	h.Boots = []Boot{{Entry: 0, Boot: 1, From: 2, Term: 30000, To: 34000}, {Entry: 0, Boot: 2, From: 34500, Term: 49000, To: 50000}}
 	for i, s := range shapes {
 		q := Request{
-			ID: s.Name, Shape: s.Name, Boot: 1, Target: "/" + s.Name, Digest: "d", Whole: true, Sent: 15000, Ended: 15500,
+			ID: s.Name, Shape: s.Name, Boot: 1, Target: "/" + s.Name, Digest: "d", Whole: true, Sent: 15000, Ended: 15500, Deadline: s.Deadline,
 			Received: 300, Status: 200, Complete: true,
 		}
 		if s.Probe {
@@ -82,7 +82,13 @@
 		"stream cut, other replica reset":     {func(h *History) { cut(h, verse); outage(h, Reset, -1, once) }, "LOST"},
 		"stream cut, replica silent":          {func(h *History) { cut(h, verse); outage(h, Silent, -1, verse) }, "LOST"},
 		"stream cut, replica leaves":          {func(h *History) { cut(h, verse); outage(h, Leave, -1, verse) }, "LOST"},
-		"stream cut at the end of a stop":     {func(h *History) { q := cut(h, verse); q.Sent, q.Ended = 30500, 37500 }, ""},
+		"stream cut at the end of a stop":     {func(h *History) { cutAt(h, 30500, 37500, 37510) }, ""},
+		"cut there, sent too late":            {func(h *History) { cutAt(h, 33100, 37500, 37510) }, "LOST"},
+		"cut there, replica at work before":   {func(h *History) { cutAt(h, 30500, 37500, 36600) }, "LOST"},
+		"cut there, replica never ends":       {func(h *History) { cutAt(h, 30500, 37500, -1) }, ""},
+		"cut earlier, replica never ends":     {func(h *History) { cutAt(h, 30500, 36600, -1) }, "LOST"},
+		"cut at the deadline":                 {func(h *History) { cutAt(h, 33100, 47050, 47050) }, ""},
+		"cut before the deadline":             {func(h *History) { cutAt(h, 33100, 46900, 46900) }, "LOST"},
 		"stream cut in a stop":                {func(h *History) { q := cut(h, verse); q.Sent, q.Ended = 30500, 33000 }, "LOST"},
 		"run twice":                           {func(h *History) { again(h, once) }, "TWICE"},
 		"stream run twice":                    {func(h *History) { again(h, verse) }, "TWICE"},
@@ -153,6 +159,13 @@
 	q.Sent, q.Ended = 33000, 33000+d
 }
 
+// cutAt has a stream of a stopping entry end without its end, and its run end at some time.
+func cutAt(h *History, sent, ended, run clock.Millis) {
+	q := &h.Requests[verse]
+	q.Complete, q.Sent, q.Ended = false, sent, ended
+	h.Runs[verse].Begun, h.Runs[verse].Ended = sent+1, run
+}
+
 // again adds another run of a request.
 func again(h *History, n int) {
 	r := h.Runs[n]
--- a/soak/deadly.go
+++ b/soak/deadly.go
@@ -96,7 +96,7 @@
 	defer conn.Close()
 	verse := shapeOf("verse")
 	id := fmt.Sprintf("%08x%08x", uint32(s.Seed), n)
-	q := Request{ID: id, Shape: verse.Name, Entry: e.n, Boot: boot, Target: verse.Prefix + id}
+	q := Request{ID: id, Shape: verse.Name, Entry: e.n, Boot: boot, Target: verse.Prefix + id, Deadline: verse.Deadline}
 	body := strings.Repeat(id, 2)
 	q.Digest = extsim.BodyDigest(body)
 	g.answered(&q, conn.Ask(context.WithoutCancel(ctx), extsim.Call{
--- a/soak/history.go
+++ b/soak/history.go
@@ -38,7 +38,8 @@
 	// Stream is set if the answer consists of events, Repeatable if the request may run
 	// more than once, and Probe if the route belongs to one version of the manifest.
 	Stream, Repeatable, Probe bool
-	Deadline                  clock.Millis
+	// Deadline is the longest one of a request, see [shortDeadline].
+	Deadline clock.Millis
 }
 
 // Request is a request and its answer, as the caller saw them.
@@ -51,11 +52,18 @@
 	Nth    int    `json:"nth"`
 	Target string `json:"target"`
 	Digest string `json:"digest"`
+	// Pace is how the answer is made.
+	Pace     extsim.Pace  `json:"pace"`
+	Deadline clock.Millis `json:"deadline"`
 	// Version is the version of the manifest that has added the route of a probe.
 	Version int `json:"version,omitempty"`
 	// Left is set if the caller closed the connection before the answer.
-	Left      bool         `json:"left,omitempty"`
-	HalfClose bool         `json:"half_close,omitempty"`
+	Left      bool `json:"left,omitempty"`
+	HalfClose bool `json:"half_close,omitempty"`
+	// Ahead is set if bytes of a next request follow this one, and Slow if the caller reads
+	// slowly.
+	Ahead     bool         `json:"ahead,omitempty"`
+	Slow      bool         `json:"slow,omitempty"`
 	Whole     bool         `json:"whole"`
 	Sent      clock.Millis `json:"sent"`
 	Ended     clock.Millis `json:"ended"`
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -28,6 +28,13 @@
 	g.steps.Wait()
 }
 
+// minRollGap and maxRollGap limit the time between two stops of a slow roll. Its stops
+// overlap.
+const (
+	minRollGap              = 1 * clock.Second
+	maxRollGap clock.Millis = 3500
+)
+
 // sleep waits for d, or until ctx ends.
 func sleep(ctx context.Context, d clock.Millis) error { return clock.Clock{}.Sleep(ctx, d) }
 
@@ -42,9 +49,13 @@
 	case Term:
 		g.restart(ctx, e, s)
 	case Roll:
+		gap := s.For / clock.Millis(len(g.entries))
+		if r.IntN(2) == 0 {
+			gap = minRollGap + clock.Millis(r.Int64N(int64(maxRollGap-minRollGap)))
+		}
 		for _, e := range g.entries {
 			g.steps.Go(func() { g.restart(ctx, e, s) })
-			_ = sleep(ctx, s.For/clock.Millis(len(g.entries)))
+			_ = sleep(ctx, gap)
 		}
 	case Kill:
 		g.restart(ctx, e, s)
@@ -213,14 +224,20 @@
 	g.mu.Lock()
 	c.left = time.Now()
 	g.mu.Unlock()
-	// A replica serves a little longer than it has to.
-	_ = sleep(ctx, drain+eventsTime)
+	// A replica serves a little longer than it has to, and ends what it has.
+	_ = sleep(ctx, drain+drainSlack)
+	for c.sim.Running() > 0 && sleep(ctx, drainInterval) == nil {
+	}
 	g.store.Remove(extsim.ReplicaTable, c.sim.ID)
 	c.sim.Stop()
 }
 
-// eventsTime is longer than any stream of a stand-in takes.
-const eventsTime = 4 * clock.Second
+// drainSlack is the time after the last instant at which a request may reach a replica that
+// leaves, and drainInterval the time between two looks at whether it still works.
+const (
+	drainSlack                 = 2 * clock.Second
+	drainInterval clock.Millis = 50
+)
 
 // listens reports whether the process has begun to serve callers. Before that, its program
 // may not run yet, and a signal that it has to handle would end it. The caller holds state.
@@ -251,6 +268,7 @@
 	switch {
 	case s == syscall.SIGTERM && e.boot.Term == 0:
 		e.boot.Term = now
+		close(e.term)
 	case s == syscall.SIGKILL && e.boot.Kill == 0:
 		e.boot.Kill = now
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -126,6 +126,11 @@
 			next += clock.Millis(r.Int64N(int64(maxGap)))
 		}
 	}
+	if slices.Contains(planned, Roll) && end > warmUp {
+		// Each run has a roll, so that a short one also has entries that stop and start again.
+		at := warmUp + clock.Millis(r.Int64N(int64(end-warmUp)/2))
+		steps = append(steps, Step{At: at, Kind: Roll, Target: r.IntN(1 << 16), For: longest, Seed: r.Uint64()})
+	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
--- a/soak/report.go
+++ b/soak/report.go
@@ -73,7 +73,7 @@
 // WriteTable writes the results as a table and the findings below it.
 func WriteTable(w io.Writer, results []*Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	columns := []Outcome{Answered, Refused, Failed, LeftEarly, NotWhole, Crossed, Excused, Lost}
+	columns := []Outcome{Answered, Refused, Failed, LeftEarly, NotWhole, Crossed, Excused, StopCut, Lost}
 	fmt.Fprint(t, "seed\tsteps\trequests\t")
 	for _, c := range columns {
 		fmt.Fprintf(t, "%s\t", c)
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -70,6 +70,8 @@
 	up    bool
 	// listening is set once the process was seen to serve callers.
 	listening bool
+	// term is closed when the process gets SIGTERM.
+	term chan struct{}
 }
 
 // rig is the platform, the replicas and the entries of a run.
@@ -92,6 +94,9 @@
 	ready    []*replica
 	manifest int
 	probes   []int
+	// paces has the work on each request, by its ID.
+	paces sync.Map
+	seed  uint64
 	// burst is closed and replaced when callers shall send at once.
 	burst chan struct{}
 }
@@ -99,7 +104,7 @@
 // newRig starts everything and returns once all entries are ready. close must be called
 // also if it returns an error.
 func newRig(ctx context.Context, o Options, dir, program string, seed uint64) (*rig, error) {
-	g := &rig{recorder: recorder{start: time.Now()}, o: o, dir: dir, program: program, burst: make(chan struct{})}
+	g := &rig{recorder: recorder{start: time.Now()}, o: o, dir: dir, program: program, seed: seed, burst: make(chan struct{})}
 	g.running, g.endRun = context.WithCancel(ctx)
 	g.h.Grace = grace
 	g.store = extsim.StartStore()
@@ -173,12 +178,8 @@
 	r.sim = extsim.StartReplica(fmt.Sprintf("i-%04d", r.n), service, phase)
 	r.sim.Tagged, r.sim.Body, r.sim.EventCount = true, answerBody, eventCount
 	// Replicas differ in speed.
-	r.sim.Work = func(id string) time.Duration {
-		if strings.HasSuffix(id, "7") {
-			return longWork
-		}
-		return time.Duration(20+r.n%5*25) * time.Millisecond
-	}
+	r.sim.Work = func(id string) time.Duration { return g.workOf(id, time.Duration(20+r.n%5*25)*time.Millisecond) }
+	r.sim.Pace = g.paceOf
 	r.sim.EventInterval = time.Duration(10+r.n%4*20) * time.Millisecond
 	r.sim.PrefillTime = 20 * time.Millisecond
 	r.sim.Silence = time.Second
@@ -263,6 +264,13 @@
 	return e.boot.Boot
 }
 
+// stopping returns a channel that is closed when the current process gets SIGTERM.
+func (e *entry) stopping() <-chan struct{} {
+	e.state.Lock()
+	defer e.state.Unlock()
+	return e.term
+}
+
 // launch starts the process of an entry.
 func (g *rig) launch(e *entry) error {
 	data, err := json.Marshal(e.settings)
@@ -279,7 +287,7 @@
 	// Later starts belong to a system that runs already.
 	e.settings.Fleet.Fresh = false
 	e.state.Lock()
-	e.proc, e.up, e.listening = proc, true, false
+	e.proc, e.up, e.listening, e.term = proc, true, false, make(chan struct{})
 	e.boot = Boot{Entry: e.n, Boot: e.boot.Boot + 1, From: g.now()}
 	e.state.Unlock()
 	g.wait.Go(func() { g.watch(e, proc) })
--- a/soak/routes.go
+++ b/soak/routes.go
@@ -14,13 +14,16 @@
 
 // The shapes of requests. The routes of all but the last are in every version.
 var shapes = []Shape{
-	{Name: "once", Prefix: "/once/", Deadline: 4 * clock.Second},
-	{Name: "safe", Prefix: "/safe/", Deadline: 4 * clock.Second, Repeatable: true},
+	{Name: "once", Prefix: "/once/", Deadline: 14 * clock.Second},
+	{Name: "safe", Prefix: "/safe/", Deadline: 14 * clock.Second, Repeatable: true},
 	{Name: "verse", Prefix: "/verse/", Deadline: 14 * clock.Second, Stream: true},
 	{Name: "long", Prefix: "/long/", Deadline: 14 * clock.Second, Stream: true, Repeatable: true},
-	{Name: "probe", Deadline: 4 * clock.Second, Repeatable: true, Probe: true},
+	{Name: "probe", Deadline: shortDeadline, Repeatable: true, Probe: true},
 }
 
+// shortDeadline is the deadline of a short call.
+const shortDeadline = 4 * clock.Second
+
 // shapeOf returns the shape with a name.
 func shapeOf(name string) Shape {
 	for _, s := range shapes {
--- a/soak/run.go
+++ b/soak/run.go
@@ -81,6 +81,10 @@
 		c := &caller{g: g, n: n, seed: seed, r: newRand(seed, 1000+uint64(n))}
 		callers.Go(func() { c.run(callCtx) })
 	}
+	for n := range min(keepersPerEntry*len(g.entries), maxKeepers) {
+		c := &caller{g: g, n: maxCallers + n, seed: seed, r: newRand(seed, 1000+maxCallers+uint64(n))}
+		callers.Go(func() { c.keepOpen(callCtx, g.entries[n%len(g.entries)]) })
+	}
 	g.play(ctx, steps)
 	// Callers go on until the end of the time, also if the plan is empty.
 	_ = sleep(ctx, g.o.Duration-calmDown-g.now())
