edge: a stop takes no late stream that may outlast it

In the record streams sent 3.15 s and 3.20 s after SIGTERM were cut after 4350 ms and 4299 ms, at the end of the grace period.

Cause: how long other requests took was taken for a bound of this one. Up to 3.25 s after SIGTERM a stream was also taken if no other one had been seen, by a process that was just started; later ones were taken by the longest duration seen. An estimate fails as soon as the pace falls, and a stream that has begun can only be cut.

Once its caller has no reason to have the address of the entry, a stream is taken only if its deadline ends before the stop, and otherwise rejected at once as not run, with a Retry-After of 50 ms. That begins when the lists that callers have run out, less 200 ms by which a process may handle the signal late. Calls are still taken by an estimate: one that outlasts the stop gets 502, which is an answer.

TestStopCutsNoLateStream, two cases, both red before: "unexpected EOF".

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -52,10 +52,10 @@
 	startedAt clock.Millis
 	// leaving is set once the entry has begun to stop.
 	leaving atomic.Bool
-	// stopBegun and stopBy are the instants at which a stop begins and ends, and
-	// lingerUntil that until which callers that have the address are served; all are set
-	// before leaving.
-	stopBegun, stopBy, lingerUntil atomic.Int64
+	// stopBegun and stopBy are the instants at which a stop begins and ends, cachedUntil
+	// that until which callers may use the address lists that they have, and lingerUntil
+	// that until which new connections are accepted; all are set before leaving.
+	stopBegun, stopBy, cachedUntil, lingerUntil atomic.Int64
 	// peerWork is signalled when a peer has sent its work. It wakes wakeQueues.
 	peerWork notify.Signal
 	// applyMu serializes applyPool.
@@ -96,7 +96,7 @@
 	budgets  shard.Map[string, *limit.Window]
 	// inFlight tracks the requests and connections of callers.
 	inFlight flight.Tracker
-	// durations estimates how long the completions of a service take.
+	// durations estimates how long requests take.
 	durations flight.Durations
 }
 
--- a/edge/lost_test.go
+++ b/edge/lost_test.go
@@ -516,3 +516,46 @@
 		})
 	}
 }
+
+// TestStopCutsNoLateStream guards against a stream that a stopping entry takes after its
+// callers have had time to learn that it leaves, passes on, and cuts at the end of its grace
+// period: nothing is known of how long it may take, or it takes longer than others did.
+func TestStopCutsNoLateStream(t *testing.T) {
+	for name, observed := range map[string]int{"just started": 0, "streams slow down": 12} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			s.publish(2, 9000, "")
+			const events = 25
+			r := s.startReady()
+			setPace := func(pause time.Duration) {
+				for _, d := range s.decode {
+					d.EventCount, d.EventInterval = events, pause
+				}
+			}
+			setPace(time.Millisecond)
+			for i := range observed {
+				is.Equal(r.do(context.Background(), callerRequest{id: fmt.Sprint("before-", i), path: "/verse/a"}).body, streamBody(events))
+			}
+			setPace(100 * time.Millisecond)
+			conn := r.dial(t)
+			stopped := time.Now()
+			r.stop()
+			s.until("the entry isn't ready", func() bool { return !r.ready() })
+			// Callers keep a list of addresses for three times its lifetime.
+			time.Sleep(time.Until(stopped.Add(3*time.Duration(r.settings.Fleet.Keep)*time.Millisecond + 50*time.Millisecond)))
+			_, err := io.WriteString(conn, lateRequest(1, "/verse/a"))
+			is.NoErr(err)
+			got := readAnswer(conn)
+			is.NoErr(got.err)
+			if got.status == http.StatusServiceUnavailable {
+				is.Equal(s.runs("id-1"), 0)
+			} else {
+				is.Equal(got.body, streamBody(events))
+			}
+			is.NoErr(<-r.done)
+			r.done <- nil
+		})
+	}
+}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -27,6 +27,7 @@
 	e.stopBegun.Store(int64(begun))
 	e.stopBy.Store(int64(end))
 	e.lingerUntil.Store(int64(begun + linger + flight.AcceptTime))
+	e.cachedUntil.Store(int64(begun + min(addressCacheFactor*e.Settings.Fleet.Keep, linger) - signalDelay))
 	e.leaving.Store(true)
 	e.gossip.Trigger()
 	e.Log.Info("edge: leaving", zap.Int64("linger", int64(linger)), zap.Int64("grace", int64(grace)))
@@ -123,9 +124,7 @@
 }
 
 // checkFinishes returns an error for a request that a stopping entry may not finish: one
-// whose deadline is after the end of the stop, if it may take longer than is left. Once
-// callers have no reason to have the address of the entry, it is also rejected if too
-// little is known of how long it may take.
+// whose deadline is after the end of the stop, if it may take longer than is left.
 func (e *Edge) checkFinishes(r *core.Request) error {
 	if !e.leaving.Load() {
 		return nil
@@ -135,29 +134,42 @@
 		return nil
 	}
 	left := stopBy - now
-	longest, known := e.longestDuration(r, now >= clock.Millis(e.lingerUntil.Load()))
-	admitted := known && longest <= left
+	longest := e.longestDuration(r)
+	admitted := longest <= left
 	e.Log.Info("edge: request during the stop", zap.String("request", r.Opaque.ID), zap.Bool("admitted", admitted),
-		zap.Int64("left", int64(left)), zap.Int64("longest", int64(longest)), zap.Bool("known", known), zap.Int("tokens", r.MaxTokens))
+		zap.Int64("left", int64(left)), zap.Int64("longest", int64(longest)), zap.Int("tokens", r.MaxTokens))
 	if !admitted {
 		return codes.New(codes.Leaving, "%d ms are left, the request may take %d ms", left, longest).WithRetryAfter(leavingRetryAfter)
 	}
 	return nil
 }
 
-// longestDuration returns how long a request may take, by the requests of its kind that
-// have ended and the silence of a sound upstream. known is false if that is not enough to
-// rely on. late means that callers have no reason to have the address of the entry.
-func (e *Edge) longestDuration(r *core.Request, late bool) (longest clock.Millis, known bool) {
-	kind := durationKind(r.Opaque)
+// longestDuration returns how long a request may take, until its deadline at most.
+//
+// A stream whose caller has no reason any more to have the address may last until its
+// deadline: how long others took is no bound for it, and once its answer has begun it can
+// only be cut. For other requests the estimate is that of the requests of the kind that have
+// ended, and the silence of a sound upstream. A call that outlasts it is answered with a
+// failure.
+func (e *Edge) longestDuration(r *core.Request) clock.Millis {
+	o := r.Opaque
+	unbounded := r.Deadline - r.Arrived
+	if (o.Route.Stream || o.Route.Generates) && r.Arrived >= clock.Millis(e.cachedUntil.Load()) {
+		return unbounded
+	}
+	now, kind := e.Clock.Now(), durationKind(o)
 	usual := e.durations.Usual(kind)
 	longest, count := e.durations.Longest(kind, durationSize(r))
-	if late && !r.Opaque.Route.Generates && !r.Opaque.Route.Repeatable {
-		usual *= onceFactor
+	if now >= clock.Millis(e.lingerUntil.Load()) {
+		if count < minDurations {
+			return unbounded
+		}
+		if !o.Route.Repeatable {
+			usual *= onceFactor
+		}
 	}
 	silence := min(e.relay.LongestSilence(), e.Settings.Fleet.Grace.Millis()/maxSilenceShare)
-	bounded := !r.Opaque.Route.Generates || r.MaxTokens > 0
-	return max(usual, longest+silence), !late || count >= minDurations && bounded
+	return min(max(usual, longest+silence), unbounded)
 }
 
 // maxSilenceShare is the share of the grace period that is reserved for the silence of a
@@ -194,6 +206,9 @@
 	// leavingRetryAfter is the time after which a rejected caller may try another
 	// entry, which can take the request at once.
 	leavingRetryAfter clock.Millis = 50
+	// signalDelay is how late a process may handle SIGTERM that had no processor time. The
+	// times of a stop count from the signal.
+	signalDelay clock.Millis = 200
 	// killMargin is the time left for the process to exit before the platform
 	// kills it at the end of the grace period, at most a tenth of that. responseTime,
 	// a part of it, is the time in which the requests that are left get a response.
