flight, edge: a stop counts the requests that are still running

A stopping entry took streams in the first seconds after SIGTERM, while callers may have its address, by the durations of the requests that had ended. Of requests that begin together the short ones end first, so that a process that was just started, or whose streams have become slower, knew only of short ones.

A request that is running takes at least as long as it has run; its age counts now like a duration.

TestStopCountsRunningStreams: red before, "unexpected EOF" of a stream that was sent 0.1 s after SIGTERM beside four that had run for 3 s.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -19,9 +19,12 @@
 
 // Run implements [platform.Runner].
 func (c callerRunner) Run(ctx context.Context, r *core.Request, a *hserv.Writer) error {
+	kind := durationKind(r.Opaque)
+	key := c.edge.durations.Start(kind, r.Arrived)
+	defer c.edge.durations.End(key)
 	err := c.edge.relay.Run(ctx, r, a)
 	if err == nil {
-		c.edge.durations.Observe(durationKind(r.Opaque), durationSize(r), c.edge.Clock.Now()-r.Arrived)
+		c.edge.durations.Observe(kind, durationSize(r), c.edge.Clock.Now()-r.Arrived)
 	}
 	return err
 }
--- a/edge/lost_test.go
+++ b/edge/lost_test.go
@@ -559,3 +559,26 @@
 		})
 	}
 }
+
+// TestStopCountsRunningStreams guards against a stream that a stopping entry takes although
+// others of its kind have been running for longer than it has left.
+func TestStopCountsRunningStreams(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	r := s.startReady()
+	for _, d := range s.decode {
+		d.EventInterval = 100 * time.Millisecond
+	}
+	s.busy(1000)
+	time.Sleep(3 * time.Second)
+	r.stop()
+	s.until("the entry isn't ready", func() bool { return !r.ready() })
+	conn := r.dial(t)
+	_, err := io.WriteString(conn, lateRequest(1, "/verse/a"))
+	is.NoErr(err)
+	got := readAnswer(conn)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(s.runs("id-1"), 0)
+}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -149,8 +149,8 @@
 // A stream whose caller has no reason any more to have the address may last until its
 // deadline: how long others took is no bound for it, and once its answer has begun it can
 // only be cut. For other requests the estimate is that of the requests of the kind that have
-// ended, and the silence of a sound upstream. A call that outlasts it is answered with a
-// failure.
+// ended or are running, and the silence of a sound upstream. A call that outlasts it is
+// answered with a failure.
 func (e *Edge) longestDuration(r *core.Request) clock.Millis {
 	o := r.Opaque
 	unbounded := r.Deadline - r.Arrived
@@ -159,7 +159,7 @@
 	}
 	now, kind := e.Clock.Now(), durationKind(o)
 	usual := e.durations.Usual(kind)
-	longest, count := e.durations.Longest(kind, durationSize(r))
+	longest, count := e.durations.Longest(kind, durationSize(r), now)
 	if now >= clock.Millis(e.lingerUntil.Load()) {
 		if count < minDurations {
 			return unbounded
--- a/flight/durations.go
+++ b/flight/durations.go
@@ -1,6 +1,8 @@
 package flight
 
 import (
+	"sync/atomic"
+
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/shard"
 )
@@ -9,8 +11,27 @@
 // process can reject those that it could not finish. The zero value is ready to use.
 type Durations struct {
 	kinds shard.Map[string, duration]
+	// running holds the requests that have not ended.
+	running shard.Map[uint64, start]
+	lastKey atomic.Uint64
+}
+
+// start is the kind and the start of a running request.
+type start struct {
+	kind string
+	at   clock.Millis
+}
+
+// Start records that a request runs since at. End must be called with the returned key.
+func (d *Durations) Start(kind string, at clock.Millis) (key uint64) {
+	key = d.lastKey.Add(1)
+	d.running.Set(key, start{kind: kind, at: at})
+	return key
 }
 
+// End records that a request runs no more.
+func (d *Durations) End(key uint64) { d.running.Delete(key) }
+
 // Size is the length of a request's prompt and of the longest answer that it asks for, in
 // tokens; zero means unknown.
 type Size struct {
@@ -64,13 +85,22 @@
 
 // Longest returns the longest of the last durations of the kind, and how many were
 // observed, at most maxCount. If the size is larger than those of the requests that were
-// observed, it returns a proportionally longer duration.
-func (d *Durations) Longest(kind string, size Size) (longest clock.Millis, count int) {
+// observed, it returns a proportionally longer duration. A request that is running at now
+// takes at least as long as it has run: of requests that start together the short ones
+// are observed first.
+func (d *Durations) Longest(kind string, size Size, now clock.Millis) (longest clock.Millis, count int) {
 	k, _ := d.kinds.Get(kind)
 	all := k.current
 	all.include(k.before)
 	scale := max(1, ratio(size.Prompt, all.size.Prompt), ratio(size.Answer, all.size.Answer))
-	return clock.Millis(float64(all.longest) * scale), k.count
+	longest = clock.Millis(float64(all.longest) * scale)
+	d.running.Each(func(_ uint64, s start) bool {
+		if s.kind == kind {
+			longest = max(longest, now-s.at)
+		}
+		return true
+	})
+	return longest, k.count
 }
 
 // ratio returns n / observed, 0 if observed is unknown.
--- a/flight/durations_test.go
+++ b/flight/durations_test.go
@@ -31,20 +31,20 @@
 func TestLongestDuration(t *testing.T) {
 	is := is.New(t)
 	var d Durations
-	longest, count := d.Longest("a", Size{})
+	longest, count := d.Longest("a", Size{}, 0)
 	is.Equal(longest, clock.Millis(0))
 	is.Equal(count, 0)
 	d.Observe("a", Size{}, 5000)
 	for range maxCount {
 		d.Observe("a", Size{}, 100)
 	}
-	longest, count = d.Longest("a", Size{})
+	longest, count = d.Longest("a", Size{}, 0)
 	is.Equal(longest, clock.Millis(5000))
 	is.Equal(count, maxCount)
 	for range 2 * maxCount {
 		d.Observe("a", Size{}, 100)
 	}
-	longest, _ = d.Longest("a", Size{})
+	longest, _ = d.Longest("a", Size{}, 0)
 	is.Equal(longest, clock.Millis(100))
 }
 
@@ -62,10 +62,30 @@
 		{Prompt: 4000, Answer: 250}: 4000,
 		{Prompt: 1000}:              1000,
 	} {
-		longest, count := d.Longest("a", size)
+		longest, count := d.Longest("a", size, 0)
 		is.Equal(longest, want)
 		is.Equal(count, 2)
 	}
-	longest, _ := d.Longest("b", Size{Answer: 100})
+	longest, _ := d.Longest("b", Size{Answer: 100}, 0)
 	is.Equal(longest, clock.Millis(0))
 }
+
+// TestLongestDurationOfRunningRequests guards against a stop that knows only of the short
+// requests, since the long ones have not ended yet.
+func TestLongestDurationOfRunningRequests(t *testing.T) {
+	is := is.New(t)
+	var d Durations
+	d.Observe("a", Size{}, 300)
+	first, second := d.Start("a", 1000), d.Start("a", 5000)
+	other := d.Start("b", 0)
+	longest, count := d.Longest("a", Size{}, 6000)
+	is.Equal(longest, clock.Millis(5000))
+	is.Equal(count, 1)
+	d.End(first)
+	longest, _ = d.Longest("a", Size{}, 6000)
+	is.Equal(longest, clock.Millis(1000))
+	d.End(second)
+	longest, _ = d.Longest("a", Size{}, 6000)
+	is.Equal(longest, clock.Millis(300))
+	d.End(other)
+}
