relay, edge: a request that waited is checked again before a stop sends it

A request may wait for an engine, for memory or for the prefill when the SIGTERM comes. It was admitted before, by the time that was left then or without a check, and was sent when less time was left than it takes: its caller got a part of the answer instead of a "not run".

The relay asks its Finisher before the first send of a request, and after a hold. One that the entry may not finish is rejected as not run; nothing of it was sent. Once something was sent, a retry or a replacement of a silent engine isn't checked: the request may run already.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -62,7 +62,7 @@
 	if r.Deadline <= r.Arrived {
 		return codes.New(codes.DeadlinePast, "request %s", o.ID)
 	}
-	return e.checkFinishes(r)
+	return e.checkFinishes(r, true)
 }
 
 // defaultTimeout applies to routes that set no timeout.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -170,7 +170,7 @@
 	table := &announcingPool{Table: &e.pool, edge: e}
 	e.preparePlacer(table, self)
 	e.relay = relay.Relay{
-		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Budget: e, Quarantine: crashDetector{e}, Notices: &e.notices, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
+		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Budget: e, Quarantine: crashDetector{e}, Finisher: e, Notices: &e.notices, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
 		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre, MaxSilence: s.Fleet.Silence,
 		Held: &spool.Pool{Max: int64(float64(s.Fleet.Memory<<20) * memoryShare * heldShare)},
 	}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -123,9 +123,13 @@
 		zap.Int64("since_stop", int64(e.Clock.Now())-e.stopBegun.Load()), zap.Int("unread", unread), zap.Int("unsent", unsent))
 }
 
-// checkFinishes returns an error for a request that a stopping entry may not finish: one
-// whose deadline is after the end of the stop, if it may take longer than is left.
-func (e *Edge) checkFinishes(r *core.Request) error {
+// CheckFinishes implements [relay.Finisher]. While the entry stops, it returns an error for
+// a request that may not be finished: one whose deadline is after the end of the stop, if it
+// may take longer than is left.
+func (e *Edge) CheckFinishes(r *core.Request) error { return e.checkFinishes(r, false) }
+
+// checkFinishes is CheckFinishes. A request that arrives is logged also if it is admitted.
+func (e *Edge) checkFinishes(r *core.Request, arrives bool) error {
 	if !e.leaving.Load() {
 		return nil
 	}
@@ -136,10 +140,12 @@
 	left := stopBy - now
 	longest := e.longestDuration(r)
 	admitted := longest <= left
-	e.Log.Info("edge: request during the stop", zap.String("request", r.Opaque.ID), zap.Bool("admitted", admitted),
-		zap.Int64("left", int64(left)), zap.Int64("longest", int64(longest)), zap.Int("tokens", r.MaxTokens))
+	if arrives || !admitted {
+		e.Log.Info("edge: request during the stop", zap.String("request", r.Opaque.ID), zap.Bool("admitted", admitted), zap.Bool("arrives", arrives),
+			zap.Int64("left", int64(left)), zap.Int64("longest", int64(longest)), zap.Int("tokens", r.MaxTokens))
+	}
 	if !admitted {
-		return codes.New(codes.Leaving, "%d ms are left, the request may take %d ms", left, longest).WithRetryAfter(leavingRetryAfter)
+		return codes.New(codes.Leaving, "%d ms are left, the request may take %d ms", left, longest).WithRun(codes.NotRun).WithRetryAfter(leavingRetryAfter)
 	}
 	return nil
 }
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -76,7 +76,11 @@
 			return nil, codes.From(err)
 		}
 		held, full := a.acquireHold(ctx, ad.hold)
-		if err := x.checkQuarantine(); err != nil {
+		err := x.checkQuarantine()
+		if err == nil {
+			err = x.checkFinishes()
+		}
+		if err != nil {
 			a.release()
 			return nil, err
 		}
--- a/relay/call.go
+++ b/relay/call.go
@@ -61,6 +61,9 @@
 		}
 		up, usual, cost, ok = x.selectReplica("")
 	}
+	if err := x.checkFinishes(); err != nil {
+		return err
+	}
 	if err := x.chargeBudget(); err != nil {
 		return codes.Wrap(codes.BudgetSpent, err, "service %q", x.opaque.Service).WithRun(codes.NotRun)
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -134,7 +134,8 @@
 		return false
 	}
 	switch e := codes.From(err); {
-	case e.Code == codes.NoUpstream, e.Code == codes.BudgetSpent, e.Code == codes.DeadlineUnmet, e.Code == codes.QueueFull:
+	case e.Code == codes.NoUpstream, e.Code == codes.BudgetSpent, e.Code == codes.DeadlineUnmet, e.Code == codes.QueueFull,
+		e.Code == codes.Leaving:
 		// This entry itself rejected the request, so another attempt would fail too.
 		return false
 	case e.Run == codes.NotRun:
@@ -163,6 +164,15 @@
 	return x.relay.Quarantine.Check(x.request)
 }
 
+// checkFinishes returns an error if nothing of the request was sent and this entry may not
+// finish it.
+func (x *exchange) checkFinishes() error {
+	if x.relay.Finisher == nil || x.sends > 0 || x.headSent {
+		return nil
+	}
+	return x.relay.Finisher.CheckFinishes(x.request)
+}
+
 // reportAnswered tells the quarantine that the request doesn't crash its upstream.
 func (x *exchange) reportAnswered() {
 	if x.relay.Quarantine != nil {
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -304,6 +304,9 @@
 	if err := x.checkUsable(a.decode); err != nil {
 		return err
 	}
+	if err := x.checkFinishes(); err != nil {
+		return err
+	}
 	if err := x.chargeBudget(); err != nil {
 		return codes.Wrap(codes.BudgetSpent, err, "service %q", x.opaque.Service)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -117,6 +117,13 @@
 	ReportCompleted(r *core.Request)
 }
 
+// Finisher knows whether this entry runs long enough to finish a request.
+type Finisher interface {
+	// CheckFinishes returns an error with the code [codes.Leaving] for a request that this
+	// entry may not finish. It is called before a request that has not run is sent.
+	CheckFinishes(r *core.Request) error
+}
+
 // Mark is a state of knowledge of crashes, of parts of prompts and of whole requests.
 type Mark struct {
 	Parts, Request uint64
@@ -157,6 +164,8 @@
 	Placer Placer
 	// Quarantine, if nil, blocks no request.
 	Quarantine Quarantine
+	// Finisher, if nil, permits each request.
+	Finisher Finisher
 	// Notices, if nil, excludes no upstream.
 	Notices Notices
 	// Specs returns the published specification of a service. If nil, no service
