sock, edge: callers that stop reading for a few seconds keep their connection

Callers lost the rest of an answer, with a reset, if they read nothing for 2.5 s: at any time, and also after the entry had stopped and its process ended, while the answer was still in the send buffer. The entry logged the answer as complete in the second case.

TCP_USER_TIMEOUT is not only the time for which data may be unacknowledged. The kernel also applies it to a peer that acknowledges each probe of its zero window, so that a sound caller was taken for a dead one. Package hserv allows 5 s for a write, which the kernel's 2.5 s had made void.

Callers' listeners have 6 s now. The connections to upstreams and between entries keep 2.5 s (TestSilentConnectionsEnd). The price: a stream to a caller whose host has lost its power or its link goes on for up to 6 s instead of 2.5 s.

TestPausedReaderGetsAnswer, an answer of 300 KiB whose caller reads after 4.5 s.

--- /dev/null
+++ b/edge/answerend_test.go
@@ -0,0 +1,81 @@
+package edge_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
+
+	"lacewinghook.example/lacewinghook/sock"
+)
+
+// longBody is an answer that the buffers of a connection between dialSlow and realSockets
+// hold only in part until the caller reads.
+var longBody = strings.Repeat("x", 300<<10)
+
+// dialSlow opens a connection to the entry with a small receive buffer.
+func (r *runningEntry) dialSlow(t *testing.T) *net.TCPConn {
+	t.Helper()
+	is := is.New(t)
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var optErr error
+		if err := raw.Control(func(fd uintptr) { optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4<<10) }); err != nil {
+			return err
+		}
+		return optErr
+	}}
+	c, err := d.DialContext(context.Background(), "tcp", r.settings.Callers.Listen)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c.(*net.TCPConn)
+}
+
+// realSockets gives the callers' listeners the socket options of the program.
+func (s *site) realSockets() {
+	s.wrapCallers = func(ln net.Listener) net.Listener {
+		addr := ln.Addr().String()
+		is := is.New(s.t)
+		is.NoErr(ln.Close())
+		ln, err := sock.ListenCallers(context.Background(), addr)
+		is.NoErr(err)
+		return ln
+	}
+}
+
+// TestPausedReaderGetsAnswer guards against a connection that the kernel closes because its
+// caller, which is sound, doesn't read for less time than a write may take (5 s).
+func TestPausedReaderGetsAnswer(t *testing.T) {
+	const pause = 4500 * time.Millisecond
+	for name, stop := range map[string]bool{"while the entry serves": false, "after the end of the entry": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t)
+			s.realSockets()
+			for _, d := range s.services {
+				d.Body = longBody
+			}
+			r := s.startReady()
+			conn := r.dialSlow(t)
+			if stop {
+				r.stop()
+				s.until("the entry isn't ready", func() bool { return !r.ready() })
+			}
+			_, err := io.WriteString(conn, lateRequest(1, "/safe/a"))
+			is.NoErr(err)
+			s.until("the request has run", func() bool { return s.runs("id-1") == 1 })
+			time.Sleep(pause)
+			got := readAnswer(conn)
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(got.body, longBody)
+		})
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -254,7 +254,11 @@
 		if h.addr == "" {
 			continue
 		}
-		ln, err := e.listener(ctx, h.addr)
+		listen := sock.Listen
+		if h.callers {
+			listen = sock.ListenCallers
+		}
+		ln, err := e.listener(ctx, h.addr, listen)
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", h.addr)
 		}
@@ -268,13 +272,13 @@
 }
 
 // listener returns the listener in Listeners with that address, or opens one.
-func (e *Edge) listener(ctx context.Context, addr string) (net.Listener, error) {
+func (e *Edge) listener(ctx context.Context, addr string, listen func(context.Context, string) (net.Listener, error)) (net.Listener, error) {
 	for _, ln := range e.Listeners {
 		if ln.Addr().String() == addr {
 			return ln, nil
 		}
 	}
-	return sock.Listen(ctx, addr)
+	return listen(ctx, addr)
 }
 
 // Timeouts of connections. Those of callers are longer if the manifest allows it.
--- a/sock/doc.go
+++ b/sock/doc.go
@@ -7,4 +7,5 @@
 //	d := sock.Dialer(600) // milliseconds to connect
 //	c, err := d.DialContext(ctx, "tcp", addr)
 //	ln, err := sock.Listen(ctx, addr)
+//	ln, err := sock.ListenCallers(ctx, addr) // they may stop reading for a while
 package sock
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -16,6 +16,10 @@
 	// unackedTimeout limits how long sent data, or a keep-alive probe, may remain
 	// unacknowledged. A sound host may stand still for a second or so.
 	unackedTimeout clock.Millis = 2500
+	// callerTimeout replaces unackedTimeout for connections of callers. The kernel also
+	// applies it to a peer that acknowledges, but has no room for more data: it is longer
+	// than package hserv waits for a caller that doesn't read.
+	callerTimeout = 6 * clock.Second
 	// keepAliveIdle is the idle time before the first keep-alive probe, and
 	// keepAliveInterval the time between probes. Both are 1 s, the smallest value
 	// that the kernel accepts. The connection fails after keepAliveCount
@@ -28,13 +32,20 @@
 // Dialer returns a dialer that fails if a connection isn't established within
 // timeout.
 func Dialer(timeout clock.Millis) *net.Dialer {
-	return &net.Dialer{Timeout: timeout.Duration(), KeepAliveConfig: keepAlive(), Control: control}
+	return &net.Dialer{Timeout: timeout.Duration(), KeepAliveConfig: keepAlive(), Control: control(unackedTimeout)}
 }
 
 // Listen opens a TCP listener. Its connections fail if the client stops
 // responding.
 func Listen(ctx context.Context, addr string) (net.Listener, error) {
-	c := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: control}
+	c := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: control(unackedTimeout)}
+	return c.Listen(ctx, "tcp", addr)
+}
+
+// ListenCallers opens a TCP listener for callers, which may stop reading for as long as
+// package hserv allows. Its connections fail if a caller's host stops responding.
+func ListenCallers(ctx context.Context, addr string) (net.Listener, error) {
+	c := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: control(callerTimeout)}
 	return c.Listen(ctx, "tcp", addr)
 }
 
@@ -43,17 +54,19 @@
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle.Duration(), Interval: keepAliveInterval.Duration(), Count: keepAliveCount}
 }
 
-// control sets TCP_USER_TIMEOUT to unackedTimeout. Accepted connections inherit
-// the option from their listener.
-func control(_, _ string, raw syscall.RawConn) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout))
-	})
-	if err != nil {
-		return err
+// control returns a function that sets TCP_USER_TIMEOUT. Accepted connections inherit the
+// option from their listener.
+func control(timeout clock.Millis) func(_, _ string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var optErr error
+		err := raw.Control(func(fd uintptr) {
+			optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout))
+		})
+		if err != nil {
+			return err
+		}
+		return optErr
 	}
-	return optErr
 }
 
 // Pending returns how many received bytes of c have not been read, and how many sent bytes
--- a/sock/sock_test.go
+++ b/sock/sock_test.go
@@ -88,3 +88,21 @@
 	is.NoErr(err)
 	is.True(unsent > 0)
 }
+
+// TestCallersMayPause checks that the kernel closes a caller's connection later than
+// package hserv, which waits 5 s for a caller that doesn't read.
+func TestCallersMayPause(t *testing.T) {
+	is := is.New(t)
+	ln, err := sock.ListenCallers(t.Context(), "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	dialed, err := net.Dial("tcp", ln.Addr().String())
+	is.NoErr(err)
+	defer dialed.Close()
+	c, err := ln.Accept()
+	is.NoErr(err)
+	defer c.Close()
+	unacked := clock.Millis(option(t, c, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT))
+	is.True(unacked > 5*clock.Second && unacked <= 7*clock.Second)
+	is.True(option(t, c, unix.SOL_SOCKET, unix.SO_KEEPALIVE) != 0)
+}
