sock, edge: a closed connection delivers what was sent on it

Callers lost the rest of an answer, with a reset, if they had sent anything after the request: another request, or just an end of line. The entry logged the answer as complete, since all of it was in the send buffer when the handler returned.

The kernel resets a connection that is closed while bytes are unread, or on which bytes arrive after that, and drops its send buffer. net/http closes at once after an answer with "Connection: close", which a stopping entry gives to all, and the end of a stop closes all connections.

sock.Closer closes only the sending side of a connection whose peer hasn't acknowledged everything, discards what arrives, and closes the rest once everything is acknowledged or the peer has closed its side; after 5 s or 8 MiB in any case. A connection without unacknowledged bytes is closed at once. A stop waits for these until 0.25 s after its end, 0.25 s before the platform kills the process.

--- a/edge/conns.go
+++ b/edge/conns.go
@@ -8,6 +8,7 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/sock"
 )
 
 // callerListener accepts the connections of callers and applies the time limits of the
@@ -25,11 +26,11 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := c.(*net.TCPConn)
+	conn, ok := c.(*sock.Conn)
 	if !ok {
 		return c, nil
 	}
-	return &callerConn{TCPConn: tcp, limits: l.limits, onClose: l.onClose, phase: waiting}, nil
+	return &callerConn{Conn: conn, limits: l.limits, onClose: l.onClose, phase: waiting}, nil
 }
 
 // phase is what a connection of a caller is used for.
@@ -47,31 +48,32 @@
 // callerConn replaces the deadlines that net/http sets while it waits for a request: they
 // are constant, and a new connection has the time for a head to send its first byte.
 type callerConn struct {
-	*net.TCPConn
+	*sock.Conn
 	limits  func() core.InputLimits
 	onClose func(*net.TCPConn)
 
-	mu    sync.Mutex
-	phase phase
+	mu     sync.Mutex
+	phase  phase
+	closed sync.Once
 }
 
 // Read implements [net.Conn]. The time for a head counts from its first byte.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 && c.phase == waiting {
 		c.phase = receiving
 		// An error means that the connection is closed, which the next read will report.
-		_ = c.TCPConn.SetReadDeadline(c.deadline())
+		_ = c.Conn.SetReadDeadline(c.deadline())
 	}
 	return n, err
 }
 
 // Close implements [net.Conn].
 func (c *callerConn) Close() error {
-	c.onClose(c.TCPConn)
-	return c.TCPConn.Close()
+	c.closed.Do(func() { c.onClose(c.TCPConn) })
+	return c.Conn.Close()
 }
 
 // SetReadDeadline implements [net.Conn].
@@ -81,7 +83,7 @@
 	if c.phase != serving && t.After(time.Now()) {
 		t = c.deadline()
 	}
-	return c.TCPConn.SetReadDeadline(t)
+	return c.Conn.SetReadDeadline(t)
 }
 
 // deadline returns the time by which the first byte, or the rest, of a head must arrive.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -96,6 +96,8 @@
 	budgets  shard.Map[string, *limit.Window]
 	// inFlight tracks the requests and connections of callers.
 	inFlight flight.Tracker
+	// closer closes the connections of callers.
+	closer sock.Closer
 	// durations estimates how long the completions of a service take.
 	durations flight.Durations
 }
@@ -264,7 +266,7 @@
 		}
 		h.ln = ln
 		if h.callers {
-			h.ln = callerListener{Listener: ln, limits: callerRunner{e}.Limits, onClose: e.logPending}
+			h.ln = callerListener{Listener: e.closer.Listener(ln), limits: callerRunner{e}.Limits, onClose: e.logPending}
 		}
 		all = append(all, &h.server)
 	}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -70,6 +70,7 @@
 			e.Log.Warn("edge: closing a server failed", zap.Stringer("addr", s.ln.Addr()), zap.Error(err))
 		}
 	}
+	e.deliverRest(ctx, end)
 	e.Log.Info("edge: servers closed", zap.Int64("since_stop", int64(e.Clock.Now()-begun)), zap.Int("in_flight", e.inFlight.Len()))
 }
 
@@ -86,6 +87,14 @@
 	e.inFlight.WaitIdle(ctx, 0)
 }
 
+// deliverRest waits until callers have received the ends of their answers. end is the
+// instant at which the stop ends.
+func (e *Edge) deliverRest(ctx context.Context, end clock.Millis) {
+	ctx, cancel := context.WithTimeout(ctx, (end + responseTime + deliveryTime - e.Clock.Now()).Duration())
+	defer cancel()
+	e.closer.Wait(ctx)
+}
+
 // logCut logs the requests that have not ended by the end of the grace period. begun is
 // the instant at which the stop began.
 func (e *Edge) logCut(begun clock.Millis) {
@@ -195,8 +204,10 @@
 	// entry, which can take the request at once.
 	leavingRetryAfter clock.Millis = 50
 	// killMargin is the time left for the process to exit before the platform
-	// kills it at the end of the grace period, at most a tenth of that. responseTime,
-	// a part of it, is the time in which the requests that are left get a response.
+	// kills it at the end of the grace period, at most a tenth of that. Parts of it are
+	// responseTime, in which the requests that are left get a response, and deliveryTime
+	// after that, in which callers receive the ends of their answers.
 	killMargin   clock.Millis = 500
 	responseTime clock.Millis = 150
+	deliveryTime clock.Millis = 100
 )
