edge: a failed listener stops the entry as a signal does

If the listener for peers fails, the entry went on serving callers with the manifest and the list of replicas that it had, ignored SIGTERM, and was killed at the end of the grace period with all its requests. If the listener failed during a stop, all requests in flight were cut at once.

Run cancelled the context of all parts on the first error. The part that waits for the signal ended with it, without closing the servers, on which Run then waited; during a stop it took the cancelled context for the end of the grace period.

An error now begins the same graceful stop as a signal, while the other parts go on; Run returns it at the end. It is logged as "edge: a server failed".

TestFailedPartCutsNothing, before: red in both cases (the entry went on for 10 s; the stream was cut). After: green with -race.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -102,33 +102,37 @@
 	durations flight.Durations
 }
 
-// Run serves until ctx ends, then drains the requests in flight and stops.
+// Run serves until ctx ends or a part of the entry fails, then drains the requests in flight
+// and stops. The error is that of the part.
 func (e *Edge) Run(ctx context.Context) error {
 	e.prepare()
 	servers, err := e.listen(ctx)
 	if err != nil {
 		return err
 	}
+	stopping, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	g, runCtx := errgroup.WithContext(runCtx)
+	var g errgroup.Group
 	for _, s := range servers {
-		g.Go(func() error { return s.serve(runCtx) })
+		g.Go(func() error {
+			err := s.serve(runCtx)
+			if err != nil {
+				e.Log.Error("edge: a server failed", zap.Stringer("addr", s.ln.Addr()), zap.Error(err))
+				stop(err)
+			}
+			return err
+		})
+	}
+	for _, run := range []func(context.Context){e.gossip.Run, e.watcher.Run, e.placer.Run, e.tainted.Run, e.requests.Run, e.wakeQueues} {
+		g.Go(func() error { run(runCtx); return nil })
 	}
-	g.Go(func() error { e.gossip.Run(runCtx); return nil })
-	g.Go(func() error { e.watcher.Run(runCtx); return nil })
-	g.Go(func() error { e.placer.Run(runCtx); return nil })
-	g.Go(func() error { e.tainted.Run(runCtx); return nil })
-	g.Go(func() error { e.requests.Run(runCtx); return nil })
-	g.Go(func() error { e.wakeQueues(runCtx); return nil })
 	g.Go(func() error { e.Clock.Every(runCtx, deadCheckInterval, e.removeDeadEntries); return nil })
 	g.Go(func() error {
 		defer cancel()
-		select {
-		case <-ctx.Done():
-			e.stop(runCtx, servers)
-		case <-runCtx.Done():
-		}
+		<-stopping.Done()
+		e.stop(runCtx, servers)
 		return nil
 	})
 	e.Log.Info("edge: started", zap.String("instance", e.Settings.Instance), zap.String("callers", e.Settings.Callers.Listen),
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -55,6 +55,8 @@
 	// wrapCallers, if not nil, replaces the callers' listener of the entries that start
 	// next.
 	wrapCallers func(net.Listener) net.Listener
+	// wrapPeers does the same for the peers' listener.
+	wrapPeers func(net.Listener) net.Listener
 	// memory is the memory limit of the entries that start next, in MiB; zero means
 	// none.
 	memory int
@@ -120,6 +122,9 @@
 	if s.wrapCallers != nil {
 		listeners[0] = s.wrapCallers(listeners[0])
 	}
+	if s.wrapPeers != nil {
+		listeners[1] = s.wrapPeers(listeners[1])
+	}
 	for _, r := range seeds {
 		set.Seeds = append(set.Seeds, r.settings.Peers.Listen)
 	}
