wire: a server for peers outlasts the want of a file descriptor

A process that had no file descriptor left at the moment at which a peer connected ended the server for peers with an error, and the entry with it.

net/http waits and goes on accepting after such an error; the peers' server does so now, with a pause of 100 ms, after EMFILE, ENFILE, ENOBUFS and ENOMEM. Other errors still end it.

--- a/wire/server.go
+++ b/wire/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -90,6 +91,15 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if isResourceError(err) {
+			if s.Log != nil {
+				s.Log.Warn("wire: accepting a peer failed", zap.Error(err))
+			}
+			if (clock.Clock{}).Sleep(ctx, acceptPause) != nil {
+				return nil
+			}
+			continue
+		}
 		if err != nil {
 			return codes.Wrap(codes.Internal, err, "accept on the peer listener")
 		}
@@ -104,6 +114,21 @@
 	}
 }
 
+// acceptPause is the pause after the process or the machine had no resources for another
+// connection.
+const acceptPause clock.Millis = 100
+
+// isResourceError reports whether a listener can accept connections again once others are
+// closed.
+func isResourceError(err error) bool {
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
 // serve handles the calls on one connection until it is closed.
 func (s *Server) serve(ctx context.Context, raw net.Conn, methods map[Method]MethodHandler) {
 	caller, conn, err := s.handshake(ctx, raw)
