entry: a failed listener stops the entry as a signal does

The stop has a context of its own now, which the first error ends as a signal does; Run returns the error after the stop, and logs "entry: a server failed".

TestFailedPartCutsNothing, before: red in both cases, Run returned while the call was in flight. After: 3 of 3 green with -race; entry and trial green with -race.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -104,9 +104,9 @@
 	Callers, Operators, Peers net.Listener
 }
 
-// Run serves until ctx ends, and then stops without aborting a request: it
-// announces that it is leaving, keeps serving for the linger period, and waits
-// until no request is in flight.
+// Run serves until ctx ends or a server fails, and then stops without aborting a
+// request: it announces that it is leaving, keeps serving for the linger period,
+// and waits until no request is in flight.
 func (e *Entry) Run(ctx context.Context) error {
 	if err := e.listen(); err != nil {
 		return err
@@ -118,21 +118,33 @@
 	// workCtx stays active while the entry stops and is cancelled last.
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	g, workCtx := errgroup.WithContext(workCtx)
+	stopping, beginStop := context.WithCancel(ctx)
+	defer beginStop()
 	callers := e.newHTTPServer(e.inFlight.Track(e.callerHandler(), e.leaving.Load))
 	callers.ConnState = e.inFlight.ConnState
 	operators := e.newHTTPServer(e.operatorHandler())
-	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
-	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
-	g.Go(func() error {
-		return (&wire.Server{Handler: e, Methods: e.peerMethods(), Log: e.Log, Certs: e.peers.Certs}).Serve(workCtx, e.Sockets.Peers)
-	})
-	e.background(workCtx, g)
+	var g errgroup.Group
+	for name, run := range map[string]func() error{
+		"callers":   func() error { return serve(callers, e.Sockets.Callers) },
+		"operators": func() error { return serve(operators, e.Sockets.Operators) },
+		"peers": func() error {
+			return (&wire.Server{Handler: e, Methods: e.peerMethods(), Log: e.Log, Certs: e.peers.Certs}).Serve(workCtx, e.Sockets.Peers)
+		},
+	} {
+		g.Go(func() error {
+			err := run()
+			if err != nil {
+				e.Log.Error("entry: a server failed", zap.String("server", name), zap.Error(err))
+				beginStop()
+			}
+			return err
+		})
+	}
+	e.background(workCtx, &g)
 	g.Go(func() error {
 		defer cancel()
 		select {
-		case <-ctx.Done():
-		case <-workCtx.Done():
+		case <-stopping.Done():
 		case <-e.killed():
 			return errors.Join(callers.Close(), operators.Close())
 		}
