entry: a closed connection delivers what was sent on it

The own front end had the fault that edge had: net/http closes a connection at the end of an answer, at the caller's wish or during a stop, and bytes that the caller had sent since made the kernel reset it and drop the rest of the answer.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,6 +32,7 @@
 	"lacewinghook.example/lacewinghook/pubdoc"
 	"lacewinghook.example/lacewinghook/sched"
 	"lacewinghook.example/lacewinghook/share"
+	"lacewinghook.example/lacewinghook/sock"
 	"lacewinghook.example/lacewinghook/store"
 	"lacewinghook.example/lacewinghook/sweep"
 	"lacewinghook.example/lacewinghook/token"
@@ -64,6 +65,7 @@
 	leaving      atomic.Bool // set when the stop begins
 	currentState atomic.Pointer[ownState]
 	inFlight     flight.Tracker
+	closer       sock.Closer // closes the connections of callers
 	meter        meter.Registry
 	document     pubdoc.ActiveDocument
 	updater      pubdoc.Updater
@@ -217,6 +219,7 @@
 		}
 		*l.socket = ln
 	}
+	e.Sockets.Callers = e.closer.Listener(e.Sockets.Callers)
 	return nil
 }
 
