edge: the end of a stop waits for the last chunks of answers

A caller whose stream ended as the grace period did could miss the end of the answer, while the entry logged it as complete: a request leaves the requests in flight when its handler returns, and net/http writes the last chunk after that. If no other request was left, the end of the stop closed the connection at once.

The time from the handler to the last chunk is short, unless the process gets no processor: that callers lost answers so is not shown by a run of the program.

--- a/edge/stop.go
+++ b/edge/stop.go
@@ -75,11 +75,9 @@
 }
 
 // endRequests ends the requests that are left at the end of the grace period, and waits
-// until those without a response have one. begun is the instant at which the stop began.
+// until those without a response have one, and until the last chunks of the others are
+// written. begun is the instant at which the stop began.
 func (e *Edge) endRequests(ctx context.Context, begun clock.Millis) {
-	if e.inFlight.Len() == 0 {
-		return
-	}
 	e.logCut(begun)
 	e.inFlight.Cancel(codes.New(codes.Leaving, "the grace period has ended"))
 	ctx, cancel := context.WithTimeout(ctx, responseTime.Duration())
