--- a/edge/edge.go
+++ b/edge/edge.go
@@ -96,37 +96,43 @@
 	budgets  shard.Map[string, *limit.Window]
 	// inFlight tracks the requests and connections of callers.
 	inFlight flight.Tracker
+	// closer closes the connections of callers.
+	closer sock.Closer
 	// durations estimates how long requests take.
 	durations flight.Durations
 }
 
-// Run serves until ctx ends, then drains the requests in flight and stops.
+// Run serves until ctx ends or a part of the entry fails, then drains the requests in flight
+// and stops. The error is that of the part.
 func (e *Edge) Run(ctx context.Context) error {
 	e.prepare()
 	servers, err := e.listen(ctx)
 	if err != nil {
 		return err
 	}
+	stopping, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	g, runCtx := errgroup.WithContext(runCtx)
+	var g errgroup.Group
 	for _, s := range servers {
-		g.Go(func() error { return s.serve(runCtx) })
+		g.Go(func() error {
+			err := s.serve(runCtx)
+			if err != nil {
+				e.Log.Error("edge: a server failed", zap.Stringer("addr", s.ln.Addr()), zap.Error(err))
+				stop(err)
+			}
+			return err
+		})
+	}
+	for _, run := range []func(context.Context){e.gossip.Run, e.watcher.Run, e.placer.Run, e.tainted.Run, e.requests.Run, e.wakeQueues} {
+		g.Go(func() error { run(runCtx); return nil })
 	}
-	g.Go(func() error { e.gossip.Run(runCtx); return nil })
-	g.Go(func() error { e.watcher.Run(runCtx); return nil })
-	g.Go(func() error { e.placer.Run(runCtx); return nil })
-	g.Go(func() error { e.tainted.Run(runCtx); return nil })
-	g.Go(func() error { e.requests.Run(runCtx); return nil })
-	g.Go(func() error { e.wakeQueues(runCtx); return nil })
 	g.Go(func() error { e.Clock.Every(runCtx, deadCheckInterval, e.removeDeadEntries); return nil })
 	g.Go(func() error {
 		defer cancel()
-		select {
-		case <-ctx.Done():
-			e.stop(runCtx, servers)
-		case <-runCtx.Done():
-		}
+		<-stopping.Done()
+		e.stop(runCtx, servers)
 		return nil
 	})
 	e.Log.Info("edge: started", zap.String("instance", e.Settings.Instance), zap.String("callers", e.Settings.Callers.Listen),
@@ -254,13 +260,17 @@
 		if h.addr == "" {
 			continue
 		}
-		ln, err := e.listener(ctx, h.addr)
+		listen := sock.Listen
+		if h.callers {
+			listen = sock.ListenCallers
+		}
+		ln, err := e.listener(ctx, h.addr, listen)
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", h.addr)
 		}
 		h.ln = ln
 		if h.callers {
-			h.ln = callerListener{Listener: ln, limits: callerRunner{e}.Limits, onClose: e.logPending}
+			h.ln = callerListener{Listener: e.closer.Listener(ln), limits: callerRunner{e}.Limits, onClose: e.logPending}
 		}
 		all = append(all, &h.server)
 	}
@@ -268,13 +278,13 @@
 }
 
 // listener returns the listener in Listeners with that address, or opens one.
-func (e *Edge) listener(ctx context.Context, addr string) (net.Listener, error) {
+func (e *Edge) listener(ctx context.Context, addr string, listen func(context.Context, string) (net.Listener, error)) (net.Listener, error) {
 	for _, ln := range e.Listeners {
 		if ln.Addr().String() == addr {
 			return ln, nil
 		}
 	}
-	return sock.Listen(ctx, addr)
+	return listen(ctx, addr)
 }
 
 // Timeouts of connections. Those of callers are longer if the manifest allows it.
