hserv, platform, spool: one bound for the bodies of callers, sent without a copy

All bodies of an entry now share two fifths of its heap (spool.Pool). A body is admitted by its Content-Length before any of it is read, and only if it leaves as much room as it takes, so that a few long ones don't keep out the others; one in chunks takes room as it arrives. The largest one that is still being read gives way; one that is complete is pinned until its request has ended. What isn't admitted gets 503 input_full with a Retry-After, and has not run. One body that is longer than the pool passes alone. Bodies are kept in the blocks that they were read to, and written from there.

The heap's share for parts of events stays a fifth; half as much instead of as much again may be held by streams that were just cut. TestReadAll is TestReadTo, with the same cases, since the method has the new name.

--- a/codes/codes.go
+++ b/codes/codes.go
@@ -44,6 +44,7 @@
 	Quarantined     Code = 1207
 	TooLong         Code = 1208
 	PartQuarantined Code = 1209
+	InputFull       Code = 1210
 	KeyMissing      Code = 1301
 	KeyReused       Code = 1302
 	InProgress      Code = 1303
@@ -112,6 +113,7 @@
 	Quarantined:     {"quarantined", http.StatusUnprocessableEntity, NotRun, "The request crashed upstreams before and is rejected until an operator lifts its quarantine."},
 	PartQuarantined: {"part_quarantined", http.StatusServiceUnavailable, NotRun, "Requests with the same part of the prompt crash upstreams and are rejected until its quarantine ends."},
 	TooLong:         {"too_long", http.StatusBadRequest, NotRun, "Prompt and answer together exceed the memory of every decode upstream."},
+	InputFull:       {"input_full", http.StatusServiceUnavailable, NotRun, "This entry holds too many bytes for other requests to take in the body of this one."},
 	KeyMissing:      {"key_missing", http.StatusBadRequest, NotRun, "The call may not be repeated and needs an Idempotency-Key."},
 	KeyReused:       {"key_reused", http.StatusUnprocessableEntity, NotRun, "The Idempotency-Key was used with another body; this body was not run."},
 	InProgress:      {"in_progress", http.StatusConflict, Unknown, "An order with this key is in progress; retry later."},
--- a/core/opaque.go
+++ b/core/opaque.go
@@ -14,7 +14,8 @@
 	Host   string
 	// Header holds the headers to send to the upstream.
 	Header http.Header
-	Body   []byte
+	// Body is the body, in parts.
+	Body [][]byte
 	// LastEventID is the ID of the last event that the caller received of a
 	// stream that it resumes; otherwise empty.
 	LastEventID string
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -96,6 +97,9 @@
 	budgets  shard.Map[string, *limit.Window]
 	// inFlight tracks the requests and connections of callers.
 	inFlight flight.Tracker
+	// bodies bounds the bytes of callers' bodies that are held, and partial those of
+	// events of which a part has arrived.
+	bodies, partial spool.Pool
 	// durations estimates how long the completions of a service take.
 	durations flight.Durations
 }
@@ -169,10 +173,12 @@
 	e.requests.init(e, &e.tainted.Table, e.store.PoisonRequests())
 	table := &announcingPool{Table: &e.pool, edge: e}
 	e.preparePlacer(table, self)
+	heap := float64(cmp.Or(s.Fleet.Memory, defaultMemoryMiB)<<20) * memoryShare
+	e.bodies.Max, e.partial.Max = int64(heap*bodyShare), int64(heap*partialShare)
 	e.relay = relay.Relay{
 		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Budget: e, Quarantine: crashDetector{e}, Notices: &e.notices, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
 		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre, MaxSilence: s.Fleet.Silence,
-		Held: &spool.Pool{Max: int64(float64(s.Fleet.Memory<<20) * memoryShare * heldShare)},
+		Held: &e.partial,
 	}
 }
 
@@ -180,9 +186,19 @@
 // The rest is for stacks, socket buffers and the program itself.
 const memoryShare = 0.6
 
-// heldShare is the fraction of the Go heap that may hold parts of answers. As much again
-// may be in use by answers that were just cut.
-const heldShare = 0.2
+// defaultMemoryMiB is the memory by which bytes from outside are bounded if the settings
+// have no limit.
+const defaultMemoryMiB = 256
+
+// Fractions of the Go heap that may hold bytes from outside. They are apart, so that
+// neither kind takes the room of the other. Half as much again may be in use by those that
+// were just cut.
+const (
+	// bodyShare is for the bodies of callers' requests.
+	bodyShare = 0.4
+	// partialShare is for events of which a part has arrived.
+	partialShare = 0.2
+)
 
 // setRuntimeLimits sets the Go runtime's memory and CPU limits to those of
 // the instance.
@@ -224,7 +240,7 @@
 	s := e.Settings
 	e.inFlight = flight.Tracker{Clock: e.Clock, ID: platform.RequestID}
 	ingress := e.server(e.inFlight.Track(&platform.Ingress{
-		Runner: callerRunner{e}, Clock: e.Clock, Meter: &e.meter, Log: e.Log, OnEnd: e.logOutcome,
+		Runner: callerRunner{e}, Clock: e.Clock, Meter: &e.meter, Log: e.Log, OnEnd: e.logOutcome, Held: &e.bodies,
 	}, e.leaving.Load))
 	ingress.ConnState = func(c net.Conn, state http.ConnState) {
 		setPhase(c, state)
--- a/hserv/body.go
+++ b/hserv/body.go
@@ -9,6 +9,7 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/spool"
 )
 
 // Body is the body of a caller's request. Both fields are required.
@@ -17,18 +18,31 @@
 	Controller *http.ResponseController
 }
 
-// ReadAll reads the body, at most limit bytes, within the given time, which isn't bounded
-// if it isn't positive. The error is [os.ErrDeadlineExceeded] if the time is over or
-// [core.Ended] is done, and [http.MaxBytesError] if the body is longer than limit.
-func (b Body) ReadAll(limit int64, within clock.Millis) ([]byte, error) {
+// ReadTo reads the body into buf, at most limit bytes, within the given time, which isn't
+// bounded if it isn't positive. Room for a body whose length is known is reserved before
+// any of it is read. The error is [os.ErrDeadlineExceeded] if the time is over or
+// [core.Ended] is done, [http.MaxBytesError] if the body is longer than limit, and
+// [spool.ErrFull] if buf has no room or had to give way.
+func (b Body) ReadTo(buf *spool.Buffer, limit int64, within clock.Millis) error {
+	length := b.Request.ContentLength
+	if length > limit {
+		return &http.MaxBytesError{Limit: limit}
+	}
+	if err := buf.Reserve(max(length, 0)); err != nil {
+		return err
+	}
 	if within > 0 {
 		b.limitRead(deadlineAfter(within))
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, b.Request.Body, limit))
+	_, err := buf.ReadFrom(http.MaxBytesReader(nil, b.Request.Body, limit))
 	if err == nil {
 		_ = b.Controller.SetReadDeadline(time.Time{})
 	}
-	return body, err
+	// If the buffer had to give way, that is why the read failed.
+	if full := buf.Pin(); full != nil {
+		return full
+	}
+	return err
 }
 
 // limitRead sets the deadline of reading the body. It has passed if this entry has ended
@@ -44,6 +58,11 @@
 // Expire ends a read of the body that waits for data.
 func (b Body) Expire() { _ = b.Controller.SetReadDeadline(time.Unix(1, 0)) }
 
+// Interrupt ends a read of the body that gets no data for a while. A body that goes on
+// arriving isn't cut, since the form of one in chunks is lost then, and the rest can't be
+// discarded.
+func (b Body) Interrupt() { _ = b.Controller.SetReadDeadline(deadlineAfter(maxDiscardPause)) }
+
 // Bounds of the time in which the body of a rejected request is read: for each part of it,
 // and for all.
 const (
--- a/hserv/doc.go
+++ b/hserv/doc.go
@@ -15,7 +15,9 @@
 //
 //	b := hserv.Body{Request: r, Controller: http.NewResponseController(w)}
 //	defer context.AfterFunc(core.Ended(r.Context()), b.Expire)()
-//	data, err := b.ReadAll(limit, remaining)
+//	buf := spool.Buffer{Pool: pool, Lasting: true, Evict: b.Interrupt}
+//	defer buf.Reset()
+//	err := b.ReadTo(&buf, limit, remaining)
 //
 //	a := &hserv.Writer{Response: w}
 //	err = a.Reply(reply)             // status and headers
--- a/hserv/hserv_test.go
+++ b/hserv/hserv_test.go
@@ -1,6 +1,8 @@
 package hserv_test
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -15,6 +17,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/hserv"
+	"lacewinghook.example/lacewinghook/spool"
 )
 
 // TestZeroWriter checks that a Writer without a timeout delivers an answer.
@@ -41,8 +44,8 @@
 	}
 }
 
-// TestReadAll checks the errors of a body that is too long and of one that doesn't arrive.
-func TestReadAll(t *testing.T) {
+// TestReadTo checks the errors of a body that is too long and of one that doesn't arrive.
+func TestReadTo(t *testing.T) {
 	const limit = 8
 	for name, c := range map[string]struct {
 		text   string
@@ -64,8 +67,9 @@
 				if c.expire {
 					b.Expire()
 				}
-				data, err := b.ReadAll(limit, c.within)
-				if err == nil && string(data) != c.text {
+				var buf spool.Buffer
+				err := b.ReadTo(&buf, limit, c.within)
+				if err == nil && string(bytes.Join(buf.Blocks(), nil)) != c.text {
 					err = errors.New("another body")
 				}
 				errs <- err
@@ -80,3 +84,86 @@
 		})
 	}
 }
+
+// TestReadToWithoutRoom checks bodies that find no room, or have to give way while they
+// are read, and that the rest of them can be discarded, whatever their form.
+func TestReadToWithoutRoom(t *testing.T) {
+	const length = 64 << 10
+	for name, c := range map[string]struct {
+		chunked bool
+		// held is what the pool holds for it when half of it was read, and it must give
+		// way; zero if it finds no room.
+		held int64
+	}{
+		"of known length":            {false, 0},
+		"in chunks":                  {true, 0},
+		"of known length, gives way": {false, length},
+		"in chunks, gives way":       {true, length / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			head, text := "Content-Length: 65536", strings.Repeat("x", length)
+			if c.chunked {
+				head, text = "Transfer-Encoding: chunked", "10000\r\n"+text+"\r\n0\r\n\r\n"
+			}
+			const left = length / 8
+			pool := &spool.Pool{Max: 2 * length}
+			other := spool.Buffer{Pool: pool}
+			is.NoErr(other.Reserve(pool.Max - max(c.held, length) - left))
+			if c.held > 0 {
+				is.NoErr(other.Reserve(max(length-c.held, 0)))
+			}
+			is.NoErr(other.Pin())
+			evicted := make(chan struct{})
+			reading := make(chan struct{})
+			errs := make(chan error, 1)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				b := hserv.Body{Request: r, Controller: http.NewResponseController(w)}
+				r.Body = &halfRead{ReadCloser: r.Body, left: length / 2, done: reading}
+				buf := spool.Buffer{Pool: pool, Evict: func() { b.Interrupt(); close(evicted) }, Lasting: c.held == 0}
+				errs <- b.ReadTo(&buf, length, clock.Minute)
+				buf.Reset()
+				b.Discard(length)
+			}))
+			defer s.Close()
+			conn, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://"))
+			is.NoErr(err)
+			defer conn.Close()
+			half := len(text) / 2
+			if c.chunked {
+				half = len("10000\r\n") + length/2
+			}
+			_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\n"+head+"\r\n\r\n"+text[:half])
+			is.NoErr(err)
+			if c.held > 0 {
+				<-reading
+				third := spool.Buffer{Pool: pool}
+				is.NoErr(third.Write(make([]byte, left+1)))
+				<-evicted
+			}
+			_, err = io.WriteString(conn, text[half:])
+			is.NoErr(err)
+			is.True(errors.Is(<-errs, spool.ErrFull))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.True(!resp.Close) // the whole body was read
+		})
+	}
+}
+
+// halfRead closes done once the first left bytes of a body were read.
+type halfRead struct {
+	io.ReadCloser
+	left int
+	done chan struct{}
+}
+
+// Read implements [io.Reader].
+func (r *halfRead) Read(p []byte) (int, error) {
+	n, err := r.ReadCloser.Read(p)
+	if r.left -= n; r.left <= 0 && r.left+n > 0 {
+		close(r.done)
+	}
+	return n, err
+}
--- a/spool/spool.go
+++ b/spool/spool.go
@@ -1,7 +1,9 @@
 package spool
 
 import (
+	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 )
@@ -9,34 +11,50 @@
 // DefaultMax is the bound of a pool, in bytes, if Max is zero.
 const DefaultMax = 16 << 20
 
-// Sizes of a buffer's blocks in bytes. Most buffers hold a part of one short event.
+// Sizes of a buffer's blocks in bytes. Most buffers hold a part of one short event, or
+// one short body.
 const (
 	minBlock = 512
 	maxBlock = 16 << 10
+	// maxReserved is the largest block of bytes that were reserved.
+	maxReserved = 64 << 10
 )
 
+// evictedShare is the fraction of a pool's Max that may be held beside it by buffers that
+// were told to give way, unless it is one alone.
+const evictedShare = 0.5
+
 // ErrFull is returned to the buffer that must give way.
 var ErrFull = errors.New("too many bytes are held, most of them here")
 
-// Pool bounds the bytes of its buffers. It holds at most Max bytes, and as many again in
-// buffers that were told to give way and have not been reset yet. The zero value is
-// ready to use.
+// Pool bounds the bytes of its buffers. It holds at most Max bytes, half as many, or one
+// buffer, that were told to give way and have not been reset yet, and one lasting buffer
+// that would not fit into an empty pool. The zero value is ready to use.
 type Pool struct {
 	// Max is in bytes; zero means DefaultMax.
 	Max int64
 
 	// One lock, since the sum and the largest buffer are those of all. It is taken
 	// for each block, not for each byte.
-	mu             sync.Mutex
+	mu sync.Mutex
+	// used is the sum of the buffers that have not been told to give way, but for the
+	// oversized one, and evicting that of those that have.
 	used, evicting int64
-	buffers        map[*Buffer]struct{}
+	// oversized is the lasting buffer that would not fit into an empty pool, nil if
+	// there is none.
+	oversized *Buffer
+	buffers   map[*Buffer]struct{}
 }
 
 // Used returns the bytes that are held.
 func (p *Pool) Used() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.used + p.evicting
+	used := p.used + p.evicting
+	if p.oversized != nil {
+		used += p.oversized.held
+	}
+	return used
 }
 
 // max returns Max or its default.
@@ -52,45 +70,86 @@
 func (p *Pool) reserve(b *Buffer, n int64) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for !b.evicted && p.used+n > p.max() {
-		largest := b
-		for other := range p.buffers {
-			if !other.evicted && other.held > largest.held && other.held > b.held+n {
-				largest = other
-			}
-		}
-		if largest == b || p.evicting+largest.held > p.max() {
+	if p.buffers == nil {
+		p.buffers = make(map[*Buffer]struct{})
+	}
+	// A lasting buffer leaves as much room as it takes, so that a few large ones don't
+	// keep out all others.
+	spare := int64(0)
+	if b.Lasting {
+		spare = b.held + n
+	}
+	if p.oversized == nil && !b.evicted.Load() && b.held+n+spare > p.max() && b.Lasting {
+		p.used -= b.held
+		p.oversized = b
+	}
+	p.buffers[b] = struct{}{}
+	if p.oversized == b {
+		b.held += n
+		return nil
+	}
+	for !b.evicted.Load() && p.used+n+spare > p.max() {
+		if !p.evictLarger(b, b.held+n) {
 			return ErrFull
 		}
-		largest.evicted = true
-		p.used -= largest.held
-		p.evicting += largest.held
-		if largest.Evict != nil {
-			largest.Evict()
-		}
 	}
-	if b.evicted {
+	if b.evicted.Load() {
 		return ErrFull
 	}
-	if p.buffers == nil {
-		p.buffers = make(map[*Buffer]struct{})
-	}
-	p.buffers[b] = struct{}{}
 	b.held += n
 	p.used += n
 	return nil
 }
 
+// evictLarger tells the largest other buffer that holds more than size to give way. It
+// returns false if there is none, or too many bytes are in buffers that still have to.
+func (p *Pool) evictLarger(b *Buffer, size int64) bool {
+	var largest *Buffer
+	for other := range p.buffers {
+		if other == b || other.evicted.Load() || other.pinned || other == p.oversized {
+			continue
+		}
+		if other.held > size {
+			largest, size = other, other.held
+		}
+	}
+	if largest == nil || p.evicting > 0 && p.evicting+largest.held > int64(float64(p.max())*evictedShare) {
+		return false
+	}
+	p.used -= largest.held
+	largest.evicted.Store(true)
+	p.evicting += largest.held
+	if largest.Evict != nil {
+		largest.Evict()
+	}
+	return true
+}
+
+// pin marks b, or returns ErrFull if it has been told to give way.
+func (p *Pool) pin(b *Buffer) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b.evicted.Load() {
+		return ErrFull
+	}
+	b.pinned = true
+	return nil
+}
+
 // release takes all bytes of b from the sum.
 func (p *Pool) release(b *Buffer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if b.evicted {
+	switch {
+	case b == p.oversized:
+		p.oversized = nil
+	case b.evicted.Load():
 		p.evicting -= b.held
-	} else {
+	default:
 		p.used -= b.held
 	}
-	b.held, b.evicted = 0, false
+	b.held, b.pinned = 0, false
+	b.evicted.Store(false)
 	delete(p.buffers, b)
 }
 
@@ -101,40 +160,127 @@
 	// Evict, if not nil, is called when the buffer must give way. It must not block,
 	// nor use the buffer or the pool.
 	Evict func()
+	// Lasting is set if the bytes are kept once they are complete. As many must then be
+	// left to other buffers. It must not change while the buffer holds bytes.
+	Lasting bool
 
 	blocks [][]byte
 	size   int
-	// held and evicted are guarded by the lock of Pool.
+	// reserved is the number of bytes that the pool has granted and that are in no block.
+	reserved int64
+	// held and pinned are guarded by the lock of Pool, as are changes of evicted.
 	held    int64
-	evicted bool
+	pinned  bool
+	evicted atomic.Bool
 }
 
 // Len returns the number of bytes.
 func (b *Buffer) Len() int { return b.size }
 
-// Write appends a copy of p. If it fails, the buffer holds a part of p at most.
-func (b *Buffer) Write(p []byte) error {
-	for len(p) > 0 {
-		last := len(b.blocks) - 1
-		if last < 0 || len(b.blocks[last]) == cap(b.blocks[last]) {
-			n := min(max(minBlock, b.size), maxBlock)
+// Reserve takes room for n bytes that will follow. If it fails, nothing is reserved.
+func (b *Buffer) Reserve(n int64) error {
+	if b.Pool != nil && n > 0 {
+		if err := b.Pool.reserve(b, n); err != nil {
+			return err
+		}
+	}
+	b.reserved += n
+	return nil
+}
+
+// Pin keeps the buffer from being told to give way from now on, until it is reset. It
+// fails if the buffer has been told so.
+func (b *Buffer) Pin() error {
+	if b.Pool == nil {
+		return nil
+	}
+	return b.Pool.pin(b)
+}
+
+// full reports whether the last block has no unused part.
+func (b *Buffer) full() bool {
+	last := len(b.blocks) - 1
+	return last < 0 || len(b.blocks[last]) == cap(b.blocks[last])
+}
+
+// space returns the unused part of the last block, or of a new one if there is none.
+func (b *Buffer) space() ([]byte, error) {
+	if b.full() {
+		n := min(b.reserved, maxReserved)
+		if n > 0 {
+			b.reserved -= n
+		} else {
+			n = int64(min(max(minBlock, b.size), maxBlock))
 			if b.Pool != nil {
-				if err := b.Pool.reserve(b, int64(n)); err != nil {
-					return err
+				if err := b.Pool.reserve(b, n); err != nil {
+					return nil, err
 				}
 			}
-			b.blocks = append(b.blocks, make([]byte, 0, n))
-			last++
 		}
-		block := b.blocks[last]
-		n := min(len(p), cap(block)-len(block))
-		b.blocks[last] = append(block, p[:n]...)
-		b.size += n
+		b.blocks = append(b.blocks, make([]byte, 0, n))
+	}
+	block := b.blocks[len(b.blocks)-1]
+	return block[len(block):cap(block)], nil
+}
+
+// extend adds the first n bytes of the result of space to the contents.
+func (b *Buffer) extend(n int) {
+	last := len(b.blocks) - 1
+	b.blocks[last] = b.blocks[last][:len(b.blocks[last])+n]
+	b.size += n
+}
+
+// Write appends a copy of p. If it fails, the buffer holds a part of p at most.
+func (b *Buffer) Write(p []byte) error {
+	for len(p) > 0 {
+		space, err := b.space()
+		if err != nil {
+			return err
+		}
+		n := copy(space, p)
+		b.extend(n)
 		p = p[n:]
 	}
 	return nil
 }
 
+// ReadFrom appends what r holds up to its end. It implements [io.ReaderFrom].
+func (b *Buffer) ReadFrom(r io.Reader) (int64, error) {
+	var total int64
+	// The end of r is often found by a read after the last byte, for which no block is
+	// needed.
+	var probe [1]byte
+	for {
+		probing := b.reserved == 0 && b.full()
+		space := probe[:]
+		if !probing {
+			var err error
+			if space, err = b.space(); err != nil {
+				return total, err
+			}
+		}
+		n, err := r.Read(space)
+		total += int64(n)
+		if !probing {
+			b.extend(n)
+		} else if err := b.Write(probe[:n]); err != nil {
+			return total, err
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return total, nil
+		case err != nil:
+			return total, err
+		case b.evicted.Load():
+			return total, ErrFull
+		}
+	}
+}
+
+// Blocks returns the bytes in order. They must not be changed, and are valid also after
+// Reset.
+func (b *Buffer) Blocks() [][]byte { return b.blocks }
+
 // Each calls f with the bytes in order, block by block, up to the first error.
 func (b *Buffer) Each(f func(p []byte) error) error {
 	for _, block := range b.blocks {
@@ -147,10 +293,7 @@
 
 // Reset drops all bytes.
 func (b *Buffer) Reset() {
-	if b.blocks == nil {
-		return
-	}
-	b.blocks, b.size = nil, 0
+	b.blocks, b.size, b.reserved = nil, 0, 0
 	if b.Pool != nil {
 		b.Pool.release(b)
 	}
