relay, spool: starts of answers count against the bound on bodies

Callers that don't read their answers cost an entry up to 64 KiB each and more, with no bound on the sum: the start of a call's answer, second answers and kept failures were read into memory so that a cut one can be retried.

They are lasting buffers of the pool for bodies now. Where there is no room, an answer isn't read first but forwarded as it arrives: it is whole all the same, but can't be retried if its replica breaks off. A kept failure is released with its request. The pool's blocks fit the part that is written, so that a short answer is still one block and one write.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -97,8 +97,8 @@
 	budgets  shard.Map[string, *limit.Window]
 	// inFlight tracks the requests and connections of callers.
 	inFlight flight.Tracker
-	// bodies bounds the bytes of callers' bodies that are held, and partial those of
-	// events of which a part has arrived.
+	// bodies bounds the bytes of callers' bodies and of the starts of answers that are
+	// held, and partial those of events of which a part has arrived.
 	bodies, partial spool.Pool
 	// durations estimates how long the completions of a service take.
 	durations flight.Durations
@@ -178,7 +178,7 @@
 	e.relay = relay.Relay{
 		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Budget: e, Quarantine: crashDetector{e}, Notices: &e.notices, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
 		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre, MaxSilence: s.Fleet.Silence,
-		Held: &e.partial,
+		Held: &e.partial, Kept: &e.bodies,
 	}
 }
 
@@ -194,7 +194,7 @@
 // neither kind takes the room of the other. Half as much again may be in use by those that
 // were just cut.
 const (
-	// bodyShare is for the bodies of callers' requests.
+	// bodyShare is for the bodies of callers' requests and the starts of answers.
 	bodyShare = 0.4
 	// partialShare is for events of which a part has arrived.
 	partialShare = 0.2
--- a/relay/call.go
+++ b/relay/call.go
@@ -14,6 +14,7 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/route"
+	"lacewinghook.example/lacewinghook/spool"
 	"lacewinghook.example/lacewinghook/stall"
 )
 
@@ -37,13 +38,17 @@
 	}
 }
 
-// openAnswer is an answer of a replica of which the first maxBufferedBytes+1 bytes are
-// read. close must be called.
+// openAnswer is an answer of a replica of which the start is read. close must be called.
 type openAnswer struct {
 	up     core.Upstream
 	answer Answer
-	head   []byte
-	close  func()
+	// head is the start, of maxBufferedBytes+1 bytes at most, and rest what follows it and
+	// found no room there.
+	head *spool.Buffer
+	rest []byte
+	// whole is set if head holds all of the body.
+	whole bool
+	close func()
 }
 
 // callOnce sends the call to one replica and delivers its answer, or that of another one
@@ -104,23 +109,30 @@
 	}
 	x.relay.markReachable(up)
 	x.relay.Pool.ObserveFirstToken(up.Name, x.relay.Clock.Now()-start)
-	open := &openAnswer{up: up, answer: a, close: func() {
+	open := &openAnswer{up: up, answer: a, head: &spool.Buffer{Pool: x.relay.Kept, Lasting: true}}
+	open.close = func() {
 		// An error is of no interest: the answer is no longer needed.
 		_ = a.Body.Close()
+		open.head.Reset()
 		x.relay.Pool.End(up.Name, w)
-	}}
-	var head bytes.Buffer
+	}
 	err = readParts(up, io.LimitReader(a.Body, maxBufferedBytes+1), func(p []byte) error {
 		onData()
-		_, err := head.Write(p)
+		before := open.head.Len()
+		err := open.head.Write(p)
+		if err != nil {
+			open.rest = bytes.Clone(p[open.head.Len()-before:])
+		}
 		return err
 	})
-	if err != nil {
+	// Without room the answer is forwarded from here on as it arrives.
+	full := errors.Is(err, spool.ErrFull)
+	if err != nil && !full {
 		open.close()
 		return nil, codes.From(err).WithRun(codes.Unknown)
 	}
-	open.head = head.Bytes()
-	if len(open.head) <= maxBufferedBytes && !a.UntilClose {
+	open.whole = !full && open.head.Len() <= maxBufferedBytes
+	if open.whole && !a.UntilClose {
 		x.reportCompleted()
 	}
 	return open, nil
@@ -206,17 +218,33 @@
 // isFailure reports whether an answer is a failure after which the call may be sent
 // again.
 func (x *exchange) isFailure(a *openAnswer) bool {
-	return a.answer.Status >= minFailureStatus && len(a.head) <= maxBufferedBytes && x.repeatable()
+	return a.answer.Status >= minFailureStatus && a.whole && x.repeatable()
 }
 
 // keepFallback stores a failure, to be delivered if no other answer is received, and
 // returns its error.
 func (x *exchange) keepFallback(a *openAnswer) error {
-	a.answer.Length = int64(len(a.head))
-	x.fallback = &bufferedAnswer{reply: a.answer.Reply, body: a.head}
+	x.dropFallback()
+	x.fallback = a.buffered()
+	// It is kept when a is closed.
+	a.head = &spool.Buffer{}
 	return codes.New(codes.UpstreamFailed, "%s answered %d", a.up.Name, a.answer.Status)
 }
 
+// buffered returns an answer that is whole.
+func (a *openAnswer) buffered() *bufferedAnswer {
+	a.answer.Length = int64(a.head.Len())
+	return &bufferedAnswer{reply: a.answer.Reply, body: a.head}
+}
+
+// dropFallback frees the memory of the fallback.
+func (x *exchange) dropFallback() {
+	if x.fallback != nil {
+		x.fallback.body.Reset()
+		x.fallback = nil
+	}
+}
+
 // deliverAnswer delivers a replica's answer. If its status reports a failure and the call
 // may be repeated, it is stored as the fallback and an error is returned.
 func (x *exchange) deliverAnswer(a *openAnswer) error {
@@ -224,18 +252,22 @@
 		return x.keepFallback(a)
 	}
 	x.possibleRuns++
-	if len(a.head) <= maxBufferedBytes {
+	if a.whole {
 		x.relay.endless.Forget(a.up.Name)
-		a.answer.Length = int64(len(a.head))
-		return x.deliver(&bufferedAnswer{reply: a.answer.Reply, body: a.head})
+		return x.deliver(a.buffered())
 	}
-	if err := x.sendHead(a.answer.Reply); err != nil {
+	read := a.head.Len() + len(a.rest)
+	if err := x.deliver(&bufferedAnswer{reply: a.answer.Reply, body: a.head}); err != nil {
 		return err
 	}
-	if err := x.forward(a.head); err != nil {
-		return err
+	a.head.Reset()
+	if len(a.rest) > 0 {
+		if err := x.forward(a.rest); err != nil {
+			return err
+		}
+		a.rest = nil
 	}
-	err := x.streamBody(a.up, a.answer.Body, x.checkLength(a.up, len(a.head)))
+	err := x.streamBody(a.up, a.answer.Body, x.checkLength(a.up, read))
 	x.reportEndless(a.up, err)
 	if err == nil && !a.answer.UntilClose {
 		x.reportCompleted()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -15,6 +15,7 @@
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/spool"
 )
 
 // exchange holds the state of one in-flight request. It has no lock: only one
@@ -62,10 +63,10 @@
 	resumeIn         clock.Millis
 }
 
-// bufferedAnswer is an answer that was read completely.
+// bufferedAnswer is the head of an answer and what was read of its body.
 type bufferedAnswer struct {
 	reply core.Reply
-	body  []byte
+	body  *spool.Buffer
 }
 
 // Limits on the sends of one request.
@@ -300,10 +301,7 @@
 	if err := x.sendHead(answer.reply); err != nil {
 		return err
 	}
-	if len(answer.body) == 0 {
-		return nil
-	}
-	return x.forward(answer.body)
+	return answer.body.Each(x.forward)
 }
 
 // copyBufferBytes is the size of the buffer through which an answer is copied.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -176,8 +176,9 @@
 	// MaxAnswer bounds an answer that isn't a stream of events, in bytes; zero means
 	// [DefaultMaxAnswer].
 	MaxAnswer int64
-	// Held, if not nil, bounds the bytes of answers that are held for all requests.
-	Held *spool.Pool
+	// Held, if not nil, bounds the bytes of partial events that are held for all requests,
+	// and Kept those of answers that are read before they are delivered.
+	Held, Kept *spool.Pool
 
 	// unreachable holds the upstreams whose last connection attempts failed, and
 	// endless those whose last complete or cut answer was cut.
@@ -197,6 +198,7 @@
 	ctx, cancel := context.WithTimeout(ctx, (req.Deadline - r.Clock.Now()).Duration())
 	defer cancel()
 	defer x.returnRetries()
+	defer x.dropFallback()
 	var err error
 	if req.Opaque.Route.Generates {
 		err = x.generate(ctx)
--- a/spool/spool.go
+++ b/spool/spool.go
@@ -203,14 +203,15 @@
 	return last < 0 || len(b.blocks[last]) == cap(b.blocks[last])
 }
 
-// space returns the unused part of the last block, or of a new one if there is none.
-func (b *Buffer) space() ([]byte, error) {
+// space returns the unused part of the last block, or of a new one for about want bytes if
+// there is none.
+func (b *Buffer) space(want int) ([]byte, error) {
 	if b.full() {
 		n := min(b.reserved, maxReserved)
 		if n > 0 {
 			b.reserved -= n
 		} else {
-			n = int64(min(max(minBlock, b.size), maxBlock))
+			n = int64(min(max(minBlock, b.size, want), maxBlock))
 			if b.Pool != nil {
 				if err := b.Pool.reserve(b, n); err != nil {
 					return nil, err
@@ -233,7 +234,7 @@
 // Write appends a copy of p. If it fails, the buffer holds a part of p at most.
 func (b *Buffer) Write(p []byte) error {
 	for len(p) > 0 {
-		space, err := b.space()
+		space, err := b.space(len(p))
 		if err != nil {
 			return err
 		}
@@ -255,7 +256,7 @@
 		space := probe[:]
 		if !probing {
 			var err error
-			if space, err = b.space(); err != nil {
+			if space, err = b.space(0); err != nil {
 				return total, err
 			}
 		}
