idem, batch: orders before a slow table no longer keep each other from ending

What callers saw: after an outage, or beside load, 400 orders that return at once were rejected over and over as claim_unsure and platform_down; in 20 s a fifth of them ended.

Cause, from the commits of one red run (GOMAXPROCS 1, -race, four processes beside each other): 200 writes wait in the queue of one entry, 64 go into a transaction of 100 to 500 ms, so claims are written at or past the deadline of 800 ms. Each of these cost a withdrawal that first conflicted with its own row, also where nothing had been written; the next attempt conflicted with the open and then with the abandoned row, each time with all of its transaction, and came too late again. 40% of the rows written were withdrawals, and 20 to 60 of 64 writes conflicted.

Change: outcomes and withdrawals are written before claims. A claim in flight at the deadline is withdrawn only if it was written, at its known revision. The next attempt at the entry waits for the withdrawal and replaces the abandoned row in one transaction; a request with another digest still learns that the key was used. There is at most one withdrawal an order.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"sync"
 
 	"lacewinghook.example/lacewinghook/clock"
@@ -47,8 +48,9 @@
 	Go      func(f func()) bool
 	Context func() context.Context
 
-	mu    sync.Mutex
-	queue []*item
+	mu sync.Mutex
+	// queue holds the writes of Write, and claims those of WriteClaim.
+	queue, claims []*item
 	// running is set while a goroutine commits.
 	running bool
 }
@@ -70,14 +72,28 @@
 	// exist.
 	Row *core.Row
 	Err error
+	// Late receives the outcome of a write that was being committed when its context
+	// ended; nil otherwise.
+	Late <-chan Outcome
 }
 
 // Write queues a write and waits for its outcome or the end of ctx. The value must
 // differ from that of every other write of the row, since a row with an equal
 // value is taken as proof that this write was committed.
 func (b *Batch) Write(ctx context.Context, w core.Write) Outcome {
+	return b.write(ctx, &b.queue, w)
+}
+
+// WriteClaim is [Batch.Write] for a write that begins work. It follows all writes of Write,
+// so that under overload work that has begun ends before other work begins.
+func (b *Batch) WriteClaim(ctx context.Context, w core.Write) Outcome {
+	return b.write(ctx, &b.claims, w)
+}
+
+// write adds a write to one of the queues and waits for its outcome or the end of ctx.
+func (b *Batch) write(ctx context.Context, queue *[]*item, w core.Write) Outcome {
 	it := &item{write: w, done: make(chan Outcome, 1)}
-	if b.enqueue(it) {
+	if b.enqueue(queue, it) {
 		b.startCommitter()
 	}
 	select {
@@ -86,8 +102,8 @@
 	case <-ctx.Done():
 	}
 	err := codes.Wrap(codes.PlatformDown, context.Cause(ctx), "platform: timed out waiting for the write")
-	if !b.dequeue(it) {
-		err = err.WithRun(codes.Unknown)
+	if !b.dequeue(queue, it) {
+		return Outcome{Err: err.WithRun(codes.Unknown), Late: it.done}
 	}
 	return Outcome{Err: err}
 }
@@ -117,55 +133,60 @@
 	return b.Context()
 }
 
-// enqueue adds the item to the queue and reports whether the caller must start a
-// committing goroutine.
-func (b *Batch) enqueue(it *item) (start bool) {
+// enqueue adds the item to a queue and reports whether the caller must start a committing
+// goroutine.
+func (b *Batch) enqueue(queue *[]*item, it *item) (start bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.queue = append(b.queue, it)
+	*queue = append(*queue, it)
 	start = !b.running
 	b.running = true
 	return start
 }
 
-// dequeue removes the item from the queue and reports whether it was still queued,
-// that is, not yet part of a transaction.
-func (b *Batch) dequeue(it *item) bool {
+// dequeue removes the item from its queue and reports whether it was still queued, that is,
+// not yet part of a transaction.
+func (b *Batch) dequeue(queue *[]*item, it *item) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for i, other := range b.queue {
-		if other == it {
-			b.queue = append(b.queue[:i], b.queue[i+1:]...)
-			return true
-		}
+	i := slices.Index(*queue, it)
+	if i >= 0 {
+		*queue = slices.Delete(*queue, i, i+1)
 	}
-	return false
+	return i >= 0
 }
 
-// nextTransaction removes the writes of the next transaction from the queue and
-// returns them, or none if the queue is empty. It puts two writes of the same row
-// into different transactions, and exceeds maxTransactionBytes only for a single
-// large write.
+// nextTransaction removes the writes of the next transaction from the queues and returns
+// them, or none if both are empty.
 func (b *Batch) nextTransaction() []*item {
-	maxRows := b.maxRows()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var items, rest []*item
-	keys := make(map[string]bool)
-	size := 0
-	for _, it := range b.queue {
-		size += len(it.write.Value)
-		full := len(items) > 0 && (len(items) >= maxRows || size > maxTransactionBytes)
-		if full || keys[it.write.Key] {
-			rest = append(rest, it)
-			continue
-		}
-		keys[it.write.Key] = true
-		items = append(items, it)
+	tx := transaction{maxRows: b.maxRows(), keys: make(map[string]bool)}
+	b.queue = slices.DeleteFunc(b.queue, tx.add)
+	b.claims = slices.DeleteFunc(b.claims, tx.add)
+	b.running = len(tx.items) > 0
+	return tx.items
+}
+
+// transaction collects the writes of one transaction.
+type transaction struct {
+	items         []*item
+	maxRows, size int
+	keys          map[string]bool
+}
+
+// add adds a write and reports whether it fits. Two writes of the same row never fit into
+// one transaction, and only a single large write exceeds maxTransactionBytes.
+func (tx *transaction) add(it *item) bool {
+	size := tx.size + len(it.write.Value)
+	full := len(tx.items) > 0 && (len(tx.items) >= tx.maxRows || size > maxTransactionBytes)
+	if full || tx.keys[it.write.Key] {
+		return false
 	}
-	b.queue = rest
-	b.running = len(items) > 0
-	return items
+	tx.size = size
+	tx.keys[it.write.Key] = true
+	tx.items = append(tx.items, it)
+	return true
 }
 
 // commitAll commits until the queue is empty. While the platform fails, it backs
--- a/idem/claim.go
+++ b/idem/claim.go
@@ -20,10 +20,13 @@
 // applied at most once, whichever try succeeds, and the flight sends the call
 // once.
 func (ex *Executor) claim(ctx context.Context, f *flight) (found *record.Record, err error) {
-	var expect int64
+	expect, err := ex.awaitWithdrawal(ctx, f)
+	if err != nil {
+		return nil, ex.claimFailed(f, false, err)
+	}
 	maybeInserted := false
 	for n := 0; ; n++ {
-		out := ex.write(ctx, &f.record, expect)
+		out := ex.writeClaim(ctx, &f.record, expect)
 		switch {
 		case out.Revision != 0:
 			f.revision = out.Revision
@@ -38,6 +41,13 @@
 				return found, nil
 			}
 			expect = out.Row.Revision
+		case out.Late != nil:
+			ex.startWithdrawal(f, func() (needed bool, revision int64) {
+				late := <-out.Late
+				mayBe := maybeInserted || late.Err != nil && codes.From(late.Err).Run != codes.NotRun
+				return mayBe || late.Revision != 0, late.Revision
+			})
+			return nil, codes.Wrap(codes.ClaimUnsure, out.Err, "order").WithRetryAfter(retryAfter)
 		default:
 			maybeInserted = maybeInserted || codes.From(out.Err).Run != codes.NotRun
 			ex.Meter.CountRetry(meter.Failed)
@@ -53,45 +63,12 @@
 // background.
 func (ex *Executor) claimFailed(f *flight, maybeInserted bool, cause error) error {
 	if !maybeInserted {
-		return codes.Wrap(codes.PlatformDown, cause, "order: the platform's table").WithRetryAfter(retryAfter)
+		return codes.Wrap(codes.PlatformDown, cause, "order: not sent, the platform's table doesn't answer in time").WithRetryAfter(retryAfter)
 	}
-	ex.tasks.Go(func() { ex.withdraw(f) })
+	ex.startWithdrawal(f, func() (needed bool, revision int64) { return true, 0 })
 	return codes.Wrap(codes.ClaimUnsure, cause, "order").WithRetryAfter(retryAfter)
 }
 
-// withdraw writes an abandoned row in place of the flight's claim, so that an
-// insert still in flight fails. The flight must not send its call after that.
-func (ex *Executor) withdraw(f *flight) {
-	abandoned := f.record
-	abandoned.State, abandoned.Ended = record.Abandoned, ex.Clock.Wall()
-	abandoned.Note = "the claim could not be confirmed"
-	var expect int64
-	for n := 0; ; n++ {
-		out := ex.write(ex.tasks.Context(), &abandoned, expect)
-		if out.Revision != 0 {
-			ex.Meter.Add("orders_withdrawn_total", 1)
-			return
-		}
-		if out.Row != nil {
-			found, err := record.Decode(*out.Row)
-			if out.Row.Revision != 0 && (err != nil || !replaceable(found, f.record.Token)) {
-				return
-			}
-			expect = out.Row.Revision
-		}
-		if ex.backoff(ex.tasks.Context(), n) != nil {
-			return
-		}
-	}
-}
-
-// replaceable reports whether a withdrawal may overwrite the row: it is the
-// attempt's own claim, or an abandoned row that the attempt's pending insert
-// may still replace.
-func replaceable(r *record.Record, token string) bool {
-	return r.State == record.Abandoned || r.State == record.Open && r.Token == token
-}
-
 // answerFromRecord answers a call whose order already has a record in the
 // table.
 func (ex *Executor) answerFromRecord(ctx context.Context, f *flight, found *record.Record) (core.Answer, error) {
--- a/idem/executor.go
+++ b/idem/executor.go
@@ -72,6 +72,9 @@
 	quota   task.Quota
 	tasks   task.Group
 	unsaved atomic.Int64
+	// withdrawals maps order IDs to the withdrawals that are in progress or ended less than
+	// withdrawalAge ago.
+	withdrawals shard.Map[string, *withdrawal]
 
 	// prepare sets up batch and records once, on first use.
 	prepared sync.Once
@@ -101,6 +104,9 @@
 	// retryAfter is the retry hint returned while an order is in progress or
 	// could not be claimed.
 	retryAfter = 500 * clock.Millis(1)
+	// withdrawalAge is how long the revision of an abandoned row is kept for the next
+	// attempt.
+	withdrawalAge = 10 * clock.Second
 )
 
 // flight is one in-flight order of this entry. Concurrent calls with the same
--- a/idem/records.go
+++ b/idem/records.go
@@ -36,6 +36,12 @@
 	return ex.batch.Write(ctx, core.Write{Key: r.RowKey(), Value: r.Encode(), Expect: expect})
 }
 
+// writeClaim is write for a claim.
+func (ex *Executor) writeClaim(ctx context.Context, r *record.Record, expect int64) batch.Outcome {
+	ex.prepare()
+	return ex.batch.WriteClaim(ctx, core.Write{Key: r.RowKey(), Value: r.Encode(), Expect: expect})
+}
+
 // List calls [record.Store.List].
 func (ex *Executor) List(ctx context.Context, state record.State, after string, limit int) (record.Page, error) {
 	ex.prepare()
