stall: a pause of the process isn't silence of its upstreams

After a pause of the entry (stopped, or no core free) the timers of all its calls fired before what the upstreams had sent meanwhile was read: each began a search, and sound streams could be moved, with a retry and a prefill each.

Change: a timer that fires 20 ms late or more begins the search later by as much, at most by the limit, and once in a silence, so that a machine that is always late still gives calls up.

Evidence: TestWatchdog, three cases more for the pause and one for pauses in a row. Red without it: data_read_after_a_pause (a search); red if it isn't bounded: one_pause_after_another.

--- a/stall/doc.go
+++ b/stall/doc.go
@@ -4,7 +4,9 @@
 // [Watchdog] therefore looks for a way to go on elsewhere before it gives a call up. Once
 // the upstream has been silent for the limit, it calls Secure. If Secure finds nothing, the
 // call goes on and the search is repeated after [searchInterval]. Data that arrives during
-// a search abandons the search, and what it has secured is released by Unsecure.
+// a search abandons the search, and what it has secured is released by Unsecure. A pause of
+// the process itself isn't silence of the upstream: if the timer fires late, the search
+// begins later by as much, the limit at most.
 //
 // The callbacks run in the goroutine of the timer, one search at a time, and without a lock
 // held, except Unsecure and Cancel: these must not call the Watchdog.
--- a/stall/watchdog.go
+++ b/stall/watchdog.go
@@ -14,6 +14,10 @@
 // searchInterval is the pause after a search for another upstream that found none.
 const searchInterval clock.Millis = 200
 
+// minPause is how late a timer fires after a pause of the process, as when it was stopped or
+// all cores were busy.
+const minPause clock.Millis = 20
+
 // ErrIdle is the cause with which a [Watchdog] ends a call.
 var ErrIdle = errors.New("the upstream sent no data in time")
 
@@ -38,8 +42,10 @@
 	mu sync.Mutex
 	// ctx bounds the searches.
 	ctx context.Context
-	// last is the instant of the last data, or of the start.
-	last clock.Millis
+	// last is the instant of the last data, or of the start, and due that at which the
+	// running timer fires. paused is set if the process was paused since last.
+	last, due clock.Millis
+	paused    bool
 	// disarm stops the running timer, and abandon the running search. disarm is nil until
 	// Start.
 	disarm  func() bool
@@ -58,13 +64,16 @@
 }
 
 // arm starts a timer. w.mu is held.
-func (w *Watchdog) arm(d clock.Millis) { w.disarm = w.Clock.AfterFunc(d, w.check) }
+func (w *Watchdog) arm(d clock.Millis) {
+	w.due = w.Clock.Now() + d
+	w.disarm = w.Clock.AfterFunc(d, w.check)
+}
 
 // DataReceived ends the current silence, and sets the limit of the next one.
 func (w *Watchdog) DataReceived(limit clock.Millis) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.last = w.Clock.Now()
+	w.last, w.paused = w.Clock.Now(), false
 	if w.abandon != nil {
 		w.abandon()
 	}
@@ -123,10 +132,17 @@
 	if w.stopped {
 		return nil, false
 	}
-	if rest := w.last + w.Limit - w.Clock.Now(); rest > 0 {
+	now := w.Clock.Now()
+	if rest := w.last + w.Limit - now; rest > 0 {
 		w.arm(rest)
 		return nil, false
 	}
+	if late := now - w.due; late >= minPause && !w.paused {
+		// What the upstream sent meanwhile may not have been read yet.
+		w.paused = true
+		w.arm(min(late, w.Limit))
+		return nil, false
+	}
 	search, abandon := context.WithCancel(w.ctx)
 	w.abandon = abandon
 	w.searches.Add(1)
--- a/stall/watchdog_test.go
+++ b/stall/watchdog_test.go
@@ -16,9 +16,11 @@
 func TestWatchdog(t *testing.T) {
 	const limit = 1000
 	type step struct {
-		// advance is how much time passes, then data arrives if data is set.
+		// advance is how much time passes, then data arrives if data is set. All of it
+		// passes in a pause of the process if paused is set.
 		advance clock.Millis
 		data    bool
+		paused  bool
 	}
 	for name, c := range map[string]struct {
 		steps []step
@@ -30,14 +32,18 @@
 		searches, undone int
 		abandoned        bool
 	}{
-		"data in time":                      {steps: []step{{999, true}, {999, true}, {999, false}}},
-		"silence with another upstream":     {steps: []step{{1000, false}}, secured: []bool{true}, searches: 1, abandoned: true},
-		"silence without another upstream":  {steps: []step{{1399, false}}, searches: 2},
-		"another upstream is found later":   {steps: []step{{1400, false}}, secured: []bool{false, false, true}, searches: 3, abandoned: true},
-		"data after a search":               {steps: []step{{1000, true}, {900, false}}, searches: 1},
-		"silence again":                     {steps: []step{{1000, true}, {1100, false}}, secured: []bool{false, true}, searches: 2, abandoned: true},
-		"data during the search":            {steps: []step{{1000, false}}, secured: []bool{true}, dataInSearch: true, searches: 1, undone: 1},
-		"data during a search without find": {steps: []step{{1000, false}}, dataInSearch: true, searches: 1},
+		"data in time":                      {steps: []step{{advance: 999, data: true}, {advance: 999, data: true}, {advance: 999}}},
+		"silence with another upstream":     {steps: []step{{advance: 1000}}, secured: []bool{true}, searches: 1, abandoned: true},
+		"silence without another upstream":  {steps: []step{{advance: 1399}}, searches: 2},
+		"another upstream is found later":   {steps: []step{{advance: 1400}}, secured: []bool{false, false, true}, searches: 3, abandoned: true},
+		"data after a search":               {steps: []step{{advance: 1000, data: true}, {advance: 900}}, searches: 1},
+		"silence again":                     {steps: []step{{advance: 1000, data: true}, {advance: 1100}}, secured: []bool{false, true}, searches: 2, abandoned: true},
+		"data during the search":            {steps: []step{{advance: 1000}}, secured: []bool{true}, dataInSearch: true, searches: 1, undone: 1},
+		"data read after a pause":           {steps: []step{{advance: 3000, paused: true}, {advance: 999, data: true}, {advance: 999}}, secured: []bool{true}},
+		"silence after a pause":             {steps: []step{{advance: 3000, paused: true}, {advance: 1000}}, secured: []bool{true}, searches: 1, abandoned: true},
+		"silence after a short pause":       {steps: []step{{advance: 1050, paused: true}, {advance: 50}}, secured: []bool{true}, searches: 1, abandoned: true},
+		"one pause after another":           {steps: []step{{advance: 1050, paused: true}, {advance: 100, paused: true}}, secured: []bool{true}, searches: 1, abandoned: true},
+		"data during a search without find": {steps: []step{{advance: 1000}}, dataInSearch: true, searches: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -56,6 +62,10 @@
 			}
 			w.Start(context.Background())
 			for _, s := range c.steps {
+				if s.paused {
+					m.Advance(s.advance)
+					s.advance = 0
+				}
 				for range s.advance {
 					m.Advance(1)
 				}
