--- a/soak/inject.go
+++ b/soak/inject.go
@@ -228,15 +228,19 @@
 	_ = sleep(ctx, drain+drainSlack)
 	for c.sim.Running() > 0 && sleep(ctx, drainInterval) == nil {
 	}
+	// The end of the last answer may still be on its way to a slow caller.
+	_ = sleep(ctx, lastBytesTime)
 	g.store.Remove(extsim.ReplicaTable, c.sim.ID)
 	c.sim.Stop()
 }
 
 // drainSlack is the time after the last instant at which a request may reach a replica that
-// leaves, and drainInterval the time between two looks at whether it still works.
+// leaves, drainInterval the time between two looks at whether it still works, and
+// lastBytesTime longer than the end of an answer may take to a slow caller.
 const (
 	drainSlack                 = 2 * clock.Second
 	drainInterval clock.Millis = 50
+	lastBytesTime              = 1 * clock.Second
 )
 
 // listens reports whether the process has begun to serve callers. Before that, its program
--- a/soak/pace.go
+++ b/soak/pace.go
@@ -57,7 +57,7 @@
 	if !s.Stream && r.IntN(4) == 0 {
 		p.Parts = 1 + r.IntN(maxParts)
 	}
-	if r.IntN(100) >= m.long {
+	if s.Probe || r.IntN(100) >= m.long {
 		return p, 0
 	}
 	work = shortWork + clock.Millis(r.Int64N(int64(longestWork-shortWork)))
