soak: verdicts on the shares of requests that were refused, late or sent again

Each report now has the shares of requests that crossed a close, were refused, failed, were late, were cut by a stop with an excuse and were sent again, for each kind of step. -base plays the seed once more without steps. The arrivals of each service are held to the retry budget.

Callers don't send on a connection whose end has arrived, as net/http's don't, so that only races count as crossing a close.

--- a/cmd/lacesoak/main.go
+++ b/cmd/lacesoak/main.go
@@ -54,6 +54,7 @@
 	fs.StringVar(&o.Dir, "dir", filepath.Join(os.TempDir(), "lacesoak"), "directory for settings, logs and histories")
 	fs.IntVar(&o.Entries, "entries", 3, "number of entries")
 	fs.IntVar(&o.Replicas, "replicas", 12, "number of replicas, at least 4")
+	fs.BoolVar(&o.Base, "base", false, "play each seed also without steps, and compare the sums")
 	duration := fs.Int64("duration", 20000, "time of the faults and callers of a seed, in ms")
 	only := fs.String("only", "", "kinds of steps, comma-separated; all if empty")
 	seed := fs.Uint64("seed", 1, "first seed")
--- a/extsim/caller.go
+++ b/extsim/caller.go
@@ -113,6 +113,18 @@
 // Close closes the connection.
 func (c *Caller) Close() { _ = c.conn.Close() }
 
+// closedWait is how long Closed waits for the end of a connection.
+const closedWait = time.Millisecond
+
+// Closed reports whether the entry has closed the connection. Bytes that belong to no
+// request are left to Ask.
+func (c *Caller) Closed() bool {
+	_ = c.conn.SetReadDeadline(time.Now().Add(closedWait))
+	_, err := c.r.Peek(1)
+	var timeout net.Error
+	return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+}
+
 // Ask sends a request and reads the whole answer. The connection must be closed
 // afterwards unless the answer is complete and doesn't close it.
 func (c *Caller) Ask(ctx context.Context, call Call) (a Answer) {
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -100,6 +100,9 @@
 // its readiness.
 func (c *caller) use(ctx context.Context, e *entry, boot int, conn *extsim.Caller, slow bool) {
 	for nth := range 1 + c.r.IntN(maxReuse) {
+		if conn.Closed() {
+			return
+		}
 		q, call := c.next(e.n, boot, nth, c.g.moodAt(c.g.now()))
 		if !c.ask(ctx, conn, &q, call, slow) {
 			return
--- a/soak/check.go
+++ b/soak/check.go
@@ -44,11 +44,19 @@
 	runs     map[string][]Execution
 	requests map[string]Request
 	boots    map[[2]int]Boot
+	// sends are the arrivals of each request, in their order.
+	sends map[string][]Send
 }
 
 // newIndex returns the index of a history.
 func newIndex(h *History) *index {
-	x := &index{History: h, runs: make(map[string][]Execution), requests: make(map[string]Request), boots: make(map[[2]int]Boot)}
+	x := &index{History: h, runs: make(map[string][]Execution), requests: make(map[string]Request), boots: make(map[[2]int]Boot), sends: make(map[string][]Send)}
+	for _, s := range h.Sends {
+		x.sends[s.ID] = append(x.sends[s.ID], s)
+	}
+	for _, all := range x.sends {
+		slices.SortFunc(all, func(a, b Send) int { return int(a.At - b.At) })
+	}
 	for _, r := range h.Runs {
 		x.runs[r.ID] = append(x.runs[r.ID], r)
 	}
@@ -63,7 +71,7 @@
 
 // checks lists the checks. Each one gets the whole history.
 var checks = []func(x *index, report func(Finding)){
-	checkAnswered, checkBody, checkRuns, checkGone, checkDrain, checkManifest, checkProcesses,
+	checkAnswered, checkBody, checkRuns, checkGone, checkDrain, checkManifest, checkProcesses, checkBudget,
 }
 
 // check returns the promises that were broken, in the order of their times.
--- a/soak/deadly.go
+++ b/soak/deadly.go
@@ -73,6 +73,7 @@
 				continue
 			}
 			g.retire(c)
+			g.crash()
 			rows.Go(func() {
 				_ = sleep(ctx, shortest)
 				g.store.Remove(extsim.ReplicaTable, c.sim.ID)
--- a/soak/history.go
+++ b/soak/history.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,8 +20,12 @@
 	// Arrivals are the requests that replicas received after they had begun to leave.
 	Arrivals []Arrival `json:"arrivals"`
 	Outages  []Outage  `json:"outages"`
-	Boots    []Boot    `json:"boots"`
-	Versions []Version `json:"versions"`
+	// Sends are the arrivals of requests at replicas that answer them, and Crashes the
+	// instants at which engines crashed by a deadly part.
+	Sends    []Send         `json:"sends"`
+	Crashes  []clock.Millis `json:"crashes"`
+	Boots    []Boot         `json:"boots"`
+	Versions []Version      `json:"versions"`
 	// Outstanding is what replicas gave out in calm time and never got back.
 	Outstanding []Grant `json:"outstanding"`
 	// Stalls are the times in which this program itself didn't get to run.
@@ -38,6 +44,8 @@
 	// Stream is set if the answer consists of events, Repeatable if the request may run
 	// more than once, and Probe if the route belongs to one version of the manifest.
 	Stream, Repeatable, Probe bool
+	// Services may run it.
+	Services []string
 	// Deadline is the longest one of a request, see [shortDeadline].
 	Deadline clock.Millis
 }
@@ -86,6 +94,13 @@
 	Ended   clock.Millis `json:"ended"`
 }
 
+// Send is the arrival of a request at a replica of a service, run or rejected.
+type Send struct {
+	ID      string       `json:"id"`
+	Service string       `json:"service"`
+	At      clock.Millis `json:"at"`
+}
+
 // Arrival is a request that a replica received Late after it had begun to leave.
 type Arrival struct {
 	ID      string       `json:"id"`
@@ -223,6 +238,14 @@
 	return slices.Clone(r.h.Versions[from:])
 }
 
+// crash records that an engine has crashed.
+func (r *recorder) crash() {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.h.Crashes = append(r.h.Crashes, now)
+}
+
 // boot records the end of an entry's process.
 func (r *recorder) boot(b Boot) {
 	r.mu.Lock()
@@ -239,10 +262,15 @@
 		}
 		r.h.Runs = append(r.h.Runs, Execution{ID: run.ID, Replica: n, Target: run.Target, Digest: run.Digest, Begun: r.since(run.Begun), Ended: ended})
 	}
-	if left.IsZero() {
-		return
-	}
 	for _, a := range sim.Arrivals() {
+		// A call that only has the prompt read isn't a repeat, nor is one that names another
+		// replica.
+		if a.ID != "" && !a.Other && sim.Phase != "prefill" && strings.HasPrefix(a.Call, http.MethodPost+" ") && a.Call != "POST /hold-take" {
+			r.h.Sends = append(r.h.Sends, Send{ID: a.ID, Service: sim.Service, At: r.since(a.At)})
+		}
+		if left.IsZero() {
+			continue
+		}
 		if late := a.At.Sub(left); a.ID != "" && !a.Other && late > 0 {
 			r.h.Arrivals = append(r.h.Arrivals, Arrival{ID: a.ID, Replica: n, At: r.since(a.At), Late: clock.FromDuration(late)})
 		}
--- a/soak/keeper.go
+++ b/soak/keeper.go
@@ -41,7 +41,7 @@
 // keep uses one connection until it ends or is of no more use.
 func (c *caller) keep(ctx context.Context, e *entry, boot int, conn *extsim.Caller, slow bool) {
 	stopping := e.stopping()
-	for nth := 0; ; nth++ {
+	for nth := 0; !conn.Closed(); nth++ {
 		q, call := c.next(e.n, boot, nth, mood{slow: 1})
 		if !c.ask(ctx, conn, &q, call, slow) {
 			return
@@ -56,7 +56,7 @@
 				at = lateFrom + clock.Millis(c.r.Int64N(int64(lateUntil-lateFrom)))
 			}
 			_ = sleep(ctx, at)
-			if m := c.g.moodAt(c.g.now()); ctx.Err() == nil {
+			if m := c.g.moodAt(c.g.now()); ctx.Err() == nil && !conn.Closed() {
 				q, call := c.next(e.n, boot, nth+1, mood{stopMood.long, m.slow})
 				c.ask(ctx, conn, &q, call, slow)
 			}
--- a/soak/report.go
+++ b/soak/report.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -29,10 +30,14 @@
 	Boots    int       `json:"boots"`
 	Peak     int64     `json:"peak"`
 	Findings []Finding `json:"findings"`
+	// Sums are those of the scopes of the run, and Base those of the run without steps, nil
+	// if there was none.
+	Sums map[Kind]Sum `json:"sums"`
+	Base map[Kind]Sum `json:"base,omitempty"`
 }
 
-// newResult checks a history.
-func newResult(o Options, seed uint64, steps []Step, h *History) *Result {
+// newResult checks a history. base is that of the run without steps, nil if there was none.
+func newResult(o Options, seed uint64, steps []Step, h, base *History) *Result {
 	r := &Result{
 		Seed: seed, Command: o.command(seed), Took: h.End, Plan: steps, Steps: make(map[Kind]int), Ends: make(map[string]int),
 		Requests: len(h.Requests), Runs: len(h.Runs), Boots: len(h.Boots), Findings: check(h),
@@ -45,6 +50,12 @@
 		end, _ := x.outcome(q)
 		r.Ends[string(end)]++
 	}
+	r.Sums = x.sums()
+	if base != nil {
+		r.Base = newIndex(base).sums()
+		r.Findings = append(r.Findings, check(base)...)
+	}
+	r.Findings = append(r.Findings, checkSums(r.Sums, r.Base)...)
 	for _, b := range h.Boots {
 		r.Peak = max(r.Peak, b.Peak)
 	}
@@ -54,6 +65,9 @@
 // command returns the command line that plays a seed again.
 func (o Options) command(seed uint64) string {
 	line := fmt.Sprintf("lacesoak -seed %d -duration %d -entries %d -replicas %d", seed, o.Duration, o.Entries, o.Replicas)
+	if o.Base {
+		line += " -base"
+	}
 	if len(o.Only) > 0 {
 		var names []string
 		for _, k := range o.Only {
@@ -89,6 +103,9 @@
 	if err := t.Flush(); err != nil {
 		return errors.Wrap(err, "soak: table")
 	}
+	if err := writeSums(w, results); err != nil {
+		return err
+	}
 	for _, r := range results {
 		if len(r.Findings) == 0 {
 			continue
@@ -101,6 +118,37 @@
 	return nil
 }
 
+// writeSums writes the sums of all results by scope, those of the runs without steps first.
+func writeSums(w io.Writer, results []*Result) error {
+	sums := make(map[Kind]Sum)
+	add := func(k Kind, s Sum) {
+		t := sums[k]
+		t.add(s)
+		sums[k] = t
+	}
+	for _, r := range results {
+		add("without steps", r.Base[scopeCalm])
+		for k, s := range r.Sums {
+			add(k, s)
+		}
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(t, "\nscope\trequests\tcrossed\trefused\tfailed\tlate\tcut by stop\trepeatable\tretried\t\n")
+	for _, k := range slices.Concat([]Kind{"without steps", scopeAll, scopeCalm, scopeStop, scopeInnocent}, Planned, Failures) {
+		s := sums[k]
+		if s.Requests == 0 {
+			continue
+		}
+		share := func(n, of int) string { return fmt.Sprintf("%d (%.1f%%)", n, 100*ratio(n, of)) }
+		fmt.Fprintf(t, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t\n", k, s.Requests, share(s.Crossed, s.Requests), share(s.Refused, s.Requests),
+			share(s.Failed, s.Requests), share(s.Late, s.Requests), share(s.StopCut, s.Requests), s.Repeatable, share(s.Retried, s.Repeatable))
+	}
+	if err := t.Flush(); err != nil {
+		return errors.Wrap(err, "soak: sums")
+	}
+	return nil
+}
+
 // WriteJSON writes the results to a file.
 func WriteJSON(file string, results []*Result) error { return writeJSON(file, results) }
 
--- a/soak/routes.go
+++ b/soak/routes.go
@@ -14,11 +14,11 @@
 
 // The shapes of requests. The routes of all but the last are in every version.
 var shapes = []Shape{
-	{Name: "once", Prefix: "/once/", Deadline: 14 * clock.Second},
-	{Name: "safe", Prefix: "/safe/", Deadline: 14 * clock.Second, Repeatable: true},
-	{Name: "verse", Prefix: "/verse/", Deadline: 14 * clock.Second, Stream: true},
-	{Name: "long", Prefix: "/long/", Deadline: 14 * clock.Second, Stream: true, Repeatable: true},
-	{Name: "probe", Deadline: shortDeadline, Repeatable: true, Probe: true},
+	{Name: "once", Services: []string{serviceDesk}, Prefix: "/once/", Deadline: 14 * clock.Second},
+	{Name: "safe", Services: []string{serviceDesk, serviceClerk}, Prefix: "/safe/", Deadline: 14 * clock.Second, Repeatable: true},
+	{Name: "verse", Services: []string{serviceVerse}, Prefix: "/verse/", Deadline: 14 * clock.Second, Stream: true},
+	{Name: "long", Services: []string{serviceVerse}, Prefix: "/long/", Deadline: 14 * clock.Second, Stream: true, Repeatable: true},
+	{Name: "probe", Services: []string{serviceDesk}, Deadline: shortDeadline, Repeatable: true, Probe: true},
 }
 
 // shortDeadline is the deadline of a short call.
@@ -48,7 +48,7 @@
 	if len(g.probes) > keptProbes {
 		withdrawn, g.probes = g.probes[0], g.probes[1:]
 	}
-	m := extsim.Manifest{Version: g.manifest, Engines: []string{serviceVerse}, Services: []string{serviceDesk}}
+	m := extsim.Manifest{Version: g.manifest, Engines: []string{serviceVerse}, Services: []string{serviceDesk}, Memory: engineMemory}
 	service := serviceDesk
 	if r.IntN(2) == 0 {
 		service = serviceClerk
@@ -84,5 +84,8 @@
 	g.recorder.version(g.manifest, withdrawn)
 }
 
+// engineMemory is the memory of an engine in tokens. The callers never fill that of all.
+const engineMemory = 400000
+
 // probePrefix returns the prefix of the route that a version adds.
 func probePrefix(version int) string { return fmt.Sprintf("/v%d/", version) }
--- a/soak/run.go
+++ b/soak/run.go
@@ -24,6 +24,8 @@
 	Duration clock.Millis
 	// Entries and Replicas are their numbers at the start; at least one and four.
 	Entries, Replicas int
+	// Base has each seed also played without steps, to which the sums are compared.
+	Base bool
 	// Only, if not empty, lists the kinds of steps.
 	Only []Kind
 	// Log receives one line for each finding as it is seen.
@@ -40,6 +42,32 @@
 	if err := os.RemoveAll(dir); err != nil {
 		return nil, errors.Wrap(err, "soak")
 	}
+	steps := newPlan(o, seed)
+	h, err := playSteps(ctx, o, dir, steps, seed)
+	if err != nil {
+		return nil, err
+	}
+	var base *History
+	if o.Base {
+		if base, err = playSteps(ctx, o, filepath.Join(dir, "base"), nil, seed); err != nil {
+			return nil, err
+		}
+	}
+	res := newResult(o, seed, steps, h, base)
+	if err := writeJSON(filepath.Join(dir, "result.json"), res); err != nil {
+		return nil, err
+	}
+	o.Log("seed %d: %d requests, %d findings", seed, res.Requests, len(res.Findings))
+	if len(res.Findings) > 0 {
+		if err := writeJSON(filepath.Join(dir, "history.json"), h); err != nil {
+			return nil, err
+		}
+	}
+	return res, nil
+}
+
+// playSteps starts everything, plays the steps and returns what was seen.
+func playSteps(ctx context.Context, o Options, dir string, steps []Step, seed uint64) (*History, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, errors.Wrap(err, "soak")
 	}
@@ -48,24 +76,13 @@
 	if err != nil {
 		return nil, err
 	}
-	steps := newPlan(o, seed)
 	g.soak(ctx, steps, seed)
 	g.stopAll()
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Wrap(err, "soak")
 	}
 	g.collect()
-	res := newResult(o, seed, steps, &g.h)
-	if err := writeJSON(filepath.Join(dir, "result.json"), res); err != nil {
-		return nil, err
-	}
-	o.Log("seed %d: %d requests, %d findings", seed, res.Requests, len(res.Findings))
-	if len(res.Findings) > 0 {
-		if err := writeJSON(filepath.Join(dir, "history.json"), &g.h); err != nil {
-			return nil, err
-		}
-	}
-	return res, nil
+	return &g.h, nil
 }
 
 // settleTime is how long replicas' work is watched after the last caller has left.
