--- a/extsim/manifest.go
+++ b/extsim/manifest.go
@@ -17,6 +17,9 @@
 	Resumable bool
 }
 
+// MaxBody is the largest body of a request in bytes.
+const MaxBody = 100000
+
 // Manifest is what the operator publishes.
 type Manifest struct {
 	Version int
@@ -61,7 +64,7 @@
 	// Encoding maps of texts and numbers never fails.
 	text, _ := json.Marshal(object{
 		"version": m.Version, "routes": routes, "services": services,
-		"limits": object{"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits": object{"max_header_bytes": 16384, "max_body_bytes": MaxBody, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	return string(text)
 }
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs the fault soak for some seconds: three entries as processes, two seeds at the
-# same time, each once more without faults. If it fails, the settings, logs and histories stay in the directory that
-# it prints. docs/SOAK.md tells how to read them.
+# same time, each once more without faults. If it fails, the settings, logs and histories
+# stay in the directory that it prints. docs/SOAK.md tells how to read them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -28,6 +28,8 @@
 	// Of oneIn requests one caller leaves before the answer, one closes its sending side,
 	// and one sends a part of the next request too early.
 	oneIn = 25
+	// maxRepeats is how often a usual body repeats the ID. One in oneIn is as long as it may.
+	maxRepeats = 60
 	// One connection in slowIn is read slowly.
 	slowIn = 3
 	// maxStay is the longest time after which a leaving caller leaves.
@@ -103,7 +105,7 @@
 		if conn.Closed() {
 			return
 		}
-		q, call := c.next(e.n, boot, nth, c.g.moodAt(c.g.now()))
+		q, call := c.next(e.n, boot, nth, c.g.demandAt(c.g.now()))
 		if !c.ask(ctx, conn, &q, call, slow) {
 			return
 		}
@@ -116,8 +118,8 @@
 	}
 }
 
-// next returns the next request to an entry. Its answer is one that m may ask for.
-func (c *caller) next(entry, boot, nth int, m mood) (Request, extsim.Call) {
+// next returns the next request to an entry. Its answer is drawn from d.
+func (c *caller) next(entry, boot, nth int, d demand) (Request, extsim.Call) {
 	c.sent++
 	s := shapes[c.r.IntN(len(shapes))]
 	id := fmt.Sprintf("%04x%04x%08x", c.seed&0xffff, c.n, c.sent)
@@ -129,14 +131,17 @@
 		prefix = probePrefix(q.Version)
 	}
 	q.Target = prefix + id
-	body := strings.Repeat(id, 1+c.r.IntN(60))
+	body := strings.Repeat(id, 1+c.r.IntN(maxRepeats))
+	if c.r.IntN(oneIn) == 0 {
+		body = strings.Repeat(id, extsim.MaxBody/len(id)-c.r.IntN(2))
+	}
 	q.Digest = extsim.BodyDigest(body)
-	pace, time := m.draw(c.r, s)
+	pace, takes := d.draw(c.r, s)
 	q.Pace, q.Deadline = pace, s.Deadline
-	if !s.Stream && time == 0 {
+	if !s.Stream && takes == 0 {
 		q.Deadline = shortDeadline
 	}
-	c.g.paces.Store(id, work{pace, time})
+	c.g.paces.Store(id, work{pace, takes})
 	call := extsim.Call{
 		ID: id, Host: host, Path: q.Target, Body: body, Deadline: q.Deadline.Duration(), Generates: s.Stream,
 		Patience: (q.Deadline + late).Duration(), Tokens: c.g.tokens(c.r, pace),
--- a/soak/keeper.go
+++ b/soak/keeper.go
@@ -20,8 +20,8 @@
 	lateUntil clock.Millis = 7500
 )
 
-// stopMood is what requests ask for that are sent during a stop.
-var stopMood = mood{long: 75, slow: 1}
+// stopDemand is what requests ask for that are sent during a stop.
+var stopDemand = demand{long: 75, slow: 1}
 
 // keepOpen keeps a connection to one entry with short requests, and sends one of any
 // length on it at some time after the entry got SIGTERM, as callers do that have no new
@@ -42,7 +42,7 @@
 func (c *caller) keep(ctx context.Context, e *entry, boot int, conn *extsim.Caller, slow bool) {
 	stopping := e.stopping()
 	for nth := 0; !conn.Closed(); nth++ {
-		q, call := c.next(e.n, boot, nth, mood{slow: 1})
+		q, call := c.next(e.n, boot, nth, demand{slow: 1})
 		if !c.ask(ctx, conn, &q, call, slow) {
 			return
 		}
@@ -56,8 +56,8 @@
 				at = lateFrom + clock.Millis(c.r.Int64N(int64(lateUntil-lateFrom)))
 			}
 			_ = sleep(ctx, at)
-			if m := c.g.moodAt(c.g.now()); ctx.Err() == nil && !conn.Closed() {
-				q, call := c.next(e.n, boot, nth+1, mood{stopMood.long, m.slow})
+			if d := c.g.demandAt(c.g.now()); ctx.Err() == nil && !conn.Closed() {
+				q, call := c.next(e.n, boot, nth+1, demand{stopDemand.long, d.slow})
 				c.ask(ctx, conn, &q, call, slow)
 			}
 			return
--- a/soak/pace.go
+++ b/soak/pace.go
@@ -39,32 +39,32 @@
 	slowdowns  = []clock.Millis{1, 1, 2, 3}
 )
 
-// mood is what requests ask for in a window of time.
-type mood struct {
+// demand is what requests ask for in a window of time.
+type demand struct {
 	long int // percent
 	slow clock.Millis
 }
 
-// moodAt returns the mood at an instant. It is fixed by the seed.
-func (g *rig) moodAt(at clock.Millis) mood {
+// demandAt returns the demand at an instant. It is fixed by the seed.
+func (g *rig) demandAt(at clock.Millis) demand {
 	r := newRand(g.seed, 5000+uint64(at/paceWindow))
-	return mood{longShares[r.IntN(len(longShares))], slowdowns[r.IntN(len(slowdowns))]}
+	return demand{longShares[r.IntN(len(longShares))], slowdowns[r.IntN(len(slowdowns))]}
 }
 
 // draw returns how the answer to a request of a shape is made, and for how long a replica
-// works on it. A short one is made as the replica usually does, and its time is zero.
-func (m mood) draw(r *rand.Rand, s Shape) (p extsim.Pace, work clock.Millis) {
+// works on it. A short one is made as the replica usually does, and that time is zero.
+func (d demand) draw(r *rand.Rand, s Shape) (p extsim.Pace, work clock.Millis) {
 	if !s.Stream && r.IntN(4) == 0 {
 		p.Parts = 1 + r.IntN(maxParts)
 	}
-	if s.Probe || r.IntN(100) >= m.long {
+	if s.Probe || r.IntN(100) >= d.long {
 		return p, 0
 	}
 	work = shortWork + clock.Millis(r.Int64N(int64(longestWork-shortWork)))
 	if !s.Stream {
 		return p, work
 	}
-	interval := min(maxInterval, m.slow*(minInterval+clock.Millis(r.Int64N(int64(maxInterval)/3))))
+	interval := min(maxInterval, d.slow*(minInterval+clock.Millis(r.Int64N(int64(maxInterval)/3))))
 	silent := r.IntN(maxSilent + 1)
 	sending := max(work-clock.Millis(silent)*clock.Second, interval)
 	p.Interval, p.Events = interval.Duration(), int(sending/interval)
@@ -92,16 +92,16 @@
 
 // work is the work on a request.
 type work struct {
-	pace extsim.Pace
-	time clock.Millis
+	pace  extsim.Pace
+	takes clock.Millis
 }
 
 // workOf returns the time for which a plain service works on a request.
 func (g *rig) workOf(id string, usual time.Duration) time.Duration {
 	p, _ := g.paces.Load(id)
 	switch w, _ := p.(work); {
-	case w.time > 0:
-		return w.time.Duration()
+	case w.takes > 0:
+		return w.takes.Duration()
 	case strings.HasSuffix(id, "7"):
 		return longWork
 	}
