--- a/extsim/manifest.go
+++ b/extsim/manifest.go
@@ -17,12 +17,17 @@
 	Resumable bool
 }
 
+// MaxBody is the largest body of a request in bytes.
+const MaxBody = 100000
+
 // Manifest is what the operator publishes.
 type Manifest struct {
 	Version int
 	Routes  []Route
 	// Engines and Services are the names of the services with and without a model.
 	Engines, Services []string
+	// Memory is that of an engine in tokens, 39418 if zero.
+	Memory int
 }
 
 // Text returns the manifest as the operator writes it to the store.
@@ -43,11 +48,15 @@
 	for _, name := range m.Services {
 		services = append(services, object{"name": name, "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false})
 	}
+	memory := m.Memory
+	if memory == 0 {
+		memory = 39418
+	}
 	for _, name := range m.Engines {
 		services = append(services, object{
 			"name": name, "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false,
 			"engine": object{
-				"slots": 64, "kv_tokens": 39418, "kv_token_bytes": 327680, "link_mbps": 3400000.0, "stride": 16,
+				"slots": 64, "kv_tokens": memory, "kv_token_bytes": 327680, "link_mbps": 3400000.0, "stride": 16,
 				"kv_hold_s": 0.5, "switch_s": 6.0, "hold_ms": 2000.0, "models": []object{{"name": "m"}},
 			},
 		})
@@ -55,7 +64,7 @@
 	// Encoding maps of texts and numbers never fails.
 	text, _ := json.Marshal(object{
 		"version": m.Version, "routes": routes, "services": services,
-		"limits": object{"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits": object{"max_header_bytes": 16384, "max_body_bytes": MaxBody, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	return string(text)
 }
