relay, edge: the end of a request ends its wait for a permit

A request with a suspect on trial got no answer at the end of a stop, and one later than its deadline, if the owner of the trials was silent: the call for a permit takes up to 300 ms, one for parts and one for the whole request, and didn't end with the request, while a stop leaves 150 ms for answers.

Quarantine.Check takes the context of the request. A call that ends with its request doesn't count as silence of the owner, who would be passed over for 10 s.

TestStopEndsTheWaitForAPermit checks the code, the outcome "not run" and that nothing is sent.

--- a/edge/crash.go
+++ b/edge/crash.go
@@ -30,11 +30,11 @@
 )
 
 // Check implements [relay.Quarantine].
-func (d crashDetector) Check(r *core.Request) error {
-	if err := d.edge.requests.check(r.Opaque.ID, []uint64{r.Digest}, codes.Quarantined, &r.Trials.Whole); err != nil {
+func (d crashDetector) Check(ctx context.Context, r *core.Request) error {
+	if err := d.edge.requests.check(ctx, r.Opaque.ID, []uint64{r.Digest}, codes.Quarantined, &r.Trials.Whole); err != nil {
 		return err
 	}
-	return d.edge.tainted.check(r.Opaque.ID, r.Opaque.Parts, codes.PartQuarantined, &r.Trials.Parts)
+	return d.edge.tainted.check(ctx, r.Opaque.ID, r.Opaque.Parts, codes.PartQuarantined, &r.Trials.Parts)
 }
 
 // Mark implements [relay.Quarantine].
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -67,7 +67,7 @@
 
 // check returns an error with the code if a request with the given parts is rejected. One
 // that has parts on trial is sent only with a permit; permitted is set once it has one.
-func (s *suspects) check(id string, parts []uint64, code codes.Code, permitted *bool) error {
+func (s *suspects) check(ctx context.Context, id string, parts []uint64, code codes.Code, permitted *bool) error {
 	if part, left, ok := s.Quarantined(parts); ok {
 		return codes.New(code, "request %s: %s is quarantined", id, taint.FormatPart(part)).WithRetryAfter(left)
 	}
@@ -78,7 +78,7 @@
 	if len(tried) == 0 {
 		return nil
 	}
-	p := s.requestPermit(tried)
+	p := s.requestPermit(ctx, tried)
 	s.Log.Info("edge: request with a suspect on trial", zap.String("request", id), zap.String("part", taint.FormatPart(tried[0])),
 		zap.Int("parts", len(tried)), zap.Bool("permitted", p.Granted), zap.Int64("wait", int64(p.Wait)))
 	if !p.Granted {
@@ -103,14 +103,18 @@
 	trialsKey = "trials"
 )
 
-// requestPermit asks the owner of the trials for a permit.
-func (s *suspects) requestPermit(parts []uint64) taint.Permit {
+// requestPermit asks the owner of the trials for a permit, until ctx ends.
+func (s *suspects) requestPermit(ctx context.Context, parts []uint64) taint.Permit {
 	e := s.edge
 	owner := e.trialOwner()
 	if owner.Name == e.Settings.Instance {
 		return s.Permit(parts)
 	}
-	p, err := e.peers.Trial(context.Background(), owner.Peer, wire.TrialRequest{Whole: s.Whole, Parts: parts})
+	p, err := e.peers.Trial(ctx, owner.Peer, wire.TrialRequest{Whole: s.Whole, Parts: parts})
+	if err != nil && ctx.Err() != nil {
+		// The request has ended, which says nothing about the owner.
+		return taint.Permit{Wait: ownerWait}
+	}
 	if err != nil {
 		s.Log.Warn("edge: the owner of the trials did not answer", zap.String("owner", owner.Name), zap.Error(err))
 		e.silentOwners.Set(owner.Name, s.Clock.Now()+silentOwnerTime)
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -76,7 +76,7 @@
 			return nil, codes.From(err)
 		}
 		held, full := a.acquireHold(ctx, ad.hold)
-		if err := x.checkQuarantine(); err != nil {
+		if err := x.checkQuarantine(ctx); err != nil {
 			a.release()
 			return nil, err
 		}
@@ -209,7 +209,7 @@
 	if maxHold == 0 || !always && (a.choice.Direct || a.choice.Fill < minHoldFill) || slices.Contains(x.noHold, a.decode.Name) {
 		return true, false
 	}
-	if ctx.Err() != nil || x.checkUsable(a.decode) != nil {
+	if ctx.Err() != nil || x.checkUsable(ctx, a.decode) != nil {
 		return false, false
 	}
 	result := a.takeHold(ctx, min(maxHold, 2*a.choice.FirstToken+holdMargin))
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -130,7 +130,7 @@
 	if ctx.Err() != nil || x.callerGone || x.timeLeft() < minTimeLeft {
 		return false
 	}
-	if x.checkQuarantine() != nil {
+	if x.checkQuarantine(ctx) != nil {
 		return false
 	}
 	switch e := codes.From(err); {
@@ -156,11 +156,11 @@
 func (x *exchange) runsLeft() int { return 1 + x.opaque.Route.Profile.Retries - x.possibleRuns }
 
 // checkQuarantine returns an error if requests like this one are blocked.
-func (x *exchange) checkQuarantine() error {
+func (x *exchange) checkQuarantine(ctx context.Context) error {
 	if x.relay.Quarantine == nil {
 		return nil
 	}
-	return x.relay.Quarantine.Check(x.request)
+	return x.relay.Quarantine.Check(ctx, x.request)
 }
 
 // reportAnswered tells the quarantine that the request doesn't crash its upstream.
@@ -198,8 +198,8 @@
 // checkUsable returns an error if the upstream is draining, no longer listed or barred,
 // and excludes it for this request, or if the request is quarantined. It is called just
 // before a send, since this may have changed after the upstream was selected.
-func (x *exchange) checkUsable(up core.Upstream) error {
-	if err := x.checkQuarantine(); err != nil {
+func (x *exchange) checkUsable(ctx context.Context, up core.Upstream) error {
+	if err := x.checkQuarantine(ctx); err != nil {
 		return err
 	}
 	if n := x.relay.notice(up.Name); n.Barred {
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -87,7 +87,7 @@
 // secureNext prepares an attempt that does without the upstream silent. It returns false
 // if no engine, retry or time is left, or when ctx ends.
 func (x *exchange) secureNext(ctx context.Context, silent core.Upstream) bool {
-	if x.timeLeft() < minTimeLeft || x.failedSearches >= maxFailedSearches || x.checkQuarantine() != nil {
+	if x.timeLeft() < minTimeLeft || x.failedSearches >= maxFailedSearches || x.checkQuarantine(ctx) != nil {
 		return false
 	}
 	next, err := x.admit(ctx, admission{urgent: true, exclude: silent.Name, hold: true})
@@ -196,7 +196,7 @@
 		return nil
 	}
 	x := a.exchange
-	if err := x.checkUsable(a.prefill); err != nil {
+	if err := x.checkUsable(ctx, a.prefill); err != nil {
 		return err
 	}
 	timeout := min(max(a.choice.FirstToken*prefillTimeoutFactor, minPrefillTimeout), maxPrefillTimeout)
@@ -301,7 +301,7 @@
 // send is recorded, so that a retry selects another engine.
 func (a *attempt) runDecode(ctx context.Context, buf *eventBuffer) error {
 	x := a.exchange
-	if err := x.checkUsable(a.decode); err != nil {
+	if err := x.checkUsable(ctx, a.decode); err != nil {
 		return err
 	}
 	if err := x.chargeBudget(); err != nil {
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -17,7 +17,9 @@
 
 // quarantine blocks all requests once blocked is set, and records what it is told.
 type quarantine struct {
-	blocked  atomic.Bool
+	blocked atomic.Bool
+	// silent is set if checks wait until the request ends, as for an answer of a peer.
+	silent   bool
 	losses   []relay.Loss
 	answered int
 	// completed counts the reports of complete answers.
@@ -25,7 +27,11 @@
 }
 
 // Check implements [relay.Quarantine].
-func (q *quarantine) Check(*core.Request) error {
+func (q *quarantine) Check(ctx context.Context, _ *core.Request) error {
+	if q.silent {
+		<-ctx.Done()
+		return codes.New(codes.PartQuarantined, "unknown")
+	}
 	if q.blocked.Load() {
 		return codes.New(codes.PartQuarantined, "part").WithRetryAfter(3000)
 	}
@@ -94,6 +100,38 @@
 	}
 }
 
+// TestStopEndsTheWaitForAPermit guards against a request that gets no answer at the end of a
+// stop, or at its deadline, because it waits to learn whether it may be sent.
+func TestStopEndsTheWaitForAPermit(t *testing.T) {
+	for name, c := range map[string]struct {
+		cause error
+		want  codes.Code
+	}{
+		"stop":     {codes.New(codes.Leaving, "the grace period has ended"), codes.Leaving},
+		"deadline": {nil, codes.DeadlinePast},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := &upstreams{}
+			r, table := newRelay(u, &budget{retriesLeft: 99})
+			reserveMemory(table, 10)
+			r.Quarantine = &quarantine{silent: true}
+			req := request(r, core.HostRoute{Profile: core.Profile{FirstToken: 900}})
+			ctx, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
+			if c.cause != nil {
+				cancel(c.cause)
+			} else {
+				req.Deadline = r.Clock.Now() + 20
+			}
+			err := codes.From(r.Run(ctx, req, &sink{}))
+			is.Equal(err.Code, c.want)
+			is.Equal(err.Run, codes.NotRun)
+			is.Equal(u.callList(), "")
+		})
+	}
+}
+
 // TestShortAnswerClearsItsParts guards against parts that stay suspects although requests
 // with them are answered, since their whole answers are short.
 func TestShortAnswerClearsItsParts(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -101,9 +101,9 @@
 
 // Quarantine blocks requests suspected of crashing upstreams.
 type Quarantine interface {
-	// Check returns an error if requests like r are blocked. It sets r.Trials if r is
-	// permitted as a trial.
-	Check(r *core.Request) error
+	// Check returns an error if requests like r are blocked, or if ctx ends before that is
+	// known. It sets r.Trials if r is permitted as a trial.
+	Check(ctx context.Context, r *core.Request) error
 	// Mark returns what is known of crashes now. It is called before each send.
 	Mark() Mark
 	// ReportLost reports a request that was lost with its connection. It may wait
@@ -191,11 +191,14 @@
 // [codes.Error] as its cause, the request ends with this code.
 func (r *Relay) Run(ctx context.Context, req *core.Request, sink Sink) error {
 	x := &exchange{relay: r, request: req, opaque: req.Opaque, sink: sink, log: r.logger()}
-	if err := x.checkQuarantine(); err != nil {
-		return x.finish(codes.From(err).WithRun(codes.NotRun))
-	}
 	ctx, cancel := context.WithTimeout(ctx, (req.Deadline - r.Clock.Now()).Duration())
 	defer cancel()
+	if err := x.checkQuarantine(ctx); err != nil {
+		if ctx.Err() != nil {
+			return x.finish(x.finalError(ctx, err))
+		}
+		return x.finish(codes.From(err).WithRun(codes.NotRun))
+	}
 	defer x.returnRetries()
 	var err error
 	if req.Opaque.Route.Generates {
