--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -15,6 +15,7 @@
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/spool"
 )
 
 // exchange holds the state of one in-flight request. It has no lock: only one
@@ -62,10 +63,10 @@
 	resumeIn         clock.Millis
 }
 
-// bufferedAnswer is an answer that was read completely.
+// bufferedAnswer is the head of an answer and what was read of its body.
 type bufferedAnswer struct {
 	reply core.Reply
-	body  []byte
+	body  *spool.Buffer
 }
 
 // Limits on the sends of one request.
@@ -134,7 +135,8 @@
 		return false
 	}
 	switch e := codes.From(err); {
-	case e.Code == codes.NoUpstream, e.Code == codes.BudgetSpent, e.Code == codes.DeadlineUnmet, e.Code == codes.QueueFull:
+	case e.Code == codes.NoUpstream, e.Code == codes.BudgetSpent, e.Code == codes.DeadlineUnmet, e.Code == codes.QueueFull,
+		e.Code == codes.Leaving:
 		// This entry itself rejected the request, so another attempt would fail too.
 		return false
 	case e.Run == codes.NotRun:
@@ -163,6 +165,15 @@
 	return x.relay.Quarantine.Check(ctx, x.request)
 }
 
+// checkFinishes returns an error if nothing of the request was sent and this entry may not
+// finish it.
+func (x *exchange) checkFinishes() error {
+	if x.relay.Finisher == nil || x.sends > 0 || x.headSent {
+		return nil
+	}
+	return x.relay.Finisher.CheckFinishes(x.request)
+}
+
 // reportAnswered tells the quarantine that the request doesn't crash its upstream.
 func (x *exchange) reportAnswered() {
 	if x.relay.Quarantine != nil {
@@ -300,10 +311,7 @@
 	if err := x.sendHead(answer.reply); err != nil {
 		return err
 	}
-	if len(answer.body) == 0 {
-		return nil
-	}
-	return x.forward(answer.body)
+	return answer.body.Each(x.forward)
 }
 
 // copyBufferBytes is the size of the buffer through which an answer is copied.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -117,6 +117,13 @@
 	ReportCompleted(r *core.Request)
 }
 
+// Finisher knows whether this entry runs long enough to finish a request.
+type Finisher interface {
+	// CheckFinishes returns an error with the code [codes.Leaving] for a request that this
+	// entry may not finish. It is called before a request that has not run is sent.
+	CheckFinishes(r *core.Request) error
+}
+
 // Mark is a state of knowledge of crashes, of parts of prompts and of whole requests.
 type Mark struct {
 	Parts, Request uint64
@@ -157,6 +164,8 @@
 	Placer Placer
 	// Quarantine, if nil, blocks no request.
 	Quarantine Quarantine
+	// Finisher, if nil, permits each request.
+	Finisher Finisher
 	// Notices, if nil, excludes no upstream.
 	Notices Notices
 	// Specs returns the published specification of a service. If nil, no service
@@ -176,8 +185,9 @@
 	// MaxAnswer bounds an answer that isn't a stream of events, in bytes; zero means
 	// [DefaultMaxAnswer].
 	MaxAnswer int64
-	// Held, if not nil, bounds the bytes of answers that are held for all requests.
-	Held *spool.Pool
+	// Held, if not nil, bounds the bytes of partial events that are held for all requests,
+	// and Kept those of answers that are read before they are delivered.
+	Held, Kept *spool.Pool
 
 	// unreachable holds the upstreams whose last connection attempts failed, and
 	// endless those whose last complete or cut answer was cut.
@@ -200,6 +210,7 @@
 		return x.finish(codes.From(err).WithRun(codes.NotRun))
 	}
 	defer x.returnRetries()
+	defer x.dropFallback()
 	var err error
 	if req.Opaque.Route.Generates {
 		err = x.generate(ctx)
