--- a/relay/admit.go
+++ b/relay/admit.go
@@ -76,7 +76,7 @@
 			return nil, codes.From(err)
 		}
 		held, full := a.acquireHold(ctx, ad.hold)
-		err := x.checkQuarantine()
+		err := x.checkQuarantine(ctx)
 		if err == nil {
 			err = x.checkFinishes()
 		}
@@ -213,7 +213,7 @@
 	if maxHold == 0 || !always && (a.choice.Direct || a.choice.Fill < minHoldFill) || slices.Contains(x.noHold, a.decode.Name) {
 		return true, false
 	}
-	if ctx.Err() != nil || x.checkUsable(a.decode) != nil {
+	if ctx.Err() != nil || x.checkUsable(ctx, a.decode) != nil {
 		return false, false
 	}
 	result := a.takeHold(ctx, min(maxHold, 2*a.choice.FirstToken+holdMargin))
