relay: a retry that a stop may not finish is rejected if nothing has run

A request whose first send was turned away, or whose prefill failed, waits for another engine and may be sent when a stop has too little time left for it: its caller got a part of the answer instead of a "not run".

The check before the first send counted sends, and a prefill that fails counts as one, although neither a prefill nor a refusal runs the request. The check now asks whether an upstream may have run the request, as the status of its rejection does. A search for another engine, while the silent one may still run the request, isn't checked.

TestStopDuringWaits, two cases more, both red before: the request is sent again. TestStopDuringSilence is green before, and red if the search is checked.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -77,7 +77,8 @@
 		}
 		held, full := a.acquireHold(ctx, ad.hold)
 		err := x.checkQuarantine()
-		if err == nil {
+		if err == nil && ad.exclude == "" {
+			// The engine that is excluded may run the request.
 			err = x.checkFinishes()
 		}
 		if err != nil {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -165,10 +165,10 @@
 	return x.relay.Quarantine.Check(x.request)
 }
 
-// checkFinishes returns an error if nothing of the request was sent and this entry may not
-// finish it.
+// checkFinishes returns an error if no upstream may have run the request and this entry may
+// not finish it. It must not be called while an upstream may run it.
 func (x *exchange) checkFinishes() error {
-	if x.relay.Finisher == nil || x.sends > 0 || x.headSent {
+	if x.relay.Finisher == nil || x.possibleRuns > 0 || x.headSent {
 		return nil
 	}
 	return x.relay.Finisher.CheckFinishes(x.request)
--- a/relay/finisher_test.go
+++ b/relay/finisher_test.go
@@ -29,19 +29,32 @@
 // too little time is left, and is cut.
 func TestStopDuringWaits(t *testing.T) {
 	for name, c := range map[string]struct {
-		// begin lets the stop begin in a call, and forbidden are calls after it.
-		begin     func(u *upstreams, f *finisher)
-		forbidden string
+		// begin lets the stop begin in a call. There may be at most most calls of the kind.
+		begin func(u *upstreams, f *finisher)
+		kind  string
+		most  int
 	}{
 		"while memory is reserved": {func(u *upstreams, f *finisher) {
 			u.hold = func(core.Upstream) (string, error) { f.leaving.Store(true); return "h", nil }
-		}, "prefill"},
+		}, "prefill", 0},
 		"in prefill": {func(u *upstreams, f *finisher) {
 			u.prefill = func(core.Upstream) (core.Export, error) {
 				f.leaving.Store(true)
 				return core.Export{Params: json.RawMessage("kv")}, nil
 			}
-		}, "send"},
+		}, "send", 0},
+		"in a prefill that fails": {func(u *upstreams, f *finisher) {
+			u.prefill = func(core.Upstream) (core.Export, error) {
+				f.leaving.Store(true)
+				return core.Export{}, codes.New(codes.UpstreamLost, "silent")
+			}
+		}, "send", 0},
+		"in a send that isn't run": {func(u *upstreams, f *finisher) {
+			u.send = func(core.Upstream, relay.SendRequest) (relay.Answer, error) {
+				f.leaving.Store(true)
+				return relay.Answer{}, codes.New(codes.UpstreamRefused, "full")
+			}
+		}, "send", 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -53,27 +66,51 @@
 			err := codes.From(r.Run(context.Background(), request(r, core.HostRoute{}), &sink{}))
 			is.Equal(err.Code, codes.Leaving)
 			is.Equal(err.Run, codes.NotRun)
-			is.True(!strings.Contains(u.callList(), c.forbidden))
+			is.True(strings.Count(u.callList(), c.kind) <= c.most)
 		})
 	}
 }
 
-// TestStopAfterSend checks that a stop that begins after a request was sent doesn't keep it
-// from another engine.
+// TestStopAfterSend checks that a stop that begins after a request may have run doesn't keep
+// it from another engine.
 func TestStopAfterSend(t *testing.T) {
 	is := is.New(t)
 	u, f := &upstreams{}, &finisher{}
 	r, table := newRelay(u, &budget{retriesLeft: 9})
 	r.Finisher = f
 	reserveMemory(table, 25)
-	refused := false
+	lost := false
 	u.send = func(core.Upstream, relay.SendRequest) (relay.Answer, error) {
 		f.leaving.Store(true)
-		if !refused {
-			refused = true
-			return relay.Answer{}, codes.New(codes.UpstreamRefused, "full").WithRun(codes.NotRun)
+		if !lost {
+			lost = true
+			return relay.Answer{}, codes.New(codes.UpstreamLost, "no answer")
 		}
 		return okAnswer("id: 1\ndata: a\n\n"), nil
 	}
-	is.NoErr(r.Run(context.Background(), request(r, core.HostRoute{}), &sink{}))
+	route := core.HostRoute{Repeatable: true, Profile: core.Profile{Retries: 2}}
+	is.NoErr(r.Run(context.Background(), request(r, route), &sink{}))
+}
+
+// TestStopDuringSilence checks that a stop that begins while the engine that may run a request
+// is silent doesn't keep the request from another engine.
+func TestStopDuringSilence(t *testing.T) {
+	inBubble(func(t *testing.T) {
+		is := is.New(t)
+		u, f := &ctxUpstreams{}, &finisher{}
+		r, table := ctxRelay(u, &budget{retriesLeft: 9})
+		r.Finisher = f
+		r.MaxSilence = 300
+		reserveMemory(table, 10)
+		u.sendCtx = func(ctx context.Context, _ core.Upstream, _ relay.SendRequest) (relay.Answer, error) {
+			if !f.leaving.Swap(true) {
+				<-ctx.Done()
+				return relay.Answer{}, ctx.Err()
+			}
+			return okAnswer(events(1, 2, "\n")), nil
+		}
+		s := &sink{}
+		is.NoErr(r.Run(context.Background(), request(r, resumable), s))
+		is.Equal(s.body.String(), events(1, 2, "\n"))
+	})(t)
 }
