relay: a stop's rejection keeps its Retry-After

A caller that a stopping entry rejects when its request arrives may return after 50 ms, since another entry can take it at once. One that is rejected after a wait was told 200 ms: the relay raised the time to the shortest of its own.

TestStopDuringWaits, before: red in all cases, 200 instead of 50. After: green; relay green with -race.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -394,6 +394,10 @@
 			return e.RetryAfter
 		}
 		return retryAfterNoUpstream
+	case codes.Leaving:
+		if e.RetryAfter > 0 {
+			return e.RetryAfter
+		}
 	}
 	return max(e.RetryAfter, minRetryAfter)
 }
--- a/relay/finisher_test.go
+++ b/relay/finisher_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/relay"
@@ -17,10 +18,13 @@
 // finisher permits no request once leaving is set.
 type finisher struct{ leaving atomic.Bool }
 
+// finisherRetryAfter is shorter than what the relay chooses for other rejections.
+const finisherRetryAfter clock.Millis = 50
+
 // CheckFinishes implements [relay.Finisher].
 func (f *finisher) CheckFinishes(*core.Request) error {
 	if f.leaving.Load() {
-		return codes.New(codes.Leaving, "stop")
+		return codes.New(codes.Leaving, "stop").WithRetryAfter(finisherRetryAfter)
 	}
 	return nil
 }
@@ -66,6 +70,7 @@
 			err := codes.From(r.Run(context.Background(), request(r, core.HostRoute{}), &sink{}))
 			is.Equal(err.Code, codes.Leaving)
 			is.Equal(err.Run, codes.NotRun)
+			is.Equal(err.RetryAfter, finisherRetryAfter)
 			is.True(strings.Count(u.callList(), c.kind) <= c.most)
 		})
 	}
