sock: a connection with unread bytes isn't reset once all was received

A caller whose host had acknowledged the whole answer still got a reset at its end if it had sent more, since only connections with unacknowledged bytes were closed in two steps. Programs that read up to the end of the connection, or whose runtime reports the error before the bytes that it holds, lose the answer.

A connection with unread bytes is now closed like one with unacknowledged bytes: the sending side at once, the rest when the unread bytes are discarded and the peer has acknowledged the end. Without either it is closed at once as before.

TestCloseOfReceivedAnswerIsNoReset, before: red, "connection reset by peer".

--- a/sock/closer.go
+++ b/sock/closer.go
@@ -93,8 +93,8 @@
 	return c.TCPConn.SetDeadline(t)
 }
 
-// Close implements [net.Conn]. It doesn't block. If the peer hasn't received everything,
-// only the sending side is closed at once.
+// Close implements [net.Conn]. It doesn't block. If the peer hasn't received everything, or
+// bytes of it are unread, only the sending side is closed at once.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -102,7 +102,8 @@
 		return net.ErrClosed
 	}
 	c.closed = true
-	if _, unsent, err := Pending(c.TCPConn); err != nil || unsent == 0 || c.CloseWrite() != nil {
+	unread, unsent, err := Pending(c.TCPConn)
+	if err != nil || unread == 0 && unsent == 0 || c.CloseWrite() != nil {
 		return c.TCPConn.Close()
 	}
 	c.closer.open.Add(1)
--- a/sock/closer_test.go
+++ b/sock/closer_test.go
@@ -74,6 +74,33 @@
 	}
 }
 
+// TestCloseOfReceivedAnswerIsNoReset guards against a reset after a peer's host has received
+// everything, because of unread bytes: the peer's program may not have read it yet, and one
+// that reads up to the end of the connection takes it for cut.
+func TestCloseOfReceivedAnswerIsNoReset(t *testing.T) {
+	is := is.New(t)
+	var closer sock.Closer
+	client, server := closerPair(t, &closer)
+	const data = "answer"
+	_, err := io.WriteString(server, data)
+	is.NoErr(err)
+	_, err = io.WriteString(client, "more")
+	is.NoErr(err)
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		unread, unsent, err := sock.Pending(server.(*sock.Conn))
+		is.NoErr(err)
+		if unread > 0 && unsent == 0 {
+			break
+		}
+		is.True(time.Now().Before(deadline))
+	}
+	is.NoErr(server.Close())
+	closer.Wait(t.Context())
+	got, err := io.ReadAll(client)
+	is.NoErr(err)
+	is.Equal(string(got), data)
+}
+
 // TestCloseEndsABlockedRead checks that a read that waits for data ends with the close.
 func TestCloseEndsABlockedRead(t *testing.T) {
 	for name, size := range map[string]int{"everything received": 0, "something left to send": 300 << 10} {
