--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -165,10 +165,10 @@
 	return x.relay.Quarantine.Check(ctx, x.request)
 }
 
-// checkFinishes returns an error if nothing of the request was sent and this entry may not
-// finish it.
+// checkFinishes returns an error if no upstream may have run the request and this entry may
+// not finish it. It must not be called while an upstream may run it.
 func (x *exchange) checkFinishes() error {
-	if x.relay.Finisher == nil || x.sends > 0 || x.headSent {
+	if x.relay.Finisher == nil || x.possibleRuns > 0 || x.headSent {
 		return nil
 	}
 	return x.relay.Finisher.CheckFinishes(x.request)
@@ -394,6 +394,10 @@
 			return e.RetryAfter
 		}
 		return retryAfterNoUpstream
+	case codes.Leaving:
+		if e.RetryAfter > 0 {
+			return e.RetryAfter
+		}
 	}
 	return max(e.RetryAfter, minRetryAfter)
 }
