gossip: the test of liveness runs in a bubble

Traced by reading to the test: liveness is no timer but a comparison with the clock at each call of Live; what came late was the test's own poll, every 2 ms of the wall clock, and the heartbeat of a goroutine that had begun before the cut.

Change: the test runs in a bubble, its bound is as before.

--- a/gossip/table_test.go
+++ b/gossip/table_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 
@@ -91,16 +92,18 @@
 // TestPeerLiveness cuts a peer off and reconnects it, and checks that it stops
 // counting as live in time and becomes live again.
 func TestPeerLiveness(t *testing.T) {
-	is := is.New(t)
-	n, tables := start(t, nil, "a", "b")
-	until(t, func() bool { return len(tables["a"].Live()) == 1 && len(tables["b"].Live()) == 1 })
-	is.Equal(tables["a"].MaxEntries(), 2)
-	n.setCut("b", true)
-	begun := clock.Clock{}.Now()
-	until(t, func() bool { return len(tables["a"].Live()) == 0 })
-	is.True(clock.Clock{}.Now()-begun <= gossip.LiveTimeout+100)
-	n.setCut("b", false)
-	until(t, func() bool { return len(tables["a"].Live()) == 1 })
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, tables := start(t, nil, "a", "b")
+		until(t, func() bool { return len(tables["a"].Live()) == 1 && len(tables["b"].Live()) == 1 })
+		is.Equal(tables["a"].MaxEntries(), 2)
+		n.setCut("b", true)
+		begun := clock.Clock{}.Now()
+		until(t, func() bool { return len(tables["a"].Live()) == 0 })
+		is.True(clock.Clock{}.Now()-begun <= gossip.LiveTimeout+100)
+		n.setCut("b", false)
+		until(t, func() bool { return len(tables["a"].Live()) == 1 })
+	})
 }
 
 // TestPeerWorkSumsLivePeers checks that PeerWork adds up the work of the live
