--- a/spool/spool.go
+++ b/spool/spool.go
@@ -44,6 +44,8 @@
 	// there is none.
 	oversized *Buffer
 	buffers   map[*Buffer]struct{}
+	// changed is closed when a buffer is told to give way or is reset; nil if none waits.
+	changed chan struct{}
 }
 
 // Used returns the bytes that are held.
@@ -66,7 +68,8 @@
 }
 
 // reserve adds n bytes to b. If the pool is full, the largest buffers give way. It
-// returns ErrFull if b is the largest, or has been told to give way.
+// returns ErrFull if b is the largest, or has been told to give way. While too much was
+// told to give way and has not been reset, only a buffer within an equal share waits.
 func (p *Pool) reserve(b *Buffer, n int64) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -89,7 +92,15 @@
 		return nil
 	}
 	for !b.evicted.Load() && p.used+n+spare > p.max() {
-		if !p.evictLarger(b, b.held+n) {
+		largest := p.largest(b, b.held+n)
+		if largest == nil {
+			return ErrFull
+		}
+		if p.evicting == 0 || p.evicting+largest.held <= int64(float64(p.max())*evictedShare) {
+			p.evict(largest)
+			continue
+		}
+		if b.Done == nil || !p.withinShare(b, n) || !p.await(b.Done) {
 			return ErrFull
 		}
 	}
@@ -101,9 +112,9 @@
 	return nil
 }
 
-// evictLarger tells the largest other buffer that holds more than size to give way. It
-// returns false if there is none, or too many bytes are in buffers that still have to.
-func (p *Pool) evictLarger(b *Buffer, size int64) bool {
+// largest returns the largest buffer but b that may give way and holds more than size, nil
+// if there is none. p.mu is held.
+func (p *Pool) largest(b *Buffer, size int64) *Buffer {
 	var largest *Buffer
 	for other := range p.buffers {
 		if other == b || other.evicted.Load() || other.pinned || other == p.oversized {
@@ -113,16 +124,49 @@
 			largest, size = other, other.held
 		}
 	}
-	if largest == nil || p.evicting > 0 && p.evicting+largest.held > int64(float64(p.max())*evictedShare) {
+	return largest
+}
+
+// evict tells a buffer to give way. p.mu is held.
+func (p *Pool) evict(b *Buffer) {
+	b.evicted.Store(true)
+	p.used -= b.held
+	p.evicting += b.held
+	if b.Evict != nil {
+		b.Evict()
+	}
+	p.wake()
+}
+
+// withinShare reports whether b, which is in p.buffers, holds an equal share of the pool at
+// most with n bytes more. p.mu is held.
+func (p *Pool) withinShare(b *Buffer, n int64) bool {
+	return (b.held+n)*int64(len(p.buffers)) <= p.max()
+}
+
+// await waits until the state of a buffer has changed, without the lock. It returns false
+// once done is closed. p.mu is held.
+func (p *Pool) await(done <-chan struct{}) bool {
+	if p.changed == nil {
+		p.changed = make(chan struct{})
+	}
+	changed := p.changed
+	p.mu.Unlock()
+	defer p.mu.Lock()
+	select {
+	case <-changed:
+		return true
+	case <-done:
 		return false
 	}
-	p.used -= largest.held
-	largest.evicted.Store(true)
-	p.evicting += largest.held
-	if largest.Evict != nil {
-		largest.Evict()
+}
+
+// wake wakes all that wait. p.mu is held.
+func (p *Pool) wake() {
+	if p.changed != nil {
+		close(p.changed)
+		p.changed = nil
 	}
-	return true
 }
 
 // pin marks b, or returns ErrFull if it has been told to give way.
@@ -151,6 +195,7 @@
 	b.held, b.pinned = 0, false
 	b.evicted.Store(false)
 	delete(p.buffers, b)
+	p.wake()
 }
 
 // Buffer holds bytes in order. Without a Pool it has no bound. It must not be copied
@@ -163,6 +208,9 @@
 	// Lasting is set if the bytes are kept once they are complete. As many must then be
 	// left to other buffers. It must not change while the buffer holds bytes.
 	Lasting bool
+	// Done, if not nil, lets a Write wait for buffers that were told to give way and are
+	// not reset yet, until it is closed. Without it the Write fails.
+	Done <-chan struct{}
 
 	blocks [][]byte
 	size   int
