front, input, config: one bound for the bodies of callers, with limits.held

The other front end bounded how many bodies are read at a time (256) and the size of each (4 MiB), so that bodies alone could take 1 GiB, and none of those that were read. They now share limits.held (64 MiB by default, at least four times limits.body, which the settings' check states), each counted twice: what was read, and the prompt or its encoding. As in package platform, a body that leaves less room than it takes is rejected before it is read, input_full with a time to retry; what is left of it is discarded, so that its caller gets the answer.

--- a/config/check.go
+++ b/config/check.go
@@ -24,6 +24,7 @@
 	minHeaderBytes                   = 4 << 10
 	maxHeaderBytes                   = 1 << 20
 	maxConcurrentBodies              = 100_000
+	maxHeldBytes                     = 1 << 40
 	// digestBytes is the size of a SHA-256 digest.
 	digestBytes = 32
 )
@@ -121,6 +122,7 @@
 	c.optionalRange("limits.input", int64(l.Input), int64(minTransferTime), int64(maxTransferTime), "ms")
 	c.optionalRange("limits.output", int64(l.Output), int64(minTransferTime), int64(maxTransferTime), "ms")
 	c.optionalRange("limits.inputs", int64(l.Inputs), 1, maxConcurrentBodies, "bodies")
+	c.optionalRange("limits.held", l.Held, minHeldBodies*l.WithDefaults().Body, maxHeldBytes, "bytes")
 }
 
 // listener checks one listener. The address of an advertised listener is passed
--- a/config/config.go
+++ b/config/config.go
@@ -92,6 +92,9 @@
 	// Inputs is the number of bodies that are read concurrently; zero means
 	// 256.
 	Inputs int `json:"inputs,omitempty"`
+	// Held is the sum of the request bodies that are held, each twice, in bytes; zero
+	// means 64 MiB, or four times Body if that is more.
+	Held int64 `json:"held,omitempty"`
 	// Output is how long a caller may stop reading a streamed answer before it
 	// is considered disconnected; zero means 10 seconds.
 	Output clock.Millis `json:"output,omitempty"`
@@ -103,7 +106,11 @@
 	defaultHeaderBytes                   = 32 << 10
 	defaultInputTimeout     clock.Millis = 10 * clock.Second
 	defaultConcurrentBodies              = 256
-	defaultOutputTimeout    clock.Millis = 10 * clock.Second
+	defaultHeldBytes                     = 64 << 20
+	// minHeldBodies is the number of largest bodies that Held must hold: one is held
+	// twice, and leaves as much room.
+	minHeldBodies                     = 4
+	defaultOutputTimeout clock.Millis = 10 * clock.Second
 )
 
 // WithDefaults returns l with zero fields replaced by their defaults.
@@ -120,6 +127,9 @@
 	if l.Inputs == 0 {
 		l.Inputs = defaultConcurrentBodies
 	}
+	if l.Held == 0 {
+		l.Held = max(defaultHeldBytes, minHeldBodies*l.Body)
+	}
 	if l.Output == 0 {
 		l.Output = defaultOutputTimeout
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,6 +32,7 @@
 	"lacewinghook.example/lacewinghook/pubdoc"
 	"lacewinghook.example/lacewinghook/sched"
 	"lacewinghook.example/lacewinghook/share"
+	"lacewinghook.example/lacewinghook/spool"
 	"lacewinghook.example/lacewinghook/store"
 	"lacewinghook.example/lacewinghook/sweep"
 	"lacewinghook.example/lacewinghook/token"
@@ -257,6 +258,7 @@
 		Limits:     e.Settings.Limits,
 		Meter:      &e.meter,
 		Signer:     token.Signer{Key: []byte(e.ResumeKey)},
+		Held:       spool.Pool{Max: e.Settings.Limits.WithDefaults().Held},
 	}
 	return s.Handler()
 }
--- a/front/complete.go
+++ b/front/complete.go
@@ -24,7 +24,9 @@
 // complete reads a request, runs it and writes the response. decode decodes the
 // body.
 func (s *Server) complete(w http.ResponseWriter, r *http.Request, decode func([]byte) (prompt.Prompt, error)) {
-	req, stream, err := s.readRequest(w, r, decode)
+	body := s.newBody()
+	defer body.release()
+	req, stream, err := s.readRequest(w, r, body, decode)
 	switch {
 	case err != nil:
 		s.refuse(w, err)
@@ -37,7 +39,7 @@
 
 // readRequest reads and checks a request. It authenticates the caller before it
 // reads the body. stream reports whether the response is to be streamed.
-func (s *Server) readRequest(w http.ResponseWriter, r *http.Request, decode func([]byte) (prompt.Prompt, error)) (req *core.Request, stream bool, err error) {
+func (s *Server) readRequest(w http.ResponseWriter, r *http.Request, body *heldBody, decode func([]byte) (prompt.Prompt, error)) (req *core.Request, stream bool, err error) {
 	caller, err := s.identify(r)
 	if err != nil {
 		return nil, false, err
@@ -47,7 +49,7 @@
 		return nil, false, err
 	}
 	arrived := s.Clock.Now()
-	data, err := s.readBody(w, r)
+	data, err := s.readBody(w, r, body)
 	if err != nil {
 		return nil, false, err
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -16,6 +16,7 @@
 	"lacewinghook.example/lacewinghook/input"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/pubdoc"
+	"lacewinghook.example/lacewinghook/spool"
 	"lacewinghook.example/lacewinghook/token"
 )
 
@@ -61,6 +62,8 @@
 	Meter *meter.Registry
 	// Signer signs the resume tokens. Without a key no tokens are sent.
 	Signer token.Signer
+	// Held bounds the bytes of the bodies that are held for all requests.
+	Held spool.Pool
 
 	// openBodies is the number of request bodies that are being read.
 	openBodies atomic.Int64
--- a/front/service.go
+++ b/front/service.go
@@ -21,7 +21,9 @@
 
 // callService forwards a call to a plain service and returns its response.
 func (s *Server) callService(w http.ResponseWriter, r *http.Request) {
-	call, err := s.readCall(w, r)
+	body := s.newBody()
+	defer body.release()
+	call, err := s.readCall(w, r, body)
 	if err != nil {
 		s.refuse(w, err)
 		return
@@ -42,7 +44,7 @@
 // readCall reads and checks a call of a plain service. It authenticates the
 // caller and finds the route before it reads the body, and again afterwards if
 // the document has changed in between.
-func (s *Server) readCall(w http.ResponseWriter, r *http.Request) (core.Call, error) {
+func (s *Server) readCall(w http.ResponseWriter, r *http.Request, body *heldBody) (core.Call, error) {
 	caller, err := s.identify(r)
 	if err != nil {
 		return core.Call{}, err
@@ -51,7 +53,7 @@
 	if err != nil {
 		return core.Call{}, err
 	}
-	if call.Body, err = s.readBody(w, r); err != nil {
+	if call.Body, err = s.readBody(w, r, body); err != nil {
 		return core.Call{}, err
 	}
 	rechecked, err := s.recheck(r, caller)
--- a/input/doc.go
+++ b/input/doc.go
@@ -6,5 +6,9 @@
 //	input.SetDeadlines(w, r, 10*clock.Second)     // before the handler runs
 //	data, err := input.Read(w, r, maxBytes)
 //
-// The errors are [codes.TooLarge], [codes.SlowInput] and [codes.BadRequest].
+//	buf := spool.Buffer{Pool: pool, Lasting: true}
+//	err := input.ReadTo(w, r, &buf, maxBytes)     // within a bound for all requests
+//
+// The errors are [codes.TooLarge], [codes.SlowInput], [codes.InputFull] and
+// [codes.BadRequest].
 package input
--- a/input/input.go
+++ b/input/input.go
@@ -10,6 +10,8 @@
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/hserv"
+	"lacewinghook.example/lacewinghook/spool"
 )
 
 // SetDeadlines limits the time in which the body must arrive to d, and clears the
@@ -42,6 +44,24 @@
 	return data, nil
 }
 
+// ReadTo reads a body of up to limit bytes into buf, and clears the read deadline like
+// [Read]. The error is [codes.InputFull] if buf has no room or had to give way.
+func ReadTo(w http.ResponseWriter, r *http.Request, buf *spool.Buffer, limit int64) error {
+	b := hserv.Body{Request: r, Controller: http.NewResponseController(w)}
+	buf.Evict = b.Interrupt
+	err := b.ReadTo(buf, limit, 0)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, spool.ErrFull):
+		read := buf.Len()
+		buf.Reset()
+		b.Discard(limit)
+		return codes.Wrap(codes.InputFull, err, "body: %d bytes, %d of it read", r.ContentLength, read)
+	}
+	return readError(err)
+}
+
 // readError converts an error of reading a body to a [codes.Error].
 func readError(err error) error {
 	var tooLarge *http.MaxBytesError
