resume, relay: streams whose event IDs increase by more than one continue

The step is now that of the first two events of the stream, and an answer that continues it must keep to that step, so that a missing or repeated event is refused as before. Where a stream has shown no step, since it broke after its first event or is resumed by its caller, it is that of the last whole stream of the service with three events or more, and 1 before there was one: accepting any larger ID there would pass on a stream with a piece missing.

A caller gets no more from such a stream: after 1, 3 the next answer must begin with 5.

--- a/relay/events.go
+++ b/relay/events.go
@@ -4,6 +4,7 @@
 	"mime"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
@@ -91,6 +92,21 @@
 	return nil
 }
 
+// minStepEvents is the number of events of one answer that show the step of their IDs.
+const minStepEvents = 3
+
+// learnStep keeps the step of the IDs of a stream that is complete.
+func (r *Relay) learnStep(service string, p *resume.Place) {
+	step := p.Learned()
+	if step == 0 || p.Events < minStepEvents {
+		return
+	}
+	if usual, ok := r.steps.Get(service); !ok || usual != step {
+		r.steps.Set(service, step)
+		r.logger().Info("relay: step of event IDs", zap.String("service", service), zap.Uint64("step", step), zap.Uint64("before", usual))
+	}
+}
+
 // wrongEvent returns the error for an event that must not be forwarded.
 func (b *eventBuffer) wrongEvent(up core.Upstream, err error) error {
 	if errors.Is(err, errTooManyEvents) {
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -52,11 +52,13 @@
 	var buf eventBuffer
 	if x.opaque.Route.Resumable {
 		buf.place.LastID = x.opaque.LastEventID
+		buf.place.Step, _ = x.relay.steps.Get(x.opaque.Service)
 	}
 	defer x.discardNext()
 	for {
 		err := x.generateOnce(ctx, &buf)
 		if err == nil {
+			x.relay.learnStep(x.opaque.Service, &buf.place)
 			return nil
 		}
 		if x.headSent && (!x.opaque.Route.Resumable || buf.place.Unordered) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 	"lacewinghook.example/lacewinghook/notice"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/route"
+	"lacewinghook.example/lacewinghook/shard"
 	"lacewinghook.example/lacewinghook/spool"
 )
 
@@ -183,6 +184,8 @@
 	// unreachable holds the upstreams whose last connection attempts failed, and
 	// endless those whose last complete or cut answer was cut.
 	unreachable, endless avoid.Table
+	// steps holds the usual step of the IDs of events, by service.
+	steps shard.Map[string, uint64]
 	// desk places completions if Placer is nil; setUp initializes it.
 	setUp sync.Once
 	desk  alloc.Desk
--- a/resume/place.go
+++ b/resume/place.go
@@ -16,13 +16,17 @@
 	LastID string
 	// Events counts the events of the current answer.
 	Events int
-	// Unordered is set once an event was accepted whose ID isn't the number after
-	// that of the event before it. Such a stream can't resume, since missing and
-	// repeated events would not be noticed.
+	// Unordered is set once an event was accepted whose ID isn't the next number. Such a
+	// stream can't resume, since missing and repeated events would not be noticed.
 	Unordered bool
+	// Step is the difference between the IDs of an event and of the one before it. It is
+	// set by the first two events of a stream; before that it is what other streams of
+	// the kind have, and zero means 1.
+	Step uint64
 
-	// resumed is set while an answer must continue after LastID.
-	resumed bool
+	// resumed is set while an answer must continue after LastID, and learned once Step is
+	// that of this stream.
+	resumed, learned bool
 }
 
 // Begin begins an answer. It continues the stream if LastID is a number.
@@ -36,10 +40,18 @@
 func (p *Place) Accept(id string) error {
 	n, numbered := number(id)
 	last, known := number(p.LastID)
-	ordered := numbered && (!known || n == last+1)
+	ordered := numbered && (!known || n > last)
+	if ordered && known {
+		step := n - last
+		if !p.learned && !p.resumed {
+			p.Step = step
+		}
+		ordered = step == max(p.Step, 1)
+	}
 	if p.resumed && !ordered {
 		return ErrNotNext
 	}
+	p.learned = p.learned || ordered && known
 	p.Events++
 	if !ordered {
 		p.Unordered = true
@@ -50,6 +62,14 @@
 	return nil
 }
 
+// Learned returns Step if it is that of this stream, and zero otherwise.
+func (p *Place) Learned() uint64 {
+	if !p.learned || p.Unordered {
+		return 0
+	}
+	return max(p.Step, 1)
+}
+
 // number returns the number that an event ID is. ok is false if it is none.
 func number(id string) (n uint64, ok bool) {
 	n, err := strconv.ParseUint(id, 10, 64)
