wire, edge, entry: one bound for the messages of peers that are being read

Whoever connects to a peer's port could hold 64 KiB on each of 1,024 connections by sending all but the last byte of a message, twice that while the buffer grows. The requests that an entry reads share a pool now (a twentieth of the heap on the users' platform, 16 MiB else), apart from bodies and events, so that these can't cost the entry its peers. The connection with the largest message is closed.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -100,6 +100,8 @@
 	// bodies bounds the bytes of callers' bodies and of the starts of answers that are
 	// held, and partial those of events of which a part has arrived.
 	bodies, partial spool.Pool
+	// messages bounds the bytes of peers' messages that are being read.
+	messages spool.Pool
 	// durations estimates how long the completions of a service take.
 	durations flight.Durations
 }
@@ -174,7 +176,7 @@
 	table := &announcingPool{Table: &e.pool, edge: e}
 	e.preparePlacer(table, self)
 	heap := float64(cmp.Or(s.Fleet.Memory, defaultMemoryMiB)<<20) * memoryShare
-	e.bodies.Max, e.partial.Max = int64(heap*bodyShare), int64(heap*partialShare)
+	e.bodies.Max, e.partial.Max, e.messages.Max = int64(heap*bodyShare), int64(heap*partialShare), int64(heap*messageShare)
 	e.relay = relay.Relay{
 		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Budget: e, Quarantine: crashDetector{e}, Notices: &e.notices, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
 		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre, MaxSilence: s.Fleet.Silence,
@@ -191,13 +193,15 @@
 const defaultMemoryMiB = 256
 
 // Fractions of the Go heap that may hold bytes from outside. They are apart, so that
-// neither kind takes the room of the other. Half as much again may be in use by those that
+// no kind takes the room of another. Half as much again may be in use by those that
 // were just cut.
 const (
 	// bodyShare is for the bodies of callers' requests and the starts of answers.
 	bodyShare = 0.4
 	// partialShare is for events of which a part has arrived.
 	partialShare = 0.2
+	// messageShare is for messages of peers, which are short.
+	messageShare = 0.05
 )
 
 // setRuntimeLimits sets the Go runtime's memory and CPU limits to those of
@@ -255,7 +259,7 @@
 		{s.Callers.Listen, server{http: ingress, callers: true}},
 		{s.Fleet.Directory, server{http: e.server(platform.Resolver(e))}},
 		{s.Fleet.Readiness, server{http: e.server(platform.Readiness(e))}},
-		{s.Peers.Listen, server{rpc: &wire.Server{Log: e.Log, Methods: map[wire.Method]wire.MethodHandler{
+		{s.Peers.Listen, server{rpc: &wire.Server{Log: e.Log, Held: &e.messages, Methods: map[wire.Method]wire.MethodHandler{
 			wire.MethodHello:    wire.OnHeartbeat(e.gossip.HandleHeartbeat),
 			wire.MethodSnapshot: wire.TypedHandler(e.serveSnapshot),
 			wire.MethodPlace:    wire.OnPlace(e.placer.Serve),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -126,7 +126,7 @@
 	g.Go(func() error { return serve(callers, e.Sockets.Callers) })
 	g.Go(func() error { return serve(operators, e.Sockets.Operators) })
 	g.Go(func() error {
-		return (&wire.Server{Handler: e, Methods: e.peerMethods(), Log: e.Log, Certs: e.peers.Certs}).Serve(workCtx, e.Sockets.Peers)
+		return (&wire.Server{Held: &spool.Pool{}, Handler: e, Methods: e.peerMethods(), Log: e.Log, Certs: e.peers.Certs}).Serve(workCtx, e.Sockets.Peers)
 	})
 	e.background(workCtx, g)
 	g.Go(func() error {
--- a/wire/client.go
+++ b/wire/client.go
@@ -169,7 +169,7 @@
 	if err != nil {
 		return nil, err
 	}
-	dialed := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(raw, maxResponseBytes), ignoreCalls{},
+	dialed := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(raw, maxResponseBytes, nil), ignoreCalls{},
 		jsonrpc2.SetLogger(logger{c.Log}))
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/tls"
 	"encoding/binary"
 	"encoding/json"
 	"io"
@@ -12,6 +13,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/spool"
 )
 
 // Maximum size of one message in bytes. A response may hold the whole published
@@ -28,6 +30,10 @@
 // [jsonrpc2.VarintObjectCodec] it limits the size of the messages it reads.
 type codec struct {
 	limit uint64 // bytes
+	// held, if not nil, bounds the bytes of the messages of all connections that are
+	// being read. If a message must give way, evict ends its read.
+	held  *spool.Pool
+	evict func()
 }
 
 // WriteObject implements [jsonrpc2.ObjectCodec].
@@ -45,11 +51,16 @@
 	if n > c.limit {
 		return errMessageTooLarge
 	}
-	var data bytes.Buffer
-	if _, err := io.CopyN(&data, r, int64(n)); err != nil {
+	data := spool.Buffer{Pool: c.held, Evict: c.evict}
+	defer data.Reset()
+	read, err := data.ReadFrom(io.LimitReader(r, int64(n)))
+	switch {
+	case err != nil:
 		return err
+	case read < int64(n):
+		return io.ErrUnexpectedEOF
 	}
-	return json.Unmarshal(data.Bytes(), v)
+	return json.Unmarshal(bytes.Join(data.Blocks(), nil), v)
 }
 
 // Timeouts of a connection.
@@ -83,8 +94,15 @@
 	return c.Conn.Write(p)
 }
 
-// newStream returns a message stream over raw that rejects messages of more than
-// limit bytes.
-func newStream(raw net.Conn, limit uint64) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(timedConn{raw}, codec{limit: limit})
+// newStream returns a message stream over conn that rejects messages of more than
+// limit bytes. It is closed if held, which may be nil, has no room for a message.
+func newStream(conn net.Conn, limit uint64, held *spool.Pool) jsonrpc2.ObjectStream {
+	raw := conn
+	if t, ok := conn.(*tls.Conn); ok {
+		// Closing the TLS connection would write to it.
+		raw = t.NetConn()
+	}
+	// An error means that the connection is closed already.
+	evict := func() { _ = raw.Close() }
+	return jsonrpc2.NewBufferedStream(timedConn{conn}, codec{limit: limit, held: held, evict: evict})
 }
--- a/wire/server.go
+++ b/wire/server.go
@@ -19,6 +19,7 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/spool"
 )
 
 // Handler responds to the calls of other entries.
@@ -71,6 +72,9 @@
 	Blocking []Method
 	// Certs, if not nil, enables TLS and requires a certificate of every peer.
 	Certs *cert.Source
+	// Held, if not nil, bounds the bytes of the requests that are being read. The
+	// connection with the largest is closed if there are too many.
+	Held *spool.Pool
 	// Log may be nil.
 	Log *zap.Logger
 }
@@ -118,7 +122,7 @@
 	h := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		return dispatch(ctx, methods, r)
 	}).SuppressErrClosed()
-	rpc := jsonrpc2.NewConn(ctx, newStream(conn, maxRequestBytes), orderedHandler{h, s.Blocking}, jsonrpc2.SetLogger(logger{s.Log}))
+	rpc := jsonrpc2.NewConn(ctx, newStream(conn, maxRequestBytes, s.Held), orderedHandler{h, s.Blocking}, jsonrpc2.SetLogger(logger{s.Log}))
 	<-rpc.DisconnectNotify()
 }
 
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -29,6 +29,7 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/spool"
 	"lacewinghook.example/lacewinghook/trial"
 	"lacewinghook.example/lacewinghook/wire"
 )
@@ -256,3 +257,38 @@
 		}))
 	})
 }
+
+// TestMessagesOfAllPeersAreBounded guards against memory for messages that arrive slowly
+// on many connections: some of them are closed, and a short message passes.
+func TestMessagesOfAllPeersAreBounded(t *testing.T) {
+	const conns, size = 100, 60 << 10
+	is := is.New(t)
+	held := &spool.Pool{Max: 1 << 20}
+	addr := serve(t, &wire.Server{Handler: namedHandler("weyburn-1"), Held: held})
+	closed := make(chan struct{}, conns)
+	for range conns {
+		raw, err := net.Dial("tcp", addr)
+		is.NoErr(err)
+		t.Cleanup(func() { _ = raw.Close() })
+		// The last byte doesn't arrive. An error means that the connection was closed.
+		_, _ = raw.Write(append(binary.AppendUvarint(nil, size), make([]byte, size-1)...))
+		go func() {
+			_, _ = io.Copy(io.Discard, raw)
+			closed <- struct{}{}
+		}()
+	}
+	for range conns - int(held.Max)/size {
+		select {
+		case <-closed:
+		case <-time.After(10 * time.Second):
+			t.Fatal("more connections than have room are open")
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	is.NoErr(trial.WaitUntil(ctx, func() bool { return held.Used() <= held.Max }))
+	c := &wire.Client{}
+	defer c.Close()
+	_, err := c.Heartbeat(context.Background(), addr, member.Heartbeat{Instance: core.Instance{Name: "weyburn-2"}})
+	is.NoErr(err)
+}
