--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,7 @@
 	"lacewinghook.example/lacewinghook/sched"
 	"lacewinghook.example/lacewinghook/share"
 	"lacewinghook.example/lacewinghook/sock"
+	"lacewinghook.example/lacewinghook/spool"
 	"lacewinghook.example/lacewinghook/store"
 	"lacewinghook.example/lacewinghook/sweep"
 	"lacewinghook.example/lacewinghook/token"
@@ -130,7 +131,7 @@
 		"callers":   func() error { return serve(callers, e.Sockets.Callers) },
 		"operators": func() error { return serve(operators, e.Sockets.Operators) },
 		"peers": func() error {
-			return (&wire.Server{Handler: e, Methods: e.peerMethods(), Log: e.Log, Certs: e.peers.Certs}).Serve(workCtx, e.Sockets.Peers)
+			return (&wire.Server{Held: &spool.Pool{}, Handler: e, Methods: e.peerMethods(), Log: e.Log, Certs: e.peers.Certs}).Serve(workCtx, e.Sockets.Peers)
 		},
 	} {
 		g.Go(func() error {
@@ -272,6 +273,7 @@
 		Limits:     e.Settings.Limits,
 		Meter:      &e.meter,
 		Signer:     token.Signer{Key: []byte(e.ResumeKey)},
+		Held:       spool.Pool{Max: e.Settings.Limits.WithDefaults().Held},
 	}
 	return s.Handler()
 }
