logs: the end of a process doesn't wait for the reader of its log

A process whose standard output nobody reads didn't exit after its stop, until the platform killed it: Close waited for the last lines to be written, without a bound. It waits for 200 ms now.

TestCloseEndsWithBlockedWriter: red before, 5 s.

--- a/logs/logs.go
+++ b/logs/logs.go
@@ -20,6 +20,8 @@
 	// flushInterval is the time for which lines are collected before they are
 	// written in one system call, so that a busy entry makes few of them.
 	flushInterval clock.Millis = 100
+	// closeTimeout bounds the time in which Close writes the last lines.
+	closeTimeout clock.Millis = 200
 	// sampleFirst lines of one message are written per second; above that,
 	// only one line in sampleThereafter is written.
 	sampleFirst      = 300
@@ -90,11 +92,16 @@
 // written after flushInterval anyway.
 func (l *Log) Sync() error { return nil }
 
-// Close writes the buffered lines and stops the writer. Later lines are lost.
+// Close writes the buffered lines and stops the writer. Later lines are lost. It waits for
+// at most closeTimeout, so that a reader that takes nothing doesn't keep the process alive.
 func (l *Log) Close() {
-	if l.closed.CompareAndSwap(false, true) {
-		close(l.quit)
-		<-l.done
+	if !l.closed.CompareAndSwap(false, true) {
+		return
+	}
+	close(l.quit)
+	select {
+	case <-l.done:
+	case <-time.After(closeTimeout.Duration()):
 	}
 }
 
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -87,3 +87,21 @@
 	is.Equal(int64(lines-written), l.Dropped())
 	is.True(strings.Contains(out.text.String(), "another"))
 }
+
+// TestCloseEndsWithBlockedWriter guards against a process that doesn't exit after its stop
+// because nobody reads its log.
+func TestCloseEndsWithBlockedWriter(t *testing.T) {
+	is := is.New(t)
+	out := &blockingWriter{gate: make(chan struct{})}
+	defer close(out.gate)
+	l, err := logs.New(out, "")
+	is.NoErr(err)
+	l.Logger.Info("edge: stopped")
+	closed := make(chan struct{})
+	go func() { l.Close(); close(closed) }()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Error("Close waits for the writer")
+	}
+}
