--- a/soak/report.go
+++ b/soak/report.go
@@ -53,7 +53,10 @@
 	r.Sums = x.sums()
 	if base != nil {
 		r.Base = newIndex(base).sums()
-		r.Findings = append(r.Findings, check(base)...)
+		for _, f := range check(base) {
+			f.Text = "without steps: " + f.Text
+			r.Findings = append(r.Findings, f)
+		}
 	}
 	r.Findings = append(r.Findings, checkSums(r.Sums, r.Base)...)
 	for _, b := range h.Boots {
@@ -134,7 +137,7 @@
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprint(t, "\nscope\trequests\tcrossed\trefused\tfailed\tlate\tcut by stop\trepeatable\tretried\t\n")
-	for _, k := range slices.Concat([]Kind{"without steps", scopeAll, scopeCalm, scopeStop, scopeInnocent}, Planned, Failures) {
+	for _, k := range slices.Concat([]Kind{"without steps", scopeAll, scopeCalm, scopeStop, scopeEarly, scopeInnocent}, Planned, Failures) {
 		s := sums[k]
 		if s.Requests == 0 {
 			continue
--- a/soak/run.go
+++ b/soak/run.go
@@ -62,6 +62,11 @@
 		if err := writeJSON(filepath.Join(dir, "history.json"), h); err != nil {
 			return nil, err
 		}
+		if base != nil {
+			if err := writeJSON(filepath.Join(dir, "base", "history.json"), base); err != nil {
+				return nil, err
+			}
+		}
 	}
 	return res, nil
 }
--- a/soak/sums.go
+++ b/soak/sums.go
@@ -43,8 +43,10 @@
 	// scopeAll has all requests, scopeCalm those that meet no step.
 	scopeAll  Kind = "all"
 	scopeCalm Kind = "calm"
-	// scopeStop has the requests that an entry receives after SIGTERM.
-	scopeStop Kind = "stop"
+	// scopeStop has the requests that an entry receives after SIGTERM, scopeEarly those of
+	// them up to lastSent after it.
+	scopeStop  Kind = "stop"
+	scopeEarly Kind = "stop, 3 s"
 	// scopeInnocent has the sound generations that come after engines have crashed.
 	scopeInnocent Kind = "innocent"
 )
@@ -110,6 +112,9 @@
 		}
 		if b := x.boot(q); b.Term > 0 && q.Sent >= b.Term {
 			scopes = append(scopes, scopeStop)
+			if q.Sent <= b.Term+lastSent {
+				scopes = append(scopes, scopeEarly)
+			}
 		}
 		deadly := func(k Kind) bool { return k == Deadly || slices.Contains(harmless, k) }
 		if crashed > 0 && q.Sent >= crashed+crashTime && shapeOf(q.Shape).Stream && !slices.ContainsFunc(kinds, func(k Kind) bool { return !deadly(k) }) {
