--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -15,6 +15,7 @@
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/spool"
 )
 
 // exchange holds the state of one in-flight request. It has no lock: only one
@@ -62,10 +63,10 @@
 	resumeIn         clock.Millis
 }
 
-// bufferedAnswer is an answer that was read completely.
+// bufferedAnswer is the head of an answer and what was read of its body.
 type bufferedAnswer struct {
 	reply core.Reply
-	body  []byte
+	body  *spool.Buffer
 }
 
 // Limits on the sends of one request.
@@ -130,11 +131,12 @@
 	if ctx.Err() != nil || x.callerGone || x.timeLeft() < minTimeLeft {
 		return false
 	}
-	if x.checkQuarantine() != nil {
+	if x.checkQuarantine(ctx) != nil {
 		return false
 	}
 	switch e := codes.From(err); {
-	case e.Code == codes.NoUpstream, e.Code == codes.BudgetSpent, e.Code == codes.DeadlineUnmet, e.Code == codes.QueueFull:
+	case e.Code == codes.NoUpstream, e.Code == codes.BudgetSpent, e.Code == codes.DeadlineUnmet, e.Code == codes.QueueFull,
+		e.Code == codes.Leaving:
 		// This entry itself rejected the request, so another attempt would fail too.
 		return false
 	case e.Run == codes.NotRun:
@@ -156,11 +158,20 @@
 func (x *exchange) runsLeft() int { return 1 + x.opaque.Route.Profile.Retries - x.possibleRuns }
 
 // checkQuarantine returns an error if requests like this one are blocked.
-func (x *exchange) checkQuarantine() error {
+func (x *exchange) checkQuarantine(ctx context.Context) error {
 	if x.relay.Quarantine == nil {
 		return nil
 	}
-	return x.relay.Quarantine.Check(x.request)
+	return x.relay.Quarantine.Check(ctx, x.request)
+}
+
+// checkFinishes returns an error if no upstream may have run the request and this entry may
+// not finish it. It must not be called while an upstream may run it.
+func (x *exchange) checkFinishes() error {
+	if x.relay.Finisher == nil || x.possibleRuns > 0 || x.headSent {
+		return nil
+	}
+	return x.relay.Finisher.CheckFinishes(x.request)
 }
 
 // reportAnswered tells the quarantine that the request doesn't crash its upstream.
@@ -198,8 +209,8 @@
 // checkUsable returns an error if the upstream is draining, no longer listed or barred,
 // and excludes it for this request, or if the request is quarantined. It is called just
 // before a send, since this may have changed after the upstream was selected.
-func (x *exchange) checkUsable(up core.Upstream) error {
-	if err := x.checkQuarantine(); err != nil {
+func (x *exchange) checkUsable(ctx context.Context, up core.Upstream) error {
+	if err := x.checkQuarantine(ctx); err != nil {
 		return err
 	}
 	if n := x.relay.notice(up.Name); n.Barred {
@@ -300,10 +311,7 @@
 	if err := x.sendHead(answer.reply); err != nil {
 		return err
 	}
-	if len(answer.body) == 0 {
-		return nil
-	}
-	return x.forward(answer.body)
+	return answer.body.Each(x.forward)
 }
 
 // copyBufferBytes is the size of the buffer through which an answer is copied.
@@ -386,6 +394,10 @@
 			return e.RetryAfter
 		}
 		return retryAfterNoUpstream
+	case codes.Leaving:
+		if e.RetryAfter > 0 {
+			return e.RetryAfter
+		}
 	}
 	return max(e.RetryAfter, minRetryAfter)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -101,9 +101,9 @@
 
 // Quarantine blocks requests suspected of crashing upstreams.
 type Quarantine interface {
-	// Check returns an error if requests like r are blocked. It sets r.Trials if r is
-	// permitted as a trial.
-	Check(r *core.Request) error
+	// Check returns an error if requests like r are blocked, or if ctx ends before that is
+	// known. It sets r.Trials if r is permitted as a trial.
+	Check(ctx context.Context, r *core.Request) error
 	// Mark returns what is known of crashes now. It is called before each send.
 	Mark() Mark
 	// ReportLost reports a request that was lost with its connection. It may wait
@@ -117,6 +117,13 @@
 	ReportCompleted(r *core.Request)
 }
 
+// Finisher knows whether this entry runs long enough to finish a request.
+type Finisher interface {
+	// CheckFinishes returns an error with the code [codes.Leaving] for a request that this
+	// entry may not finish. It is called before a request that has not run is sent.
+	CheckFinishes(r *core.Request) error
+}
+
 // Mark is a state of knowledge of crashes, of parts of prompts and of whole requests.
 type Mark struct {
 	Parts, Request uint64
@@ -157,6 +164,8 @@
 	Placer Placer
 	// Quarantine, if nil, blocks no request.
 	Quarantine Quarantine
+	// Finisher, if nil, permits each request.
+	Finisher Finisher
 	// Notices, if nil, excludes no upstream.
 	Notices Notices
 	// Specs returns the published specification of a service. If nil, no service
@@ -176,8 +185,9 @@
 	// MaxAnswer bounds an answer that isn't a stream of events, in bytes; zero means
 	// [DefaultMaxAnswer].
 	MaxAnswer int64
-	// Held, if not nil, bounds the bytes of answers that are held for all requests.
-	Held *spool.Pool
+	// Held, if not nil, bounds the bytes of partial events that are held for all requests,
+	// and Kept those of answers that are read before they are delivered.
+	Held, Kept *spool.Pool
 
 	// unreachable holds the upstreams whose last connection attempts failed, and
 	// endless those whose last complete or cut answer was cut.
@@ -191,12 +201,16 @@
 // [codes.Error] as its cause, the request ends with this code.
 func (r *Relay) Run(ctx context.Context, req *core.Request, sink Sink) error {
 	x := &exchange{relay: r, request: req, opaque: req.Opaque, sink: sink, log: r.logger()}
-	if err := x.checkQuarantine(); err != nil {
-		return x.finish(codes.From(err).WithRun(codes.NotRun))
-	}
 	ctx, cancel := context.WithTimeout(ctx, (req.Deadline - r.Clock.Now()).Duration())
 	defer cancel()
+	if err := x.checkQuarantine(ctx); err != nil {
+		if ctx.Err() != nil {
+			return x.finish(x.finalError(ctx, err))
+		}
+		return x.finish(codes.From(err).WithRun(codes.NotRun))
+	}
 	defer x.returnRetries()
+	defer x.dropFallback()
 	var err error
 	if req.Opaque.Route.Generates {
 		err = x.generate(ctx)
