edge, sock: the log tells what a stop leaves undelivered

Operators couldn't tell whether a stop had ended before its callers had received the ends of their answers. "edge: servers closed" has the number of these connections.

sock green with -race; tests of stops in edge green.

--- a/edge/stop.go
+++ b/edge/stop.go
@@ -72,7 +72,7 @@
 		}
 	}
 	e.deliverRest(ctx, end)
-	e.Log.Info("edge: servers closed", zap.Int64("since_stop", int64(e.Clock.Now()-begun)), zap.Int("in_flight", e.inFlight.Len()))
+	e.Log.Info("edge: servers closed", zap.Int64("since_stop", int64(e.Clock.Now()-begun)), zap.Int("in_flight", e.inFlight.Len()), zap.Int("undelivered", e.closer.Len()))
 }
 
 // endRequests ends the requests that are left at the end of the grace period, and waits
--- a/sock/closer.go
+++ b/sock/closer.go
@@ -25,6 +25,10 @@
 // Listener returns a listener whose connections are closed by c.
 func (c *Closer) Listener(ln net.Listener) net.Listener { return listener{ln, c} }
 
+// Len returns the number of connections that were closed and whose peers haven't received
+// everything.
+func (c *Closer) Len() int { return int(c.open.Load()) }
+
 // Wait waits until no connection is left that was closed and whose peer hasn't received
 // everything, or until ctx ends. It may be called by one goroutine at a time.
 func (c *Closer) Wait(ctx context.Context) {
--- a/sock/closer_test.go
+++ b/sock/closer_test.go
@@ -58,6 +58,7 @@
 			is.True(errors.Is(server.Close(), net.ErrClosed))
 			_, err = server.Read(make([]byte, 8))
 			is.True(err != nil)
+			is.Equal(closer.Len(), 1)
 			waited := make(chan struct{})
 			go func() { closer.Wait(t.Context()); close(waited) }()
 			select {
@@ -70,6 +71,7 @@
 			is.True(bytes.Equal(got, data))
 			// The client keeps its side open.
 			<-waited
+			is.Equal(closer.Len(), 0)
 		})
 	}
 }
