edge: the context of a stop has no cause

Nothing read the cause; the error of the failed part is logged and returned by Run. The name is that of package entry, and no longer that of the method stop. No change of behaviour; TestFailedPartCutsNothing green with -race.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -114,8 +114,8 @@
 	if err != nil {
 		return err
 	}
-	stopping, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
+	stopping, beginStop := context.WithCancel(ctx)
+	defer beginStop()
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var g errgroup.Group
@@ -124,7 +124,7 @@
 			err := s.serve(runCtx)
 			if err != nil {
 				e.Log.Error("edge: a server failed", zap.Stringer("addr", s.ln.Addr()), zap.Error(err))
-				stop(err)
+				beginStop()
 			}
 			return err
 		})
