edge, relay: a stop takes no late call whose answer it may cut

A stopping entry takes a call by how long others took, since one that outlasts the stop gets 502. That holds only for answers of up to 64 KiB, which are read before they begin: a longer one has begun, and its caller gets a part of it.

The entry keeps which kinds of calls have had a longer answer, and once callers have no reason to have its address it takes these as it takes streams. The first such answer of a process may still be cut, as may one where there was no room to read it first.

TestStopCutsNoLateCall (256 KiB, its replica silent for 2.5 s in the middle), before: red, "unexpected EOF". After: 2 of 2 green with -race; the other tests of stops in edge green with -race.

--- a/edge/answerend_test.go
+++ b/edge/answerend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"lacewinghook.example/lacewinghook/extsim"
+	"lacewinghook.example/lacewinghook/relay"
 	"lacewinghook.example/lacewinghook/sock"
 )
 
@@ -117,3 +119,35 @@
 		})
 	}
 }
+
+// TestStopCutsNoLateCall guards against a call that a stopping entry takes by how long others
+// took, although its answer is too long to be read before it is delivered, and cuts.
+func TestStopCutsNoLateCall(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	s.store.Put("op", "config", strings.ReplaceAll(fmt.Sprintf(manifestText, 2, 9000, ""), `"timeout_ms":2000`, `"timeout_ms":9000`))
+	for _, d := range s.services {
+		d.Body = strings.Repeat("x", 4*relay.MaxBufferedBytes)
+	}
+	r := s.startReady()
+	for i := range 12 {
+		is.Equal(r.do(context.Background(), callerRequest{id: fmt.Sprint("before-", i), path: "/safe/a"}).status, http.StatusOK)
+	}
+	conn := r.dial(t)
+	stopped := time.Now()
+	r.stop()
+	s.until("the entry isn't ready", func() bool { return !r.ready() })
+	// Callers keep a list of addresses for three times its lifetime.
+	time.Sleep(time.Until(stopped.Add(3*time.Duration(r.settings.Fleet.Keep)*time.Millisecond + 50*time.Millisecond)))
+	for _, d := range s.services {
+		d.Silence = 2500 * time.Millisecond
+		d.InjectFault(extsim.SilentBody, 1)
+	}
+	_, err := io.WriteString(conn, lateRequest(1, "/safe/a"))
+	is.NoErr(err)
+	got := readAnswer(conn)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(s.runs("id-1"), 0)
+}
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -9,6 +9,7 @@
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/hserv"
+	"lacewinghook.example/lacewinghook/relay"
 )
 
 // callerRunner implements [platform.Runner]. It routes the requests of callers and
@@ -25,6 +26,9 @@
 	err := c.edge.relay.Run(ctx, r, a)
 	if err == nil {
 		c.edge.durations.Observe(kind, durationSize(r), c.edge.Clock.Now()-r.Arrived)
+		if a.Written > relay.MaxBufferedBytes {
+			c.edge.longAnswers.Set(kind, struct{}{})
+		}
 	}
 	return err
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -104,6 +104,9 @@
 	bodies, partial spool.Pool
 	// durations estimates how long requests take.
 	durations flight.Durations
+	// longAnswers holds the kinds of calls of which an answer was begun before its end was
+	// read.
+	longAnswers shard.Map[string, struct{}]
 }
 
 // Run serves until ctx ends or a part of the entry fails, then drains the requests in flight
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -161,16 +161,17 @@
 //
 // A stream whose caller has no reason any more to have the address may last until its
 // deadline: how long others took is no bound for it, and once its answer has begun it can
-// only be cut. For other requests the estimate is that of the requests of the kind that have
-// ended or are running, and the silence of a sound upstream. A call that outlasts it is
-// answered with a failure.
+// only be cut. So may a call of a kind with long answers. For other requests the estimate is
+// that of the requests of the kind that have ended or are running, and the silence of a sound
+// upstream. A call that outlasts it is answered with a failure.
 func (e *Edge) longestDuration(r *core.Request) clock.Millis {
 	o := r.Opaque
 	unbounded := r.Deadline - r.Arrived
-	if (o.Route.Stream || o.Route.Generates) && r.Arrived >= clock.Millis(e.cachedUntil.Load()) {
+	now, kind := e.Clock.Now(), durationKind(o)
+	_, long := e.longAnswers.Get(kind)
+	if (o.Route.Stream || o.Route.Generates || long) && r.Arrived >= clock.Millis(e.cachedUntil.Load()) {
 		return unbounded
 	}
-	now, kind := e.Clock.Now(), durationKind(o)
 	usual := e.durations.Usual(kind)
 	longest, count := e.durations.Longest(kind, durationSize(r), now)
 	if now >= clock.Millis(e.lingerUntil.Load()) {
--- a/relay/call.go
+++ b/relay/call.go
@@ -18,9 +18,9 @@
 	"lacewinghook.example/lacewinghook/stall"
 )
 
-// maxBufferedBytes is the largest answer that is read completely before the
+// MaxBufferedBytes is the largest answer that is read completely before the
 // caller receives any of it, so that a truncated answer can be retried.
-const maxBufferedBytes = 64 << 10
+const MaxBufferedBytes = 64 << 10
 
 // call forwards a call of a plain service and retries it where that is allowed.
 func (x *exchange) call(ctx context.Context) error {
@@ -42,7 +42,7 @@
 type openAnswer struct {
 	up     core.Upstream
 	answer Answer
-	// head is the start, of maxBufferedBytes+1 bytes at most, and rest what follows it and
+	// head is the start, of MaxBufferedBytes+1 bytes at most, and rest what follows it and
 	// found no room there.
 	head *spool.Buffer
 	rest []byte
@@ -119,7 +119,7 @@
 		open.head.Reset()
 		x.relay.Pool.End(up.Name, w)
 	}
-	err = readParts(up, io.LimitReader(a.Body, maxBufferedBytes+1), func(p []byte) error {
+	err = readParts(up, io.LimitReader(a.Body, MaxBufferedBytes+1), func(p []byte) error {
 		onData()
 		before := open.head.Len()
 		err := open.head.Write(p)
@@ -134,7 +134,7 @@
 		open.close()
 		return nil, codes.From(err).WithRun(codes.Unknown)
 	}
-	open.whole = !full && open.head.Len() <= maxBufferedBytes
+	open.whole = !full && open.head.Len() <= MaxBufferedBytes
 	if open.whole && !a.UntilClose {
 		x.reportCompleted()
 	}
