--- a/edge/edge.go
+++ b/edge/edge.go
@@ -106,6 +106,9 @@
 	messages spool.Pool
 	// durations estimates how long requests take.
 	durations flight.Durations
+	// longAnswers holds the kinds of calls of which an answer was begun before its end was
+	// read.
+	longAnswers shard.Map[string, struct{}]
 }
 
 // Run serves until ctx ends or a part of the entry fails, then drains the requests in flight
@@ -116,8 +119,8 @@
 	if err != nil {
 		return err
 	}
-	stopping, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
+	stopping, beginStop := context.WithCancel(ctx)
+	defer beginStop()
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var g errgroup.Group
@@ -126,7 +129,7 @@
 			err := s.serve(runCtx)
 			if err != nil {
 				e.Log.Error("edge: a server failed", zap.Stringer("addr", s.ln.Addr()), zap.Error(err))
-				stop(err)
+				beginStop()
 			}
 			return err
 		})
