alloc: the tests of placement run in a bubble

TestManyEntries/fits and TestWaitsAndRejects were red once each beside load. Traced to the tests: 300 entries share one process, and 192 requests a second wait 300 ms of the wall clock at most. In four processes with one core each, beside each other, 15 of 32 runs were red; in all 14 with more than 1% rejected, timers of the process fired 489 to 3,622 ms late, longer than the 300 ms that a request may wait, so that its rejection is what the caller is promised.

Change: both run in a bubble. The allowance for late timers is gone: the longest wait is 300 ms at most. The other bounds are as before.

Seen in the runs before, and not traced: an engine got more than its memory in two runs whose timers fired 1.3 and 1.5 s late.

--- a/alloc/alloc_test.go
+++ b/alloc/alloc_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 
@@ -56,6 +57,11 @@
 	ledger *alloc.Ledger
 }
 
+// inBubble returns f as a test in a bubble, whose time passes only while all of it waits.
+func inBubble(f func(t *testing.T)) func(t *testing.T) {
+	return func(t *testing.T) { synctest.Test(t, f) }
+}
+
 // newSite starts n entries before the engines.
 func newSite(t *testing.T, n int, ups []core.Upstream) *site {
 	s := &site{entries: make(map[string]*entry), groups: alloc.Divide(service, ups), down: make(map[string]bool), used: make(map[string]int), most: make(map[string]int)}
@@ -205,46 +211,26 @@
 		"fits":          {48, 0.99},
 		"twice as much": {16, 0.4},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(name, inBubble(func(t *testing.T) {
 			is := is.New(t)
 			s := newSite(t, size, engines(12, c.decodes))
 			const span = 3 * clock.Second
-			lateness := startLateness(t)
 			placed, rejected, longest := s.load(t, perSecond, span, hold, 300)
-			late := lateness()
 			seconds := float64(span+hold) / 1000
 			messages := float64(s.messages.Load()) / size / seconds
 			bytes := float64(s.bytes.Load()) / size / seconds
-			t.Logf("placed %d, rejected %d, longest wait %d ms, timers up to %d ms late; %.1f messages and %.0f bytes a second and entry",
-				placed, rejected, longest, late, messages, bytes)
+			t.Logf("placed %d, rejected %d, longest wait %d ms; %.1f messages and %.0f bytes a second and entry",
+				placed, rejected, longest, messages, bytes)
 			is.True(float64(placed) >= c.placed*float64(placed+rejected))
 			is.True(bytes <= 9000)
-			is.True(longest <= 300+late)
+			is.True(longest <= 300)
 			for _, most := range s.most {
 				is.True(most <= pieces)
 			}
-		})
+		}))
 	}
 }
 
-// startLateness measures by how much timers of this process fire late, since a wait
-// can't be timed better than that on a busy machine. The returned function ends it and
-// returns the largest lateness.
-func startLateness(t *testing.T) (stop func() clock.Millis) {
-	ctx, cancel := context.WithCancel(t.Context())
-	result := make(chan clock.Millis, 1)
-	go func() {
-		c, worst := clock.Clock{}, clock.Millis(0)
-		for ctx.Err() == nil {
-			begun := c.Now()
-			_ = c.Sleep(ctx, 5)
-			worst = max(worst, c.Now()-begun-5)
-		}
-		result <- worst
-	}()
-	return func() clock.Millis { cancel(); return <-result }
-}
-
 // TestLateRequests checks that a request that can't make its target any more is
 // rejected at once, also if engines are free, and also by the owner.
 func TestLateRequests(t *testing.T) {
@@ -377,6 +363,10 @@
 // TestWaitsAndRejects checks that a request waits at the owner until memory is free,
 // that it is rejected once it can't start in time, and that a caller's end ends it.
 func TestWaitsAndRejects(t *testing.T) {
+	synctest.Test(t, testWaitsAndRejects)
+}
+
+func testWaitsAndRejects(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 20, engines(1, 1))
 	e := s.entries["e003"]
