osproc: a cluster is started once its engines and its service listen, too

Cause: Start waited for the entries only, which are ready without a service. The test's first call goes to the service, which had not begun to listen.

Change: Start waits for each simulator to accept connections, and says with its output if a process exits before (that log was lost with the test's directory).

TestExitBeforeReady without the change waits for the end of the test.

--- a/osproc/cluster.go
+++ b/osproc/cluster.go
@@ -117,14 +117,49 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout.Duration())
 	defer cancel()
-	for _, e := range c.Entries {
-		if err := trial.WaitUntil(ctx, func() bool { return trial.IsReady(ctx, e.Addr) }); err != nil {
-			return errors.Wrapf(err, "osproc: %s", e.Name)
+	// The entries are ready without the engines and the service.
+	for _, proc := range c.simulators {
+		if err := c.awaitProcess(ctx, proc, func() bool { return isListening(ctx, proc.Addr) }); err != nil {
+			return err
+		}
+	}
+	for _, proc := range c.Entries {
+		if err := c.awaitProcess(ctx, proc, func() bool { return trial.IsReady(ctx, proc.Addr) }); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// awaitProcess waits until ready returns true. It returns an error with the output of the
+// process if that exits first, or once ctx is done.
+func (c *Cluster) awaitProcess(ctx context.Context, proc *Process, ready func() bool) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-proc.done:
+			cancel(errors.New("the process has exited"))
+		case <-ctx.Done():
+		}
+	}()
+	if trial.WaitUntil(ctx, ready) == nil {
+		return nil
+	}
+	return errors.Wrapf(context.Cause(ctx), "osproc: %s isn't ready: %s", proc.Name, c.Log(proc.Name))
+}
+
+// isListening reports whether a process accepts connections on the address.
+func isListening(ctx context.Context, addr string) bool {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // startEntry starts the i-th entry. If setup is not nil, it changes the entry's
 // settings file first.
 func (c *Cluster) startEntry(i int, setup func(*config.Settings)) error {
--- a/osproc/cluster_test.go
+++ b/osproc/cluster_test.go
@@ -1,6 +1,7 @@
 package osproc
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -17,3 +18,15 @@
 	is.NoErr(secondGuard.Close())
 	is.NoErr(thirdGuard.Close())
 }
+
+// TestExitBeforeReady guards against a wait for a process that has exited, and against an
+// error that doesn't tell why.
+func TestExitBeforeReady(t *testing.T) {
+	is := is.New(t)
+	c := &Cluster{Dir: t.TempDir()}
+	proc, err := Launch("service", "127.0.0.1:1", c.path("service.log"), "/bin/sh", "-c", "echo address in use; exit 1")
+	is.NoErr(err)
+	err = c.awaitProcess(t.Context(), proc, func() bool { return false })
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "address in use"))
+}
