platform, edge: one bound for the tables of the store that are being read

A table was read in up to 64 pages of 4 MiB each, with no bound on the sum and with buffers that doubled. Responses and the rows of all tables that are being read share 0.15 of the heap now; a table that exceeds it fails as one with too many pages does, is logged by its reader and is asked for again.

TestTableWithoutEnd: 64 pages with 60 MiB of rows are read without the bound, 9 pages with one of 8 MiB; a page as large as the store sends it passes.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -102,6 +102,8 @@
 	bodies, partial spool.Pool
 	// messages bounds the bytes of peers' messages that are being read.
 	messages spool.Pool
+	// tables bounds the bytes of the store's tables that are being read.
+	tables spool.Pool
 	// durations estimates how long the completions of a service take.
 	durations flight.Durations
 }
@@ -153,7 +155,7 @@
 	e.boot = core.NewBoot()
 	e.startedAt = e.Clock.Now()
 	e.pool.Clock = e.Clock
-	e.store = platform.Store{Addr: s.Fleet.Store, Clock: e.Clock}
+	e.store = platform.Store{Addr: s.Fleet.Store, Clock: e.Clock, Held: &e.tables}
 	e.notices = notice.Table{
 		Self: s.Instance, Drain: s.Fleet.Drain, OnLeaving: e.gossip.Trigger, OnResume: e.peerWork.Send,
 		Clock: e.Clock, Meter: &e.meter, Log: e.Log,
@@ -176,7 +178,8 @@
 	table := &announcingPool{Table: &e.pool, edge: e}
 	e.preparePlacer(table, self)
 	heap := float64(cmp.Or(s.Fleet.Memory, defaultMemoryMiB)<<20) * memoryShare
-	e.bodies.Max, e.partial.Max, e.messages.Max = int64(heap*bodyShare), int64(heap*partialShare), int64(heap*messageShare)
+	e.bodies.Max, e.partial.Max = int64(heap*bodyShare), int64(heap*partialShare)
+	e.messages.Max, e.tables.Max = int64(heap*messageShare), int64(heap*tableShare)
 	e.relay = relay.Relay{
 		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Budget: e, Quarantine: crashDetector{e}, Notices: &e.notices, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
 		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre, MaxSilence: s.Fleet.Silence,
@@ -202,6 +205,8 @@
 	partialShare = 0.2
 	// messageShare is for messages of peers, which are short.
 	messageShare = 0.05
+	// tableShare is for tables of the store.
+	tableShare = 0.15
 )
 
 // setRuntimeLimits sets the Go runtime's memory and CPU limits to those of
