spool: a buffer that holds nothing takes no lock

Each request without a body took the lock of the pool twice. A buffer that was refused its first bytes was kept in the pool until it was reset.

--- a/spool/spool.go
+++ b/spool/spool.go
@@ -70,22 +70,18 @@
 func (p *Pool) reserve(b *Buffer, n int64) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.buffers == nil {
-		p.buffers = make(map[*Buffer]struct{})
-	}
 	// A lasting buffer leaves as much room as it takes, so that a few large ones don't
 	// keep out all others.
 	spare := int64(0)
 	if b.Lasting {
 		spare = b.held + n
 	}
-	if p.oversized == nil && !b.evicted.Load() && b.held+n+spare > p.max() && b.Lasting {
+	if b.Lasting && p.oversized == nil && !b.evicted.Load() && b.held+n+spare > p.max() {
 		p.used -= b.held
 		p.oversized = b
 	}
-	p.buffers[b] = struct{}{}
 	if p.oversized == b {
-		b.held += n
+		p.add(b, n)
 		return nil
 	}
 	for !b.evicted.Load() && p.used+n+spare > p.max() {
@@ -96,11 +92,20 @@
 	if b.evicted.Load() {
 		return ErrFull
 	}
-	b.held += n
 	p.used += n
+	p.add(b, n)
 	return nil
 }
 
+// add counts n more bytes of b.
+func (p *Pool) add(b *Buffer, n int64) {
+	if p.buffers == nil {
+		p.buffers = make(map[*Buffer]struct{})
+	}
+	p.buffers[b] = struct{}{}
+	b.held += n
+}
+
 // evictLarger tells the largest other buffer that holds more than size to give way. It
 // returns false if there is none, or too many bytes are in buffers that still have to.
 func (p *Pool) evictLarger(b *Buffer, size int64) bool {
@@ -168,6 +173,8 @@
 	size   int
 	// reserved is the number of bytes that the pool has granted and that are in no block.
 	reserved int64
+	// counted is set once the pool has granted bytes.
+	counted bool
 	// held and pinned are guarded by the lock of Pool, as are changes of evicted.
 	held    int64
 	pinned  bool
@@ -183,6 +190,7 @@
 		if err := b.Pool.reserve(b, n); err != nil {
 			return err
 		}
+		b.counted = true
 	}
 	b.reserved += n
 	return nil
@@ -191,7 +199,7 @@
 // Pin keeps the buffer from being told to give way from now on, until it is reset. It
 // fails if the buffer has been told so.
 func (b *Buffer) Pin() error {
-	if b.Pool == nil {
+	if !b.counted {
 		return nil
 	}
 	return b.Pool.pin(b)
@@ -216,6 +224,7 @@
 				if err := b.Pool.reserve(b, n); err != nil {
 					return nil, err
 				}
+				b.counted = true
 			}
 		}
 		b.blocks = append(b.blocks, make([]byte, 0, n))
@@ -295,7 +304,8 @@
 // Reset drops all bytes.
 func (b *Buffer) Reset() {
 	b.blocks, b.size, b.reserved = nil, 0, 0
-	if b.Pool != nil {
+	if b.counted {
+		b.counted = false
 		b.Pool.release(b)
 	}
 }
