--- a/spool/spool.go
+++ b/spool/spool.go
@@ -73,22 +73,18 @@
 func (p *Pool) reserve(b *Buffer, n int64) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.buffers == nil {
-		p.buffers = make(map[*Buffer]struct{})
-	}
 	// A lasting buffer leaves as much room as it takes, so that a few large ones don't
 	// keep out all others.
 	spare := int64(0)
 	if b.Lasting {
 		spare = b.held + n
 	}
-	if p.oversized == nil && !b.evicted.Load() && b.held+n+spare > p.max() && b.Lasting {
+	if b.Lasting && p.oversized == nil && !b.evicted.Load() && b.held+n+spare > p.max() {
 		p.used -= b.held
 		p.oversized = b
 	}
-	p.buffers[b] = struct{}{}
 	if p.oversized == b {
-		b.held += n
+		p.add(b, n)
 		return nil
 	}
 	for !b.evicted.Load() && p.used+n+spare > p.max() {
@@ -107,11 +103,20 @@
 	if b.evicted.Load() {
 		return ErrFull
 	}
-	b.held += n
 	p.used += n
+	p.add(b, n)
 	return nil
 }
 
+// add counts n more bytes of b.
+func (p *Pool) add(b *Buffer, n int64) {
+	if p.buffers == nil {
+		p.buffers = make(map[*Buffer]struct{})
+	}
+	p.buffers[b] = struct{}{}
+	b.held += n
+}
+
 // largest returns the largest buffer but b that may give way and holds more than size, nil
 // if there is none. p.mu is held.
 func (p *Pool) largest(b *Buffer, size int64) *Buffer {
@@ -138,10 +143,14 @@
 	p.wake()
 }
 
-// withinShare reports whether b, which is in p.buffers, holds an equal share of the pool at
-// most with n bytes more. p.mu is held.
+// withinShare reports whether b holds an equal share of the pool at most with n bytes more.
+// p.mu is held.
 func (p *Pool) withinShare(b *Buffer, n int64) bool {
-	return (b.held+n)*int64(len(p.buffers)) <= p.max()
+	buffers := int64(len(p.buffers))
+	if b.held == 0 {
+		buffers++
+	}
+	return (b.held+n)*buffers <= p.max()
 }
 
 // await waits until the state of a buffer has changed, without the lock. It returns false
@@ -216,6 +225,8 @@
 	size   int
 	// reserved is the number of bytes that the pool has granted and that are in no block.
 	reserved int64
+	// counted is set once the pool has granted bytes.
+	counted bool
 	// held and pinned are guarded by the lock of Pool, as are changes of evicted.
 	held    int64
 	pinned  bool
@@ -231,6 +242,7 @@
 		if err := b.Pool.reserve(b, n); err != nil {
 			return err
 		}
+		b.counted = true
 	}
 	b.reserved += n
 	return nil
@@ -239,7 +251,7 @@
 // Pin keeps the buffer from being told to give way from now on, until it is reset. It
 // fails if the buffer has been told so.
 func (b *Buffer) Pin() error {
-	if b.Pool == nil {
+	if !b.counted {
 		return nil
 	}
 	return b.Pool.pin(b)
@@ -264,6 +276,7 @@
 				if err := b.Pool.reserve(b, n); err != nil {
 					return nil, err
 				}
+				b.counted = true
 			}
 		}
 		b.blocks = append(b.blocks, make([]byte, 0, n))
@@ -343,7 +356,8 @@
 // Reset drops all bytes.
 func (b *Buffer) Reset() {
 	b.blocks, b.size, b.reserved = nil, 0, 0
-	if b.Pool != nil {
+	if b.counted {
+		b.counted = false
 		b.Pool.release(b)
 	}
 }
