fake: an engine releases a sequence's memory before a reader sees its end

trial TestEveryEntryReturnsWholeAnswer was red once beside load (not listed): a piece was still held right after the last answer. Traced to the simulated engine: it woke the stream, which wrote the end marker, and released the memory after that; the thread was preempted in between.

--- a/fake/batch.go
+++ b/fake/batch.go
@@ -109,8 +109,11 @@
 }
 
 // advanceSequence generates the next token and finishes the sequence at its
-// limit.
+// limit. The memory is released before a reader sees the end.
 func (e *Engine) advanceSequence(s *sequence) {
+	if s.atLast() {
+		e.releaseMemory(s)
+	}
 	s.mu.Lock()
 	if !s.ended {
 		s.tokens = append(s.tokens, s.writer.Next())
@@ -125,6 +128,13 @@
 	}
 }
 
+// atLast reports whether the next token is the last one.
+func (s *sequence) atLast() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.tokens)+1 >= s.limit
+}
+
 // wakeReaders wakes the streams that wait for a change of the sequence. The caller
 // holds the lock.
 func (s *sequence) wakeReaders() {
@@ -136,6 +146,12 @@
 // for textRetention, so that a reader can resume the stream.
 func (e *Engine) finishSequence(s *sequence) {
 	e.batch.remove(s)
+	e.releaseMemory(s)
+	e.Clock.AfterFunc(textRetention, func() { e.removeSequence(s) })
+}
+
+// releaseMemory releases the sequence's memory, at most once.
+func (e *Engine) releaseMemory(s *sequence) {
 	s.mu.Lock()
 	pieces := s.pieces
 	s.pieces = 0
@@ -143,7 +159,6 @@
 	if pieces > 0 {
 		e.memory.Release(pieces, e.pieces())
 	}
-	e.Clock.AfterFunc(textRetention, func() { e.removeSequence(s) })
 }
 
 // textRetention is how long the text of a finished sequence is kept.
