platform, sock: a cut answer of HTTP/1.0 is reset

A caller of HTTP/1.0 got the start of a stream that a stop, a limit or a lost replica cut, and then the end of its connection as after a whole one: without a length or chunks, that is how an answer ends.

An answer that has begun and can't be completed now ends with a reset if the request isn't of HTTP/1.1. A connection with SetLinger(0) isn't closed in two steps.

TestCutAnswerOfOldCallerIsReset, before: red, 936 bytes and no error. After: green with -race, as are sock, platform, and the tests of cut and paused answers in edge.

--- a/edge/answerend_test.go
+++ b/edge/answerend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -151,3 +152,24 @@
 	is.Equal(got.status, http.StatusServiceUnavailable)
 	is.Equal(s.runs("id-1"), 0)
 }
+
+// TestCutAnswerOfOldCallerIsReset guards against an answer that ends early and looks complete,
+// since in HTTP/1.0 an answer without a length ends with its connection.
+func TestCutAnswerOfOldCallerIsReset(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	for _, d := range s.decode {
+		d.EventCount, d.EventInterval = 100, 100*time.Millisecond
+	}
+	r := s.startReady()
+	conn := r.dial(t)
+	_, err := io.WriteString(conn, strings.Replace(lateRequest(1, "/verse/a"), "HTTP/1.1", "HTTP/1.0", 1))
+	is.NoErr(err)
+	s.until("the request runs", func() bool { return s.runs("id-1") == 1 })
+	r.stop()
+	_, err = io.ReadAll(conn)
+	is.True(errors.Is(err, syscall.ECONNRESET))
+	is.NoErr(<-r.done)
+	r.done <- nil
+}
--- a/sock/closer.go
+++ b/sock/closer.go
@@ -60,8 +60,9 @@
 	*net.TCPConn
 	closer *Closer
 
-	mu     sync.Mutex
-	closed bool
+	mu sync.Mutex
+	// reset is set if Close drops what the peer hasn't received.
+	reset, closed bool
 }
 
 // Read implements [net.Conn].
@@ -93,6 +94,17 @@
 	return c.TCPConn.SetDeadline(t)
 }
 
+// SetLinger is that of [net.TCPConn]. With a value of zero, Close resets the connection.
+func (c *Conn) SetLinger(sec int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.reset = sec == 0
+	return c.TCPConn.SetLinger(sec)
+}
+
 // Close implements [net.Conn]. It doesn't block. If the peer hasn't received everything, or
 // bytes of it are unread, only the sending side is closed at once.
 func (c *Conn) Close() error {
@@ -102,6 +114,9 @@
 		return net.ErrClosed
 	}
 	c.closed = true
+	if c.reset {
+		return c.TCPConn.Close()
+	}
 	unread, unsent, err := Pending(c.TCPConn)
 	if err != nil || unread == 0 && unsent == 0 || c.CloseWrite() != nil {
 		return c.TCPConn.Close()
