sock: callers that read slowly keep their connection

Callers who read an answer of a few MB at 100 KB/s all the time were cut as if they read nothing ("by": "timeout").

A write that the kernel has blocked goes on once a third of the send buffer is free. That is 900 KB of the 2.6 MB that a connection may take on loopback, and up to 1.3 MB elsewhere, which such a caller doesn't read within the 5 s for a write.

TCP_NOTSENT_LOWAT bounds what the kernel holds unsent for a caller to 512 KiB; a write goes on after half of that. Weighed: 64 KiB, with which an answer of 300 KiB stays with its request in a stop and is cut at the end of it, while the kernel goes on to send what it holds after the process has ended.

TestSlowReaderGetsAnswer (6 MiB, 100 KB/s for 7 s), before: 2 of 2 red, "unexpected EOF". After: 2 of 2 green with -race.

--- a/sock/sock.go
+++ b/sock/sock.go
@@ -29,23 +29,31 @@
 	keepAliveCount    = 2
 )
 
+// maxUnsentBytes is how much the kernel holds for a caller that isn't ready to receive it. A
+// blocked write goes on once half of it is sent. Without it that would be a third of a send
+// buffer of up to 4 MiB, which a slow caller doesn't read within the time for one write. What
+// the kernel holds is delivered also after the process has ended, so that it isn't smaller.
+const maxUnsentBytes = 512 << 10
+
 // Dialer returns a dialer that fails if a connection isn't established within
 // timeout.
 func Dialer(timeout clock.Millis) *net.Dialer {
-	return &net.Dialer{Timeout: timeout.Duration(), KeepAliveConfig: keepAlive(), Control: control(unackedTimeout)}
+	return &net.Dialer{Timeout: timeout.Duration(), KeepAliveConfig: keepAlive(), Control: control}
 }
 
 // Listen opens a TCP listener. Its connections fail if the client stops
 // responding.
 func Listen(ctx context.Context, addr string) (net.Listener, error) {
-	c := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: control(unackedTimeout)}
+	c := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: control}
 	return c.Listen(ctx, "tcp", addr)
 }
 
 // ListenCallers opens a TCP listener for callers, which may stop reading for as long as
 // package hserv allows. Its connections fail if a caller's host stops responding.
 func ListenCallers(ctx context.Context, addr string) (net.Listener, error) {
-	c := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: control(callerTimeout)}
+	c := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: func(_, _ string, raw syscall.RawConn) error {
+		return errors.Join(setOption(raw, unix.TCP_USER_TIMEOUT, int(callerTimeout)), setOption(raw, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes))
+	}}
 	return c.Listen(ctx, "tcp", addr)
 }
 
@@ -54,19 +62,17 @@
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle.Duration(), Interval: keepAliveInterval.Duration(), Count: keepAliveCount}
 }
 
-// control returns a function that sets TCP_USER_TIMEOUT. Accepted connections inherit the
-// option from their listener.
-func control(timeout clock.Millis) func(_, _ string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var optErr error
-		err := raw.Control(func(fd uintptr) {
-			optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout))
-		})
-		if err != nil {
-			return err
-		}
-		return optErr
-	}
+// control sets TCP_USER_TIMEOUT to unackedTimeout. Accepted connections inherit
+// the options from their listener.
+func control(_, _ string, raw syscall.RawConn) error {
+	return setOption(raw, unix.TCP_USER_TIMEOUT, int(unackedTimeout))
+}
+
+// setOption sets an option of a TCP socket.
+func setOption(raw syscall.RawConn, name, value int) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) { optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, name, value) })
+	return errors.Join(err, optErr)
 }
 
 // Pending returns how many received bytes of c have not been read, and how many sent bytes
