edge, relay: a hung call doesn't make a stop reject the others of its route

While a call waited for a hung replica, a stopping entry rejected all calls of its route for the time that this one had taken, also in the first seconds, in which callers rightly have its address: counted the age of calls, too. Its reason holds for streams, which can only be cut; a call that outlasts the stop is answered with 502. Ages of streams are counted only.

The check whether a request may be finished also comes before the permit of a trial now, which a rejected request took in vain.

TestStopTakesCallsBesideHungOne: red without the change, 503.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -21,8 +21,10 @@
 // Run implements [platform.Runner].
 func (c callerRunner) Run(ctx context.Context, r *core.Request, a *hserv.Writer) error {
 	kind := durationKind(r.Opaque)
-	key := c.edge.durations.Start(kind, r.Arrived)
-	defer c.edge.durations.End(key)
+	if r.Opaque.Route.Stream || r.Opaque.Route.Generates {
+		key := c.edge.durations.Start(kind, r.Arrived)
+		defer c.edge.durations.End(key)
+	}
 	err := c.edge.relay.Run(ctx, r, a)
 	if err == nil {
 		c.edge.durations.Observe(kind, durationSize(r), c.edge.Clock.Now()-r.Arrived)
--- a/edge/lost_test.go
+++ b/edge/lost_test.go
@@ -582,3 +582,30 @@
 	is.Equal(got.status, http.StatusServiceUnavailable)
 	is.Equal(s.runs("id-1"), 0)
 }
+
+// TestStopTakesCallsBesideHungOne guards against a stop that rejects all calls of a route, from
+// callers that rightly have the address, because one of them waits for a hung replica.
+func TestStopTakesCallsBesideHungOne(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t)
+	s.publish(2, 9000, "")
+	r := s.startReady()
+	for _, d := range s.services {
+		d.Silence = 2 * testTimeout
+	}
+	injectFault(s.services, extsim.SilentHead, 1)
+	_, err := io.WriteString(r.dial(t), lateRequest(1, "/once/a"))
+	is.NoErr(err)
+	s.until("the request runs", func() bool { return s.runs("id-1") == 1 })
+	injectFault(s.services, extsim.SilentHead, 0)
+	time.Sleep(3 * time.Second)
+	r.stop()
+	s.until("the entry isn't ready", func() bool { return !r.ready() })
+	conn := r.dial(t)
+	_, err = io.WriteString(conn, lateRequest(3, "/once/a"))
+	is.NoErr(err)
+	got := readAnswer(conn)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -162,8 +162,8 @@
 // A stream whose caller has no reason any more to have the address may last until its
 // deadline: how long others took is no bound for it, and once its answer has begun it can
 // only be cut. So may a call of a kind with long answers. For other requests the estimate is
-// that of the requests of the kind that have ended or are running, and the silence of a sound
-// upstream. A call that outlasts it is answered with a failure.
+// that of the requests of the kind that have ended, of the streams that are running, and the
+// silence of a sound upstream. A call that outlasts it is answered with a failure.
 func (e *Edge) longestDuration(r *core.Request) clock.Millis {
 	o := r.Opaque
 	unbounded := r.Deadline - r.Arrived
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -76,11 +76,14 @@
 			return nil, codes.From(err)
 		}
 		held, full := a.acquireHold(ctx, ad.hold)
-		err := x.checkQuarantine(ctx)
-		if err == nil && ad.exclude == "" {
-			// The engine that is excluded may run the request.
+		var err error
+		if ad.exclude == "" {
+			// Otherwise the excluded engine may run the request.
 			err = x.checkFinishes()
 		}
+		if err == nil {
+			err = x.checkQuarantine(ctx)
+		}
 		if err != nil {
 			a.release()
 			return nil, err
