--- a/extsim/replica.go
+++ b/extsim/replica.go
@@ -302,7 +302,11 @@
 		r.answerEarly(w, hr)
 		return
 	}
-	body, _ := io.ReadAll(hr.Body)
+	body, err := io.ReadAll(hr.Body)
+	if err != nil {
+		// The request did not arrive as a whole, and is not run.
+		return
+	}
 	id := hr.Header.Get("Lacewinghook-Request-Id")
 	r.mu.Lock()
 	r.headers = append(r.headers, hr.Header.Clone())
--- a/extsim/run_test.go
+++ b/extsim/run_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -90,3 +92,37 @@
 		})
 	}
 }
+
+// TestCutRequestIsNotRun guards against a replica that runs a request whose body was cut.
+func TestCutRequestIsNotRun(t *testing.T) {
+	is := is.New(t)
+	r := extsim.NewReplica(t, "i-1", "desk", "")
+	conn, err := net.Dial("tcp", r.Addr)
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /once/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\nLacewinghook-Request-Id: x\r\n\r\nhalf")
+	is.NoErr(err)
+	is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	// The end of the connection shows that the replica is done with the request.
+	_, _ = io.ReadAll(conn)
+	is.Equal(len(r.Runs()), 0)
+}
+
+// TestPace checks that a replica makes answers as their requests say.
+func TestPace(t *testing.T) {
+	is := is.New(t)
+	r := extsim.NewReplica(t, "i-1", "verse", "decode")
+	r.Tagged, r.Silence = true, 30*time.Millisecond
+	r.Pace = func(id string) extsim.Pace {
+		if id == "usual" {
+			return extsim.Pace{}
+		}
+		return extsim.Pace{Events: 9, Interval: 2 * time.Millisecond, Silent: []int{3, 5}}
+	}
+	a := ask(t, r, extsim.Call{ID: "usual", Host: "h", Path: "/verse/1", Patience: time.Second})
+	is.Equal(a.Body, extsim.TaggedEvents("usual", 0, r.EventCount))
+	a = ask(t, r, extsim.Call{ID: "x", Host: "h", Path: "/verse/1", Patience: time.Second})
+	is.Equal(a.Body, extsim.TaggedEvents("x", 0, 9))
+	is.True(a.Ended.Sub(a.Sent) >= 2*r.Silence)
+	is.Equal(r.Running(), 0)
+}
