soak: a pause of a stopping entry isn't time that it had

Time for which an entry is frozen is taken off now, as stalls of the machine are: LOST holds "with no unplanned impairment from stable_window_ms before the request to its end". The bound of 200 ms is as before, and a closed connection later than that after a freeze is reported.

Cases of TestChecks and TestScopes for each, both ways.

--- a/soak/check.go
+++ b/soak/check.go
@@ -108,6 +108,16 @@
 	return sum
 }
 
+// frozen returns for how long an entry was frozen between two instants.
+func (x *index) frozen(entry int, from, to clock.Millis) (sum clock.Millis) {
+	for _, o := range x.Outages {
+		if o.Kind == Freeze && o.Entry == entry {
+			sum += max(0, min(to, o.To)-max(from, o.From))
+		}
+	}
+	return sum
+}
+
 // outOfTouch are the outages of an entry without which the bounds of time hold.
 var outOfTouch = []Kind{Kill, Freeze, StoreDown, StoreSlow, StoreLost, StoreCut}
 
@@ -168,7 +178,9 @@
 		return Lost, fmt.Sprintf("no whole answer %d ms after it was sent, %d bytes received", q.Ended-q.Sent, q.Received)
 	case q.Received == 0:
 		stopping := b.Term > 0 && q.Ended >= b.Term
-		if stopping && len(x.runs[q.ID]) == 0 && q.Ended-q.Sent-x.stalled(q.Sent, q.Ended) <= lossSlack {
+		// Neither a stall of the machine nor a pause of the entry is time that it had.
+		took := q.Ended - q.Sent - max(x.stalled(q.Sent, q.Ended), x.frozen(q.Entry, q.Sent, q.Ended))
+		if stopping && len(x.runs[q.ID]) == 0 && took <= lossSlack {
 			return Crossed, ""
 		}
 		return Lost, fmt.Sprintf("closed after %d ms without a byte: %s; runs %d, request %d on the connection, SIGTERM at %d ms", q.Ended-q.Sent, q.Err, len(x.runs[q.ID]), q.Nth, b.Term)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -74,6 +74,9 @@
 		"crosses the close of a stop":         {func(h *History) { cross(h, 100); h.Runs = nil }, ""},
 		"crosses it and was run":              {func(h *History) { cross(h, 100) }, "LOST"},
 		"closed later than a crossing":        {func(h *History) { cross(h, 300); h.Runs = nil }, "LOST"},
+		"crosses it, entry frozen":            {func(h *History) { cross(h, 900); h.Runs = nil; freezeAt(h, 0, 32000, 33800) }, ""},
+		"closed late after a freeze":          {func(h *History) { cross(h, 900); h.Runs = nil; freezeAt(h, 0, 32000, 33600) }, "LOST"},
+		"other entry frozen":                  {func(h *History) { cross(h, 900); h.Runs = nil; freezeAt(h, 1, 32000, 33800) }, "LOST"},
 		"no answer until the deadline":        {func(h *History) { unanswered(h, once).Impatient = true }, "LOST"},
 		"no answer, entry frozen":             {func(h *History) { unanswered(h, once).Impatient = true; outage(h, Freeze, 0, -1) }, ""},
 		"no answer, other entry frozen":       {func(h *History) { unanswered(h, once).Impatient = true; outage(h, Freeze, 1, -1) }, "LOST"},
@@ -159,6 +162,11 @@
 	q.Sent, q.Ended = 33000, 33000+d
 }
 
+// freezeAt has an entry frozen between two instants.
+func freezeAt(h *History, entry int, from, to clock.Millis) {
+	h.Outages = append(h.Outages, Outage{Kind: Freeze, Entry: entry, Replica: -1, From: from, To: to})
+}
+
 // cutAt has a stream of a stopping entry end without its end, and its run end at some time.
 func cutAt(h *History, sent, ended, run clock.Millis) {
 	q := &h.Requests[verse]
--- a/soak/sums.go
+++ b/soak/sums.go
@@ -43,8 +43,8 @@
 	// scopeAll has all requests, scopeCalm those that meet no step.
 	scopeAll  Kind = "all"
 	scopeCalm Kind = "calm"
-	// scopeStop has the requests that an entry receives after SIGTERM, scopeEarly those of
-	// them up to lastSent after it.
+	// scopeStop has the requests that an entry receives between SIGTERM and its end, unless
+	// it was frozen, and scopeEarly those of them up to lastSent after it.
 	scopeStop  Kind = "stop"
 	scopeEarly Kind = "stop, 3 s"
 	// scopeInnocent has the sound generations that come after engines have crashed.
@@ -110,7 +110,7 @@
 				scopes = append(scopes, k)
 			}
 		}
-		if b := x.boot(q); b.Term > 0 && q.Sent >= b.Term {
+		if b := x.boot(q); b.Term > 0 && q.Sent >= b.Term && q.Sent <= b.To && !slices.Contains(kinds, Freeze) {
 			scopes = append(scopes, scopeStop)
 			if q.Sent <= b.Term+lastSent {
 				scopes = append(scopes, scopeEarly)
--- a/soak/sums_test.go
+++ b/soak/sums_test.go
@@ -22,6 +22,8 @@
 		"two harmless steps":      {func(h *History) { outage(h, Hup, 0, -1); outage(h, Leave, -1, 3) }, []Kind{Hup, Leave}},
 		"a stop":                  {func(h *History) { h.Boots[0].Term = 14900; outage(h, Term, 0, -1) }, []Kind{Term, scopeStop, scopeEarly}},
 		"a stop, later":           {func(h *History) { h.Boots[0].Term = 11900; outage(h, Term, 0, -1) }, []Kind{Term, scopeStop}},
+		"a stop, frozen":          {func(h *History) { h.Boots[0].Term = 14900; outage(h, Freeze, 0, -1) }, []Kind{Freeze}},
+		"after the end of a stop": {func(h *History) { h.Boots[0].Term = 11900; h.Boots[0].To = 14000 }, []Kind{scopeCalm}},
 		"crashes before":          {func(h *History) { h.Crashes = []clock.Millis{8000} }, []Kind{scopeCalm, scopeInnocent}},
 		"crashes just before":     {func(h *History) { h.Crashes = []clock.Millis{8000, 9500} }, []Kind{scopeCalm}},
 		"crashes, deadly goes on": {func(h *History) { h.Crashes = []clock.Millis{8000}; outage(h, Deadly, -1, 3) }, []Kind{Deadly, scopeInnocent}},
