sock: the test of pending bytes sends some before its deadline

TestPending was red once in a whole run beside a load of 23 to 33: `unsent > 0`, after 0.36 s. Its write deadline of 100 ms was set before the 64 MiB to send were allocated, so that it had passed when the write began, and nothing was sent. The bytes are allocated before, and a write that sends nothing is tried again.

--- a/sock/sock_test.go
+++ b/sock/sock_test.go
@@ -1,7 +1,9 @@
 package sock_test
 
 import (
+	"errors"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -80,13 +82,16 @@
 	is.NoErr(err)
 	is.Equal(unread, len("request")-1)
 	is.Equal(unsent, 0)
-	// The peer doesn't read, so that some of what is sent stays unacknowledged.
-	is.NoErr(accepted.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)))
-	_, err = accepted.Write(make([]byte, 64<<20))
-	is.True(err != nil)
-	_, unsent, err = sock.Pending(accepted.(*net.TCPConn))
-	is.NoErr(err)
-	is.True(unsent > 0)
+	// The peer doesn't read, so that some of what is sent stays unacknowledged. A write whose
+	// deadline has passed before it began sends nothing.
+	data := make([]byte, 64<<20)
+	for unsent == 0 {
+		is.NoErr(accepted.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)))
+		_, err = accepted.Write(data)
+		is.True(errors.Is(err, os.ErrDeadlineExceeded))
+		_, unsent, err = sock.Pending(accepted.(*net.TCPConn))
+		is.NoErr(err)
+	}
 }
 
 // TestCallersMayPause checks that the kernel closes a caller's connection later than
