--- a/edge/memory_test.go
+++ b/edge/memory_test.go
@@ -64,20 +64,6 @@
 	return r, p
 }
 
-// peakMemory returns the largest resident memory of a process in bytes, zero if it has ended.
-func peakMemory(pid int) int64 {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(data), "VmHWM:")
-	var kib int64
-	if _, err := fmt.Sscan(rest, &kib); err != nil {
-		return 0
-	}
-	return kib << 10
-}
-
 // pressure is what callers send at once beside sound traffic.
 type pressure struct {
 	// bodies counts the callers that send the largest body; chunked means that they
@@ -175,7 +161,7 @@
 				r.SetScript(&script)
 			}
 			e, proc := s.startProcess(dir)
-			before := peakMemory(proc.PID())
+			before := proc.PeakMemory()
 
 			var o, after outcomes
 			var heavy, sound, deaf sync.WaitGroup
@@ -209,7 +195,7 @@
 			deaf.Wait()
 			// What was held for them is free again.
 			s.until("the largest body passes", func() bool { s.sendBody(e, "last0001", p.chunked, &after); return after.served.Load() > 0 })
-			peak := peakMemory(proc.PID())
+			peak := proc.PeakMemory()
 			slices.Sort(took)
 			p95 := took[len(took)*95/100]
 			t.Logf("memory %d MiB, %d MiB before; %d large bodies served, %d refused; %d sound calls, 95%% within %d ms",
--- a/osproc/cluster.go
+++ b/osproc/cluster.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -273,6 +274,21 @@
 // PID returns the process ID.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
+// PeakMemory returns the largest resident memory of the process in bytes, zero if it has
+// exited.
+func (p *Process) PeakMemory() int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), "VmHWM:")
+	var kib int64
+	if _, err := fmt.Sscan(rest, &kib); err != nil {
+		return 0
+	}
+	return kib << 10
+}
+
 // Done returns a channel that is closed once the process has exited.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -304,7 +304,7 @@
 	for {
 		select {
 		case <-tick.C:
-			peak := peakMemory(proc.PID())
+			peak := proc.PeakMemory()
 			e.state.Lock()
 			e.boot.Peak = max(e.boot.Peak, peak)
 			e.state.Unlock()
@@ -336,20 +336,6 @@
 // maxDown is the longest time between the end of a process and the next start.
 const maxDown = 1 * clock.Second
 
-// peakMemory returns the largest resident memory of a process, zero if it has ended.
-func peakMemory(pid int) int64 {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(data), "VmHWM:")
-	var kib int64
-	if _, err := fmt.Sscan(rest, &kib); err != nil {
-		return 0
-	}
-	return kib << 10
-}
-
 // startTimeout bounds the start of an entry.
 const startTimeout = 30 * time.Second
 
