wire: messages between entries are counted by method

A counter of messages and one of bytes, both by method, tell it; they cost two increments a message.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -273,7 +273,7 @@
 		{s.Callers.Listen, server{http: ingress, callers: true}},
 		{s.Fleet.Directory, server{http: e.server(platform.Resolver(e))}},
 		{s.Fleet.Readiness, server{http: e.server(platform.Readiness(e))}},
-		{s.Peers.Listen, server{rpc: &wire.Server{Log: e.Log, Held: &e.messages, Methods: map[wire.Method]wire.MethodHandler{
+		{s.Peers.Listen, server{rpc: &wire.Server{Log: e.Log, Meter: &e.meter, Held: &e.messages, Methods: map[wire.Method]wire.MethodHandler{
 			wire.MethodHello:    wire.OnHeartbeat(e.gossip.HandleHeartbeat),
 			wire.MethodSnapshot: wire.TypedHandler(e.serveSnapshot),
 			wire.MethodPlace:    wire.OnPlace(e.placer.Serve),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -131,7 +131,7 @@
 		"callers":   func() error { return serve(callers, e.Sockets.Callers) },
 		"operators": func() error { return serve(operators, e.Sockets.Operators) },
 		"peers": func() error {
-			return (&wire.Server{Held: &spool.Pool{}, Handler: e, Methods: e.peerMethods(), Log: e.Log, Certs: e.peers.Certs}).Serve(workCtx, e.Sockets.Peers)
+			return (&wire.Server{Meter: &e.meter, Held: &spool.Pool{}, Handler: e, Methods: e.peerMethods(), Log: e.Log, Certs: e.peers.Certs}).Serve(workCtx, e.Sockets.Peers)
 		},
 	} {
 		g.Go(func() error {
--- a/wire/server.go
+++ b/wire/server.go
@@ -20,6 +20,7 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/spool"
 )
 
@@ -76,6 +77,8 @@
 	// Held, if not nil, bounds the bytes of the requests that are being read. The
 	// connection with the largest is closed if there are too many.
 	Held *spool.Pool
+	// Meter, if not nil, counts the messages and their bytes by method.
+	Meter *meter.Registry
 	// Log may be nil.
 	Log *zap.Logger
 }
@@ -145,6 +148,7 @@
 	}
 	ctx = context.WithValue(ctx, callerKey{}, caller)
 	h := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		s.countMessage(methods, r)
 		return dispatch(ctx, methods, r)
 	}).SuppressErrClosed()
 	rpc := jsonrpc2.NewConn(ctx, newStream(conn, maxRequestBytes, s.Held), orderedHandler{h, s.Blocking}, jsonrpc2.SetLogger(logger{s.Log}))
@@ -220,6 +224,15 @@
 	return s.Handler.Heartbeat(ctx, h)
 }
 
+// countMessage counts a message of a known method.
+func (s *Server) countMessage(methods map[Method]MethodHandler, r *jsonrpc2.Request) {
+	if _, ok := methods[Method(r.Method)]; !ok || r.Params == nil {
+		return
+	}
+	s.Meter.Add("peer_messages_total", 1, "method", r.Method)
+	s.Meter.Add("peer_bytes_total", len(*r.Params), "method", r.Method)
+}
+
 // dispatch runs the handler of the requested method.
 func dispatch(ctx context.Context, methods map[Method]MethodHandler, r *jsonrpc2.Request) (any, error) {
 	f, ok := methods[Method(r.Method)]
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -29,6 +29,7 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/drain"
 	"lacewinghook.example/lacewinghook/member"
+	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/spool"
 	"lacewinghook.example/lacewinghook/trial"
 	"lacewinghook.example/lacewinghook/wire"
@@ -292,3 +293,21 @@
 	_, err := c.Heartbeat(context.Background(), addr, member.Heartbeat{Instance: core.Instance{Name: "weyburn-2"}})
 	is.NoErr(err)
 }
+
+// TestMessagesAreCounted checks that a server counts the messages of known methods, and
+// their bytes.
+func TestMessagesAreCounted(t *testing.T) {
+	is := is.New(t)
+	m := &meter.Registry{}
+	echo := wire.TypedHandler(func(_ context.Context, text string) (string, error) { return text, nil })
+	addr := serve(t, &wire.Server{Meter: m, Methods: map[wire.Method]wire.MethodHandler{wire.MethodDrains: echo}})
+	c := &wire.Client{}
+	defer c.Close()
+	// The server doesn't answer with drains; only the count is of interest.
+	_, _ = c.Drains(t.Context(), addr)
+	_, err := c.Document(t.Context(), addr)
+	is.True(err != nil)
+	is.Equal(m.Value("peer_messages_total", "method", "drains"), uint64(1))
+	is.Equal(m.Value("peer_bytes_total", "method", "drains"), uint64(len("{}")))
+	is.Equal(m.Value("peer_messages_total", "method", "document"), uint64(0))
+}
