edge, platform, relay: lines tell when a request arrived, was read and was sent

The lines of a request began with the reading of its header, so that a request that reached its replica late could have waited in the entry's kernel, in the entry, or on the way.

--- a/core/request.go
+++ b/core/request.go
@@ -23,6 +23,8 @@
 	// process; a zero Deadline means none.
 	Arrived  clock.Millis
 	Deadline clock.Millis
+	// Queued is how long the request waited to be read before Arrived, at least.
+	Queued clock.Millis
 	// Digest is a hash of the content, equal on all entries. The quarantine
 	// identifies requests by it.
 	Digest uint64
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -264,6 +264,7 @@
 		setPhase(c, state)
 		e.inFlight.ConnState(c, state)
 	}
+	ingress.ConnContext = e.inFlight.ConnContext
 	// The limit in force is checked once the headers have been read: a server's can't change.
 	ingress.MaxHeaderBytes = max(http.DefaultMaxHeaderBytes, s.Limits.WithDefaults().Header)
 	handlers := []struct {
--- a/edge/queued_test.go
+++ b/edge/queued_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 )
 
 // lateListener accepts nothing while late is set.
@@ -55,3 +56,26 @@
 	is.NoErr(a.err)
 	is.Equal(a.status, http.StatusOK)
 }
+
+// TestQueuedTimeIsLogged checks that the line of a request tells how long it lay in the
+// kernel before the entry read it.
+func TestQueuedTimeIsLogged(t *testing.T) {
+	is := is.New(t)
+	const late = 300 * time.Millisecond
+	s := newSite(t)
+	var stalled atomic.Bool
+	s.wrapCallers = func(ln net.Listener) net.Listener { return lateListener{ln, &stalled} }
+	r := s.startReady()
+	stalled.Store(true)
+	// An Accept that has begun before takes one more connection.
+	is.NoErr(r.dial(t).Close())
+	conn := r.dial(t)
+	write(t, conn, "queued", "/safe/a")
+	time.Sleep(late)
+	stalled.Store(false)
+	is.Equal(readAnswer(conn).status, http.StatusOK)
+	lines := r.logs.FilterMessage("relay: answered").FilterField(zap.String("request", "queued")).All()
+	is.Equal(len(lines), 1)
+	queued := time.Duration(lines[0].ContextMap()["queued"].(int64)) * time.Millisecond
+	is.True(queued >= late-20*time.Millisecond) // the kernel's clock has steps of 4 ms
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -124,7 +124,7 @@
 	stopping, beginStop := context.WithCancel(ctx)
 	defer beginStop()
 	callers := e.newHTTPServer(e.inFlight.Track(e.callerHandler(), e.leaving.Load))
-	callers.ConnState = e.inFlight.ConnState
+	callers.ConnState, callers.ConnContext = e.inFlight.ConnState, e.inFlight.ConnContext
 	operators := e.newHTTPServer(e.operatorHandler())
 	var g errgroup.Group
 	for name, run := range map[string]func() error{
--- a/flight/doc.go
+++ b/flight/doc.go
@@ -4,6 +4,6 @@
 // # Usage
 //
 //	var t flight.Tracker
-//	srv := &http.Server{Handler: t.Track(handler, stopping), ConnState: t.ConnState}
+//	srv := &http.Server{Handler: t.Track(handler, stopping), ConnState: t.ConnState, ConnContext: t.ConnContext}
 //	t.WaitIdle(ctx, grace)
 package flight
--- a/flight/tracker.go
+++ b/flight/tracker.go
@@ -110,6 +110,18 @@
 	t.changed.Send()
 }
 
+// ConnContext adds the connection of a caller to the contexts of its requests, for
+// [core.SinceReceived]; it is the callback for [http.Server.ConnContext].
+func (t *Tracker) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if tls, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = tls.NetConn()
+	}
+	if caller, ok := c.(core.Caller); ok {
+		return core.WithCaller(ctx, caller)
+	}
+	return ctx
+}
+
 // ConnState records the state of a caller's connection; it is the callback for
 // [http.Server.ConnState]. A connection that was accepted but has sent nothing yet
 // counts as idle.
--- a/relay/call.go
+++ b/relay/call.go
@@ -101,7 +101,7 @@
 func (x *exchange) send(ctx context.Context, up core.Upstream, cost float64, onData func()) (*openAnswer, error) {
 	x.log.Info("relay: replica chosen", append(x.relay.replicaListFields(), zap.String("request", x.opaque.ID),
 		zap.String("service", x.opaque.Service), zap.String("upstream", up.Name), zap.String("addr", up.Addr),
-		zap.Float64("expected", cost), zap.Int("sends", x.sends))...)
+		zap.Float64("expected", cost), zap.Int("sends", x.sends), zap.Int64("since", int64(x.relay.Clock.Now()-x.request.Arrived)))...)
 	w := pool.Work{Requests: 1}
 	x.relay.Pool.Begin(up.Name, w)
 	start := x.relay.Clock.Now()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -409,6 +409,7 @@
 	fields := []zap.Field{
 		zap.String("request", x.opaque.ID), zap.String("route", x.opaque.Route.Name),
 		zap.Int64("manifest", x.opaque.Version), zap.Int("sends", x.sends), zap.Int64("took", int64(took)),
+		zap.Int64("queued", int64(x.request.Queued)),
 	}
 	if x.opaque.Route.Stream {
 		fields = append(fields, zap.Int64("first", int64(x.firstPart)), zap.Int64("pause", int64(x.longestPause)), zap.Array("parts", partIDs(x.opaque.Parts)))
--- a/sock/closer.go
+++ b/sock/closer.go
@@ -78,6 +78,10 @@
 	return n, err
 }
 
+// SinceReceived returns the time since this host last received data on the connection, or
+// zero if the kernel doesn't tell.
+func (c *Conn) SinceReceived() clock.Millis { return SinceReceived(c.TCPConn) }
+
 // SetReadDeadline implements [net.Conn].
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -90,3 +90,19 @@
 	})
 	return unread, unsent, errors.Join(err, inErr, outErr)
 }
+
+// SinceReceived returns the time since this host last received data on c, or zero if the
+// kernel doesn't tell. Its resolution is a few milliseconds.
+func SinceReceived(c syscall.Conn) clock.Millis {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var info *unix.TCPInfo
+	var optErr error
+	err = raw.Control(func(fd uintptr) { info, optErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil || optErr != nil {
+		return 0
+	}
+	return clock.Millis(info.Last_data_recv)
+}
