core, platform, relay, engine: nothing is sent for a caller whose close was received

Cause: an entry asked its context whether the caller was still there, and the context ends by a chain of goroutines: net/http's background read, which starts with the handler, then the tracker's. Nothing waits for them. A request that goes out on a kept connection blocks nowhere before it is written, so that one that was read late, with the close already behind it in the socket, was sent first; its connection was closed right after, as the record shows (10 ms).

core.CheckCaller asks the kernel (poll for POLLRDHUP, without blocking) and the clock instead, and ends the request's context at once. A caller that has closed only its sending side can't be told from one that left: as before it gets a rejection if its request wasn't sent.

--- a/engine/client.go
+++ b/engine/client.go
@@ -99,6 +99,15 @@
 	return resp, nil
 }
 
+// checkCaller returns an error, which proves that nothing ran, if the caller of the request
+// of ctx has left or its deadline has passed.
+func checkCaller(ctx context.Context, up core.Upstream) error {
+	if err := core.CheckCaller(ctx); err != nil {
+		return codes.From(transportError(err, up)).WithRun(codes.NotRun)
+	}
+	return nil
+}
+
 // callJSON makes a call and decodes the response body into out.
 func (c *Client) callJSON(ctx context.Context, t target, body, out any) error {
 	resp, err := c.do(ctx, t, body)
--- a/engine/plain.go
+++ b/engine/plain.go
@@ -24,6 +24,9 @@
 // idempotency key is sent at most once. An error with Run [codes.NotRun] proves
 // that the service didn't receive the call.
 func (c *Client) Call(ctx context.Context, up core.Upstream, call core.Call, attempt core.Attempt) (core.Answer, error) {
+	if err := checkCaller(ctx, up); err != nil {
+		return core.Answer{}, err
+	}
 	req, err := newPlainRequest(ctx, up, call, attempt)
 	if err != nil {
 		return core.Answer{}, codes.Wrap(codes.BadRequest, err, "path")
--- a/flight/tracker.go
+++ b/flight/tracker.go
@@ -88,7 +88,8 @@
 		}
 		ended, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
 		defer cancel(nil)
-		ctx, leave := context.WithCancel(core.WithEnded(ended, ended))
+		ctx, leave := core.WithLeave(core.WithEnded(ended, ended))
+		defer leave()
 		defer context.AfterFunc(r.Context(), leave)()
 		t.requests.Set(key, running{Request: req, cancel: cancel})
 		t.inFlight.Add(1)
@@ -111,7 +112,7 @@
 }
 
 // ConnContext adds the connection of a caller to the contexts of its requests, for
-// [core.SinceReceived]; it is the callback for [http.Server.ConnContext].
+// [core.CheckCaller]; it is the callback for [http.Server.ConnContext].
 func (t *Tracker) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	if tls, ok := c.(interface{ NetConn() net.Conn }); ok {
 		c = tls.NetConn()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -206,6 +206,9 @@
 	x := &exchange{relay: r, request: req, opaque: req.Opaque, sink: sink, log: r.logger()}
 	ctx, cancel := context.WithTimeout(ctx, (req.Deadline - r.Clock.Now()).Duration())
 	defer cancel()
+	if err := core.CheckCaller(ctx); err != nil {
+		return x.finish(x.finalError(ctx, err))
+	}
 	if err := x.checkQuarantine(ctx); err != nil {
 		if ctx.Err() != nil {
 			return x.finish(x.finalError(ctx, err))
--- a/sock/closer.go
+++ b/sock/closer.go
@@ -78,6 +78,9 @@
 	return n, err
 }
 
+// PeerClosed reports whether this host has received the end of what the peer sends.
+func (c *Conn) PeerClosed() bool { return PeerClosed(c.TCPConn) }
+
 // SinceReceived returns the time since this host last received data on the connection, or
 // zero if the kernel doesn't tell.
 func (c *Conn) SinceReceived() clock.Millis { return SinceReceived(c.TCPConn) }
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -106,3 +106,21 @@
 	}
 	return clock.Millis(info.Last_data_recv)
 }
+
+// PeerClosed reports whether this host has received the end of what the peer of c sends, or
+// a reset, even if bytes before it are unread. It asks the kernel and doesn't block, and
+// returns false if the kernel doesn't tell. A peer that has closed only its sending side
+// can't be told from one that has left.
+func PeerClosed(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		closed = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return closed || err != nil
+}
--- a/sock/sock_test.go
+++ b/sock/sock_test.go
@@ -111,3 +111,59 @@
 	is.True(unacked > 5*clock.Second && unacked <= 7*clock.Second)
 	is.True(option(t, c, unix.SOL_SOCKET, unix.SO_KEEPALIVE) != 0)
 }
+
+// TestPeerClosed checks that a close is known before what precedes it was read.
+func TestPeerClosed(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(*net.TCPConn) error
+		want bool
+	}{
+		"open":                {func(*net.TCPConn) error { return nil }, false},
+		"closed":              {(*net.TCPConn).Close, true},
+		"sending side closed": {(*net.TCPConn).CloseWrite, true},
+		"reset":               {func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ln, err := sock.ListenCallers(t.Context(), "127.0.0.1:0")
+			is.NoErr(err)
+			defer ln.Close()
+			dialed, err := net.Dial("tcp", ln.Addr().String())
+			is.NoErr(err)
+			defer dialed.Close()
+			accepted, err := ln.Accept()
+			is.NoErr(err)
+			defer accepted.Close()
+			_, err = dialed.Write([]byte("request"))
+			is.NoErr(err)
+			is.True(!sock.PeerClosed(accepted.(*net.TCPConn)))
+			is.NoErr(c.end(dialed.(*net.TCPConn)))
+			is.Equal(sock.PeerClosed(accepted.(*net.TCPConn)), c.want)
+			is.NoErr(accepted.Close())
+			is.True(sock.PeerClosed(accepted.(*net.TCPConn)))
+		})
+	}
+}
+
+// TestSinceReceived checks the time since data was received.
+func TestSinceReceived(t *testing.T) {
+	is := is.New(t)
+	ln, err := sock.ListenCallers(t.Context(), "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	dialed, err := net.Dial("tcp", ln.Addr().String())
+	is.NoErr(err)
+	defer dialed.Close()
+	accepted, err := ln.Accept()
+	is.NoErr(err)
+	defer accepted.Close()
+	const pause = 60 * time.Millisecond
+	begun := time.Now()
+	_, err = dialed.Write([]byte("request"))
+	is.NoErr(err)
+	time.Sleep(pause)
+	got := sock.SinceReceived(accepted.(*net.TCPConn)).Duration()
+	is.True(got >= pause-20*time.Millisecond && got <= time.Since(begun)+20*time.Millisecond)
+	is.NoErr(accepted.Close())
+	is.Equal(sock.SinceReceived(accepted.(*net.TCPConn)), clock.Millis(0))
+}
