taint, gossip: each change of a suspect is sent to each peer once

Callers saw late answers and failures for 8 s and more after tens of engines had crashed at once: of 190 to 280 card orders a second 100 to 170 were late and up to 63 failed, although their service answered in 40 to 120 ms. All 295 entries used their whole share of a core. Entries that are late are what made requests of callers that had left reach replicas (GONE).

Cause: each lost request makes suspects, and each change of one had an entry send all of its 64 heaviest suspects of both tables to all neighbours, at once and for 1.5 s, and again for as long as a peer's sum differed. Each of these heartbeats changed the tables of others, which did the same; between neighbours two heartbeats could follow each other after 24 to 32 ms.

A Spread keeps for each peer the last change that it was told, and leaves out what the peer itself has told. Neighbours get at most ten heartbeats a second: news still crosses a fleet of hundreds in five steps.

--- a/edge/state.go
+++ b/edge/state.go
@@ -109,8 +109,6 @@
 // only the work that matters to their choices (see announce).
 func (e *Edge) heartbeat() gossip.Heartbeat {
 	h := gossip.Heartbeat{Instance: e.self(), Boot: e.boot, Ready: e.Ready(), PeerState: e.watcher.PeerState()}
-	h.Tainted, h.TaintSum = e.tainted.news()
-	h.Requests, h.RequestSum = e.requests.news()
 	h.Leaving, h.Refused = e.notices.Words(e.gossip.Sparse()), e.notices.Refused(e.gossip.Sparse())
 	if e.gossip.Sparse() {
 		// Only the owners of the engines need the work ([alloc.Client]).
@@ -124,10 +122,23 @@
 	return h
 }
 
+// extendHeartbeat adds the suspects that a peer doesn't know.
+func (e *Edge) extendHeartbeat(peer string, h *gossip.Heartbeat) {
+	h.Tainted, h.TaintSum = e.tainted.spread.News(peer)
+	h.Requests, h.RequestSum = e.requests.spread.News(peer)
+}
+
+// onUnsent forgets what a peer was told, since it hasn't received a heartbeat.
+func (e *Edge) onUnsent(peer string) {
+	e.tainted.spread.Forget(peer)
+	e.requests.spread.Forget(peer)
+}
+
 // onHeartbeat handles a peer's heartbeat.
 func (e *Edge) onHeartbeat(heartbeat gossip.Heartbeat) {
-	e.tainted.handle(heartbeat.Tainted, heartbeat.TaintSum)
-	e.requests.handle(heartbeat.Requests, heartbeat.RequestSum)
+	peer := heartbeat.Instance.Peer
+	e.tainted.spread.Handle(peer, heartbeat.Tainted, heartbeat.TaintSum)
+	e.requests.spread.Handle(peer, heartbeat.Requests, heartbeat.RequestSum)
 	news := e.notices.HandleWords(heartbeat.Leaving)
 	// These words are short-lived, and a crash is found by many entries at once, so that
 	// they are passed on only with the next heartbeat.
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -32,8 +32,8 @@
 	watch.PeerState
 	// Loads is the entry's in-flight work at the upstreams.
 	Loads []Load `json:"loads,omitempty"`
-	// Tainted are the parts of prompts that may crash upstreams, sent only while the
-	// sender and a peer differ. TaintSum identifies what the sender knows of them.
+	// Tainted are the parts of prompts that may crash upstreams of which the receiver
+	// hasn't been told. TaintSum identifies what the sender knows of them.
 	Tainted  []taint.Suspect `json:"tainted,omitempty"`
 	TaintSum uint64          `json:"taint_sum,omitempty"`
 	// Requests and RequestSum are the same for whole requests, by their digests.
@@ -84,8 +84,11 @@
 	// LiveTimeout is how long a peer counts as live after a heartbeat: three
 	// missing heartbeats and the network delay.
 	LiveTimeout clock.Millis = 2100
-	// sparseFactor multiplies both between neighbours.
+	// sparseFactor multiplies LiveTimeout and the interval between neighbours.
 	sparseFactor = 1.6
+	// sparseSendGap is the minimum pause between neighbours. News reaches all entries in a
+	// few steps, and news that arrives in between is sent together.
+	sparseSendGap clock.Millis = 100
 	// staleTimeout is how long a peer is kept that is not listed and sends no
 	// heartbeats.
 	staleTimeout = 30 * clock.Second
@@ -103,6 +106,11 @@
 	Self string
 	// Heartbeat returns the heartbeat to send; the table sets its Seq.
 	Heartbeat func() Heartbeat
+	// Extend, if not nil, adds what the peer at an address needs to know to a heartbeat.
+	// OnUnsent, if not nil, is called if that heartbeat couldn't be sent, and once the peer
+	// gets none any more.
+	Extend   func(addr string, h *Heartbeat)
+	OnUnsent func(addr string)
 	// OnHeartbeat, if not nil, is called after each heartbeat that was not
 	// ignored.
 	OnHeartbeat func(Heartbeat)
@@ -251,6 +259,14 @@
 	return d
 }
 
+// sendGap returns the minimum pause between two heartbeats to a peer.
+func (t *Table) sendGap() clock.Millis {
+	if t.Sparse() {
+		return sparseSendGap
+	}
+	return minSendGap * clock.Millis(max(minGapPeers, t.size())) / clock.Millis(minGapPeers)
+}
+
 // size returns the number of peers.
 func (t *Table) size() int { return int(t.peerCount.Load()) }
 
@@ -361,12 +377,18 @@
 		}
 		h := t.Heartbeat()
 		h.Seq = t.seq.Add(1)
+		if t.Extend != nil {
+			t.Extend(p.addr, &h)
+		}
 		call, cancel := context.WithTimeout(ctx, sendTimeout.Duration())
 		err := t.Sender.SendHeartbeat(call, p.addr, h)
 		cancel()
-		pause := t.scaled(minSendGap * clock.Millis(max(minGapPeers, t.size())) / clock.Millis(minGapPeers))
+		pause := t.sendGap()
 		if err != nil {
 			pause = retryPause
+			if t.OnUnsent != nil {
+				t.OnUnsent(p.addr)
+			}
 		}
 		t.checkLiveness(p)
 		if t.Clock.Sleep(ctx, pause) != nil {
@@ -422,6 +444,9 @@
 	for _, addr := range removed {
 		t.peers.Delete(addr)
 		t.peerCount.Add(-1)
+		if t.OnUnsent != nil {
+			t.OnUnsent(addr)
+		}
 	}
 }
 
--- a/taint/spread.go
+++ b/taint/spread.go
@@ -17,20 +17,39 @@
 }
 
 // Suspects returns up to maxSpread suspects to send to peers, the heaviest first.
-func (t *Table) Suspects() []Suspect {
+func (t *Table) Suspects() []Suspect { return t.aged(t.heaviest()) }
+
+// heaviest returns up to maxSpread suspects, the heaviest first.
+func (t *Table) heaviest() []record {
 	if t.known.Load() == 0 {
 		return nil
 	}
 	all := t.suspects.Values()
 	slices.SortFunc(all, compareRecords)
+	return all[:min(len(all), maxSpread)]
+}
+
+// aged returns the suspects of the records with their ages now.
+func (t *Table) aged(records []record) []Suspect {
 	now := t.Clock.Now()
 	var list []Suspect
-	for _, r := range all[:min(len(all), maxSpread)] {
+	for _, r := range records {
 		list = append(list, r.Aged(now-r.at))
 	}
 	return list
 }
 
+// changedSince returns those of [Table.Suspects] that have changed since the given change,
+// without those of which the peer knows as much.
+func (t *Table) changedSince(change uint64, peer string) []Suspect {
+	if t.changes.Load() == change {
+		return nil
+	}
+	return t.aged(slices.DeleteFunc(t.heaviest(), func(r record) bool {
+		return r.change <= change || r.source == peer
+	}))
+}
+
 // Sum returns a hash of [Table.Suspects], 0 if there are none. Two entries with the same
 // sum have nothing to tell each other.
 func (t *Table) Sum() uint64 {
@@ -69,12 +88,20 @@
 }
 
 // Merge adds the suspects that a peer has sent. It reports whether anything was new.
-func (t *Table) Merge(list []Suspect) (news bool) {
+func (t *Table) Merge(list []Suspect) (news bool) { return t.mergeFrom("", list) }
+
+// mergeFrom is Merge for suspects of the peer with the given address, which may be empty.
+func (t *Table) mergeFrom(peer string, list []Suspect) (news bool) {
 	for _, s := range list[:min(len(list), maxSpread)] {
 		if !s.valid(t.rules()) {
 			continue
 		}
-		news = t.update(s.Part, func(r *record) { r.merge(s) }) || news
+		news = t.update(s.Part, func(r *record) {
+			r.merge(s)
+			if r.equal(&s) {
+				r.source = peer
+			}
+		}) || news
 	}
 	if news {
 		t.judge()
--- a/taint/table.go
+++ b/taint/table.go
@@ -61,6 +61,10 @@
 	// Suspect has the ages of the instant at.
 	Suspect
 	at clock.Millis
+	// change is the number of the last change, and source the address of the peer that
+	// told of all that is known, empty if there is none.
+	change uint64
+	source string
 	// learned holds, for each round, the number of the change with which it was known.
 	learned []uint64
 	verdict verdict
@@ -193,11 +197,14 @@
 		}
 		before = r
 		r.Suspect = r.Aged(now - r.at)
-		r.at = now
+		r.at, r.source = now, ""
 		change(&r)
 		r.Good = len(r.Crashes) > 0 && (r.Good || t.good(part))
 		if changed = !r.equal(&before.Suspect); changed {
-			r.note(t.changes.Add(1), before.Epoch)
+			r.change = t.changes.Add(1)
+			r.note(r.change, before.Epoch)
+		} else {
+			r.source = before.source
 		}
 		after = r
 		keep := r.Epoch > 0 || len(r.Crashes) > 0
