platform, edge: deadlines count from before the time in the kernel

Callers' deadlines were counted from the reading of the header.

The time since the last data was received (TCP_INFO) is taken off the deadline and off the route's timeout: it is never longer than the request has waited.

edge TestReplicaGetsNoTimeThatCallerLacks: before, a request with 200 ms left ran after 400 ms in the kernel (200 for 503).

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"strings"
@@ -58,10 +59,7 @@
 	o.Route, o.Version = route, version
 	o.Service = route.Service(rand.Uint64())
 	r.Profile = route.Profile
-	latest := r.Arrived + route.Profile.Timeout
-	if route.Profile.Timeout == 0 {
-		latest = r.Arrived + defaultTimeout
-	}
+	latest := r.Arrived - r.Queued + cmp.Or(route.Profile.Timeout, defaultTimeout)
 	if r.Deadline == 0 || r.Deadline > latest {
 		r.Deadline = latest
 	}
--- a/edge/left_test.go
+++ b/edge/left_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -48,7 +49,7 @@
 	n := 0
 	for _, r := range slices.Concat(s.services, s.prefill, s.decode) {
 		for _, a := range r.Arrivals() {
-			if len(a.ID) > len(prefix) && a.ID[:len(prefix)] == prefix {
+			if strings.HasPrefix(a.ID, prefix) {
 				n++
 			}
 		}
--- a/edge/lost_test.go
+++ b/edge/lost_test.go
@@ -93,8 +93,14 @@
 // write writes a whole request for a path to c.
 func write(t *testing.T, c net.Conn, id, path string) {
 	t.Helper()
-	_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h.example\r\nLacewinghook-Request-Id: %s\r\nLacewinghook-Deadline-Ms: 4000\r\n"+
-		"Lacewinghook-Model: m\r\nLacewinghook-Token-Counts: 3000,2720\r\nLacewinghook-Prefix-Hash: 5c1e07a2:200,91bd3f06:2800\r\nContent-Length: 1\r\n\r\np", path, id)
+	writeWithin(t, c, id, path, 4*time.Second)
+}
+
+// writeWithin does the same for a caller that waits for the given time.
+func writeWithin(t *testing.T, c net.Conn, id, path string, deadline time.Duration) {
+	t.Helper()
+	_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h.example\r\nLacewinghook-Request-Id: %s\r\nLacewinghook-Deadline-Ms: %d\r\n"+
+		"Lacewinghook-Model: m\r\nLacewinghook-Token-Counts: 3000,2720\r\nLacewinghook-Prefix-Hash: 5c1e07a2:200,91bd3f06:2800\r\nContent-Length: 1\r\n\r\np", path, id, deadline.Milliseconds())
 	is.New(t).NoErr(err)
 }
 
--- a/edge/queued_test.go
+++ b/edge/queued_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -79,3 +80,37 @@
 	queued := time.Duration(lines[0].ContextMap()["queued"].(int64)) * time.Millisecond
 	is.True(queued >= late-20*time.Millisecond) // the kernel's clock has steps of 4 ms
 }
+
+// TestReplicaGetsNoTimeThatCallerLacks guards against a deadline that counts from the reading
+// of a request, which had lain in the kernel.
+func TestReplicaGetsNoTimeThatCallerLacks(t *testing.T) {
+	is := is.New(t)
+	const late = 400 * time.Millisecond
+	s := newSite(t)
+	var stalled atomic.Bool
+	s.wrapCallers = func(ln net.Listener) net.Listener { return lateListener{ln, &stalled} }
+	r := s.startReady()
+	stalled.Store(true)
+	// An Accept that has begun before takes one more connection.
+	is.NoErr(r.dial(t).Close())
+	conn, hopeless := r.dial(t), r.dial(t)
+	write(t, conn, "queued", "/once/a")
+	writeWithin(t, hopeless, "hopeless", "/once/a", late/2)
+	time.Sleep(late)
+	stalled.Store(false)
+	is.Equal(readAnswer(conn).status, http.StatusOK)
+	is.Equal(readAnswer(hopeless).status, http.StatusServiceUnavailable)
+	is.Equal(s.arrived("hopeless"), 0)
+	var left time.Duration
+	for _, d := range s.services {
+		for _, h := range d.RequestHeaders() {
+			if h.Get("Lacewinghook-Request-Id") == "queued" {
+				ms, err := strconv.Atoi(h.Get("Lacewinghook-Deadline-Ms"))
+				is.NoErr(err)
+				left = time.Duration(ms) * time.Millisecond
+			}
+		}
+	}
+	const timeout = time.Second                                   // of the route
+	is.True(left > 0 && left <= timeout-late+20*time.Millisecond) // the kernel's clock has steps of 4 ms
+}
