--- a/hconn/conn.go
+++ b/hconn/conn.go
@@ -22,8 +22,8 @@
 
 // Timeouts of a connection.
 const (
-	// dialTimeout allows for a few round trips between data centres and the
-	// retransmission of one lost SYN.
+	// dialTimeout allows for a few round trips between data centres. The kernel sends
+	// a lost SYN again after 1 s, when another replica has long been tried.
 	dialTimeout clock.Millis = 600
 	// DefaultKeepAlive is how long an idle connection stays reusable if the
 	// server's Keep-Alive header has no timeout.
