flight, core: a close ends a request's context without another goroutine

net/http cancels the context of a request when it has seen the close, but that of its handler ended only once a goroutine of context.AfterFunc had run, which on a busy machine may take as long as all goroutines before it. It is now a child of net/http's context, and a stop, which must give its cause, cancels both. TestCloseEndsContextAtOnce failed before.

--- a/core/caller.go
+++ b/core/caller.go
@@ -29,11 +29,10 @@
 	return context.WithValue(ctx, callerKey{}, c)
 }
 
-// WithLeave returns a copy of ctx that ends, with [context.Canceled], once
-// [CheckCaller] finds that the caller has left, or leave is called.
-func WithLeave(ctx context.Context) (c context.Context, leave context.CancelFunc) {
-	ctx, leave = context.WithCancel(ctx)
-	return context.WithValue(ctx, leaveKey{}, leave), leave
+// WithLeave returns a copy of ctx on which [CheckCaller] calls leave once it finds that the
+// caller has left. leave must end ctx.
+func WithLeave(ctx context.Context, leave context.CancelFunc) context.Context {
+	return context.WithValue(ctx, leaveKey{}, leave)
 }
 
 // SinceReceived returns the time since this host last received data of the caller of ctx,
--- a/engine/left_test.go
+++ b/engine/left_test.go
@@ -38,8 +38,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			ctx, leave := core.WithLeave(core.WithCaller(t.Context(), closed{}))
+			ctx, leave := context.WithCancel(core.WithCaller(t.Context(), closed{}))
 			defer leave()
+			ctx = core.WithLeave(ctx, leave)
 			err := send(ctx)
 			is.Equal(codes.From(err).Code, codes.CallerGone)
 			is.Equal(codes.From(err).Run, codes.NotRun)
--- a/flight/tracker.go
+++ b/flight/tracker.go
@@ -86,11 +86,14 @@
 		if t.ID != nil {
 			req.ID = t.ID(r)
 		}
-		ended, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
+		ended, end := context.WithCancelCause(context.WithoutCancel(r.Context()))
+		ctx, leave := context.WithCancelCause(core.WithEnded(r.Context(), ended))
+		ctx = core.WithLeave(ctx, func() { leave(nil) })
+		cancel := func(cause error) {
+			end(cause)
+			leave(cause)
+		}
 		defer cancel(nil)
-		ctx, leave := core.WithLeave(core.WithEnded(ended, ended))
-		defer leave()
-		defer context.AfterFunc(r.Context(), leave)()
 		t.requests.Set(key, running{Request: req, cancel: cancel})
 		t.inFlight.Add(1)
 		defer t.finish(key)
--- a/flight/tracker_test.go
+++ b/flight/tracker_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
 )
 
 // TestWaitIdleWaitsForAnArrivingRequest checks that a connection on which
@@ -73,3 +74,21 @@
 	})
 	request(func(ctx context.Context) { is.Equal(context.Cause(ctx), cause) })
 }
+
+// TestCloseEndsContextAtOnce guards against a request whose context outlasts the close that
+// net/http has reported until another goroutine has run.
+func TestCloseEndsContextAtOnce(t *testing.T) {
+	is := is.New(t)
+	const times = 100
+	for range times {
+		var tracker Tracker
+		parent, closed := context.WithCancel(t.Context())
+		h := tracker.Track(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			is.NoErr(r.Context().Err())
+			closed()
+			is.Equal(r.Context().Err(), context.Canceled)
+			is.NoErr(core.Ended(r.Context()).Err())
+		}), func() bool { return false })
+		h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(parent, http.MethodGet, "/", nil))
+	}
+}
