--- a/taint/doc.go
+++ b/taint/doc.go
@@ -25,22 +25,24 @@
 // if it has all of them that are not cleared, so that sound requests with one of them are
 // still served, and clear it.
 //
-// Entries exchange their suspects in heartbeats, each change once ([Spread]). What is known of a part is merged from
-// any order of messages to the same result: clearing a part begins a new epoch, and
-// within an epoch crashes are added. No rule compares the clocks of two entries. An
-// entry doesn't quarantine parts for crashes that only one other entry has seen. Verdicts are
-// also saved in a [Store], since they must outlast all entries.
+// Entries exchange their suspects in heartbeats: each change is sent once to each peer that
+// hasn't told of it ([Spread]). What is known of a part is merged from any order of messages
+// to the same result: clearing a part begins a new epoch, and within an epoch crashes are
+// added. No rule compares the clocks of two entries. An entry doesn't quarantine parts for
+// crashes that only one other entry has seen. Verdicts are also saved in a [Store], since
+// they must outlast all entries.
 //
 // # Usage
 //
-//	t := &taint.Table{Self: "moose-jaw-1", OnChange: s.Announce}
+//	t := &taint.Table{Self: "moose-jaw-1"}
+//	s := &taint.Spread{Table: t, Trigger: sendHeartbeats}
+//	t.OnChange = s.Announce
 //	go t.Run(ctx)
 //	if part, left, ok := t.Quarantined(parts); ok { ... } // before each send
 //	if tried := t.OnTrial(parts); len(tried) > 0 { ... }  // ask the owner for its Permit
 //	mark := t.Mark()                                      // just before the send
 //	t.AddCrash(taint.Loss{Parts: parts, Mark: mark})      // the upstream has crashed
 //	t.Clear(parts)                                        // it has answered
-//	s := &taint.Spread{Table: t, Trigger: sendHeartbeats}
 //	heartbeat.Tainted, heartbeat.TaintSum = s.News(peer)
 //	s.Handle(peer, heartbeat.Tainted, heartbeat.TaintSum)
 package taint
