notice, gossip: a peer is told once that a replica leaves or was replaced

After the crash of many engines others answer at their addresses.

A neighbour now gets the words that were learned since its last heartbeat, in their order, 32 at a time, and all of them again after 10 s, or at once if a heartbeat couldn't be sent or the neighbour has restarted. Before, only the 32 newest were told, so that some of 70 never arrived; the test checks all.

--- a/edge/state.go
+++ b/edge/state.go
@@ -109,7 +109,7 @@
 // only the work that matters to their choices (see announce).
 func (e *Edge) heartbeat() gossip.Heartbeat {
 	h := gossip.Heartbeat{Instance: e.self(), Boot: e.boot, Ready: e.Ready(), PeerState: e.watcher.PeerState()}
-	h.Leaving, h.Refused = e.notices.Words(e.gossip.Sparse()), e.notices.Refused(e.gossip.Sparse())
+	h.Refused = e.notices.Refused(e.gossip.Sparse())
 	if e.gossip.Sparse() {
 		// Only the owners of the engines need the work ([alloc.Client]).
 		return h
@@ -122,14 +122,16 @@
 	return h
 }
 
-// extendHeartbeat adds the suspects that a peer doesn't know.
+// extendHeartbeat adds what a peer doesn't know of suspects and of replicas that leave.
 func (e *Edge) extendHeartbeat(peer string, h *gossip.Heartbeat) {
+	h.Leaving = e.notices.WordsFor(peer, e.gossip.Sparse())
 	h.Tainted, h.TaintSum = e.tainted.spread.News(peer)
 	h.Requests, h.RequestSum = e.requests.spread.News(peer)
 }
 
-// onUnsent forgets what a peer was told, since it hasn't received a heartbeat.
-func (e *Edge) onUnsent(peer string) {
+// forgetPeer forgets what a peer was told.
+func (e *Edge) forgetPeer(peer string) {
+	e.notices.ForgetPeer(peer)
 	e.tainted.spread.Forget(peer)
 	e.requests.spread.Forget(peer)
 }
--- a/gossip/crash_test.go
+++ b/gossip/crash_test.go
@@ -13,7 +13,10 @@
 
 	"github.com/matryer/is"
 
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/gossip"
+	"lacewinghook.example/lacewinghook/notice"
 	"lacewinghook.example/lacewinghook/taint"
 )
 
@@ -52,7 +55,11 @@
 		ctx, stop := context.WithCancel(t.Context())
 		var wait sync.WaitGroup
 		defer func() { stop(); wait.Wait() }()
-		parts, whole := make([]*taint.Table, size), make([]*taint.Table, size)
+		parts, whole, notices := make([]*taint.Table, size), make([]*taint.Table, size), make([]*notice.Table, size)
+		var replicas []core.Replica
+		for e := range engines {
+			replicas = append(replicas, core.Replica{Upstream: core.Upstream{Name: fmt.Sprintf("i-%010x", e), Addr: "10.1.64.30:8067"}, Incarnation: 1782375916285})
+		}
 		for i, name := range names {
 			parts[i] = &taint.Table{Self: name}
 			whole[i] = &taint.Table{Self: name, Whole: true, Parts: parts[i]}
@@ -60,15 +67,24 @@
 			tainted := &taint.Spread{Table: parts[i], Trigger: g.Trigger}
 			requests := &taint.Spread{Table: whole[i], Trigger: g.Trigger}
 			parts[i].OnChange, whole[i].OnChange = tainted.Announce, requests.Announce
-			g.Heartbeat = func() gossip.Heartbeat { return gossip.Heartbeat{Instance: list[i], Boot: uint64(i + 1), Ready: true} }
+			notices[i] = &notice.Table{Self: name, Drain: 4 * clock.Second, OnLeaving: g.Trigger}
+			notices[i].Apply(replicas)
+			g.Heartbeat = func() gossip.Heartbeat {
+				return gossip.Heartbeat{Instance: list[i], Boot: uint64(i + 1), Ready: true, Refused: notices[i].Refused(true)}
+			}
 			g.Extend = func(peer string, h *gossip.Heartbeat) {
+				h.Leaving = notices[i].WordsFor(peer, true)
 				h.Tainted, h.TaintSum = tainted.News(peer)
 				h.Requests, h.RequestSum = requests.News(peer)
 			}
-			g.OnUnsent = func(peer string) { tainted.Forget(peer); requests.Forget(peer) }
+			g.Forget = func(peer string) { notices[i].ForgetPeer(peer); tainted.Forget(peer); requests.Forget(peer) }
 			g.OnHeartbeat = func(h gossip.Heartbeat) {
 				tainted.Handle(h.Instance.Peer, h.Tainted, h.TaintSum)
 				requests.Handle(h.Instance.Peer, h.Requests, h.RequestSum)
+				notices[i].HandleRefused(h.Refused)
+				if notices[i].HandleWords(h.Leaving) {
+					g.Trigger()
+				}
 			}
 			w.tables[name] = g
 		}
@@ -86,14 +102,23 @@
 				delay := time.Duration(r.IntN(300)) * time.Millisecond
 				wait.Go(func() {
 					time.Sleep(delay)
-					l := taint.Loss{Upstream: fmt.Sprintf("i-%010x", e), Boot: "1782375916285", Digest: digest, Parts: []uint64{0x9c41d07be2a35f68 + uint64(n%kinds)}}
+					l := taint.Loss{Upstream: replicas[e].Name, Boot: "1782375916285", Digest: digest, Parts: []uint64{0x9c41d07be2a35f68 + uint64(n%kinds)}}
 					parts[at].AddCrash(l)
 					l.Parts = []uint64{digest}
 					whole[at].AddCrash(l)
+					notices[at].OnNotice(replicas[e].Upstream, core.ReplicaNotice{Sent: clock.Clock{}.Now(), Refused: true})
+					time.Sleep(2 * time.Second)
+					notices[at].OnNotice(replicas[e].Upstream, core.ReplicaNotice{Sent: clock.Clock{}.Now(), Other: "i-new"})
 				})
 			}
 		}
-		time.Sleep(seconds * time.Second)
+		time.Sleep(10 * time.Second)
+		for i := range size {
+			for _, replica := range replicas {
+				is.True(notices[i].Status(replica.Name).Leaving)
+			}
+		}
+		time.Sleep((seconds - 10) * time.Second)
 		traffic := (w.bytes.Load() - before) / size / seconds
 		t.Logf("each of %d entries received %d bytes a second for %d s", size, traffic, seconds)
 		for i := range size {
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -107,10 +107,10 @@
 	// Heartbeat returns the heartbeat to send; the table sets its Seq.
 	Heartbeat func() Heartbeat
 	// Extend, if not nil, adds what the peer at an address needs to know to a heartbeat.
-	// OnUnsent, if not nil, is called if that heartbeat couldn't be sent, and once the peer
-	// gets none any more.
-	Extend   func(addr string, h *Heartbeat)
-	OnUnsent func(addr string)
+	// Forget, if not nil, is called when the peer may lack what earlier ones had: one
+	// couldn't be sent, the peer has restarted or was removed.
+	Extend func(addr string, h *Heartbeat)
+	Forget func(addr string)
 	// OnHeartbeat, if not nil, is called after each heartbeat that was not
 	// ignored.
 	OnHeartbeat func(Heartbeat)
@@ -208,6 +208,7 @@
 	p.mu.Lock()
 	stale := h.Boot == p.Heartbeat.Boot && h.Seq <= p.Heartbeat.Seq
 	becameLive := !p.live
+	restarted := p.Heartbeat.Seq > 0 && h.Boot != p.Heartbeat.Boot
 	if !stale {
 		p.Instance, p.Heartbeat, p.HeartbeatAt, p.live = h.Instance, h, t.Clock.Now(), true
 	}
@@ -215,6 +216,9 @@
 	if stale {
 		return
 	}
+	if restarted {
+		t.forget(addr)
+	}
 	t.startSender(p)
 	if becameLive {
 		t.log().Info("gossip: a peer is live", zap.String("peer", h.Instance.Name), zap.String("addr", addr),
@@ -386,9 +390,7 @@
 		pause := t.sendGap()
 		if err != nil {
 			pause = retryPause
-			if t.OnUnsent != nil {
-				t.OnUnsent(p.addr)
-			}
+			t.forget(p.addr)
 		}
 		t.checkLiveness(p)
 		if t.Clock.Sleep(ctx, pause) != nil {
@@ -444,9 +446,14 @@
 	for _, addr := range removed {
 		t.peers.Delete(addr)
 		t.peerCount.Add(-1)
-		if t.OnUnsent != nil {
-			t.OnUnsent(addr)
-		}
+		t.forget(addr)
+	}
+}
+
+// forget calls Forget, if set.
+func (t *Table) forget(addr string) {
+	if t.Forget != nil {
+		t.Forget(addr)
 	}
 }
 
--- a/notice/table.go
+++ b/notice/table.go
@@ -1,6 +1,8 @@
 package notice
 
 import (
+	"sync/atomic"
+
 	"go.uber.org/zap"
 
 	"lacewinghook.example/lacewinghook/clock"
@@ -29,6 +31,10 @@
 	// states holds the replicas that have stated something, and those that other
 	// entries have told of.
 	states shard.Map[string, state]
+	// learned counts the words that were learned, and told holds the peers that were told
+	// of them ([Table.WordsFor]).
+	learned atomic.Uint64
+	told    shard.Map[string, toldPeer]
 }
 
 // DefaultDrain is the shortest time that a platform is known to allow.
@@ -76,6 +82,8 @@
 	heard heard
 	// refused is the newest refused connection, of this entry or another one.
 	refused heard
+	// learned is the number of the word that the peers are told.
+	learned uint64
 }
 
 // Status is what applies to a replica now.
@@ -190,7 +198,7 @@
 	var old state
 	t.states.Update(r.Name, func(s state, _ bool) (state, bool) {
 		old = s
-		return state{heard: s.heard}, s.heard.retained(now)
+		return state{heard: s.heard, learned: s.learned}, s.heard.retained(now)
 	})
 	if old.leaving || now < old.pausedUntil {
 		t.log().Info("notice: what a replica stated no longer applies", zap.String("replica", r.Name),
@@ -225,19 +233,19 @@
 	var old, changed state
 	t.states.Update(up.Name, func(s state, _ bool) (state, bool) {
 		if s.incarnation != r.incarnation {
-			s = state{incarnation: r.incarnation, heard: s.heard, refused: s.refused}
+			s = state{incarnation: r.incarnation, heard: s.heard, refused: s.refused, learned: s.learned}
 		}
 		old = s
 		if n.Leaving {
 			if !s.leaving {
-				s.leaving, s.leavingSince = true, now
+				s.leaving, s.leavingSince, s.learned = true, now, t.learned.Add(1)
 			}
 			s.statedAt = now
 		}
 		s.unreadable = s.unreadable || n.Unreadable != ""
 		s.pause(now, n)
 		changed = s
-		return s, changed != state{incarnation: r.incarnation}
+		return s, changed != state{incarnation: r.incarnation, learned: s.learned}
 	})
 	t.logChanges(up, n, old, changed)
 }
@@ -245,7 +253,7 @@
 // markReplaced records that another replica answers at the address of this one.
 func (t *Table) markReplaced(up core.Upstream, other string, incarnation int64, now clock.Millis) {
 	t.states.Update(up.Name, func(s state, _ bool) (state, bool) {
-		return state{incarnation: incarnation, replacedAt: now, heard: s.heard}, true
+		return state{incarnation: incarnation, replacedAt: now, heard: s.heard, learned: t.learned.Add(1)}, true
 	})
 	t.Meter.Add("replicas_replaced_total", 1)
 	t.log().Info("notice: another replica answers at the address", zap.String("replica", up.Name), zap.String("addr", up.Addr),
--- a/notice/words.go
+++ b/notice/words.go
@@ -50,20 +50,75 @@
 // Words returns the newest words of this entry, and with forward also those of other
 // entries, for peers that these don't send to.
 func (t *Table) Words(forward bool) []Word {
+	var words []Word
+	for _, w := range t.learnedAfter(0, forward) {
+		words = append(words, w.Word)
+	}
+	return newestWords(words)
+}
+
+// WordsFor returns the next words for a peer: those that were learned since the last ones,
+// the first ones first, and once in retellTime all.
+func (t *Table) WordsFor(peer string, forward bool) []Word {
 	now := t.Clock.Now()
 	var words []Word
+	t.told.Update(peer, func(p toldPeer, known bool) (toldPeer, bool) {
+		if !known || now-p.all >= retellTime {
+			p = toldPeer{all: now}
+		}
+		list := t.learnedAfter(p.last, forward)
+		for _, w := range list[:min(len(list), maxWords)] {
+			words, p.last = append(words, w.Word), w.learned
+		}
+		return p, true
+	})
+	return words
+}
+
+// ForgetPeer has the peer told everything once more.
+func (t *Table) ForgetPeer(peer string) { t.told.Delete(peer) }
+
+// retellTime is the time after which a peer is told everything once more: it may have
+// missed a message.
+const retellTime = 10 * clock.Second
+
+// toldPeer is what a peer was told: the words up to the number last. all is the instant at
+// which it was last told everything.
+type toldPeer struct {
+	last uint64
+	all  clock.Millis
+}
+
+// learnedWord is a word with its number in the order in which this entry learned them.
+type learnedWord struct {
+	Word
+	learned uint64
+}
+
+// learnedAfter returns the words that were learned after that with the given number, in
+// their order.
+func (t *Table) learnedAfter(number uint64, forward bool) []learnedWord {
+	now := t.Clock.Now()
+	var words []learnedWord
 	t.states.Each(func(name string, s state) bool {
+		w := Word{Replica: name, Incarnation: s.incarnation, Source: t.Self}
 		switch {
 		case s.replaced(now):
-			words = append(words, Word{Replica: name, Incarnation: s.incarnation, Source: t.Self, Age: now - s.replacedAt})
+			w.Age = now - s.replacedAt
 		case s.leaving && now-s.statedAt < wordLife:
-			words = append(words, Word{Replica: name, Incarnation: s.incarnation, Source: t.Self, Age: now - s.statedAt})
+			w.Age = now - s.statedAt
 		case forward && s.heard.valid(now):
-			words = append(words, Word{Replica: name, Incarnation: s.heard.incarnation, Source: s.heard.source, Age: now - s.heard.at})
+			w = Word{Replica: name, Incarnation: s.heard.incarnation, Source: s.heard.source, Age: now - s.heard.at}
+		default:
+			return true
+		}
+		if s.learned > number {
+			words = append(words, learnedWord{w, s.learned})
 		}
 		return true
 	})
-	return newestWords(words)
+	slices.SortFunc(words, func(a, b learnedWord) int { return cmp.Compare(a.learned, b.learned) })
+	return words
 }
 
 // newestWords sorts words, the newest first, and returns up to maxWords of them.
@@ -94,6 +149,9 @@
 			default:
 				fresh = !(s.heard.valid(now) && s.heard.incarnation == h.incarnation) && !(s.leaving && s.incarnation == h.incarnation)
 				s.heard = h
+				if fresh {
+					s.learned = t.learned.Add(1)
+				}
 			}
 			return s, known || s.heard.source != ""
 		})
