gossip, taint, notice: news of a heartbeat that couldn't be sent is sent again

A heartbeat that a peer hasn't received had it told everything once more, which would grow the messages to entries that are short of time. It is told again what that heartbeat had; everything only after a restart. Words that are learned while a list of them is made are left to the next one, so that none is skipped. Words are repeated after 15 s for 10 s.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -174,7 +174,7 @@
 	self := e.self()
 	e.gossip = gossip.Table{
 		Sender: &e.peers, Self: self.Peer, Clock: e.Clock, Log: e.Log,
-		Heartbeat: e.heartbeat, Extend: e.extendHeartbeat, Forget: e.forgetPeer, OnHeartbeat: e.onHeartbeat,
+		Heartbeat: e.heartbeat, Extend: e.extendHeartbeat, Unsent: e.onUnsent, Forget: e.forgetPeer, OnHeartbeat: e.onHeartbeat,
 	}
 	e.gossip.AddAddresses(s.Seeds)
 	e.watcher = watch.Watcher{
--- a/edge/state.go
+++ b/edge/state.go
@@ -129,6 +129,13 @@
 	h.Requests, h.RequestSum = e.requests.spread.News(peer)
 }
 
+// onUnsent handles a heartbeat that a peer has not received.
+func (e *Edge) onUnsent(peer string) {
+	e.notices.Unsent(peer)
+	e.tainted.spread.Unsent(peer)
+	e.requests.spread.Unsent(peer)
+}
+
 // forgetPeer forgets what a peer was told.
 func (e *Edge) forgetPeer(peer string) {
 	e.notices.ForgetPeer(peer)
--- a/gossip/crash_test.go
+++ b/gossip/crash_test.go
@@ -77,6 +77,7 @@
 				h.Tainted, h.TaintSum = tainted.News(peer)
 				h.Requests, h.RequestSum = requests.News(peer)
 			}
+			g.Unsent = func(peer string) { notices[i].Unsent(peer); tainted.Unsent(peer); requests.Unsent(peer) }
 			g.Forget = func(peer string) { notices[i].ForgetPeer(peer); tainted.Forget(peer); requests.Forget(peer) }
 			g.OnHeartbeat = func(h gossip.Heartbeat) {
 				tainted.Handle(h.Instance.Peer, h.Tainted, h.TaintSum)
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -107,10 +107,10 @@
 	// Heartbeat returns the heartbeat to send; the table sets its Seq.
 	Heartbeat func() Heartbeat
 	// Extend, if not nil, adds what the peer at an address needs to know to a heartbeat.
-	// Forget, if not nil, is called when the peer may lack what earlier ones had: one
-	// couldn't be sent, the peer has restarted or was removed.
-	Extend func(addr string, h *Heartbeat)
-	Forget func(addr string)
+	// Unsent, if not nil, is called if that heartbeat couldn't be sent, and Forget if the
+	// peer has restarted or was removed.
+	Extend         func(addr string, h *Heartbeat)
+	Unsent, Forget func(addr string)
 	// OnHeartbeat, if not nil, is called after each heartbeat that was not
 	// ignored.
 	OnHeartbeat func(Heartbeat)
@@ -390,7 +390,9 @@
 		pause := t.sendGap()
 		if err != nil {
 			pause = retryPause
-			t.forget(p.addr)
+			if t.Unsent != nil {
+				t.Unsent(p.addr)
+			}
 		}
 		t.checkLiveness(p)
 		if t.Clock.Sleep(ctx, pause) != nil {
--- a/notice/table_test.go
+++ b/notice/table_test.go
@@ -387,3 +387,43 @@
 		}
 	}
 }
+
+// TestWordsAreToldOnce checks when a peer is told that a replica leaves: once, in parts of a
+// message's size, again if it may not know of it, and once more after a while.
+func TestWordsAreToldOnce(t *testing.T) {
+	is := is.New(t)
+	m := &clock.Manual{}
+	const (
+		count = 50
+		most  = 32 // words in one message
+	)
+	c := clock.Clock{Manual: m}
+	from, to := &notice.Table{Self: "a", Clock: c}, &notice.Table{Self: "b", Clock: c}
+	var list []core.Replica
+	for i := range count {
+		list = append(list, core.Replica{Upstream: core.Upstream{Name: fmt.Sprint("i-", i)}, Incarnation: 1})
+	}
+	from.Apply(list)
+	to.Apply(list)
+	for _, r := range list {
+		from.OnNotice(r.Upstream, core.ReplicaNotice{Sent: c.Now(), Leaving: true})
+	}
+	tell := func() int {
+		words := from.WordsFor("b", true)
+		to.HandleWords(words)
+		return len(words)
+	}
+	is.Equal(tell(), most)
+	from.Unsent("b")
+	is.Equal(tell(), most)
+	is.Equal(tell(), count-most)
+	is.Equal(tell(), 0)
+	for _, r := range list {
+		is.True(to.Status(r.Name).Leaving)
+	}
+	from.ForgetPeer("b")
+	is.Equal(tell()+tell(), count)
+	is.Equal(tell(), 0)
+	m.Advance(15 * clock.Second)
+	is.Equal(tell()+tell(), count)
+}
--- a/notice/words.go
+++ b/notice/words.go
@@ -66,6 +66,7 @@
 		if !known || now-p.all >= retellTime {
 			p = toldPeer{all: now}
 		}
+		p.before = p.last
 		list := t.learnedAfter(p.last, forward)
 		for _, w := range list[:min(len(list), maxWords)] {
 			words, p.last = append(words, w.Word), w.learned
@@ -75,18 +76,26 @@
 	return words
 }
 
+// Unsent has the peer told again what the last [Table.WordsFor] returned.
+func (t *Table) Unsent(peer string) {
+	t.told.Update(peer, func(p toldPeer, known bool) (toldPeer, bool) {
+		p.last = p.before
+		return p, known
+	})
+}
+
 // ForgetPeer has the peer told everything once more.
 func (t *Table) ForgetPeer(peer string) { t.told.Delete(peer) }
 
 // retellTime is the time after which a peer is told everything once more: it may have
 // missed a message.
-const retellTime = 10 * clock.Second
+const retellTime = 15 * clock.Second
 
-// toldPeer is what a peer was told: the words up to the number last. all is the instant at
-// which it was last told everything.
+// toldPeer is what a peer was told: the words up to the number last, or up to before until
+// the last message. all is the instant at which it was last told everything.
 type toldPeer struct {
-	last uint64
-	all  clock.Millis
+	last, before uint64
+	all          clock.Millis
 }
 
 // learnedWord is a word with its number in the order in which this entry learned them.
@@ -99,6 +108,8 @@
 // their order.
 func (t *Table) learnedAfter(number uint64, forward bool) []learnedWord {
 	now := t.Clock.Now()
+	// A word with a higher number may be found before one with a lower number is stored.
+	newest := t.learned.Load()
 	var words []learnedWord
 	t.states.Each(func(name string, s state) bool {
 		w := Word{Replica: name, Incarnation: s.incarnation, Source: t.Self}
@@ -112,7 +123,7 @@
 		default:
 			return true
 		}
-		if s.learned > number {
+		if s.learned > number && s.learned <= newest {
 			words = append(words, learnedWord{w, s.learned})
 		}
 		return true
--- a/taint/peers.go
+++ b/taint/peers.go
@@ -23,8 +23,9 @@
 
 // told is what a peer has been told.
 type told struct {
-	// change is the last change of the table that the peer knows of.
-	change uint64
+	// change is the last change of the table that the peer knows of, and before what it was
+	// before the last message.
+	change, before uint64
 	// at is the instant at which it was told everything.
 	at clock.Millis
 }
@@ -56,7 +57,7 @@
 		if !known {
 			t.at = s.Clock.Now()
 		}
-		t.change = changes
+		t.before, t.change = t.change, changes
 		return t, true
 	})
 	return s.Table.changedSince(since, peer), s.Table.Sum()
@@ -79,5 +80,13 @@
 	})
 }
 
+// Unsent has the peer told again what the last [Spread.News] had.
+func (s *Spread) Unsent(peer string) {
+	s.peers.Update(peer, func(t told, known bool) (told, bool) {
+		t.change = t.before
+		return t, known
+	})
+}
+
 // Forget has the peer told everything once more.
 func (s *Spread) Forget(peer string) { s.peers.Delete(peer) }
