hconn, platform: a request that was given up isn't delivered any more

The entry had sent it while the replica was dark and closed the connection when the caller left; the kernel went on sending what wasn't acknowledged until the replica was back. A request whose packet was lost may reach its replica after its caller has left in the same way (GONE).

A connection on which the request or the response isn't complete is reset (SO_LINGER 0) instead of closed, so that the kernel drops what it still holds. Connections whose exchange has ended are closed as before. The other front end uses net/http's client, which closes; it is left.

--- a/hconn/conn.go
+++ b/hconn/conn.go
@@ -156,22 +156,32 @@
 	return err == nil && empty
 }
 
-// CloseWhenDone closes the connection once ctx is done. The returned function
+// Abort closes the connection and drops what the server hasn't received. After [Conn.Close]
+// the kernel goes on sending it, so that a request that was given up may run seconds later.
+func (c *Conn) Abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// An error means that the connection is closed.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// CloseWhenDone aborts the connection once ctx is done. The returned function
 // cancels this and reports whether the connection has been left open.
 func (c *Conn) CloseWhenDone(ctx context.Context) (cancel func() bool) {
-	return context.AfterFunc(ctx, func() { _ = c.Close() })
+	return context.AfterFunc(ctx, c.Abort)
 }
 
-// CloseAtDeadline closes the connection at the deadline of ctx, if it has one, or once
+// CloseAtDeadline aborts the connection at the deadline of ctx, if it has one, or once
 // [core.Ended] is. The returned function cancels this and reports whether the connection
 // has been left open.
 func (c *Conn) CloseAtDeadline(ctx context.Context) (cancel func() bool) {
-	stop := context.AfterFunc(core.Ended(ctx), func() { _ = c.Close() })
+	stop := context.AfterFunc(core.Ended(ctx), c.Abort)
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return stop
 	}
-	timer := time.AfterFunc(time.Until(deadline), func() { _ = c.Close() })
+	timer := time.AfterFunc(time.Until(deadline), c.Abort)
 	return func() bool { return timer.Stop() && stop() }
 }
 
