--- a/edge/left_test.go
+++ b/edge/left_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -20,12 +18,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := newSite(t)
-			var late atomic.Bool
-			s.wrapCallers = func(ln net.Listener) net.Listener { return lateListener{ln, &late} }
-			r := s.startReady()
-			late.Store(true)
-			// An Accept that has begun before takes one more connection.
-			is.NoErr(r.dial(t).Close())
+			r, late := s.startLate()
 			for i := range callers {
 				c := r.dial(t)
 				write(t, c, fmt.Sprintf("left-%d", i), path)
--- a/edge/queued_test.go
+++ b/edge/queued_test.go
@@ -58,18 +58,25 @@
 	is.Equal(a.status, http.StatusOK)
 }
 
+// startLate starts an entry that, once it is ready, accepts no connection while late is set.
+func (s *site) startLate() (r *runningEntry, late *atomic.Bool) {
+	s.t.Helper()
+	late = new(atomic.Bool)
+	s.wrapCallers = func(ln net.Listener) net.Listener { return lateListener{ln, late} }
+	r = s.startReady()
+	late.Store(true)
+	// An Accept that has begun before takes one more connection.
+	is.New(s.t).NoErr(r.dial(s.t).Close())
+	return r, late
+}
+
 // TestQueuedTimeIsLogged checks that the line of a request tells how long it lay in the
 // kernel before the entry read it.
 func TestQueuedTimeIsLogged(t *testing.T) {
 	is := is.New(t)
 	const late = 300 * time.Millisecond
 	s := newSite(t)
-	var stalled atomic.Bool
-	s.wrapCallers = func(ln net.Listener) net.Listener { return lateListener{ln, &stalled} }
-	r := s.startReady()
-	stalled.Store(true)
-	// An Accept that has begun before takes one more connection.
-	is.NoErr(r.dial(t).Close())
+	r, stalled := s.startLate()
 	conn := r.dial(t)
 	write(t, conn, "queued", "/safe/a")
 	time.Sleep(late)
@@ -87,12 +94,7 @@
 	is := is.New(t)
 	const late = 400 * time.Millisecond
 	s := newSite(t)
-	var stalled atomic.Bool
-	s.wrapCallers = func(ln net.Listener) net.Listener { return lateListener{ln, &stalled} }
-	r := s.startReady()
-	stalled.Store(true)
-	// An Accept that has begun before takes one more connection.
-	is.NoErr(r.dial(t).Close())
+	r, stalled := s.startLate()
 	conn, hopeless := r.dial(t), r.dial(t)
 	write(t, conn, "queued", "/once/a")
 	writeWithin(t, hopeless, "hopeless", "/once/a", late/2)
