notice: one way to tell words

Words was left for a test only, once peers were told by WordsFor. The test passes its word around the ring by WordsFor, with the same assertions.

--- a/notice/table_test.go
+++ b/notice/table_test.go
@@ -264,7 +264,7 @@
 	ring[0].OnNotice(up("d-0"), core.ReplicaNotice{Sent: m.Now(), Leaving: true})
 	pass := func(delay clock.Millis) {
 		for i, table := range ring {
-			words := table.Words(true)
+			words := table.WordsFor("next", true)
 			m.Advance(delay)
 			ring[(i+1)%len(ring)].HandleWords(words)
 		}
--- a/notice/words.go
+++ b/notice/words.go
@@ -47,18 +47,9 @@
 // outlasts its validity, so that the same word isn't taken for a new one.
 func (h *heard) retained(now clock.Millis) bool { return h.source != "" && now-h.at < 2*wordLife }
 
-// Words returns the newest words of this entry, and with forward also those of other
-// entries, for peers that these don't send to.
-func (t *Table) Words(forward bool) []Word {
-	var words []Word
-	for _, w := range t.learnedAfter(0, forward) {
-		words = append(words, w.Word)
-	}
-	return newestWords(words)
-}
-
 // WordsFor returns the next words for a peer: those that were learned since the last ones,
-// the first ones first, and once in retellTime all.
+// the first ones first, and once in retellTime all. They are this entry's own, and with
+// forward also those of other entries, for peers that these don't send to.
 func (t *Table) WordsFor(peer string, forward bool) []Word {
 	now := t.Clock.Now()
 	var words []Word
