--- a/taint/peers.go
+++ b/taint/peers.go
@@ -69,14 +69,17 @@
 	if s.Table.mergeFrom(peer, list) {
 		s.Announce()
 	}
-	own := s.Table.Sum()
-	if sum == own {
+	if sum == s.Table.Sum() {
 		return
 	}
 	now := s.Clock.Now()
 	settled := now-clock.Millis(s.changedAt.Load()) >= settleTime
 	s.peers.Update(peer, func(t told, known bool) (told, bool) {
-		return t, known && now-t.at < retellTime && (sum != 0 || now-t.at < emptyRetellTime) || known && sum != 0 && !settled
+		due := settled && now-t.at >= retellTime
+		if sum == 0 {
+			due = now-t.at >= emptyRetellTime
+		}
+		return t, known && !due
 	})
 }
 
