--- a/sock/sock.go
+++ b/sock/sock.go
@@ -109,8 +109,8 @@
 
 // PeerClosed reports whether this host has received the end of what the peer of c sends, or
 // a reset, even if bytes before it are unread. It asks the kernel and doesn't block, and
-// returns false if the kernel doesn't tell. A peer that has closed only its sending side
-// can't be told from one that has left.
+// returns false if the kernel doesn't tell. It is true for a connection that was closed here.
+// A peer that has closed only its sending side can't be told from one that has left.
 func PeerClosed(c syscall.Conn) bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
--- a/sock/sock_test.go
+++ b/sock/sock_test.go
@@ -94,19 +94,27 @@
 	}
 }
 
-// TestCallersMayPause checks that the kernel closes a caller's connection later than
-// package hserv, which waits 5 s for a caller that doesn't read.
-func TestCallersMayPause(t *testing.T) {
+// callerPair returns both ends of a connection of a caller.
+func callerPair(t *testing.T) (dialed, accepted *net.TCPConn) {
+	t.Helper()
 	is := is.New(t)
 	ln, err := sock.ListenCallers(t.Context(), "127.0.0.1:0")
 	is.NoErr(err)
 	defer ln.Close()
-	dialed, err := net.Dial("tcp", ln.Addr().String())
+	c, err := net.Dial("tcp", ln.Addr().String())
 	is.NoErr(err)
-	defer dialed.Close()
-	c, err := ln.Accept()
+	t.Cleanup(func() { _ = c.Close() })
+	a, err := ln.Accept()
 	is.NoErr(err)
-	defer c.Close()
+	t.Cleanup(func() { _ = a.Close() })
+	return c.(*net.TCPConn), a.(*net.TCPConn)
+}
+
+// TestCallersMayPause checks that the kernel closes a caller's connection later than
+// package hserv, which waits 5 s for a caller that doesn't read.
+func TestCallersMayPause(t *testing.T) {
+	is := is.New(t)
+	_, c := callerPair(t)
 	unacked := clock.Millis(option(t, c, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT))
 	is.True(unacked > 5*clock.Second && unacked <= 7*clock.Second)
 	is.True(option(t, c, unix.SOL_SOCKET, unix.SO_KEEPALIVE) != 0)
@@ -125,22 +133,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			ln, err := sock.ListenCallers(t.Context(), "127.0.0.1:0")
-			is.NoErr(err)
-			defer ln.Close()
-			dialed, err := net.Dial("tcp", ln.Addr().String())
+			dialed, accepted := callerPair(t)
+			_, err := dialed.Write([]byte("request"))
 			is.NoErr(err)
-			defer dialed.Close()
-			accepted, err := ln.Accept()
-			is.NoErr(err)
-			defer accepted.Close()
-			_, err = dialed.Write([]byte("request"))
-			is.NoErr(err)
-			is.True(!sock.PeerClosed(accepted.(*net.TCPConn)))
-			is.NoErr(c.end(dialed.(*net.TCPConn)))
-			is.Equal(sock.PeerClosed(accepted.(*net.TCPConn)), c.want)
+			is.True(!sock.PeerClosed(accepted))
+			is.NoErr(c.end(dialed))
+			is.Equal(sock.PeerClosed(accepted), c.want)
 			is.NoErr(accepted.Close())
-			is.True(sock.PeerClosed(accepted.(*net.TCPConn)))
+			is.True(sock.PeerClosed(accepted))
 		})
 	}
 }
@@ -148,22 +148,14 @@
 // TestSinceReceived checks the time since data was received.
 func TestSinceReceived(t *testing.T) {
 	is := is.New(t)
-	ln, err := sock.ListenCallers(t.Context(), "127.0.0.1:0")
-	is.NoErr(err)
-	defer ln.Close()
-	dialed, err := net.Dial("tcp", ln.Addr().String())
-	is.NoErr(err)
-	defer dialed.Close()
-	accepted, err := ln.Accept()
-	is.NoErr(err)
-	defer accepted.Close()
+	dialed, accepted := callerPair(t)
 	const pause = 60 * time.Millisecond
 	begun := time.Now()
-	_, err = dialed.Write([]byte("request"))
+	_, err := dialed.Write([]byte("request"))
 	is.NoErr(err)
 	time.Sleep(pause)
-	got := sock.SinceReceived(accepted.(*net.TCPConn)).Duration()
+	got := sock.SinceReceived(accepted).Duration()
 	is.True(got >= pause-20*time.Millisecond && got <= time.Since(begun)+20*time.Millisecond)
 	is.NoErr(accepted.Close())
-	is.Equal(sock.SinceReceived(accepted.(*net.TCPConn)), clock.Millis(0))
+	is.Equal(sock.SinceReceived(accepted), clock.Millis(0))
 }
