platform, relay: a request's caller is asked for once before it runs

Ingress asked the kernel, dropped the answer, and relay.Run asked it again. Run now takes the context that Ingress has ended.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -200,13 +200,13 @@
 	desk  alloc.Desk
 }
 
-// Run executes one request and passes its answer to sink. If ctx is cancelled with a
+// Run executes one request and passes its answer to sink. Nothing is sent if ctx has ended. If ctx is cancelled with a
 // [codes.Error] as its cause, the request ends with this code.
 func (r *Relay) Run(ctx context.Context, req *core.Request, sink Sink) error {
 	x := &exchange{relay: r, request: req, opaque: req.Opaque, sink: sink, log: r.logger()}
 	ctx, cancel := context.WithTimeout(ctx, (req.Deadline - r.Clock.Now()).Duration())
 	defer cancel()
-	if err := core.CheckCaller(ctx); err != nil {
+	if err := ctx.Err(); err != nil {
 		return x.finish(x.finalError(ctx, err))
 	}
 	if err := x.checkQuarantine(ctx); err != nil {
