access, core, platform, edge: callers are identified by the keys of their workspaces

The manifest's workspaces were ignored: each request ran, whatever key it had, and the key was passed on to the replica. Each request's key is now looked up in the manifest in force, by its digest. Without a valid key a request is answered 401, but for public routes; the replica gets the workspace's name in place of the key. A manifest whose keys are ambiguous, or whose limits can't be read, is rejected as a whole. The slots of replicas and the costs of requests are decoded, for limits and shared placement.

--- a/check/document_test.go
+++ b/check/document_test.go
@@ -6,10 +6,10 @@
 
 	"github.com/matryer/is"
 
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/check"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
-	"lacewinghook.example/lacewinghook/pubdoc"
 	"lacewinghook.example/lacewinghook/trial"
 )
 
@@ -25,7 +25,7 @@
 	doc.Profiles[0].Timeout = -1
 	doc.Profiles[1].Name = doc.Profiles[0].Name
 	doc.Workspaces[0].Profile = "unknown"
-	doc.Workspaces[0].Keys = []string{"not a digest", pubdoc.Digest("a"), pubdoc.Digest("a")}
+	doc.Workspaces[0].Keys = []string{"not a digest", access.Digest("a"), access.Digest("a")}
 	host := engine
 	host.Addr = "engine.example:80"
 	role := engine
--- a/cmd/lacefake/files.go
+++ b/cmd/lacefake/files.go
@@ -8,9 +8,9 @@
 	"os"
 	"path/filepath"
 
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
-	"lacewinghook.example/lacewinghook/pubdoc"
 	"lacewinghook.example/lacewinghook/trial"
 )
 
@@ -123,7 +123,7 @@
 		Operators: config.Listener{Listen: l.addr(port + 1)},
 		Peers:     config.Listener{Listen: l.addr(port + 2)},
 		Platform:  config.Platform{Base: "http://" + l.addr(platformPort)},
-		Tokens:    []string{pubdoc.Digest(trial.OperatorToken)},
+		Tokens:    []string{access.Digest(trial.OperatorToken)},
 		ResumeKey: filepath.Join(dir, resumeKeyFile),
 	}
 }
--- a/cmd/lacewinghook/process_test.go
+++ b/cmd/lacewinghook/process_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/fake"
@@ -122,7 +123,7 @@
 	publisher := &pubdoc.Publisher{Table: &store.Client{Base: p.PlatformURL()}}
 	doc, err := publisher.Current(ctx)
 	is.NoErr(err)
-	doc.Workspaces = []core.Workspace{{Name: trial.Workspace, Profile: "exact", Keys: []string{pubdoc.Digest("another key")}}}
+	doc.Workspaces = []core.Workspace{{Name: trial.Workspace, Profile: "exact", Keys: []string{access.Digest("another key")}}}
 	_, err = publisher.Publish(ctx, pubdoc.PublishRequest{Expected: doc.Version, Doc: *doc})
 	is.NoErr(err)
 	is.NoErr(trial.WaitUntil(ctx, func() bool { return callLookup(ctx, p.Client(1)) != nil }))
--- a/core/opaque.go
+++ b/core/opaque.go
@@ -22,8 +22,14 @@
 	// Parts are the IDs of the parts of the prompt that other requests may share, in
 	// order and each once.
 	Parts []uint64
-	// PromptTokens is the length of the prompt as counted by the caller.
+	// PromptTokens is the length of the prompt as counted by the caller. Counted is set
+	// if the caller has stated the numbers of tokens.
 	PromptTokens int
+	Counted      bool
+	// Key is the caller's API key. Keyed means that the manifest has workspaces, so that
+	// the key is not sent to upstreams.
+	Key   string
+	Keyed bool
 	// OutputHint is the caller's estimate of the answer's length in tokens;
 	// zero means none. Its median is right, but single values are often far
 	// off.
--- a/core/request.go
+++ b/core/request.go
@@ -14,7 +14,12 @@
 	ID        ID
 	Workspace string
 	// Weight is the fair-share weight of the workspace.
-	Weight    int
+	Weight int
+	// Limit is the limit of the workspace, and Cost what the request uses of it.
+	Limit Limit
+	Cost  float64
+	// Profile holds the priority that is in force for the request, that of the workspace
+	// if it has one.
 	Profile   Profile
 	Model     string
 	Prompt    string
--- a/core/routing.go
+++ b/core/routing.go
@@ -25,6 +25,8 @@
 	Resumable bool
 	// Generates means that the requests are completions, which have a prompt.
 	Generates bool
+	// Public means that callers need no API key.
+	Public bool
 	// Profile holds the latency targets, the timeout and the retries.
 	Profile Profile
 	// Shares lists the services that receive the requests, at least one.
@@ -100,6 +102,9 @@
 	Routes   []HostRoute
 	Services []ServiceSpec
 	Limits   InputLimits
+	// Accounts are the workspaces. If there are any, callers need the key of one, but
+	// for public routes.
+	Accounts []Account
 }
 
 // Service returns the service with the given name.
@@ -141,6 +146,9 @@
 	Upstream
 	// Leaving means that the replica accepts no new work.
 	Leaving bool
+	// Slots is the number of requests that the replica works on at once; zero means
+	// that it is not known.
+	Slots int `json:",omitempty"`
 	// Incarnation identifies this run of the replica. It can't be compared
 	// with times of this process.
 	Incarnation int64 `json:"Born"`
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
@@ -52,13 +53,18 @@
 	e := c.edge
 	o := r.Opaque
 	path, _, _ := strings.Cut(o.Target, "?")
-	route, version, err := e.routes.Match(o.Host, path)
+	match, err := e.routes.Match(o.Host, path)
 	if err != nil {
 		return err
 	}
-	o.Route, o.Version = route, version
+	route := match.Route
+	o.Route, o.Version = route, match.Version
 	o.Service = route.Service(rand.Uint64())
 	r.Profile = route.Profile
+	if err := identify(r, match.Accounts); err != nil {
+		e.meter.Add("requests_unauthorized_total", 1)
+		return err
+	}
 	latest := r.Arrived - r.Queued + cmp.Or(route.Profile.Timeout, defaultTimeout)
 	if r.Deadline == 0 || r.Deadline > latest {
 		r.Deadline = latest
@@ -69,5 +75,28 @@
 	return e.checkFinishes(r, true)
 }
 
+// identify sets the workspace of a request, its priority and its limit. A request on a
+// public route needs no key.
+func identify(r *core.Request, accounts *access.Table) error {
+	o := r.Opaque
+	o.Keyed = accounts.Required()
+	if !o.Keyed {
+		return nil
+	}
+	a, err := accounts.Authenticate(o.Key)
+	if err != nil {
+		if o.Route.Public {
+			return nil
+		}
+		return codes.Wrap(codes.Unauthorized, err, "request %s, manifest %d", o.ID, o.Version)
+	}
+	r.Workspace, r.Limit = a.Name, a.Limit
+	r.Cost = a.Limit.Cost(o.PromptTokens+r.MaxTokens, o.Counted)
+	if a.Priority != nil {
+		r.Profile.Priority = *a.Priority
+	}
+	return nil
+}
+
 // defaultTimeout applies to routes that set no timeout.
 const defaultTimeout = 30 * clock.Second
--- a/entry/failedpart_test.go
+++ b/entry/failedpart_test.go
@@ -11,10 +11,10 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/entry"
-	"lacewinghook.example/lacewinghook/pubdoc"
 	"lacewinghook.example/lacewinghook/trial"
 )
 
@@ -40,7 +40,7 @@
 func newEntry(t *testing.T, set *trial.Cluster) *entry.Entry {
 	t.Helper()
 	e := &entry.Entry{Log: zap.NewNop(), ResumeKey: trial.ResumeKey, Linger: 500, Settings: &config.Settings{
-		Instance: "moose-jaw-9", Centre: trial.Centre, Platform: config.Platform{Base: set.PlatformURL}, Tokens: []string{pubdoc.Digest(trial.OperatorToken)},
+		Instance: "moose-jaw-9", Centre: trial.Centre, Platform: config.Platform{Base: set.PlatformURL}, Tokens: []string{access.Digest(trial.OperatorToken)},
 	}}
 	for _, socket := range []*net.Listener{&e.Sockets.Callers, &e.Sockets.Operators, &e.Sockets.Peers} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/entry/queued_test.go
+++ b/entry/queued_test.go
@@ -11,10 +11,10 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/entry"
-	"lacewinghook.example/lacewinghook/pubdoc"
 	"lacewinghook.example/lacewinghook/trial"
 )
 
@@ -42,7 +42,7 @@
 	is.NoErr(err)
 	t.Cleanup(set.Stop)
 	e := &entry.Entry{Log: zap.NewNop(), Linger: linger, Settings: &config.Settings{
-		Instance: "moose-jaw-9", Platform: config.Platform{Base: set.PlatformURL}, Tokens: []string{pubdoc.Digest(trial.OperatorToken)},
+		Instance: "moose-jaw-9", Platform: config.Platform{Base: set.PlatformURL}, Tokens: []string{access.Digest(trial.OperatorToken)},
 	}}
 	for _, socket := range []*net.Listener{&e.Sockets.Callers, &e.Sockets.Operators, &e.Sockets.Peers} {
 		*socket, err = net.Listen("tcp", "127.0.0.1:0")
--- a/entry/secure_test.go
+++ b/entry/secure_test.go
@@ -19,13 +19,13 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/cert"
 	"lacewinghook.example/lacewinghook/client"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/entry"
 	"lacewinghook.example/lacewinghook/member"
-	"lacewinghook.example/lacewinghook/pubdoc"
 	"lacewinghook.example/lacewinghook/trial"
 	"lacewinghook.example/lacewinghook/wire"
 )
@@ -89,7 +89,7 @@
 	t.Cleanup(set.Stop)
 	e := &entry.Entry{Log: zap.NewNop(), Linger: 1, Settings: &config.Settings{
 		Instance: "moose-jaw-9", Callers: l, Operators: l, Platform: config.Platform{Base: set.PlatformURL},
-		Tokens: []string{pubdoc.Digest(trial.OperatorToken)},
+		Tokens: []string{access.Digest(trial.OperatorToken)},
 	}}
 	var addrs []string
 	for _, socket := range []*net.Listener{&e.Sockets.Callers, &e.Sockets.Operators, &e.Sockets.Peers} {
--- a/flow/resume_test.go
+++ b/flow/resume_test.go
@@ -6,10 +6,10 @@
 
 	"github.com/matryer/is"
 
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/fake"
-	"lacewinghook.example/lacewinghook/pubdoc"
 	"lacewinghook.example/lacewinghook/trial"
 )
 
@@ -19,7 +19,7 @@
 		Entries: 3, Prefills: 1, Decodes: decodes, Speed: fake.Speed{StepTime: 20, PrefillRate: 100},
 		EditDocument: func(d *core.Document) {
 			d.Workspaces = append(d.Workspaces, core.Workspace{
-				Name: "other", Profile: "exact", Keys: []string{pubdoc.Digest("other-key")},
+				Name: "other", Profile: "exact", Keys: []string{access.Digest("other-key")},
 			})
 		},
 	})
--- a/front/gate_test.go
+++ b/front/gate_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/pubdoc"
 )
@@ -30,7 +31,7 @@
 	return &core.Document{
 		Version:    version,
 		Profiles:   []core.Profile{{Name: "exact"}},
-		Workspaces: []core.Workspace{{Name: "verse-writers", Profile: "exact", Keys: []string{pubdoc.Digest(key)}}},
+		Workspaces: []core.Workspace{{Name: "verse-writers", Profile: "exact", Keys: []string{access.Digest(key)}}},
 		Upstreams:  []core.Upstream{{Name: "decode-1", Models: []string{"verse"}}},
 		Routes:     []core.Route{{Service: "card-desk", Prefix: "/", Repeatable: true}},
 	}
--- a/load/runner.go
+++ b/load/runner.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/chart"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
@@ -15,7 +16,6 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/cost"
 	"lacewinghook.example/lacewinghook/fake"
-	"lacewinghook.example/lacewinghook/pubdoc"
 	"lacewinghook.example/lacewinghook/trial"
 )
 
@@ -121,7 +121,7 @@
 		}
 		added[class.Workspace] = true
 		doc.Workspaces = append(doc.Workspaces, core.Workspace{
-			Name: class.Workspace, Profile: doc.Profiles[0].Name, Keys: []string{pubdoc.Digest(apiKey(class.Workspace))},
+			Name: class.Workspace, Profile: doc.Profiles[0].Name, Keys: []string{access.Digest(apiKey(class.Workspace))},
 		})
 	}
 }
--- a/pubdoc/large_test.go
+++ b/pubdoc/large_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/pubdoc"
 	"lacewinghook.example/lacewinghook/trial"
@@ -19,7 +20,7 @@
 	for i := range 990 {
 		w := core.Workspace{Name: fmt.Sprintf("workspace-%d", i), Profile: "exact"}
 		for j := range 2 {
-			w.Keys = append(w.Keys, pubdoc.Digest(fmt.Sprint(i, j)))
+			w.Keys = append(w.Keys, access.Digest(fmt.Sprint(i, j)))
 		}
 		doc.Workspaces = append(doc.Workspaces, w)
 	}
--- a/pubdoc/promise_test.go
+++ b/pubdoc/promise_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
@@ -191,7 +192,7 @@
 	t.Helper()
 	pub := &pubdoc.Publisher{Table: &store.Client{Base: set.PlatformURL}}
 	doc := set.Doc
-	doc.Workspaces = []core.Workspace{{Name: trial.Workspace, Profile: "exact", Keys: []string{pubdoc.Digest(key)}}}
+	doc.Workspaces = []core.Workspace{{Name: trial.Workspace, Profile: "exact", Keys: []string{access.Digest(key)}}}
 	now, err := pub.Current(ctx)
 	is.New(t).NoErr(err)
 	_, err = pub.Publish(ctx, pubdoc.PublishRequest{Expected: now.Version, Doc: doc})
--- a/pubdoc/view.go
+++ b/pubdoc/view.go
@@ -1,9 +1,7 @@
 package pubdoc
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/core"
 )
 
@@ -42,17 +40,10 @@
 	return v
 }
 
-// Digest returns the stored form of keys and tokens: the SHA-256 digest in
-// hexadecimal.
-func Digest(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 // Workspace returns the workspace that the key belongs to. The lookup uses the
 // key's digest, so that its timing reveals nothing about the key.
 func (v *View) Workspace(key string) (core.Workspace, bool) {
-	w, ok := v.workspaces[Digest(key)]
+	w, ok := v.workspaces[access.Digest(key)]
 	return w, ok
 }
 
--- a/trial/cluster.go
+++ b/trial/cluster.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
@@ -178,7 +179,7 @@
 			{Name: "prompt", FirstToken: clock.Second, PerToken: 50, Timeout: clock.Minute, Retries: 1},
 		},
 		Workspaces: []core.Workspace{
-			{Name: Workspace, Profile: "exact", Keys: []string{pubdoc.Digest(CallerKey)}},
+			{Name: Workspace, Profile: "exact", Keys: []string{access.Digest(CallerKey)}},
 		},
 		Routes: []core.Route{
 			{Service: Service, Prefix: "/", Methods: []string{http.MethodGet}, Repeatable: true, Timeout: 5 * clock.Second},
@@ -291,7 +292,7 @@
 // has proxies.
 func prepareEntry(name string, p Plan) (*Node, error) {
 	settings := &config.Settings{
-		Instance: name, Centre: Centre, Policy: p.Policy, Tokens: []string{pubdoc.Digest(OperatorToken)},
+		Instance: name, Centre: Centre, Policy: p.Policy, Tokens: []string{access.Digest(OperatorToken)},
 	}
 	e := &entry.Entry{ResumeKey: ResumeKey, Settings: settings, Log: p.Log, Linger: p.Linger, AddressTTL: p.AddressTTL}
 	for _, socket := range []*net.Listener{&e.Sockets.Callers, &e.Sockets.Operators, &e.Sockets.Peers} {
--- a/vhost/doc.go
+++ b/vhost/doc.go
@@ -8,5 +8,5 @@
 //
 //	var t vhost.Table
 //	t.Apply(manifest)
-//	route, version, err := t.Match("verse.example", "/lohu930/2f")
+//	match, err := t.Match("verse.example", "/lohu930/2f")
 package vhost
--- a/vhost/table.go
+++ b/vhost/table.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 
+	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 )
@@ -24,17 +25,24 @@
 	manifest *core.Manifest
 	// hosts maps each normalized host to its routes, longest prefix first.
 	hosts map[string][]core.HostRoute
+	// accounts finds the workspaces of callers.
+	accounts *access.Table
 }
 
 // Apply replaces the routes if the version of m is higher than the current one,
-// and reports whether it did. The caller must not modify m afterwards.
+// and reports whether it did. Accounts whose keys are ambiguous are not applied. The
+// caller must not modify m afterwards.
 func (t *Table) Apply(m *core.Manifest) bool {
 	t.applyMu.Lock()
 	defer t.applyMu.Unlock()
 	if old := t.index.Load(); old != nil && m.Version <= old.manifest.Version {
 		return false
 	}
-	idx := &routeIndex{manifest: m, hosts: make(map[string][]core.HostRoute)}
+	accounts, err := access.NewTable(m.Accounts)
+	if err != nil {
+		return false
+	}
+	idx := &routeIndex{manifest: m, hosts: make(map[string][]core.HostRoute), accounts: accounts}
 	for _, r := range m.Routes {
 		host := normalizeHost(r.Host)
 		idx.hosts[host] = append(idx.hosts[host], r)
@@ -64,19 +72,27 @@
 	return 0
 }
 
+// Match is the result of [Table.Match].
+type Match struct {
+	Route core.HostRoute
+	// Version is the version of the manifest, and Accounts are its workspaces.
+	Version  int64
+	Accounts *access.Table
+}
+
 // Match returns the route with the longest prefix that matches the host and
-// path, and the version of the manifest. The host may include a port.
-func (t *Table) Match(host, path string) (core.HostRoute, int64, error) {
+// path. The host may include a port.
+func (t *Table) Match(host, path string) (Match, error) {
 	idx := t.index.Load()
 	if idx == nil {
-		return core.HostRoute{}, 0, codes.New(codes.NoDocument, "no manifest has been read yet")
+		return Match{}, codes.New(codes.NoDocument, "no manifest has been read yet")
 	}
 	for _, r := range idx.hosts[normalizeHost(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
-			return r, idx.manifest.Version, nil
+			return Match{Route: r, Version: idx.manifest.Version, Accounts: idx.accounts}, nil
 		}
 	}
-	return core.HostRoute{}, idx.manifest.Version, codes.New(codes.UnknownService, "host %q, path %q, manifest %d", host, path, idx.manifest.Version)
+	return Match{Version: idx.manifest.Version}, codes.New(codes.UnknownService, "host %q, path %q, manifest %d", host, path, idx.manifest.Version)
 }
 
 // normalizeHost returns the host in lower case, without a port and a trailing
--- a/vhost/table_test.go
+++ b/vhost/table_test.go
@@ -19,7 +19,7 @@
 func TestMatch(t *testing.T) {
 	var table vhost.Table
 	is := is.New(t)
-	_, _, err := table.Match("a.example", "/x/")
+	_, err := table.Match("a.example", "/x/")
 	is.True(codes.Has(err, codes.NoDocument))
 	table.Apply(manifest(3,
 		core.HostRoute{Name: "short", Host: "a.example", Prefix: "/x/"},
@@ -38,9 +38,9 @@
 		{"c.example", "/x/", ""},
 		{"", "", ""},
 	} {
-		r, version, err := table.Match(c.host, c.path)
-		is.Equal(version, int64(3))
-		is.Equal(r.Name, c.want)
+		m, err := table.Match(c.host, c.path)
+		is.Equal(m.Version, int64(3))
+		is.Equal(m.Route.Name, c.want)
 		is.Equal(err != nil, c.want == "")
 		is.True(err == nil || codes.Has(err, codes.UnknownService))
 	}
