quota, wire, edge, config: limits of workspaces hold over all entries

Limits were parsed but not applied, so that a workspace could use any share of the upstreams. Each workspace now has an owner among the listed entries with a token bucket; the others ask it before they run a request, or use a lease of 500 ms while the bucket is at least half full. Tokens of requests that did not run and of ended leases go back. An entry that reaches no owner admits from a share that fits into the tolerance beside an owner that goes on granting.

Ruled out: an equal share for each entry, which refuses callers whose requests arrive at few entries; a successor that grants while the owner is merely silent, which doubles the rate when the network is cut.

--- a/config/fleet.go
+++ b/config/fleet.go
@@ -35,6 +35,8 @@
 	Silence clock.Millis `json:"silence,omitempty"`
 	// Retries is the retry budget of all entries together.
 	Retries Retries `json:"retries"`
+	// Quota is what workspaces may use beyond their limits, over all entries together.
+	Quota Quota `json:"quota,omitzero"`
 	// Fresh means that the whole system starts for the first time, so that no
 	// previous run of an entry can have requests in flight.
 	Fresh bool `json:"fresh,omitempty"`
@@ -57,6 +59,15 @@
 	Span  Seconds `json:"span_s"`
 }
 
+// Quota is the tolerance of the limits of workspaces. In any window of the length Span, the
+// requests of a workspace may cost (rate * Span + burst) * (1 + Overshoot) + Slack; Slack
+// applies to limits that count tokens. The zero value means 8 s, 0.1 and no slack.
+type Quota struct {
+	Span      Seconds `json:"span_s"`
+	Overshoot float64 `json:"overshoot"`
+	Slack     float64 `json:"slack"`
+}
+
 // Minimum and maximum values of the fleet settings.
 const (
 	minGrace     = 2 * clock.Second
@@ -65,6 +76,10 @@
 	maxKeep      = 1 * clock.Minute
 	minSpan      = clock.Millis(100)
 	maxSpan      = 10 * clock.Minute
+	minQuotaSpan = 1 * clock.Second
+	maxQuotaSpan = 1 * clock.Minute
+	minOvershoot = 0.01
+	maxOvershoot = 1.0
 	minDrain     = clock.Millis(100)
 	maxDrain     = 1 * clock.Minute
 	minSilence   = clock.Millis(100)
@@ -106,6 +121,16 @@
 	if f.Retries.Ratio < 0 || f.Retries.Slack < 0 {
 		c.add("fleet.retries", "want numbers of zero and above")
 	}
+	if f.Quota != (Quota{}) {
+		c.requiredRange("fleet.quota.span_s", int64(f.Quota.Span.Millis()), int64(minQuotaSpan), int64(maxQuotaSpan), "ms")
+		// Leases live for a part of the overshoot and need some milliseconds.
+		if f.Quota.Overshoot < minOvershoot || f.Quota.Overshoot > maxOvershoot {
+			c.add("fleet.quota.overshoot", "want %g to %g", minOvershoot, maxOvershoot)
+		}
+		if f.Quota.Slack < 0 {
+			c.add("fleet.quota.slack", "want zero or above")
+		}
+	}
 	return c.faults
 }
 
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -22,6 +22,17 @@
 
 // Run implements [platform.Runner].
 func (c callerRunner) Run(ctx context.Context, r *core.Request, a *hserv.Writer) error {
+	taken, err := c.edge.limits.Take(ctx, r)
+	if err != nil {
+		return err
+	}
+	err = c.runTaken(ctx, r, a)
+	c.edge.returnTokens(taken, err)
+	return err
+}
+
+// runTaken runs a request that has the tokens which it costs.
+func (c callerRunner) runTaken(ctx context.Context, r *core.Request, a *hserv.Writer) error {
 	kind := durationKind(r.Opaque)
 	if r.Opaque.Route.Stream || r.Opaque.Route.Generates {
 		key := c.edge.durations.Start(kind, r.Arrived)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -29,6 +29,7 @@
 	"lacewinghook.example/lacewinghook/platform"
 	"lacewinghook.example/lacewinghook/poison"
 	"lacewinghook.example/lacewinghook/pool"
+	"lacewinghook.example/lacewinghook/quota"
 	"lacewinghook.example/lacewinghook/relay"
 	"lacewinghook.example/lacewinghook/shard"
 	"lacewinghook.example/lacewinghook/sock"
@@ -95,6 +96,8 @@
 	groups   atomic.Pointer[groups]
 	readRank atomic.Int64
 	budgets  shard.Map[string, *limit.Window]
+	// limits holds workspaces to their limits.
+	limits quota.Client
 	// inFlight tracks the requests and connections of callers.
 	inFlight flight.Tracker
 	// closer closes the connections of callers.
@@ -136,7 +139,7 @@
 			return err
 		})
 	}
-	for _, run := range []func(context.Context){e.gossip.Run, e.watcher.Run, e.placer.Run, e.tainted.Run, e.requests.Run, e.wakeQueues} {
+	for _, run := range []func(context.Context){e.gossip.Run, e.watcher.Run, e.placer.Run, e.tainted.Run, e.requests.Run, e.limits.Run, e.wakeQueues} {
 		g.Go(func() error { run(runCtx); return nil })
 	}
 	g.Go(func() error { e.Clock.Every(runCtx, deadCheckInterval, e.removeDeadEntries); return nil })
@@ -186,6 +189,7 @@
 	e.requests.init(e, &e.tainted.Table, e.store.PoisonRequests())
 	table := &announcingPool{Table: &e.pool, edge: e}
 	e.preparePlacer(table, self)
+	e.prepareQuota(self)
 	heap := float64(cmp.Or(s.Fleet.Memory, defaultMemoryMiB)<<20) * memoryShare
 	e.bodies.Max, e.partial.Max = int64(heap*bodyShare), int64(heap*partialShare)
 	e.messages.Max, e.tables.Max = int64(heap*messageShare), int64(heap*tableShare)
@@ -280,7 +284,8 @@
 			wire.MethodPlace:    wire.OnPlace(e.placer.Serve),
 			wire.MethodWork:     wire.OnWork(e.placer.HandleReport),
 			wire.MethodTrial:    wire.OnTrial(e.permitTrial),
-		}, Blocking: []wire.Method{wire.MethodPlace}}}},
+			wire.MethodQuota:    wire.OnQuota(e.limits.Serve),
+		}, Blocking: []wire.Method{wire.MethodPlace, wire.MethodQuota}}}},
 		{s.Fleet.Metrics, server{http: e.server(e.operatorPages())}},
 	}
 	var all []*server
--- /dev/null
+++ b/edge/quota.go
@@ -0,0 +1,51 @@
+package edge
+
+import (
+	"slices"
+
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/quota"
+)
+
+// prepareQuota initializes the limits of workspaces.
+func (e *Edge) prepareQuota(self core.Instance) {
+	q := e.Settings.Fleet.Quota
+	e.limits = quota.Client{
+		Self: self, Peers: &e.peers, Entries: e.quotaOwners, Table: quota.Table{Limits: e.limitOf}, Fresh: e.Settings.Fleet.Fresh,
+		Policy: quota.Policy{Span: q.Span.Millis(), Overshoot: q.Overshoot, Slack: q.Slack},
+		Clock:  e.Clock, Meter: &e.meter, Log: e.Log,
+	}
+}
+
+// quotaOwners returns the entries that may own workspaces: the listed ones. A list of those
+// that are live would differ between the sides of a cut network, which then had an owner
+// each. Until this entry is listed, it knows of no owners but itself and the listed ones.
+func (e *Edge) quotaOwners() []core.Instance {
+	listed := e.gossip.Listed()
+	if slices.ContainsFunc(listed, func(in core.Instance) bool { return in.Name == e.Settings.Instance }) {
+		return listed
+	}
+	return append(slices.Clone(listed), e.self())
+}
+
+// limitOf returns the limit of a workspace by the manifest in force.
+func (e *Edge) limitOf(workspace string) (core.Limit, bool) {
+	m := e.routes.Manifest()
+	if m == nil {
+		return core.Limit{}, false
+	}
+	for i := range m.Accounts {
+		if m.Accounts[i].Name == workspace {
+			return m.Accounts[i].Limit, true
+		}
+	}
+	return core.Limit{}, false
+}
+
+// returnTokens gives back the tokens of a request whose error proves that it did not run.
+func (e *Edge) returnTokens(taken quota.Taken, err error) {
+	if err != nil && codes.From(err).Run == codes.NotRun {
+		e.limits.Return(taken)
+	}
+}
--- /dev/null
+++ b/quota/export_test.go
@@ -0,0 +1,15 @@
+package quota
+
+import "context"
+
+// ReturnUnused does what [Client.Run] does at each interval.
+func (c *Client) ReturnUnused(ctx context.Context) { c.returnUnused(ctx) }
+
+// Ranked returns the names of the owner of a workspace and of its successors.
+func (c *Client) Ranked(workspace string) []string {
+	var names []string
+	for _, in := range c.current()[0].ranked(workspace) {
+		names = append(names, in.Name)
+	}
+	return names
+}
