assign, alloc: group division and owner lookup in a shared place

The concurrency slots of plain services need the same division of replicas into groups and the same passing over of silent owners as the placement of completions. assign.Divide, GroupCount, Pick and Finder hold them now; alloc uses them. Behaviour is unchanged, and so are the tests.

--- a/alloc/client.go
+++ b/alloc/client.go
@@ -14,7 +14,6 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/notify"
 	"lacewinghook.example/lacewinghook/pool"
-	"lacewinghook.example/lacewinghook/shard"
 )
 
 // Peers calls other entries.
@@ -53,8 +52,8 @@
 	Clock    clock.Clock
 	Log      *zap.Logger
 
-	// silent holds, by name, until when an entry that didn't answer is passed over.
-	silent shard.Map[string, clock.Millis]
+	// finder finds the owners, and passes over entries that didn't answer.
+	finder assign.Finder
 	// changed wakes Run.
 	changed notify.Signal
 
@@ -287,29 +286,17 @@
 	return groups
 }
 
-// owner returns the owner of a group: the entry with the highest rendezvous hash of
-// those not passed over, or this entry if there is none.
+// owner returns the owner of a group, or this entry if all entries are passed over.
 func (c *Client) owner(entries []core.Instance, service string, group int) core.Instance {
-	now := c.Clock.Now()
-	usable := entries
-	if c.silent.Len() > 0 {
-		usable = slices.DeleteFunc(slices.Clone(entries), func(in core.Instance) bool {
-			until, ok := c.silent.Get(in.Name)
-			return ok && now < until
-		})
-	}
-	name := assign.Owner(ownerKey(service, group), usable)
-	for _, in := range usable {
-		if in.Name == name {
-			return in
-		}
+	if owner, ok := c.finder.Owner(assign.GroupKey(service, group), entries, c.Clock.Now()); ok {
+		return owner
 	}
 	return c.Self
 }
 
 // passOver passes over an entry that failed to answer for silentFor.
 func (c *Client) passOver(owner core.Instance, err error) {
-	c.silent.Set(owner.Name, c.Clock.Now()+silentFor)
+	c.finder.PassOver(owner.Name, c.Clock.Now()+silentFor)
 	c.log().Warn("alloc: an owner did not answer", zap.String("entry", owner.Name), zap.Int64("for", int64(silentFor)), zap.Error(err))
 }
 
