slots, route, wire, relay, edge: an owner grants the slots of plain services

With many entries before few slots, each entry knows only its own calls. The owner of a group of replicas now counts the calls of all entries, chooses the replica and keeps calls waiting while all slots are taken. A relay without slots, or whose owners don't answer, chooses as before.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -31,6 +31,7 @@
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/relay"
 	"lacewinghook.example/lacewinghook/shard"
+	"lacewinghook.example/lacewinghook/slots"
 	"lacewinghook.example/lacewinghook/sock"
 	"lacewinghook.example/lacewinghook/spool"
 	"lacewinghook.example/lacewinghook/vhost"
@@ -95,6 +96,11 @@
 	groups   atomic.Pointer[groups]
 	readRank atomic.Int64
 	budgets  shard.Map[string, *limit.Window]
+	// slotDesk and slots grant the calls of plain services slots, and slotGroups divides the
+	// replicas among owners.
+	slotDesk   slots.Desk
+	slots      slots.Client
+	slotGroups atomic.Pointer[slotGroups]
 	// inFlight tracks the requests and connections of callers.
 	inFlight flight.Tracker
 	// closer closes the connections of callers.
@@ -136,7 +142,7 @@
 			return err
 		})
 	}
-	for _, run := range []func(context.Context){e.gossip.Run, e.watcher.Run, e.placer.Run, e.tainted.Run, e.requests.Run, e.wakeQueues} {
+	for _, run := range []func(context.Context){e.gossip.Run, e.watcher.Run, e.placer.Run, e.slots.Run, e.slotDesk.Run, e.tainted.Run, e.requests.Run, e.wakeQueues} {
 		g.Go(func() error { run(runCtx); return nil })
 	}
 	g.Go(func() error { e.Clock.Every(runCtx, deadCheckInterval, e.removeDeadEntries); return nil })
@@ -186,11 +192,12 @@
 	e.requests.init(e, &e.tainted.Table, e.store.PoisonRequests())
 	table := &announcingPool{Table: &e.pool, edge: e}
 	e.preparePlacer(table, self)
+	e.prepareSlots(self)
 	heap := float64(cmp.Or(s.Fleet.Memory, defaultMemoryMiB)<<20) * memoryShare
 	e.bodies.Max, e.partial.Max = int64(heap*bodyShare), int64(heap*partialShare)
 	e.messages.Max, e.tables.Max = int64(heap*messageShare), int64(heap*tableShare)
 	e.relay = relay.Relay{
-		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Budget: e, Quarantine: crashDetector{e}, Finisher: e, Notices: &e.notices, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
+		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Slots: &e.slots, Budget: e, Quarantine: crashDetector{e}, Finisher: e, Notices: &e.notices, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
 		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre, MaxSilence: s.Fleet.Silence,
 		Held: &e.partial, Kept: &e.bodies,
 	}
@@ -279,8 +286,10 @@
 			wire.MethodSnapshot: wire.TypedHandler(e.serveSnapshot),
 			wire.MethodPlace:    wire.OnPlace(e.placer.Serve),
 			wire.MethodWork:     wire.OnWork(e.placer.HandleReport),
+			wire.MethodSlot:     wire.OnSlot(e.slotDesk.Serve),
+			wire.MethodEnds:     wire.OnEnds(e.slotDesk.HandleEnds),
 			wire.MethodTrial:    wire.OnTrial(e.permitTrial),
-		}, Blocking: []wire.Method{wire.MethodPlace}}}},
+		}, Blocking: []wire.Method{wire.MethodPlace, wire.MethodSlot}}}},
 		{s.Fleet.Metrics, server{http: e.server(e.operatorPages())}},
 	}
 	var all []*server
--- a/edge/state.go
+++ b/edge/state.go
@@ -56,6 +56,8 @@
 	}
 	e.pool.Apply(doc)
 	e.groups.Store(newGroups(doc.Upstreams))
+	slotGroups := newSlotGroups(fleet.Replicas)
+	e.slotGroups.Store(&slotGroups)
 	for _, r := range fleet.Replicas {
 		e.pool.Drain(r.Name, r.Leaving)
 	}
--- a/pool/observations.go
+++ b/pool/observations.go
@@ -32,8 +32,8 @@
 	return DecayingMean{Time: m.Time * f, Amount: m.Amount * f, At: now}
 }
 
-// add records work of the given amount that took the given time.
-func (m *DecayingMean) add(now, took clock.Millis, amount float64) {
+// Add records work of the given amount that took the given time.
+func (m *DecayingMean) Add(now, took clock.Millis, amount float64) {
 	*m = m.decayed(now)
 	m.Time += float64(took)
 	m.Amount += amount
--- a/pool/table.go
+++ b/pool/table.go
@@ -255,7 +255,7 @@
 // observePrefill records the duration of a prefill call.
 func (s *slot) observePrefill(now, took clock.Millis, amount float64) {
 	if took > 0 {
-		s.state.Observed.PrefillPerToken.add(now, took, amount)
+		s.state.Observed.PrefillPerToken.Add(now, took, amount)
 		s.state.Observed.updateUnqueued(took, amount)
 	}
 }
@@ -271,14 +271,14 @@
 // token.
 func (t *Table) ObserveFirstToken(name string, took clock.Millis) {
 	now := t.Clock.Now()
-	t.update(name, func(s *slot) { s.state.Observed.FirstToken.add(now, took, 1) })
+	t.update(name, func(s *slot) { s.state.Observed.FirstToken.Add(now, took, 1) })
 }
 
 // ObserveTokens records how long a decode upstream took to generate a number
 // of tokens.
 func (t *Table) ObserveTokens(name string, took clock.Millis, tokens int) {
 	now := t.Clock.Now()
-	t.update(name, func(s *slot) { s.state.Observed.InterToken.add(now, took, float64(tokens)) })
+	t.update(name, func(s *slot) { s.state.Observed.InterToken.Add(now, took, float64(tokens)) })
 }
 
 // ApplyCacheEvent updates the cache hints of an upstream.
--- a/relay/call.go
+++ b/relay/call.go
@@ -14,6 +14,7 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/route"
+	"lacewinghook.example/lacewinghook/slots"
 	"lacewinghook.example/lacewinghook/spool"
 	"lacewinghook.example/lacewinghook/stall"
 )
@@ -58,25 +59,28 @@
 	if ctx.Err() != nil {
 		return codes.From(ctx.Err()).WithRun(codes.NotRun)
 	}
-	up, usual, cost, ok := x.selectReplica("")
-	for !ok {
-		err := x.awaitPause(ctx, x.serviceReplicas, codes.New(codes.NoUpstream, "service %q", x.opaque.Service))
-		if err != nil {
-			return err
-		}
-		up, usual, cost, ok = x.selectReplica("")
+	// A slot is worth waiting for only if the call may be sent.
+	if x.sends > 0 && !x.payRetries(1) {
+		return x.budgetError(errBudgetSpent)
+	}
+	to, err := x.chooseReplica(ctx)
+	if err != nil {
+		return err
 	}
 	if err := x.checkFinishes(); err != nil {
+		x.endSlot(to, slots.Unused, 0)
 		return err
 	}
 	if err := x.chargeBudget(); err != nil {
-		return codes.Wrap(codes.BudgetSpent, err, "service %q", x.opaque.Service).WithRun(codes.NotRun)
+		x.endSlot(to, slots.Unused, 0)
+		return x.budgetError(err)
 	}
+	up := to.up
 	mark := x.quarantineMark()
 	start := x.relay.Clock.Now()
-	call, wd := x.watchCall(ctx, up, usual)
+	call, wd := x.watchCall(ctx, up, to.usual)
 	defer wd.Cancel(nil)
-	first, err := x.send(call, up, cost, func() { wd.DataReceived(wd.Limit) })
+	first, err := x.send(call, to, func() { wd.DataReceived(wd.Limit) })
 	wd.Stop(err != nil && ctx.Err() == nil)
 	defer x.discardSecond()
 	if err == nil {
@@ -96,28 +100,45 @@
 	return err
 }
 
+// budgetError returns the error of a call that may not be sent again.
+func (x *exchange) budgetError(err error) error {
+	return codes.Wrap(codes.BudgetSpent, err, "service %q", x.opaque.Service).WithRun(codes.NotRun)
+}
+
 // send sends the call to a replica and reads the start of its answer. onData is called
-// when data has arrived.
-func (x *exchange) send(ctx context.Context, up core.Upstream, cost float64, onData func()) (*openAnswer, error) {
-	x.log.Info("relay: replica chosen", append(x.relay.replicaListFields(), zap.String("request", x.opaque.ID),
+// when data has arrived. It ends the slot.
+func (x *exchange) send(ctx context.Context, to chosenReplica, onData func()) (*openAnswer, error) {
+	up := to.up
+	x.log.Info("relay: replica chosen", append(append(x.relay.replicaListFields(), zap.String("request", x.opaque.ID),
 		zap.String("service", x.opaque.Service), zap.String("upstream", up.Name), zap.String("addr", up.Addr),
-		zap.Float64("expected", cost), zap.Int("sends", x.sends), zap.Int64("since", int64(x.relay.Clock.Now()-x.request.Arrived)))...)
+		zap.Float64("expected", to.cost), zap.Int("sends", x.sends), zap.Int64("since", int64(x.relay.Clock.Now()-x.request.Arrived))),
+		to.slotFields()...)...)
 	w := pool.Work{Requests: 1}
 	x.relay.Pool.Begin(up.Name, w)
 	start := x.relay.Clock.Now()
 	a, err := x.relay.Upstreams.Send(ctx, up, SendRequest{Request: x.request, Finish: !x.repeatable()})
+	took := x.relay.Clock.Now() - start
 	if err != nil {
 		x.relay.Pool.End(up.Name, w)
+		x.endSlot(to, failedOutcome(ctx, err), took)
 		return nil, err
 	}
 	x.relay.markReachable(up)
-	x.relay.Pool.ObserveFirstToken(up.Name, x.relay.Clock.Now()-start)
+	x.relay.Pool.ObserveFirstToken(up.Name, took)
 	open := &openAnswer{up: up, answer: a, head: &spool.Buffer{Pool: x.relay.Kept, Lasting: true}}
+	ended := false
+	endSlot := func() {
+		if !ended {
+			ended = true
+			x.endSlot(to, answeredOutcome(a.Status), took)
+		}
+	}
 	open.close = func() {
 		// An error is of no interest: the answer is no longer needed.
 		_ = a.Body.Close()
 		open.head.Reset()
 		x.relay.Pool.End(up.Name, w)
+		endSlot()
 	}
 	err = readParts(up, io.LimitReader(a.Body, MaxBufferedBytes+1), func(p []byte) error {
 		onData()
@@ -134,7 +155,10 @@
 		open.close()
 		return nil, codes.From(err).WithRun(codes.Unknown)
 	}
-	open.whole = !full && open.head.Len() <= MaxBufferedBytes
+	if open.whole = !full && open.head.Len() <= MaxBufferedBytes; open.whole {
+		// The caller may take long to read it.
+		endSlot()
+	}
 	if open.whole && !a.UntilClose {
 		x.reportCompleted()
 	}
@@ -153,9 +177,16 @@
 // secureAnswer sends the call to another replica than the silent one, and returns true if
 // it has answered. ctx is that of the request, search that of the search.
 func (x *exchange) secureAnswer(ctx, search context.Context, silent core.Upstream) bool {
-	up, _, cost, ok := x.selectReplica(silent.Name)
-	if !ok || up.Name == silent.Name || x.excluded(up.Name) || x.timeLeft() < minTimeLeft ||
-		x.runsLeft() <= 1 || !x.refusalsLeft(x.sends) || x.chargeBudget() != nil {
+	if x.timeLeft() < minTimeLeft || x.runsLeft() <= 1 || !x.refusalsLeft(x.sends) {
+		return false
+	}
+	to, ok := x.chooseOther(search, silent.Name)
+	if !ok {
+		return false
+	}
+	up := to.up
+	if up.Name == silent.Name || x.excluded(up.Name) || search.Err() != nil || x.chargeBudget() != nil {
+		x.endSlot(to, slots.Unused, 0)
 		return false
 	}
 	// The answer outlives the search.
@@ -163,7 +194,7 @@
 	keep := context.AfterFunc(search, cancel)
 	mark := x.quarantineMark()
 	start := x.relay.Clock.Now()
-	second, err := x.send(call, up, cost, func() {})
+	second, err := x.send(call, to, func() {})
 	switch {
 	case err != nil:
 		cancel()
@@ -282,19 +313,19 @@
 // upstream.
 const minFailureStatus = 500
 
-// selectReplica selects the replica for the next send, not silent if there is another.
-// usual is its usual answer time, cost the expected one in milliseconds, and ok is false
-// if the service has no replica.
-func (x *exchange) selectReplica(silent string) (up core.Upstream, usual clock.Millis, cost float64, ok bool) {
+// selectReplica selects the replica for the next send by the counts of this entry, not
+// silent if there is another. ok is false if the service has no replica.
+func (x *exchange) selectReplica(silent string) (to chosenReplica, ok bool) {
 	states, replicas := x.replicas()
 	for i := range replicas {
 		replicas[i].Excluded = replicas[i].Excluded || replicas[i].Name == silent
 	}
 	i, cost := route.LeastTime{Centre: x.relay.Centre}.Choose(replicas)
 	if i < 0 {
-		return core.Upstream{}, 0, 0, false
+		return chosenReplica{}, false
 	}
-	return states[i].Upstream, clock.Millis(replicas[i].Expected(route.PriorTime(replicas))), cost, true
+	usual := clock.Millis(replicas[i].Expected(route.PriorTime(replicas)))
+	return chosenReplica{up: states[i].Upstream, usual: usual, cost: cost}, true
 }
 
 // replicas returns the replicas of the request's service that aren't barred, as the
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -61,6 +61,8 @@
 	// searches counts the further searches.
 	barred, searches int
 	resumeIn         clock.Millis
+	// slotRetry is the time after which a call that got no slot may return.
+	slotRetry clock.Millis
 }
 
 // bufferedAnswer is the head of an answer and what was read of its body.
@@ -388,6 +390,9 @@
 func (x *exchange) retryAfter(e *codes.Error) clock.Millis {
 	switch e.Code {
 	case codes.DeadlineUnmet, codes.QueueFull:
+		if x.slotRetry > 0 {
+			return x.slotRetry
+		}
 		return retryAfterOverload + rand.N(overloadJitter)
 	case codes.NoUpstream:
 		if e.RetryAfter > 0 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,7 @@
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/route"
 	"lacewinghook.example/lacewinghook/shard"
+	"lacewinghook.example/lacewinghook/slots"
 	"lacewinghook.example/lacewinghook/spool"
 )
 
@@ -89,6 +90,13 @@
 	Wake()
 }
 
+// Slots grants the calls of plain services slots at replicas. [slots.Client] documents the
+// methods.
+type Slots interface {
+	Take(ctx context.Context, r slots.Request) (g slots.Grant, ok bool, err error)
+	End(g slots.Grant, o slots.Outcome, took clock.Millis)
+}
+
 // Budget limits the retries of all requests to a service.
 type Budget interface {
 	// CountFirst counts the first send of a request.
@@ -163,6 +171,9 @@
 	Budget    Budget
 	// Placer, if nil, is a desk that places completions by the counts of Pool.
 	Placer Placer
+	// Slots, if nil, grants no slots: this entry chooses the replicas of calls by the
+	// counts of Pool.
+	Slots Slots
 	// Quarantine, if nil, blocks no request.
 	Quarantine Quarantine
 	// Finisher, if nil, permits each request.
--- a/route/replica.go
+++ b/route/replica.go
@@ -10,6 +10,10 @@
 	Samples  float64
 	// InFlight counts the calls that all entries have there.
 	InFlight int
+	// Slots is the number of calls that the replica works on at once, and Full means that
+	// it can't take another one. Only [FreeSlot] uses them.
+	Slots int
+	Full  bool
 	// Leaving ranks the replica behind all that aren't, and Excluded behind all others.
 	Leaving, Excluded bool
 }
--- /dev/null
+++ b/slots/desk.go
@@ -0,0 +1,240 @@
+package slots
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/assign"
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/limit"
+	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/shard"
+)
+
+// Desk grants slots at the replicas whose groups this entry owns. Replicas is required.
+type Desk struct {
+	// Replicas returns the replicas of a group that take new calls.
+	Replicas func(service string, group int) []Replica
+	Clock    clock.Clock
+	Meter    *meter.Registry
+	Log      *zap.Logger
+
+	groups shard.Map[string, *group]
+	// calls holds the calls that wait or are granted, and boots the runs of the entries.
+	calls shard.Map[callKey, call]
+	boots shard.Map[string, uint64]
+}
+
+// callKey identifies an ask.
+type callKey struct {
+	entry     string
+	boot, seq uint64
+}
+
+// call is an ask that waits, or a granted one.
+type call struct {
+	// withdraw ends the wait. It is nil while the call doesn't wait.
+	withdraw context.CancelFunc
+	// replica is set for a granted call, which ends at expires.
+	replica *replica
+	expires clock.Millis
+}
+
+// Bounds on the calls.
+const (
+	// maxWait is how long an owner keeps an ask. The call is then asked for again, so that
+	// an owner that has died is noticed.
+	maxWait clock.Millis = 400
+	// sweepInterval is the pause between two searches for expired grants.
+	sweepInterval clock.Millis = 100
+	// maxEnds bounds the ends in one batch.
+	maxEnds = 1024
+	// minRetryAfter is the shortest time after which a rejected caller may return.
+	minRetryAfter clock.Millis = 50
+)
+
+// Serve answers an [Ask]. It may wait. The code is [codes.Leaving] if ctx ends.
+func (d *Desk) Serve(ctx context.Context, a Ask) Answer {
+	d.noteBoot(a.Entry, a.Boot)
+	g := d.group(a.Service, a.Group)
+	key := callKey{a.Entry, a.Boot, a.Seq}
+	var answer Answer
+	t := d.ticket(g, key, &a, &answer)
+	d.calls.Set(key, call{})
+	granted, err := false, error(nil)
+	if now := d.Clock.Now(); t.Latest < now+t.TimeToFirstToken {
+		err = codes.New(codes.DeadlineUnmet, "predicted answer %d ms too late", now+t.TimeToFirstToken-t.Latest)
+	} else if granted, err = g.queue.TryNow(t); !granted && err == nil && a.Wait > 0 {
+		granted, err = d.wait(ctx, g, key, t, min(a.Wait, maxWait))
+	}
+	if granted {
+		d.Meter.Add("slots_granted_total", 1)
+		return answer
+	}
+	d.calls.Delete(key)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return Answer{Code: codes.Leaving, Message: "the owner ends"}
+	case err != nil:
+		return d.rejection(g, codes.From(err))
+	}
+	return Answer{Waiting: g.queue.Len()}
+}
+
+// ticket returns the ticket of an ask in the wait queue. Its Try fills in the answer.
+func (d *Desk) ticket(g *group, key callKey, a *Ask, answer *Answer) limit.Ticket {
+	now := d.Clock.Now()
+	usual, _ := g.times()
+	latest := now + a.Latest
+	return limit.Ticket{
+		Workspace: a.Workspace, Cost: int(max(1, usual)), Target: now + a.Target, Latest: latest, TimeToFirstToken: usual,
+		Try: func() (bool, error) {
+			now := d.Clock.Now()
+			p, ok, err := g.choose(a, d.Replicas(a.Service, a.Group), now)
+			if !ok {
+				return false, err
+			}
+			withdrawn := false
+			d.calls.Update(key, func(c call, ok bool) (call, bool) {
+				withdrawn = !ok
+				return call{replica: p.replica, expires: latest}, ok
+			})
+			if withdrawn {
+				g.release(p.replica, End{}, now)
+				return false, codes.From(context.Canceled).WithRun(codes.NotRun)
+			}
+			*answer = p.answer
+			return true, nil
+		},
+	}
+}
+
+// wait waits in the queue of a group for at most the given time. granted is false without
+// an error if no slot became free.
+func (d *Desk) wait(ctx context.Context, g *group, key callKey, t limit.Ticket, most clock.Millis) (granted bool, err error) {
+	waitCtx, cancel := context.WithTimeout(ctx, most.Duration())
+	defer cancel()
+	d.calls.Update(key, func(c call, ok bool) (call, bool) {
+		c.withdraw = cancel
+		return c, ok
+	})
+	err = g.queue.Wait(waitCtx, t)
+	if err != nil && waitCtx.Err() != nil && ctx.Err() == nil {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// rejection returns the answer to an ask that is rejected. Callers may return once the
+// calls that wait now are served, spread over as long again, so that they don't return as
+// one wave.
+func (d *Desk) rejection(g *group, e *codes.Error) Answer {
+	d.Meter.Add("slots_rejected_total", 1, "code", e.Code.String())
+	a := Answer{Code: e.Code, Message: e.Message}
+	if e.Code == codes.DeadlineUnmet || e.Code == codes.QueueFull {
+		_, drain := g.times()
+		a.Retry = max(e.RetryAfter, drain, minRetryAfter)
+		a.Retry += rand.N(a.Retry)
+	}
+	return a
+}
+
+// HandleEnds processes the ends of another entry's calls. Those of unknown calls are
+// ignored: this entry has started or become the owner since.
+func (d *Desk) HandleEnds(m Ends) {
+	d.noteBoot(m.Entry, m.Boot)
+	for _, e := range m.Ends[:min(len(m.Ends), maxEnds)] {
+		if c, ok := d.calls.Delete(callKey{m.Entry, m.Boot, e.Seq}); ok {
+			d.end(c, e)
+		}
+	}
+}
+
+// end ends a call that is no longer in d.calls.
+func (d *Desk) end(c call, e End) {
+	if c.replica == nil {
+		if c.withdraw != nil {
+			c.withdraw()
+		}
+		return
+	}
+	g := c.replica.group
+	if full := g.release(c.replica, e, d.Clock.Now()); full > 0 {
+		d.Meter.Add("slots_replica_full_total", 1)
+		d.Clock.AfterFunc(full+1, g.queue.Wake)
+	}
+	g.queue.Wake()
+}
+
+// noteBoot ends the calls of an entry's earlier run.
+func (d *Desk) noteBoot(entry string, boot uint64) {
+	restarted := false
+	d.boots.Update(entry, func(old uint64, ok bool) (uint64, bool) {
+		restarted = ok && old != boot
+		return boot, true
+	})
+	if restarted {
+		n := d.drop(func(k callKey, _ call) bool { return k.entry == entry && k.boot != boot })
+		d.log().Info("slots: an entry has restarted", zap.String("entry", entry), zap.Int("calls", n))
+	}
+}
+
+// drop ends the calls for which f returns true, and returns their number.
+func (d *Desk) drop(f func(callKey, call) bool) int {
+	var ended []call
+	d.calls.Each(func(k callKey, c call) bool {
+		if !f(k, c) {
+			return true
+		}
+		ended = append(ended, c)
+		return false
+	})
+	for _, c := range ended {
+		d.end(c, End{})
+	}
+	return len(ended)
+}
+
+// Run ends the grants whose deadline has passed, and forgets replicas that are no longer
+// listed, until ctx ends.
+func (d *Desk) Run(ctx context.Context) {
+	d.Clock.Every(ctx, sweepInterval, func(context.Context) { d.sweep() })
+}
+
+// sweep ends the grants whose deadline has passed.
+func (d *Desk) sweep() {
+	now := d.Clock.Now()
+	if n := d.drop(func(_ callKey, c call) bool { return c.replica != nil && c.expires < now }); n > 0 {
+		d.Meter.Add("slots_expired_total", n)
+		d.log().Info("slots: grants ended at their deadlines", zap.Int("calls", n))
+	}
+	for _, g := range d.groups.Values() {
+		g.retain(d.Replicas(g.service, g.number))
+	}
+}
+
+// InFlight returns the number of calls that are granted or wait at this entry.
+func (d *Desk) InFlight() int { return d.calls.Len() }
+
+// group returns the state of a group.
+func (d *Desk) group(service string, number int) *group {
+	return d.groups.Ensure(assign.GroupKey(service, number), func() *group {
+		g := &group{service: service, number: number, usual: firstUsual}
+		g.queue.Clock = d.Clock
+		return g
+	})
+}
+
+// firstUsual is the answer time that is assumed before any was measured.
+const firstUsual clock.Millis = 30
+
+// log returns Log, or a logger that discards everything.
+func (d *Desk) log() *zap.Logger {
+	if d.Log == nil {
+		return zap.NewNop()
+	}
+	return d.Log
+}
--- /dev/null
+++ b/slots/group.go
@@ -0,0 +1,142 @@
+package slots
+
+import (
+	"slices"
+	"sync"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/limit"
+	"lacewinghook.example/lacewinghook/pool"
+	"lacewinghook.example/lacewinghook/route"
+)
+
+// group holds the calls at the replicas of one group.
+type group struct {
+	service string
+	number  int
+	queue   limit.Queue
+
+	// mu guards the fields below. It is taken while the queue's lock is held, and never
+	// the other way round.
+	mu       sync.Mutex
+	replicas map[string]*replica
+	// usual is the usual answer time of the replicas, and slots the sum of their slots.
+	usual clock.Millis
+	slots int
+}
+
+// replica is the state of one run of a replica. The group's lock guards it.
+type replica struct {
+	group    *group
+	run      int64
+	inFlight int
+	times    pool.DecayingMean
+	// fullUntil is the instant until which it counts as full.
+	fullUntil clock.Millis
+}
+
+// Costs of failures.
+const (
+	// failurePenalty is the number of usual answer times that are added to the time of a
+	// failed call: the call is sent again, for which it waits, and another failure is its
+	// last. Without it a replica that fails all calls at once would attract most of them.
+	failurePenalty = 2
+	// minFullTime is the least time for which a replica that refused a call counts as
+	// full. Otherwise it is the usual time of an answer, in which a slot becomes free.
+	minFullTime clock.Millis = 20
+)
+
+// placement is the result of a choice.
+type placement struct {
+	replica *replica
+	answer  Answer
+}
+
+// choose selects a replica for an ask and counts the call there. ok is false if none has
+// room.
+func (g *group) choose(a *Ask, list []Replica, now clock.Millis) (p placement, ok bool, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	candidates := make([]route.Replica, 0, len(list))
+	states := make([]*replica, 0, len(list))
+	g.slots = 0
+	for i := range list {
+		r := &list[i]
+		s := g.state(r)
+		g.slots += r.Slots
+		if slices.Contains(a.Barred, r.Name) {
+			continue
+		}
+		mean, samples := s.times.Recent(now)
+		states = append(states, s)
+		candidates = append(candidates, route.Replica{
+			Name: r.Name, Centre: r.Centre, MeanTime: mean, Samples: samples, InFlight: s.inFlight, Slots: r.Slots,
+			Full: now < s.fullUntil, Leaving: slices.Contains(a.Leaving, r.Name), Excluded: slices.Contains(a.Exclude, r.Name),
+		})
+	}
+	if len(candidates) == 0 {
+		return placement{}, false, codes.New(codes.NoUpstream, "service %q: no replica of %d may be used", g.service, len(list))
+	}
+	g.usual = clock.Millis(route.PriorTime(candidates))
+	i, expected := route.FreeSlot{Centre: a.Centre}.Choose(candidates)
+	if i < 0 {
+		return placement{}, false, nil
+	}
+	states[i].inFlight++
+	return placement{states[i], Answer{
+		Replica: candidates[i].Name, Usual: clock.Millis(expected), InFlight: states[i].inFlight, Slots: candidates[i].Slots,
+	}}, true, nil
+}
+
+// state returns the state of a replica's run. The caller holds g.mu.
+func (g *group) state(r *Replica) *replica {
+	if g.replicas == nil {
+		g.replicas = make(map[string]*replica)
+	}
+	s := g.replicas[r.Name]
+	if s == nil || s.run != r.Run {
+		// The calls of an earlier run have ended with it.
+		s = &replica{group: g, run: r.Run}
+		g.replicas[r.Name] = s
+	}
+	return s
+}
+
+// release ends a call at a replica. It returns how long the replica counts as full, zero
+// if it doesn't.
+func (g *group) release(s *replica, e End, now clock.Millis) (full clock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s.inFlight--
+	switch e.Outcome {
+	case Answered:
+		s.times.Add(now, e.Took, 1)
+	case Failed:
+		s.times.Add(now, e.Took+failurePenalty*g.usual, 1)
+	case Refused:
+		full = max(minFullTime, g.usual)
+		s.fullUntil = now + full
+	}
+	return full
+}
+
+// retain forgets the replicas that aren't listed.
+func (g *group) retain(list []Replica) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name := range g.replicas {
+		if !slices.ContainsFunc(list, func(r Replica) bool { return r.Name == name }) {
+			delete(g.replicas, name)
+		}
+	}
+}
+
+// times returns the usual answer time, and the time in which the waiting calls are
+// served.
+func (g *group) times() (usual, drain clock.Millis) {
+	waiting := g.queue.Len()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.usual, clock.Millis(waiting) * g.usual / clock.Millis(max(1, g.slots))
+}
--- /dev/null
+++ b/slots/outbox.go
@@ -0,0 +1,106 @@
+package slots
+
+import (
+	"context"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/notify"
+)
+
+// outbox holds the ends that are to be reported. The zero value is ready to use.
+type outbox struct {
+	changed notify.Signal
+
+	// mu guards the fields below, which hold the ends by the address of the owner, and
+	// the owners to which a batch is being sent.
+	mu      sync.Mutex
+	ends    map[string][]End
+	sending map[string]bool
+}
+
+// Parameters of the reports of ends.
+const (
+	// endDelay is how long an end waits for others to be reported with it.
+	endDelay clock.Millis = 2
+	// endTimeout bounds the sending of one batch.
+	endTimeout clock.Millis = 300
+	// maxPending bounds the ends for one owner. Further ones are dropped: their grants end
+	// at their deadlines.
+	maxPending = 4096
+	// idleWait is the pause of Run while there is nothing to report.
+	idleWait = 1 * clock.Minute
+)
+
+// add adds an end to the next batch for an owner.
+func (o *outbox) add(peer string, e End) {
+	o.mu.Lock()
+	if o.ends == nil {
+		o.ends, o.sending = make(map[string][]End), make(map[string]bool)
+	}
+	if len(o.ends[peer]) < maxPending {
+		o.ends[peer] = append(o.ends[peer], e)
+	}
+	o.mu.Unlock()
+	o.changed.Send()
+}
+
+// take returns the ends for each owner to which no batch is being sent, maxEnds at most,
+// and marks these owners.
+func (o *outbox) take() map[string][]End {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	due := make(map[string][]End)
+	for peer, ends := range o.ends {
+		if o.sending[peer] {
+			continue
+		}
+		n := min(len(ends), maxEnds)
+		due[peer], o.sending[peer] = ends[:n:n], true
+		if delete(o.ends, peer); n < len(ends) {
+			o.ends[peer] = ends[n:]
+		}
+	}
+	return due
+}
+
+// sent unmarks an owner.
+func (o *outbox) sent(peer string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.sending, peer)
+	if len(o.ends[peer]) > 0 {
+		o.changed.Send()
+	}
+}
+
+// Run reports the ends of calls to the owners until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for ctx.Err() == nil {
+		if !c.outbox.changed.Wait(ctx, c.Clock, idleWait) || c.Clock.Sleep(ctx, endDelay) != nil {
+			continue
+		}
+		// An owner that doesn't answer must not delay the ends for others.
+		for peer, ends := range c.outbox.take() {
+			wg.Go(func() {
+				defer c.outbox.sent(peer)
+				c.report(ctx, peer, ends)
+			})
+		}
+	}
+}
+
+// report sends one batch. The grants of a lost one end at their deadlines.
+func (c *Client) report(ctx context.Context, peer string, ends []End) {
+	call, cancel := context.WithTimeout(ctx, endTimeout.Duration())
+	defer cancel()
+	err := c.Peers.EndSlots(call, peer, Ends{Entry: c.Self.Name, Boot: c.Boot, Ends: ends})
+	if err != nil && ctx.Err() == nil {
+		c.Meter.Add("slots_ends_lost_total", len(ends))
+		c.log().Info("slots: reporting ends failed", zap.String("addr", peer), zap.Int("calls", len(ends)), zap.Error(err))
+	}
+}
