limit: requests are served by priority, and none of a kind is left out

Cause: a queue had one order for all priorities, so that a burst of less urgent work was served before urgent work with later targets, and a full queue rejected urgent requests.

Change: Ticket has a priority, which goes before fairness between workspaces and the target. The predicted wait counts what goes ahead only, and a full queue evicts the least urgent request. Requests whose work has begun still go before all others, since that work would be lost.

Ruled out: strict priority (a kind with less than a quarter of the share of all); shares counted from arrivals (a request is asked for again every 400 ms, so that arrivals are counted repeatedly).

--- a/limit/doc.go
+++ b/limit/doc.go
@@ -1,10 +1,12 @@
 // Package limit provides the wait queue for admission and the limits on retries.
 //
 // A [Queue] holds requests until the capacity they need is free, so that they are
-// bound to an upstream as late as possible. Among the workspaces that are not
-// ahead of their fair share, the request with the earliest target goes first. A
-// request that can no longer make its target goes behind those that can, with a
-// small share of the turns. A request that can't have its first token by Latest is
+// bound to an upstream as late as possible. The most urgent priority goes first, and
+// within it, among the workspaces that are not ahead of their fair share, the request
+// with the earliest target. A request that can no longer make its target goes behind
+// those that can, with a small share of the turns. Another share of the turns goes to
+// the requests of a workspace and priority, and to large ones, that are served much less
+// often than others. A request that can't have its first token by Latest is
 // rejected. A waiting request blocks on a channel. After capacity was released,
 // [Queue.Wake] must be called. One timer per queue rejects the requests that have
 // expired.
--- a/limit/subqueue.go
+++ b/limit/subqueue.go
@@ -74,24 +74,25 @@
 	return h.items[0]
 }
 
-// subqueue holds the waiting requests of one workspace.
+// subqueue holds the waiting requests of one kind.
 type subqueue struct {
-	workspace string
-	weight    float64
+	kind
+	weight float64
 	// served is the cost served so far, divided by weight. The workspace with
 	// the smallest value has had the least of its fair share.
 	served float64
 	// Requests in timely can still make their targets, those in tardy can't.
 	timely waiterHeap
 	tardy  waiterHeap
-	// timelyCost is the total cost of the requests in timely.
-	timelyCost int
+	// timelyCost is the total cost of the requests in timely, and tardyCost that of
+	// those in tardy.
+	timelyCost, tardyCost int
 }
 
 // newSubqueue returns an empty subqueue. It orders timely requests by the latest
 // start at which they make their targets, and tardy ones by startDeadline.
-func newSubqueue(workspace string) *subqueue {
-	s := &subqueue{workspace: workspace}
+func newSubqueue(k kind) *subqueue {
+	s := &subqueue{kind: k}
 	s.timely.startBy = func(w *waiter) clock.Millis { return w.Target - w.TimeToFirstToken }
 	s.tardy.startBy = (*waiter).startDeadline
 	return s
@@ -104,6 +105,7 @@
 func (s *subqueue) push(w *waiter, now clock.Millis) {
 	w.subqueue = s
 	if w.missesTarget(now) {
+		s.tardyCost += w.Cost
 		heap.Push(&s.tardy, w)
 		return
 	}
@@ -111,10 +113,18 @@
 	heap.Push(&s.timely, w)
 }
 
+// hasUrgent reports whether a waiting request is urgent. Those count as on time.
+func (s *subqueue) hasUrgent() bool {
+	w := s.timely.peek()
+	return w != nil && w.Urgent
+}
+
 // remove takes a request out of its heap.
 func (s *subqueue) remove(w *waiter) {
 	if w.heap == &s.timely {
 		s.timelyCost -= w.Cost
+	} else {
+		s.tardyCost -= w.Cost
 	}
 	heap.Remove(w.heap, w.index)
 }
@@ -123,6 +133,7 @@
 func (s *subqueue) moveTardy(now clock.Millis) {
 	for w := s.timely.peek(); w != nil && w.missesTarget(now); w = s.timely.peek() {
 		s.remove(w)
+		s.tardyCost += w.Cost
 		heap.Push(&s.tardy, w)
 	}
 }
--- a/limit/timer.go
+++ b/limit/timer.go
@@ -72,6 +72,7 @@
 // reject rejects a request that can no longer start in time.
 func (q *Queue) reject(w *waiter) {
 	q.remove(w)
+	q.outcomes.add(&w.Ticket, q.Clock.Now(), false)
 	w.result <- codes.New(codes.DeadlineUnmet, "no capacity became free in time").WithRetryAfter(minRetryAfter)
 }
 
--- a/limit/waitqueue.go
+++ b/limit/waitqueue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 
 	"lacewinghook.example/lacewinghook/clock"
@@ -12,6 +13,8 @@
 // Ticket describes a request that waits for admission.
 type Ticket struct {
 	Workspace string
+	// Priority orders requests before anything but Urgent; 0 is the most urgent.
+	Priority int
 	// Weight is the workspace's share relative to others; zero means one.
 	Weight int
 	// Cost is the number of tokens to compute, the quantity shared fairly.
@@ -23,7 +26,8 @@
 	// TimeToFirstToken is the time from admission to the first token.
 	TimeToFirstToken clock.Millis
 	// Urgent marks requests for which work has already been done, such as
-	// retries. They go first and are not rejected on a predicted wait.
+	// retries. They go first, whatever their priority, since that work would be lost,
+	// and are not rejected on a predicted wait.
 	Urgent bool
 	// Try reserves what the request needs and reports whether it succeeded. An
 	// error rejects the request. It is called under the queue's lock and must
@@ -49,14 +53,16 @@
 	// mu guards the fields below. Methods that take no lock themselves expect it
 	// to be held.
 	mu        sync.Mutex
-	subqueues map[string]*subqueue
+	subqueues map[kind]*subqueue
 	waiting   int
+	// outcomes counts what became of the requests of each kind.
+	outcomes outcomes
 	// serves counts the requests served, to find every tardyInterval-th turn.
 	serves int
-	// minServed is the largest value of served at which a workspace was picked.
-	// A workspace that returns after an idle time starts from it, so that it
+	// minServed is the largest value of served, by priority, at which a workspace was
+	// picked. A workspace that returns after an idle time starts from it, so that it
 	// gets no credit for that time.
-	minServed  float64
+	minServed  map[int]float64
 	throughput throughput
 	timer      timer
 }
@@ -97,15 +103,44 @@
 	return <-w.result
 }
 
-// TryNow serves the request if its Try succeeds now and no other request waits, or
-// if it is urgent. It reports whether the request was served.
+// TryNow serves the request if its Try succeeds now and no other request goes first,
+// or if it is urgent. It reports whether the request was served.
 func (q *Queue) TryNow(t Ticket) (bool, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.waiting > 0 && !t.Urgent {
+	now := q.Clock.Now()
+	if !t.Urgent && !q.goesFirst(&t, now) {
 		return false, nil
 	}
-	return t.Try()
+	ok, err := t.Try()
+	if ok {
+		q.recordImmediate(&t, now)
+	}
+	return ok, err
+}
+
+// goesFirst reports whether a request that arrives now is served before all that wait.
+func (q *Queue) goesFirst(t *Ticket, now clock.Millis) bool {
+	if q.waiting == 0 {
+		return true
+	}
+	for k, s := range q.subqueues {
+		if s.len() > 0 && (k.priority <= t.Priority || s.hasUrgent()) {
+			return false
+		}
+	}
+	// A turn of those that wait behind more urgent requests is not passed over.
+	return q.nextStarved(now) == nil
+}
+
+// recordImmediate counts a request that was served on arrival. Its capacity was free,
+// so it counts towards the throughput only if it was taken ahead of others.
+func (q *Queue) recordImmediate(t *Ticket, now clock.Millis) {
+	q.outcomes.add(t, now, true)
+	if q.waiting > 0 && !t.Urgent {
+		q.serves++
+		q.throughput.add(now, t.Cost)
+	}
 }
 
 // Wake serves the waiting requests for which capacity has become free. It doesn't
@@ -128,11 +163,17 @@
 func (q *Queue) enqueue(w *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.waiting == 0 && q.tryStart(w) {
-		return
-	}
 	now := q.Clock.Now()
+	if q.goesFirst(&w.Ticket, now) {
+		if done, served := q.tryStart(w); done {
+			if served {
+				q.recordImmediate(&w.Ticket, now)
+			}
+			return
+		}
+	}
 	if err := q.admissionError(w, now); err != nil {
+		q.outcomes.add(&w.Ticket, now, false)
 		w.result <- err
 		return
 	}
@@ -143,14 +184,14 @@
 	}
 }
 
-// tryStart calls the request's Try and reports whether it was served or rejected.
-func (q *Queue) tryStart(w *waiter) bool {
-	done, err := w.Try()
-	if done || err != nil {
+// tryStart calls the request's Try and reports whether it was served or rejected, and
+// whether it was served.
+func (q *Queue) tryStart(w *waiter) (done, served bool) {
+	ok, err := w.Try()
+	if ok || err != nil {
 		w.result <- err
-		return true
 	}
-	return false
+	return ok || err != nil, err == nil && ok
 }
 
 // admissionError returns the error with which a new request is rejected, or nil if
@@ -178,32 +219,59 @@
 // minRetryAfter is the shortest retry delay suggested to a rejected caller.
 const minRetryAfter clock.Millis = 50
 
-// evictOne makes space in a full queue: it evicts a request of the workspace with
-// the most waiting requests divided by weight. If that is w's own workspace, if
-// all its requests are urgent, or without fair sharing, it returns the error that
-// rejects w.
+// evictOne makes space in a full queue: it evicts a request of the least urgent
+// priority that is behind w's, or of w's own, there of the workspace with the most
+// waiting requests divided by weight. If no request is less urgent and that is w's own
+// workspace, if all its requests are urgent, or without fair sharing, it returns the
+// error that rejects w.
 func (q *Queue) evictOne(w *waiter, wait clock.Millis) error {
 	full := codes.New(codes.QueueFull, "wait queue is full: %d requests waiting", q.waiting).WithRetryAfter(max(wait, minRetryAfter))
+	evicted := q.lessUrgent(w.Priority)
+	if evicted == nil {
+		evicted = q.unfair(w)
+	}
+	if evicted == nil {
+		return full
+	}
+	q.remove(evicted)
+	q.outcomes.add(&evicted.Ticket, q.Clock.Now(), false)
+	evicted.result <- full
+	return nil
+}
+
+// lessUrgent returns the request to evict of those with a larger priority, or nil.
+func (q *Queue) lessUrgent(priority int) *waiter {
+	var from *subqueue
+	var found *waiter
+	for k, s := range q.subqueues {
+		if k.priority <= priority || from != nil && (k.priority < from.priority ||
+			k.priority == from.priority && s.weightedLen() <= from.weightedLen()) {
+			continue
+		}
+		if w := s.evictable(); w != nil {
+			from, found = s, w
+		}
+	}
+	return found
+}
+
+// unfair returns the request to evict for w of another workspace with the same
+// priority, or nil.
+func (q *Queue) unfair(w *waiter) *waiter {
 	var largest *subqueue
-	for _, s := range q.subqueues {
-		if s.len() > 0 && (largest == nil || s.weightedLen() > largest.weightedLen()) {
+	for k, s := range q.subqueues {
+		if k.priority == w.Priority && s.len() > 0 && (largest == nil || s.weightedLen() > largest.weightedLen()) {
 			largest = s
 		}
 	}
 	own := 1 / w.weight()
-	if s := q.subqueues[w.Workspace]; s != nil {
+	if s := q.subqueues[w.kind()]; s != nil {
 		own += s.weightedLen()
 	}
 	if q.NoFairShare || largest == nil || own >= largest.weightedLen() {
-		return full
-	}
-	evicted := largest.evictable()
-	if evicted == nil {
-		return full
+		return nil
 	}
-	q.remove(evicted)
-	evicted.result <- full
-	return nil
+	return largest.evictable()
 }
 
 // weightedLen returns the number of waiting requests divided by weight.
@@ -212,22 +280,28 @@
 // weight returns the Weight, at least 1.
 func (t *Ticket) weight() float64 { return float64(max(1, t.Weight)) }
 
-// predictWait returns how long the request would wait: behind all requests that
-// can make their targets, or behind those of its own workspace at its fair share,
-// whichever is less. It returns 0 if the throughput is not known.
+// predictWait returns how long the request would wait: behind all more urgent requests,
+// and behind those of its priority that can make their targets, or those of its own
+// workspace at its fair share, whichever is less; but no longer than behind those of its
+// kind at the share of the turns that the kind gets in any case. It returns 0 if the
+// throughput is not known.
 func (q *Queue) predictWait(w *waiter, now clock.Millis) clock.Millis {
 	rate := q.throughput.rate(now)
 	if rate <= 0 || q.waiting == 0 {
 		return 0
 	}
+	first := 0
 	all, weights := w.Cost, w.weight()
 	own := w.Cost
-	for _, s := range q.subqueues {
-		if s.timely.Len() == 0 {
+	for k, s := range q.subqueues {
+		if k.priority < w.Priority {
+			first += s.timelyCost + s.tardyCost
+		}
+		if k.priority != w.Priority || s.timely.Len() == 0 {
 			continue
 		}
 		all += s.timelyCost
-		if s.workspace == w.Workspace {
+		if k.workspace == w.Workspace {
 			own += s.timelyCost
 			continue
 		}
@@ -237,21 +311,25 @@
 	if !q.NoFairShare {
 		wait = min(wait, float64(own)/(rate*w.weight()/weights))
 	}
+	wait += float64(first) / rate
+	if share := q.outcomes.share(w.kind(), now); first > 0 && share > 0 {
+		wait = min(wait, float64(own)/(rate*minKindShare*share))
+	}
 	return clock.Millis(min(wait, math.MaxInt32))
 }
 
 // push adds the request to the subqueue of its workspace.
 func (q *Queue) push(w *waiter, now clock.Millis) {
 	if q.subqueues == nil {
-		q.subqueues = make(map[string]*subqueue)
+		q.subqueues = make(map[kind]*subqueue)
 	}
-	s := q.subqueues[w.Workspace]
+	s := q.subqueues[w.kind()]
 	if s == nil {
-		s = newSubqueue(w.Workspace)
-		q.subqueues[w.Workspace] = s
+		s = newSubqueue(w.kind())
+		q.subqueues[w.kind()] = s
 	}
 	if s.len() == 0 {
-		s.served = max(s.served, q.minServed)
+		s.served = max(s.served, q.minServed[w.Priority])
 	}
 	s.weight = w.weight()
 	if q.waiting == 0 {
@@ -274,7 +352,7 @@
 	if q.waiting == 0 {
 		q.throughput.stop(now)
 		clear(q.subqueues)
-		q.minServed = 0
+		clear(q.minServed)
 	}
 }
 
@@ -301,8 +379,11 @@
 	}
 	now := q.Clock.Now()
 	var tried []*waiter
+	// A turn of those with less than their share lasts until one of them is served.
+	turn := q.serves
+	starvedTried := false
 	for len(tried) < maxFailedTries {
-		w := q.next(now)
+		w, starved := q.next(now)
 		if w == nil {
 			break
 		}
@@ -312,14 +393,22 @@
 		}
 		s := w.subqueue
 		s.remove(w)
-		if !q.tryStart(w) {
+		done, served := q.tryStart(w)
+		if !done {
 			tried = append(tried, w)
-			if w.overtaken >= maxOvertakes {
+			starvedTried = starvedTried || starved
+			if w.overtaken >= maxOvertakes || starved && w.overtaken >= maxStarvedOvertakes {
 				break
 			}
 			continue
 		}
 		q.recordServe(w, now)
+		if starvedTried && !starved {
+			q.serves = turn
+		}
+		if served {
+			q.outcomes.add(&w.Ticket, now, true)
+		}
 		for _, other := range tried {
 			other.overtaken++
 		}
@@ -334,24 +423,57 @@
 func (q *Queue) recordServe(w *waiter, now clock.Millis) {
 	s := w.subqueue
 	q.serves++
-	q.minServed = max(q.minServed, s.served)
+	if q.minServed == nil {
+		q.minServed = make(map[int]float64)
+	}
+	q.minServed[w.Priority] = max(q.minServed[w.Priority], s.served)
 	s.served += float64(w.Cost) / s.weight
 	q.throughput.add(now, w.Cost)
 	q.recordDequeue(now)
 }
 
-// next returns the request to serve next, or nil if the queue is empty.
-func (q *Queue) next(now clock.Millis) *waiter {
-	least := math.Inf(1)
+// next returns the request to serve next, or nil if the queue is empty. starved reports
+// whether it is served since it got less than its share.
+func (q *Queue) next(now clock.Millis) (next *waiter, starved bool) {
 	for _, s := range q.subqueues {
 		s.moveTardy(now)
-		if s.len() > 0 {
+	}
+	if w := q.nextStarved(now); w != nil {
+		return w, true
+	}
+	var first *waiter
+	for _, priority := range q.priorities() {
+		w := q.nextOf(priority)
+		if w != nil && (first == nil || w.Urgent && !first.Urgent) {
+			first = w
+		}
+	}
+	return first, false
+}
+
+// priorities returns those of the waiting requests, the most urgent first.
+func (q *Queue) priorities() []int {
+	var all []int
+	for k, s := range q.subqueues {
+		if s.len() > 0 && !slices.Contains(all, k.priority) {
+			all = append(all, k.priority)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// nextOf returns the request to serve next of those with a priority, or nil.
+func (q *Queue) nextOf(priority int) *waiter {
+	least := math.Inf(1)
+	for k, s := range q.subqueues {
+		if k.priority == priority && s.len() > 0 {
 			least = min(least, s.served)
 		}
 	}
 	var timely, tardy *waiter
-	for _, s := range q.subqueues {
-		if !q.NoFairShare && s.served > least+fairnessSlack {
+	for k, s := range q.subqueues {
+		if k.priority != priority || !q.NoFairShare && s.served > least+fairnessSlack {
 			continue
 		}
 		timely = earlier(timely, s.timely.peek(), s.timely.startBy)
