alloc, relay: owners get the workspace and the priority of a request

Cause: placements set neither, so that the wait queue of a group had one line for all requests.

Change: alloc.Request and alloc.Call have both fields, left out on the wire where they are empty or 0; an entry of an older build ignores them. The number of waiting requests by which a group is chosen counts those that aren't less urgent. The lines engines chosen and request not admitted have both fields.

--- a/alloc/client.go
+++ b/alloc/client.go
@@ -231,7 +231,8 @@
 	now := c.Clock.Now()
 	barred, leaving := c.notices(r)
 	return Call{
-		Entry: c.Self.Name, Boot: c.Boot, ID: r.ID, Service: r.Service, Group: r.Group - 1, Centre: r.Centre,
+		Entry: c.Self.Name, Boot: c.Boot, ID: r.ID, Service: r.Service, Workspace: r.Workspace, Priority: r.Priority,
+		Group: r.Group - 1, Centre: r.Centre,
 		Tokens: r.Tokens, Output: r.Output, Pieces: r.Pieces, Bytes: r.Bytes, Urgent: r.Urgent, Exported: r.Exported,
 		Exclude: r.Exclude, Barred: barred, Leaving: leaving, Full: r.Full, Target: r.Target - now, Latest: r.Latest - now, First: r.TimeToFirstToken, Wait: wait,
 	}
@@ -240,7 +241,7 @@
 // request returns the call as a request that was received now.
 func (c Call) request(now clock.Millis) Request {
 	return Request{
-		ID: c.ID, Service: c.Service, Centre: c.Centre, Tokens: c.Tokens, Output: c.Output, Pieces: c.Pieces, Bytes: c.Bytes,
+		ID: c.ID, Service: c.Service, Workspace: c.Workspace, Priority: c.Priority, Centre: c.Centre, Tokens: c.Tokens, Output: c.Output, Pieces: c.Pieces, Bytes: c.Bytes,
 		Target: now + c.Target, Latest: now + c.Latest, TimeToFirstToken: c.First, Urgent: c.Urgent, Exported: c.Exported,
 		Exclude: c.Exclude, Remote: true, Barred: c.Barred, Leaving: c.Leaving, Full: c.Full, Group: c.Group + 1,
 	}
--- a/alloc/desk.go
+++ b/alloc/desk.go
@@ -74,7 +74,7 @@
 // ticket returns the request's ticket in the wait queue.
 func (d *Desk) ticket(r Request, commit func(Choice)) limit.Ticket {
 	return limit.Ticket{
-		Cost: r.Tokens, Target: r.Target, Latest: r.Latest, TimeToFirstToken: r.TimeToFirstToken, Urgent: r.Urgent,
+		Workspace: r.Workspace, Priority: r.Priority, Cost: r.Tokens, Target: r.Target, Latest: r.Latest, TimeToFirstToken: r.TimeToFirstToken, Urgent: r.Urgent,
 		Try: func() (bool, error) {
 			c, ok, err := d.choose(r)
 			if ok {
@@ -92,8 +92,9 @@
 	})
 }
 
-// Waiting returns the number of requests that wait for the same engines as r.
-func (d *Desk) Waiting(r Request) int { return d.queue(r).Len() }
+// Waiting returns the number of requests that wait for the same engines as r and aren't
+// less urgent.
+func (d *Desk) Waiting(r Request) int { return d.queue(r).Ahead(r.Priority) }
 
 // Wake places the waiting requests for which capacity has become available. It is
 // called when work has ended.
--- a/alloc/types.go
+++ b/alloc/types.go
@@ -11,6 +11,10 @@
 	// ID is the request's ID, for logs.
 	ID      string
 	Service string
+	// Workspace and Priority order the requests that wait; priority 0 is the most
+	// urgent.
+	Workspace string
+	Priority  int
 	// Centre is the data centre to place the prefill near to, or that of the engine
 	// that has computed the prompt.
 	Centre string
@@ -70,22 +74,25 @@
 // Call asks the owner of a group to place a request. Times are relative, in
 // milliseconds, since the clocks of entries differ.
 type Call struct {
-	Entry    string   `json:"entry"`
-	Boot     uint64   `json:"boot"`
-	ID       string   `json:"id"`
-	Service  string   `json:"service"`
-	Group    int      `json:"group"`
-	Centre   string   `json:"centre"`
-	Tokens   int      `json:"tokens"`
-	Output   int      `json:"output"`
-	Pieces   int      `json:"pieces"`
-	Bytes    int64    `json:"bytes"`
-	Urgent   bool     `json:"urgent,omitempty"`
-	Exported bool     `json:"exported,omitempty"`
-	Exclude  []string `json:"exclude,omitempty"`
-	Barred   []string `json:"barred,omitempty"`
-	Leaving  []string `json:"leaving,omitempty"`
-	Full     string   `json:"full,omitempty"`
+	Entry   string `json:"entry"`
+	Boot    uint64 `json:"boot"`
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	// Workspace and Priority are ignored by entries that don't know them.
+	Workspace string   `json:"workspace,omitempty"`
+	Priority  int      `json:"priority,omitempty"`
+	Group     int      `json:"group"`
+	Centre    string   `json:"centre"`
+	Tokens    int      `json:"tokens"`
+	Output    int      `json:"output"`
+	Pieces    int      `json:"pieces"`
+	Bytes     int64    `json:"bytes"`
+	Urgent    bool     `json:"urgent,omitempty"`
+	Exported  bool     `json:"exported,omitempty"`
+	Exclude   []string `json:"exclude,omitempty"`
+	Barred    []string `json:"barred,omitempty"`
+	Leaving   []string `json:"leaving,omitempty"`
+	Full      string   `json:"full,omitempty"`
 	// Target and Latest are counted from the time of the call.
 	Target clock.Millis `json:"target"`
 	Latest clock.Millis `json:"latest"`
@@ -100,8 +107,8 @@
 	Choice *Choice `json:"choice,omitempty"`
 	// Grant identifies the placement at the owner until it is reported.
 	Grant uint64 `json:"grant,omitempty"`
-	// Waiting is the number of requests that wait for the group, if none was free at
-	// once.
+	// Waiting is the number of requests that wait for the group and aren't less urgent,
+	// if no engine was free at once.
 	Waiting int `json:"waiting,omitempty"`
 	// Code and Message state why the request is rejected.
 	Code    codes.Code   `json:"code,omitempty"`
--- a/limit/waitqueue.go
+++ b/limit/waitqueue.go
@@ -158,6 +158,19 @@
 	return q.waiting
 }
 
+// Ahead returns the number of waiting requests that are at least as urgent as priority.
+func (q *Queue) Ahead(priority int) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for k, s := range q.subqueues {
+		if k.priority <= priority {
+			n += s.len()
+		}
+	}
+	return n
+}
+
 // enqueue serves or rejects the request at once if possible, and otherwise adds it
 // to the queue.
 func (q *Queue) enqueue(w *waiter) {
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -119,7 +119,7 @@
 	}
 	tokens := x.opaque.PromptTokens
 	return alloc.Request{
-		ID: x.opaque.ID, Service: x.opaque.Service, Centre: centre,
+		ID: x.opaque.ID, Service: x.opaque.Service, Workspace: x.request.Workspace, Priority: x.request.Profile.Priority, Centre: centre,
 		Tokens: tokens, Output: x.request.MaxTokens, Pieces: roundToPieces(tokens + x.reservedOutput()),
 		Bytes: int64(tokens) * x.engineSpec().TokenBytes, Exported: prior != nil,
 		Target: target, Latest: min(latest, x.request.Deadline), TimeToFirstToken: x.timeToFirstEvent(),
@@ -302,6 +302,7 @@
 		maxFree = max(maxFree, decodes[i].Free)
 	}
 	x.log.Info("relay: request not admitted", append(x.relay.replicaListFields(), zap.String("request", x.opaque.ID),
+		zap.String("workspace", x.request.Workspace), zap.Int("priority", x.request.Profile.Priority),
 		zap.Int("pieces", roundToPieces(x.opaque.PromptTokens+x.reservedOutput())), zap.Int("free", maxFree),
 		zap.Int("engines", len(decodes)),
 		zap.Int64("waited", int64(waited)), zap.Error(err))...)
@@ -311,6 +312,7 @@
 func (a *attempt) logChoice(waited clock.Millis) {
 	x := a.exchange
 	x.log.Info("relay: engines chosen", append(x.relay.replicaListFields(), zap.String("request", x.opaque.ID), zap.String("service", x.opaque.Service),
+		zap.String("workspace", x.request.Workspace), zap.Int("priority", x.request.Profile.Priority),
 		zap.String("prefill", a.prefill.Name), zap.String("decode", a.decode.Name), zap.Bool("direct", a.choice.Direct),
 		zap.String("owner", a.choice.Owner), zap.Int("ahead", a.choice.Ahead),
 		zap.Int("tokens", x.opaque.PromptTokens), zap.Int("pieces", a.decodeWork.Pieces), zap.Int64("waited", int64(waited)),
