vhost, platform: replicas are told the priorities where they differ

Cause: replicas admit more urgent requests first, but were never told the priority.

Change: vhost finds the services whose routes, or the workspaces that may use them, differ in priority. Upstreams.Hold gets the request; the tests that call it pass one.

--- a/core/opaque.go
+++ b/core/opaque.go
@@ -40,6 +40,9 @@
 	Version int64
 	// Service is the service selected from the shares of the route.
 	Service string
+	// Ranked means that the requests of the service differ in priority, so that upstreams
+	// are told that of this one.
+	Ranked bool
 }
 
 // Reply is the status and headers of an upstream's answer to an opaque
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -60,6 +60,7 @@
 	route := match.Route
 	o.Route, o.Version = route, match.Version
 	o.Service = route.Service(rand.Uint64())
+	o.Ranked = match.Ranked[o.Service]
 	r.Profile = route.Profile
 	if err := identify(r, match.Accounts); err != nil {
 		e.meter.Add("requests_unauthorized_total", 1)
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -264,7 +264,7 @@
 	go func() {
 		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdTimeout.Duration())
 		defer cancel()
-		hold, err := x.relay.Upstreams.Hold(call, up, tokens, ttl)
+		hold, err := x.relay.Upstreams.Hold(call, up, x.request, tokens, ttl)
 		result <- holdResult{hold: hold, err: err, timedOut: err != nil && call.Err() != nil}
 	}()
 	select {
--- a/relay/ending_test.go
+++ b/relay/ending_test.go
@@ -20,11 +20,11 @@
 	grant chan struct{}
 }
 
-func (u *heldHolds) Hold(ctx context.Context, up core.Upstream, tokens int, ttl clock.Millis) (string, error) {
+func (u *heldHolds) Hold(ctx context.Context, up core.Upstream, r *core.Request, tokens int, ttl clock.Millis) (string, error) {
 	u.taken <- struct{}{}
 	select {
 	case <-u.grant:
-		return u.upstreams.Hold(ctx, up, tokens, ttl)
+		return u.upstreams.Hold(ctx, up, r, tokens, ttl)
 	case <-ctx.Done():
 		return "", ctx.Err()
 	}
--- a/relay/lefthold_test.go
+++ b/relay/lefthold_test.go
@@ -22,11 +22,11 @@
 	taken chan struct{} // receives a value when a hold is taken
 }
 
-func (u *slowHolds) Hold(ctx context.Context, up core.Upstream, tokens int, ttl clock.Millis) (string, error) {
+func (u *slowHolds) Hold(ctx context.Context, up core.Upstream, r *core.Request, tokens int, ttl clock.Millis) (string, error) {
 	u.taken <- struct{}{}
 	select {
 	case <-time.After(u.delay):
-		return u.upstreams.Hold(ctx, up, tokens, ttl)
+		return u.upstreams.Hold(ctx, up, r, tokens, ttl)
 	case <-ctx.Done():
 		return "", ctx.Err()
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -28,10 +28,10 @@
 	// Send sends the request and returns when the head of the answer has
 	// arrived.
 	Send(ctx context.Context, up core.Upstream, s SendRequest) (Answer, error)
-	// Hold reserves KV cache memory at a decode engine for one request, for at
-	// most the given time. The error code is [codes.NoMemory] if the engine
+	// Hold reserves KV cache memory for tokens at a decode engine for a request, for
+	// at most the given time. The error code is [codes.NoMemory] if the engine
 	// doesn't have enough.
-	Hold(ctx context.Context, up core.Upstream, tokens int, most clock.Millis) (hold string, err error)
+	Hold(ctx context.Context, up core.Upstream, r *core.Request, tokens int, most clock.Millis) (hold string, err error)
 	// Drop releases an unused hold.
 	Drop(ctx context.Context, up core.Upstream, hold string) error
 	// Free discards a prefill result that no decode engine fetches.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -61,7 +61,7 @@
 }
 
 // Hold returns the result of hold, or a successful one if hold is nil.
-func (u *upstreams) Hold(_ context.Context, up core.Upstream, _ int, _ clock.Millis) (string, error) {
+func (u *upstreams) Hold(_ context.Context, up core.Upstream, _ *core.Request, _ int, _ clock.Millis) (string, error) {
 	u.record("hold", up)
 	if u.hold != nil {
 		return u.hold(up)
--- a/vhost/table.go
+++ b/vhost/table.go
@@ -27,6 +27,8 @@
 	hosts map[string][]core.HostRoute
 	// accounts finds the workspaces of callers.
 	accounts *access.Table
+	// ranked holds the services whose requests differ in priority.
+	ranked map[string]bool
 }
 
 // Apply replaces the routes if the version of m is higher than the current one,
@@ -42,7 +44,7 @@
 	if err != nil {
 		return false
 	}
-	idx := &routeIndex{manifest: m, hosts: make(map[string][]core.HostRoute), accounts: accounts}
+	idx := &routeIndex{manifest: m, hosts: make(map[string][]core.HostRoute), accounts: accounts, ranked: rankedServices(m)}
 	for _, r := range m.Routes {
 		host := normalizeHost(r.Host)
 		idx.hosts[host] = append(idx.hosts[host], r)
@@ -78,6 +80,42 @@
 	// Version is the version of the manifest, and Accounts are its workspaces.
 	Version  int64
 	Accounts *access.Table
+	// Ranked holds the services whose requests differ in priority, whatever the route.
+	Ranked map[string]bool
+}
+
+// rankedServices returns the services whose requests may have different priorities: those
+// of their routes, or of the workspaces that may use them.
+func rankedServices(m *core.Manifest) map[string]bool {
+	ranked, first := make(map[string]bool), make(map[string]int)
+	for _, r := range m.Routes {
+		for _, priority := range priorities(&r, m.Accounts) {
+			for _, s := range r.Shares {
+				if known, ok := first[s.Service]; !ok {
+					first[s.Service] = priority
+				} else if known != priority {
+					ranked[s.Service] = true
+				}
+			}
+		}
+	}
+	return ranked
+}
+
+// priorities returns those that requests on a route may have.
+func priorities(r *core.HostRoute, accounts []core.Account) []int {
+	var all []int
+	if r.Public || len(accounts) == 0 {
+		all = append(all, r.Profile.Priority)
+	}
+	for _, a := range accounts {
+		if a.Priority != nil {
+			all = append(all, *a.Priority)
+		} else {
+			all = append(all, r.Profile.Priority)
+		}
+	}
+	return all
 }
 
 // Match returns the route with the longest prefix that matches the host and
@@ -89,7 +127,7 @@
 	}
 	for _, r := range idx.hosts[normalizeHost(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
-			return Match{Route: r, Version: idx.manifest.Version, Accounts: idx.accounts}, nil
+			return Match{Route: r, Version: idx.manifest.Version, Accounts: idx.accounts, Ranked: idx.ranked}, nil
 		}
 	}
 	return Match{Version: idx.manifest.Version}, codes.New(codes.UnknownService, "host %q, path %q, manifest %d", host, path, idx.manifest.Version)
--- a/vhost/table_test.go
+++ b/vhost/table_test.go
@@ -58,3 +58,39 @@
 	is.True(table.Apply(manifest(9)))
 	is.Equal(table.Version(), int64(9))
 }
+
+// TestRanked guards against a service whose upstreams aren't told the priorities although
+// they differ, or are told them although they are the same.
+func TestRanked(t *testing.T) {
+	route := func(service string, priority int) core.HostRoute {
+		return core.HostRoute{Host: "a.example", Prefix: "/" + service, Profile: core.Profile{Priority: priority}, Shares: []core.Share{{Service: service}}}
+	}
+	one := 1
+	account := func(name string, priority *int) core.Account {
+		return core.Account{Name: name, Keys: []string{name}, Priority: priority}
+	}
+	public := route("verse", 2)
+	public.Public = true
+	for name, c := range map[string]struct {
+		routes   []core.HostRoute
+		accounts []core.Account
+		want     bool
+	}{
+		"one priority":                    {[]core.HostRoute{route("verse", 1), route("verse", 1), route("desk", 2)}, nil, false},
+		"routes":                          {[]core.HostRoute{route("verse", 1), route("verse", 2)}, nil, true},
+		"workspaces":                      {[]core.HostRoute{route("verse", 2)}, []core.Account{account("a", &one), account("b", nil)}, true},
+		"workspaces with one":             {[]core.HostRoute{route("verse", 2), route("verse", 3)}, []core.Account{account("a", &one), account("b", &one)}, false},
+		"a public route":                  {[]core.HostRoute{route("verse", 2), public}, []core.Account{account("a", &one)}, true},
+		"a workspace like all the routes": {[]core.HostRoute{route("verse", 1)}, []core.Account{account("a", &one), account("b", nil)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var table vhost.Table
+			is.True(table.Apply(&core.Manifest{Version: 1, Routes: c.routes, Accounts: c.accounts}))
+			m, err := table.Match("a.example", "/verse")
+			is.NoErr(err)
+			is.Equal(m.Ranked["verse"], c.want)
+			is.True(!m.Ranked["desk"])
+		})
+	}
+}
