limit, relay: rejected callers return when their work can be served

Cause: the relay told all callers rejected for lack of capacity to return after 1.5 to 4 s, whatever the load, and wait queues 50 ms.

Change: the wait queue predicts when the work ahead is done and plans the returns of rejected callers after that, one after another at half of the throughput, the more urgent ones first. The relay passes the prediction on, within a third of the caller's remaining time. Without a prediction the fixed times apply: those of the relay for completions, and 50 ms in sched.

Ruled out: a random time over the drain time alone, which is the same for the first and the hundredth caller of a wave.

--- a/limit/doc.go
+++ b/limit/doc.go
@@ -9,7 +9,9 @@
 // often than others. A request that can't have its first token by Latest is
 // rejected. A waiting request blocks on a channel. After capacity was released,
 // [Queue.Wake] must be called. One timer per queue rejects the requests that have
-// expired.
+// expired. The error of a rejected request has the time after which its caller may
+// return, unless nothing can be predicted: the time in which the work ahead is done,
+// spread so that callers rejected together don't return together.
 //
 // A [Budget] allows retries as a share of recent successes. A [Window] bounds
 // extra sends within a sliding time window.
--- a/limit/timer.go
+++ b/limit/timer.go
@@ -72,8 +72,9 @@
 // reject rejects a request that can no longer start in time.
 func (q *Queue) reject(w *waiter) {
 	q.remove(w)
-	q.outcomes.add(&w.Ticket, q.Clock.Now(), false)
-	w.result <- codes.New(codes.DeadlineUnmet, "no capacity became free in time").WithRetryAfter(minRetryAfter)
+	now := q.Clock.Now()
+	q.outcomes.add(&w.Ticket, now, false)
+	w.result <- q.withRetryAfter(codes.New(codes.DeadlineUnmet, "no capacity became free in time"), &w.Ticket, now)
 }
 
 // throughput measures the cost served per millisecond while the queue is not
--- a/limit/waitqueue.go
+++ b/limit/waitqueue.go
@@ -64,6 +64,7 @@
 	// gets no credit for that time.
 	minServed  map[int]float64
 	throughput throughput
+	returns    returns
 	timer      timer
 }
 
@@ -217,7 +218,7 @@
 	// The throughput varies with the cost of the waiting requests, so a request
 	// is rejected only if the predicted wait is far too long.
 	if late := now + wait/earlyRejectFactor + w.TimeToFirstToken - w.Latest; late > 0 && !q.NoEarlyReject {
-		return codes.New(codes.DeadlineUnmet, "predicted first token %d ms too late", late).WithRetryAfter(max(late, minRetryAfter))
+		return q.withRetryAfter(codes.New(codes.DeadlineUnmet, "predicted first token %d ms too late", late), &w.Ticket, now)
 	}
 	limit := q.MaxWaiting
 	if limit == 0 {
@@ -226,29 +227,26 @@
 	if q.waiting < limit {
 		return nil
 	}
-	return q.evictOne(w, wait)
+	return q.evictOne(w, now)
 }
 
-// minRetryAfter is the shortest retry delay suggested to a rejected caller.
-const minRetryAfter clock.Millis = 50
-
 // evictOne makes space in a full queue: it evicts a request of the least urgent
 // priority that is behind w's, or of w's own, there of the workspace with the most
 // waiting requests divided by weight. If no request is less urgent and that is w's own
 // workspace, if all its requests are urgent, or without fair sharing, it returns the
 // error that rejects w.
-func (q *Queue) evictOne(w *waiter, wait clock.Millis) error {
-	full := codes.New(codes.QueueFull, "wait queue is full: %d requests waiting", q.waiting).WithRetryAfter(max(wait, minRetryAfter))
+func (q *Queue) evictOne(w *waiter, now clock.Millis) error {
+	full := codes.New(codes.QueueFull, "wait queue is full: %d requests waiting", q.waiting)
 	evicted := q.lessUrgent(w.Priority)
 	if evicted == nil {
 		evicted = q.unfair(w)
 	}
 	if evicted == nil {
-		return full
+		return q.withRetryAfter(full, &w.Ticket, now)
 	}
 	q.remove(evicted)
-	q.outcomes.add(&evicted.Ticket, q.Clock.Now(), false)
-	evicted.result <- full
+	q.outcomes.add(&evicted.Ticket, now, false)
+	evicted.result <- q.withRetryAfter(full, &evicted.Ticket, now)
 	return nil
 }
 
@@ -328,7 +326,7 @@
 	if share := q.outcomes.share(w.kind(), now); first > 0 && share > 0 {
 		wait = min(wait, float64(own)/(rate*minKindShare*share))
 	}
-	return clock.Millis(min(wait, math.MaxInt32))
+	return millis(wait)
 }
 
 // push adds the request to the subqueue of its workspace.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -380,14 +380,21 @@
 	// A caller rejected for lack of capacity retries after retryAfterOverload,
 	// about as long as a load peak lasts, plus a random time below
 	// overloadJitter, so that callers rejected together don't return together.
+	// It applies if the end of the peak can't be predicted.
 	retryAfterOverload clock.Millis = 1500
 	overloadJitter     clock.Millis = 2500
+	// honouredShare is the part of a caller's remaining time, as a divisor, that callers
+	// wait for at most before they return.
+	honouredShare = 3
 )
 
 // retryAfter returns the time after which the caller may retry.
 func (x *exchange) retryAfter(e *codes.Error) clock.Millis {
 	switch e.Code {
 	case codes.DeadlineUnmet, codes.QueueFull:
+		if e.RetryAfter > 0 {
+			return x.honoured(e.RetryAfter)
+		}
 		return retryAfterOverload + rand.N(overloadJitter)
 	case codes.NoUpstream:
 		if e.RetryAfter > 0 {
@@ -402,6 +409,17 @@
 	return max(e.RetryAfter, minRetryAfter)
 }
 
+// honoured returns the predicted time if the caller waits that long. Otherwise it returns a
+// random time in the second half of that for which it does, so that these callers don't
+// return together.
+func (x *exchange) honoured(d clock.Millis) clock.Millis {
+	most := max(minRetryAfter, x.timeLeft()/honouredShare)
+	if d <= most {
+		return d
+	}
+	return most/2 + rand.N(most/2)
+}
+
 // finish logs the result of the request and updates the metrics. It returns fault,
 // or a nil error interface if fault is nil.
 func (x *exchange) finish(fault *codes.Error) error {
--- a/relay/placement_test.go
+++ b/relay/placement_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"lacewinghook.example/lacewinghook/alloc"
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/relay"
@@ -48,3 +49,24 @@
 	is.Equal(lines[0].ContextMap()["workspace"], "ws-a")
 	is.Equal(lines[0].ContextMap()["priority"], int64(2))
 }
+
+// TestPredictedReturn guards against callers that return before the capacity that was
+// predicted is free, and against times that callers don't wait for, at whose end they all
+// return.
+func TestPredictedReturn(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRelay(&upstreams{}, &budget{})
+	run := func(predicted clock.Millis) clock.Millis {
+		r.Placer = &placer{err: codes.New(codes.DeadlineUnmet, "late").WithRetryAfter(predicted)}
+		return codes.From(r.Run(context.Background(), request(r, core.HostRoute{}), &sink{})).RetryAfter
+	}
+	is.Equal(run(700), clock.Millis(700))
+	times := make(map[clock.Millis]bool)
+	for range 40 {
+		d := run(9000) // 5,000 ms are left
+		is.True(d >= 800 && d <= 1667)
+		times[d] = true
+	}
+	is.True(len(times) > 20)
+	is.True(run(0) >= 1500) // nothing was predicted
+}
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 
+	"github.com/go-faster/errors"
+
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
@@ -109,7 +111,7 @@
 	if err == nil && s.NoQueue {
 		err = s.tryPlace(pq)
 	} else if err == nil {
-		err = s.waitQueue(q.Try.Request.Model).Wait(ctx, s.ticket(pq))
+		err = withRetryAfter(s.waitQueue(q.Try.Request.Model).Wait(ctx, s.ticket(pq)))
 	}
 	if err == nil {
 		return pq.placement, nil
@@ -377,5 +379,15 @@
 	return codes.New(codes.DeadlineUnmet, "predicted first token %d ms too late", late).WithRetryAfter(max(late, minRetryAfter))
 }
 
+// withRetryAfter adds the shortest time to the error of a request that was rejected by the
+// wait queue if the queue couldn't predict one.
+func withRetryAfter(err error) error {
+	var e *codes.Error
+	if !errors.As(err, &e) || e.RetryAfter > 0 || e.Code != codes.DeadlineUnmet && e.Code != codes.QueueFull {
+		return err
+	}
+	return e.WithRetryAfter(minRetryAfter)
+}
+
 // minRetryAfter is the shortest retry-after time of a rejected request.
 const minRetryAfter clock.Millis = 50
