--- a/hconn/conn.go
+++ b/hconn/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
 	"lacewinghook.example/lacewinghook/clock"
@@ -119,7 +120,15 @@
 	return &Conn{Conn: c, limit: limit, read: bufio.NewReaderSize(limit, readBufferBytes)}, nil
 }
 
-// ReadResponse reads the head of a response to a request with the given method.
+// Bounds of the statuses of final responses. Those from minStatus on, but lower, are of
+// interim ones.
+const (
+	minStatus      = 100
+	maxFinalStatus = 599
+)
+
+// ReadResponse reads the head of a response to a request with the given method. It may be
+// an interim one. A status outside 100 to 599 is an error.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
 	c.limit.limited, c.limit.left = true, maxHeadBytes
 	r, err := http.ReadResponse(c.read, &http.Request{Method: method})
@@ -128,6 +137,9 @@
 		// A line that was cut at the limit may look malformed.
 		err = errHeadTooLong
 	}
+	if err == nil && (r.StatusCode < minStatus || r.StatusCode > maxFinalStatus) {
+		return nil, errors.Errorf("status %03d is none of a response", r.StatusCode)
+	}
 	return r, err
 }
 
--- a/hconn/doc.go
+++ b/hconn/doc.go
@@ -10,7 +10,7 @@
 // An idle connection is reused only if the server keeps it open, according to its
 // Keep-Alive header ([KeepAliveTime]), and no unread data have arrived. The head of a
 // response is limited in size: a longer one is an error with the code
-// [codes.UpstreamEndless].
+// [codes.UpstreamEndless]. A status outside 100 to 599 is an error as well.
 //
 // The package doesn't retry. Its only timeout is that of connecting; a caller bounds an
 // exchange by a context, at whose end the connection is closed ([Conn.CloseWhenDone],
