store: a status outside 200 to 599 proves no commit

Each status below 300 counted as a success. TestStatusOutOfRange fails before for 000, 007 and 099. The client's other answers are JSON, of which a part can't be decoded, and objects, whose requests have no body, so that no write can consume a reset.

--- a/store/client.go
+++ b/store/client.go
@@ -176,6 +176,9 @@
 func statusError(status int, path string, body []byte) error {
 	cause := errors.Errorf("status %d: %s", status, body[:min(len(body), maxErrorBytes)])
 	switch {
+	case status < 200 || status > 599:
+		// It is none of a final answer.
+		return platformDown(cause, path).WithRun(codes.Unknown)
 	case status < 300:
 		return nil
 	case status == http.StatusNotFound:
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -165,3 +165,23 @@
 	wg.Wait()
 	is.True(clock.Clock{}.Now()-begin >= 140) // 20,000 bytes, 5,000 of them at once
 }
+
+// TestStatusOutOfRange guards against a commit that counts as done because its answer has a
+// status below those of final answers.
+func TestStatusOutOfRange(t *testing.T) {
+	for _, status := range []string{"000", "007", "099", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				is.NoErr(err)
+				defer conn.Close()
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s x\r\nContent-Length: 2\r\n\r\n{}", status)
+			}))
+			defer srv.Close()
+			_, err := (&store.Client{Base: srv.URL}).Commit(context.Background(), core.Write{Key: "a"})
+			is.True(codes.Has(err, codes.PlatformDown))
+			is.Equal(codes.From(err).Run, codes.Unknown)
+		})
+	}
+}
