extsim: the store can be set back to an older copy

Copy takes the rows and the history, Restore sets the store back to them: versions go back and are assigned again, feeds from a later one get 410, and the header Store-Era in all answers rises by one. Since has the writes that operators and replicas repeat. The mode Gone answers 410.

--- a/extsim/store.go
+++ b/extsim/store.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -28,8 +30,14 @@
 	NoResponse Mode = "silent"
 	// Reset resets the connection without an answer.
 	Reset Mode = "reset"
+	// Gone answers 410, as if it had none of the versions that are asked for.
+	Gone Mode = "410"
 )
 
+// EraHeader is the header of all answers that rises by one when the store was restored from
+// an older copy.
+const EraHeader = "Store-Era"
+
 // Store simulates the platform's metadata store in memory.
 type Store struct {
 	Addr string
@@ -41,6 +49,7 @@
 	history   []storedRow          // all changes, oldest first
 	compacted int64                // feeds can't start before this revision
 	revision  int64                // of the last change
+	era       int64                // 1 plus the number of restores
 	calls     map[string]int       // by path
 	stopped   chan struct{}        // closed by Close
 	server    *httptest.Server
@@ -66,7 +75,7 @@
 // StartStore starts a store. Close must be called once.
 func StartStore() *Store {
 	s := &Store{
-		rows: make(map[string]storedRow), calls: make(map[string]int),
+		rows: make(map[string]storedRow), calls: make(map[string]int), era: 1,
 		changed: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	s.server = httptest.NewServer(s)
@@ -123,6 +132,63 @@
 	s.notifyChange()
 }
 
+// Copy is the state of a [Store] at some moment.
+type Copy struct {
+	rows                map[string]storedRow
+	history             []storedRow
+	compacted, revision int64
+}
+
+// Copy returns the present state, for [Store.Restore].
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{rows: maps.Clone(s.rows), history: slices.Clone(s.history), compacted: s.compacted, revision: s.revision}
+}
+
+// Restore sets the store back to a copy of itself. What was written since is gone and its
+// versions are assigned again, which the era in the answers tells. Feeds and reads from a
+// version after that of the copy are answered 410. The rows of operators and replicas are up
+// to the caller, who writes them again (see [Store.Since]).
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.history, s.compacted, s.revision = maps.Clone(c.rows), slices.Clone(c.history), c.compacted, c.revision
+	s.era++
+	s.notifyChange()
+}
+
+// Since returns functions that repeat the last write of each row of the given tables since
+// the copy was made, as their writers do after [Store.Restore].
+func (s *Store) Since(c Copy, tables ...string) []func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := make(map[string]storedRow)
+	for _, r := range s.history {
+		if r.revision > c.revision && slices.Contains(tables, r.table) {
+			last[r.table+"\x00"+r.key] = r
+		}
+	}
+	var writes []func()
+	for _, r := range last {
+		writes = append(writes, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.revision++
+			r.revision = s.revision
+			s.apply(r)
+		})
+	}
+	return writes
+}
+
+// Era returns the present era.
+func (s *Store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Keys returns the keys of a table in order.
 func (s *Store) Keys(table string) []string {
 	s.mu.Lock()
@@ -179,6 +245,7 @@
 	s.mu.Lock()
 	mode := s.mode
 	s.calls[r.URL.Path]++
+	w.Header().Set(EraHeader, strconv.FormatInt(s.era, 10))
 	s.mu.Unlock()
 	switch mode {
 	case Unavailable:
@@ -195,6 +262,9 @@
 		panic(http.ErrAbortHandler)
 	case Reset:
 		panic(http.ErrAbortHandler)
+	case Gone:
+		w.WriteHeader(http.StatusGone)
+		return
 	}
 	switch r.Method + " " + r.URL.Path {
 	case "GET /rows-get":
@@ -243,7 +313,8 @@
 	for {
 		s.mu.Lock()
 		changed := s.changed
-		if after < s.compacted {
+		w.Header().Set(EraHeader, strconv.FormatInt(s.era, 10))
+		if after < s.compacted || after > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -321,6 +392,7 @@
 		list = append(list, row)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(EraHeader, strconv.FormatInt(s.era, 10))
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"rows": list, "has_more": more, "schema_version": s.revision, "now_ms": time.Now().UnixMilli(),
 	})
