--- a/edge/quota.go
+++ b/edge/quota.go
@@ -12,7 +12,7 @@
 func (e *Edge) prepareQuota(self core.Instance) {
 	q := e.Settings.Fleet.Quota
 	e.limits = quota.Client{
-		Self: self, Peers: &e.peers, Entries: e.quotaOwners, Table: quota.Table{Limits: e.limitOf}, Fresh: e.Settings.Fleet.Fresh,
+		Self: self, Peers: &e.peers, Entries: e.quotaOwners, Table: quota.Table{Limits: e.limitOf}, Workspaces: e.limitedWorkspaces, Fresh: e.Settings.Fleet.Fresh,
 		Policy: quota.Policy{Span: q.Span.Millis(), Overshoot: q.Overshoot, Slack: q.Slack},
 		Clock:  e.Clock, Meter: &e.meter, Log: e.Log,
 	}
@@ -29,6 +29,21 @@
 	return append(slices.Clone(listed), e.self())
 }
 
+// limitedWorkspaces returns the workspaces that have a limit by the manifest in force.
+func (e *Edge) limitedWorkspaces() []string {
+	m := e.routes.Manifest()
+	if m == nil {
+		return nil
+	}
+	var names []string
+	for i := range m.Accounts {
+		if m.Accounts[i].Limit.Rate > 0 {
+			names = append(names, m.Accounts[i].Name)
+		}
+	}
+	return names
+}
+
 // limitOf returns the limit of a workspace by the manifest in force.
 func (e *Edge) limitOf(workspace string) (core.Limit, bool) {
 	m := e.routes.Manifest()
--- a/quota/client.go
+++ b/quota/client.go
@@ -32,7 +32,10 @@
 	// Entries returns the entries that may be owners, this one included.
 	Entries func() []core.Instance
 	Table   Table
-	Policy  Policy
+	// Workspaces, if not nil, returns those that have a limit. This entry then asks for the
+	// buckets of those that it comes to own while the owner before still runs.
+	Workspaces func() []string
+	Policy     Policy
 	// Fresh means that the whole system starts for the first time, so that no requests
 	// ran before.
 	Fresh bool
@@ -68,13 +71,13 @@
 	// returnInterval is the interval at which unused tokens are returned.
 	returnInterval clock.Millis = 250
 	// idleTime is the time without requests after which a workspace is forgotten.
-	idleTime = 1 * clock.Minute
+	idleTime clock.Millis = 60_000
 	// maxBatch bounds the requests in one ask.
 	maxBatch = 64
 	// minJitter is the least random time that is added to a Retry-After, and jitterShare
 	// its share of it.
 	minJitter   clock.Millis = 50
-	jitterShare              = 4
+	jitterShare clock.Millis = 4
 	// localRetry is the time after which to try again where no owner was reached.
 	localRetry clock.Millis = 500
 )
@@ -382,10 +385,32 @@
 	c.log().Warn("quota: an owner did not answer", zap.String("entry", in.Name), zap.Int64("for", int64(d)), zap.Error(err))
 }
 
-// Run follows the list of entries and returns unused tokens, until ctx ends.
+// Run follows the list of entries, takes over the workspaces that this entry comes to own
+// and returns unused tokens, until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	c.current()
-	c.Clock.Every(ctx, returnInterval, c.returnUnused)
+	c.Clock.Every(ctx, returnInterval, c.maintain)
+}
+
+// maintain does what is due at each interval.
+func (c *Client) maintain(ctx context.Context) {
+	c.takeOver(ctx)
+	c.returnUnused(ctx)
+}
+
+// takeOver asks for the buckets of the workspaces that this entry has come to own.
+func (c *Client) takeOver(ctx context.Context) {
+	if c.Workspaces == nil {
+		return
+	}
+	vs := c.current()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, workspace := range c.Workspaces() {
+		if vs[0].owner(workspace, c.Self.Name) {
+			wg.Go(func() { c.claim(ctx, vs, workspace) })
+		}
+	}
 }
 
 // returnUnused gives back what has not been used, in one message for each entry that has
--- a/quota/export_test.go
+++ b/quota/export_test.go
@@ -2,8 +2,8 @@
 
 import "context"
 
-// ReturnUnused does what [Client.Run] does at each interval.
-func (c *Client) ReturnUnused(ctx context.Context) { c.returnUnused(ctx) }
+// Maintain does what [Client.Run] does at each interval.
+func (c *Client) Maintain(ctx context.Context) { c.maintain(ctx) }
 
 // Ranked returns the names of the owner of a workspace and of its successors.
 func (c *Client) Ranked(workspace string) []string {
