--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -27,6 +27,11 @@
 	for _, r := range entries {
 		s.until("the entries know each other", func() bool { return len(r.addresses()) == len(entries) })
 	}
+	// By their names, the third entry is the owner. It takes over the bucket from the first,
+	// without the tokens that are out at that time.
+	s.until("the owner has the bucket", func() bool {
+		return entries[2].logs.FilterMessage("quota: took a workspace over").Len() > 0
+	})
 	n := 0
 	send := func(path, key string) answer {
 		n++
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"slices"
-
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/quota"
@@ -12,23 +10,14 @@
 func (e *Edge) prepareQuota(self core.Instance) {
 	q := e.Settings.Fleet.Quota
 	e.limits = quota.Client{
-		Self: self, Peers: &e.peers, Entries: e.quotaOwners, Table: quota.Table{Limits: e.limitOf}, Workspaces: e.limitedWorkspaces, Fresh: e.Settings.Fleet.Fresh,
+		// The listed entries and not the live ones are the owners: the live ones would differ
+		// between the sides of a cut network, which then had an owner each.
+		Self: self, Peers: &e.peers, Entries: e.gossip.Listed, Table: quota.Table{Limits: e.limitOf}, Workspaces: e.limitedWorkspaces, Fresh: e.Settings.Fleet.Fresh,
 		Policy: quota.Policy{Span: q.Span.Millis(), Overshoot: q.Overshoot, Slack: q.Slack},
 		Clock:  e.Clock, Meter: &e.meter, Log: e.Log,
 	}
 }
 
-// quotaOwners returns the entries that may own workspaces: the listed ones. A list of those
-// that are live would differ between the sides of a cut network, which then had an owner
-// each. Until this entry is listed, it knows of no owners but itself and the listed ones.
-func (e *Edge) quotaOwners() []core.Instance {
-	listed := e.gossip.Listed()
-	if slices.ContainsFunc(listed, func(in core.Instance) bool { return in.Name == e.Settings.Instance }) {
-		return listed
-	}
-	return append(slices.Clone(listed), e.self())
-}
-
 // limitedWorkspaces returns the workspaces that have a limit by the manifest in force.
 func (e *Edge) limitedWorkspaces() []string {
 	m := e.routes.Manifest()
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"math"
+
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/core"
 )
@@ -88,9 +90,9 @@
 	return admitted
 }
 
-// TakeSpare takes up to n tokens, and leaves the bucket at least half full.
+// TakeSpare takes up to n tokens, a whole number, and leaves the bucket at least half full.
 func (b *Bucket) TakeSpare(n float64) float64 {
-	n = max(0, min(n, b.level-capacity(b.limit)/2))
+	n = math.Floor(max(0, min(n, b.level-capacity(b.limit)/2)))
 	b.level -= n
 	return n
 }
@@ -107,7 +109,7 @@
 // they had never been taken: tokens that the bucket would have lost since because it was
 // full are not put back, else a window could run more than the rate and one burst. The span
 // in which they were taken doesn't count, since the bucket may have been full before; this
-// puts back what is earned in one span too much, at most.
+// puts back what is earned in one span and the time of an answer too much, at most.
 func (b *Bucket) Return(n float64, age clock.Millis) {
 	from := int64((b.at - age) / roomSpan)
 	if n <= 0 || from < b.first {
--- a/quota/claim.go
+++ b/quota/claim.go
@@ -25,6 +25,9 @@
 	refusedTime clock.Millis = 250
 	// probeTimeout bounds a question to another entry while an asking entry waits.
 	probeTimeout clock.Millis = 40
+	// probeSilent is how long no other ask waits for an entry that did not answer one. It
+	// is short, since a successor answers nothing meanwhile.
+	probeSilent clock.Millis = 250
 )
 
 // claim is the right of this entry to decide for a workspace, since an instant at which the
@@ -93,7 +96,7 @@
 		now := c.Clock.Now()
 		gone, ok := c.gone.Get(in.Name)
 		if !ok || now >= gone.last+refusedTime {
-			if a.Relayed {
+			if a.Relayed || c.passedOver(in.Name) {
 				return Grant{}
 			}
 			g, err := c.askOne(ctx, in, probeTimeout, true, item)
@@ -102,6 +105,7 @@
 				return g
 			}
 			if !refusedConnection(err) {
+				c.passOver(in, probeSilent, err)
 				return Grant{}
 			}
 			gone = c.refusedAt(in.Name, c.Clock.Now())
--- a/quota/client.go
+++ b/quota/client.go
@@ -29,7 +29,8 @@
 	// Self is this entry.
 	Self  core.Instance
 	Peers Peers
-	// Entries returns the entries that may be owners, this one included.
+	// Entries returns the entries that may be owners: the same at all entries that have the
+	// same list, and none until this entry has one.
 	Entries func() []core.Instance
 	Table   Table
 	// Workspaces, if not nil, returns those that have a limit. This entry then asks for the
@@ -267,14 +268,17 @@
 	}
 }
 
-// settle passes a grant on to the requests that it is for. Leases count from the instant at
-// which they were asked for, so that they end before the owner expects it.
+// settle passes a grant on to the requests that it is for. A lease ends by the instant at
+// which it was asked for, before the owner expects it. Tokens that are returned count from
+// the answer: from the ask on, the bucket may have been full before they were taken, and the
+// owner would not put them back.
 func (c *Client) settle(t *tenant, batch []*waiter, g Grant, by string, asked clock.Millis) {
-	age := c.Clock.Now() - asked
+	answered := c.Clock.Now()
+	age := answered - asked
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i, w := range batch {
-		res := result{ok: true, by: by, at: asked, level: g.Level, age: age}
+		res := result{ok: true, by: by, at: answered, level: g.Level, age: age}
 		if at := slices.Index(g.Refused, i); at >= 0 {
 			res.ok = false
 			if at < len(g.Retry) {
@@ -282,13 +286,13 @@
 			}
 		}
 		if w.left && res.ok {
-			t.giveBack(by, w.cost, asked)
+			t.giveBack(by, w.cost, answered)
 			continue
 		}
 		w.result <- res
 	}
 	if g.Extra > 0 {
-		t.lease, t.by, t.granted = Lease{Tokens: g.Extra, Until: asked + c.Policy.Lease()}, by, asked
+		t.lease, t.by, t.granted = Lease{Tokens: g.Extra, Until: asked + c.Policy.Lease()}, by, answered
 	}
 }
 
@@ -302,13 +306,17 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if until, ok := c.silent.Get(in.Name); ok && c.Clock.Now() < until {
+		if c.passedOver(in.Name) {
 			continue
 		}
 		t.takeReturn(in.Name, &item, c.Clock.Now())
 		g, err := c.ask(ctx, in, item)
 		if err != nil {
-			c.passOver(in, err)
+			d := silentFor
+			if refusedConnection(err) {
+				d = endedFor
+			}
+			c.passOver(in, d, err)
 			continue
 		}
 		if g.State == Decided {
@@ -374,12 +382,14 @@
 	return g
 }
 
-// passOver passes over an entry that did not answer.
-func (c *Client) passOver(in core.Instance, err error) {
-	d := silentFor
-	if refusedConnection(err) {
-		d = endedFor
-	}
+// passedOver reports whether an entry did not answer shortly before.
+func (c *Client) passedOver(name string) bool {
+	until, ok := c.silent.Get(name)
+	return ok && c.Clock.Now() < until
+}
+
+// passOver passes over an entry that did not answer for d.
+func (c *Client) passOver(in core.Instance, d clock.Millis, err error) {
 	c.silent.Set(in.Name, c.Clock.Now()+d)
 	c.Meter.Add("quota_silent_total", 1)
 	c.log().Warn("quota: an owner did not answer", zap.String("entry", in.Name), zap.Int64("for", int64(d)), zap.Error(err))
@@ -466,9 +476,6 @@
 // current returns the lists of entries, after it has taken note of a new one.
 func (c *Client) current() views {
 	entries := c.Entries()
-	if len(entries) == 0 {
-		entries = []core.Instance{c.Self}
-	}
 	if vs := c.views.Load(); vs != nil && (*vs)[0].same(entries) {
 		return *vs
 	}
@@ -484,8 +491,8 @@
 	if len(vs) > 0 && vs[0].same(entries) {
 		return vs
 	}
-	if len(vs) == 1 && len(vs[0].entries) == 1 && vs[0].entries[0].Name == c.Self.Name && len(entries) > 1 {
-		// Until the first list this entry knew only itself.
+	if len(vs) == 1 && len(vs[0].entries) == 0 {
+		// This is the first list.
 		vs = nil
 	}
 	vs = vs.with(&view{entries: entries, at: now})
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -50,5 +50,5 @@
 	if n < 2*d.cost {
 		return 0
 	}
-	return n
+	return math.Floor(n)
 }
