alloc: a request that one group rejects is asked for at the other one

Cause: Place returned the first deadline_unmet of the two groups that it draws, and the rejection of the group at which the request waited, although the other one may have had capacity.

Change: the request waits at the other group if that answered, and is rejected only if both do. The error names both, with the earlier time to return.

--- a/alloc/client.go
+++ b/alloc/client.go
@@ -1,6 +1,7 @@
 package alloc
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -88,7 +89,8 @@
 
 // Place is [Desk.Place] at the owners: it asks those of two groups for engines that
 // are free now, and then waits at the one with fewer waiting requests for each
-// engine.
+// engine. If that one rejects the request for lack of capacity, it is asked for at the
+// other one.
 func (c *Client) Place(ctx context.Context, r Request, commit func(Choice)) error {
 	groups := c.usableGroups(r.Service)
 	entries := c.Entries()
@@ -96,27 +98,63 @@
 	if len(entries) == 0 || !ok {
 		return c.Desk.Place(ctx, r, commit)
 	}
-	best, fewest := first, -1.0
-	for _, g := range []int{first, second} {
+	drawn := []int{first, second}
+	if first == second {
+		drawn = drawn[:1]
+	}
+	waiting := make(map[int]float64)
+	var rejected error
+	for _, g := range drawn {
 		res, err := c.ask(ctx, entries, g, r, 0, commit)
-		if err == nil && res.Choice != nil {
+		switch {
+		case err == nil && res.Choice != nil:
 			return nil
-		}
-		if codes.Has(err, codes.DeadlineUnmet) {
-			return err
-		}
-		if ctx.Err() != nil {
+		case ctx.Err() != nil:
 			return codes.From(ctx.Err()).WithRun(codes.NotRun)
+		case err == nil:
+			waiting[g] = float64(res.Waiting) / float64(max(1, groups.Decodes[g]))
+		case codes.Has(err, codes.DeadlineUnmet):
+			rejected = bothRejected(rejected, err)
 		}
-		if waiting := float64(res.Waiting) / float64(max(1, groups.Decodes[g])); err == nil && (fewest < 0 || waiting < fewest) {
-			best, fewest = g, waiting
-		}
-		if first == second {
+	}
+	return c.waitAtOne(ctx, entries, r, waitOrder(drawn, waiting), rejected, commit)
+}
+
+// waitOrder returns the groups at which to wait: those that answered, the one with fewer
+// waiting requests first, or the first drawn if none did.
+func waitOrder(drawn []int, waiting map[int]float64) []int {
+	order := slices.DeleteFunc(slices.Clone(drawn), func(g int) bool { _, ok := waiting[g]; return !ok })
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(waiting[a], waiting[b]) })
+	if len(order) == 0 {
+		return drawn[:1]
+	}
+	return order
+}
+
+// waitAtOne waits at the groups in order until one of them places the request. It goes on
+// to the next one only if the owner rejects the request for lack of capacity. rejected is
+// the error with which another group has rejected it, or nil.
+func (c *Client) waitAtOne(ctx context.Context, entries []core.Instance, r Request, order []int, rejected error, commit func(Choice)) error {
+	for _, g := range order {
+		if rejected != nil && r.late(c.Clock.Now()) != nil {
 			break
 		}
+		err := c.waitAt(ctx, entries, g, r, commit)
+		switch {
+		case err == nil || ctx.Err() != nil:
+			return err
+		case !codes.Has(err, codes.DeadlineUnmet) && !codes.Has(err, codes.QueueFull):
+			return cmp.Or(rejected, err)
+		}
+		rejected = bothRejected(rejected, err)
 	}
+	return rejected
+}
+
+// waitAt waits at one group.
+func (c *Client) waitAt(ctx context.Context, entries []core.Instance, group int, r Request, commit func(Choice)) error {
 	for {
-		res, err := c.ask(ctx, entries, best, r, maxWait, commit)
+		res, err := c.ask(ctx, entries, group, r, maxWait, commit)
 		switch {
 		case ctx.Err() != nil && (err != nil || res.Choice == nil):
 			return codes.From(ctx.Err()).WithRun(codes.NotRun)
@@ -128,6 +166,20 @@
 	}
 }
 
+// bothRejected returns the error of a request that two groups have rejected: the caller
+// may return once the first of them has capacity. Either error may be nil.
+func bothRejected(first, second error) error {
+	if first == nil || second == nil {
+		return cmp.Or(first, second)
+	}
+	a, b := codes.From(first), codes.From(second)
+	after := min(a.RetryAfter, b.RetryAfter)
+	if after == 0 {
+		after = max(a.RetryAfter, b.RetryAfter)
+	}
+	return codes.New(b.Code, "%s; %s", a.Message, b.Message).WithRun(codes.NotRun).WithRetryAfter(after)
+}
+
 // ask asks the owner of a group to place a request, and passes over owners that
 // don't answer. The error is one with which the owner rejected the request.
 func (c *Client) ask(ctx context.Context, entries []core.Instance, group int, r Request, wait clock.Millis, commit func(Choice)) (Result, error) {
