extsim: a restore tells in one step which rows have to be written again

A write between Since and Restore of the stand-in was lost for good. Restore now returns the writes to repeat, and each does nothing if its row was written after the restore.

--- a/extsim/store.go
+++ b/extsim/store.go
@@ -148,45 +148,37 @@
 
 // Restore sets the store back to a copy of itself. What was written since is gone and its
 // versions are assigned again, which the era in the answers tells. Feeds and reads from a
-// version after that of the copy are answered 410. The rows of operators and replicas are up
-// to the caller, who writes them again (see [Store.Since]).
-func (s *Store) Restore(c Copy) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rows, s.history, s.compacted, s.revision = maps.Clone(c.rows), slices.Clone(c.history), c.compacted, c.revision
-	s.era++
-	s.notifyChange()
-}
-
-// Since returns functions that repeat the last write of each row of the given tables since
-// the copy was made, as their writers do after [Store.Restore].
-func (s *Store) Since(c Copy, tables ...string) []func() {
+// version after that of the copy are answered 410. It returns functions that repeat the last
+// write of each row of the given tables since the copy, as operators and replicas do, if the
+// row hasn't been written since the restore.
+func (s *Store) Restore(c Copy, tables ...string) (again []func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last := make(map[string]storedRow)
-	for _, r := range s.history {
-		if r.revision > c.revision && slices.Contains(tables, r.table) {
+	for _, r := range s.history[min(len(c.history), len(s.history)):] {
+		if slices.Contains(tables, r.table) {
 			last[r.table+"\x00"+r.key] = r
 		}
 	}
-	var writes []func()
 	for _, r := range last {
-		writes = append(writes, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.revision++
-			r.revision = s.revision
-			s.apply(r)
-		})
+		again = append(again, func() { s.repeat(r, len(c.history)) })
 	}
-	return writes
+	s.rows, s.history, s.compacted, s.revision = maps.Clone(c.rows), slices.Clone(c.history), c.compacted, c.revision
+	s.era++
+	s.notifyChange()
+	return again
 }
 
-// Era returns the present era.
-func (s *Store) Era() int64 {
+// repeat writes a row unless it is among the changes from the given one on.
+func (s *Store) repeat(r storedRow, from int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.era
+	if slices.ContainsFunc(s.history[min(from, len(s.history)):], func(o storedRow) bool { return o.table == r.table && o.key == r.key }) {
+		return
+	}
+	s.revision++
+	r.revision = s.revision
+	s.apply(r)
 }
 
 // Keys returns the keys of a table in order.
