taint: quarantines are written to a restored store again

A store that is restored from an older copy lacks the quarantines since then, and has rows again of those that were lifted. SaveAgain repeats what this entry owns: the quarantines and trials whose last crash it has met, and what it wrote or deleted within the last minute. Nothing was lifted because its row was gone, before or after; a test says so now.

TestRestoredStoreIsToldAgain fails if SaveAgain does nothing.

--- a/taint/save.go
+++ b/taint/save.go
@@ -110,6 +110,40 @@
 			t.unsaved.Set(part, true)
 			return err
 		}
+		t.written.Set(part, t.Clock.Now())
 	}
 	return nil
 }
+
+// writtenTime is how long the writes to the store are remembered. A copy from which the store
+// is restored is some seconds old.
+const writtenTime = 1 * clock.Minute
+
+// SaveAgain tells the store once more what it was told by this entry, since it was restored
+// from an older copy: the quarantines and trials whose last crash this entry has met, and
+// what it wrote or deleted within writtenTime. Nothing is lifted because the store lacks it.
+func (t *Table) SaveAgain() {
+	if t.Store == nil {
+		return
+	}
+	parts := 0
+	for _, r := range t.suspects.Values() {
+		if r.verdict != observed && len(r.Crashes) > 0 && r.Crashes[0].Entry == t.Self {
+			t.markUnsaved(r.Part)
+			parts++
+		}
+	}
+	t.written.Each(func(part uint64, _ clock.Millis) bool {
+		t.markUnsaved(part)
+		parts++
+		return true
+	})
+	if parts > 0 {
+		t.log().Info("taint: writing to the restored store again", zap.String("of", t.kind()), zap.Int("rows", parts))
+	}
+}
+
+// forgetWritten forgets the writes that are older than writtenTime.
+func (t *Table) forgetWritten(now clock.Millis) {
+	t.written.Each(func(_ uint64, at clock.Millis) bool { return now-at < writtenTime })
+}
--- a/taint/save_test.go
+++ b/taint/save_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"testing"
 
@@ -96,3 +97,59 @@
 	is.True(saves <= 2)
 	is.True(deletes <= 2)
 }
+
+// TestRestoredStoreIsToldAgain guards against a quarantine that a store which was restored
+// from an older copy lacks, so that it is lost when all entries restart, against one that is
+// lifted because its row is gone, and against a row that comes back after its quarantine was
+// lifted. Each is written again by the entry that wrote it.
+func TestRestoredStoreIsToldAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5)
+	store := &memoryStore{rows: map[uint64]taint.Suspect{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	for _, e := range f.entries {
+		e.Store = store
+		running.Go(func() { e.Run(ctx) })
+	}
+	await := func(cond func() bool) {
+		for range 2000 {
+			if cond() {
+				return
+			}
+			_ = clock.Clock{}.Sleep(ctx, 1)
+		}
+		is.True(cond())
+	}
+	restore := func(rows map[uint64]taint.Suspect) {
+		store.mu.Lock()
+		store.rows = maps.Clone(rows)
+		store.mu.Unlock()
+		for _, e := range f.entries {
+			e.SaveAgain()
+		}
+	}
+	for i := range 3 {
+		f.crash(i, uint64(i), bad)
+		f.tell()
+	}
+	await(func() bool { n, _, _ := store.counts(bad); return n == 1 })
+	_, before, _ := store.counts(bad)
+	restore(map[uint64]taint.Suspect{})
+	await(func() bool { n, _, _ := store.counts(bad); return n == 1 })
+	_, saves, _ := store.counts(bad)
+	is.True(saves-before <= 2) // by the entry of the last crash, and that of the one before
+	for i := range f.entries {
+		is.True(f.rejects(i, bad))
+	}
+	store.mu.Lock()
+	old := maps.Clone(store.rows)
+	store.mu.Unlock()
+	f.entries[4].Clear([]uint64{bad})
+	f.tell()
+	await(func() bool { n, _, _ := store.counts(bad); return n == 0 })
+	restore(old)
+	await(func() bool { n, _, _ := store.counts(bad); return n == 0 })
+}
--- a/taint/table.go
+++ b/taint/table.go
@@ -53,6 +53,8 @@
 	sum atomic.Pointer[summary]
 	// unsaved holds the parts of which the store has to be told.
 	unsaved shard.Map[uint64, bool]
+	// written holds when the store was told of a part by this entry.
+	written shard.Map[uint64, clock.Millis]
 	saving  notify.Signal
 }
 
@@ -297,10 +299,11 @@
 
 // sweep removes expired suspects.
 func (t *Table) sweep(context.Context) {
+	now := t.Clock.Now()
+	t.forgetWritten(now)
 	if t.known.Load() == 0 {
 		return
 	}
-	now := t.Clock.Now()
 	for _, r := range t.suspects.Values() {
 		if r.leftAt(now) > 0 {
 			continue
