soak: a step that sets the store back

store-back takes a copy, sets the store back to it 0.3 to 2.5 s later, and has operators and replicas write their rows again within 2 s. It isn't drawn with the other steps, so that the plans of noted seeds keep theirs. DRAIN and the delays of CONFIG are excused for what was written from 3 s before the restore on and for processes that started meanwhile, since nobody else knows it; TestChecks has what is excused and what isn't.

--- a/soak/check.go
+++ b/soak/check.go
@@ -121,6 +121,17 @@
 // outOfTouch are the outages of an entry without which the bounds of time hold.
 var outOfTouch = []Kind{Kill, Freeze, StoreDown, StoreSlow, StoreLost, StoreCut}
 
+// setBack reports whether the store was set back so that the request's entry may not know at
+// an instant what was written at since: it was written shortly before the restore or until all
+// was written again, or the process has started meanwhile and knows the copy only.
+func (x *index) setBack(q Request, since, at clock.Millis) bool {
+	started := x.boot(q).From
+	return slices.ContainsFunc(x.Outages, func(o Outage) bool {
+		within := func(t clock.Millis) bool { return t >= o.From-stableWindow && t <= o.To }
+		return o.Kind == StoreBack && o.From <= at && at <= o.To+stableWindow && (within(since) || within(started))
+	})
+}
+
 // linkFaults are the failures of a replica that may cut an answer.
 var linkFaults = []Kind{Crash, Odd, Reset, OneWay, Endless, Deadly}
 
@@ -295,7 +306,8 @@
 			continue
 		}
 		from := a.At - a.Late - stableWindow
-		if x.out(q.Entry, from, a.At, outOfTouch...) || x.replicaOut(a.Replica, from, a.At, Silent, Slow, OneWay) {
+		if x.out(q.Entry, from, a.At, outOfTouch...) || x.replicaOut(a.Replica, from, a.At, Silent, Slow, OneWay) ||
+			x.setBack(q, a.At-a.Late, a.At) {
 			continue
 		}
 		report(Finding{Rule: "DRAIN", At: a.At, ID: a.ID, Entry: q.Entry, Text: fmt.Sprintf("replica %d got it %d ms after it had begun to leave", a.Replica, a.Late)})
@@ -321,7 +333,7 @@
 		served := q.Status < 300
 		f := Finding{Rule: "CONFIG", At: q.Sent, ID: q.ID, Entry: q.Entry}
 		touched := func(since clock.Millis) bool {
-			return x.out(q.Entry, since-stableWindow, q.Ended, outOfTouch[1:]...)
+			return x.out(q.Entry, since-stableWindow, q.Ended, outOfTouch[1:]...) || x.setBack(q, since, q.Sent)
 		}
 		switch {
 		case !served && q.Sent > v.At+applyTime+x.stalled(v.At, q.Sent) && (v.Until == 0 || q.Ended < v.Until) && !touched(v.At):
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -117,6 +117,13 @@
 		"arrives in time":                     {func(h *History) { arrive(h, 1900) }, ""},
 		"arrives, store cut off":              {func(h *History) { arrive(h, 2100); outage(h, StoreCut, 0, -1) }, ""},
 		"arrives, store cut off elsewhere":    {func(h *History) { arrive(h, 2100); outage(h, StoreCut, 1, -1) }, "DRAIN"},
+		"arrives, store set back":             {func(h *History) { arrive(h, 2100); outage(h, StoreBack, -1, -1) }, ""},
+		"arrives, known before the set back":  {func(h *History) { arrive(h, 5000); setBack(h, 18500) }, "DRAIN"},
+		"arrives, set back long before":       {func(h *History) { arrive(h, 2100); setBack(h, 9000) }, "DRAIN"},
+		"route missing, store set back":       {func(h *History) { h.Requests[probe].Status, h.Versions[0].At = 404, 11000; setBack(h, 12000) }, ""},
+		"route missing, known before":         {func(h *History) { h.Requests[probe].Status = 404; setBack(h, 12000) }, "CONFIG"},
+		"route missing, started on the copy":  {func(h *History) { h.Requests[probe].Status = 404; h.Boots[0].From = 14100; setBack(h, 14000) }, ""},
+		"reverts when the store is set back":  {func(h *History) { revert(h); setBack(h, 14000) }, "CONFIG"},
 		"route missing":                       {func(h *History) { h.Requests[probe].Status = 404; h.Runs = h.Runs[:probe] }, "CONFIG"},
 		"route missing, store down":           {func(h *History) { h.Requests[probe].Status = 404; outage(h, StoreDown, -1, -1) }, ""},
 		"route missing, store down elsewhere": {func(h *History) { h.Requests[probe].Status = 404; outage(h, StoreCut, 1, -1) }, "CONFIG"},
@@ -155,6 +162,11 @@
 	h.Outages = append(h.Outages, Outage{Kind: k, Entry: entry, Replica: replica, From: 14000, To: 31000})
 }
 
+// setBack has the store set back at an instant, and all rows written again 2 s later.
+func setBack(h *History, at clock.Millis) {
+	h.Outages = append(h.Outages, Outage{Kind: StoreBack, Entry: -1, Replica: -1, From: at, To: at + rewriteTime})
+}
+
 // cross has a request arrive in a stop and its connection end after d.
 func cross(h *History, d clock.Millis) {
 	q := &h.Requests[once]
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -95,6 +96,8 @@
 		_ = sleep(ctx, s.For)
 		e.store.Reset()
 		e.store.SetFlows(proxy.Flow{}, proxy.Flow{})
+	case StoreBack:
+		g.setBack(ctx, s.For, r)
 	case StoreCut:
 		defer g.outage(StoreCut, e.n, -1)()
 		e.store.Cut()
@@ -105,6 +108,25 @@
 	}
 }
 
+// rewriteTime is the longest time until operators and replicas have written their rows to a
+// restored store again.
+const rewriteTime = 2 * clock.Second
+
+// setBack sets the store back to a copy that is age old.
+func (g *rig) setBack(ctx context.Context, age clock.Millis, r *rand.Rand) {
+	g.restoring.Lock()
+	defer g.restoring.Unlock()
+	old := g.store.Copy()
+	_ = sleep(ctx, age)
+	defer g.outage(StoreBack, -1, -1)()
+	var writers sync.WaitGroup
+	for _, write := range g.store.Restore(old, extsim.OperatorTable, extsim.ReplicaTable) {
+		pause := clock.Millis(r.Int64N(int64(rewriteTime)))
+		writers.Go(func() { _ = sleep(ctx, pause); write() })
+	}
+	writers.Wait()
+}
+
 // oddFaults are the wrong answers of the step Odd, and silentFaults the parts of an
 // exchange before which the step Silent has a replica pause, beside pauses of its whole
 // link; both by the phase of the replica.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -43,6 +43,9 @@
 	StoreSlow Kind = "store-slow"
 	StoreLost Kind = "store-lost"
 	StoreCut  Kind = "store-cut"
+	// StoreBack sets the store back to a copy of the moment at which the step begins.
+	// Operators and replicas write their rows again.
+	StoreBack Kind = "store-back"
 	// Crash ends a replica without notice and starts another one.
 	Crash Kind = "crash"
 	// Odd has a replica answer wrongly, see [oddFaults].
@@ -61,7 +64,7 @@
 // Planned and Failures list all kinds.
 var (
 	Planned  = []Kind{Term, Roll, Hup, Manifest, Storm, Leave, Silent, Pause, Change}
-	Failures = []Kind{Kill, Freeze, StoreDown, StoreSlow, StoreLost, StoreCut, Crash, Odd, Reset, OneWay, Slow, Endless, Deadly}
+	Failures = []Kind{Kill, Freeze, StoreDown, StoreSlow, StoreLost, StoreCut, Crash, Odd, Reset, OneWay, Slow, Endless, Deadly, StoreBack}
 )
 
 // Step is one step of a plan.
@@ -104,6 +107,9 @@
 		return slices.DeleteFunc(slices.Clone(kinds), func(k Kind) bool { return !slices.Contains(o.Only, k) })
 	}
 	planned, all := only(Planned), only(slices.Concat(Planned, Failures))
+	back := slices.Contains(all, StoreBack)
+	// It isn't drawn with the others, so that the plans of seeds that were noted stay.
+	all = slices.DeleteFunc(all, func(k Kind) bool { return k == StoreBack })
 	var steps []Step
 	end := o.Duration - calmDown - longest
 	// A series can't begin before the last entries have started.
@@ -113,7 +119,7 @@
 			kinds = planned
 		}
 		if len(kinds) == 0 {
-			return nil
+			break
 		}
 		next := at
 		for range 1 + r.IntN(maxSteps) {
@@ -131,6 +137,14 @@
 		at := warmUp + clock.Millis(r.Int64N(int64(end-warmUp)/2))
 		steps = append(steps, Step{At: at, Kind: Roll, Target: r.IntN(1 << 16), For: longest, Seed: r.Uint64()})
 	}
+	if back && end > warmUp && (seed%3 != 0 || len(o.Only) > 0) {
+		r := rand.New(rand.NewPCG(seed, 5))
+		for range 1 + r.IntN(2) {
+			at := warmUp + clock.Millis(r.Int64N(int64(end-warmUp)))
+			age := shortest + clock.Millis(r.Int64N(int64(longest-shortest)))
+			steps = append(steps, Step{At: at, Kind: StoreBack, Target: r.IntN(1 << 16), For: age, Seed: r.Uint64()})
+		}
+	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
--- a/soak/rig.go
+++ b/soak/rig.go
@@ -88,6 +88,8 @@
 	running context.Context
 	endRun  context.CancelFunc
 	steps   sync.WaitGroup // of the steps in progress
+	// restoring is held from the copy of the store to its last write after the restore.
+	restoring sync.Mutex
 
 	mu       sync.Mutex
 	replicas []*replica // all that ever ran
