--- a/edge/quota.go
+++ b/edge/quota.go
@@ -9,11 +9,12 @@
 // prepareQuota initializes the limits of workspaces.
 func (e *Edge) prepareQuota(self core.Instance) {
 	q := e.Settings.Fleet.Quota
+	policy := quota.Policy{Span: q.Span.Millis(), Overshoot: q.Overshoot, Slack: q.Slack}
 	e.limits = quota.Client{
 		// The listed entries and not the live ones are the owners: the live ones would differ
 		// between the sides of a cut network, which then had an owner each.
 		Self: self, Peers: &e.peers, Entries: e.gossip.Listed, Table: quota.Table{Limits: e.limitOf}, Workspaces: e.limitedWorkspaces, Fresh: e.Settings.Fleet.Fresh,
-		Policy: quota.Policy{Span: q.Span.Millis(), Overshoot: q.Overshoot, Slack: q.Slack},
+		Policy: policy,
 		Clock:  e.Clock, Meter: &e.meter, Log: e.Log,
 	}
 }
--- a/quota/table.go
+++ b/quota/table.go
@@ -10,6 +10,8 @@
 type Table struct {
 	// Limits returns the limit of a workspace by the manifest in force.
 	Limits func(workspace string) (core.Limit, bool)
+	// Policy is the tolerance of the limits.
+	Policy Policy
 
 	buckets shard.Map[string, *Bucket]
 }
@@ -23,6 +25,7 @@
 		t.buckets.Delete(item.Workspace)
 		return Grant{}
 	}
+	limit = t.Policy.Enforced(limit)
 	g := Grant{State: Decided}
 	t.buckets.Update(item.Workspace, func(b *Bucket, ok bool) (*Bucket, bool) {
 		if !ok || b.at < since {
