--- a/edge/slots.go
+++ b/edge/slots.go
@@ -36,9 +36,19 @@
 	return nil
 }
 
+// centreOf returns the data centre of a listed entry.
+func (e *Edge) centreOf(entry string) string {
+	for _, in := range e.gossip.Listed() {
+		if in.Name == entry {
+			return in.Centre
+		}
+	}
+	return ""
+}
+
 // prepareSlots initializes the components that grant the calls of plain services slots.
 func (e *Edge) prepareSlots(self core.Instance) {
-	e.slotDesk = slots.Desk{Replicas: e.slotReplicas, Clock: e.Clock, Meter: &e.meter, Log: e.Log}
+	e.slotDesk = slots.Desk{Replicas: e.slotReplicas, Centres: e.centreOf, Clock: e.Clock, Meter: &e.meter, Log: e.Log}
 	e.slots = slots.Client{
 		Desk: &e.slotDesk, Peers: &e.peers, Self: self, Boot: e.boot, Entries: e.owners, Groups: e.slotsOf,
 		Notices: &e.notices, Clock: e.Clock, Meter: &e.meter, Log: e.Log,
--- a/slots/client.go
+++ b/slots/client.go
@@ -37,7 +37,7 @@
 	// Desk grants slots of the groups that this entry owns.
 	Desk  *Desk
 	Peers Peers
-	// Self is this entry, and Boot its run.
+	// Self is this entry, and Boot identifies its run.
 	Self core.Instance
 	Boot uint64
 	// Entries returns the entries that may be owners, this one included. It returns none
@@ -217,8 +217,8 @@
 	c, r := s.client, &s.request
 	now := c.Clock.Now()
 	a := Ask{
-		Entry: c.Self.Name, Boot: c.Boot, Seq: c.seq.Add(1), Service: r.Service, Group: group, Centre: c.Self.Centre,
-		Workspace: r.Workspace, Priority: r.Priority, Target: r.Target - now, Latest: r.Latest - now, Wait: wait,
+		Run: c.run(), Seq: c.seq.Add(1), Entry: c.Self.Name, Service: r.Service, Target: r.Target - now, Latest: r.Latest - now, Wait: wait,
+		AskDetails: AskDetails{Group: group, Workspace: r.Workspace, Priority: r.Priority},
 	}
 	inGroup := func(name string) bool { g, ok := s.groups.Of[name]; return ok && g == group }
 	for _, name := range r.Exclude {
@@ -244,6 +244,10 @@
 	return a
 }
 
+// run returns a number that identifies this run among all entries. It has 48 bits of Boot,
+// which take less room in messages than all of it.
+func (c *Client) run() uint64 { return c.Boot >> 16 }
+
 // passOver passes over an entry that failed to answer for silentFor.
 func (c *Client) passOver(owner core.Instance, err error) {
 	c.finder.PassOver(owner.Name, c.Clock.Now(), silentFor)
@@ -256,7 +260,7 @@
 func (c *Client) End(g Grant, o Outcome, took clock.Millis) {
 	e := End{Seq: g.Seq, Outcome: o, Took: took}
 	if g.Owner == "" {
-		c.Desk.HandleEnds(Ends{Entry: c.Self.Name, Boot: c.Boot, Ends: []End{e}})
+		c.Desk.HandleEnds(Ends{Run: c.run(), Ends: []End{e}})
 		return
 	}
 	c.outbox.add(g.Peer, e)
--- a/slots/desk.go
+++ b/slots/desk.go
@@ -18,20 +18,27 @@
 type Desk struct {
 	// Replicas returns the replicas of a group that take new calls.
 	Replicas func(service string, group int) []Replica
-	Clock    clock.Clock
-	Meter    *meter.Registry
-	Log      *zap.Logger
+	// Centres, if not nil, returns the data centre of an entry.
+	Centres func(entry string) string
+	Clock   clock.Clock
+	Meter   *meter.Registry
+	Log     *zap.Logger
 
 	groups shard.Map[string, *group]
-	// calls holds the calls that wait or are granted, and boots the runs of the entries.
+	// calls holds the calls that wait or are granted, and runs the runs of the entries.
 	calls shard.Map[callKey, call]
-	boots shard.Map[string, uint64]
+	runs  shard.Map[string, entryRun]
 }
 
 // callKey identifies an ask.
 type callKey struct {
-	entry     string
-	boot, seq uint64
+	run, seq uint64
+}
+
+// entryRun is the run of an entry, and the instant of its last ask.
+type entryRun struct {
+	run uint64
+	at  clock.Millis
 }
 
 // call is an ask that waits, or a granted one.
@@ -50,6 +57,9 @@
 	maxWait clock.Millis = 400
 	// sweepInterval is the pause between two searches for expired grants.
 	sweepInterval clock.Millis = 100
+	// forgetAfter is the time after which the run of an entry that asks for nothing is
+	// forgotten. Its calls have ended at their deadlines by then.
+	forgetAfter = 1 * clock.Minute
 	// maxEnds bounds the ends in one batch.
 	maxEnds = 1024
 	// minRetryAfter is the shortest time after which a rejected caller may return.
@@ -58,9 +68,9 @@
 
 // Serve answers an [Ask]. It may wait. The code is [codes.Leaving] if ctx ends.
 func (d *Desk) Serve(ctx context.Context, a Ask) Answer {
-	d.noteBoot(a.Entry, a.Boot)
+	d.noteRun(a.Entry, a.Run)
 	g := d.group(a.Service, a.Group)
-	key := callKey{a.Entry, a.Boot, a.Seq}
+	key := callKey{a.Run, a.Seq}
 	var answer Answer
 	t := d.ticket(g, key, &a, &answer)
 	d.calls.Set(key, call{})
@@ -77,17 +87,21 @@
 	d.calls.Delete(key)
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return Answer{Code: codes.Leaving, Message: "the owner ends"}
+		return Answer{Refusal: Refusal{Code: codes.Leaving, Message: "the owner ends"}}
 	case err != nil:
-		return d.rejection(g, codes.From(err))
+		return Answer{Refusal: d.refusal(g, codes.From(err))}
 	}
-	return Answer{Waiting: int(g.waiting.Load())}
+	return Answer{Refusal: Refusal{Waiting: int(g.waiting.Load())}}
 }
 
 // ticket returns the ticket of an ask in the wait queue. Its Try fills in the answer.
 func (d *Desk) ticket(g *group, key callKey, a *Ask, answer *Answer) limit.Ticket {
 	now := d.Clock.Now()
 	usual, _ := g.times()
+	centre := ""
+	if d.Centres != nil {
+		centre = d.Centres(a.Entry)
+	}
 	latest := now + a.Latest
 	return limit.Ticket{
 		// Answers take longer than usual as often as not. Of those that start with half of the
@@ -96,7 +110,7 @@
 		Workspace: a.Workspace, Cost: int(max(1, usual)), Target: now + a.Target - usual/2, Latest: latest, TimeToFirstToken: usual,
 		Try: func() (bool, error) {
 			now := d.Clock.Now()
-			p, ok, err := g.choose(a, d.Replicas(a.Service, a.Group), now)
+			p, ok, err := g.choose(a, centre, d.Replicas(a.Service, a.Group), now)
 			if !ok {
 				return false, err
 			}
@@ -133,26 +147,25 @@
 	return err == nil, err
 }
 
-// rejection returns the answer to an ask that is rejected. Callers may return once the
+// refusal returns the answer to an ask that is rejected. Callers may return once the
 // calls that wait now are served, spread over as long again, so that they don't return as
 // one wave.
-func (d *Desk) rejection(g *group, e *codes.Error) Answer {
+func (d *Desk) refusal(g *group, e *codes.Error) Refusal {
 	d.Meter.Add("slots_rejected_total", 1, "code", e.Code.String())
-	a := Answer{Code: e.Code, Message: e.Message}
+	r := Refusal{Code: e.Code, Message: e.Message}
 	if e.Code == codes.DeadlineUnmet || e.Code == codes.QueueFull {
 		_, drain := g.times()
-		a.Retry = max(e.RetryAfter, drain, minRetryAfter)
-		a.Retry += rand.N(a.Retry)
+		r.Retry = max(e.RetryAfter, drain, minRetryAfter)
+		r.Retry += rand.N(r.Retry)
 	}
-	return a
+	return r
 }
 
 // HandleEnds processes the ends of another entry's calls. Those of unknown calls are
 // ignored: this entry has started or become the owner since.
 func (d *Desk) HandleEnds(m Ends) {
-	d.noteBoot(m.Entry, m.Boot)
 	for _, e := range m.Ends[:min(len(m.Ends), maxEnds)] {
-		if c, ok := d.calls.Delete(callKey{m.Entry, m.Boot, e.Seq}); ok {
+		if c, ok := d.calls.Delete(callKey{m.Run, e.Seq}); ok {
 			d.end(c, e)
 		}
 	}
@@ -174,15 +187,16 @@
 	g.queue.Wake()
 }
 
-// noteBoot ends the calls of an entry's earlier run.
-func (d *Desk) noteBoot(entry string, boot uint64) {
-	restarted := false
-	d.boots.Update(entry, func(old uint64, ok bool) (uint64, bool) {
-		restarted = ok && old != boot
-		return boot, true
+// noteRun ends the calls of an entry's earlier run.
+func (d *Desk) noteRun(entry string, run uint64) {
+	var old entryRun
+	known := false
+	d.runs.Update(entry, func(was entryRun, ok bool) (entryRun, bool) {
+		old, known = was, ok
+		return entryRun{run, d.Clock.Now()}, true
 	})
-	if restarted {
-		n := d.drop(func(k callKey, _ call) bool { return k.entry == entry && k.boot != boot })
+	if known && old.run != run {
+		n := d.drop(func(k callKey, _ call) bool { return k.run == old.run })
 		d.log().Info("slots: an entry has restarted", zap.String("entry", entry), zap.Int("calls", n))
 	}
 }
@@ -203,8 +217,8 @@
 	return len(ended)
 }
 
-// Run ends the grants whose deadline has passed, and forgets replicas that are no longer
-// listed, until ctx ends.
+// Run ends the grants whose deadline has passed, and forgets entries that ask no more and
+// replicas that are no longer listed, until ctx ends.
 func (d *Desk) Run(ctx context.Context) {
 	d.Clock.Every(ctx, sweepInterval, func(context.Context) { d.sweep() })
 }
@@ -216,6 +230,7 @@
 		d.Meter.Add("slots_expired_total", n)
 		d.log().Info("slots: grants ended at their deadlines", zap.Int("calls", n))
 	}
+	d.runs.Each(func(_ string, r entryRun) bool { return now-r.at < forgetAfter })
 	for _, g := range d.groups.Values() {
 		g.retain(d.Replicas(g.service, g.number))
 	}
--- a/slots/desk_test.go
+++ b/slots/desk_test.go
@@ -22,7 +22,7 @@
 
 // ask returns an ask for a slot now.
 func ask(seq uint64) slots.Ask {
-	return slots.Ask{Entry: "e", Boot: 1, Seq: seq, Service: service, Target: target, Latest: deadline}
+	return slots.Ask{Run: 1, Seq: seq, Entry: "e", Service: service, Target: target, Latest: deadline}
 }
 
 // fill takes all slots of oneSlot.
@@ -32,9 +32,9 @@
 	}
 }
 
-// end reports the end of an ask of the entry's run.
-func end(d *slots.Desk, boot, seq uint64, o slots.Outcome) {
-	d.HandleEnds(slots.Ends{Entry: "e", Boot: boot, Ends: []slots.End{{Seq: seq, Outcome: o, Took: 60}}})
+// end reports the end of an ask of a run.
+func end(d *slots.Desk, run, seq uint64, o slots.Outcome) {
+	d.HandleEnds(slots.Ends{Run: run, Ends: []slots.End{{Seq: seq, Outcome: o, Took: 60}}})
 }
 
 // TestWait checks what gives a slot to an ask that waits for 400 ms while all are taken.
@@ -50,10 +50,10 @@
 		"an end":                       {0, func(d *slots.Desk) { end(d, 1, 100, slots.Answered) }, true},
 		"an end of an unknown call":    {0, func(d *slots.Desk) { end(d, 1, 7, slots.Answered) }, false},
 		"a refusal, after a time":      {0, func(d *slots.Desk) { end(d, 1, 100, slots.Refused) }, true},
-		"a new run of the other entry": {0, func(d *slots.Desk) { end(d, 2, 7, slots.Unused) }, true},
+		"a new run of the other entry": {0, func(d *slots.Desk) { d.Serve(context.Background(), slots.Ask{Run: 2, Entry: "e", Service: service}) }, true},
 		"the deadlines of the calls":   {deadline - 200, func(*slots.Desk) {}, true},
 		"an end after the ask is withdrawn": {0, func(d *slots.Desk) {
-			d.HandleEnds(slots.Ends{Entry: "f", Boot: 1, Ends: []slots.End{{Seq: 1}}})
+			end(d, 3, 1, slots.Unused)
 			end(d, 1, 100, slots.Answered)
 		}, false},
 	} {
@@ -70,7 +70,7 @@
 				answer := make(chan slots.Answer)
 				go func() {
 					a := ask(1)
-					a.Entry, a.Wait = "f", 400
+					a.Run, a.Entry, a.Wait = 3, "f", 400
 					answer <- d.Serve(ctx, a)
 				}()
 				time.Sleep(50 * time.Millisecond)
--- a/slots/group.go
+++ b/slots/group.go
@@ -51,9 +51,9 @@
 	answer  Answer
 }
 
-// choose selects a replica for an ask and counts the call there. ok is false if none has
+// choose selects a replica for an ask of an entry in a data centre, and counts the call there. ok is false if none has
 // room.
-func (g *group) choose(a *Ask, list []Replica, now clock.Millis) (p placement, ok bool, err error) {
+func (g *group) choose(a *Ask, centre string, list []Replica, now clock.Millis) (p placement, ok bool, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	candidates := make([]route.Replica, 0, len(list))
@@ -81,7 +81,7 @@
 	}
 	g.usual = clock.Millis(sum / weight)
 	wait := float64(g.waiting.Load()) * float64(g.usual) / float64(g.slots)
-	i, expected := route.FreeSlot{Centre: a.Centre, Wait: wait}.Choose(candidates)
+	i, expected := route.FreeSlot{Centre: centre, Wait: wait}.Choose(candidates)
 	if i < 0 {
 		return placement{}, false, nil
 	}
--- a/slots/load_test.go
+++ b/slots/load_test.go
@@ -155,7 +155,7 @@
 func (s *site) AskSlot(ctx context.Context, addr string, a slots.Ask) (slots.Answer, error) {
 	s.messages.Add(2)
 	e := s.at(addr)
-	way := delay(a.Centre, e.client.Self.Centre)
+	way := delay(s.centre(a.Entry), e.client.Self.Centre)
 	time.Sleep(way)
 	if _, down := s.down.Load(addr); down {
 		<-ctx.Done()
@@ -203,18 +203,18 @@
 		s.list = append(s.list, core.Instance{Name: name, Peer: name, Centre: fmt.Sprint("z", i%zones)})
 	}
 	for _, in := range s.list {
-		s.entries = append(s.entries, s.start(ctx, in, 1, granted))
+		s.entries = append(s.entries, s.start(ctx, in, granted))
 	}
 	return s
 }
 
 // start starts an entry.
-func (s *site) start(ctx context.Context, in core.Instance, boot uint64, granted bool) *entry {
+func (s *site) start(ctx context.Context, in core.Instance, granted bool) *entry {
 	ctx, stop := context.WithCancel(ctx)
 	e := &entry{stop: stop}
-	e.desk = &slots.Desk{Replicas: func(_ string, group int) []slots.Replica { return s.groups.Replicas[group] }}
+	e.desk = &slots.Desk{Replicas: func(_ string, group int) []slots.Replica { return s.groups.Replicas[group] }, Centres: s.centre}
 	e.client = &slots.Client{
-		Desk: e.desk, Peers: s, Self: in, Boot: boot, Entries: func() []core.Instance { return s.list },
+		Desk: e.desk, Peers: s, Self: in, Boot: core.NewBoot(), Entries: func() []core.Instance { return s.list },
 		Groups: func(string) slots.Groups { return s.groups },
 	}
 	table := &pool.Table{}
@@ -229,6 +229,11 @@
 	return e
 }
 
+// centre returns the zone of an entry.
+func (s *site) centre(entry string) string {
+	return s.list[slices.IndexFunc(s.list, func(in core.Instance) bool { return in.Name == entry })].Centre
+}
+
 // arrival returns the entry at which the next call arrives. Half of the calls
 // arrive in zone 1, which has one replica.
 func (s *site) arrival() *entry {
@@ -327,7 +332,7 @@
 	for i, in := range s.list {
 		if slices.Contains(names, in.Name) {
 			s.entries[i].stop()
-			s.entries[i] = s.start(s.ctx, in, 2, s.entries[i].relay.Slots != nil)
+			s.entries[i] = s.start(s.ctx, in, s.entries[i].relay.Slots != nil)
 		}
 	}
 }
--- a/slots/outbox.go
+++ b/slots/outbox.go
@@ -98,7 +98,7 @@
 func (c *Client) report(ctx context.Context, peer string, ends []End) {
 	call, cancel := context.WithTimeout(ctx, endTimeout.Duration())
 	defer cancel()
-	err := c.Peers.EndSlots(call, peer, Ends{Entry: c.Self.Name, Boot: c.Boot, Ends: ends})
+	err := c.Peers.EndSlots(call, peer, Ends{Run: c.run(), Ends: ends})
 	if err != nil && ctx.Err() == nil {
 		c.Meter.Add("slots_ends_lost_total", len(ends))
 		c.log().Info("slots: reporting ends failed", zap.String("addr", peer), zap.Int("calls", len(ends)), zap.Error(err))
--- a/slots/types.go
+++ b/slots/types.go
@@ -43,35 +43,46 @@
 }
 
 // Ask asks the owner of a group for a slot. Times are relative, in milliseconds, since the
-// clocks of entries differ. The names of the fields are short because asks are frequent.
+// clocks of entries differ.
 type Ask struct {
-	// Entry, Boot and Seq identify the ask, also in its end.
-	Entry     string `json:"e"`
-	Boot      uint64 `json:"b"`
-	Seq       uint64 `json:"q"`
-	Service   string `json:"s"`
-	Group     int    `json:"g,omitempty"`
-	Centre    string `json:"c,omitempty"`
-	Workspace string `json:"w,omitempty"`
-	Priority  int    `json:"p,omitempty"`
+	// Run identifies the run of the asking entry among all entries, and Seq the ask.
+	Run     uint64
+	Seq     uint64
+	Entry   string
+	Service string
 	// Target and Latest are counted from the time of the ask.
-	Target clock.Millis `json:"t"`
-	Latest clock.Millis `json:"l"`
+	Target, Latest clock.Millis
 	// Wait is how long the owner may keep the ask until a slot is free. Zero asks for a
 	// slot now, behind no one.
-	Wait    clock.Millis `json:"m,omitempty"`
-	Exclude []string     `json:"x,omitempty"`
-	Barred  []string     `json:"n,omitempty"`
-	Leaving []string     `json:"v,omitempty"`
+	Wait clock.Millis
+	AskDetails
+}
+
+// AskDetails is the part of an ask that is mostly empty, and then not sent.
+type AskDetails struct {
+	Group     int    `json:"g,omitempty"`
+	Workspace string `json:"w,omitempty"`
+	Priority  int    `json:"p,omitempty"`
+	// Exclude lists replicas to use only if there are no others, Barred those that must get
+	// nothing from the entry, and Leaving those that it knows to leave.
+	Exclude []string `json:"x,omitempty"`
+	Barred  []string `json:"n,omitempty"`
+	Leaving []string `json:"v,omitempty"`
 }
 
 // Answer answers an [Ask]. Without Replica and Code, no slot became free in time.
 type Answer struct {
-	Replica  string       `json:"r,omitempty"`
-	Usual    clock.Millis `json:"u,omitempty"`
-	InFlight int          `json:"i,omitempty"`
-	Slots    int          `json:"n,omitempty"`
-	// Waiting is the number of calls that wait for the group, if no slot was free.
+	Replica string
+	// Usual is the usual answer time of the replica, InFlight counts the calls there, and
+	// Slots its slots.
+	Usual           clock.Millis
+	InFlight, Slots int
+	Refusal
+}
+
+// Refusal is the part of an answer without a slot.
+type Refusal struct {
+	// Waiting is the number of calls that wait for the group.
 	Waiting int `json:"w,omitempty"`
 	// Code and Message state why the call is rejected, and Retry is the predicted time in
 	// which the calls that wait are served.
@@ -97,15 +108,14 @@
 
 // End reports that a granted call has ended, or that an ask is withdrawn.
 type End struct {
-	Seq     uint64  `json:"q"`
-	Outcome Outcome `json:"o,omitempty"`
+	Seq     uint64
+	Outcome Outcome
 	// Took is the time from the send to the first part of the answer, or to the failure.
-	Took clock.Millis `json:"t,omitempty"`
+	Took clock.Millis
 }
 
-// Ends is a batch of ends of one entry.
+// Ends is a batch of ends of one run of an entry.
 type Ends struct {
-	Entry string `json:"e"`
-	Boot  uint64 `json:"b"`
-	Ends  []End  `json:"d"`
+	Run  uint64
+	Ends []End
 }
--- a/wire/form.go
+++ b/wire/form.go
@@ -15,15 +15,20 @@
 // decodeArray decodes a JSON array into the pointers in targets, one per item.
 // Another number of items is an error.
 func decodeArray(data []byte, targets ...any) error {
+	return decodeItems(data, len(targets), targets...)
+}
+
+// decodeItems is decodeArray for an array that may end after the given number of items.
+func decodeItems(data []byte, required int, targets ...any) error {
 	var raw []json.RawMessage
 	if err := json.Unmarshal(data, &raw); err != nil {
 		return err
 	}
-	if len(raw) != len(targets) {
+	if len(raw) < required || len(raw) > len(targets) {
 		return fmt.Errorf("wire: array has %d items, want %d", len(raw), len(targets))
 	}
-	for i, target := range targets {
-		if err := json.Unmarshal(raw[i], target); err != nil {
+	for i := range raw {
+		if err := json.Unmarshal(raw[i], targets[i]); err != nil {
 			return err
 		}
 	}
