--- a/slots/client.go
+++ b/slots/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -53,7 +52,6 @@
 
 	setUp  sync.Once
 	finder assign.Finder
-	seq    atomic.Uint64
 	outbox outbox
 }
 
@@ -182,10 +180,14 @@
 			c.passOver(owner, err)
 			continue
 		case a.Code == codes.Leaving:
+			c.outbox.finish(g.Seq)
 			c.passOver(owner, codes.New(a.Code, "%s", a.Message))
 			continue
 		}
 		c.finder.Answered(owner.Name)
+		if a.Replica == "" {
+			c.outbox.finish(g.Seq)
+		}
 		switch {
 		case a.Code != 0:
 			return a, codes.New(a.Code, "%s (group %d at %s)", a.Message, group, owner.Name).WithRun(codes.NotRun).WithRetryAfter(a.Retry)
@@ -217,7 +219,7 @@
 	c, r := s.client, &s.request
 	now := c.Clock.Now()
 	a := Ask{
-		Run: c.run(), Seq: c.seq.Add(1), Entry: c.Self.Name, Service: r.Service, Target: r.Target - now, Latest: r.Latest - now, Wait: wait,
+		Run: c.run(), Seq: c.outbox.begin(), Entry: c.Self.Name, Service: r.Service, Target: r.Target - now, Latest: r.Latest - now, Wait: wait,
 		AskDetails: AskDetails{Group: group, Workspace: r.Workspace, Priority: r.Priority},
 	}
 	inGroup := func(name string) bool { g, ok := s.groups.Of[name]; return ok && g == group }
@@ -260,6 +262,7 @@
 func (c *Client) End(g Grant, o Outcome, took clock.Millis) {
 	e := End{Seq: g.Seq, Outcome: o, Took: took}
 	if g.Owner == "" {
+		c.outbox.finish(g.Seq)
 		c.Desk.HandleEnds(Ends{Run: c.run(), Ends: []End{e}})
 		return
 	}
--- a/slots/desk.go
+++ b/slots/desk.go
@@ -169,6 +169,9 @@
 			d.end(c, e)
 		}
 	}
+	if n := d.drop(func(k callKey, _ call) bool { return k.run == m.Run && k.seq < m.Oldest }); n > 0 {
+		d.Meter.Add("slots_ends_missed_total", n)
+	}
 }
 
 // end ends a call that is no longer in d.calls.
--- a/slots/desk_test.go
+++ b/slots/desk_test.go
@@ -46,12 +46,13 @@
 		free    func(d *slots.Desk)
 		granted bool
 	}{
-		"nothing":                      {0, func(*slots.Desk) {}, false},
-		"an end":                       {0, func(d *slots.Desk) { end(d, 1, 100, slots.Answered) }, true},
-		"an end of an unknown call":    {0, func(d *slots.Desk) { end(d, 1, 7, slots.Answered) }, false},
-		"a refusal, after a time":      {0, func(d *slots.Desk) { end(d, 1, 100, slots.Refused) }, true},
-		"a new run of the other entry": {0, func(d *slots.Desk) { d.Serve(context.Background(), slots.Ask{Run: 2, Entry: "e", Service: service}) }, true},
-		"the deadlines of the calls":   {deadline - 200, func(*slots.Desk) {}, true},
+		"nothing":                        {0, func(*slots.Desk) {}, false},
+		"an end":                         {0, func(d *slots.Desk) { end(d, 1, 100, slots.Answered) }, true},
+		"an end of an unknown call":      {0, func(d *slots.Desk) { end(d, 1, 7, slots.Answered) }, false},
+		"a later batch after a lost one": {0, func(d *slots.Desk) { d.HandleEnds(slots.Ends{Run: 1, Oldest: 101}) }, true},
+		"a refusal, after a time":        {0, func(d *slots.Desk) { end(d, 1, 100, slots.Refused) }, true},
+		"a new run of the other entry":   {0, func(d *slots.Desk) { d.Serve(context.Background(), slots.Ask{Run: 2, Entry: "e", Service: service}) }, true},
+		"the deadlines of the calls":     {deadline - 200, func(*slots.Desk) {}, true},
 		"an end after the ask is withdrawn": {0, func(d *slots.Desk) {
 			end(d, 3, 1, slots.Unused)
 			end(d, 1, 100, slots.Answered)
--- a/slots/outbox.go
+++ b/slots/outbox.go
@@ -14,9 +14,12 @@
 type outbox struct {
 	changed notify.Signal
 
-	// mu guards the fields below, which hold the ends by the address of the owner, and
-	// the owners to which a batch is being sent.
+	// mu guards the fields below: the number of the last ask and those of the asks that
+	// haven't ended, the ends by the address of the owner, and the owners to which a batch
+	// is being sent.
 	mu      sync.Mutex
+	last    uint64
+	open    map[uint64]struct{}
 	ends    map[string][]End
 	sending map[string]bool
 }
@@ -34,12 +37,29 @@
 	idleWait = 1 * clock.Minute
 )
 
-// add adds an end to the next batch for an owner.
-func (o *outbox) add(peer string, e End) {
+// begin returns the number of a new ask.
+func (o *outbox) begin() uint64 {
 	o.mu.Lock()
-	if o.ends == nil {
-		o.ends, o.sending = make(map[string][]End), make(map[string]bool)
+	defer o.mu.Unlock()
+	if o.open == nil {
+		o.open, o.ends, o.sending = make(map[uint64]struct{}), make(map[string][]End), make(map[string]bool)
 	}
+	o.last++
+	o.open[o.last] = struct{}{}
+	return o.last
+}
+
+// finish ends an ask of which its owner need not be told.
+func (o *outbox) finish(seq uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.open, seq)
+}
+
+// add ends an ask, and adds its end to the next batch for the owner.
+func (o *outbox) add(peer string, e End) {
+	o.mu.Lock()
+	delete(o.open, e.Seq)
 	if len(o.ends[peer]) < maxPending {
 		o.ends[peer] = append(o.ends[peer], e)
 	}
@@ -48,11 +68,12 @@
 }
 
 // take returns the ends for each owner to which no batch is being sent, maxEnds at most,
-// and marks these owners.
-func (o *outbox) take() map[string][]End {
+// and marks these owners. oldest is the lowest number of an ask whose end is neither sent
+// nor returned.
+func (o *outbox) take() (due map[string][]End, oldest uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	due := make(map[string][]End)
+	due = make(map[string][]End)
 	for peer, ends := range o.ends {
 		if o.sending[peer] {
 			continue
@@ -63,7 +84,16 @@
 			o.ends[peer] = ends[n:]
 		}
 	}
-	return due
+	oldest = o.last + 1
+	for seq := range o.open {
+		oldest = min(oldest, seq)
+	}
+	for _, ends := range o.ends {
+		for _, e := range ends {
+			oldest = min(oldest, e.Seq)
+		}
+	}
+	return due, oldest
 }
 
 // sent unmarks an owner.
@@ -85,22 +115,23 @@
 			continue
 		}
 		// An owner that doesn't answer must not delay the ends for others.
-		for peer, ends := range c.outbox.take() {
+		due, oldest := c.outbox.take()
+		for peer, ends := range due {
 			wg.Go(func() {
 				defer c.outbox.sent(peer)
-				c.report(ctx, peer, ends)
+				c.report(ctx, peer, Ends{Run: c.run(), Oldest: oldest, Ends: ends})
 			})
 		}
 	}
 }
 
-// report sends one batch. The grants of a lost one end at their deadlines.
-func (c *Client) report(ctx context.Context, peer string, ends []End) {
+// report sends one batch. The grants of a lost one end with the next, or at their deadlines.
+func (c *Client) report(ctx context.Context, peer string, e Ends) {
 	call, cancel := context.WithTimeout(ctx, endTimeout.Duration())
 	defer cancel()
-	err := c.Peers.EndSlots(call, peer, Ends{Run: c.run(), Ends: ends})
+	err := c.Peers.EndSlots(call, peer, e)
 	if err != nil && ctx.Err() == nil {
-		c.Meter.Add("slots_ends_lost_total", len(ends))
-		c.log().Info("slots: reporting ends failed", zap.String("addr", peer), zap.Int("calls", len(ends)), zap.Error(err))
+		c.Meter.Add("slots_ends_lost_total", len(e.Ends))
+		c.log().Info("slots: reporting ends failed", zap.String("addr", peer), zap.Int("calls", len(e.Ends)), zap.Error(err))
 	}
 }
--- a/slots/types.go
+++ b/slots/types.go
@@ -114,8 +114,9 @@
 	Took clock.Millis
 }
 
-// Ends is a batch of ends of one run of an entry.
+// Ends is a batch of ends of one run of an entry. All asks with numbers below Oldest have
+// ended, so that a lost batch matters only until the next one.
 type Ends struct {
-	Run  uint64
-	Ends []End
+	Run, Oldest uint64
+	Ends        []End
 }
--- a/wire/slots.go
+++ b/wire/slots.go
@@ -78,14 +78,14 @@
 	return decodeArray(data, &a.Replica, &a.Usual, &a.InFlight, &a.Slots)
 }
 
-// endsArray is a batch of ends encoded as an array of numbers: the run, and the sequence
-// number, the outcome and the time of each.
+// endsArray is a batch of ends encoded as an array of numbers: the run, the oldest ask, and
+// the number, the outcome and the time of each end.
 type endsArray slots.Ends
 
 // MarshalJSON implements [json.Marshaler].
 func (e endsArray) MarshalJSON() ([]byte, error) {
-	numbers := make([]uint64, 1, 1+itemsPerEnd*len(e.Ends))
-	numbers[0] = e.Run
+	numbers := make([]uint64, 0, 2+itemsPerEnd*len(e.Ends))
+	numbers = append(numbers, e.Run, e.Oldest)
 	for _, end := range e.Ends {
 		numbers = append(numbers, end.Seq, uint64(end.Outcome), uint64(max(0, end.Took)))
 	}
@@ -101,11 +101,11 @@
 	if err := json.Unmarshal(data, &numbers); err != nil {
 		return err
 	}
-	if len(numbers)%itemsPerEnd != 1 {
+	if len(numbers)%itemsPerEnd != 2 {
 		return fmt.Errorf("wire: batch of ends has %d items", len(numbers))
 	}
-	e.Run = numbers[0]
-	for n := numbers[1:]; len(n) > 0; n = n[itemsPerEnd:] {
+	e.Run, e.Oldest = numbers[0], numbers[1]
+	for n := numbers[2:]; len(n) > 0; n = n[itemsPerEnd:] {
 		e.Ends = append(e.Ends, slots.End{Seq: n[0], Outcome: slots.Outcome(n[1]), Took: clock.Millis(n[2])})
 	}
 	return nil
--- a/wire/slots_test.go
+++ b/wire/slots_test.go
@@ -20,7 +20,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	ends := make(chan slots.Ends, 1)
-	sent := slots.Ends{Run: 1 << 47, Ends: []slots.End{{Seq: 2, Outcome: slots.Answered, Took: 9}, {Seq: 3}}}
+	sent := slots.Ends{Run: 1 << 47, Oldest: 4, Ends: []slots.End{{Seq: 2, Outcome: slots.Answered, Took: 9}, {Seq: 3}}}
 	waits := make(chan slots.Ask, 2)
 	refused := slots.Answer{Refusal: slots.Refusal{Code: codes.QueueFull, Message: "full", Retry: 70}}
 	s := &wire.Server{Methods: map[wire.Method]wire.MethodHandler{
