relay, slots: no data race between a send and the search for another replica

The search for another replica counts its send while the log line of the first one may still be written. Its lock on the pool ordered them before; a granted slot takes none. Found by the race detector with TestHedgeTakesSlot.

--- a/relay/call.go
+++ b/relay/call.go
@@ -76,6 +76,7 @@
 		return x.budgetError(err)
 	}
 	up := to.up
+	to.sends = x.sends
 	mark := x.quarantineMark()
 	start := x.relay.Clock.Now()
 	call, wd := x.watchCall(ctx, up, to.usual)
@@ -111,7 +112,7 @@
 	up := to.up
 	x.log.Info("relay: replica chosen", append(append(x.relay.replicaListFields(), zap.String("request", x.opaque.ID),
 		zap.String("service", x.opaque.Service), zap.String("upstream", up.Name), zap.String("addr", up.Addr),
-		zap.Float64("expected", to.cost), zap.Int("sends", x.sends), zap.Int64("since", int64(x.relay.Clock.Now()-x.request.Arrived))),
+		zap.Float64("expected", to.cost), zap.Int("sends", to.sends), zap.Int64("since", int64(x.relay.Clock.Now()-x.request.Arrived))),
 		to.slotFields()...)...)
 	w := pool.Work{Requests: 1}
 	x.relay.Pool.Begin(up.Name, w)
@@ -194,6 +195,7 @@
 	keep := context.AfterFunc(search, cancel)
 	mark := x.quarantineMark()
 	start := x.relay.Clock.Now()
+	to.sends = x.sends
 	second, err := x.send(call, to, func() {})
 	switch {
 	case err != nil:
--- a/relay/slot.go
+++ b/relay/slot.go
@@ -19,6 +19,9 @@
 	// usual is its usual answer time, and cost the expected one in milliseconds.
 	usual clock.Millis
 	cost  float64
+	// sends is the number of sends of the request, this one included. The search for another
+	// replica changes that of the exchange during a send.
+	sends int
 	// slot is the granted slot; its Replica is empty if this entry has chosen.
 	slot slots.Grant
 }
--- a/slots/load_test.go
+++ b/slots/load_test.go
@@ -50,10 +50,10 @@
 	list      []core.Instance
 	entries   []*entry
 	byAddr    sync.Map
-	// down holds the addresses that don't answer, and lostEnds is the share of batches of
+	// down holds the addresses that don't answer, and lostEnds the percentage of batches of
 	// ends that are lost.
 	down     sync.Map
-	lostEnds float64
+	lostEnds atomic.Int64
 	// messages counts the messages between entries.
 	messages atomic.Int64
 	mu       sync.Mutex
@@ -180,7 +180,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	if rand.Float64() >= s.lostEnds {
+	if rand.Int64N(100) >= s.lostEnds.Load() {
 		s.at(addr).desk.HandleEnds(e)
 	}
 	return nil
@@ -365,7 +365,7 @@
 		"owner lost": {map[time.Duration]func(*site){
 			4200 * time.Millisecond: func(s *site) { s.down.Store(s.owner().Peer, true) },
 		}, 1 - 0.5/duration.Seconds()},
-		"ends lost": {map[time.Duration]func(*site){0: func(s *site) { s.lostEnds = 0.02 }}, most},
+		"ends lost": {map[time.Duration]func(*site){0: func(s *site) { s.lostEnds.Store(2) }}, most},
 		"entries restarted": {map[time.Duration]func(*site){
 			4500 * time.Millisecond: func(s *site) { s.restart(s.owner().Name, "e00", "e01", "e02", "e03", "e04", "e05") },
 		}, most},
