--- a/assign/owner_test.go
+++ b/assign/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -42,3 +43,29 @@
 	}
 	is.Equal(assign.Owner("up", nil), "")
 }
+
+// TestLargeEntriesOwnMore guards against owners on machines that are too small for the
+// questions of all entries.
+func TestLargeEntriesOwnMore(t *testing.T) {
+	is := is.New(t)
+	all := entries(83)
+	for i := range all {
+		all[i].Share = 0.192
+		if i < 8 {
+			all[i].Share = 0.8
+		}
+	}
+	const keys = 3000
+	large := make(map[string]int)
+	for i := range keys {
+		if name := assign.Owner(fmt.Sprint("key", i), all); slices.ContainsFunc(all[:8], func(in core.Instance) bool { return in.Name == name }) {
+			large[name]++
+		}
+	}
+	sum := 0
+	for _, n := range large {
+		sum += n
+		is.True(n > keys/8/2) // the large ones share the work
+	}
+	is.True(sum > keys*4/5)
+}
--- a/config/fleet.go
+++ b/config/fleet.go
@@ -23,6 +23,9 @@
 	// of threads that run in parallel; zero keeps the Go runtime's default.
 	Memory int `json:"memory,omitempty"`
 	Cores  int `json:"cores,omitempty"`
+	// Share is the CPU share of the machine, in cores. Among many entries those with
+	// larger shares own more; zero means that it is not known.
+	Share float64 `json:"share,omitempty"`
 	// Grace is the time between the stop signal and the kill.
 	Grace Seconds `json:"grace_s"`
 	// Keep is how long callers may cache the addresses of entries.
@@ -118,6 +121,9 @@
 	c.optionalRange("fleet.silence", int64(f.Silence), int64(minSilence), int64(maxSilence), "ms")
 	c.optionalRange("fleet.memory", int64(f.Memory), 1, maxMemoryMiB, "MiB")
 	c.optionalRange("fleet.cores", int64(f.Cores), 1, maxCores, "cores")
+	if f.Share < 0 || f.Share > maxCores {
+		c.add("fleet.share", "want 0 to %d cores", maxCores)
+	}
 	if f.Retries.Ratio < 0 || f.Retries.Slack < 0 {
 		c.add("fleet.retries", "want numbers of zero and above")
 	}
--- a/core/instance.go
+++ b/core/instance.go
@@ -21,6 +21,9 @@
 	Peer   string        `json:"peer"`
 	Centre string        `json:"centre"`
 	State  InstanceState `json:"state"`
+	// Share is the CPU share of the entry's machine, in cores; zero means that it is not
+	// known.
+	Share float64 `json:"share,omitempty"`
 }
 
 // Listing is the platform's list of entry instances. It may be out of date.
--- a/edge/state.go
+++ b/edge/state.go
@@ -109,7 +109,7 @@
 // self returns this entry's row in the instance list.
 func (e *Edge) self() core.Instance {
 	s := e.Settings
-	in := core.Instance{Name: s.Instance, Addr: s.Callers.Listen, Peer: s.Peers.Listen, Centre: s.Centre, State: core.Live}
+	in := core.Instance{Name: s.Instance, Addr: s.Callers.Listen, Peer: s.Peers.Listen, Centre: s.Centre, State: core.Live, Share: s.Fleet.Share}
 	if e.leaving.Load() {
 		in.State = core.Leaving
 	}
