--- a/quota/view.go
+++ b/quota/view.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync/atomic"
 
 	"lacewinghook.example/lacewinghook/assign"
 	"lacewinghook.example/lacewinghook/clock"
@@ -15,7 +16,10 @@
 type view struct {
 	entries []core.Instance
 	// at is the instant at which this entry learned the list.
-	at     clock.Millis
+	at clock.Millis
+	// seen is the first element of the last list that was found to have the same entries.
+	// The store's list is read each second or so, and rarely changes.
+	seen   atomic.Pointer[core.Instance]
 	owners shard.Map[string, []core.Instance]
 }
 
@@ -52,7 +56,7 @@
 	if len(entries) != len(v.entries) {
 		return false
 	}
-	if len(entries) > 0 && &entries[0] == &v.entries[0] {
+	if len(entries) == 0 || v.seen.Load() == &entries[0] {
 		return true
 	}
 	sorted := byName(entries)
@@ -61,6 +65,7 @@
 			return false
 		}
 	}
+	v.seen.Store(&entries[0])
 	return true
 }
 
