--- a/limit/returns.go
+++ b/limit/returns.go
@@ -17,8 +17,9 @@
 	// remaining time, which is 14 s with the usual deadline.
 	maxRetryAfter clock.Millis = 4600
 	// returnShare is the part of the throughput that is left to callers that return.
-	// The rest serves new requests.
-	returnShare = 0.5
+	// The rest serves new requests. With half of it, callers return into the same burst
+	// and are rejected again.
+	returnShare = 0.2
 )
 
 // returns plans when rejected callers return, so that those rejected together don't
