--- a/edge/memory_test.go
+++ b/edge/memory_test.go
@@ -35,6 +35,12 @@
 // startProcess starts an entry as a process of its own, with the program in dir, and
 // waits until it is ready.
 func (s *site) startProcess(dir string) (*runningEntry, *osproc.Process) {
+	s.t.Helper()
+	return s.startProcessWith(dir, processMemoryMiB)
+}
+
+// startProcessWith is startProcess with a memory limit in MiB.
+func (s *site) startProcessWith(dir string, memory int) (*runningEntry, *osproc.Process) {
 	s.t.Helper()
 	is := is.New(s.t)
 	// No other program uses this loopback address.
@@ -43,7 +49,7 @@
 	set := &config.Settings{
 		Instance: "edge-1", Centre: "moose-jaw", Callers: config.Listener{Listen: addr(0)}, Peers: config.Listener{Listen: addr(1)},
 		Fleet: &config.Fleet{
-			Store: s.store.Addr, Directory: addr(2), Readiness: addr(3), Metrics: addr(4), Memory: processMemoryMiB, Cores: 1,
+			Store: s.store.Addr, Directory: addr(2), Readiness: addr(3), Metrics: addr(4), Memory: memory, Cores: 1,
 			Grace: 4, Keep: 500, Retries: s.retries, Fresh: true,
 		},
 	}
