--- a/osproc/cluster.go
+++ b/osproc/cluster.go
@@ -289,6 +289,15 @@
 	return kib << 10
 }
 
+// OpenFiles returns the number of open descriptors of the process, zero if it has exited.
+func (p *Process) OpenFiles() int {
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID()))
+	if err != nil {
+		return 0
+	}
+	return len(list)
+}
+
 // Done returns a channel that is closed once the process has exited.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
