guard, edge: heads and connections of callers are bounded for the whole process

A head costs a multiple of its bytes, and nothing bounded the sum: net/http cut a head only at 1 MiB, made an entry of a map of each line, and any number of connections was accepted. Package guard (from edge/conns.go) counts bytes and lines of a head while it is read, refuses it 4 KiB above the limit in force with 413, and charges its estimated memory to one spool.Pool until the request has ended; without room the largest head that still arrives gets 503 as not run. Over limits.connections the connection that has waited longest is closed. Bytes that came with the request before are counted as well.

Ruled out: http.Server.MaxHeaderBytes (constant, and for one head), a bound on the lines of one head (a legal head may have any number).

--- a/config/check.go
+++ b/config/check.go
@@ -25,6 +25,9 @@
 	maxHeaderBytes                   = 1 << 20
 	maxConcurrentBodies              = 100_000
 	maxHeldBytes                     = 1 << 40
+	// minConnections leaves room for a caller with a few connections.
+	minConnections = 16
+	maxConnections = 1 << 20
 	// digestBytes is the size of a SHA-256 digest.
 	digestBytes = 32
 )
@@ -122,6 +125,7 @@
 	c.optionalRange("limits.input", int64(l.Input), int64(minTransferTime), int64(maxTransferTime), "ms")
 	c.optionalRange("limits.output", int64(l.Output), int64(minTransferTime), int64(maxTransferTime), "ms")
 	c.optionalRange("limits.inputs", int64(l.Inputs), 1, maxConcurrentBodies, "bodies")
+	c.optionalRange("limits.connections", int64(l.Connections), minConnections, maxConnections, "connections")
 	c.optionalRange("limits.held", l.Held, minHeldBodies*l.WithDefaults().Body, maxHeldBytes, "bytes")
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -98,6 +98,10 @@
 	// Output is how long a caller may stop reading a streamed answer before it
 	// is considered disconnected; zero means 10 seconds.
 	Output clock.Millis `json:"output,omitempty"`
+	// Connections is the number of callers' connections; zero means one for each 64 KiB of
+	// the memory limit (without one, of twice Held), and at most one for each two
+	// descriptors of the process.
+	Connections int `json:"connections,omitempty"`
 }
 
 // Defaults of [Limits].
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,6 +22,7 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/flight"
 	"lacewinghook.example/lacewinghook/gossip"
+	"lacewinghook.example/lacewinghook/guard"
 	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/notice"
@@ -102,6 +103,8 @@
 	// bodies bounds the bytes of callers' bodies and of the starts of answers that are
 	// held, and partial those of events of which a part has arrived.
 	bodies, partial spool.Pool
+	// guard bounds the connections of callers and the heads of their requests.
+	guard guard.Guard
 	// messages bounds the bytes of peers' messages that are being read.
 	messages spool.Pool
 	// tables bounds the bytes of the store's tables that are being read.
@@ -186,9 +189,11 @@
 	e.requests.init(e, &e.tainted.Table, e.store.PoisonRequests())
 	table := &announcingPool{Table: &e.pool, edge: e}
 	e.preparePlacer(table, self)
-	heap := float64(cmp.Or(s.Fleet.Memory, defaultMemoryMiB)<<20) * memoryShare
+	memory := int64(cmp.Or(s.Fleet.Memory, defaultMemoryMiB)) << 20
+	heap := float64(memory) * memoryShare
 	e.bodies.Max, e.partial.Max = int64(heap*bodyShare), int64(heap*partialShare)
 	e.messages.Max, e.tables.Max = int64(heap*messageShare), int64(heap*tableShare)
+	e.prepareGuard(memory, int64(heap*headShare))
 	e.relay = relay.Relay{
 		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Budget: e, Quarantine: crashDetector{e}, Finisher: e, Notices: &e.notices, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
 		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre, MaxSilence: s.Fleet.Silence,
@@ -216,8 +221,20 @@
 	messageShare = 0.05
 	// tableShare is for tables of the store.
 	tableShare = 0.15
+	// headShare is for the heads of callers' requests beyond a few KiB each.
+	headShare = 0.1
 )
 
+// prepareGuard sets the bounds of callers' connections. Both arguments are in bytes.
+func (e *Edge) prepareGuard(memory, heads int64) {
+	g := &e.guard
+	g.Limits, g.OnClose, g.Closing = callerRunner{e}.Limits, e.logPending, e.closer.Len
+	g.MaxConns = cmp.Or(e.Settings.Limits.Connections, guard.DefaultConns(memory))
+	g.Heads.Max = heads
+	g.Meter, g.Log = &e.meter, e.Log
+	g.Register()
+}
+
 // setRuntimeLimits sets the Go runtime's memory and CPU limits to those of
 // the instance.
 func (e *Edge) setRuntimeLimits() {
@@ -261,7 +278,7 @@
 		Runner: callerRunner{e}, Clock: e.Clock, Meter: &e.meter, Log: e.Log, OnEnd: e.logOutcome, Held: &e.bodies,
 	}, e.leaving.Load))
 	ingress.ConnState = func(c net.Conn, state http.ConnState) {
-		setPhase(c, state)
+		guard.SetState(c, state)
 		e.inFlight.ConnState(c, state)
 	}
 	ingress.ConnContext = e.inFlight.ConnContext
@@ -299,7 +316,7 @@
 		}
 		h.ln = ln
 		if h.callers {
-			h.ln = callerListener{Listener: e.closer.Listener(ln), limits: callerRunner{e}.Limits, onClose: e.logPending}
+			h.ln = e.guard.Listener(e.closer.Listener(ln))
 		}
 		all = append(all, &h.server)
 	}
@@ -316,14 +333,6 @@
 	return listen(ctx, addr)
 }
 
-// Timeouts of connections. Those of callers are longer if the manifest allows it.
-const (
-	// headerTimeout bounds the time to read a request header.
-	headerTimeout = 5 * clock.Second
-	// idleTimeout is how long a connection may stay unused.
-	idleTimeout = 90 * clock.Second
-)
-
 // server returns an HTTP server whose internal errors are logged at debug
 // level.
 func (e *Edge) server(h http.Handler) *http.Server {
@@ -331,7 +340,7 @@
 	if err != nil {
 		errs = zap.NewStdLog(e.Log)
 	}
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(), ErrorLog: errs}
+	return &http.Server{Handler: h, ReadHeaderTimeout: guard.HeadTimeout.Duration(), IdleTimeout: guard.IdleTimeout.Duration(), ErrorLog: errs}
 }
 
 // operatorPages serves what operators may read.
