entry: the connections of callers and their heads are bounded

The entry with settings of its own uses package guard at its callers' listener, unless that has TLS: the bytes are encrypted there, so that only net/http's limit of one head and its time hold (docs/design/hostile-input.md, "Open").

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"lacewinghook.example/lacewinghook/flight"
 	"lacewinghook.example/lacewinghook/front"
 	"lacewinghook.example/lacewinghook/grant"
+	"lacewinghook.example/lacewinghook/guard"
 	"lacewinghook.example/lacewinghook/idem"
 	"lacewinghook.example/lacewinghook/lease"
 	"lacewinghook.example/lacewinghook/limit"
@@ -67,6 +68,7 @@
 	currentState atomic.Pointer[ownState]
 	inFlight     flight.Tracker
 	closer       sock.Closer // closes the connections of callers
+	guard        guard.Guard // bounds the connections of callers
 	meter        meter.Registry
 	document     pubdoc.ActiveDocument
 	updater      pubdoc.Updater
@@ -124,7 +126,7 @@
 	stopping, beginStop := context.WithCancel(ctx)
 	defer beginStop()
 	callers := e.newHTTPServer(e.inFlight.Track(e.callerHandler(), e.leaving.Load))
-	callers.ConnState, callers.ConnContext = e.inFlight.ConnState, e.inFlight.ConnContext
+	callers.ConnState, callers.ConnContext = e.onConnState, e.inFlight.ConnContext
 	operators := e.newHTTPServer(e.operatorHandler())
 	var g errgroup.Group
 	for name, run := range map[string]func() error{
@@ -220,7 +222,7 @@
 		}
 		*l.socket = ln
 	}
-	e.Sockets.Callers = e.closer.Listener(e.Sockets.Callers)
+	e.Sockets.Callers = e.guardCallers(e.closer.Listener(e.Sockets.Callers))
 	return nil
 }
 
