guard, docs: figures of a head's memory as they follow from the runs

The comments gave values that no run had shown: 85 bytes a line follow from 106 MiB for 400 heads of about 3,270 lines, and 120 to 170 from 152 to 207 MiB in flight.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -30,8 +30,8 @@
 	receiving
 )
 
-// Estimated memory of a head. A line of a few bytes took 85 to 100 bytes while the head
-// arrived, and 160 to 190 in flight, where it is copied once, with what the garbage
+// Estimated memory of a head. A line of a few bytes took about 85 bytes while the head
+// arrived, and 120 to 170 in flight, where it is copied once, with what the garbage
 // collector had not freed yet (400 heads of 16,000 bytes each).
 const (
 	bytesPerLine = 256
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -204,7 +204,7 @@
 // Bounds of the default of MaxConns.
 const (
 	// bytesPerConn is the memory of a process for which it has one connection. One that
-	// waits takes 8 KiB, and one whose request is in flight 30 to 40 KiB.
+	// waits took 8 KiB; one whose request is in flight takes more, which wasn't measured.
 	bytesPerConn = 64 << 10
 	// descriptorShare is the share of the descriptors that callers may use, as a divisor.
 	// The rest is for upstreams, peers and the store.
