--- a/core/routing.go
+++ b/core/routing.go
@@ -135,9 +135,9 @@
 	Era, Revision int64
 }
 
-// Newer reports whether the version is newer than v: any one of a higher era is.
-func (o StoreVersion) Newer(v StoreVersion) bool {
-	return o.Era > v.Era || o.Era == v.Era && o.Revision > v.Revision
+// Newer reports whether v is newer than o: any version of a higher era is.
+func (v StoreVersion) Newer(o StoreVersion) bool {
+	return v.Era > o.Era || v.Era == o.Era && v.Revision > o.Revision
 }
 
 // BadRow is a row of the list of replicas that names no replica to use.
