edge, extsim: the heap of answers without end is measured without the records of other calls

A heap profile at the peak shows 26 MiB of observed log lines and 13 MiB of requests that the stand-ins recorded: the other caller asked as fast as it could for 10 s, so that a faster machine measured more. It now pauses for 10 ms, and the replicas share the long part of their answers.

--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -30,6 +31,10 @@
 // the same time, to their deadline at most.
 const slowEvent = "a long event that goes on slowly"
 
+// slowEventData is most of that event. The replicas share it, since the test measures the
+// heap of a process in which they run as well.
+var slowEventData = bytes.Repeat([]byte("x"), 900<<10)
+
 // endlessAnswers are answers of which the rest never ends. Those on the route /verse/ are
 // sent in chunks, since streams that end with their connection are forwarded like those
 // that may be resumed.
@@ -39,7 +44,7 @@
 }{
 	"one event":                   {"/long/far/1", eventsBetween(1, 2, "\n") + "id: 3\ndata: ", "x"},
 	"one event, not resumable":    {"/verse/1", eventsBetween(1, 2, "\n") + "id: 3\ndata: ", "x"},
-	slowEvent:                     {"/long/far/1", "id: 1\ndata: " + strings.Repeat("x", 900<<10), "x"},
+	slowEvent:                     {"/long/far/1", "id: 1\ndata: ", "x"},
 	"lines of one event":          {"/long/far/1", eventsBetween(1, 2, "\n") + "id: 3\n", "data: x\n"},
 	"text":                        {"/long/far/1", eventsBetween(1, 2, "\n"), "x"},
 	"text, not resumable":         {"/verse/1", eventsBetween(1, 2, "\n"), "x"},
@@ -63,7 +68,7 @@
 	if strings.HasPrefix(c.path, "/long/") {
 		a := extsim.RawAnswer{Rest: c.rest, Text: func(id string, _ int) string { return extsim.Head(status, id, head...) + c.text }}
 		if name == slowEvent {
-			a.RestPause = 100 * time.Millisecond
+			a.Long, a.RestPause = slowEventData, 100*time.Millisecond
 		}
 		return a
 	}
@@ -83,6 +88,9 @@
 // beside it is one for calls that may be repeated for long.
 const goodRoute = `,{"name":"slow","host":"h.example","prefix":"/slow/","route_kind":"idempotent","timeout_ms":14000,"target_latency_ms":300,"priority":2,"service":"desk","max_attempts":2}` + `,{"name":"good","host":"h.example","prefix":"/good/","route_kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"good","max_attempts":2}`
 
+// soundPause is the time between two requests of the other callers.
+const soundPause = 10 * time.Millisecond
+
 // deadline is how long the callers of endless answers wait.
 const deadline = 10 * time.Second
 
@@ -184,6 +192,8 @@
 						t.Errorf("another caller: status %d, %v", got.status, got.err)
 					}
 					slowest.Store(max(slowest.Load(), got.took.Milliseconds()))
+					// The logs and the replicas' records of these calls are in the measured heap.
+					time.Sleep(soundPause)
 				}
 			})
 			wg.Wait()
--- a/extsim/script.go
+++ b/extsim/script.go
@@ -20,7 +20,10 @@
 	NotRun bool
 	// Reset is set if the connection is reset at the end of the text.
 	Reset bool
-	// Rest, if not empty, is sent after the text again and again until the caller
+	// Long is sent after the text of an answer with a Rest. Answers share it, so that
+	// many of them don't hold a copy each.
+	Long []byte
+	// Rest, if not empty, is sent after that again and again until the caller
 	// closes the connection, RestPause apart.
 	Rest      string
 	RestPause time.Duration
@@ -78,7 +81,7 @@
 	text := a.Text(id, lastEventID(hr))
 	switch {
 	case a.Rest != "":
-		r.writeEndless(w, text, a.Rest, a.RestPause)
+		r.writeEndless(w, text, &a)
 	case a.Reset:
 		writeAndReset(w, text)
 	default:
@@ -90,9 +93,9 @@
 // endlessBlockBytes is the least size of a block in which endless bytes are sent.
 const endlessBlockBytes = 16 << 10
 
-// writeEndless writes text to the hijacked connection, and then rest until the caller
-// closes it or the replica stops.
-func (r *Replica) writeEndless(w http.ResponseWriter, text, rest string, pause time.Duration) {
+// writeEndless writes text to the hijacked connection, and then the rest of the answer
+// until the caller closes it or the replica stops.
+func (r *Replica) writeEndless(w http.ResponseWriter, text string, a *RawAnswer) {
 	c, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
@@ -104,17 +107,17 @@
 		<-r.stopped
 		_ = c.Close()
 	}()
-	block := []byte(rest)
-	if pause == 0 {
-		block = []byte(strings.Repeat(rest, 1+endlessBlockBytes/len(rest)))
+	block := []byte(a.Rest)
+	if a.RestPause == 0 {
+		block = []byte(strings.Repeat(a.Rest, 1+endlessBlockBytes/len(a.Rest)))
 	}
-	for p := []byte(text); ; p = block {
+	write := func(p []byte) bool {
 		n, err := c.Write(p)
 		r.endlessBytes.Add(int64(n))
-		if err != nil {
-			return
-		}
-		time.Sleep(pause)
+		return err == nil
+	}
+	for ok := write([]byte(text)) && write(a.Long); ok; ok = write(block) {
+		time.Sleep(a.RestPause)
 	}
 }
 
