--- a/assign/owner.go
+++ b/assign/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,8 +15,12 @@
 func Owner(upstream string, live []core.Instance) string {
 	var best string
 	var most float64
+	equal := !slices.ContainsFunc(live, func(in core.Instance) bool { return in.Share != live[0].Share })
 	for i := range live {
-		w := weight(upstream, live[i].Name, live[i].Share)
+		w := hash(upstream, live[i].Name)
+		if !equal {
+			w = weighted(w, live[i].Share)
+		}
 		if best == "" || w > most || w == most && live[i].Name < best {
 			best, most = live[i].Name, w
 		}
@@ -23,24 +28,24 @@
 	return best
 }
 
-// shareExponent relates the part of the upstreams that an entry owns to its CPU share. An
-// owner gets the questions of all entries, so that it must be among the entries with room
-// for them, even if these are few: with four times the share an entry owns 64 times as much.
-const shareExponent = 3
-
-// weight returns the weighted rendezvous hash of the pair; the entry with the highest
-// one owns the upstream. Of entries with equal shares it is the one with the highest hash.
-func weight(upstream, entry string, share float64) float64 {
+// hash returns the rendezvous hash of the pair, a number between 0 and 1, both excluded.
+func hash(upstream, entry string) float64 {
 	var d xxhash.Digest
 	d.Reset()
 	// Writing to a hash never fails.
 	_, _ = d.WriteString(upstream)
 	_, _ = d.WriteString("\x00")
 	_, _ = d.WriteString(entry)
-	// The hash as a number between 0 and 1, both excluded.
-	u := (float64(d.Sum64()>>11) + 0.5) / (1 << 53)
+	return (float64(d.Sum64()>>11) + 0.5) / (1 << 53)
+}
+
+// weighted returns the weighted rendezvous hash for an entry with a CPU share. An owner gets
+// the questions of all entries, so that it must be among the entries with room for them,
+// even if these are few: the weight is the third power of the share, by which an entry
+// with four times the share owns 64 times as much. An unknown share counts as one core.
+func weighted(hash, share float64) float64 {
 	if share <= 0 {
 		share = 1
 	}
-	return -math.Pow(share, shareExponent) / math.Log(u)
+	return -share * share * share / math.Log(hash)
 }
