quota, edge, slots: requests beyond a limit that are tolerated run behind all others

A limit has a tolerance over its window. An owner now grants half of the tolerance, spread over the window, and marks such requests: they get the least urgent priority, at the entries' queues and at the replicas, so that they take nothing from requests within a limit. The bound of TestBoundHolds is unchanged. Calls of plain services wait in the order of their priorities too. Replaces the larger bucket, which refused the same requests a little later.

--- a/core/document.go
+++ b/core/document.go
@@ -68,6 +68,9 @@
 	Priority int `json:"priority,omitempty"`
 }
 
+// LeastUrgent is the priority behind all others.
+const LeastUrgent = 9
+
 // Workspace is one customer with its API keys.
 type Workspace struct {
 	Name string `json:"name"`
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -26,6 +26,9 @@
 	if err != nil {
 		return err
 	}
+	if taken.Over {
+		r.Profile.Priority = core.LeastUrgent
+	}
 	err = c.runTaken(ctx, r, a)
 	c.edge.returnTokens(taken, err)
 	return err
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -90,9 +90,13 @@
 	return admitted
 }
 
+// Spare returns how many tokens, a whole number, may be taken so that the bucket stays at
+// least half full.
+func (b *Bucket) Spare() float64 { return math.Floor(max(0, b.level-capacity(b.limit)/2)) }
+
 // TakeSpare takes up to n tokens, a whole number, and leaves the bucket at least half full.
 func (b *Bucket) TakeSpare(n float64) float64 {
-	n = math.Floor(max(0, min(n, b.level-capacity(b.limit)/2)))
+	n = math.Floor(max(0, min(n, b.Spare())))
 	b.level -= n
 	return n
 }
--- a/quota/client.go
+++ b/quota/client.go
@@ -90,6 +90,9 @@
 	// By names the entry that granted them, at the instant At.
 	By string
 	At clock.Millis
+	// Over means that they are beyond the limit, within what is tolerated: the request
+	// runs behind all others.
+	Over bool
 }
 
 // tenant is what this entry has of one workspace. mu guards all fields.
@@ -126,6 +129,7 @@
 // result is the outcome for a waiter.
 type result struct {
 	ok    bool
+	over  bool
 	by    string
 	at    clock.Millis
 	level float64
@@ -167,7 +171,10 @@
 				from = localDecision
 			}
 			c.Meter.Add("quota_taken_total", 1, "from", from)
-			return Taken{Workspace: r.Workspace, Cost: r.Cost, By: res.by, At: res.at}, nil
+			if res.over {
+				c.Meter.Add("quota_over_total", 1, "workspace", r.Workspace)
+			}
+			return Taken{Workspace: r.Workspace, Cost: r.Cost, By: res.by, At: res.at, Over: res.over}, nil
 		}
 		return Taken{}, c.refuse(r, res)
 	case <-ctx.Done():
@@ -278,7 +285,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i, w := range batch {
-		res := result{ok: true, by: by, at: answered, level: g.Level, age: age}
+		res := result{ok: true, over: slices.Contains(g.Over, i), by: by, at: answered, level: g.Level, age: age}
 		if at := slices.Index(g.Refused, i); at >= 0 {
 			res.ok = false
 			if at < len(g.Retry) {
--- a/quota/messages.go
+++ b/quota/messages.go
@@ -51,7 +51,9 @@
 	// after which to try again.
 	Refused []int
 	Retry   []clock.Millis
-	// Extra is granted beyond the requests. Level is what is left in the bucket.
+	// Over holds the indices of the costs that are granted beyond the limit.
+	Over []int
+	// Extra is granted beyond the requests. Level is what is left of the limit.
 	Extra float64
 	Level float64
 }
--- a/quota/policy.go
+++ b/quota/policy.go
@@ -49,19 +49,19 @@
 	return min(maxLease, clock.Millis(leaseShare*p.Overshoot*float64(p.Span)))
 }
 
-// bucketShare is the part of the tolerance by which an owner's bucket is larger than the
-// burst. The limit holds over a whole window, in which callers may send unevenly, and a
-// refusal below it costs a caller its request.
-const bucketShare = 0.5
-
-// Enforced returns the limit that the owner's bucket enforces.
-func (p Policy) Enforced(l core.Limit) core.Limit {
-	l.Burst = capacity(l) + bucketShare*p.tolerance(l)
+// toleratedShare is the part of the tolerance that owners grant to requests beyond the
+// limit, which run behind all others. The rest is for entries that reach no owner.
+const toleratedShare = 0.5
+
+// Tolerated returns the limit up to which requests run at all.
+func (p Policy) Tolerated(l core.Limit) core.Limit {
+	l.Burst = capacity(l)
+	l.Rate += toleratedShare * p.tolerance(l) / seconds(p.withDefaults().Span)
 	return l
 }
 
 // Spare returns what may be run in a window beyond what the owner grants.
-func (p Policy) Spare(l core.Limit) float64 { return (1 - bucketShare) * p.tolerance(l) }
+func (p Policy) Spare(l core.Limit) float64 { return (1 - toleratedShare) * p.tolerance(l) }
 
 // tolerance returns what may be run in a window beyond the rate, the burst and what leases
 // use up.
--- a/quota/table.go
+++ b/quota/table.go
@@ -13,7 +13,19 @@
 	// Policy is the tolerance of the limits.
 	Policy Policy
 
-	buckets shard.Map[string, *Bucket]
+	accounts shard.Map[string, *account]
+}
+
+// account is what the owner of a workspace knows of it.
+type account struct {
+	// within has the tokens of the limit, and tolerated those up to which requests run.
+	within, tolerated *Bucket
+}
+
+// spare takes up to n tokens, and leaves both buckets at least half full.
+func (a *account) spare(n float64) float64 {
+	n = a.within.TakeSpare(min(n, a.tolerated.Spare()))
+	return a.tolerated.TakeSpare(n)
 }
 
 // Decide answers an item at the instant now. since is the instant since which this entry
@@ -22,28 +34,35 @@
 func (t *Table) Decide(item Item, since clock.Millis, level float64, now clock.Millis) Grant {
 	limit, ok := t.Limits(item.Workspace)
 	if !ok || limit.Rate <= 0 {
-		t.buckets.Delete(item.Workspace)
+		t.accounts.Delete(item.Workspace)
 		return Grant{}
 	}
-	limit = t.Policy.Enforced(limit)
+	tolerated := t.Policy.Tolerated(limit)
 	g := Grant{State: Decided}
-	t.buckets.Update(item.Workspace, func(b *Bucket, ok bool) (*Bucket, bool) {
-		if !ok || b.at < since {
-			b = NewBucket(limit, level, since)
+	t.accounts.Update(item.Workspace, func(a *account, ok bool) (*account, bool) {
+		if !ok || a.tolerated.at < since {
+			a = &account{within: NewBucket(limit, level, since), tolerated: NewBucket(tolerated, level, since)}
 		}
-		b.Advance(limit, now)
-		b.Return(item.Return, item.Age)
+		a.within.Advance(limit, now)
+		a.tolerated.Advance(tolerated, now)
+		// Tokens that were taken beyond the limit are returned here too, by which a few
+		// requests too many count as within it.
+		a.within.Return(item.Return, item.Age)
+		a.tolerated.Return(item.Return, item.Age)
 		for i, cost := range item.Costs {
-			if !b.Take(cost) {
+			switch {
+			case !a.tolerated.Take(cost):
 				g.Refused = append(g.Refused, i)
-				g.Retry = append(g.Retry, b.Refuse(cost))
+				g.Retry = append(g.Retry, a.tolerated.Refuse(cost))
+			case !a.within.Take(cost):
+				g.Over = append(g.Over, i)
 			}
 		}
-		if len(g.Refused) == 0 {
-			g.Extra = b.TakeSpare(item.Extra)
+		if len(g.Refused)+len(g.Over) == 0 {
+			g.Extra = a.spare(item.Extra)
 		}
-		g.Level = b.Level()
-		return b, true
+		g.Level = a.within.Level()
+		return a, true
 	})
 	return g
 }
@@ -52,6 +71,6 @@
 // since and level are as for Decide.
 func (t *Table) Release(workspace string, since clock.Millis, level float64, now clock.Millis) Grant {
 	g := t.Decide(Item{Workspace: workspace}, since, level, now)
-	t.buckets.Delete(workspace)
+	t.accounts.Delete(workspace)
 	return g
 }
--- a/slots/desk.go
+++ b/slots/desk.go
@@ -108,7 +108,7 @@
 		// Answers take longer than usual as often as not. Of those that start with half of the
 		// usual time to spare, 85% make their targets (of a log-normal distribution with a
 		// sigma of 0.5), so that with less a call counts as one that misses it.
-		Workspace: a.Workspace, Cost: int(max(1, usual)), Target: now + a.Target - usual/2, Latest: latest, TimeToFirstToken: usual,
+		Workspace: a.Workspace, Priority: a.Priority, Cost: int(max(1, usual)), Target: now + a.Target - usual/2, Latest: latest, TimeToFirstToken: usual,
 		Try: func() (bool, error) {
 			now := d.Clock.Now()
 			p, ok, err := g.choose(a, centre, d.Replicas(a.Service, a.Group), now)
--- a/wire/quota.go
+++ b/wire/quota.go
@@ -137,13 +137,13 @@
 
 // MarshalJSON implements [json.Marshaler].
 func (g quotaGrant) MarshalJSON() ([]byte, error) {
-	return json.Marshal([]any{g.State, orEmpty(g.Refused), orEmpty(g.Retry), int64(g.Extra), int64(g.Level)})
+	return json.Marshal([]any{g.State, orEmpty(g.Refused), orEmpty(g.Retry), orEmpty(g.Over), int64(g.Extra), int64(g.Level)})
 }
 
 // UnmarshalJSON implements [json.Unmarshaler].
 func (g *quotaGrant) UnmarshalJSON(data []byte) error {
 	*g = quotaGrant{}
-	return decodeArray(data, &g.State, &g.Refused, &g.Retry, &g.Extra, &g.Level)
+	return decodeArray(data, &g.State, &g.Refused, &g.Retry, &g.Over, &g.Extra, &g.Level)
 }
 
 // flag encodes a flag in one character.
