--- a/quota/client.go
+++ b/quota/client.go
@@ -195,7 +195,7 @@
 	if r.Opaque != nil {
 		id = r.Opaque.ID
 	}
-	c.log().Info("quota: request refused", zap.String("request", id), zap.String("workspace", r.Workspace), zap.Float64("cost", r.Cost),
+	c.log().Info("quota: request refused", zap.String("request", id), zap.String("workspace", r.Workspace), zap.Float64("cost", r.Cost), zap.Float64("rate", r.Limit.Rate), zap.Float64("burst", r.Limit.Burst),
 		zap.String("by", res.by), zap.Float64("level", res.level), zap.Int64("age", int64(res.age)), zap.Int64("retry", int64(retry)))
 	return codes.New(codes.RateLimited, "workspace %q is over its limit", r.Workspace).WithRetryAfter(retry)
 }
