--- a/limit/priority_test.go
+++ b/limit/priority_test.go
@@ -5,10 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"sync/atomic"
 	"testing"
-	"testing/synctest"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -199,44 +196,3 @@
 		})
 	}
 }
-
-// TestShedTardy guards against requests that wait until no time is left, while an overload
-// lasts in which they can't be served.
-func TestShedTardy(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		var free atomic.Bool
-		var rejected, waited, onTime atomic.Int64
-		q := &limit.Queue{ShedTardy: true}
-		ask := func() {
-			arrived := q.Clock.Now()
-			err := q.Wait(context.Background(), limit.Ticket{
-				Cost: 1, Target: arrived + 100, Latest: arrived + 1000, TimeToFirstToken: 10,
-				Try: func() (bool, error) { return free.Swap(false), nil },
-			})
-			took := q.Clock.Now() - arrived
-			switch {
-			case err != nil:
-				rejected.Add(1)
-				waited.Add(int64(took))
-			case took <= 90:
-				onTime.Add(1)
-			}
-		}
-		// Ten requests arrive in the time in which four can be served.
-		for i := range 4000 {
-			if i%2 == 0 {
-				go ask()
-			}
-			if i%5 == 0 {
-				free.Store(true)
-				q.Wake()
-			}
-			time.Sleep(time.Millisecond)
-		}
-		time.Sleep(2 * time.Second)
-		is.True(rejected.Load() > 1000)
-		is.True(waited.Load()/rejected.Load() < 600) // not until 990
-		is.True(onTime.Load() > 500)                 // most of the 800 that are served
-	})
-}
--- a/limit/waitqueue.go
+++ b/limit/waitqueue.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -50,10 +49,6 @@
 	// TardyLast serves requests that miss their targets only while no other
 	// request waits, instead of on every tardyInterval-th turn.
 	TardyLast bool
-	// ShedTardy rejects requests that miss their targets once it is predicted that they
-	// can't start in time, instead of when that time has come. It answers an overload that
-	// lasts: the requests that can make their targets then take all capacity.
-	ShedTardy bool
 
 	// mu guards the fields below. Methods that take no lock themselves expect it
 	// to be held.
@@ -394,7 +389,6 @@
 		return
 	}
 	now := q.Clock.Now()
-	q.shedTardy(now)
 	var tried []*waiter
 	// A turn of those with less than their share lasts until one of them is served.
 	turn := q.serves
@@ -435,34 +429,6 @@
 	}
 }
 
-// arrivalFactor times the requests that wait is how much is assumed to be served before a
-// request that misses its target: as much as waits may arrive meanwhile.
-const arrivalFactor = 2
-
-// shedTardy rejects requests that miss their targets and will not start in time, the ones
-// with the least time left first. The caller holds the lock.
-func (q *Queue) shedTardy(now clock.Millis) {
-	rate := q.throughput.rate(now)
-	if !q.ShedTardy || rate <= 0 {
-		return
-	}
-	cost := 0
-	var tardy []*waiter
-	for _, s := range q.subqueues {
-		s.moveTardy(now)
-		cost += s.timelyCost + s.tardyCost
-		tardy = append(tardy, s.tardy.items...)
-	}
-	slices.SortFunc(tardy, func(a, b *waiter) int { return cmp.Compare(a.startDeadline(), b.startDeadline()) })
-	for _, w := range tardy {
-		if w.Urgent || millis(arrivalFactor*float64(cost)/rate) <= w.startDeadline()-now {
-			continue
-		}
-		cost -= w.Cost
-		q.reject(w)
-	}
-}
-
 // recordServe charges a served request, which is already out of its heap, to its
 // workspace.
 func (q *Queue) recordServe(w *waiter, now clock.Millis) {
--- a/slots/desk.go
+++ b/slots/desk.go
@@ -247,7 +247,7 @@
 func (d *Desk) group(service string, number int) *group {
 	return d.groups.Ensure(assign.GroupKey(service, number), func() *group {
 		g := &group{service: service, number: number, usual: firstUsual}
-		g.queue.Clock, g.queue.ShedTardy = d.Clock, true
+		g.queue.Clock = d.Clock
 		return g
 	})
 }
