--- a/alloc/alloc_test.go
+++ b/alloc/alloc_test.go
@@ -353,7 +353,9 @@
 			l := &alloc.Ledger{Clock: clock.Clock{Manual: m}}
 			c.steps(l, m)
 			is := is.New(t)
+			peeked, _ := l.Peek()
 			w := l.Work()["d"]
+			is.Equal(peeked["d"], w)
 			is.Equal(w.Requests, c.want)
 			is.Equal(w.Held, c.want*each)
 		})
--- a/alloc/desk.go
+++ b/alloc/desk.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
@@ -87,7 +86,7 @@
 
 // queue returns the wait queue for the engines that the request may use.
 func (d *Desk) queue(r Request) *limit.Queue {
-	return d.queues.Ensure(r.Service+"/"+strconv.Itoa(r.Group), func() *limit.Queue {
+	return d.queues.Ensure(queueKey(r), func() *limit.Queue {
 		return &limit.Queue{Clock: d.Clock, TardyLast: true}
 	})
 }
@@ -122,10 +121,24 @@
 // choose selects the engines for a request. ok is false if it must wait, since no
 // decode engine has enough free memory.
 func (d *Desk) choose(r Request) (c Choice, ok bool, err error) {
-	prefills := d.usable(core.Prefill, r)
-	decodes := d.usable(core.Decode, r)
+	prefills, decodes, err := d.candidates(d.Pool, r)
+	if err != nil {
+		return Choice{}, false, err
+	}
+	best, ok := route.Direct{}.Choose(r.query(rand.Uint64()), prefills, decodes)
+	if !ok {
+		return Choice{}, false, nil
+	}
+	return r.choice(best, prefills, decodes), true, nil
+}
+
+// candidates returns the engines of pool that a request may use, at least one decode
+// engine.
+func (d *Desk) candidates(pool Candidates, r Request) (prefills, decodes []route.Candidate, err error) {
+	prefills = d.usable(pool, core.Prefill, r)
+	decodes = d.usable(pool, core.Decode, r)
 	if len(decodes) == 0 {
-		return Choice{}, false, codes.New(codes.NoUpstream, "service %q: %d prefill and no decode upstreams", r.Service, len(prefills))
+		return prefills, nil, codes.New(codes.NoUpstream, "service %q: %d prefill and no decode upstreams", r.Service, len(prefills))
 	}
 	now := d.Clock.Now()
 	for i := range decodes {
@@ -133,15 +146,20 @@
 			decodes[i].Free = 0
 		}
 	}
-	q := route.Query{
+	return prefills, decodes, nil
+}
+
+// query returns the part of the request that the choice depends on.
+func (r Request) query(seed uint64) route.Query {
+	return route.Query{
 		Tokens: r.Tokens, Output: r.Output, Pieces: r.Pieces, Bytes: r.Bytes, Centre: r.Centre,
-		Seed: rand.Uint64(), Exported: r.Exported,
-	}
-	best, ok := route.Direct{}.Choose(q, prefills, decodes)
-	if !ok {
-		return Choice{}, false, nil
+		Seed: seed, Exported: r.Exported,
 	}
-	c = Choice{
+}
+
+// choice returns the selected engines by name.
+func (r Request) choice(best route.Choice, prefills, decodes []route.Candidate) Choice {
+	c := Choice{
 		Decode: decodes[best.Decode].Name, Direct: best.Direct, FirstToken: best.FirstToken, Tokens: best.Tokens, Fill: best.Fill,
 	}
 	switch {
@@ -151,14 +169,14 @@
 		c.Prefill = prefills[best.Prefill].Name
 		c.Ahead = prefills[best.Prefill].QueuedTokens
 	}
-	return c, true, nil
+	return c
 }
 
-// usable returns the engines of a role in the request's group that aren't barred. If
+// usable returns the engines of pool of a role in the request's group that aren't barred. If
 // there are others, it leaves out those that leave, and those that are excluded; if
 // there aren't, it prefers the former.
-func (d *Desk) usable(role core.Role, r Request) []route.Candidate {
-	all := d.Pool.Candidates(role, r.Service, nil, nil)
+func (d *Desk) usable(pool Candidates, role core.Role, r Request) []route.Candidate {
+	all := pool.Candidates(role, r.Service, nil, nil)
 	if r.Group > 0 && d.GroupOf != nil {
 		all = slices.DeleteFunc(all, func(c route.Candidate) bool {
 			_, g, ok := d.GroupOf(c.Name)
--- a/alloc/ledger.go
+++ b/alloc/ledger.go
@@ -92,12 +92,6 @@
 // expired.
 func (l *Ledger) Work() map[string]pool.Work {
 	now := l.Clock.Now()
-	sum := make(map[string]pool.Work)
-	add := func(loads []Load) {
-		for _, load := range loads {
-			sum[load.Engine] = sum[load.Engine].Add(load.work())
-		}
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, a := range l.entries {
@@ -106,15 +100,42 @@
 			a.report.Loads = nil
 			if len(a.grants) == 0 && now-a.at > forgetAfter {
 				delete(l.entries, name)
-				continue
 			}
 		}
-		add(a.report.Loads)
+	}
+	work, _ := l.sum(now)
+	return work
+}
+
+// Peek is [Ledger.Work] without forgetting anything. It also returns the age of the oldest
+// report that counts, zero if there is none.
+func (l *Ledger) Peek() (work map[string]pool.Work, oldest clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sum(l.Clock.Now())
+}
+
+// sum returns the work that has not expired, and the age of the oldest report. The caller
+// holds l.mu.
+func (l *Ledger) sum(now clock.Millis) (work map[string]pool.Work, oldest clock.Millis) {
+	work = make(map[string]pool.Work)
+	add := func(loads []Load) {
+		for _, load := range loads {
+			work[load.Engine] = work[load.Engine].Add(load.work())
+		}
+	}
+	for _, a := range l.entries {
+		if now-a.at <= reportTTL && len(a.report.Loads) > 0 {
+			add(a.report.Loads)
+			oldest = max(oldest, now-a.at)
+		}
 		for _, g := range a.grants {
-			add(g.load)
+			if now-g.at <= grantTTL {
+				add(g.load)
+			}
 		}
 	}
-	return sum
+	return work, oldest
 }
 
 // forgetAfter is the time after which the account of a silent entry is deleted.
