edge, lacectl: explain shows where a request would go, and why

Operators saw in the log what was chosen, but not among what, and nothing of a request that was not sent. GET /explain on the metrics listener answers from what the entry knows, with the age of each input, and lacectl explain prints it. Nothing is sent, no tokens or slots are taken. Tokens left in a workspace's bucket are left out: only its owner knows them.

--- a/client/fleet.go
+++ b/client/fleet.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"net/url"
 
 	"lacewinghook.example/lacewinghook/notice"
 	"lacewinghook.example/lacewinghook/taint"
@@ -23,3 +25,11 @@
 	err := c.call(ctx, http.MethodGet, "/replicas", nil, nil, &all)
 	return all, err
 }
+
+// Explain returns where an entry on the users' platform would send a request now, as the
+// JSON of its page. Base is the URL of its metrics listener. The query describes the request.
+func (c *Client) Explain(ctx context.Context, query url.Values) (json.RawMessage, error) {
+	var page json.RawMessage
+	err := c.call(ctx, http.MethodGet, "/explain?"+query.Encode(), nil, nil, &page)
+	return page, err
+}
--- a/cmd/lacectl/command.go
+++ b/cmd/lacectl/command.go
@@ -32,10 +32,11 @@
 	ca        string
 	printJSON bool
 	timeout   time.Duration
-	// expect, state and outcome are flags that only one command has.
+	// expect, state, outcome and explain are flags that only one command has.
 	expect  int64
 	state   string
 	outcome string
+	explain explainFlags
 }
 
 // defaultTimeout is the default deadline of a command. It exceeds the 12 s
--- a/cmd/lacectl/main.go
+++ b/cmd/lacectl/main.go
@@ -10,6 +10,7 @@
 //	lacectl orders list|settle
 //	lacectl quarantine list|lift
 //	lacectl fleet parts|replicas
+//	lacectl explain
 //
 // Exit codes: 0 for success, 1 for a failure, 2 for an invalid command line, 3
 // for a conflict with another operator's change, 4 if the outcome is unknown or
@@ -34,7 +35,7 @@
 // notes is the end of the help text.
 const notes = `Every command takes -admin URL, -token-file F, -ca F, -json and -timeout. The
 commands of fleet ask the metrics listener of an entry on the users' platform
-(-metrics URL), which needs no token.
+(-metrics URL), which needs no token; explain asks it too (-addr HOST:PORT).
 
 Exit codes:
   0  success
@@ -60,6 +61,7 @@
 			orderCommands,
 			quarantineCommands,
 			fleetCommands,
+			explainCommands,
 		),
 	}
 	return p.Run(ctx, os.Args[1:])
--- a/cmd/lacectl/script_test.go
+++ b/cmd/lacectl/script_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,9 +17,11 @@
 	"lacewinghook.example/lacewinghook/client"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
+	"lacewinghook.example/lacewinghook/edge"
 	"lacewinghook.example/lacewinghook/fake"
 	"lacewinghook.example/lacewinghook/notice"
 	"lacewinghook.example/lacewinghook/pubdoc"
+	"lacewinghook.example/lacewinghook/reply"
 	"lacewinghook.example/lacewinghook/taint"
 	"lacewinghook.example/lacewinghook/trial"
 )
@@ -117,9 +121,27 @@
 		ts.Check(err)
 		mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(data) })
 	}
+	mux.HandleFunc("/explain", explainPage)
 	server := httptest.NewServer(mux)
 	ts.Defer(server.Close)
 	ts.Setenv("PAGES", server.URL)
+	ts.Setenv("PAGES_ADDR", server.Listener.Addr().String())
+}
+
+// explainPage answers as an entry would that knows a workspace and a plain service.
+func explainPage(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	if !strings.HasPrefix(q.Get("path"), "/") {
+		reply.Error(w, codes.New(codes.BadRequest, "want a host, and a path that begins with a slash"))
+		return
+	}
+	var in, out float64
+	_, _ = fmt.Sscanf(q.Get("tokens"), "%g,%g", &in, &out)
+	_ = json.NewEncoder(w).Encode(edge.Explanation{
+		Entry: "edge-1", ID: q.Get("id"), Host: q.Get("host"), Path: q.Get("path"),
+		Workspace: &edge.WorkspaceView{Name: q.Get("workspace"), Cost: in + out},
+		Services:  []edge.ServiceView{{Name: "desk", Share: 1, Choice: "d-1"}},
+	})
 }
 
 // TestScripts runs each script against its own trial set.
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -102,12 +102,18 @@
 		}
 		return codes.Wrap(codes.Unauthorized, err, "request %s, manifest %d", o.ID, o.Version)
 	}
+	setAccount(r, a)
+	return nil
+}
+
+// setAccount sets the workspace of a request, its limit and cost, and its priority.
+func setAccount(r *core.Request, a core.Account) {
+	o := r.Opaque
 	r.Workspace, r.Limit = a.Name, a.Limit
 	r.Cost = a.Limit.Cost(o.PromptTokens+r.MaxTokens, o.Counted)
 	if a.Priority != nil {
 		r.Profile.Priority = *a.Priority
 	}
-	return nil
 }
 
 // defaultTimeout applies to routes that set no timeout.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -70,6 +70,8 @@
 	// peerWorkStale is set when the pool's copy of the peers' work is out of
 	// date.
 	peerWorkStale atomic.Bool
+	// manifestAt is the instant at which the current manifest was applied.
+	manifestAt atomic.Int64
 	// fleet is the current list of replicas, nil before the first one.
 	fleet    atomic.Pointer[core.Fleet]
 	meter    meter.Registry
@@ -365,6 +367,7 @@
 		e.writePage(w, slices.Concat(e.tainted.View(), e.requests.View()))
 	})
 	mux.HandleFunc("GET /replicas", func(w http.ResponseWriter, _ *http.Request) { e.writePage(w, e.notices.View()) })
+	mux.HandleFunc("GET /explain", e.explainPage)
 	return mux
 }
 
--- a/edge/state.go
+++ b/edge/state.go
@@ -19,6 +19,7 @@
 	if !e.routes.Apply(m) {
 		return
 	}
+	e.manifestAt.Store(int64(e.Clock.Now()))
 	e.applyPool()
 	e.gossip.Trigger()
 }
