zones: plain calls leave their zone when that pays

The owner of slots compared predicted times with a constant penalty of 15 ms for another zone. A zones.Gate now decides, by service and zone of the asking entry, with a share of calls that may leave. The share follows the predicted gain in small steps with a dead band around the price, the setting fleet.distance (default 15 ms as before). Calls that would miss their targets inside, have waited for the price, or have no usable replica inside leave at any share. A call never leaves for a slower or full outside. Only services with shared slots use it; route.LeastTime is unchanged.

slots.TestLoad runs with the gate, with its bounds unchanged.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -55,6 +55,12 @@
 	}
 }
 
+// TestDistance guards against a price of distance that no network has.
+func TestDistance(t *testing.T) {
+	_, err := config.Decode([]byte(`{"fleet":{"distance":15000}}`))
+	is.New(t).True(strings.Contains(err.Error(), "fleet.distance: want 1 to 10000 ms"))
+}
+
 // FuzzDecode checks that Decode returns either an error or settings that pass
 // Check.
 func FuzzDecode(f *testing.F) {
--- a/config/fleet.go
+++ b/config/fleet.go
@@ -36,6 +36,9 @@
 	// Silence is how long a sound replica may be silent while it works on a request;
 	// zero means 2 s. The request isn't given up there for a shorter silence.
 	Silence clock.Millis `json:"silence,omitempty"`
+	// Distance is the price of sending a plain call to another zone: the round trip, and
+	// what the traffic costs, as a time. Zero means the default of package zones.
+	Distance clock.Millis `json:"distance,omitempty"`
 	// Retries is the retry budget of all entries together.
 	Retries Retries `json:"retries"`
 	// Quota is what workspaces may use beyond their limits, over all entries together.
@@ -87,6 +90,8 @@
 	maxDrain     = 1 * clock.Minute
 	minSilence   = clock.Millis(100)
 	maxSilence   = 1 * clock.Minute
+	minDistance  = clock.Millis(1)
+	maxDistance  = 10 * clock.Second
 	maxMemoryMiB = 1 << 20
 	maxCores     = 1024
 )
@@ -119,6 +124,7 @@
 	c.requiredRange("fleet.retries.span_s", int64(f.Retries.Span.Millis()), int64(minSpan), int64(maxSpan), "ms")
 	c.optionalRange("fleet.drain", int64(f.Drain), int64(minDrain), int64(maxDrain), "ms")
 	c.optionalRange("fleet.silence", int64(f.Silence), int64(minSilence), int64(maxSilence), "ms")
+	c.optionalRange("fleet.distance", int64(f.Distance), int64(minDistance), int64(maxDistance), "ms")
 	c.optionalRange("fleet.memory", int64(f.Memory), 1, maxMemoryMiB, "MiB")
 	c.optionalRange("fleet.cores", int64(f.Cores), 1, maxCores, "cores")
 	if f.Share < 0 || f.Share > maxCores {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -39,6 +39,7 @@
 	"lacewinghook.example/lacewinghook/vhost"
 	"lacewinghook.example/lacewinghook/watch"
 	"lacewinghook.example/lacewinghook/wire"
+	"lacewinghook.example/lacewinghook/zones"
 )
 
 // Edge is one entry. Settings is required.
@@ -102,7 +103,9 @@
 	limits quota.Client
 	// slotDesk and slots grant the calls of plain services slots, and slotGroups divides the
 	// replicas among owners.
-	slotDesk   slots.Desk
+	slotDesk slots.Desk
+	// zones decides which of the calls that slotDesk places leave their zones.
+	zones      zones.Gate
 	slots      slots.Client
 	slotGroups atomic.Pointer[slotGroups]
 	// inFlight tracks the requests and connections of callers.
--- a/edge/slots.go
+++ b/edge/slots.go
@@ -3,6 +3,7 @@
 import (
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/slots"
+	"lacewinghook.example/lacewinghook/zones"
 )
 
 // slotGroups divides the replicas of each plain service. It is immutable.
@@ -48,7 +49,8 @@
 
 // prepareSlots initializes the components that grant the calls of plain services slots.
 func (e *Edge) prepareSlots(self core.Instance) {
-	e.slotDesk = slots.Desk{Replicas: e.slotReplicas, Centres: e.centreOf, Clock: e.Clock, Meter: &e.meter, Log: e.Log}
+	e.zones = zones.Gate{Price: e.Settings.Fleet.Distance, Meter: &e.meter, Clock: e.Clock}
+	e.slotDesk = slots.Desk{Replicas: e.slotReplicas, Centres: e.centreOf, Gate: &e.zones, Clock: e.Clock, Meter: &e.meter, Log: e.Log}
 	e.slots = slots.Client{
 		Desk: &e.slotDesk, Peers: &e.peers, Self: self, Boot: e.boot, Entries: e.owners, Groups: e.slotsOf,
 		Notices: &e.notices, Clock: e.Clock, Meter: &e.meter, Log: e.Log,
--- a/route/replica.go
+++ b/route/replica.go
@@ -45,9 +45,9 @@
 const (
 	// unknownTime is the answer time that is assumed if no replica was measured.
 	unknownTime = 60.0
-	// remoteReplicaCost covers the round trip to another data centre and the cost
+	// RemoteReplicaCost covers the round trip to another data centre and the cost
 	// of traffic between data centres.
-	remoteReplicaCost = 15.0
+	RemoteReplicaCost = 15.0
 )
 
 // Choose returns the index of the selected replica and its cost in milliseconds.
@@ -59,7 +59,7 @@
 		r := &replicas[i]
 		cost := r.Expected(prior) * float64(1+r.InFlight)
 		if r.Centre != l.Centre {
-			cost += remoteReplicaCost
+			cost += RemoteReplicaCost
 		}
 		if best < 0 || r.rank() < replicas[best].rank() || r.rank() == replicas[best].rank() && cost < lowest {
 			best, lowest = i, cost
--- a/route/slots.go
+++ b/route/slots.go
@@ -13,6 +13,28 @@
 	// Wait is the predicted time in milliseconds after which a replica without room has
 	// taken the calls that wait.
 	Wait float64
+	// Gate, if not nil, decides whether the call may leave the data centre. Trip holds its
+	// inputs; Choose sets Origin, Inside and Outside. Without a Gate, a replica in another
+	// data centre costs [RemoteReplicaCost] more.
+	Gate Gate
+	Trip Trip
+}
+
+// side is the best choice among the replicas inside a data centre, or outside.
+type side struct {
+	// best is -1 if no replica has room. It costs lowest, and its usual answer time is usual.
+	best          int
+	lowest, usual float64
+	// lowestFull is the least cost of the replicas without room, without the wait.
+	lowestFull float64
+}
+
+// choose returns the selected replica, or -1 if waiting costs less.
+func (s *side) choose(wait float64) (best int, usual float64) {
+	if s.lowestFull+wait < s.lowest {
+		return -1, 0
+	}
+	return s.best, s.usual
 }
 
 const (
@@ -42,8 +64,8 @@
 		lowestRank = min(lowestRank, replicas[i].rank())
 	}
 	prior := PriorTime(replicas)
-	best = -1
-	lowest, lowestFull := math.Inf(1), math.Inf(1)
+	none := side{best: -1, lowest: math.Inf(1), lowestFull: math.Inf(1)}
+	inside, outside := none, none
 	for i := range replicas {
 		r := &replicas[i]
 		if r.rank() > lowestRank || r.Full {
@@ -51,18 +73,30 @@
 		}
 		expected := r.Expected(prior)
 		cost := expected * (1 + float64(r.InFlight)/float64(max(1, r.Slots)) + failureCost*r.Failures)
+		s := &inside
 		if r.Centre != f.Centre {
-			cost += remoteReplicaCost
+			s = &outside
 		}
 		switch {
 		case r.InFlight >= r.MaxInFlight(expected):
-			lowestFull = min(lowestFull, cost)
-		case cost < lowest:
-			best, lowest, usual = i, cost, expected
+			s.lowestFull = min(s.lowestFull, cost)
+		case cost < s.lowest:
+			s.best, s.lowest, s.usual = i, cost, expected
 		}
 	}
-	if lowestFull+f.Wait < lowest {
-		return -1, 0
+	if f.Gate != nil {
+		t := f.Trip
+		t.Origin, t.Inside, t.Outside = f.Centre, min(inside.lowest, inside.lowestFull+f.Wait), outside.lowest
+		if f.Gate.Leaves(t) {
+			return outside.best, outside.usual
+		}
+		return inside.choose(f.Wait)
+	}
+	outside.lowest += RemoteReplicaCost
+	outside.lowestFull += RemoteReplicaCost
+	if outside.lowest < inside.lowest {
+		inside.best, inside.lowest, inside.usual = outside.best, outside.lowest, outside.usual
 	}
-	return best, usual
+	inside.lowestFull = min(inside.lowestFull, outside.lowestFull)
+	return inside.choose(f.Wait)
 }
--- a/route/slots_test.go
+++ b/route/slots_test.go
@@ -6,8 +6,18 @@
 	"github.com/matryer/is"
 
 	"lacewinghook.example/lacewinghook/route"
+	"lacewinghook.example/lacewinghook/zones"
 )
 
+// TestFreeSlotGate guards against calls that go to the side against the gate's decision.
+func TestFreeSlotGate(t *testing.T) {
+	for waited, want := range map[float64]int{0: 0, route.RemoteReplicaCost: 1} {
+		f := route.FreeSlot{Gate: &zones.Gate{}, Trip: route.Trip{Target: 500, Waited: waited}}
+		got, _ := f.Choose([]route.Replica{{Slots: 6, InFlight: 5}, {Slots: 6, Centre: "far"}})
+		is.New(t).Equal(got, want)
+	}
+}
+
 // TestFreeSlot checks which replica of those with slots is selected, and when a call waits.
 func TestFreeSlot(t *testing.T) {
 	with := func(inFlight int, mean float64) route.Replica {
--- a/slots/desk.go
+++ b/slots/desk.go
@@ -11,6 +11,7 @@
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/meter"
+	"lacewinghook.example/lacewinghook/route"
 	"lacewinghook.example/lacewinghook/shard"
 )
 
@@ -20,9 +21,11 @@
 	Replicas func(service string, group int) []Replica
 	// Centres, if not nil, returns the data centre of an entry.
 	Centres func(entry string) string
-	Clock   clock.Clock
-	Meter   *meter.Registry
-	Log     *zap.Logger
+	// Gate, if not nil, decides whether calls may leave the data centres of their entries.
+	Gate  route.Gate
+	Clock clock.Clock
+	Meter *meter.Registry
+	Log   *zap.Logger
 
 	groups shard.Map[string, *group]
 	// calls holds the calls that wait or are granted, and runs the runs of the entries.
@@ -103,7 +106,9 @@
 	if d.Centres != nil {
 		centre = d.Centres(a.Entry)
 	}
+	f := route.FreeSlot{Centre: centre, Gate: d.Gate, Trip: route.Trip{Service: a.Service, Draw: rand.Float64()}}
 	latest := now + a.Latest
+	arrived := now
 	return limit.Ticket{
 		// Answers take longer than usual as often as not. Of those that start with half of the
 		// usual time to spare, 85% make their targets (of a log-normal distribution with a
@@ -111,7 +116,8 @@
 		Workspace: a.Workspace, Cost: int(max(1, usual)), Target: now + a.Target - usual/2, Latest: latest, TimeToFirstToken: usual,
 		Try: func() (bool, error) {
 			now := d.Clock.Now()
-			p, ok, err := g.choose(a, centre, d.Replicas(a.Service, a.Group), now)
+			f.Trip.Now, f.Trip.Waited, f.Trip.Target = now, float64(now-arrived), float64(arrived+a.Target-now)
+			p, ok, err := g.choose(a, f, d.Replicas(a.Service, a.Group), now)
 			if !ok {
 				return false, err
 			}
@@ -124,12 +130,25 @@
 				g.release(p.replica, End{}, now)
 				return false, codes.From(context.Canceled).WithRun(codes.NotRun)
 			}
+			d.countZone(a.Service, p.leaves)
 			*answer = p.answer
 			return true, nil
 		},
 	}
 }
 
+// countZone counts a granted call by whether it leaves the data centre of its entry.
+func (d *Desk) countZone(service string, leaves bool) {
+	if d.Gate == nil {
+		return
+	}
+	way := "stays"
+	if leaves {
+		way = "leaves"
+	}
+	d.Meter.Add("zones_calls_total", 1, "service", service, "way", way)
+}
+
 // wait waits in the queue of a group for at most the given time. granted is false without
 // an error if no slot became free.
 func (d *Desk) wait(ctx context.Context, g *group, key callKey, t limit.Ticket, most clock.Millis) (granted bool, err error) {
--- a/slots/group.go
+++ b/slots/group.go
@@ -48,12 +48,14 @@
 // placement is the result of a choice.
 type placement struct {
 	replica *replica
-	answer  Answer
+	// leaves is set if the replica is in another data centre than the entry.
+	leaves bool
+	answer Answer
 }
 
-// choose selects a replica for an ask of an entry in a data centre, and counts the call there. ok is false if none has
-// room.
-func (g *group) choose(a *Ask, centre string, list []Replica, now clock.Millis) (p placement, ok bool, err error) {
+// choose selects a replica for an ask, and counts the call there. f holds the data centre of
+// the entry, and the gate with its inputs. ok is false if no replica has room.
+func (g *group) choose(a *Ask, f route.FreeSlot, list []Replica, now clock.Millis) (p placement, ok bool, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	candidates := make([]route.Replica, 0, len(list))
@@ -80,13 +82,13 @@
 		return placement{}, false, codes.New(codes.NoUpstream, "service %q: no replica of %d may be used", g.service, len(list))
 	}
 	g.usual = clock.Millis(sum / weight)
-	wait := float64(g.waiting.Load()) * float64(g.usual) / float64(g.slots)
-	i, expected := route.FreeSlot{Centre: centre, Wait: wait}.Choose(candidates)
+	f.Wait = float64(g.waiting.Load()) * float64(g.usual) / float64(g.slots)
+	i, expected := f.Choose(candidates)
 	if i < 0 {
 		return placement{}, false, nil
 	}
 	states[i].inFlight++
-	return placement{states[i], Answer{
+	return placement{states[i], candidates[i].Centre != f.Centre, Answer{
 		Replica: candidates[i].Name, Usual: clock.Millis(expected), InFlight: states[i].inFlight, Slots: candidates[i].Slots,
 	}}, true, nil
 }
--- a/slots/load_test.go
+++ b/slots/load_test.go
@@ -24,6 +24,7 @@
 	"lacewinghook.example/lacewinghook/pool"
 	"lacewinghook.example/lacewinghook/relay"
 	"lacewinghook.example/lacewinghook/slots"
+	gate "lacewinghook.example/lacewinghook/zones"
 )
 
 // The load of a deployment with many entries before few slots.
@@ -212,7 +213,7 @@
 func (s *site) start(ctx context.Context, in core.Instance, granted bool) *entry {
 	ctx, stop := context.WithCancel(ctx)
 	e := &entry{stop: stop}
-	e.desk = &slots.Desk{Replicas: func(_ string, group int) []slots.Replica { return s.groups.Replicas[group] }, Centres: s.centre}
+	e.desk = &slots.Desk{Replicas: func(_ string, group int) []slots.Replica { return s.groups.Replicas[group] }, Centres: s.centre, Gate: &gate.Gate{}}
 	e.client = &slots.Client{
 		Desk: e.desk, Peers: s, Self: in, Boot: core.NewBoot(), Entries: func() []core.Instance { return s.list },
 		Groups: func(string) slots.Groups { return s.groups },
