--- a/engine/early_test.go
+++ b/engine/early_test.go
@@ -1,9 +1,6 @@
 package engine_test
 
 import (
-	"bytes"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,37 +11,12 @@
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/engine"
+	"lacewinghook.example/lacewinghook/extsim"
 )
 
-// earlyService answers each connection with text once it has read the head of a call, or all
-// of its size bytes if that isn't zero, and then closes or resets the connection.
+// earlyService returns the upstream that [extsim.ServeEarly] serves.
 func earlyService(t *testing.T, text string, size int64, reset bool) core.Upstream {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				var head []byte
-				for b := make([]byte, 1); !bytes.HasSuffix(head, []byte("\r\n\r\n")); head = append(head, b[0]) {
-					if _, err := c.Read(b); err != nil {
-						return
-					}
-				}
-				_, _ = io.CopyN(io.Discard, c, size)
-				_, _ = io.WriteString(c, text)
-				if reset {
-					_ = c.(*net.TCPConn).SetLinger(0)
-				}
-			}()
-		}
-	}()
-	return core.Upstream{Name: "u", Addr: ln.Addr().String()}
+	return core.Upstream{Name: "u", Addr: extsim.ServeEarly(t, text, size, reset)}
 }
 
 // callEarly makes a call with a body of 4 MiB, more than socket buffers hold.
