--- a/edge/slots_test.go
+++ b/edge/slots_test.go
@@ -13,9 +13,8 @@
 
 // TestSlotsAmongManyEntries starts more entries than tell each other their work. It guards
 // against calls for which no owner grants a slot, or several do, and against slots that stay
-// taken.
+// taken. It isn't parallel: its entries would take the processor from tests of times.
 func TestSlotsAmongManyEntries(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	s := newSite(t)
 	all := []*runningEntry{s.startReady()}
