relay: rejected completions return after the peak, not when a queue is predicted to drain

A completion returns no sooner than before; a longer prediction still counts, as far as callers wait. TestPredictedReturn has the peak as the least time.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -382,7 +382,8 @@
 	// A caller rejected for lack of capacity retries after retryAfterOverload,
 	// about as long as a load peak lasts, plus a random time below
 	// overloadJitter, so that callers rejected together don't return together.
-	// It applies if the end of the peak can't be predicted.
+	// Completions return no sooner, calls of plain services when their slots' queue is
+	// predicted to have drained.
 	retryAfterOverload clock.Millis = 1500
 	overloadJitter     clock.Millis = 2500
 	// honouredShare is the part of a caller's remaining time, as a divisor, that callers
@@ -394,10 +395,12 @@
 func (x *exchange) retryAfter(e *codes.Error) clock.Millis {
 	switch e.Code {
 	case codes.DeadlineUnmet, codes.QueueFull:
-		if d := max(x.slotRetry, e.RetryAfter); d > 0 {
-			return x.honoured(d)
+		if x.slotRetry > 0 {
+			return x.honoured(x.slotRetry)
 		}
-		return retryAfterOverload + rand.N(overloadJitter)
+		// Callers return once or twice only, so that a completion isn't called back before
+		// the peak has probably ended, whatever is predicted of the queue.
+		return x.honoured(max(e.RetryAfter, retryAfterOverload+rand.N(overloadJitter)))
 	case codes.NoUpstream:
 		if e.RetryAfter > 0 {
 			return e.RetryAfter
