access, edge: find a workspace by its name in the key table

The owner of a limit walked all accounts of the manifest for each ask, and the explanation of a request searched them again. The table of accounts now keeps an index by name, which serves both.

--- a/access/table.go
+++ b/access/table.go
@@ -20,20 +20,20 @@
 // Table maps keys to accounts. It is immutable. A nil table has no accounts.
 type Table struct {
 	accounts []core.Account
-	// byDigest holds the index in accounts of each key's digest.
-	byDigest map[string]int
+	// byName holds the index in accounts of each name, and byDigest that of each key's
+	// digest.
+	byName, byDigest map[string]int
 }
 
 // NewTable returns a table of the accounts. It returns [codes.BadDocument] if an account
 // has no name or an empty key, or if two accounts share a name or a key.
 func NewTable(accounts []core.Account) (*Table, error) {
-	t := &Table{accounts: accounts, byDigest: make(map[string]int)}
-	names := make(map[string]bool, len(accounts))
+	t := &Table{accounts: accounts, byName: make(map[string]int, len(accounts)), byDigest: make(map[string]int)}
 	for i, a := range accounts {
-		if a.Name == "" || names[a.Name] {
+		if _, ok := t.byName[a.Name]; ok || a.Name == "" {
 			return nil, codes.New(codes.BadDocument, "workspace %q: the name is empty or used twice", a.Name)
 		}
-		names[a.Name] = true
+		t.byName[a.Name] = i
 		for _, digest := range a.Keys {
 			if digest == emptyDigest {
 				return nil, codes.New(codes.BadDocument, "workspace %q: empty key", a.Name)
@@ -50,12 +50,16 @@
 // Required reports whether requests need a key, which they do if there are accounts.
 func (t *Table) Required() bool { return t != nil && len(t.accounts) > 0 }
 
-// Accounts returns the accounts. The caller must not modify them.
-func (t *Table) Accounts() []core.Account {
+// Account returns the account of that name.
+func (t *Table) Account(name string) (core.Account, bool) {
 	if t == nil {
-		return nil
+		return core.Account{}, false
 	}
-	return t.accounts
+	i, ok := t.byName[name]
+	if !ok {
+		return core.Account{}, false
+	}
+	return t.accounts[i], true
 }
 
 // Authenticate returns the account of a key. The error is [codes.Unauthorized].
--- a/access/table_test.go
+++ b/access/table_test.go
@@ -35,8 +35,15 @@
 		_, err := table.Authenticate(key)
 		is.True(codes.Has(err, codes.Unauthorized))
 	}
+	for name, want := range map[string]bool{"a": true, "b": true, "c": false, "": false} {
+		a, ok := table.Account(name)
+		is.Equal(ok, want)
+		is.True(!ok || a.Name == name)
+	}
 	var none *access.Table
 	is.True(!none.Required())
+	_, ok := none.Account("a")
+	is.True(!ok)
 	_, err = none.Authenticate("key-1")
 	is.True(codes.Has(err, codes.Unauthorized))
 }
--- a/edge/explain.go
+++ b/edge/explain.go
@@ -260,17 +260,16 @@
 
 // explainWorkspace sets the workspace of r by its name.
 func explainWorkspace(r *core.Request, accounts *access.Table, name string, needed bool) (*WorkspaceView, error) {
-	all := accounts.Accounts()
-	i := slices.IndexFunc(all, func(a core.Account) bool { return a.Name == name })
+	account, ok := accounts.Account(name)
 	switch {
 	case name == "" && needed:
 		return nil, codes.New(codes.Unauthorized, "the route needs the key of a workspace, and none is given")
 	case name == "":
 		return nil, nil
-	case i < 0:
+	case !ok:
 		return nil, codes.New(codes.Unauthorized, "the manifest has no workspace %q", name)
 	}
-	setAccount(r, all[i])
+	setAccount(r, account)
 	v := &WorkspaceView{Name: name, Unit: "request", Rate: r.Limit.Rate, Burst: r.Limit.Burst, Cost: r.Cost}
 	if r.Limit.Tokens {
 		v.Unit = "token_stream"
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -36,16 +36,8 @@
 
 // limitOf returns the limit of a workspace by the manifest in force.
 func (e *Edge) limitOf(workspace string) (core.Limit, bool) {
-	m := e.routes.Manifest()
-	if m == nil {
-		return core.Limit{}, false
-	}
-	for i := range m.Accounts {
-		if m.Accounts[i].Name == workspace {
-			return m.Accounts[i].Limit, true
-		}
-	}
-	return core.Limit{}, false
+	a, ok := e.routes.Accounts().Account(workspace)
+	return a.Limit, ok
 }
 
 // returnTokens gives back the tokens of a request whose error proves that it did not run.
--- a/vhost/table.go
+++ b/vhost/table.go
@@ -66,6 +66,14 @@
 	return nil
 }
 
+// Accounts returns the workspaces of the current manifest, or nil if there was none yet.
+func (t *Table) Accounts() *access.Table {
+	if idx := t.index.Load(); idx != nil {
+		return idx.accounts
+	}
+	return nil
+}
+
 // Version returns the version of the current manifest, or zero.
 func (t *Table) Version() int64 {
 	if m := t.Manifest(); m != nil {
