quota: compute owners again when the share of an entry changes

Owners depend on the shares, but a list was taken for the same if its names and addresses were. An entry that started again with another share then had one owner for a workspace at the entries that kept running and another one at itself.

--- a/quota/view.go
+++ b/quota/view.go
@@ -51,7 +51,7 @@
 	return len(r) > 0 && r[0].Name == name
 }
 
-// same reports whether the view has these entries.
+// same reports whether the view has these entries, with the same addresses and shares.
 func (v *view) same(entries []core.Instance) bool {
 	if len(entries) != len(v.entries) {
 		return false
@@ -61,7 +61,7 @@
 	}
 	sorted := byName(entries)
 	for i, in := range byName(v.entries) {
-		if in.Name != sorted[i].Name || in.Peer != sorted[i].Peer {
+		if other := sorted[i]; in.Name != other.Name || in.Peer != other.Peer || in.Share != other.Share {
 			return false
 		}
 	}
