--- a/alloc/client.go
+++ b/alloc/client.go
@@ -13,6 +13,7 @@
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
+	"lacewinghook.example/lacewinghook/notice"
 	"lacewinghook.example/lacewinghook/notify"
 	"lacewinghook.example/lacewinghook/pool"
 )
@@ -301,22 +302,10 @@
 // notices returns the engines in the request's group that must get nothing from this
 // entry, and those that are known to leave.
 func (c *Client) notices(r Request) (barred, leaving []string) {
-	if c.Desk.Notices == nil {
-		return nil, nil
-	}
-	for _, engine := range c.Desk.Notices.Names() {
-		if service, group, ok := c.GroupOf(engine); !ok || service != r.Service || group != r.Group-1 {
-			continue
-		}
-		s := c.Desk.Notices.Status(engine)
-		if s.Barred {
-			barred = append(barred, engine)
-		}
-		if s.Leaving {
-			leaving = append(leaving, engine)
-		}
-	}
-	return barred, leaving
+	return notice.Known(c.Desk.Notices, func(engine string) bool {
+		service, group, ok := c.GroupOf(engine)
+		return ok && service == r.Service && group == r.Group-1
+	})
 }
 
 // usableGroups returns the groups of a service. If some engines must get nothing from
--- a/notice/view.go
+++ b/notice/view.go
@@ -7,6 +7,33 @@
 	"lacewinghook.example/lacewinghook/clock"
 )
 
+// Statuses holds the status of each replica. [Table] implements it.
+type Statuses interface {
+	Status(replica string) Status
+	Names() []string
+}
+
+// Known returns the replicas that must get nothing from this entry, and those that are
+// known to leave, of those for which include returns true. s may be nil.
+func Known(s Statuses, include func(replica string) bool) (barred, leaving []string) {
+	if s == nil {
+		return nil, nil
+	}
+	for _, name := range s.Names() {
+		if !include(name) {
+			continue
+		}
+		status := s.Status(name)
+		if status.Barred {
+			barred = append(barred, name)
+		}
+		if status.Leaving {
+			leaving = append(leaving, name)
+		}
+	}
+	return barred, leaving
+}
+
 // View is what operators see of a replica that has a [Status].
 type View struct {
 	Replica string `json:"replica"`
--- a/slots/client.go
+++ b/slots/client.go
@@ -228,21 +228,7 @@
 			a.Exclude = append(a.Exclude, name)
 		}
 	}
-	if c.Notices == nil {
-		return a
-	}
-	for _, name := range c.Notices.Names() {
-		if !inGroup(name) {
-			continue
-		}
-		status := c.Notices.Status(name)
-		if status.Barred {
-			a.Barred = append(a.Barred, name)
-		}
-		if status.Leaving {
-			a.Leaving = append(a.Leaving, name)
-		}
-	}
+	a.Barred, a.Leaving = notice.Known(c.Notices, inGroup)
 	return a
 }
 
