--- a/alloc/groups.go
+++ b/alloc/groups.go
@@ -16,9 +16,6 @@
 	Decodes []int
 }
 
-// GroupCount returns the number of groups for a number of engines.
-func GroupCount(engines int) int { return assign.GroupCount(engines) }
-
 // Divide assigns the engines of a service to groups. Each group gets the same number
 // of each role, within one, and few engines change their group when one joins or
 // leaves.
@@ -31,7 +28,7 @@
 			n++
 		}
 	}
-	g := Groups{N: GroupCount(n), Of: make(map[string]int, n)}
+	g := Groups{N: assign.GroupCount(n), Of: make(map[string]int, n)}
 	g.Decodes = make([]int, g.N)
 	for role, names := range byRole {
 		sizes := assign.Divide(names, g.N, g.Of)
