--- a/quota/client.go
+++ b/quota/client.go
@@ -178,7 +178,7 @@
 		}
 		return Taken{}, c.refuse(r, res)
 	case <-ctx.Done():
-		c.leave(r.Workspace, t, w)
+		t.leave(w)
 		return Taken{}, codes.From(context.Cause(ctx)).WithRun(codes.NotRun)
 	}
 }
@@ -201,7 +201,7 @@
 }
 
 // leave removes a request that has ended from those that wait.
-func (c *Client) leave(workspace string, t *tenant, w *waiter) {
+func (t *tenant) leave(w *waiter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w.left = true
