--- a/core/document.go
+++ b/core/document.go
@@ -68,7 +68,7 @@
 	Priority int `json:"priority,omitempty"`
 }
 
-// LeastUrgent is the priority behind all others.
+// LeastUrgent is the priority behind all others, and the last that replicas know.
 const LeastUrgent = 9
 
 // Workspace is one customer with its API keys.
