--- a/watch/era.go
+++ b/watch/era.go
@@ -83,19 +83,12 @@
 // the era of the version. The error is [codes.HistoryLost] if the era has ended; ended is
 // set then.
 func (w *Watcher) follow(ctx context.Context, after core.StoreVersion, f func(context.Context) error) (ended bool, err error) {
-	call, cancel := context.WithCancel(ctx)
-	defer cancel()
 	w.mu.Lock()
 	end, over := w.endOfEra(), after.Era < w.eras.current
 	w.mu.Unlock()
 	if !over {
-		go func() {
-			select {
-			case <-end:
-				cancel()
-			case <-call.Done():
-			}
-		}()
+		call, cancel := endWith(ctx, end)
+		defer cancel()
 		err = f(call)
 		w.mu.Lock()
 		over = err != nil && after.Era < w.eras.current
@@ -109,23 +102,29 @@
 
 // pauseInEra sleeps for d, until ctx ends, or until the era has risen more often than rises.
 func (w *Watcher) pauseInEra(ctx context.Context, rises int, d clock.Millis) {
-	pause, cancel := context.WithCancel(ctx)
-	defer cancel()
 	w.mu.Lock()
 	end, over := w.endOfEra(), w.eras.rises != rises
 	w.mu.Unlock()
 	if over {
 		return
 	}
+	pause, cancel := endWith(ctx, end)
+	defer cancel()
+	// The caller's loop checks ctx.
+	_ = w.Clock.Sleep(pause, d)
+}
+
+// endWith returns a copy of ctx that also ends when end is closed.
+func endWith(ctx context.Context, end <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		select {
 		case <-end:
 			cancel()
-		case <-pause.Done():
+		case <-ctx.Done():
 		}
 	}()
-	// The caller's loop checks ctx.
-	_ = w.Clock.Sleep(pause, d)
+	return ctx, cancel
 }
 
 // spread sleeps for a random time up to maxBackoff, since all entries call the store again
