--- a/taint/save_test.go
+++ b/taint/save_test.go
@@ -60,39 +60,47 @@
 	return len(s.rows), s.saves, s.deletes[part]
 }
 
+// awaitRows waits until the store has n rows.
+func (s *memoryStore) awaitRows(t *testing.T, n int) {
+	t.Helper()
+	for range 2000 {
+		if rows, _, _ := s.counts(bad); rows == n {
+			return
+		}
+		_ = clock.Clock{}.Sleep(t.Context(), 1)
+	}
+	rows, _, _ := s.counts(bad)
+	is.New(t).Equal(rows, n)
+}
+
+// run runs all entries with a store until the test ends.
+func (f *fleet) run(t *testing.T, store taint.Store) {
+	var running sync.WaitGroup
+	// The context of the test ends before its cleanup.
+	t.Cleanup(running.Wait)
+	for _, e := range f.entries {
+		e.Store = store
+		running.Go(func() { e.Run(t.Context()) })
+	}
+}
+
 // TestFewEntriesTellTheStore guards against as many calls of the store as there are entries,
 // when a part is quarantined and when it is cleared, and against rows that stay there for good.
 func TestFewEntriesTellTheStore(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(9)
 	store := &memoryStore{rows: map[uint64]taint.Suspect{style: {Part: style, Crashes: []taint.Crash{{Upstream: "g", Entry: "gone", Round: 3, Age: 2 * 60 * clock.Minute}}}}}
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	defer running.Wait()
-	defer cancel()
-	for _, e := range f.entries {
-		e.Store = store
-		running.Go(func() { e.Run(ctx) })
-	}
-	await := func(cond func() bool) {
-		for range 2000 {
-			if cond() {
-				return
-			}
-			_ = clock.Clock{}.Sleep(ctx, 1)
-		}
-		is.True(cond())
-	}
-	await(func() bool { n, _, _ := store.counts(bad); return n == 0 }) // the expired row
+	f.run(t, store)
+	store.awaitRows(t, 0) // the expired row
 	for i := range 3 {
 		f.crash(i, uint64(i), bad)
 		f.tell()
 	}
-	await(func() bool { n, _, _ := store.counts(bad); return n == 1 })
+	store.awaitRows(t, 1)
 	is.True(f.rejects(8, bad))
 	f.entries[5].Clear([]uint64{bad})
 	f.tell()
-	await(func() bool { n, _, _ := store.counts(bad); return n == 0 })
+	store.awaitRows(t, 0)
 	_, saves, deletes := store.counts(bad)
 	is.True(saves <= 2)
 	is.True(deletes <= 2)
@@ -106,23 +114,7 @@
 	is := is.New(t)
 	f := newFleet(5)
 	store := &memoryStore{rows: map[uint64]taint.Suspect{}}
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	defer running.Wait()
-	defer cancel()
-	for _, e := range f.entries {
-		e.Store = store
-		running.Go(func() { e.Run(ctx) })
-	}
-	await := func(cond func() bool) {
-		for range 2000 {
-			if cond() {
-				return
-			}
-			_ = clock.Clock{}.Sleep(ctx, 1)
-		}
-		is.True(cond())
-	}
+	f.run(t, store)
 	restore := func(rows map[uint64]taint.Suspect) {
 		store.mu.Lock()
 		store.rows = maps.Clone(rows)
@@ -135,10 +127,10 @@
 		f.crash(i, uint64(i), bad)
 		f.tell()
 	}
-	await(func() bool { n, _, _ := store.counts(bad); return n == 1 })
+	store.awaitRows(t, 1)
 	_, before, _ := store.counts(bad)
 	restore(map[uint64]taint.Suspect{})
-	await(func() bool { n, _, _ := store.counts(bad); return n == 1 })
+	store.awaitRows(t, 1)
 	_, saves, _ := store.counts(bad)
 	is.True(saves-before <= 2) // by the entry of the last crash, and that of the one before
 	for i := range f.entries {
@@ -149,7 +141,7 @@
 	store.mu.Unlock()
 	f.entries[4].Clear([]uint64{bad})
 	f.tell()
-	await(func() bool { n, _, _ := store.counts(bad); return n == 0 })
+	store.awaitRows(t, 0)
 	restore(old)
-	await(func() bool { n, _, _ := store.counts(bad); return n == 0 })
+	store.awaitRows(t, 0)
 }
