edge: find the owner of the trials with assign.Finder

It kept its own table of owners that didn't answer. The test of an ended request now checks that the owner is still found, which fails as before if it is passed over.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lacewinghook.example/lacewinghook/alloc"
+	"lacewinghook.example/lacewinghook/assign"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
@@ -89,8 +90,8 @@
 	// tainted holds the parts of prompts that crash upstreams, and requests the digests of
 	// whole requests that do.
 	tainted, requests suspects
-	// silentOwners holds until when owners of trials that did not answer are passed over.
-	silentOwners shard.Map[string, clock.Millis]
+	// trialFinder finds the owner of the trials.
+	trialFinder assign.Finder
 	// notices holds what replicas state about themselves.
 	notices notice.Table
 	// desk, ledger and placer place completions. groups divides the engines among
--- a/edge/owner_test.go
+++ b/edge/owner_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 
+	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
 )
 
@@ -14,14 +15,15 @@
 	is := is.New(t)
 	entries := []core.Instance{{Name: "a"}, {Name: "b"}, {Name: "c"}}
 	silent := make(map[string]bool)
-	isSilent := func(name string) bool { return silent[name] }
+	e := &Edge{Settings: &config.Settings{Instance: "self", Fleet: &config.Fleet{}}}
 	var owners []string
 	for range entries {
-		owner := ownerOf(entries, core.Instance{Name: "self"}, isSilent)
+		owner := e.trialOwnerOf(entries)
 		is.True(!silent[owner.Name])
 		silent[owner.Name] = true
+		e.trialFinder.PassOver(owner.Name, e.Clock.Now(), silentOwnerTime)
 		owners = append(owners, owner.Name)
 	}
 	is.Equal(len(owners), 3)
-	is.Equal(ownerOf(entries, core.Instance{Name: "self"}, isSilent).Name, "self")
+	is.Equal(e.trialOwnerOf(entries).Name, "self")
 }
--- a/edge/permit_test.go
+++ b/edge/permit_test.go
@@ -32,5 +32,5 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	is.True(!e.requests.requestPermit(ctx, []uint64{1}).Granted)
-	is.Equal(e.silentOwners.Len(), 0)
+	is.Equal(e.trialOwner().Peer, ln.Addr().String()) // it isn't passed over
 }
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 
 	"go.uber.org/zap"
 
-	"lacewinghook.example/lacewinghook/assign"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
@@ -83,7 +81,7 @@
 	}
 	if err != nil {
 		s.Log.Warn("edge: the owner of the trials did not answer", zap.String("owner", owner.Name), zap.Error(err))
-		e.silentOwners.Set(owner.Name, s.Clock.Now()+silentOwnerTime)
+		e.trialFinder.PassOver(owner.Name, s.Clock.Now(), silentOwnerTime)
 		return taint.Permit{Wait: ownerWait}
 	}
 	return p
@@ -99,24 +97,16 @@
 			entries = append(entries, p.Heartbeat.Instance)
 		}
 	}
-	now := e.Clock.Now()
-	return ownerOf(entries, e.self(), func(name string) bool {
-		until, ok := e.silentOwners.Get(name)
-		return ok && now < until
-	})
+	return e.trialOwnerOf(entries)
 }
 
-// ownerOf returns the entry that owns the trials: one that isn't silent, or self if there is
-// none.
-func ownerOf(entries []core.Instance, self core.Instance, silent func(name string) bool) core.Instance {
-	usable := slices.DeleteFunc(slices.Clone(entries), func(in core.Instance) bool { return silent(in.Name) })
-	name := assign.Owner(trialsKey, usable)
-	for _, in := range usable {
-		if in.Name == name {
-			return in
-		}
+// trialOwnerOf returns the one of the entries that owns the trials, or this entry if all of
+// them are passed over.
+func (e *Edge) trialOwnerOf(entries []core.Instance) core.Instance {
+	if owner, ok := e.trialFinder.Owner(trialsKey, entries, e.Clock.Now()); ok {
+		return owner
 	}
-	return self
+	return e.self()
 }
 
 // permitTrial implements [wire.MethodTrial].
