--- a/review/stand2/poison.go
+++ b/review/stand2/poison.go
@@ -27,7 +27,7 @@
 // The requests that crash replicas.
 const (
 	orderTries  = 18
-	streamTries = 26
+	streamTries = 20
 	poisonPause = 2 * time.Second
 	poisonMark  = "9015"
 	deadly      = "dead01"
--- a/review/stand2/rig.go
+++ b/review/stand2/rig.go
@@ -17,6 +17,7 @@
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/extsim"
 	"lacewinghook.example/lacewinghook/osproc"
+	"lacewinghook.example/lacewinghook/proxy"
 )
 
 // The figures of the sheet of aspencoulee-verse.
@@ -70,6 +71,8 @@
 	sim  *extsim.Replica
 	born int64
 	kind kind
+	// proxy is nil unless the kind is proxied.
+	proxy *proxy.Proxy
 	// endedAt is the instant at which it crashed, zero while it runs.
 	endedAt time.Time
 }
@@ -79,6 +82,8 @@
 	service, phase string
 	// setUp, if not nil, changes the stand-in before it is registered.
 	setUp func(*extsim.Replica)
+	// proxied is set if a proxy passes on what the replica gets and sends.
+	proxied bool
 }
 
 // newRig starts the store. The record goes to the file record.txt in out.
@@ -150,6 +155,13 @@
 	if k.setUp != nil {
 		k.setUp(r.sim)
 	}
+	if k.proxied {
+		r.proxy = &proxy.Proxy{Target: r.sim.Addr}
+		// An error leaves the replica without the proxy.
+		if addr, err := r.proxy.Listen(); err == nil {
+			r.sim.Addr, r.sim.OnStop = addr, r.proxy.Close
+		}
+	}
 	g.replicas = append(g.replicas, r)
 	g.mu.Unlock()
 	g.store.Put(extsim.ReplicaTable, r.sim.ID, r.sim.RowOf("ready", r.born))
