--- a/trial/crowd.go
+++ b/trial/crowd.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +27,10 @@
 	Endless bool
 	// Ended is set if the head is complete, so that the request is in flight.
 	Ended bool
+	// TLS, if not nil, is used for each connection. Partial then sends a part of a record
+	// after the handshake, and nothing else.
+	TLS     *tls.Config
+	Partial bool
 }
 
 // HeadBytes is the size of the head of a [Crowd] that isn't endless.
@@ -57,6 +64,62 @@
 	}
 }
 
+// ListenerCrowds returns crowds for a listener that answers requests with this head at
+// once.
+func ListenerCrowds(head string) map[string][]Crowd {
+	common := Crowds(head)
+	crowds := map[string][]Crowd{
+		"bodies not sent":  {{Callers: 400, Head: head + "Content-Length: 10\r\n", Ended: true}},
+		"answers not read": {{Callers: 200, Part: func(int) string { return head + "\r\n" }, Endless: true}},
+	}
+	for _, name := range []string{"distinct lines without end", "legal heads not ended", "empty lines"} {
+		crowds[name] = common[name]
+	}
+	var all []Crowd
+	for _, list := range crowds {
+		all = append(all, list...)
+	}
+	crowds["all of these"] = all
+	crowds["idle connections"] = common["idle connections"]
+	return crowds
+}
+
+// HandshakeCrowd returns a crowd that sends the records of a TLS handshake message, but for
+// the end of the last one.
+func HandshakeCrowd() Crowd {
+	const (
+		records     = 3
+		recordBytes = 16 << 10
+		// messageBytes is below the limit of crypto/tls for a message.
+		messageBytes = 60 << 10
+	)
+	var b bytes.Buffer
+	for i := range records + 1 {
+		b.Write([]byte{22, 3, 1, recordBytes >> 8, recordBytes & 0xff})
+		record := make([]byte, recordBytes)
+		if i == 0 {
+			copy(record, []byte{1, 0, messageBytes >> 8, messageBytes & 0xff})
+		}
+		b.Write(record)
+	}
+	return Crowd{Callers: 800, Head: string(b.Bytes()[:b.Len()-1])}
+}
+
+// RecordCrowd returns a crowd that sends a part of a TLS record after the handshake.
+func RecordCrowd(cfg *tls.Config) Crowd {
+	const recordBytes = 16 << 10
+	return Crowd{Callers: 800, Head: "\x17\x03\x03\x40\x00" + strings.Repeat("x", recordBytes-1), TLS: cfg, Partial: true}
+}
+
+// WithTLS returns the crowds with TLS on each connection.
+func WithTLS(crowds []Crowd, cfg *tls.Config) []Crowd {
+	secure := slices.Clone(crowds)
+	for i := range secure {
+		secure[i].TLS = cfg
+	}
+	return secure
+}
+
 // DistinctLine returns a short line of a head.
 func DistinctLine(i int) string { return fmt.Sprintf("%x:\n", i) }
 
@@ -82,6 +145,15 @@
 	return b.Bytes()
 }
 
+// RunAll runs the crowds until ctx ends.
+func RunAll(ctx context.Context, crowds []Crowd, addr string) {
+	var all sync.WaitGroup
+	for _, c := range crowds {
+		all.Go(func() { c.Run(ctx, addr) })
+	}
+	all.Wait()
+}
+
 // Run runs the callers until ctx ends and returns how many connections they opened. A
 // caller whose connection is closed comes back.
 func (c Crowd) Run(ctx context.Context, addr string) int {
@@ -112,6 +184,15 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	if c.TLS != nil {
+		secure := tls.Client(conn, c.TLS)
+		if secure.HandshakeContext(ctx) != nil {
+			return true
+		}
+		if !c.Partial {
+			conn = secure
+		}
+	}
 	// An error of a write or read means that the entry has closed the connection, which is
 	// allowed, or that ctx has ended.
 	if !c.Endless {
