guard, edge: bound the directory, readiness and metrics listeners

Cause: edge put package guard before the callers' listener only. The others were http.Servers with net/http's limit of 1 MiB for one head, none for all heads together, none on connections, and none on the time for a body or an answer.

A Guard now stands for one listener, with a name, its own bound and its own order in which connections give way, so that a crowd at one listener closes no connection of another. All share the memory of heads, so that the sum holds when all are attacked. Settings: limits.lookups, limits.probes, limits.operators. The counter of cut connections has the label listener; the gauge caller_connections is now connections{listener="callers"}.

Ruled out: MaxHeaderBytes of these servers alone bounds one head, not all of them; one bound on the connections of all listeners lets a crowd at one shut out the clients of another.

--- a/config/check.go
+++ b/config/check.go
@@ -125,7 +125,14 @@
 	c.optionalRange("limits.input", int64(l.Input), int64(minTransferTime), int64(maxTransferTime), "ms")
 	c.optionalRange("limits.output", int64(l.Output), int64(minTransferTime), int64(maxTransferTime), "ms")
 	c.optionalRange("limits.inputs", int64(l.Inputs), 1, maxConcurrentBodies, "bodies")
-	c.optionalRange("limits.connections", int64(l.Connections), minConnections, maxConnections, "connections")
+	for _, f := range []struct {
+		name string
+		n    int
+	}{
+		{"connections", l.Connections}, {"lookups", l.Lookups}, {"probes", l.Probes}, {"operators", l.Operators}, {"peers", l.Peers},
+	} {
+		c.optionalRange("limits."+f.name, int64(f.n), minConnections, maxConnections, "connections")
+	}
 	c.optionalRange("limits.held", l.Held, minHeldBodies*l.WithDefaults().Body, maxHeldBytes, "bytes")
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -102,6 +102,17 @@
 	// the memory limit (without one, of twice Held), and at most one for each two
 	// descriptors of the process.
 	Connections int `json:"connections,omitempty"`
+	// Lookups is the number of connections at which callers ask for addresses; zero means an
+	// eighth of the default of Connections.
+	Lookups int `json:"lookups,omitempty"`
+	// Probes is the number of connections for readiness probes, and Operators that for
+	// operators and metrics; zero means a 32nd of the default of Connections.
+	Probes    int `json:"probes,omitempty"`
+	Operators int `json:"operators,omitempty"`
+	// Peers is the number of connections of other entries, which have one each; zero means
+	// 512, but at most one for each 128 KiB of the memory limit (without one, of twice Held)
+	// and for each four descriptors of the process.
+	Peers int `json:"peers,omitempty"`
 }
 
 // Defaults of [Limits].
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -33,6 +33,7 @@
 		"no authority":                 {`"127.0.0.1:7002"`, `"10.0.0.1:7002","cert":"c","key":"k"`, "peers.ca: missing; entries authenticate each other by certificate"},
 		"less held than a body needs":  {`"tokens"`, `"limits":{"body":4096,"held":16383},"tokens"`, "limits.held: want 16384 to 1099511627776 bytes"},
 		"too few connections":          {`"tokens"`, `"limits":{"connections":15},"tokens"`, "limits.connections: want 16 to 1048576 connections"},
+		"connections of listeners":     {`"tokens"`, `"limits":{"lookups":15,"probes":16,"operators":-1,"peers":1048577},"tokens"`, "limits.lookups: want 16 to 1048576 connections; limits.operators: want 16 to 1048576 connections; limits.peers: want 16 to 1048576 connections"},
 		"times":                        {`"tokens"`, `"linger":1,"limits":{"input":-1,"body":5},"tokens"`, "limits.body: want 1024 to 67108864 bytes; limits.input: want 100 to 600000 ms; linger: want 5000 to 600000 ms"},
 		"base":                         {"http://127.0.0.1:9000", "ftp://a", "platform.base: want http://ADDRESS:PORT or https://ADDRESS:PORT"},
 		"base, host":                   {"http://127.0.0.1:9000", "http://platform:9000", "platform.base: want an IP address for its host"},
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -12,7 +12,6 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -23,7 +22,6 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/flight"
 	"lacewinghook.example/lacewinghook/gossip"
-	"lacewinghook.example/lacewinghook/guard"
 	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/notice"
@@ -35,7 +33,6 @@
 	"lacewinghook.example/lacewinghook/relay"
 	"lacewinghook.example/lacewinghook/shard"
 	"lacewinghook.example/lacewinghook/slots"
-	"lacewinghook.example/lacewinghook/sock"
 	"lacewinghook.example/lacewinghook/spool"
 	"lacewinghook.example/lacewinghook/vhost"
 	"lacewinghook.example/lacewinghook/watch"
@@ -113,13 +110,13 @@
 	slotGroups atomic.Pointer[slotGroups]
 	// inFlight tracks the requests and connections of callers.
 	inFlight flight.Tracker
-	// closer closes the connections of callers.
-	closer sock.Closer
 	// bodies bounds the bytes of callers' bodies and of the starts of answers that are
 	// held, and partial those of events of which a part has arrived.
 	bodies, partial spool.Pool
-	// guard bounds the connections of callers and the heads of their requests.
-	guard guard.Guard
+	// guards bound the connections of the listeners, and heads the memory of the heads of
+	// all their requests.
+	guards guards
+	heads  spool.Pool
 	// messages bounds the bytes of peers' messages that are being read.
 	messages spool.Pool
 	// tables bounds the bytes of the store's tables that are being read.
@@ -210,7 +207,7 @@
 	heap := float64(memory) * memoryShare
 	e.bodies.Max, e.partial.Max = int64(heap*bodyShare), int64(heap*partialShare)
 	e.messages.Max, e.tables.Max = int64(heap*messageShare), int64(heap*tableShare)
-	e.prepareGuard(memory, int64(heap*headShare))
+	e.prepareGuards(memory, int64(heap*headShare))
 	e.relay = relay.Relay{
 		Upstreams: &e.replicas, Pool: table, Placer: &e.placer, Slots: &e.slots, Budget: e, Quarantine: crashDetector{e}, Finisher: e, Notices: &e.notices, Specs: e.spec, ReplicaList: e.watcher.FleetAge,
 		Clock: e.Clock, Meter: &e.meter, Log: e.Log, Centre: s.Centre, MaxSilence: s.Fleet.Silence,
@@ -238,20 +235,10 @@
 	messageShare = 0.05
 	// tableShare is for tables of the store.
 	tableShare = 0.15
-	// headShare is for the heads of callers' requests beyond a few KiB each.
+	// headShare is for the heads of the requests at all listeners beyond a few KiB each.
 	headShare = 0.1
 )
 
-// prepareGuard sets the bounds of callers' connections. Both arguments are in bytes.
-func (e *Edge) prepareGuard(memory, heads int64) {
-	g := &e.guard
-	g.Limits, g.OnClose, g.Closing = callerRunner{e}.Limits, e.logPending, e.closer.Len
-	g.MaxConns = cmp.Or(e.Settings.Limits.Connections, guard.DefaultConns(memory))
-	g.Heads.Max = heads
-	g.Meter, g.Log = &e.meter, e.Log
-	g.Register()
-}
-
 // setRuntimeLimits sets the Go runtime's memory and CPU limits to those of
 // the instance.
 func (e *Edge) setRuntimeLimits() {
@@ -264,105 +251,6 @@
 	}
 }
 
-// server is a listener with either an HTTP or an RPC server.
-type server struct {
-	ln   net.Listener
-	http *http.Server
-	rpc  *wire.Server
-	// callers is set for the server of the callers' requests.
-	callers bool
-}
-
-// serve runs the server. It returns when ctx ends, or earlier if the server
-// fails. An HTTP server must be shut down before ctx ends.
-func (s *server) serve(ctx context.Context) error {
-	if s.rpc != nil {
-		return s.rpc.Serve(ctx, s.ln)
-	}
-	// A stop closes the callers' listener before the server.
-	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-		return err
-	}
-	<-ctx.Done()
-	return nil
-}
-
-// listen opens all listeners before any server starts.
-func (e *Edge) listen(ctx context.Context) ([]*server, error) {
-	s := e.Settings
-	e.inFlight = flight.Tracker{Clock: e.Clock, ID: platform.RequestID}
-	ingress := e.server(e.inFlight.Track(&platform.Ingress{
-		Runner: callerRunner{e}, Clock: e.Clock, Meter: &e.meter, Log: e.Log, OnEnd: e.logOutcome, Held: &e.bodies,
-	}, e.leaving.Load))
-	ingress.ConnState = func(c net.Conn, state http.ConnState) {
-		guard.SetState(c, state)
-		e.inFlight.ConnState(c, state)
-	}
-	ingress.ConnContext = e.inFlight.ConnContext
-	// The limit in force is checked once the headers have been read: a server's can't change.
-	ingress.MaxHeaderBytes = max(http.DefaultMaxHeaderBytes, s.Limits.WithDefaults().Header)
-	handlers := []struct {
-		addr string
-		server
-	}{
-		{s.Callers.Listen, server{http: ingress, callers: true}},
-		{s.Fleet.Directory, server{http: e.server(platform.Resolver(e))}},
-		{s.Fleet.Readiness, server{http: e.server(platform.Readiness(e))}},
-		{s.Peers.Listen, server{rpc: &wire.Server{Log: e.Log, Meter: &e.meter, Held: &e.messages, Methods: map[wire.Method]wire.MethodHandler{
-			wire.MethodHello:    wire.OnHeartbeat(e.gossip.HandleHeartbeat),
-			wire.MethodSnapshot: wire.TypedHandler(e.serveSnapshot),
-			wire.MethodPlace:    wire.OnPlace(e.placer.Serve),
-			wire.MethodWork:     wire.OnWork(e.placer.HandleReport),
-			wire.MethodSlot:     wire.OnSlot(e.slotDesk.Serve),
-			wire.MethodEnds:     wire.OnEnds(e.slotDesk.HandleEnds),
-			wire.MethodTrial:    wire.OnTrial(e.permitTrial),
-			wire.MethodQuota:    wire.OnQuota(e.limits.Serve),
-		}, Blocking: []wire.Method{wire.MethodPlace, wire.MethodQuota, wire.MethodSlot}}}},
-		{s.Fleet.Metrics, server{http: e.server(e.operatorPages())}},
-	}
-	var all []*server
-	for i := range handlers {
-		h := &handlers[i]
-		if h.addr == "" {
-			continue
-		}
-		listen := sock.Listen
-		if h.callers {
-			listen = sock.ListenCallers
-		}
-		ln, err := e.listener(ctx, h.addr, listen)
-		if err != nil {
-			return nil, errors.Wrapf(err, "listen on %s", h.addr)
-		}
-		h.ln = ln
-		if h.callers {
-			h.ln = e.guard.Listener(e.closer.Listener(ln))
-		}
-		all = append(all, &h.server)
-	}
-	return all, nil
-}
-
-// listener returns the listener in Listeners with that address, or opens one.
-func (e *Edge) listener(ctx context.Context, addr string, listen func(context.Context, string) (net.Listener, error)) (net.Listener, error) {
-	for _, ln := range e.Listeners {
-		if ln.Addr().String() == addr {
-			return ln, nil
-		}
-	}
-	return listen(ctx, addr)
-}
-
-// server returns an HTTP server whose internal errors are logged at debug
-// level.
-func (e *Edge) server(h http.Handler) *http.Server {
-	errs, err := zap.NewStdLogAt(e.Log, zap.DebugLevel)
-	if err != nil {
-		errs = zap.NewStdLog(e.Log)
-	}
-	return &http.Server{Handler: h, ReadHeaderTimeout: guard.HeadTimeout.Duration(), IdleTimeout: guard.IdleTimeout.Duration(), ErrorLog: errs}
-}
-
 // operatorPages serves what operators may read.
 func (e *Edge) operatorPages() http.Handler {
 	mux := http.NewServeMux()
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -72,7 +72,7 @@
 		}
 	}
 	e.deliverRest(ctx, end)
-	e.Log.Info("edge: servers closed", zap.Int64("since_stop", int64(e.Clock.Now()-begun)), zap.Int("in_flight", e.inFlight.Len()), zap.Int("undelivered", e.closer.Len()))
+	e.Log.Info("edge: servers closed", zap.Int64("since_stop", int64(e.Clock.Now()-begun)), zap.Int("in_flight", e.inFlight.Len()), zap.Int("undelivered", e.guards.callers.Closer.Len()))
 }
 
 // endRequests ends the requests that are left at the end of the grace period, and waits
@@ -91,7 +91,7 @@
 func (e *Edge) deliverRest(ctx context.Context, end clock.Millis) {
 	ctx, cancel := context.WithTimeout(ctx, (end + responseTime + deliveryTime - e.Clock.Now()).Duration())
 	defer cancel()
-	e.closer.Wait(ctx)
+	e.guards.callers.Closer.Wait(ctx)
 }
 
 // logCut logs the requests that have not ended by the end of the grace period. begun is
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,7 +21,6 @@
 	"lacewinghook.example/lacewinghook/flight"
 	"lacewinghook.example/lacewinghook/front"
 	"lacewinghook.example/lacewinghook/grant"
-	"lacewinghook.example/lacewinghook/guard"
 	"lacewinghook.example/lacewinghook/idem"
 	"lacewinghook.example/lacewinghook/lease"
 	"lacewinghook.example/lacewinghook/limit"
@@ -33,7 +32,6 @@
 	"lacewinghook.example/lacewinghook/pubdoc"
 	"lacewinghook.example/lacewinghook/sched"
 	"lacewinghook.example/lacewinghook/share"
-	"lacewinghook.example/lacewinghook/sock"
 	"lacewinghook.example/lacewinghook/spool"
 	"lacewinghook.example/lacewinghook/store"
 	"lacewinghook.example/lacewinghook/sweep"
@@ -67,8 +65,10 @@
 	leaving      atomic.Bool // set when the stop begins
 	currentState atomic.Pointer[ownState]
 	inFlight     flight.Tracker
-	closer       sock.Closer // closes the connections of callers
-	guard        guard.Guard // bounds the connections of callers
+	// guards bound the connections of the listeners, and heads the memory of the heads of all
+	// their requests.
+	guards       guards
+	heads        spool.Pool
 	meter        meter.Registry
 	document     pubdoc.ActiveDocument
 	updater      pubdoc.Updater
@@ -222,7 +222,7 @@
 		}
 		*l.socket = ln
 	}
-	e.Sockets.Callers = e.guardCallers(e.closer.Listener(e.Sockets.Callers))
+	e.prepareGuards()
 	return nil
 }
 
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"net"
 	"net/http"
 
@@ -20,22 +19,38 @@
 	headShare = 16
 )
 
-// guardCallers returns a listener that bounds the connections of callers and the heads of
-// their requests. One with TLS is returned unchanged, since the heads can't be read there.
-func (e *Entry) guardCallers(ln net.Listener) net.Listener {
-	if e.Settings.Callers.TLS() {
-		return ln
-	}
+// guards are the bounds of the connections of each listener.
+type guards struct {
+	callers guard.Guard
+}
+
+// prepareGuards sets the bounds of the listeners and puts them before the sockets. One with TLS
+// has none, since the heads can't be read there.
+func (e *Entry) prepareGuards() {
 	limits := e.Settings.Limits.WithDefaults()
 	input := core.InputLimits{Headers: int64(limits.Header), Head: headerTimeout, Idle: idleTimeout}
-	g := &e.guard
-	g.Limits = func() core.InputLimits { return input }
-	g.Closing = e.closer.Len
-	g.MaxConns = cmp.Or(limits.Connections, guard.DefaultConns(memoryFactor*limits.Held))
-	g.Heads.Max = limits.Held / headShare
-	g.Meter, g.Log = &e.meter, e.Log
-	g.Register()
-	return g.Listener(ln)
+	conns := guard.Conns{Callers: limits.Connections}.WithDefaults(memoryFactor * limits.Held)
+	e.heads.Max = limits.Held / headShare
+	e.meter.Gauge("heads_held_bytes", func() float64 { return float64(e.heads.Used()) })
+	for _, f := range []struct {
+		guard  *guard.Guard
+		name   string
+		conns  int
+		socket *net.Listener
+	}{
+		{&e.guards.callers, "callers", conns.Callers, &e.Sockets.Callers},
+	} {
+		g := f.guard
+		g.Name, g.MaxConns = f.name, f.conns
+		g.Limits = func() core.InputLimits { return input }
+		g.Heads, g.Meter, g.Log = &e.heads, &e.meter, e.Log
+		g.Register()
+		if e.Settings.Callers.TLS() {
+			*f.socket = g.Closer.Listener(*f.socket)
+			continue
+		}
+		*f.socket = g.Listener(*f.socket)
+	}
 }
 
 // onConnState follows the state of a caller's connection.
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -48,7 +48,7 @@
 	e.Log.Info("entry: callers' listener closed", zap.Int("in_flight", e.inFlight.Len()))
 	e.inFlight.WaitIdle(ctx, min(linger, e.addressTTL()))
 	errs := []error{e.shutdown(ctx, servers)}
-	e.closer.Wait(ctx)
+	e.guards.callers.Closer.Wait(ctx)
 	e.waitForCancels(ctx)
 	e.closeOrders(ctx)
 	e.reconciler.Release(ctx)
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -2,20 +2,16 @@
 
 import (
 	"bytes"
-	"container/list"
+	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"lacewinghook.example/lacewinghook/clock"
-	"lacewinghook.example/lacewinghook/sock"
-	"lacewinghook.example/lacewinghook/spool"
 )
 
 // phase is what a connection of a caller is used for.
@@ -30,97 +26,46 @@
 	receiving
 )
 
-// Estimated memory of a head. A line of a few bytes took about 85 bytes while the head
-// arrived, and 120 to 170 in flight, where it is copied once, with what the garbage
-// collector had not freed yet (400 heads of 16,000 bytes each).
-const (
-	bytesPerLine = 256
-	costPerByte  = 4
-	// allowance is the part of a head's memory that isn't charged. It is above that of a
-	// head of 20 lines and 800 bytes, so that ordinary heads need no room.
-	allowance = 8 << 10
-)
-
 // readAhead is the size of the buffer in which net/http reads heads and short parts of
 // bodies. As much of the next request may be in it.
 const readAhead = 4 << 10
 
-// Conn is a connection of a caller.
+// Conn is a connection on which HTTP requests arrive. Conn is what net/http reads and
+// writes: the TLS connection, if the listener has TLS.
 type Conn struct {
-	*sock.Conn
-	guard *Guard
-	// place is that in guard.between, nil if a request is served. It is guarded by the lock
-	// of guard.
-	place *list.Element
-
-	mu     sync.Mutex
-	phase  phase
-	head   head
-	last   head // the bytes that net/http may still have in its buffer
-	held   spool.Buffer
-	charge int64
-	done   bool // Close was called
+	net.Conn
+	*member
+	// secure is the TLS connection, nil without TLS, and sealed the number of bytes that
+	// arrived on it since the last part of a request was decrypted.
+	secure *tls.Conn
+	sealed int64
+	opened bool // the TLS handshake has ended
+
+	phase phase
+	head  head
+	last  head // the bytes that net/http may still have in its buffer
 	// kept is set if a request has ended on the connection, and deadlines is the number of
 	// deadlines that were set since.
 	kept      bool
 	deadlines int
-	// evicted is set if the head must give way. It is set without mu, which its owner may
-	// hold while it waits for the lock of the pool.
-	evicted atomic.Bool
-	closed  sync.Once
-}
-
-// head counts what has arrived of the head of a request.
-type head struct {
-	bytes, lines int64
-	// line is the number of bytes of the current line, but for its end, and first is the
-	// first of them.
-	line  int64
-	first byte
-	ended bool
-}
-
-// add counts the bytes of p up to the end of the head.
-func (h *head) add(p []byte) {
-	for len(p) > 0 && !h.ended {
-		i := bytes.IndexByte(p, '\n')
-		part := p
-		if i >= 0 {
-			part = p[:i]
-		}
-		if h.line == 0 && len(part) > 0 {
-			h.first = part[0]
-		}
-		h.line += int64(len(part))
-		h.bytes += int64(len(part))
-		if i < 0 {
-			return
-		}
-		h.bytes++
-		p = p[i+1:]
-		// net/http ignores or rejects empty lines before a request: they don't end it.
-		if empty := h.line == 0 || h.line == 1 && h.first == '\r'; !empty {
-			h.lines++
-		} else if h.lines > 0 {
-			h.ended = true
-		}
-		h.line = 0
-	}
 }
 
-// cost estimates the memory of the head.
-func (h *head) cost() int64 { return h.lines*bytesPerLine + h.bytes*costPerByte }
-
 // errRefused is the error of a read of a connection that was cut. net/http closes the
 // connection after an error of a read without an answer of its own.
 var errRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("guard: refused")}
 
 // Read implements [net.Conn]. The time for a head counts from its first byte.
 func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.open(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.remember(p, n)
+	if n > 0 {
+		c.sealed = 0
+	}
 	if n > 0 && c.phase == waiting {
 		c.receive()
 		// An error means that the connection is closed, which the next read will report.
@@ -152,7 +97,7 @@
 func (c *Conn) receive() {
 	c.phase = receiving
 	if !c.done {
-		c.guard.move(c, receiving)
+		c.guard.move(c.member, receiving)
 	}
 }
 
@@ -162,39 +107,19 @@
 	if limit := c.guard.Limits().Headers; limit > 0 && c.head.bytes > limit+readAhead {
 		return HeadTooLarge, false
 	}
-	if !c.reserve() || c.head.ended && c.held.Pin() != nil {
+	if !c.reserve(c.cost()) || c.head.ended && c.held.Pin() != nil {
 		return HeadsFull, false
 	}
 	return "", true
 }
 
-// reserve charges what the head costs. It returns false if there is no room or it must give
-// way.
-func (c *Conn) reserve() bool {
-	if c.done {
-		return true
-	}
-	if more := c.head.cost() - allowance - c.charge; more > 0 {
-		if c.held.Reserve(more) != nil {
-			return false
-		}
-		c.charge += more
-	}
-	return !c.evicted.Load()
-}
+// cost estimates the memory of what has arrived of the head.
+func (c *Conn) cost() int64 { return c.head.cost() + c.sealed*costPerByte }
 
-// release returns what is charged for a head.
-func (c *Conn) release() {
-	c.held.Reset()
-	c.head, c.charge = head{}, 0
-	c.evicted.Store(false)
-}
-
-// evict makes a head that arrives give way.
-func (c *Conn) evict() {
-	c.evicted.Store(true)
-	// An error means that the connection is closed.
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+// endHead returns what is charged for a head.
+func (c *Conn) endHead() {
+	c.release()
+	c.head, c.sealed = head{}, 0
 }
 
 // Times of a refusal.
@@ -211,7 +136,7 @@
 // refuse answers the request that arrives. It has not run, since its head is incomplete or
 // was not handed over.
 func (c *Conn) refuse(r Reason) {
-	c.guard.cut(c.Conn, r, c.head.bytes, c.head.lines)
+	c.guard.cut(c.raw, r, c.head.bytes, c.head.lines)
 	info := r.code().Info()
 	text := r.code().String() + "\n"
 	retry := ""
@@ -227,19 +152,19 @@
 
 // Close implements [net.Conn].
 func (c *Conn) Close() error {
-	c.closed.Do(func() {
-		if c.guard.OnClose != nil {
-			c.guard.OnClose(c.TCPConn)
-		}
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.done = true
-		c.guard.leave(c)
-		c.release()
-	})
+	c.leave()
 	return c.Conn.Close()
 }
 
+// CloseWrite closes the sending side, for which net/http asks before it closes a connection
+// whose peer still sends.
+func (c *Conn) CloseWrite() error {
+	if c.secure != nil {
+		return c.secure.CloseWrite()
+	}
+	return c.raw.CloseWrite()
+}
+
 // SetReadDeadline implements [net.Conn].
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -252,7 +177,7 @@
 		// when it has the begin of it, which was in its buffer if no read has told it.
 		c.receive()
 		c.head.bytes, c.head.lines = c.last.bytes, c.last.lines
-		if !c.reserve() {
+		if !c.reserve(c.cost()) {
 			// The next read, or the handler's, reports it.
 			c.evict()
 			return nil
@@ -266,9 +191,9 @@
 
 // setReadDeadline sets the deadline, which is over if the head must give way.
 func (c *Conn) setReadDeadline(t time.Time) error {
-	err := c.Conn.SetReadDeadline(t)
+	err := c.raw.SetReadDeadline(t)
 	if c.evicted.Load() {
-		err = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		err = c.raw.SetReadDeadline(time.Unix(1, 0))
 	}
 	return err
 }
@@ -309,14 +234,14 @@
 	switch state {
 	case http.StateActive:
 		c.phase = serving
-		c.guard.move(c, serving)
+		c.guard.move(c.member, serving)
 		if c.held.Pin() != nil {
 			c.evict()
 		}
 	case http.StateIdle:
 		c.phase = waiting
 		c.kept, c.deadlines = true, 0
-		c.release()
-		c.guard.move(c, waiting)
+		c.endHead()
+		c.guard.move(c.member, waiting)
 	}
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -2,12 +2,11 @@
 
 import (
 	"container/list"
-	"math"
+	"crypto/tls"
 	"net"
 	"sync"
 
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
@@ -16,30 +15,40 @@
 	"lacewinghook.example/lacewinghook/spool"
 )
 
-// Guard bounds the connections of callers of one process. Limits is required. It must not
-// be copied after its first use.
+// Guard bounds the connections of one listener. Limits is required for HTTP. It must not be
+// copied after its first use.
 type Guard struct {
+	// Name is the listener's in metrics and logs.
+	Name string
 	// Limits returns the limits in force; its fields Headers, Head and Idle are used.
 	Limits func() core.InputLimits
 	// MaxConns is the number of connections, zero means no bound.
 	MaxConns int
-	// Heads bounds the memory of the heads beyond the allowance of each connection.
-	Heads spool.Pool
-	// Closing, if not nil, returns the number of connections that were closed and still
-	// have a descriptor. They count as connections.
-	Closing func() int
+	// Heads, if not nil, bounds the memory of the heads beyond the allowance of each
+	// connection. The listeners of a process share it.
+	Heads *spool.Pool
+	// TLS, if not nil, enables TLS. It must not be set if Messages is.
+	TLS *tls.Config
+	// Messages is set if the connections are [PeerConn] and carry no HTTP.
+	Messages bool
+	// Prompt is set if all requests are answered at once. A connection whose request is in
+	// flight then gives way too, after those between requests.
+	Prompt bool
 	// OnClose, if not nil, is called before a connection is closed. It must not block.
 	OnClose func(*net.TCPConn)
-	Meter   *meter.Registry
-	Log     *zap.Logger
+	// Closer closes the connections. Those whose peers haven't received everything count as
+	// connections.
+	Closer sock.Closer
+	Meter  *meter.Registry
+	Log    *zap.Logger
 
 	// One lock, since the number and the order are those of all connections. It is taken
 	// when the phase of a connection changes, not for each read.
 	mu   sync.Mutex
 	open int
-	// between holds the connections that wait for a request or receive a head, in the
-	// order in which they began to.
-	between list.List
+	// between holds the connections that wait for a request or receive a head, in the order
+	// in which they began to. serving holds those that give way if between is empty.
+	between, serving list.List
 }
 
 // Reason is why a connection was cut or a request refused before it ran.
@@ -67,8 +76,7 @@
 
 // Register adds the gauges of g to its metrics.
 func (g *Guard) Register() {
-	g.Meter.Gauge("caller_connections", func() float64 { return float64(g.Len()) })
-	g.Meter.Gauge("heads_held_bytes", func() float64 { return float64(g.Heads.Used()) })
+	g.Meter.Gauge("connections", func() float64 { return float64(g.Len()) }, "listener", g.Name)
 }
 
 // Len returns the number of open connections.
@@ -78,9 +86,10 @@
 	return g.open
 }
 
-// Listener returns a listener whose connections are bounded by g, if those of ln are
-// [sock.Conn].
-func (g *Guard) Listener(ln net.Listener) net.Listener { return listener{ln, g} }
+// Listener returns a listener whose connections are bounded by g, if those of ln are TCP.
+func (g *Guard) Listener(ln net.Listener) net.Listener {
+	return listener{g.Closer.Listener(ln), g}
+}
 
 // listener is the result of [Guard.Listener].
 type listener struct {
@@ -106,28 +115,32 @@
 }
 
 // admit returns the connection, or nil if it was closed since there are too many.
-func (g *Guard) admit(conn *sock.Conn) *Conn {
-	if closing := g.closing(); g.MaxConns > 0 && g.Len()+closing >= g.MaxConns {
+func (g *Guard) admit(conn *sock.Conn) net.Conn {
+	if closing := g.Closer.Len(); g.MaxConns > 0 && g.Len()+closing >= g.MaxConns {
 		oldest := g.oldest()
 		if oldest == nil {
 			g.cut(conn, TooMany, 0, 0)
 			resetClose(conn)
 			return nil
 		}
-		g.cut(oldest.Conn, GaveWay, 0, 0)
-		if closing > g.MaxConns/maxClosingShare {
-			resetClose(oldest)
-		} else {
-			// An error means that it is closed, which frees its place too.
-			_ = oldest.Close()
-		}
+		g.cut(oldest.raw, GaveWay, 0, 0)
+		oldest.drop(closing > g.MaxConns/maxClosingShare)
 	}
-	c := &Conn{Conn: conn, guard: g, phase: waiting}
-	c.held = spool.Buffer{Pool: &g.Heads, Lasting: true, Evict: c.evict}
+	m := &member{raw: conn, guard: g}
+	m.held = spool.Buffer{Pool: g.Heads, Lasting: true, Evict: m.evict}
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.open++
-	c.place = g.between.PushBack(c)
+	g.insert(m, &g.between)
+	g.mu.Unlock()
+	if g.Messages {
+		return &PeerConn{Conn: conn, member: m}
+	}
+	c := &Conn{Conn: conn, member: m, phase: waiting}
+	if g.TLS != nil {
+		c.secure = tls.Server(sealedConn{conn, c}, g.TLS)
+		c.Conn = c.secure
+		c.phase = receiving
+	}
 	return c
 }
 
@@ -135,88 +148,79 @@
 // a connection that gives way is reset, which frees its descriptor at once.
 const maxClosingShare = 8
 
-// closing returns the number of connections that were closed and have a descriptor.
-func (g *Guard) closing() int {
-	if g.Closing == nil {
-		return 0
-	}
-	return g.Closing()
-}
-
-// resetClose closes a connection and drops what its peer hasn't received. An error means
-// that it is closed.
-func resetClose(c interface {
-	SetLinger(sec int) error
-	Close() error
-}) {
-	_ = c.SetLinger(0)
-	_ = c.Close()
-}
-
-// oldest returns the connection that has waited for a request, or for the rest of a head,
-// for the longest time. It returns nil if all are serving.
-func (g *Guard) oldest() *Conn {
+// oldest returns the connection that gives way: the one that has waited for a request, or
+// for the rest of a head, for the longest time, or else the first of those that are served.
+// It returns nil if none may give way.
+func (g *Guard) oldest() *member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	first := g.between.Front()
+	if first == nil {
+		first = g.serving.Front()
+	}
 	if first == nil {
 		return nil
 	}
-	c, _ := first.Value.(*Conn)
-	return c
+	m, _ := first.Value.(*member)
+	return m
+}
+
+// move notes the new phase of a connection.
+func (g *Guard) move(m *member, to phase) {
+	switch {
+	case to != serving:
+		g.place(m, &g.between)
+	case g.Prompt:
+		g.place(m, &g.serving)
+	default:
+		g.place(m, nil)
+	}
 }
 
-// move notes the new phase of c.
-func (g *Guard) move(c *Conn, to phase) {
+// place moves m to the end of an order, or to none if it is nil.
+func (g *Guard) place(m *member, order *list.List) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.remove(c)
-	if to != serving {
-		c.place = g.between.PushBack(c)
+	g.remove(m)
+	if order != nil {
+		g.insert(m, order)
 	}
 }
 
-// remove takes c from between. g.mu is held.
-func (g *Guard) remove(c *Conn) {
-	if c.place != nil {
-		g.between.Remove(c.place)
-		c.place = nil
+// insert adds m to the end of an order. g.mu is held.
+func (g *Guard) insert(m *member, order *list.List) {
+	m.order, m.place = order, order.PushBack(m)
+}
+
+// remove takes m from its order. g.mu is held.
+func (g *Guard) remove(m *member) {
+	if m.order != nil {
+		m.order.Remove(m.place)
+		m.order, m.place = nil, nil
 	}
 }
 
 // leave removes a connection that is being closed.
-func (g *Guard) leave(c *Conn) {
+func (g *Guard) leave(m *member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.remove(c)
+	g.remove(m)
 	g.open--
 }
 
 // cut counts and logs that a connection is cut.
 func (g *Guard) cut(conn *sock.Conn, r Reason, bytes, lines int64) {
-	g.Meter.Add("connections_cut_total", 1, "reason", string(r))
+	g.Meter.Add("connections_cut_total", 1, "listener", g.Name, "reason", string(r))
 	if g.Log != nil {
-		g.Log.Info("guard: connection cut", zap.String("reason", string(r)), zap.Stringer("caller", conn.RemoteAddr()),
-			zap.Int64("bytes", bytes), zap.Int64("lines", lines), zap.Int("connections", g.Len()), zap.Int64("held", g.Heads.Used()))
+		g.Log.Info("guard: connection cut", zap.String("listener", g.Name), zap.String("reason", string(r)), zap.Stringer("caller", conn.RemoteAddr()),
+			zap.Int64("bytes", bytes), zap.Int64("lines", lines), zap.Int("connections", g.Len()), zap.Int64("held", g.heldBytes()))
 	}
 }
 
-// Bounds of the default of MaxConns.
-const (
-	// bytesPerConn is the memory of a process for which it has one connection. One that
-	// waits took 8 KiB; one whose request is in flight takes more, which wasn't measured.
-	bytesPerConn = 64 << 10
-	// descriptorShare is the share of the descriptors that callers may use, as a divisor.
-	// The rest is for upstreams, peers and the store.
-	descriptorShare = 2
-)
-
-// DefaultConns returns MaxConns for a process with a memory limit in bytes.
-func DefaultConns(memory int64) int {
-	n := memory / bytesPerConn
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil {
-		n = min(n, int64(min(limit.Cur, math.MaxInt32))/descriptorShare)
+// heldBytes returns the memory that is charged for the heads of all listeners.
+func (g *Guard) heldBytes() int64 {
+	if g.Heads == nil {
+		return 0
 	}
-	return int(n)
+	return g.Heads.Used()
 }
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -15,14 +15,13 @@
 	"github.com/matryer/is"
 
 	"lacewinghook.example/lacewinghook/core"
-	"lacewinghook.example/lacewinghook/sock"
+	"lacewinghook.example/lacewinghook/spool"
 )
 
 // start serves requests with g on a loopback address. Each request runs until run is closed.
 func start(t *testing.T, g *Guard, run <-chan struct{}) string {
 	t.Helper()
 	is := is.New(t)
-	var closer sock.Closer
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	if g.Limits == nil {
@@ -35,7 +34,7 @@
 		<-run
 		w.WriteHeader(http.StatusNoContent)
 	})}
-	go func() { _ = s.Serve(g.Listener(closer.Listener(ln))) }()
+	go func() { _ = s.Serve(g.Listener(ln)) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return ln.Addr().String()
 }
@@ -115,8 +114,7 @@
 func TestHeadsAreChargedUntilTheyEnd(t *testing.T) {
 	is := is.New(t)
 	run := make(chan struct{})
-	g := &Guard{}
-	g.Heads.Max = 1 << 20
+	g := &Guard{Heads: &spool.Pool{Max: 1 << 20}}
 	addr := start(t, g, run)
 	var sent []*client
 	const lines = 1000 // about 250 KiB: two heads leave as much room as they take
@@ -140,7 +138,7 @@
 	is := is.New(t)
 	run := make(chan struct{})
 	close(run)
-	g := &Guard{}
+	g := &Guard{Heads: &spool.Pool{}}
 	addr := start(t, g, run)
 	const lines = 300
 	half := strings.TrimSuffix(request(lines), "\r\nok")
--- /dev/null
+++ b/guard/member.go
@@ -0,0 +1,132 @@
+package guard
+
+import (
+	"container/list"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/sock"
+	"lacewinghook.example/lacewinghook/spool"
+)
+
+// member is an admitted connection: its place among those of the listener, and the memory
+// that is charged for it.
+type member struct {
+	// raw is the connection below TLS.
+	raw   *sock.Conn
+	guard *Guard
+	// order is the list of guard that holds the connection, nil if it can't give way, and
+	// place its element. Both are guarded by the lock of guard.
+	order *list.List
+	place *list.Element
+
+	mu     sync.Mutex
+	held   spool.Buffer
+	charge int64
+	done   bool // the connection was closed
+	// evicted is set if the connection must give way. It is set without mu, which its owner
+	// may hold while it waits for the lock of the pool.
+	evicted atomic.Bool
+	closed  sync.Once
+}
+
+// PeerClosed reports whether this host has received the end of what the peer sends.
+func (m *member) PeerClosed() bool { return m.raw.PeerClosed() }
+
+// SinceReceived returns the time since this host last received data of the peer, or zero if
+// the kernel doesn't tell.
+func (m *member) SinceReceived() clock.Millis { return m.raw.SinceReceived() }
+
+// SetLinger is that of [net.TCPConn].
+func (m *member) SetLinger(sec int) error { return m.raw.SetLinger(sec) }
+
+// reserve charges memory up to cost, beyond the allowance. It returns false if there is no
+// room, or the connection must give way. m.mu is held.
+func (m *member) reserve(cost int64) bool {
+	if m.done {
+		return true
+	}
+	if more := cost - allowance - m.charge; more > 0 {
+		if m.held.Reserve(more) != nil {
+			return false
+		}
+		m.charge += more
+	}
+	return !m.evicted.Load()
+}
+
+// release returns what is charged. m.mu is held.
+func (m *member) release() {
+	m.held.Reset()
+	m.charge = 0
+	m.evicted.Store(false)
+}
+
+// evict makes the connection give way: its reads fail from now on.
+func (m *member) evict() {
+	m.evicted.Store(true)
+	// An error means that the connection is closed.
+	_ = m.raw.SetReadDeadline(time.Unix(1, 0))
+}
+
+// leave takes the connection out of the bounds, once.
+func (m *member) leave() {
+	m.closed.Do(func() {
+		if m.guard.OnClose != nil {
+			m.guard.OnClose(m.raw.TCPConn)
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.done = true
+		m.guard.leave(m)
+		m.release()
+	})
+}
+
+// drop closes the connection without writing to it, and frees its descriptor at once if
+// reset is set. It doesn't block.
+func (m *member) drop(reset bool) {
+	m.leave()
+	if reset {
+		resetClose(m.raw)
+		return
+	}
+	// An error means that it is closed.
+	_ = m.raw.Close()
+}
+
+// resetClose closes a connection and drops what its peer hasn't received. An error means
+// that it is closed.
+func resetClose(c interface {
+	SetLinger(sec int) error
+	Close() error
+}) {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
+// PeerConn is a connection on which messages are exchanged that aren't HTTP. Their memory is
+// bounded by whoever reads them.
+type PeerConn struct {
+	net.Conn
+	*member
+}
+
+// MarkActive notes that a valid message has arrived. Connections without one give way first,
+// and then those that had none for the longest time.
+func (c *PeerConn) MarkActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.done {
+		c.guard.place(c.member, &c.guard.serving)
+	}
+}
+
+// Close implements [net.Conn].
+func (c *PeerConn) Close() error {
+	c.leave()
+	return c.Conn.Close()
+}
