guard: let a connection have its turn before it gives way

Cause: the accept loop is always ready, closes the oldest connection for each new one and takes the only thread for 10 ms at a time. A listener with 32 connections turns all of them over before the goroutine of a new one runs.

Now a connection gives way only after 20 ms, and two a millisecond at most; the accept loop sleeps until then.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -2,12 +2,14 @@
 
 import (
 	"container/list"
+	"context"
 	"crypto/tls"
 	"net"
 	"sync"
 
 	"go.uber.org/zap"
 
+	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/meter"
@@ -39,6 +41,7 @@
 	// Closer closes the connections. Those whose peers haven't received everything count as
 	// connections.
 	Closer sock.Closer
+	Clock  clock.Clock
 	Meter  *meter.Registry
 	Log    *zap.Logger
 
@@ -117,7 +120,12 @@
 // admit returns the connection, or nil if it was closed since there are too many.
 func (g *Guard) admit(conn *sock.Conn) net.Conn {
 	if closing := g.Closer.Len(); g.MaxConns > 0 && g.Len()+closing >= g.MaxConns {
-		oldest := g.oldest()
+		oldest, since := g.oldest()
+		if oldest != nil {
+			// An error means that the time is over.
+			_ = g.Clock.Sleep(context.Background(), since+g.turn()-g.Clock.Now())
+			oldest, _ = g.oldest()
+		}
 		if oldest == nil {
 			g.cut(conn, TooMany, 0, 0)
 			resetClose(conn)
@@ -148,10 +156,24 @@
 // a connection that gives way is reset, which frees its descriptor at once.
 const maxClosingShare = 8
 
-// oldest returns the connection that gives way: the one that has waited for a request, or
-// for the rest of a head, for the longest time, or else the first of those that are served.
-// It returns nil if none may give way.
-func (g *Guard) oldest() *member {
+// Without a pause a listener with many new connections would close each before its goroutine
+// has read the request that came with it, and take all of the processor's time.
+const (
+	// minTurn is how long a connection waits at least before it gives way.
+	minTurn clock.Millis = 20
+	// maxGiveWayPerMilli is how many connections give way in a millisecond at most.
+	maxGiveWayPerMilli = 2
+)
+
+// turn returns how long a connection waits before it gives way.
+func (g *Guard) turn() clock.Millis {
+	return max(minTurn, clock.Millis(g.MaxConns/maxGiveWayPerMilli))
+}
+
+// oldest returns the connection that gives way, and the instant since which it has its phase:
+// the one that has waited for a request, or for the rest of a head, for the longest time, or
+// else the first of those that are served. It returns nil if none may give way.
+func (g *Guard) oldest() (m *member, since clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	first := g.between.Front()
@@ -159,10 +181,10 @@
 		first = g.serving.Front()
 	}
 	if first == nil {
-		return nil
+		return nil, 0
 	}
-	m, _ := first.Value.(*member)
-	return m
+	m, _ = first.Value.(*member)
+	return m, m.since
 }
 
 // move notes the new phase of a connection.
@@ -189,7 +211,7 @@
 
 // insert adds m to the end of an order. g.mu is held.
 func (g *Guard) insert(m *member, order *list.List) {
-	m.order, m.place = order, order.PushBack(m)
+	m.order, m.place, m.since = order, order.PushBack(m), g.Clock.Now()
 }
 
 // remove takes m from its order. g.mu is held.
--- a/guard/member.go
+++ b/guard/member.go
@@ -18,10 +18,12 @@
 	// raw is the connection below TLS.
 	raw   *sock.Conn
 	guard *Guard
-	// order is the list of guard that holds the connection, nil if it can't give way, and
-	// place its element. Both are guarded by the lock of guard.
+	// order is the list of guard that holds the connection, nil if it can't give way, place
+	// its element, and since the instant at which it was added. They are guarded by the lock
+	// of guard.
 	order *list.List
 	place *list.Element
+	since clock.Millis
 
 	mu     sync.Mutex
 	held   spool.Buffer
