wire, guard: strangers at the peers' listener give way to peers

1,024 connections that send nothing kept every peer out of an entry: no heartbeat, place or quota call got through (TestOrdinaryAmongIdle of both front ends: no answer within 10 and 20 s). In the own front end 900 unfinished messages took 81 MiB of 64.

Cause: wire.Server closed the 1,025th connection at once, whoever held the others; and the own front end gave peers' messages the default pool of 16 MiB whatever limits.held is.

The listener's Guard bounds the connections now (limits.peers). A connection without a valid message gives way first, then the one whose last message is the oldest, so that strangers that stay silent keep nobody out and peers, which send heartbeats, stay. Messages have a sixteenth of limits.held. Without TLS a stranger can still send valid messages.

--- a/edge/servers.go
+++ b/edge/servers.go
@@ -17,13 +17,13 @@
 
 // guards are the bounds of the connections of each listener.
 type guards struct {
-	callers, directory, readiness, operators guard.Guard
+	callers, directory, readiness, operators, peers guard.Guard
 }
 
 // prepareGuards sets the bounds of the listeners. Both arguments are in bytes.
 func (e *Edge) prepareGuards(memory, heads int64) {
 	l := e.Settings.Limits
-	conns := guard.Conns{Callers: l.Connections, Directory: l.Lookups, Readiness: l.Probes, Operators: l.Operators}.WithDefaults(memory)
+	conns := guard.Conns{Callers: l.Connections, Directory: l.Lookups, Readiness: l.Probes, Operators: l.Operators, Peers: l.Peers}.WithDefaults(memory)
 	e.heads.Max = heads
 	e.meter.Gauge("heads_held_bytes", func() float64 { return float64(e.heads.Used()) })
 	g := &e.guards
@@ -31,6 +31,7 @@
 	for _, prompt := range []*guard.Guard{&g.directory, &g.readiness, &g.operators} {
 		prompt.Prompt = true
 	}
+	g.peers.Messages = true
 	for _, f := range []struct {
 		guard *guard.Guard
 		name  string
@@ -40,6 +41,7 @@
 		{&g.directory, "directory", conns.Directory},
 		{&g.readiness, "readiness", conns.Readiness},
 		{&g.operators, "operators", conns.Operators},
+		{&g.peers, "peers", conns.Peers},
 	} {
 		f.guard.Name, f.guard.MaxConns = f.name, f.conns
 		f.guard.Limits, f.guard.Heads = callerRunner{e}.Limits, &e.heads
@@ -94,7 +96,7 @@
 		{s.Callers.Listen, server{http: ingress, guard: &e.guards.callers, callers: true}},
 		{s.Fleet.Directory, server{http: e.promptServer(platform.Resolver(e)), guard: &e.guards.directory}},
 		{s.Fleet.Readiness, server{http: e.promptServer(platform.Readiness(e)), guard: &e.guards.readiness}},
-		{s.Peers.Listen, server{rpc: &wire.Server{Log: e.Log, Meter: &e.meter, Held: &e.messages, Methods: map[wire.Method]wire.MethodHandler{
+		{s.Peers.Listen, server{guard: &e.guards.peers, rpc: &wire.Server{Log: e.Log, Meter: &e.meter, Held: &e.messages, Methods: map[wire.Method]wire.MethodHandler{
 			wire.MethodHello:    wire.OnHeartbeat(e.gossip.HandleHeartbeat),
 			wire.MethodSnapshot: wire.TypedHandler(e.serveSnapshot),
 			wire.MethodPlace:    wire.OnPlace(e.placer.Serve),
@@ -120,10 +122,7 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", h.addr)
 		}
-		h.ln = ln
-		if h.guard != nil {
-			h.ln = h.guard.Listener(ln)
-		}
+		h.ln = h.guard.Listener(ln)
 		all = append(all, &h.server)
 	}
 	return all, nil
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -17,21 +17,25 @@
 	// and a factor of 4, a crowd of 1,840 callers took it to 59 and 73 MiB, of which 64
 	// are allowed with 16 MiB of limits.held.
 	headShare = 16
+	// messageShare is the memory of peers' messages that are being read as a share of
+	// limits.held, as a divisor.
+	messageShare = 16
 )
 
 // guards are the bounds of the connections of each listener.
 type guards struct {
-	callers guard.Guard
+	callers, peers guard.Guard
 }
 
-// prepareGuards sets the bounds of the listeners and puts them before the sockets. One with TLS
-// has none, since the heads can't be read there.
+// prepareGuards sets the bounds of the listeners, puts them before the sockets, and bounds
+// the messages of peers. The callers' one has none with TLS, since the heads can't be read there.
 func (e *Entry) prepareGuards() {
 	limits := e.Settings.Limits.WithDefaults()
 	input := core.InputLimits{Headers: int64(limits.Header), Head: headerTimeout, Idle: idleTimeout}
-	conns := guard.Conns{Callers: limits.Connections}.WithDefaults(memoryFactor * limits.Held)
-	e.heads.Max = limits.Held / headShare
+	conns := guard.Conns{Callers: limits.Connections, Peers: limits.Peers}.WithDefaults(memoryFactor * limits.Held)
+	e.heads.Max, e.messages.Max = limits.Held/headShare, limits.Held/messageShare
 	e.meter.Gauge("heads_held_bytes", func() float64 { return float64(e.heads.Used()) })
+	e.guards.peers.Messages = true
 	for _, f := range []struct {
 		guard  *guard.Guard
 		name   string
@@ -39,13 +43,14 @@
 		socket *net.Listener
 	}{
 		{&e.guards.callers, "callers", conns.Callers, &e.Sockets.Callers},
+		{&e.guards.peers, "peers", conns.Peers, &e.Sockets.Peers},
 	} {
 		g := f.guard
 		g.Name, g.MaxConns = f.name, f.conns
 		g.Limits = func() core.InputLimits { return input }
 		g.Heads, g.Meter, g.Log = &e.heads, &e.meter, e.Log
 		g.Register()
-		if e.Settings.Callers.TLS() {
+		if g == &e.guards.callers && e.Settings.Callers.TLS() {
 			*f.socket = g.Closer.Listener(*f.socket)
 			continue
 		}
--- a/wire/server.go
+++ b/wire/server.go
@@ -12,7 +12,6 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
-	"golang.org/x/sync/semaphore"
 
 	"lacewinghook.example/lacewinghook/cert"
 	"lacewinghook.example/lacewinghook/clock"
@@ -83,16 +82,12 @@
 	Log *zap.Logger
 }
 
-// maxConns is the maximum number of concurrent peer connections. Further ones
-// are closed at once.
-const maxConns = 1024
-
-// Serve accepts connections from ln and serves them until ctx is done.
+// Serve accepts connections from ln and serves them until ctx is done. Their number is up to
+// ln.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	methods := s.methods()
-	conns := semaphore.NewWeighted(maxConns)
 	for {
 		raw, err := ln.Accept()
 		if ctx.Err() != nil {
@@ -110,14 +105,7 @@
 		if err != nil {
 			return codes.Wrap(codes.Internal, err, "accept on the peer listener")
 		}
-		if !conns.TryAcquire(1) {
-			_ = raw.Close()
-			continue
-		}
-		go func() {
-			defer conns.Release(1)
-			s.serve(ctx, raw, methods)
-		}()
+		go s.serve(ctx, raw, methods)
 	}
 }
 
@@ -148,7 +136,7 @@
 	}
 	ctx = context.WithValue(ctx, callerKey{}, caller)
 	h := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-		s.countMessage(methods, r)
+		s.noteMessage(methods, r, raw)
 		return dispatch(ctx, methods, r)
 	}).SuppressErrClosed()
 	rpc := jsonrpc2.NewConn(ctx, newStream(conn, maxRequestBytes, s.Held), orderedHandler{h, s.Blocking}, jsonrpc2.SetLogger(logger{s.Log}))
@@ -224,11 +212,20 @@
 	return s.Handler.Heartbeat(ctx, h)
 }
 
-// countMessage counts a message of a known method.
-func (s *Server) countMessage(methods map[Method]MethodHandler, r *jsonrpc2.Request) {
+// activeConn is a connection whose listener closes inactive connections first.
+type activeConn interface {
+	// MarkActive notes that a valid message has arrived.
+	MarkActive()
+}
+
+// noteMessage counts a message of a known method and marks its connection as active.
+func (s *Server) noteMessage(methods map[Method]MethodHandler, r *jsonrpc2.Request, conn net.Conn) {
 	if _, ok := methods[Method(r.Method)]; !ok || r.Params == nil {
 		return
 	}
+	if a, ok := conn.(activeConn); ok {
+		a.MarkActive()
+	}
 	s.Meter.Add("peer_messages_total", 1, "method", r.Method)
 	s.Meter.Add("peer_bytes_total", len(*r.Params), "method", r.Method)
 }
