wire: charge TLS handshakes to the memory of messages

Unfinished TLS handshakes at the peers' listener took a process to 127 MiB of 64 (800 clients, each with 60 KiB of a message that doesn't end).

Cause: crypto/tls collects up to 64 KiB of a handshake message for anybody, before a certificate is checked, and nothing counted it.

What arrives during a handshake is now charged to the pool of messages; a connection without room is reset, since there is nothing that a close would have to deliver. TestHostileListeners/TLS/ peers,_handshakes_not_ended is green.

--- a/wire/server.go
+++ b/wire/server.go
@@ -165,7 +165,9 @@
 	if s.Certs == nil {
 		return Caller{Unauthenticated: true}, raw, nil
 	}
-	conn := tls.Server(raw, s.Certs.ServerConfig())
+	limited := newHandshakeConn(raw, s.Held)
+	defer limited.end()
+	conn := tls.Server(limited, s.Certs.ServerConfig())
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout.Duration())
 	defer cancel()
 	if err := conn.HandshakeContext(ctx); err != nil {
