hserv: bound the work for the bodies of rejected requests

Cause: Body.Discard reads up to 4 MiB of body or 5 s of each rejected request, and nothing bounded all of them together. A chunk of a byte costs six on the wire and its decoding, so that one thread was busy with what it had refused and its own dial to a sound replica timed out.

Discards allows a process 8 MiB a second after a burst of 8 MiB, where a read counts as 4 KiB at least, which is what net/http decodes for it. Bodies of ordinary callers are rejected in calm as before. Both front ends use it.

TestDiscardsAreBounded has no run without the bound: its fields are new.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,6 +22,7 @@
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/flight"
 	"lacewinghook.example/lacewinghook/gossip"
+	"lacewinghook.example/lacewinghook/hserv"
 	"lacewinghook.example/lacewinghook/limit"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/notice"
@@ -117,6 +118,8 @@
 	// all their requests.
 	guards guards
 	heads  spool.Pool
+	// discards bounds the work for the bodies of rejected requests.
+	discards hserv.Discards
 	// messages bounds the bytes of peers' messages that are being read.
 	messages spool.Pool
 	// tables bounds the bytes of the store's tables that are being read.
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -80,7 +80,7 @@
 	s := e.Settings
 	e.inFlight = flight.Tracker{Clock: e.Clock, ID: platform.RequestID}
 	ingress := e.server(e.inFlight.Track(&platform.Ingress{
-		Runner: callerRunner{e}, Clock: e.Clock, Meter: &e.meter, Log: e.Log, OnEnd: e.logOutcome, Held: &e.bodies,
+		Runner: callerRunner{e}, Clock: e.Clock, Meter: &e.meter, Log: e.Log, OnEnd: e.logOutcome, Held: &e.bodies, Discards: &e.discards,
 	}, e.leaving.Load))
 	ingress.ConnState = func(c net.Conn, state http.ConnState) {
 		guard.SetState(c, state)
--- a/front/input.go
+++ b/front/input.go
@@ -55,7 +55,7 @@
 	if s.openBodies.Add(1) > int64(limits.Inputs) {
 		return nil, codes.New(codes.QueueFull, "limit of %d concurrent request bodies reached", limits.Inputs).WithRetryAfter(bodyRetryAfter)
 	}
-	err := input.ReadTo(w, r, &b.read, limits.Body)
+	err := input.ReadTo(w, r, &b.read, limits.Body, &s.discards)
 	if err == nil {
 		err = b.reserveCopy()
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -13,6 +13,7 @@
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/flow"
+	"lacewinghook.example/lacewinghook/hserv"
 	"lacewinghook.example/lacewinghook/input"
 	"lacewinghook.example/lacewinghook/meter"
 	"lacewinghook.example/lacewinghook/pubdoc"
@@ -67,6 +68,8 @@
 
 	// openBodies is the number of request bodies that are being read.
 	openBodies atomic.Int64
+	// discards bounds the work for the bodies of rejected requests.
+	discards hserv.Discards
 }
 
 // Handler returns the callers' HTTP interface.
--- a/hserv/body.go
+++ b/hserv/body.go
@@ -12,10 +12,12 @@
 	"lacewinghook.example/lacewinghook/spool"
 )
 
-// Body is the body of a caller's request. Both fields are required.
+// Body is the body of a caller's request. Request and Controller are required.
 type Body struct {
 	Request    *http.Request
 	Controller *http.ResponseController
+	// Discards, if not nil, bounds the work of [Body.Discard] for all requests.
+	Discards *Discards
 }
 
 // ReadTo reads the body into buf, at most limit bytes, within the given time, which isn't
@@ -74,6 +76,9 @@
 // Discard reads what is left of the body of a rejected request, at most limit bytes. A
 // caller may read nothing before it has sent all. Without this, net/http would close the
 // connection under a long body and wait for the rest of a short one without a time limit.
+//
+// It stops, and the connection is closed after the answer, if the bodies of rejected requests
+// have used up the work for them.
 func (b Body) Discard(limit int64) {
 	if b.Request.ContentLength == 0 || b.Request.Header.Get("Expect") != "" {
 		// The caller of a request with Expect waits for the response.
@@ -89,6 +94,11 @@
 		b.limitRead(deadline)
 		n, err := b.Request.Body.Read(buf)
 		limit -= int64(n)
+		if err == nil && !b.Discards.allow(n) {
+			// net/http doesn't read the rest either.
+			b.Expire()
+			return
+		}
 		if errors.Is(err, io.EOF) {
 			_ = b.Controller.SetReadDeadline(time.Time{})
 			return
--- a/hserv/hserv_test.go
+++ b/hserv/hserv_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -152,6 +153,55 @@
 	}
 }
 
+// TestDiscardsAreBounded guards against a process whose time goes to the bodies of rejected
+// requests, and against a body without end that is read for the whole time of one request.
+func TestDiscardsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var all hserv.Discards
+	read := make(chan int64, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		counted := &countedBody{ReadCloser: r.Body}
+		r.Body = counted
+		hserv.Body{Request: r, Controller: http.NewResponseController(w), Discards: &all}.Discard(1 << 40)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		read <- counted.n
+	}))
+	defer s.Close()
+	const burst, perSecond = 8 << 20, 8 << 20 // of all requests together
+	begun := time.Now()
+	var total int64
+	for range 3 {
+		resp, err := http.Post(s.URL, "", endless{})
+		if err == nil {
+			is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+			is.True(resp.Close)
+			is.NoErr(resp.Body.Close())
+		}
+		total += <-read
+	}
+	is.True(total >= burst/2)
+	is.True(float64(total) <= burst+perSecond*time.Since(begun).Seconds()+3*(16<<10))
+}
+
+// endless is a body without end.
+type endless struct{}
+
+// Read implements [io.Reader].
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// countedBody counts the bytes that are read.
+type countedBody struct {
+	io.ReadCloser
+	n int64
+}
+
+// Read implements [io.Reader].
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.n += int64(n)
+	return n, err
+}
+
 // halfRead closes done once the first left bytes of a body were read.
 type halfRead struct {
 	io.ReadCloser
--- a/input/doc.go
+++ b/input/doc.go
@@ -7,7 +7,7 @@
 //	data, err := input.Read(w, r, maxBytes)
 //
 //	buf := spool.Buffer{Pool: pool, Lasting: true}
-//	err := input.ReadTo(w, r, &buf, maxBytes)     // within a bound for all requests
+//	err := input.ReadTo(w, r, &buf, maxBytes, discards) // within a bound for all requests
 //
 // The errors are [codes.TooLarge], [codes.SlowInput], [codes.InputFull] and
 // [codes.BadRequest].
--- a/input/input.go
+++ b/input/input.go
@@ -45,9 +45,10 @@
 }
 
 // ReadTo reads a body of up to limit bytes into buf, and clears the read deadline like
-// [Read]. The error is [codes.InputFull] if buf has no room or had to give way.
-func ReadTo(w http.ResponseWriter, r *http.Request, buf *spool.Buffer, limit int64) error {
-	b := hserv.Body{Request: r, Controller: http.NewResponseController(w)}
+// [Read]. The error is [codes.InputFull] if buf has no room or had to give way; the rest of
+// the body is then discarded within the bounds of all, which may be nil.
+func ReadTo(w http.ResponseWriter, r *http.Request, buf *spool.Buffer, limit int64, all *hserv.Discards) error {
+	b := hserv.Body{Request: r, Controller: http.NewResponseController(w), Discards: all}
 	buf.Evict = b.Interrupt
 	err := b.ReadTo(buf, limit, 0)
 	switch {
