entry, reply: bound the operators' listener

Heads without end at the operators' address took a process of the own front end to 389 MiB of 64, and 2,500 idle clients held 2,519 descriptors. No token is needed for either.

Cause: package guard stood before the callers' listener only. Besides, an error that its client doesn't read was written without a deadline, so that connections of strangers would be in use for as long as they like, which keeps operators out once their number is bounded.

The listener has a Guard (limits.operators); a request in flight doesn't give way, since an operator's may last. An error is written within 15 s.

The deadline of reply.Error has no test of its own: that nothing else ends such a connection is read, not shown.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"lacewinghook.example/lacewinghook/flight"
 	"lacewinghook.example/lacewinghook/front"
 	"lacewinghook.example/lacewinghook/grant"
+	"lacewinghook.example/lacewinghook/guard"
 	"lacewinghook.example/lacewinghook/idem"
 	"lacewinghook.example/lacewinghook/lease"
 	"lacewinghook.example/lacewinghook/limit"
@@ -128,6 +129,7 @@
 	callers := e.newHTTPServer(e.inFlight.Track(e.callerHandler(), e.leaving.Load))
 	callers.ConnState, callers.ConnContext = e.onConnState, e.inFlight.ConnContext
 	operators := e.newHTTPServer(e.operatorHandler())
+	operators.ConnState = guard.SetState
 	var g errgroup.Group
 	for name, run := range map[string]func() error{
 		"callers":   func() error { return serve(callers, e.Sockets.Callers) },
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -24,15 +24,16 @@
 
 // guards are the bounds of the connections of each listener.
 type guards struct {
-	callers, peers guard.Guard
+	callers, operators, peers guard.Guard
 }
 
 // prepareGuards sets the bounds of the listeners, puts them before the sockets, and bounds
-// the messages of peers. The callers' one has none with TLS, since the heads can't be read there.
+// the messages of peers. A listener of HTTP with TLS has none, since the heads can't be read
+// there.
 func (e *Entry) prepareGuards() {
 	limits := e.Settings.Limits.WithDefaults()
 	input := core.InputLimits{Headers: int64(limits.Header), Head: headerTimeout, Idle: idleTimeout}
-	conns := guard.Conns{Callers: limits.Connections, Peers: limits.Peers}.WithDefaults(memoryFactor * limits.Held)
+	conns := guard.Conns{Callers: limits.Connections, Operators: limits.Operators, Peers: limits.Peers}.WithDefaults(memoryFactor * limits.Held)
 	e.heads.Max, e.messages.Max = limits.Held/headShare, limits.Held/messageShare
 	e.meter.Gauge("heads_held_bytes", func() float64 { return float64(e.heads.Used()) })
 	e.guards.peers.Messages = true
@@ -41,16 +42,18 @@
 		name   string
 		conns  int
 		socket *net.Listener
+		tls    bool
 	}{
-		{&e.guards.callers, "callers", conns.Callers, &e.Sockets.Callers},
-		{&e.guards.peers, "peers", conns.Peers, &e.Sockets.Peers},
+		{&e.guards.callers, "callers", conns.Callers, &e.Sockets.Callers, e.Settings.Callers.TLS()},
+		{&e.guards.operators, "operators", conns.Operators, &e.Sockets.Operators, e.Settings.Operators.TLS()},
+		{&e.guards.peers, "peers", conns.Peers, &e.Sockets.Peers, false},
 	} {
 		g := f.guard
 		g.Name, g.MaxConns = f.name, f.conns
 		g.Limits = func() core.InputLimits { return input }
 		g.Heads, g.Meter, g.Log = &e.heads, &e.meter, e.Log
 		g.Register()
-		if g == &e.guards.callers && e.Settings.Callers.TLS() {
+		if f.tls {
 			*f.socket = g.Closer.Listener(*f.socket)
 			continue
 		}
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -34,8 +35,15 @@
 	}}
 }
 
-// Error sends err as the response.
+// errorTimeout bounds the time to send an error. It is longer than net/http may read the rest
+// of a request's body before that.
+const errorTimeout = 15 * clock.Second
+
+// Error sends err as the response. Anybody may cause one, so that a client that doesn't read
+// it must not hold its connection.
 func Error(w http.ResponseWriter, err error) {
+	// An error means that the connection is closed, or that the writer is that of a test.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(errorTimeout.Duration()))
 	status, body := FromError(err)
 	JSON(w, status, body)
 }
