entry: guard listeners with TLS

With TLS, the own front end bounded nothing at its callers' and operators' listeners: heads within TLS took a process to 163 to 474 MiB of 64, unfinished handshakes to 123, unfinished records to 66, and idle clients held 2,515 descriptors.

Cause: TLS stood above the guard, which can't read encrypted heads, so that the callers' listener had no guard with TLS. crypto/tls holds up to 64 KiB of a handshake and a whole record.

The Guard performs TLS itself: a Conn reads heads after decryption, and charges what has arrived and isn't decrypted yet. A handshake has the time of a head. net/http no longer sees a tls.Conn; nothing here used Request.TLS, and a client that speaks plain HTTP there is closed without the 400 of net/http.

Ruled out: a bound on the handshakes in progress, which a crowd fills faster than a sound client completes its own.

--- a/cmd/lacewinghook/serve.go
+++ b/cmd/lacewinghook/serve.go
@@ -48,6 +48,7 @@
 // serveEntry runs an entry. A repeated stop signal logs the requests in flight;
 // the stop continues to wait for them.
 func serveEntry(ctx context.Context, _ string, settings *config.Settings, log *zap.Logger) error {
+	entry.LimitMemory(settings)
 	e := &entry.Entry{Settings: settings, Log: log}
 	ctx, stop := untilSignal(ctx, e.LogInFlight)
 	defer stop()
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 
+	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/guard"
 )
@@ -20,16 +23,26 @@
 	// messageShare is the memory of peers' messages that are being read as a share of
 	// limits.held, as a divisor.
 	messageShare = 16
+	// runtimeFactor times limits.held is the memory beyond which the Go runtime collects
+	// garbage more often. The process may take a factor of 4 in all.
+	runtimeFactor = 3
 )
 
+// LimitMemory sets the memory limit of the Go runtime for a process that runs one entry. A
+// limit that is set by GOMEMLIMIT stays.
+func LimitMemory(s *config.Settings) {
+	if debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		debug.SetMemoryLimit(runtimeFactor * s.Limits.WithDefaults().Held)
+	}
+}
+
 // guards are the bounds of the connections of each listener.
 type guards struct {
 	callers, operators, peers guard.Guard
 }
 
 // prepareGuards sets the bounds of the listeners, puts them before the sockets, and bounds
-// the messages of peers. A listener of HTTP with TLS has none, since the heads can't be read
-// there.
+// the messages of peers.
 func (e *Entry) prepareGuards() {
 	limits := e.Settings.Limits.WithDefaults()
 	input := core.InputLimits{Headers: int64(limits.Header), Head: headerTimeout, Idle: idleTimeout}
@@ -42,21 +55,16 @@
 		name   string
 		conns  int
 		socket *net.Listener
-		tls    bool
 	}{
-		{&e.guards.callers, "callers", conns.Callers, &e.Sockets.Callers, e.Settings.Callers.TLS()},
-		{&e.guards.operators, "operators", conns.Operators, &e.Sockets.Operators, e.Settings.Operators.TLS()},
-		{&e.guards.peers, "peers", conns.Peers, &e.Sockets.Peers, false},
+		{&e.guards.callers, "callers", conns.Callers, &e.Sockets.Callers},
+		{&e.guards.operators, "operators", conns.Operators, &e.Sockets.Operators},
+		{&e.guards.peers, "peers", conns.Peers, &e.Sockets.Peers},
 	} {
 		g := f.guard
 		g.Name, g.MaxConns = f.name, f.conns
 		g.Limits = func() core.InputLimits { return input }
 		g.Heads, g.Meter, g.Log = &e.heads, &e.meter, e.Log
 		g.Register()
-		if f.tls {
-			*f.socket = g.Closer.Listener(*f.socket)
-			continue
-		}
 		*f.socket = g.Listener(*f.socket)
 	}
 }
--- a/entry/secure.go
+++ b/entry/secure.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"crypto/tls"
-
 	"github.com/go-faster/errors"
 
 	"lacewinghook.example/lacewinghook/cert"
@@ -34,10 +32,10 @@
 		return errors.Wrap(err, "entry: peers")
 	}
 	if callers != nil {
-		e.Sockets.Callers = tls.NewListener(e.Sockets.Callers, callers.ServerConfig())
+		e.guards.callers.TLS = callers.ServerConfig()
 	}
 	if operators != nil {
-		e.Sockets.Operators = tls.NewListener(e.Sockets.Operators, operators.ServerConfig())
+		e.guards.operators.TLS = operators.ServerConfig()
 	}
 	return nil
 }
