guard, entry: name what is admitted, keep room for peers' messages

With a small limits.held a sixteenth of it is less than one message of a peer; the pool has 1 MiB at least. No other change of behaviour.

--- a/entry/guard.go
+++ b/entry/guard.go
@@ -16,13 +16,15 @@
 	// connections is bounded: the settings have no limit of the process.
 	memoryFactor = 2
 	// headShare is the memory of heads as a share of limits.held, as a divisor. The heap
-	// grows to twice what is in use, since the process has no memory limit: with an eighth
-	// and a factor of 4, a crowd of 1,840 callers took it to 59 and 73 MiB, of which 64
-	// are allowed with 16 MiB of limits.held.
+	// may grow to twice what is in use: with an eighth and a factor of 4, a crowd of 1,840
+	// callers took the process to 59 and 73 MiB, of which 64 are allowed with 16 MiB of
+	// limits.held.
 	headShare = 16
 	// messageShare is the memory of peers' messages that are being read as a share of
-	// limits.held, as a divisor.
+	// limits.held, as a divisor, and minMessages its least value, in bytes, for several of
+	// the largest messages.
 	messageShare = 16
+	minMessages  = 1 << 20
 	// runtimeFactor times limits.held is the memory beyond which the Go runtime collects
 	// garbage more often. The process may take a factor of 4 in all.
 	runtimeFactor = 3
@@ -47,7 +49,7 @@
 	limits := e.Settings.Limits.WithDefaults()
 	input := core.InputLimits{Headers: int64(limits.Header), Head: headerTimeout, Idle: idleTimeout}
 	conns := guard.Conns{Callers: limits.Connections, Operators: limits.Operators, Peers: limits.Peers}.WithDefaults(memoryFactor * limits.Held)
-	e.heads.Max, e.messages.Max = limits.Held/headShare, limits.Held/messageShare
+	e.heads.Max, e.messages.Max = limits.Held/headShare, max(limits.Held/messageShare, minMessages)
 	e.meter.Gauge("heads_held_bytes", func() float64 { return float64(e.heads.Used()) })
 	e.guards.peers.Messages = true
 	for _, f := range []struct {
--- a/guard/member.go
+++ b/guard/admitted.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,9 +11,9 @@
 	"lacewinghook.example/lacewinghook/spool"
 )
 
-// member is an admitted connection: its place among those of the listener, and the memory
+// admitted is an admitted connection: its place among those of the listener, and the memory
 // that is charged for it.
-type member struct {
+type admitted struct {
 	// raw is the connection below TLS.
 	raw   *sock.Conn
 	guard *Guard
@@ -36,18 +35,18 @@
 }
 
 // PeerClosed reports whether this host has received the end of what the peer sends.
-func (m *member) PeerClosed() bool { return m.raw.PeerClosed() }
+func (m *admitted) PeerClosed() bool { return m.raw.PeerClosed() }
 
 // SinceReceived returns the time since this host last received data of the peer, or zero if
 // the kernel doesn't tell.
-func (m *member) SinceReceived() clock.Millis { return m.raw.SinceReceived() }
+func (m *admitted) SinceReceived() clock.Millis { return m.raw.SinceReceived() }
 
 // SetLinger is that of [net.TCPConn].
-func (m *member) SetLinger(sec int) error { return m.raw.SetLinger(sec) }
+func (m *admitted) SetLinger(sec int) error { return m.raw.SetLinger(sec) }
 
 // reserve charges memory up to cost, beyond the allowance. It returns false if there is no
 // room, or the connection must give way. m.mu is held.
-func (m *member) reserve(cost int64) bool {
+func (m *admitted) reserve(cost int64) bool {
 	if m.done {
 		return true
 	}
@@ -61,21 +60,21 @@
 }
 
 // release returns what is charged. m.mu is held.
-func (m *member) release() {
+func (m *admitted) release() {
 	m.held.Reset()
 	m.charge = 0
 	m.evicted.Store(false)
 }
 
 // evict makes the connection give way: its reads fail from now on.
-func (m *member) evict() {
+func (m *admitted) evict() {
 	m.evicted.Store(true)
 	// An error means that the connection is closed.
 	_ = m.raw.SetReadDeadline(time.Unix(1, 0))
 }
 
 // leave takes the connection out of the bounds, once.
-func (m *member) leave() {
+func (m *admitted) leave() {
 	m.closed.Do(func() {
 		if m.guard.OnClose != nil {
 			m.guard.OnClose(m.raw.TCPConn)
@@ -90,7 +89,7 @@
 
 // drop closes the connection without writing to it, and frees its descriptor at once if
 // reset is set. It doesn't block.
-func (m *member) drop(reset bool) {
+func (m *admitted) drop(reset bool) {
 	m.leave()
 	if reset {
 		resetClose(m.raw)
@@ -109,26 +108,3 @@
 	_ = c.SetLinger(0)
 	_ = c.Close()
 }
-
-// PeerConn is a connection on which messages are exchanged that aren't HTTP. Their memory is
-// bounded by whoever reads them.
-type PeerConn struct {
-	net.Conn
-	*member
-}
-
-// MarkActive notes that a valid message has arrived. Connections without one give way first,
-// and then those that had none for the longest time.
-func (c *PeerConn) MarkActive() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.done {
-		c.guard.place(c.member, &c.guard.serving)
-	}
-}
-
-// Close implements [net.Conn].
-func (c *PeerConn) Close() error {
-	c.leave()
-	return c.Conn.Close()
-}
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -34,7 +34,7 @@
 // writes: the TLS connection, if the listener has TLS.
 type Conn struct {
 	net.Conn
-	*member
+	*admitted
 	// secure is the TLS connection, nil without TLS, and sealed the number of bytes that
 	// arrived on it since the last part of a request was decrypted.
 	secure *tls.Conn
@@ -97,7 +97,7 @@
 func (c *Conn) receive() {
 	c.phase = receiving
 	if !c.done {
-		c.guard.move(c.member, receiving)
+		c.guard.move(c.admitted, receiving)
 	}
 }
 
@@ -234,7 +234,7 @@
 	switch state {
 	case http.StateActive:
 		c.phase = serving
-		c.guard.move(c.member, serving)
+		c.guard.move(c.admitted, serving)
 		if c.held.Pin() != nil {
 			c.evict()
 		}
@@ -242,6 +242,6 @@
 		c.phase = waiting
 		c.kept, c.deadlines = true, 0
 		c.endHead()
-		c.guard.move(c.member, waiting)
+		c.guard.move(c.admitted, waiting)
 	}
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -134,16 +134,16 @@
 		g.cut(oldest.raw, GaveWay, 0, 0)
 		oldest.drop(closing > g.MaxConns/maxClosingShare)
 	}
-	m := &member{raw: conn, guard: g}
+	m := &admitted{raw: conn, guard: g}
 	m.held = spool.Buffer{Pool: g.Heads, Lasting: true, Evict: m.evict}
 	g.mu.Lock()
 	g.open++
 	g.insert(m, &g.between)
 	g.mu.Unlock()
 	if g.Messages {
-		return &PeerConn{Conn: conn, member: m}
+		return &PeerConn{Conn: conn, admitted: m}
 	}
-	c := &Conn{Conn: conn, member: m, phase: waiting}
+	c := &Conn{Conn: conn, admitted: m, phase: waiting}
 	if g.TLS != nil {
 		c.secure = tls.Server(sealedConn{conn, c}, g.TLS)
 		c.Conn = c.secure
@@ -173,7 +173,7 @@
 // oldest returns the connection that gives way, and the instant since which it has its phase:
 // the one that has waited for a request, or for the rest of a head, for the longest time, or
 // else the first of those that are served. It returns nil if none may give way.
-func (g *Guard) oldest() (m *member, since clock.Millis) {
+func (g *Guard) oldest() (m *admitted, since clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	first := g.between.Front()
@@ -183,12 +183,12 @@
 	if first == nil {
 		return nil, 0
 	}
-	m, _ = first.Value.(*member)
+	m, _ = first.Value.(*admitted)
 	return m, m.since
 }
 
 // move notes the new phase of a connection.
-func (g *Guard) move(m *member, to phase) {
+func (g *Guard) move(m *admitted, to phase) {
 	switch {
 	case to != serving:
 		g.place(m, &g.between)
@@ -200,7 +200,7 @@
 }
 
 // place moves m to the end of an order, or to none if it is nil.
-func (g *Guard) place(m *member, order *list.List) {
+func (g *Guard) place(m *admitted, order *list.List) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.remove(m)
@@ -210,12 +210,12 @@
 }
 
 // insert adds m to the end of an order. g.mu is held.
-func (g *Guard) insert(m *member, order *list.List) {
+func (g *Guard) insert(m *admitted, order *list.List) {
 	m.order, m.place, m.since = order, order.PushBack(m), g.Clock.Now()
 }
 
 // remove takes m from its order. g.mu is held.
-func (g *Guard) remove(m *member) {
+func (g *Guard) remove(m *admitted) {
 	if m.order != nil {
 		m.order.Remove(m.place)
 		m.order, m.place = nil, nil
@@ -223,7 +223,7 @@
 }
 
 // leave removes a connection that is being closed.
-func (g *Guard) leave(m *member) {
+func (g *Guard) leave(m *admitted) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.remove(m)
--- a/guard/tls.go
+++ b/guard/tls.go
@@ -69,6 +69,6 @@
 	}
 	c.endHead()
 	c.phase = waiting
-	c.guard.move(c.member, waiting)
+	c.guard.move(c.admitted, waiting)
 	return c.setReadDeadline(c.deadline())
 }
