guard, sock, osproc: one piece of code for what was written twice

- Both front ends had the same loop that gave each listener its limits, pool, metrics and log, and the same gauge of heads. guard.Process holds what they share.
- Four tests ran crowds and counted descriptors by the same loop: osproc.Process.RunCrowds.
All checks and bounds stay; the listeners' tests now log the connections opened.
- The certificate of guard's tests is that of net/http/httptest.

--- a/edge/crowds_test.go
+++ b/edge/crowds_test.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -37,73 +36,72 @@
 	}
 }
 
-// target is a listener and the crowds that it gets.
-type target struct {
-	addr   string
-	crowds []trial.Crowd
-}
-
 // TestHostileListeners guards against a process that ends, exceeds the memory or the
 // descriptors of its machine, or answers no ordinary request any more, because of what
 // clients send to any of its listeners.
 func TestHostileListeners(t *testing.T) {
 	dir := t.TempDir()
 	is.New(t).NoErr(osproc.Build(context.Background(), dir))
-	type targets = func(e *runningEntry) []target
-	cases := map[string]targets{}
+	// Each case has the crowds by the address of the listener that gets them.
+	cases := map[string]func(e *runningEntry) map[string][]trial.Crowd{}
 	for name, crowds := range trial.ListenerCrowds(directoryHead) {
-		cases["directory/"+name] = func(e *runningEntry) []target { return []target{{e.settings.Fleet.Directory, crowds}} }
+		cases["directory/"+name] = func(e *runningEntry) map[string][]trial.Crowd {
+			return map[string][]trial.Crowd{e.settings.Fleet.Directory: crowds}
+		}
 	}
 	for name, crowds := range peerCrowds() {
-		cases["peers/"+name] = func(e *runningEntry) []target { return []target{{e.settings.Peers.Listen, crowds}} }
+		cases["peers/"+name] = func(e *runningEntry) map[string][]trial.Crowd {
+			return map[string][]trial.Crowd{e.settings.Peers.Listen: crowds}
+		}
 	}
 	for _, name := range []string{"all of these", "idle connections"} {
-		cases["readiness/"+name] = func(e *runningEntry) []target {
-			return []target{{e.settings.Fleet.Readiness, trial.ListenerCrowds(readinessHead)[name]}}
+		cases["readiness/"+name] = func(e *runningEntry) map[string][]trial.Crowd {
+			return map[string][]trial.Crowd{e.settings.Fleet.Readiness: trial.ListenerCrowds(readinessHead)[name]}
 		}
-		cases["metrics/"+name] = func(e *runningEntry) []target {
-			return []target{{e.settings.Fleet.Metrics, trial.ListenerCrowds(metricsHead)[name]}}
+		cases["metrics/"+name] = func(e *runningEntry) map[string][]trial.Crowd {
+			return map[string][]trial.Crowd{e.settings.Fleet.Metrics: trial.ListenerCrowds(metricsHead)[name]}
 		}
 	}
-	cases["callers/bodies of one-byte chunks"] = func(e *runningEntry) []target {
+	cases["callers/bodies of one-byte chunks"] = func(e *runningEntry) map[string][]trial.Crowd {
 		part := strings.Repeat("1\r\nx\r\n", 100)
-		return []target{{e.settings.Callers.Listen, []trial.Crowd{{Callers: 200, Head: chunkedHead, Part: func(int) string { return part }, Endless: true}}}}
+		return map[string][]trial.Crowd{e.settings.Callers.Listen: {{Callers: 200, Head: chunkedHead, Part: func(int) string { return part }, Endless: true}}}
 	}
-	cases["all listeners"] = func(e *runningEntry) []target {
-		return []target{
-			{e.settings.Callers.Listen, trial.Crowds(hostileHead)["all of these"]},
-			{e.settings.Fleet.Directory, trial.ListenerCrowds(directoryHead)["all of these"]},
-			{e.settings.Fleet.Readiness, trial.ListenerCrowds(readinessHead)["all of these"]},
-			{e.settings.Fleet.Metrics, trial.ListenerCrowds(metricsHead)["all of these"]},
-			{e.settings.Peers.Listen, peerCrowds()["messages not ended"]},
+	cases["all listeners"] = func(e *runningEntry) map[string][]trial.Crowd {
+		return map[string][]trial.Crowd{
+			e.settings.Callers.Listen:  trial.Crowds(hostileHead)["all of these"],
+			e.settings.Fleet.Directory: trial.ListenerCrowds(directoryHead)["all of these"],
+			e.settings.Fleet.Readiness: trial.ListenerCrowds(readinessHead)["all of these"],
+			e.settings.Fleet.Metrics:   trial.ListenerCrowds(metricsHead)["all of these"],
+			e.settings.Peers.Listen:    peerCrowds()["messages not ended"],
 		}
 	}
-	cases["all listeners, idle"] = func(e *runningEntry) []target {
+	cases["all listeners, idle"] = func(e *runningEntry) map[string][]trial.Crowd {
 		idle := []trial.Crowd{{Callers: 1200}}
-		return []target{{e.settings.Callers.Listen, idle}, {e.settings.Fleet.Directory, idle}, {e.settings.Fleet.Readiness, idle}, {e.settings.Fleet.Metrics, idle}, {e.settings.Peers.Listen, idle}}
+		crowds := map[string][]trial.Crowd{}
+		for _, addr := range e.listeners() {
+			crowds[addr] = idle
+		}
+		return crowds
 	}
-	for name := range maps.Keys(cases) {
+	for name, crowds := range cases {
 		t.Run(name, func(t *testing.T) {
 			s, e, proc := startHostile(t, dir)
 			before := proc.PeakMemory()
 			ctx, cancel := context.WithTimeout(context.Background(), hostileTime)
 			defer cancel()
-			var callers sync.WaitGroup
-			for _, target := range cases[name](e) {
-				callers.Go(func() { trial.RunAll(ctx, target.crowds, target.addr) })
-			}
-			files := 0
-			for ctx.Err() == nil {
-				files = max(files, proc.OpenFiles())
-				time.Sleep(20 * time.Millisecond)
-			}
-			callers.Wait()
+			opened, files := proc.RunCrowds(ctx, crowds(e))
 			s.checkOrdinary(e)
-			s.checkHostile(e, proc, before, files, 0)
+			s.checkHostile(e, proc, before, files, opened)
 		})
 	}
 }
 
+// listeners returns the addresses of all listeners.
+func (r *runningEntry) listeners() []string {
+	f := r.settings.Fleet
+	return []string{r.settings.Callers.Listen, f.Directory, f.Readiness, f.Metrics, r.settings.Peers.Listen}
+}
+
 // checkOrdinary checks that each listener answers one ordinary request. A connection that
 // fails is tried again, an answer counts.
 func (s *site) checkOrdinary(e *runningEntry) {
@@ -149,12 +147,11 @@
 	is.New(t).NoErr(osproc.Build(context.Background(), dir))
 	s, e, _ := startHostile(t, dir)
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	var callers sync.WaitGroup
 	defer callers.Wait()
 	defer cancel()
-	for _, addr := range []string{e.settings.Callers.Listen, e.settings.Fleet.Directory, e.settings.Fleet.Readiness, e.settings.Fleet.Metrics, e.settings.Peers.Listen} {
-		callers.Go(func() { trial.RunAll(ctx, []trial.Crowd{{Callers: 1200}}, addr) })
+	for _, addr := range e.listeners() {
+		callers.Go(func() { trial.Crowd{Callers: 1200}.Run(ctx, addr) })
 	}
 	time.Sleep(hostileTime)
 	s.checkOrdinary(e)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -114,10 +114,8 @@
 	// bodies bounds the bytes of callers' bodies and of the starts of answers that are
 	// held, and partial those of events of which a part has arrived.
 	bodies, partial spool.Pool
-	// guards bound the connections of the listeners, and heads the memory of the heads of
-	// all their requests.
+	// guards bound the connections of the listeners and the heads of their requests.
 	guards guards
-	heads  spool.Pool
 	// discards bounds the work for the bodies of rejected requests.
 	discards hserv.Discards
 	// messages bounds the bytes of peers' messages that are being read.
--- a/edge/hostile_test.go
+++ b/edge/hostile_test.go
@@ -6,8 +6,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,25 +55,15 @@
 			before := proc.PeakMemory()
 			ctx, cancel := context.WithTimeout(context.Background(), hostileTime)
 			defer cancel()
-			var callers sync.WaitGroup
-			var opened atomic.Int64
-			for _, crowd := range crowds {
-				callers.Go(func() { opened.Add(int64(crowd.Run(ctx, e.settings.Callers.Listen))) })
-			}
-			files := 0
-			for ctx.Err() == nil {
-				files = max(files, proc.OpenFiles())
-				time.Sleep(20 * time.Millisecond)
-			}
-			callers.Wait()
-			s.checkHostile(e, proc, before, files, opened.Load())
+			opened, files := proc.RunCrowds(ctx, map[string][]trial.Crowd{e.settings.Callers.Listen: crowds})
+			s.checkHostile(e, proc, before, files, opened)
 		})
 	}
 }
 
 // checkHostile checks that the process lives within its bounds and answers one ordinary
 // request.
-func (s *site) checkHostile(e *runningEntry, proc *osproc.Process, before int64, files int, opened int64) {
+func (s *site) checkHostile(e *runningEntry, proc *osproc.Process, before int64, files, opened int) {
 	s.t.Helper()
 	is := is.New(s.t)
 	s.until("an ordinary request is answered", func() bool {
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -12,11 +12,13 @@
 	"lacewinghook.example/lacewinghook/guard"
 	"lacewinghook.example/lacewinghook/platform"
 	"lacewinghook.example/lacewinghook/sock"
+	"lacewinghook.example/lacewinghook/spool"
 	"lacewinghook.example/lacewinghook/wire"
 )
 
 // guards are the bounds of the connections of each listener.
 type guards struct {
+	process                                         guard.Process
 	callers, directory, readiness, operators, peers guard.Guard
 }
 
@@ -24,30 +26,14 @@
 func (e *Edge) prepareGuards(memory, heads int64) {
 	l := e.Settings.Limits
 	conns := guard.Conns{Callers: l.Connections, Directory: l.Lookups, Readiness: l.Probes, Operators: l.Operators, Peers: l.Peers}.WithDefaults(memory)
-	e.heads.Max = heads
-	e.meter.Gauge("heads_held_bytes", func() float64 { return float64(e.heads.Used()) })
 	g := &e.guards
-	g.callers.OnClose = e.logPending
-	for _, prompt := range []*guard.Guard{&g.directory, &g.readiness, &g.operators} {
-		prompt.Prompt = true
-	}
-	g.peers.Messages = true
-	for _, f := range []struct {
-		guard *guard.Guard
-		name  string
-		conns int
-	}{
-		{&g.callers, "callers", conns.Callers},
-		{&g.directory, "directory", conns.Directory},
-		{&g.readiness, "readiness", conns.Readiness},
-		{&g.operators, "operators", conns.Operators},
-		{&g.peers, "peers", conns.Peers},
-	} {
-		f.guard.Name, f.guard.MaxConns = f.name, f.conns
-		f.guard.Limits, f.guard.Heads = callerRunner{e}.Limits, &e.heads
-		f.guard.Meter, f.guard.Log = &e.meter, e.Log
-		f.guard.Register()
-	}
+	g.process = guard.Process{Limits: callerRunner{e}.Limits, Heads: spool.Pool{Max: heads}, Meter: &e.meter, Log: e.Log}
+	g.callers = guard.Guard{Name: "callers", MaxConns: conns.Callers, OnClose: e.logPending}
+	g.directory = guard.Guard{Name: "directory", MaxConns: conns.Directory, Prompt: true}
+	g.readiness = guard.Guard{Name: "readiness", MaxConns: conns.Readiness, Prompt: true}
+	g.operators = guard.Guard{Name: "operators", MaxConns: conns.Operators, Prompt: true}
+	g.peers = guard.Guard{Name: "peers", MaxConns: conns.Peers, Messages: true}
+	g.process.Add(&g.callers, &g.directory, &g.readiness, &g.operators, &g.peers)
 }
 
 // server is a listener with either an HTTP or an RPC server.
--- a/entry/crowds_test.go
+++ b/entry/crowds_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -83,7 +84,7 @@
 	is.NoErr(err)
 	t.Cleanup(func() {
 		// The error means that the process has ended, which is checked.
-		_ = e.process.Signal(9)
+		_ = e.process.Signal(syscall.SIGKILL)
 		<-e.process.Done()
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
@@ -128,8 +129,7 @@
 	})) // a peer gets an answer
 }
 
-// crowdsOf returns the crowds of each case by the field of the settings that has the address
-// of the listener.
+// crowdsOf returns the crowds of each case by the address of the listener that gets them.
 func (e *target) crowdsOf(secure bool) map[string]map[string][]trial.Crowd {
 	if !secure {
 		message := string(binary.AppendUvarint(nil, 64<<10)) + strings.Repeat(" ", 63<<10)
@@ -183,16 +183,7 @@
 				before := e.process.PeakMemory()
 				ctx, cancel := context.WithTimeout(t.Context(), hostileTime)
 				defer cancel()
-				var callers sync.WaitGroup
-				for addr, crowds := range e.crowdsOf(secure)[name] {
-					callers.Go(func() { trial.RunAll(ctx, crowds, addr) })
-				}
-				files := 0
-				for ctx.Err() == nil {
-					files = max(files, e.process.OpenFiles())
-					time.Sleep(20 * time.Millisecond)
-				}
-				callers.Wait()
+				_, files := e.process.RunCrowds(ctx, e.crowdsOf(secure)[name])
 				e.checkOrdinary(t)
 				peak := e.process.PeakMemory()
 				t.Logf("memory %d MiB, %d MiB before; %d descriptors", peak>>20, before>>20, files)
@@ -217,7 +208,7 @@
 			defer callers.Wait()
 			defer cancel()
 			for _, addr := range []string{e.settings.Callers.Listen, e.settings.Operators.Listen, e.settings.Peers.Listen} {
-				callers.Go(func() { trial.RunAll(ctx, []trial.Crowd{{Callers: 1200}}, addr) })
+				callers.Go(func() { trial.Crowd{Callers: 1200}.Run(ctx, addr) })
 			}
 			time.Sleep(hostileTime)
 			e.checkOrdinary(t)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -66,32 +66,32 @@
 	leaving      atomic.Bool // set when the stop begins
 	currentState atomic.Pointer[ownState]
 	inFlight     flight.Tracker
-	// guards bound the connections of the listeners, heads the memory of the heads of all
-	// their requests, and messages that of peers' messages that are being read.
-	guards          guards
-	heads, messages spool.Pool
-	meter           meter.Registry
-	document        pubdoc.ActiveDocument
-	updater         pubdoc.Updater
-	publisher       pubdoc.Publisher
-	drains          drain.ActiveDrains
-	applyMu         sync.Mutex // serializes applyDrains
-	gate            drain.Gate // checked right before work is sent
-	pool            pool.Table
-	members         member.Table
-	store           store.Client
-	engines         engine.Client
-	peers           wire.Client
-	cancels         abort.Queue // cancels that engines have not confirmed
-	quarantine      poison.Quarantine
-	retryBudget     limit.Budget
-	scheduler       sched.Scheduler
-	ledger          grant.Ledger      // leases granted as the owner
-	leaseClient     grant.LeaseClient // leases held
-	sweeper         sweep.Sweeper
-	orders          idem.Executor
-	reconciler      lease.Reconciler // desired states of engine groups
-	reportReader    share.Reader
+	// guards bound the connections of the listeners and the heads of their requests, and
+	// messages the memory of peers' messages that are being read.
+	guards       guards
+	messages     spool.Pool
+	meter        meter.Registry
+	document     pubdoc.ActiveDocument
+	updater      pubdoc.Updater
+	publisher    pubdoc.Publisher
+	drains       drain.ActiveDrains
+	applyMu      sync.Mutex // serializes applyDrains
+	gate         drain.Gate // checked right before work is sent
+	pool         pool.Table
+	members      member.Table
+	store        store.Client
+	engines      engine.Client
+	peers        wire.Client
+	cancels      abort.Queue // cancels that engines have not confirmed
+	quarantine   poison.Quarantine
+	retryBudget  limit.Budget
+	scheduler    sched.Scheduler
+	ledger       grant.Ledger      // leases granted as the owner
+	leaseClient  grant.LeaseClient // leases held
+	sweeper      sweep.Sweeper
+	orders       idem.Executor
+	reconciler   lease.Reconciler // desired states of engine groups
+	reportReader share.Reader
 	// heartbeatNow starts a heartbeat round at once. firstListOnce triggers it
 	// after the first read of the instance list. peersAskedOnce closes peersAsked
 	// when all partners of one round have answered or failed.
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -9,6 +9,7 @@
 	"lacewinghook.example/lacewinghook/config"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/guard"
+	"lacewinghook.example/lacewinghook/spool"
 )
 
 const (
@@ -40,6 +41,7 @@
 
 // guards are the bounds of the connections of each listener.
 type guards struct {
+	process                   guard.Process
 	callers, operators, peers guard.Guard
 }
 
@@ -49,26 +51,18 @@
 	limits := e.Settings.Limits.WithDefaults()
 	input := core.InputLimits{Headers: int64(limits.Header), Head: headerTimeout, Idle: idleTimeout}
 	conns := guard.Conns{Callers: limits.Connections, Operators: limits.Operators, Peers: limits.Peers}.WithDefaults(memoryFactor * limits.Held)
-	e.heads.Max, e.messages.Max = limits.Held/headShare, max(limits.Held/messageShare, minMessages)
-	e.meter.Gauge("heads_held_bytes", func() float64 { return float64(e.heads.Used()) })
-	e.guards.peers.Messages = true
-	for _, f := range []struct {
-		guard  *guard.Guard
-		name   string
-		conns  int
-		socket *net.Listener
-	}{
-		{&e.guards.callers, "callers", conns.Callers, &e.Sockets.Callers},
-		{&e.guards.operators, "operators", conns.Operators, &e.Sockets.Operators},
-		{&e.guards.peers, "peers", conns.Peers, &e.Sockets.Peers},
-	} {
-		g := f.guard
-		g.Name, g.MaxConns = f.name, f.conns
-		g.Limits = func() core.InputLimits { return input }
-		g.Heads, g.Meter, g.Log = &e.heads, &e.meter, e.Log
-		g.Register()
-		*f.socket = g.Listener(*f.socket)
+	e.messages.Max = max(limits.Held/messageShare, minMessages)
+	g := &e.guards
+	g.process = guard.Process{
+		Limits: func() core.InputLimits { return input }, Heads: spool.Pool{Max: limits.Held / headShare}, Meter: &e.meter, Log: e.Log,
 	}
+	g.callers = guard.Guard{Name: "callers", MaxConns: conns.Callers}
+	g.operators = guard.Guard{Name: "operators", MaxConns: conns.Operators}
+	g.peers = guard.Guard{Name: "peers", MaxConns: conns.Peers, Messages: true}
+	g.process.Add(&g.callers, &g.operators, &g.peers)
+	e.Sockets.Callers = g.callers.Listener(e.Sockets.Callers)
+	e.Sockets.Operators = g.operators.Listener(e.Sockets.Operators)
+	e.Sockets.Peers = g.peers.Listener(e.Sockets.Peers)
 }
 
 // onConnState follows the state of a caller's connection.
--- a/entry/hostile_test.go
+++ b/entry/hostile_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -43,16 +42,7 @@
 			before := p.PeakMemory()
 			ctx, cancel := context.WithTimeout(t.Context(), hostileTime)
 			defer cancel()
-			var callers sync.WaitGroup
-			for _, crowd := range crowds {
-				callers.Go(func() { crowd.Run(ctx, p.Addr) })
-			}
-			files := 0
-			for ctx.Err() == nil {
-				files = max(files, p.OpenFiles())
-				time.Sleep(20 * time.Millisecond)
-			}
-			callers.Wait()
+			_, files := p.RunCrowds(ctx, map[string][]trial.Crowd{p.Addr: crowds})
 			until, stop := context.WithTimeout(t.Context(), 10*time.Second)
 			defer stop()
 			is.NoErr(trial.WaitUntil(until, func() bool {
--- a/guard/admitted.go
+++ b/guard/admitted.go
@@ -12,7 +12,7 @@
 )
 
 // admitted is an admitted connection: its place among those of the listener, and the memory
-// that is charged for it.
+// that is charged for it, which is none for a [PeerConn].
 type admitted struct {
 	// raw is the connection below TLS.
 	raw   *sock.Conn
@@ -92,19 +92,9 @@
 func (m *admitted) drop(reset bool) {
 	m.leave()
 	if reset {
-		resetClose(m.raw)
+		sock.Reset(m.raw)
 		return
 	}
 	// An error means that it is closed.
 	_ = m.raw.Close()
 }
-
-// resetClose closes a connection and drops what its peer hasn't received. An error means
-// that it is closed.
-func resetClose(c interface {
-	SetLinger(sec int) error
-	Close() error
-}) {
-	_ = c.SetLinger(0)
-	_ = c.Close()
-}
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -39,7 +39,7 @@
 	// arrived on it since the last part of a request was decrypted.
 	secure *tls.Conn
 	sealed int64
-	opened bool // the TLS handshake has ended
+	opened bool // the TLS handshake was begun
 
 	phase phase
 	head  head
--- a/guard/doc.go
+++ b/guard/doc.go
@@ -21,9 +21,10 @@
 //
 // # Usage
 //
-//	heads := &spool.Pool{Max: 4 << 20} // of all listeners
 //	conns := guard.Conns{}.WithDefaults(memory)
-//	g := &guard.Guard{Name: "callers", MaxConns: conns.Callers, Limits: limits, Heads: heads}
+//	p := &guard.Process{Limits: limits, Heads: spool.Pool{Max: 4 << 20}, Meter: meter, Log: log}
+//	g := &guard.Guard{Name: "callers", MaxConns: conns.Callers}
+//	p.Add(g)
 //	server.ConnState = guard.SetState // IdleTimeout and ReadHeaderTimeout must be set
 //	err := server.Serve(g.Listener(ln))
 package guard
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -27,7 +27,7 @@
 	// MaxConns is the number of connections, zero means no bound.
 	MaxConns int
 	// Heads, if not nil, bounds the memory of the heads beyond the allowance of each
-	// connection. The listeners of a process share it.
+	// connection. The listeners of a [Process] share it.
 	Heads *spool.Pool
 	// TLS, if not nil, enables TLS. It must not be set if Messages is.
 	TLS *tls.Config
@@ -77,11 +77,6 @@
 	return codes.InputFull
 }
 
-// Register adds the gauges of g to its metrics.
-func (g *Guard) Register() {
-	g.Meter.Gauge("connections", func() float64 { return float64(g.Len()) }, "listener", g.Name)
-}
-
 // Len returns the number of open connections.
 func (g *Guard) Len() int {
 	g.mu.Lock()
@@ -128,7 +123,7 @@
 		}
 		if oldest == nil {
 			g.cut(conn, TooMany, 0, 0)
-			resetClose(conn)
+			sock.Reset(conn)
 			return nil
 		}
 		g.cut(oldest.raw, GaveWay, 0, 0)
--- a/guard/listeners_test.go
+++ b/guard/listeners_test.go
@@ -2,15 +2,11 @@
 
 import (
 	"bufio"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
 	"io"
-	"math/big"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -20,16 +16,12 @@
 	"lacewinghook.example/lacewinghook/spool"
 )
 
-// serverConfig returns the TLS configuration of a server with a new certificate.
+// serverConfig returns the TLS configuration of a server.
 func serverConfig(t *testing.T) *tls.Config {
 	t.Helper()
-	is := is.New(t)
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	is.NoErr(err)
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
-	is.NoErr(err)
-	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}}
+	s := httptest.NewTLSServer(http.NotFoundHandler())
+	defer s.Close()
+	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: s.TLS.Certificates}
 }
 
 // dialTLS connects to a server with TLS and sends the text.
--- a/osproc/cluster.go
+++ b/osproc/cluster.go
@@ -10,6 +10,8 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -298,6 +300,24 @@
 	return len(list)
 }
 
+// RunCrowds runs the crowds of each address until ctx ends. It returns how many connections
+// they opened, and the largest number of open descriptors of the process.
+func (p *Process) RunCrowds(ctx context.Context, crowds map[string][]trial.Crowd) (opened, files int) {
+	var callers sync.WaitGroup
+	var sum atomic.Int64
+	for addr, list := range crowds {
+		for _, crowd := range list {
+			callers.Go(func() { sum.Add(int64(crowd.Run(ctx, addr))) })
+		}
+	}
+	(clock.Clock{}).Every(ctx, filesInterval, func(context.Context) { files = max(files, p.OpenFiles()) })
+	callers.Wait()
+	return int(sum.Load()), files
+}
+
+// filesInterval is the time between two counts of the open descriptors.
+const filesInterval clock.Millis = 20
+
 // Done returns a channel that is closed once the process has exited.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
--- a/proxy/flow.go
+++ b/proxy/flow.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/sock"
 )
 
 // Flow is how a [Proxy] passes on the bytes of one direction. The zero Flow passes
@@ -53,10 +54,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.Close()
+		sock.Reset(c)
 	}
 }
 
--- a/sock/closer.go
+++ b/sock/closer.go
@@ -137,6 +137,16 @@
 	return nil
 }
 
+// Reset closes a connection and drops what its peer hasn't received, also one that would
+// otherwise stay open until its peer has received everything.
+func Reset(c net.Conn) {
+	// Errors mean that the connection is closed.
+	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // isClosed reports whether Close was called.
 func (c *Conn) isClosed() bool {
 	c.mu.Lock()
--- a/sock/doc.go
+++ b/sock/doc.go
@@ -13,5 +13,6 @@
 //
 //	var c sock.Closer
 //	ln = c.Listener(ln)  // its connections may be closed while their peers still read
+//	sock.Reset(conn)     // drops what the peer hasn't received
 //	c.Wait(ctx)          // before the process exits
 package sock
--- a/trial/crowd.go
+++ b/trial/crowd.go
@@ -145,15 +145,6 @@
 	return b.Bytes()
 }
 
-// RunAll runs the crowds until ctx ends.
-func RunAll(ctx context.Context, crowds []Crowd, addr string) {
-	var all sync.WaitGroup
-	for _, c := range crowds {
-		all.Go(func() { c.Run(ctx, addr) })
-	}
-	all.Wait()
-}
-
 // Run runs the callers until ctx ends and returns how many connections they opened. A
 // caller whose connection is closed comes back.
 func (c Crowd) Run(ctx context.Context, addr string) int {
--- a/wire/handshake.go
+++ b/wire/handshake.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 
+	"lacewinghook.example/lacewinghook/sock"
 	"lacewinghook.example/lacewinghook/spool"
 )
 
@@ -20,16 +21,7 @@
 // newHandshakeConn returns a connection that charges held, which may be nil. If it must give
 // way, it is reset: there is nothing that a close would have to deliver.
 func newHandshakeConn(raw net.Conn, held *spool.Pool) *handshakeConn {
-	return &handshakeConn{Conn: raw, held: spool.Buffer{Pool: held, Evict: func() { reset(raw) }}}
-}
-
-// reset closes a connection and drops what its peer hasn't received. Errors mean that it is
-// closed.
-func reset(conn net.Conn) {
-	if c, ok := conn.(interface{ SetLinger(sec int) error }); ok {
-		_ = c.SetLinger(0)
-	}
-	_ = conn.Close()
+	return &handshakeConn{Conn: raw, held: spool.Buffer{Pool: held, Evict: func() { sock.Reset(raw) }}}
 }
 
 // Read implements [net.Conn].
@@ -41,7 +33,7 @@
 		return n, err
 	}
 	if full := c.held.Reserve(int64(n)); full != nil {
-		reset(c.Conn)
+		sock.Reset(c.Conn)
 		return 0, full
 	}
 	return n, err
