watch, edge: log where state comes from, and how far it is behind

No change of behaviour. New lines: a peer has a newer manifest, the replicas changed, request rejected by the manifest. New gauges: manifest_version, manifest_behind_ms, replicas_age_ms.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"strings"
 
+	"go.uber.org/zap"
+
 	"lacewinghook.example/lacewinghook/access"
 	"lacewinghook.example/lacewinghook/clock"
 	"lacewinghook.example/lacewinghook/codes"
@@ -69,6 +71,7 @@
 	path, _, _ := strings.Cut(o.Target, "?")
 	match, err := e.routes.Match(o.Host, path)
 	if err != nil {
+		c.logRejected(o, match.Version, err)
 		return err
 	}
 	route := match.Route
@@ -78,6 +81,7 @@
 	r.Profile = route.Profile
 	if err := identify(r, match.Accounts); err != nil {
 		e.meter.Add("requests_unauthorized_total", 1)
+		c.logRejected(o, match.Version, err)
 		return err
 	}
 	latest := r.Arrived - r.Queued + cmp.Or(route.Profile.Timeout, defaultTimeout)
@@ -90,6 +94,15 @@
 	return e.checkFinishes(r, true)
 }
 
+// logRejected logs that the manifest doesn't allow a request, and how current it is.
+func (c callerRunner) logRejected(o *core.Opaque, version int64, err error) {
+	e := c.edge
+	s := e.watcher.ManifestState()
+	e.Log.Info("edge: request rejected by the manifest", zap.String("request", o.ID), zap.Int64("manifest", version),
+		zap.Int64("active", int64(e.Clock.Now())-e.manifestAt.Load()), zap.Int64("reported", s.Reported), zap.Int64("behind", int64(s.Behind)),
+		zap.Int64("read", int64(s.ReadAge)), zap.Stringer("code", codes.From(err).Code))
+}
+
 // identify sets the workspace of a request, its priority and its limit. A request on a
 // public route needs no key.
 func identify(r *core.Request, accounts *access.Table) error {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -197,6 +197,9 @@
 		Source: &e.store, Peers: e, Self: self, Clock: e.Clock, Log: e.Log, Meter: &e.meter,
 		OnManifest: e.applyManifest, OnFleet: e.applyFleet, OnEntries: e.applyEntries, OnRestore: e.onRestore, Fresh: s.Fleet.Fresh,
 	}
+	e.meter.Gauge("manifest_version", func() float64 { return float64(e.watcher.ManifestState().Version) })
+	e.meter.Gauge("manifest_behind_ms", func() float64 { return float64(e.watcher.ManifestState().Behind) })
+	e.meter.Gauge("replicas_age_ms", func() float64 { _, age := e.watcher.FleetAge(); return float64(age) })
 	e.crashes = poison.Quarantine{Engines: &e.replicas, Boots: e, Clock: e.Clock, Meter: &e.meter, Log: e.Log, Self: s.Instance}
 	e.tainted.init(e, nil, e.store.TaintedParts())
 	e.requests.init(e, &e.tainted.Table, e.store.PoisonRequests())
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -156,8 +156,10 @@
 	Meter *meter.Registry
 
 	// manifestVersion is the active version, newestManifest the highest one
-	// that a peer has reported.
-	manifestVersion, newestManifest atomic.Int64
+	// that a peer has reported, first at reportedAt.
+	manifestVersion, newestManifest, reportedAt atomic.Int64
+	// manifestReadAt is the instant of the last answer of the store about the manifest.
+	manifestReadAt atomic.Int64
 	// readNow requests an immediate read of the list of replicas.
 	readNow atomic.Bool
 	// peerUpdate wakes [Watcher.watchPeers], and fleetDue wakes
@@ -212,6 +214,10 @@
 // list with the same members, this entry's own next read is postponed.
 func (w *Watcher) HandlePeerState(s PeerState) {
 	newerManifest := s.Manifest > w.manifestVersion.Load() && storeMax(&w.newestManifest, s.Manifest)
+	if newerManifest {
+		w.reportedAt.Store(int64(w.Clock.Now()))
+		w.log().Info("watch: a peer has a newer manifest", zap.Int64("version", s.Manifest), zap.Int64("have", w.manifestVersion.Load()))
+	}
 	if s.Era > 0 {
 		w.enterEra(s.Era, "peer")
 	}
@@ -300,6 +306,27 @@
 	return s
 }
 
+// ManifestState tells how current the manifest is.
+type ManifestState struct {
+	// Version is the active version, and Reported the highest one that a peer has reported.
+	Version, Reported int64
+	// Behind is the time since a peer first reported the latter, zero unless it is newer.
+	Behind clock.Millis
+	// ReadAge is the time since the store last answered a call for the manifest, which
+	// it does within the 25 s that a call waits for a change.
+	ReadAge clock.Millis
+}
+
+// ManifestState returns how current the manifest is.
+func (w *Watcher) ManifestState() ManifestState {
+	now := w.Clock.Now()
+	s := ManifestState{Version: w.manifestVersion.Load(), Reported: w.newestManifest.Load(), ReadAge: now - clock.Millis(w.manifestReadAt.Load())}
+	if s.Reported > s.Version {
+		s.Behind = now - clock.Millis(w.reportedAt.Load())
+	}
+	return s
+}
+
 // FleetAge returns the revision of the list of replicas and the time since this
 // entry or a peer last read it with the same members.
 func (w *Watcher) FleetAge() (revision int64, age clock.Millis) {
@@ -432,7 +459,7 @@
 	}
 	w.recordRead(now)
 	w.readAt = now
-	fleet = w.setFleet(fleet, bad)
+	fleet = w.setFleet(fleet, bad, "store", 0)
 	w.mu.Unlock()
 	w.OnFleet(fleet)
 	return true
@@ -440,17 +467,24 @@
 
 // setFleet installs a list and returns it. Until keepMissingUntil it first
 // adds the current replicas that the list lacks, but for those with a bad row, and after
-// the store was restored it keeps the others as they were ([asBefore]). The caller holds
-// w.mu.
-func (w *Watcher) setFleet(fleet core.Fleet, bad map[string]bool) core.Fleet {
+// the store was restored it keeps the others as they were ([asBefore]). from and age tell
+// for the log where the list is from and when it was read. The caller holds w.mu.
+func (w *Watcher) setFleet(fleet core.Fleet, bad map[string]bool, from string, age clock.Millis) core.Fleet {
 	now := w.Clock.Now()
+	read := fleet.Replicas
 	if now < w.eras.restoredUntil && len(w.fleet.Replicas) > 0 {
 		fleet.Replicas = asBefore(fleet.Replicas, w.fleet.Replicas)
 	}
 	if now < w.keepMissingUntil {
 		fleet.Replicas = withMissing(fleet.Replicas, w.fleet.Replicas, bad)
 	}
-	w.fleet, w.membersHash = fleet, fleet.Fingerprint()
+	if hash := fleet.Fingerprint(); hash != w.membersHash {
+		w.log().Info("watch: the replicas changed", zap.Int64("era", fleet.Era), zap.Int64("revision", fleet.Revision),
+			zap.Int64("before", w.fleet.Revision), zap.String("from", from), zap.Int64("age", int64(age)),
+			zap.Int("replicas", len(fleet.Replicas)), zap.Strings("kept", missingNames(read, fleet.Replicas)))
+		w.membersHash = hash
+	}
+	w.fleet = fleet
 	return fleet
 }
 
@@ -481,6 +515,21 @@
 	return list
 }
 
+// missingNames returns the names of the replicas of list that read lacks.
+func missingNames(read, list []core.Replica) []string {
+	have := make(map[string]bool, len(read))
+	for i := range read {
+		have[read[i].Name] = true
+	}
+	var names []string
+	for i := range list {
+		if !have[list[i].Name] {
+			names = append(names, list[i].Name)
+		}
+	}
+	return names
+}
+
 // watchManifest reads the manifest and then waits for its changes.
 func (w *Watcher) watchManifest(ctx context.Context) {
 	b := backoff{watcher: w, table: "manifest"}
@@ -517,6 +566,7 @@
 			continue
 		}
 		b.succeeded()
+		w.manifestReadAt.Store(int64(w.Clock.Now()))
 		if !w.enterEra(now.Era, "store") {
 			version = core.StoreVersion{}
 			_ = w.Clock.Sleep(ctx, minBackoff)
@@ -537,9 +587,10 @@
 	if m == nil || m.Version <= w.manifestVersion.Load() {
 		return
 	}
+	behind := w.ManifestState().Behind
 	old := w.manifestVersion.Swap(m.Version)
 	w.log().Info("watch: activated a manifest", zap.Int64("version", m.Version), zap.Int64("before", old),
-		zap.String("from", from), zap.Int("routes", len(m.Routes)), zap.Int("services", len(m.Services)))
+		zap.String("from", from), zap.Int64("behind", int64(behind)), zap.Int("routes", len(m.Routes)), zap.Int("services", len(m.Services)))
 	w.OnManifest(m)
 }
 
@@ -757,7 +808,7 @@
 	s.Fleet.Era, s.Table.Era = w.inOwnEra(s.Fleet.Era), w.inOwnEra(s.Table.Era)
 	newer := s.Fleet.Version().Newer(w.fleet.Version())
 	if newer {
-		s.Fleet = w.setFleet(s.Fleet, nil)
+		s.Fleet = w.setFleet(s.Fleet, nil, "peer", s.Age)
 		w.peerReadAt = max(w.peerReadAt, w.Clock.Now()-s.Age-hopDelay)
 	}
 	newerTable := entries && len(s.Entries) > 0 && (s.Table.Newer(w.table) || len(w.entries) == 0)
