--- a/watch/turn_test.go
+++ b/watch/turn_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"lacewinghook.example/lacewinghook/clock"
+	"lacewinghook.example/lacewinghook/codes"
 	"lacewinghook.example/lacewinghook/core"
 	"lacewinghook.example/lacewinghook/notify"
 	"lacewinghook.example/lacewinghook/watch"
@@ -23,6 +25,8 @@
 	changed    notify.Signal
 	got        *applied
 	stop       context.CancelFunc
+	// cut is set while the member reaches neither the store nor its neighbours.
+	cut atomic.Bool
 
 	mu sync.Mutex
 	// heard holds the last state of each neighbour.
@@ -43,6 +47,7 @@
 	table := have.Table
 	for n, s := range m.heard {
 		switch {
+		case m.cut.Load() || n.cut.Load():
 		case s.Era < have.Era:
 		case entries && s.Table > table:
 			from, table = n, s.Table
@@ -61,11 +66,28 @@
 	return s, true
 }
 
+// Fleet implements [watch.Source].
+func (m *memberSource) Fleet(ctx context.Context) (core.Fleet, []core.BadRow, error) {
+	if m.member.cut.Load() {
+		return core.Fleet{}, nil, codes.New(codes.PlatformDown, "cut off")
+	}
+	return m.source.Fleet(ctx)
+}
+
+// memberSource is the store as a member reaches it.
+type memberSource struct {
+	*source
+	member *member
+}
+
 // tell reports the member's state to its neighbours, after 5 ms.
 func (m *member) tell(ctx context.Context) {
 	_ = clock.Clock{}.Sleep(ctx, 5)
 	state := m.PeerState()
 	for _, n := range m.neighbours {
+		if m.cut.Load() || n.cut.Load() {
+			continue
+		}
 		n.mu.Lock()
 		n.heard[m] = state
 		n.mu.Unlock()
@@ -90,7 +112,7 @@
 	for i := range n {
 		m := &member{turn: watch.Turn{Ahead: i, Relayed: true, Drain: drain}, got: &applied{}, heard: make(map[*member]watch.PeerState)}
 		m.Watcher = &watch.Watcher{
-			Source: s, Peers: m, Self: core.Instance{Name: fmt.Sprintf("entry-%03d", i)}, Fresh: fresh,
+			Source: &memberSource{s, m}, Peers: m, Self: core.Instance{Name: fmt.Sprintf("entry-%03d", i)}, Fresh: fresh,
 			OnManifest: func(*core.Manifest) {},
 			OnFleet:    func(fleet core.Fleet) { m.got.mu.Lock(); m.got.fleet = fleet; m.got.mu.Unlock(); m.changed.Send() },
 			OnEntries:  func([]core.Instance) {},
--- a/watch/watcher_test.go
+++ b/watch/watcher_test.go
@@ -235,6 +235,19 @@
 	entries  int
 }
 
+// onManifest records a manifest, and onFleet a list of replicas.
+func (s *applied) onManifest(m *core.Manifest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.manifest = append(s.manifest, m.Version)
+}
+
+func (s *applied) onFleet(f core.Fleet) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet = f
+}
+
 // version returns the version of the last manifest.
 func (s *applied) version() int64 {
 	s.mu.Lock()
@@ -261,10 +274,9 @@
 	got := &applied{}
 	w := &watch.Watcher{
 		Source: s, Peers: p, Self: core.Instance{Name: "self"},
-		OnManifest: func(m *core.Manifest) { got.mu.Lock(); got.manifest = append(got.manifest, m.Version); got.mu.Unlock() },
-		OnFleet:    func(fleet core.Fleet) { got.mu.Lock(); got.fleet = fleet; got.mu.Unlock() },
-		OnEntries:  func(l []core.Instance) { got.mu.Lock(); got.entries = len(l); got.mu.Unlock() },
-		Meter:      &meter.Registry{},
+		OnManifest: got.onManifest, OnFleet: got.onFleet,
+		OnEntries: func(l []core.Instance) { got.mu.Lock(); got.entries = len(l); got.mu.Unlock() },
+		Meter:     &meter.Registry{},
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
