watch: install states in the order in which they are compared

What callers see: a request is sent to a replica although the entry knows a list in which it leaves or is gone; the entry reports the newer revision, so that nothing corrects it.

Cause: a list of replicas was compared with the current one under a lock and passed to OnFleet after the lock was given back, by two goroutines: own reads, and lists from peers. The one with the older list may be delayed in between. The entry's members agree with those that peers report, so that an entry that relies on others reads nothing again. The version of the manifest was loaded and stored in two steps, so that it could go back, and a table of entries read earlier could replace a newer one from a peer.

Change: one lock is held from the comparison to the end of the callback, for all three tables.

Class: a state that is compared under a lock and installed outside of it. Looked at for the same: vhost.Table, drain.ActiveDrains, pool.Table.Apply and edge.applyPool hold a lock throughout; edge.applyFleet swaps the list first, and is now called in order.

--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -170,6 +170,10 @@
 	// leaving stops this entry from writing its row again.
 	leaving atomic.Bool
 
+	// install is held while a state is compared with the current one, stored and passed to
+	// its callback, so that an older state never follows a newer one. It is taken before mu.
+	install sync.Mutex
+
 	// mu guards the fields below.
 	mu          sync.Mutex
 	fleet       core.Fleet
@@ -449,6 +453,8 @@
 // applyFleet installs a list that was read from the store. A list older than
 // the current one is ignored; ok is false then. bad holds the keys of bad rows.
 func (w *Watcher) applyFleet(fleet core.Fleet, bad map[string]bool) (ok bool) {
+	w.install.Lock()
+	defer w.install.Unlock()
 	now := w.Clock.Now()
 	w.mu.Lock()
 	if current := w.fleet.Version(); current.Newer(fleet.Version()) {
@@ -584,6 +590,8 @@
 // applyManifest activates a manifest unless its version is not above the
 // active one.
 func (w *Watcher) applyManifest(m *core.Manifest, from string) {
+	w.install.Lock()
+	defer w.install.Unlock()
 	if m == nil || m.Version <= w.manifestVersion.Load() {
 		return
 	}
@@ -720,9 +728,15 @@
 	return w.table
 }
 
-// applyEntries installs the table of entries.
+// applyEntries installs the table of entries unless it is older than the current one.
 func (w *Watcher) applyEntries(list []core.Instance, table core.StoreVersion) {
+	w.install.Lock()
+	defer w.install.Unlock()
 	w.mu.Lock()
+	if w.table.Newer(table) && len(w.entries) > 0 {
+		w.mu.Unlock()
+		return
+	}
 	w.entries, w.table = list, table
 	joined := w.joinedAt == 0
 	if joined {
@@ -804,23 +818,34 @@
 	}
 	w.applyManifest(s.Manifest, "peer")
 	w.enterEra(max(s.Fleet.Era, s.Table.Era), "peer")
+	w.applyPeerFleet(s.Fleet, s.Age)
 	w.mu.Lock()
-	s.Fleet.Era, s.Table.Era = w.inOwnEra(s.Fleet.Era), w.inOwnEra(s.Table.Era)
-	newer := s.Fleet.Version().Newer(w.fleet.Version())
-	if newer {
-		s.Fleet = w.setFleet(s.Fleet, nil, "peer", s.Age)
-		w.peerReadAt = max(w.peerReadAt, w.Clock.Now()-s.Age-hopDelay)
-	}
+	s.Table.Era = w.inOwnEra(s.Table.Era)
 	newerTable := entries && len(s.Entries) > 0 && (s.Table.Newer(w.table) || len(w.entries) == 0)
 	w.mu.Unlock()
-	if newer {
-		w.OnFleet(s.Fleet)
-	}
 	if newerTable {
 		w.applyEntries(s.Entries, s.Table)
 	}
 }
 
+// applyPeerFleet installs a list that a peer has sent if it is newer than the current one.
+// age is the time since it was read.
+func (w *Watcher) applyPeerFleet(fleet core.Fleet, age clock.Millis) {
+	w.install.Lock()
+	defer w.install.Unlock()
+	w.mu.Lock()
+	fleet.Era = w.inOwnEra(fleet.Era)
+	newer := fleet.Version().Newer(w.fleet.Version())
+	if newer {
+		fleet = w.setFleet(fleet, nil, "peer", age)
+		w.peerReadAt = max(w.peerReadAt, w.Clock.Now()-age-hopDelay)
+	}
+	w.mu.Unlock()
+	if newer {
+		w.OnFleet(fleet)
+	}
+}
+
 // log returns Log, or a logger that discards everything.
 func (w *Watcher) log() *zap.Logger {
 	if w.Log == nil {
