watch: pass the list of replicas on as it was read

What callers see: requests are sent to a replica that has left, by entries that were in touch all the while (DRAIN, 3.5 to 4.4 s after the acknowledgement).

Cause: an entry that hears of no read of the list for 2.8 s takes that for an outage of the store and keeps the replicas that the next list lacks for 2.3 s, since their rows come back. A frozen or cut off entry can't tell its own silence from an outage. The replicas kept became part of its list: it served them to peers, under the revision of its own read, the newest of all as it reads at once when it runs again. Peers that were behind for another reason installed them; and once the 2.3 s were over it reported its list as one that differs, and is newer, so that all its neighbours asked for it.

Change: the list as it was read is held apart from the list in use. Peers are told of and get the former; each entry adds by itself what it keeps. Lists as read can be compared at any time, so the mark for those that can't is not sent any more (older builds' is still understood). Kept replicas go with the first reading after their time, by any entry; a list that is the same as the one known, of a newer revision, counts as that revision.

Class: a belief that is valid for its holder only is passed on as a fact. Looked at for the same: notices (heard words keep their source and age), refused connections (the same), quarantines (with witnesses), quotas (levels are those of the owner).

TestKeptReplicaStaysAfterItsTime as it landed asked that a kept replica goes although the store is away again, which would drop running replicas whose rows can't come back.

--- a/watch/behind_test.go
+++ b/watch/behind_test.go
@@ -181,27 +181,38 @@
 	}
 }
 
-// TestKeptReplicaStaysAfterItsTime guards against a replica that is kept although the store
-// lacks it for longer than the rows need to come back, until some later list arrives.
+// TestKeptReplicaStaysAfterItsTime guards against a replica that is kept after the time in
+// which rows come back after an outage of the store, since the lists that peers go on to read
+// have no news, and against one that is dropped while the store is away again.
 func TestKeptReplicaStaysAfterItsTime(t *testing.T) {
-	t.Parallel()
-	is := is.New(t)
-	c := clock.Clock{}
-	s := newSource()
-	s.fleet = fleet(1, "a", "b")
-	got := &applied{}
-	w := &watch.Watcher{Source: s, OnManifest: got.onManifest, OnFleet: got.onFleet, OnEntries: func([]core.Instance) {}}
-	run(t, w)
-	until(t, "the first list", func() bool { return got.names() == "ab" })
-	s.edit(func() { s.err = codes.New(codes.PlatformDown, "") })
-	_ = c.Sleep(t.Context(), 5000)
-	s.edit(func() { s.err, s.fleet = nil, fleet(2, "b") })
-	until(t, "a read after the outage", func() bool { return w.Snapshot().Fleet.Revision == 2 })
-	is.Equal(got.names(), "ba")
-	at := c.Now()
-	s.edit(func() { s.err = codes.New(codes.PlatformDown, "") })
-	until(t, "the end of the time", func() bool { return got.names() == "b" })
-	is.True(c.Now()-at <= drainTime)
+	for _, returns := range []bool{true, false} {
+		t.Run(fmt.Sprint("the store stays ", returns), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := clock.Clock{}
+			s := newSource()
+			s.fleet = fleet(1, "a", "b")
+			p := &relayedPeers{}
+			got := &applied{}
+			w := &watch.Watcher{Source: s, Peers: p, OnManifest: got.onManifest, OnFleet: got.onFleet, OnEntries: func([]core.Instance) {}}
+			run(t, w)
+			until(t, "the first list", func() bool { return got.names() == "ab" })
+			s.edit(func() { s.err = codes.New(codes.PlatformDown, "") })
+			_ = c.Sleep(t.Context(), 5000)
+			read := fleet(2, "b")
+			p.set(watch.Snapshot{Fleet: read})
+			report := func() { w.HandlePeerState(watch.PeerState{Fleet: read.Revision, Members: read.Fingerprint()}) }
+			report()
+			until(t, "the list after the outage", func() bool { return w.Snapshot().Fleet.Revision == 2 })
+			is.Equal(got.names(), "ba")
+			for at := c.Now(); c.Now() < at+drainTime; _ = c.Sleep(t.Context(), 50) {
+				if returns {
+					report()
+				}
+			}
+			is.Equal(got.names() == "b", returns)
+		})
+	}
 }
 
 // run runs a watcher until the end of the test.
--- a/watch/doc.go
+++ b/watch/doc.go
@@ -8,7 +8,9 @@
 //
 // A replica that is missing from the list is removed, except shortly after an
 // outage of the store: the rows of running replicas may have expired during
-// the outage, and the replicas write them again within a short time.
+// the outage, and the replicas write them again within a short time. An entry keeps
+// replicas for itself only: it passes the list on as it was read, since a peer that has read
+// the list all the while must not use a removed replica again.
 //
 // The store may be set back to an older copy of itself, in which case the era in its
 // answers rises and its revisions are assigned again. Versions are compared within one era
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -175,14 +175,18 @@
 	install sync.Mutex
 
 	// mu guards the fields below.
-	mu          sync.Mutex
-	fleet       core.Fleet
-	membersHash uint64
+	mu sync.Mutex
+	// fleet is the list of replicas in use, and listed the same one as it was read, without
+	// the changes of setFleet. Peers are told of listed. usedHash and membersHash are their
+	// fingerprints.
+	fleet, listed         core.Fleet
+	usedHash, membersHash uint64
 	// readAt is the instant of this entry's last read of the list, peerReadAt
 	// that of the last read by a peer with the same members, and confirmedAt
 	// that of the last read by any entry. Until keepMissingUntil, missing
-	// replicas are kept.
+	// replicas are kept; keeping is set while fleet differs from listed.
 	readAt, peerReadAt, confirmedAt, keepMissingUntil clock.Millis
+	keeping                                           bool
 	entries                                           []core.Instance
 	// table is the version of entries. startedAt is the instant at which Run began,
 	// and joinedAt that of the first reading of the table.
@@ -240,18 +244,24 @@
 	w.recordRead(at)
 	list := core.StoreVersion{Era: s.Era, Revision: s.Fleet}
 	same := s.Members == w.membersHash
-	if same && s.Members != 0 && s.Era > w.fleet.Era {
-		// The list is that of the new era, too.
+	if same && s.Members != 0 && list.Newer(w.listed.Version()) {
+		// The list is that of the newer version, too.
 		w.fleet.Era, w.fleet.Revision = s.Era, s.Fleet
+		w.listed.Era, w.listed.Revision = s.Era, s.Fleet
 	}
+	drop := false
 	if same && s.Members != 0 && s.Era == w.fleet.Era {
 		w.peerReadAt = max(w.peerReadAt, at)
+		drop = w.keeping && at >= w.keepMissingUntil
 	}
 	newerFleet := list.Newer(w.fleet.Version()) && !same && s.Members != 0 && list.Newer(w.peerFleet)
 	if newerFleet {
 		w.peerFleet = list
 	}
 	w.mu.Unlock()
+	if drop {
+		w.dropKept()
+	}
 	if newerTable {
 		w.tableDue.Send()
 	}
@@ -278,17 +288,15 @@
 	}
 }
 
-// Snapshot returns this entry's replicas and its table of entries, to answer a peer.
+// Snapshot returns the replicas as they were read and the table of entries, to answer a peer.
 func (w *Watcher) Snapshot() Snapshot {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return Snapshot{Fleet: w.fleet, Age: w.Clock.Now() - max(w.readAt, w.peerReadAt), Entries: w.entries, Table: w.table}
+	return Snapshot{Fleet: w.listed, Age: w.Clock.Now() - max(w.readAt, w.peerReadAt), Entries: w.entries, Table: w.table}
 }
 
-// PeerState returns the state to report to the peers. A list with replicas that
-// are kept although the store lacks them is marked as not comparable, except after the
-// store was restored: the peers keep the same ones then. Unless reads are
-// relayed, the age is that of the entry's own read.
+// PeerState returns the state to report to the peers. Unless reads are relayed, the age is
+// that of the entry's own read.
 func (w *Watcher) PeerState() PeerState {
 	relayed := w.relayed()
 	w.mu.Lock()
@@ -304,9 +312,6 @@
 	if relayed {
 		s.Age = now - max(w.readAt, w.peerReadAt)
 	}
-	if now < w.keepMissingUntil && now >= w.eras.restoredUntil {
-		s.Members = 0
-	}
 	return s
 }
 
@@ -458,6 +463,13 @@
 	now := w.Clock.Now()
 	w.mu.Lock()
 	if current := w.fleet.Version(); current.Newer(fleet.Version()) {
+		if fleet.Fingerprint() == w.membersHash {
+			// A peer has reported a later read of the same list meanwhile.
+			w.recordRead(now)
+			w.readAt = now
+			w.mu.Unlock()
+			return true
+		}
 		w.mu.Unlock()
 		w.log().Warn("watch: ignored a list of replicas older than the current one", zap.Int64("era", fleet.Era),
 			zap.Int64("revision", fleet.Revision), zap.Int64("have", current.Revision))
@@ -471,29 +483,51 @@
 	return true
 }
 
-// setFleet installs a list and returns it. Until keepMissingUntil it first
-// adds the current replicas that the list lacks, but for those with a bad row, and after
-// the store was restored it keeps the others as they were ([asBefore]). from and age tell
+// setFleet installs a list that was read and returns the one to use. Until keepMissingUntil
+// that one includes the replicas in use that the list lacks, but for those with a bad row, and
+// after the store was restored the others stay as they were ([asBefore]). from and age tell
 // for the log where the list is from and when it was read. The caller holds w.mu.
 func (w *Watcher) setFleet(fleet core.Fleet, bad map[string]bool, from string, age clock.Millis) core.Fleet {
 	now := w.Clock.Now()
-	read := fleet.Replicas
-	if now < w.eras.restoredUntil && len(w.fleet.Replicas) > 0 {
-		fleet.Replicas = asBefore(fleet.Replicas, w.fleet.Replicas)
+	before := w.fleet
+	w.listed, w.membersHash = fleet, fleet.Fingerprint()
+	if now < w.eras.restoredUntil && len(before.Replicas) > 0 {
+		fleet.Replicas = asBefore(fleet.Replicas, before.Replicas)
 	}
 	if now < w.keepMissingUntil {
-		fleet.Replicas = withMissing(fleet.Replicas, w.fleet.Replicas, bad)
+		fleet.Replicas = withMissing(fleet.Replicas, before.Replicas, bad)
 	}
-	if hash := fleet.Fingerprint(); hash != w.membersHash {
+	w.fleet = fleet
+	used := w.usedHash
+	w.usedHash = w.membersHash
+	if w.keeping = len(fleet.Replicas) != len(w.listed.Replicas) || now < w.eras.restoredUntil; w.keeping {
+		w.usedHash = fleet.Fingerprint()
+	}
+	if used != w.usedHash {
 		w.log().Info("watch: the replicas changed", zap.Int64("era", fleet.Era), zap.Int64("revision", fleet.Revision),
-			zap.Int64("before", w.fleet.Revision), zap.String("from", from), zap.Int64("age", int64(age)),
-			zap.Int("replicas", len(fleet.Replicas)), zap.Strings("kept", missingNames(read, fleet.Replicas)))
-		w.membersHash = hash
+			zap.Int64("before", before.Revision), zap.String("from", from), zap.Int64("age", int64(age)),
+			zap.Int("replicas", len(fleet.Replicas)), zap.Strings("kept", missingNames(w.listed.Replicas, fleet.Replicas)))
 	}
-	w.fleet = fleet
 	return fleet
 }
 
+// dropKept has the list be used as it was read. Any entry has read the same members after
+// keepMissingUntil, so that what they lack won't come back.
+func (w *Watcher) dropKept() {
+	w.install.Lock()
+	defer w.install.Unlock()
+	w.mu.Lock()
+	drop := w.keeping && w.Clock.Now() >= w.keepMissingUntil
+	if drop {
+		w.setFleet(w.listed, nil, "peer", 0)
+	}
+	fleet := w.fleet
+	w.mu.Unlock()
+	if drop {
+		w.OnFleet(fleet)
+	}
+}
+
 // recordRead records a read of the store at that instant by any entry. If the
 // store rejects only this entry's calls, the reads of peers show that it is up.
 // After a gap in the reads of all entries, missing replicas are kept for
@@ -509,6 +543,7 @@
 // withMissing adds to list the earlier replicas that it lacks and whose names aren't in
 // except.
 func withMissing(list, earlier []core.Replica, except map[string]bool) []core.Replica {
+	list = slices.Clip(list)
 	have := make(map[string]bool, len(list))
 	for i := range list {
 		have[list[i].Name] = true
