watch: pursue a newer manifest or list for as long as this entry is behind

What callers see: a request is refused or routed as an older manifest says, for up to 25 s after a newer one was acknowledged (CONFIG).

Cause: a peer's report of a newer version woke the requests for it only when it was the first report of that version. If the next four requests failed, no later report of the same version counted. The manifest was then awaited from a call that waits at the store for 25 s and is never answered if the store was silent for this entry, or its answer was lost, when the call began. A failed read of the list of replicas lost the wake-up in the same way while peers confirmed the older list.

Change: the wake-up depends on being behind. Peers are asked, with a pause that doubles to 1 s and ends early when one reports newer state again; if they fail, the waiting call is ended and the manifest read (400 ms apart at least, doubling to 25 s, since a restored store may have no newer one). Where reads aren't relayed, the list is read for as long as a peer has a newer one. The part moves to behind.go.

Class: a wake-up that is tied to the first sight of a version. Looked at for the same: drain.ReportVersion and pubdoc wake at each report of a version above their own and poll; the table of entries is read from the store if the request to a peer fails; notices are told again every 15 s.

Evidence: TestManifestMissedAfterFailedRequests, red before in each of its three cases (manifest 1 after 20 s, bound 3 s), green after; go test -race ./watch.

--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -127,10 +127,13 @@
 	// itself, and only updates of several peers are combined.
 	peerRequestDelay    clock.Millis = 150
 	relayedRequestDelay clock.Millis = 20
-	// If reads are relayed, a peer that has failed to answer is asked again up to
-	// maxPeerRetries times.
-	maxPeerRetries              = 3
-	peerRetryPause clock.Millis = 200
+	// peerRetryPause is the least pause before peers are asked again that have failed to
+	// answer, and maxPeerRetryPause that without a further report.
+	peerRetryPause    clock.Millis = 200
+	maxPeerRetryPause              = 1 * clock.Second
+	// rereadPause is the least pause between two reads of the manifest because this entry is
+	// behind; it doubles up to watchTimeout.
+	rereadPause clock.Millis = 400
 )
 
 // Watcher keeps a copy of the store up to date. Source, Self, OnManifest,
@@ -165,6 +168,8 @@
 	// peerUpdate wakes [Watcher.watchPeers], and fleetDue wakes
 	// [Watcher.watchFleet].
 	peerUpdate, fleetDue notify.Signal
+	// endFeed ends the call that waits for a change of the manifest; nil while there is none.
+	endFeed atomic.Pointer[context.CancelCauseFunc]
 	// tableDue wakes [Watcher.watchEntries], since a peer has reported a newer table.
 	tableDue notify.Signal
 	// leaving stops this entry from writing its row again.
@@ -221,8 +226,8 @@
 // HandlePeerState processes the state that a peer reports. If the peer has read a
 // list with the same members, this entry's own next read is postponed.
 func (w *Watcher) HandlePeerState(s PeerState) {
-	newerManifest := s.Manifest > w.manifestVersion.Load() && storeMax(&w.newestManifest, s.Manifest)
-	if newerManifest {
+	newerManifest := s.Manifest > w.manifestVersion.Load()
+	if newerManifest && storeMax(&w.newestManifest, s.Manifest) {
 		w.reportedAt.Store(int64(w.Clock.Now()))
 		w.log().Info("watch: a peer has a newer manifest", zap.Int64("version", s.Manifest), zap.Int64("have", w.manifestVersion.Load()))
 	}
@@ -254,8 +259,8 @@
 		w.peerReadAt = max(w.peerReadAt, at)
 		drop = w.keeping && at >= w.keepMissingUntil
 	}
-	newerFleet := list.Newer(w.fleet.Version()) && !same && s.Members != 0 && list.Newer(w.peerFleet)
-	if newerFleet {
+	newerFleet := list.Newer(w.fleet.Version()) && !same && s.Members != 0
+	if newerFleet && list.Newer(w.peerFleet) {
 		w.peerFleet = list
 	}
 	w.mu.Unlock()
@@ -266,7 +271,6 @@
 		w.tableDue.Send()
 	}
 	if newerFleet && !relayed {
-		w.readNow.Store(true)
 		w.fleetDue.Send()
 	}
 	if newerFleet || newerManifest {
@@ -399,7 +403,7 @@
 		}
 		b.succeeded()
 		known = w.reportBadRows(known, bad)
-		if !w.enterEra(fleet.Era, "store") || !w.applyFleet(fleet, known) {
+		if !w.enterEra(fleet.Era, "store") || !w.applyFleet(fleet, known) || !w.relayed() && w.behindFleet() {
 			// The loop checks ctx.
 			_ = w.Clock.Sleep(ctx, minBackoff)
 		}
@@ -437,7 +441,7 @@
 // before the first read, unless all entries start together, and after a peer has
 // reported a different list.
 func (w *Watcher) untilNextRead() clock.Millis {
-	if w.readNow.Swap(false) {
+	if w.readNow.Swap(false) || !w.relayed() && w.behindFleet() {
 		return 0
 	}
 	delay := w.turn().Delay()
@@ -583,15 +587,26 @@
 		if version.Revision == 0 {
 			m, now, err = w.Source.Manifest(ctx)
 		} else {
-			ended, err = w.follow(ctx, version, func(ctx context.Context) (err error) {
-				m, now, err = w.Source.ManifestAfter(ctx, version, watchTimeout)
+			ended, err = w.follow(ctx, version, func(ctx context.Context) error {
+				feed, end := context.WithCancelCause(ctx)
+				defer end(nil)
+				w.endFeed.Store(&end)
+				m, now, err = w.Source.ManifestAfter(feed, version, watchTimeout)
+				w.endFeed.Store(nil)
+				if err != nil && errors.Is(context.Cause(feed), errBehind) {
+					return errBehind
+				}
 				return err
 			})
 		}
-		if ended {
+		switch {
+		case ended:
 			version = core.StoreVersion{}
 			w.spread(ctx)
 			continue
+		case errors.Is(err, errBehind):
+			version = core.StoreVersion{}
+			continue
 		}
 		if codes.Has(err, codes.BadDocument) {
 			// The one in force stays. The store has no other until the next change.
@@ -784,103 +799,6 @@
 	}
 }
 
-// watchPeers requests newer state from a peer after one has reported it, unless
-// the update arrives from the store within peerRequestDelay. An entry whose calls
-// the store rejects thus still detects in time that a replica leaves.
-func (w *Watcher) watchPeers(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-w.peerUpdate.C():
-		}
-		relayed := w.relayed()
-		delay := peerRequestDelay
-		if relayed {
-			delay = relayedRequestDelay
-		}
-		if w.Clock.Sleep(ctx, delay) != nil {
-			return
-		}
-		if !w.behind() {
-			continue
-		}
-		w.requestSnapshot(ctx, false)
-		// A read of this entry's own would have a newer revision than those of its
-		// peers, and make them ask in turn. It reads once the list is too old. The store
-		// may have no newer manifest, if it was restored from an older copy.
-		for try := 0; try < maxPeerRetries && (relayed && w.behind() || w.behindManifest()) && ctx.Err() == nil; try++ {
-			_ = w.Clock.Sleep(ctx, peerRetryPause)
-			w.requestSnapshot(ctx, false)
-		}
-	}
-}
-
-// behind reports whether a peer has reported a newer manifest or list of replicas.
-func (w *Watcher) behind() bool {
-	w.mu.Lock()
-	newer := w.peerFleet.Newer(w.fleet.Version())
-	w.mu.Unlock()
-	return newer || w.behindManifest()
-}
-
-// behindManifest reports whether a peer has reported a newer manifest.
-func (w *Watcher) behindManifest() bool {
-	return w.newestManifest.Load() > w.manifestVersion.Load()
-}
-
-// requestSnapshot requests newer state from a peer and installs it. It includes the
-// table of entries if entries is set or there is none.
-func (w *Watcher) requestSnapshot(ctx context.Context, entries bool) {
-	if w.Peers == nil {
-		return
-	}
-	have := w.PeerState()
-	w.mu.Lock()
-	entries = entries || len(w.entries) == 0
-	if !entries && w.peerTable.Era == have.Era {
-		// A newer table alone is no reason to ask a peer.
-		have.Table = max(have.Table, w.peerTable.Revision)
-	}
-	w.mu.Unlock()
-	if w.behindManifest() {
-		// A peer with a newer list may have no newer manifest.
-		have.Fleet = math.MaxInt64
-	}
-	s, ok := w.Peers.Snapshot(ctx, have, entries)
-	if !ok {
-		return
-	}
-	w.applyManifest(s.Manifest, "peer")
-	w.enterEra(max(s.Fleet.Era, s.Table.Era), "peer")
-	w.applyPeerFleet(s.Fleet, s.Age)
-	w.mu.Lock()
-	s.Table.Era = w.inOwnEra(s.Table.Era)
-	newerTable := entries && len(s.Entries) > 0 && (s.Table.Newer(w.table) || len(w.entries) == 0)
-	w.mu.Unlock()
-	if newerTable {
-		w.applyEntries(s.Entries, s.Table)
-	}
-}
-
-// applyPeerFleet installs a list that a peer has sent if it is newer than the current one.
-// age is the time since it was read.
-func (w *Watcher) applyPeerFleet(fleet core.Fleet, age clock.Millis) {
-	w.install.Lock()
-	defer w.install.Unlock()
-	w.mu.Lock()
-	fleet.Era = w.inOwnEra(fleet.Era)
-	newer := fleet.Version().Newer(w.fleet.Version())
-	if newer {
-		fleet = w.setFleet(fleet, nil, "peer", age)
-		w.peerReadAt = max(w.peerReadAt, w.Clock.Now()-age-hopDelay)
-	}
-	w.mu.Unlock()
-	if newer {
-		w.OnFleet(fleet)
-	}
-}
-
 // log returns Log, or a logger that discards everything.
 func (w *Watcher) log() *zap.Logger {
 	if w.Log == nil {
