edge, gossip: ask the next peer if one doesn't answer

What callers see: a request is refused as an older manifest says, or sent to a replica that has left, by an entry that is in touch, while a neighbour of it is frozen, cut off or has lost power.

Cause: newer state was requested from the one live peer that is ahead by most, which is often the one that reported first and then stopped. A peer counts as live for up to 3.4 s, a request to it took up to 5 s, and the goroutine that handles all reports waited for it. A retry chose the same peer.

Change: gossip.Ahead returns all peers that are ahead, the furthest first and of equal ones the last heard of.

Class: progress that depends on one peer. Looked at for the same: owners of engines, slots and quotas are passed over after 150 ms to 250 ms beyond the wait; heartbeats have a sender for each peer.

--- a/edge/state.go
+++ b/edge/state.go
@@ -213,29 +213,6 @@
 	return v, nil
 }
 
-// Snapshot implements [watch.Peers]. It reads the state of the live peer that
-// [gossip.Newest] selects.
-func (e *Edge) Snapshot(ctx context.Context, have watch.PeerState, entries bool) (watch.Snapshot, bool) {
-	newest, ok := gossip.Newest(e.gossip.Live(), have, entries)
-	if !ok {
-		return watch.Snapshot{}, false
-	}
-	addr, began := newest.Peer, e.Clock.Now()
-	v, err := e.peers.Snapshot(ctx, addr, wire.SnapshotRequest{Manifest: have.Manifest, Entries: entries})
-	took := zap.Int64("took", int64(e.Clock.Now()-began))
-	if err != nil {
-		e.Log.Warn("edge: reading state from a peer failed", zap.String("addr", addr), took, zap.Error(err))
-		return watch.Snapshot{}, false
-	}
-	manifest := int64(0)
-	if v.Manifest != nil {
-		manifest = v.Manifest.Version
-	}
-	e.Log.Info("edge: read state from a peer", zap.String("addr", addr), took, zap.Int64("fleet", v.Fleet.Revision), zap.Int64("manifest", manifest))
-	table := core.StoreVersion{Era: v.TableEra, Revision: v.Table}
-	return watch.Snapshot{Manifest: v.Manifest, Fleet: v.Fleet, Age: v.Age, Entries: v.Entries, Table: table}, true
-}
-
 // Relayed implements [watch.Peers].
 func (e *Edge) Relayed() bool { return e.gossip.Sparse() }
 
--- a/gossip/newest_test.go
+++ b/gossip/newest_test.go
@@ -10,6 +10,15 @@
 	"lacewinghook.example/lacewinghook/watch"
 )
 
+// newest returns the name of the peer that is asked first, empty if none is.
+func newest(peers []gossip.Peer, have watch.PeerState, table bool) string {
+	ahead := gossip.Ahead(peers, have, table)
+	if len(ahead) == 0 {
+		return ""
+	}
+	return ahead[0].Name
+}
+
 // TestNewestTableIsAskedFor guards against a request for a newer table of entries that goes
 // to a peer which has only a newer list of replicas, so that the store must be read.
 func TestNewestTableIsAskedFor(t *testing.T) {
@@ -24,19 +33,12 @@
 		peer("table", watch.PeerState{Manifest: 3, Fleet: 100, Table: 51}),
 		peer("manifest", watch.PeerState{Manifest: 4, Fleet: 100, Table: 10}),
 	}
-	got, ok := gossip.Newest(peers, have, true)
-	is.True(ok)
-	is.Equal(got.Name, "table")
-	got, ok = gossip.Newest(peers, have, false)
-	is.True(ok)
-	is.Equal(got.Name, "list")
-	got, ok = gossip.Newest(peers[3:], have, true)
-	is.True(ok)
-	is.Equal(got.Name, "manifest")
-	_, ok = gossip.Newest(peers[:1], have, true)
-	is.True(!ok)
-	_, ok = gossip.Newest(nil, have, false)
-	is.True(!ok)
+	is.Equal(newest(peers, have, true), "table")
+	is.Equal(newest(peers, have, false), "list")
+	is.Equal(newest(peers[3:], have, true), "manifest")
+	is.Equal(newest(peers[:1], have, true), "")
+	is.Equal(newest(nil, have, false), "")
+	is.Equal(len(gossip.Ahead(peers, have, false)), 3) // all but the older one
 }
 
 // TestNewestOfAnEra guards against a peer that is asked since its revisions are higher, though
@@ -51,13 +53,7 @@
 	same := peer("same", watch.PeerState{Era: 2, Manifest: 3, Fleet: 101, Table: 50})
 	newer := peer("newer", watch.PeerState{Era: 3, Manifest: 2, Fleet: 4, Table: 3})
 	build := peer("build", watch.PeerState{Manifest: 3, Fleet: 500, Table: 500})
-	newest := func(have watch.PeerState, peers ...gossip.Peer) string {
-		p, ok := gossip.Newest(peers, have, true)
-		if !ok {
-			return ""
-		}
-		return p.Name
-	}
+	newest := func(have watch.PeerState, peers ...gossip.Peer) string { return newest(peers, have, true) }
 	have := watch.PeerState{Era: 2, Manifest: 3, Fleet: 100, Table: 50}
 	is.Equal(newest(have, older), "")
 	is.Equal(newest(have, older, same), "same")
--- a/watch/turn_test.go
+++ b/watch/turn_test.go
@@ -40,7 +40,7 @@
 func (m *member) Turn() watch.Turn { return m.turn }
 
 // Snapshot implements [watch.Peers]. It returns the copy of a neighbour with the newest
-// table, or a newer list, as [gossip.Newest] does.
+// table, or a newer list, as [gossip.Ahead] does.
 func (m *member) Snapshot(_ context.Context, have watch.PeerState, entries bool) (watch.Snapshot, bool) {
 	m.mu.Lock()
 	var from *member
