watch: the first reader of the list keeps its own interval

If entries are frozen one after the other, no entry learns in time that a replica leaves.

Cause: reports carry the age of the last read, which doesn't grow while they wait at a frozen entry or in a queue. It relays them as recent, and the entry that reads the list for the others postpones its read, by up to a second for each.

Change: where reads are relayed, the first reader counts from its own last read. The others still rely on it, so that the number of reads stays as it was.

Evidence: TestDelayedReportsPostponeReads, red before (list "ab" 3 s after a left), green after; TestRelayedReads still allows three reads a second at most.

--- a/watch/behind_test.go
+++ b/watch/behind_test.go
@@ -237,3 +237,33 @@
 	})
 	t.Cleanup(func() { stop(); wg.Wait() })
 }
+
+// firstReader are the peers of the entry that reads the list first.
+type firstReader struct{ peers }
+
+// Relayed implements [watch.Peers].
+func (p *firstReader) Relayed() bool { return true }
+
+// Turn implements [watch.Peers].
+func (p *firstReader) Turn() watch.Turn { return watch.Turn{Relayed: true, Drain: drainTime} }
+
+// TestDelayedReportsPostponeReads guards against a leaving replica that nobody learns of: reports
+// that waited at entries which were frozen seem to be of recent reads of the list, so that the
+// entry that reads for the others doesn't.
+func TestDelayedReportsPostponeReads(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := clock.Clock{}
+	s := newSource()
+	s.fleet = fleet(1, "a", "b")
+	got := &applied{}
+	w := &watch.Watcher{Source: s, Peers: &firstReader{}, OnManifest: got.onManifest, OnFleet: got.onFleet, OnEntries: func([]core.Instance) {}}
+	run(t, w)
+	until(t, "the first list", func() bool { return got.names() == "ab" })
+	delayed := w.PeerState()
+	s.edit(func() { s.fleet = fleet(2, "b") })
+	for at := c.Now(); c.Now() < at+drainTime; _ = c.Sleep(t.Context(), 100) {
+		w.HandlePeerState(delayed)
+	}
+	is.Equal(got.names(), "b")
+}
--- a/watch/turn.go
+++ b/watch/turn.go
@@ -39,6 +39,9 @@
 // hears of no read.
 func (t Turn) reader() bool { return !t.Relayed || t.Ahead < maxReaders }
 
+// first reports whether this entry reads the store before all others that rely on its reads.
+func (t Turn) first() bool { return t.Relayed && t.Ahead == 0 }
+
 // Delay returns how much later than the first one this entry reads the list of
 // replicas.
 func (t Turn) Delay() clock.Millis {
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -444,11 +444,17 @@
 	if w.readNow.Swap(false) || !w.relayed() && w.behindFleet() {
 		return 0
 	}
-	delay := w.turn().Delay()
+	turn := w.turn()
+	delay := turn.Delay()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.Clock.Now()
-	switch last := max(w.readAt, w.peerReadAt); {
+	last := max(w.readAt, w.peerReadAt)
+	if turn.first() && w.readAt > 0 {
+		// A report that waited at a frozen entry tells of a read as more recent than it is.
+		last = w.readAt
+	}
+	switch {
 	case last > 0 && (w.Fresh || w.readAt > 0):
 		return last + maxFleetAge + delay - now
 	case !w.Fresh:
