--- a/edge/edge.go
+++ b/edge/edge.go
@@ -72,6 +72,8 @@
 	peerWorkStale atomic.Bool
 	// manifestAt is the instant at which the current manifest was applied.
 	manifestAt atomic.Int64
+	// snapshotTook is how long a peer took for its state when one last answered.
+	snapshotTook atomic.Int64
 	// fleet is the current list of replicas, nil before the first one.
 	fleet    atomic.Pointer[core.Fleet]
 	meter    meter.Registry
