watch, gossip: derive what was stored, one runner and one fake in the tests

- Whether replicas are kept follows from the two fingerprints, so that it is no field of its own.
- The condition for reading the list since a peer has a newer one stood twice: mustRead.
- The tests of behind_test.go had a second runner of watchers, a second fake for relayed peers and the same watcher three times: newWatcher, start and run serve all.
Assertions and bounds are as they were.

--- a/watch/behind.go
+++ b/watch/behind.go
@@ -62,6 +62,9 @@
 // peers, and makes them ask in turn. Otherwise it reads once the list is too old.
 func (w *Watcher) pursues() bool { return w.behindManifest() || w.relayed() && w.behindFleet() }
 
+// mustRead reports whether this entry reads the list because a peer has reported a newer one.
+func (w *Watcher) mustRead() bool { return !w.relayed() && w.behindFleet() }
+
 // behind reports whether a peer has reported a newer manifest or list of replicas.
 func (w *Watcher) behind() bool { return w.behindManifest() || w.behindFleet() }
 
--- a/watch/behind_test.go
+++ b/watch/behind_test.go
@@ -7,7 +7,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -84,9 +83,7 @@
 			p := &failingPeers{}
 			p.failures.Store(tc.failures)
 			p.set(watch.Snapshot{Manifest: &core.Manifest{Version: 2}, Fleet: fleet(1, "a")})
-			got := &applied{}
-			w := &watch.Watcher{Source: s, Peers: p, OnManifest: got.onManifest, OnFleet: got.onFleet, OnEntries: func([]core.Instance) {}}
-			run(t, w)
+			w, got := start(t, s, p)
 			until(t, "the first manifest", func() bool { return got.version() == 1 })
 			c := clock.Clock{}
 			_ = c.Sleep(t.Context(), 1000)
@@ -103,7 +100,7 @@
 	}
 }
 
-// relayedPeers are the peers of an entry that relies on others for the list of replicas.
+// relayedPeers are the peers of an entry in a fleet where a few read the list for all.
 type relayedPeers struct{ peers }
 
 // Relayed implements [watch.Peers].
@@ -111,7 +108,9 @@
 
 // Turn implements [watch.Peers].
 func (p *relayedPeers) Turn() watch.Turn {
-	return watch.Turn{Ahead: 9, Relayed: true, Drain: drainTime}
+	t := p.peers.Turn()
+	t.Relayed, t.Drain = true, drainTime
+	return t
 }
 
 // TestOlderListReplacesNewerOne guards against a list of replicas that stays in use although
@@ -121,9 +120,8 @@
 	t.Parallel()
 	is := is.New(t)
 	s := newSource()
-	p := &relayedPeers{}
-	got := &applied{}
-	w := &watch.Watcher{Source: s, Peers: p, OnManifest: got.onManifest, OnEntries: func([]core.Instance) {}}
+	p := &relayedPeers{peers{ahead: 9}}
+	w, got := newWatcher(s, p)
 	w.OnFleet = func(f core.Fleet) {
 		if f.Revision == 2 {
 			_ = clock.Clock{}.Sleep(t.Context(), 300)
@@ -192,10 +190,8 @@
 			c := clock.Clock{}
 			s := newSource()
 			s.fleet = fleet(1, "a", "b")
-			p := &relayedPeers{}
-			got := &applied{}
-			w := &watch.Watcher{Source: s, Peers: p, OnManifest: got.onManifest, OnFleet: got.onFleet, OnEntries: func([]core.Instance) {}}
-			run(t, w)
+			p := &relayedPeers{peers{ahead: 9}}
+			w, got := start(t, s, p)
 			until(t, "the first list", func() bool { return got.names() == "ab" })
 			s.edit(func() { s.err = codes.New(codes.PlatformDown, "") })
 			_ = c.Sleep(t.Context(), 5000)
@@ -215,21 +211,13 @@
 	}
 }
 
-// run runs a watcher until the end of the test.
-func run(t *testing.T, w *watch.Watcher) {
-	ctx, stop := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	wg.Go(func() { w.Run(ctx) })
-	t.Cleanup(func() { stop(); wg.Wait() })
-}
-
 // writeRows raises the revision of the list of replicas until the end of the test, as the
 // replicas do that write their rows.
 func (s *source) writeRows(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		for (clock.Clock{}).Sleep(ctx, clock.FromDuration(100*time.Millisecond)) == nil {
+		for (clock.Clock{}).Sleep(ctx, 100) == nil {
 			s.mu.Lock()
 			s.fleet.Revision++
 			s.mu.Unlock()
@@ -238,15 +226,6 @@
 	t.Cleanup(func() { stop(); wg.Wait() })
 }
 
-// firstReader are the peers of the entry that reads the list first.
-type firstReader struct{ peers }
-
-// Relayed implements [watch.Peers].
-func (p *firstReader) Relayed() bool { return true }
-
-// Turn implements [watch.Peers].
-func (p *firstReader) Turn() watch.Turn { return watch.Turn{Relayed: true, Drain: drainTime} }
-
 // TestDelayedReportsPostponeReads guards against a leaving replica that nobody learns of: reports
 // that waited at entries which were frozen seem to be of recent reads of the list, so that the
 // entry that reads for the others doesn't.
@@ -256,9 +235,7 @@
 	c := clock.Clock{}
 	s := newSource()
 	s.fleet = fleet(1, "a", "b")
-	got := &applied{}
-	w := &watch.Watcher{Source: s, Peers: &firstReader{}, OnManifest: got.onManifest, OnFleet: got.onFleet, OnEntries: func([]core.Instance) {}}
-	run(t, w)
+	w, got := start(t, s, &relayedPeers{}) // the first that reads
 	until(t, "the first list", func() bool { return got.names() == "ab" })
 	delayed := w.PeerState()
 	s.edit(func() { s.fleet = fleet(2, "b") })
--- a/watch/list.go
+++ b/watch/list.go
@@ -48,16 +48,14 @@
 	if now < w.eras.restoredUntil && len(before.Replicas) > 0 {
 		fleet.Replicas = asBefore(fleet.Replicas, before.Replicas)
 	}
+	used := w.membersHash
 	if now < w.keepMissingUntil {
 		fleet.Replicas = withMissing(fleet.Replicas, before.Replicas, bad)
+		used = fleet.Fingerprint()
 	}
-	w.fleet = fleet
-	used := w.usedHash
-	w.usedHash = w.membersHash
-	if w.keeping = len(fleet.Replicas) != len(w.listed.Replicas) || now < w.eras.restoredUntil; w.keeping {
-		w.usedHash = fleet.Fingerprint()
-	}
-	if used != w.usedHash {
+	changed := used != w.usedHash
+	w.fleet, w.usedHash = fleet, used
+	if changed {
 		w.log().Info("watch: the replicas changed", zap.Int64("era", fleet.Era), zap.Int64("revision", fleet.Revision),
 			zap.Int64("before", before.Revision), zap.String("from", from), zap.Int64("age", int64(age)),
 			zap.Int("replicas", len(fleet.Replicas)), zap.Strings("kept", missingNames(w.listed.Replicas, fleet.Replicas)))
@@ -65,6 +63,10 @@
 	return fleet
 }
 
+// keeping reports whether the list in use differs from the one that was read. The caller
+// holds w.mu.
+func (w *Watcher) keeping() bool { return w.usedHash != w.membersHash }
+
 // dropKept replaces the list in use by the one that was read, without the replicas kept. It is
 // called once an entry has read the same members after keepMissingUntil: their rows won't come
 // back.
@@ -72,7 +74,7 @@
 	w.install.Lock()
 	defer w.install.Unlock()
 	w.mu.Lock()
-	drop := w.keeping && w.Clock.Now() >= w.keepMissingUntil
+	drop := w.keeping() && w.Clock.Now() >= w.keepMissingUntil
 	if drop {
 		w.setFleet(w.listed, nil, "peer", 0)
 	}
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -189,9 +189,8 @@
 	// readAt is the instant of this entry's last read of the list, peerReadAt
 	// that of the last read by a peer with the same members, and confirmedAt
 	// that of the last read by any entry. Until keepMissingUntil, missing
-	// replicas are kept; keeping is set while fleet differs from listed.
+	// replicas are kept.
 	readAt, peerReadAt, confirmedAt, keepMissingUntil clock.Millis
-	keeping                                           bool
 	entries                                           []core.Instance
 	// table is the version of entries. startedAt is the instant at which Run began,
 	// and joinedAt that of the first reading of the table.
@@ -257,7 +256,7 @@
 	drop := false
 	if same && s.Members != 0 && s.Era == w.fleet.Era {
 		w.peerReadAt = max(w.peerReadAt, at)
-		drop = w.keeping && at >= w.keepMissingUntil
+		drop = w.keeping() && at >= w.keepMissingUntil
 	}
 	newerFleet := list.Newer(w.fleet.Version()) && !same && s.Members != 0
 	if newerFleet && list.Newer(w.peerFleet) {
@@ -403,7 +402,7 @@
 		}
 		b.succeeded()
 		known = w.reportBadRows(known, bad)
-		if !w.enterEra(fleet.Era, "store") || !w.applyFleet(fleet, known) || !w.relayed() && w.behindFleet() {
+		if !w.enterEra(fleet.Era, "store") || !w.applyFleet(fleet, known) || w.mustRead() {
 			// The loop checks ctx.
 			_ = w.Clock.Sleep(ctx, minBackoff)
 		}
@@ -441,7 +440,7 @@
 // before the first read, unless all entries start together, and after a peer has
 // reported a different list.
 func (w *Watcher) untilNextRead() clock.Millis {
-	if w.readNow.Swap(false) || !w.relayed() && w.behindFleet() {
+	if w.readNow.Swap(false) || w.mustRead() {
 		return 0
 	}
 	turn := w.turn()
--- a/watch/watcher_test.go
+++ b/watch/watcher_test.go
@@ -269,20 +269,30 @@
 	return text
 }
 
-// start runs a watcher until the end of the test.
-func start(t *testing.T, s *source, p *peers) (*watch.Watcher, *applied) {
+// newWatcher returns a watcher, and the record of what it passes to its callbacks.
+func newWatcher(s watch.Source, p watch.Peers) (*watch.Watcher, *applied) {
 	got := &applied{}
-	w := &watch.Watcher{
+	return &watch.Watcher{
 		Source: s, Peers: p, Self: core.Instance{Name: "self"},
 		OnManifest: got.onManifest, OnFleet: got.onFleet,
 		OnEntries: func(l []core.Instance) { got.mu.Lock(); got.entries = len(l); got.mu.Unlock() },
 		Meter:     &meter.Registry{},
-	}
+	}, got
+}
+
+// start runs a new watcher until the end of the test.
+func start(t *testing.T, s watch.Source, p watch.Peers) (*watch.Watcher, *applied) {
+	w, got := newWatcher(s, p)
+	run(t, w)
+	return w, got
+}
+
+// run runs a watcher until the end of the test.
+func run(t *testing.T, w *watch.Watcher) {
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { w.Run(ctx); close(done) }()
 	t.Cleanup(func() { stop(); <-done })
-	return w, got
 }
 
 // until waits up to 10 seconds for a condition; what describes it.
