watch: check that peers get the list as it was read

TestRemovedReplicaReturnsFromAnEntryThatWasCutOff passes if only the answer to a peer holds the replicas kept, since what is reported is right by then.

--- a/watch/behind_test.go
+++ b/watch/behind_test.go
@@ -201,6 +201,7 @@
 			report()
 			until(t, "the list after the outage", func() bool { return w.Snapshot().Fleet.Revision == 2 })
 			is.Equal(got.names(), "ba")
+			is.Equal(w.Snapshot().Fleet.Replicas, read.Replicas) // peers get the list as it was read
 			for at := c.Now(); c.Now() < at+drainTime; _ = c.Sleep(t.Context(), 50) {
 				if returns {
 					report()
